--- /dev/null
+++ b/fakes/fake_answer.ts
@@ -0,0 +1,36 @@
+import type { ChatMessage } from "../src/connection/engine_client.ts";
+import { getHash32 } from "../src/shared/rendezvous_hash.ts";
+
+const DEFAULT_ANSWER_TOKENS = 24;
+const CHARACTERS_PER_TOKEN = 4;
+
+/**
+ * Gets the answer that every fake engine gives to a chat. It depends on the messages alone, so that a resumed answer can be checked token by token. A message that contains `tokens=N` sets the length.
+ *
+ * @param messages - Messages of the chat.
+ * @param maxTokens - Output limit in tokens.
+ * @example
+ * ```ts
+ * getExpectedAnswer([{ role: "user", content: "tokens=2" }], 10).length; // 2
+ * ```
+ */
+export function getExpectedAnswer(
+  messages: readonly ChatMessage[],
+  maxTokens: number,
+): string[] {
+  const text = messages.map((m) => m.content).join("\n");
+  const asked = /tokens=(\d+)/.exec(text)?.[1];
+  const length = Math.min(Number(asked ?? DEFAULT_ANSWER_TOKENS), maxTokens);
+  const tag = getHash32(text).toString(36);
+  return Array.from({ length }, (_, index) => ` ${tag}.${index}`);
+}
+
+/**
+ * Gets the number of prompt tokens as the fake engines count them.
+ *
+ * @param messages - Messages of the chat.
+ */
+export function getPromptTokens(messages: readonly ChatMessage[]): number {
+  const characters = messages.reduce((sum, m) => sum + m.content.length, 0);
+  return Math.max(1, Math.ceil(characters / CHARACTERS_PER_TOKEN));
+}
--- /dev/null
+++ b/fakes/fake_engine.ts
@@ -0,0 +1,613 @@
+import express, { type Express, type Request, type Response } from "express";
+import got from "got";
+import type {
+  ChatMessage,
+  EngineOrder,
+  EngineState,
+  EngineStatus,
+} from "../src/connection/engine_client.ts";
+import { delay } from "../src/shared/delay.ts";
+import { LifeCycleManager } from "../src/shared/life_cycle_manager.ts";
+import { getHash32 } from "../src/shared/rendezvous_hash.ts";
+import { getExpectedAnswer, getPromptTokens } from "./fake_answer.ts";
+import {
+  applyFaultsBeforeCall,
+  type CommonFaults,
+  createCommonFaults,
+} from "./fault_switches.ts";
+import { HttpListener } from "./http_listener.ts";
+
+const PREFIX_CHARACTERS = 256;
+const MAX_CACHED_PREFIXES = 64;
+
+/** Behaviour of a fake engine. */
+export interface FakeEngineOptions {
+  readonly name: string;
+  /** Base URL of the platform, whose weight store is asked at a load order. */
+  readonly platformUrl?: string;
+  /** Time between two tokens of a stream in milliseconds. */
+  readonly tokenIntervalMs?: number;
+  /** Tokens that a stream gets at each interval. */
+  readonly tokensPerInterval?: number;
+  /** Time from the request to its first token in milliseconds. */
+  readonly prefillMs?: number;
+  /** Held tokens above which the engine fails. */
+  readonly maxTokens?: number;
+  /** Requests above which a cold engine fails. */
+  readonly coldRequests?: number;
+  /** Requests that run at once; further ones wait. */
+  readonly maxRunning?: number;
+  /** Finished requests after which the engine is warm. */
+  readonly warmAfterRequests?: number;
+  /** Whether orders with an old generation are refused. */
+  readonly honoursFencing?: boolean;
+  /** Time between two checks of the members in milliseconds. */
+  readonly memberCheckMs?: number;
+}
+
+/** Fault switches of an engine. */
+export interface EngineFaults extends CommonFaults {
+  /** Text in a prompt that crashes the engine. */
+  crashMarker: string | undefined;
+  /** Stops all generation and all answers, as a stopped process does. */
+  paused: boolean;
+  /** Factor by which tokens take longer. */
+  slowdown: number;
+  /** Lag of the status in milliseconds. */
+  statusLagMs: number;
+  /** Probability that a cache event is lost. */
+  cacheEventLoss: number;
+}
+
+interface RunningRequest {
+  readonly id: string;
+  readonly answer: string[];
+  readonly promptTokens: number;
+  readonly priority: number;
+  readonly res: Response;
+  readonly startedAtMs: number;
+  nextIndex: number;
+  firstTokenAtMs: number;
+  blocked: boolean;
+}
+
+/** Event of the prefix cache. */
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly type: "stored" | "evicted";
+  readonly prefixHash: number;
+}
+
+interface ChatBody {
+  request_id?: string;
+  messages: ChatMessage[];
+  max_tokens?: number;
+  priority?: number;
+  resume_tokens?: string[];
+}
+
+/** Stand-in for the model engine of one backend server. */
+export class FakeEngine {
+  readonly faults: EngineFaults = {
+    ...createCommonFaults(),
+    crashMarker: undefined,
+    paused: false,
+    slowdown: 1,
+    statusLagMs: 0,
+    cacheEventLoss: 0,
+  };
+  /** Requests that the engine has run, by request id. */
+  readonly startedRequests: string[] = [];
+  readonly cancelledRequests: string[] = [];
+  readonly orders: EngineOrder[] = [];
+  crashes = 0;
+  /** Highest number of requests held at once. */
+  peakRequests = 0;
+  /** Requests that were refused since the group was not complete. */
+  refusedIncomplete = 0;
+
+  readonly #options: Required<Omit<FakeEngineOptions, "platformUrl">> & {
+    platformUrl?: string;
+  };
+  readonly #listener: HttpListener;
+  readonly #lifeCycle = new LifeCycleManager();
+  readonly #running = new Map<string, RunningRequest>();
+  readonly #waiting: RunningRequest[] = [];
+  readonly #cachedPrefixes = new Map<number, number>();
+  readonly #cacheEvents: CacheEvent[] = [];
+  readonly #statusHistory: { atMs: number; status: EngineStatus }[] = [];
+  #cacheSequence = 0;
+  #boot = 0;
+  #generation = 0;
+  #state: EngineState = "empty";
+  #order: EngineOrder | undefined;
+  #connectedMembers: string[] = [];
+  #finishedSinceLoad = 0;
+  #nextTickAtMs = 0;
+
+  constructor(options: FakeEngineOptions) {
+    this.#options = {
+      tokenIntervalMs: 5,
+      tokensPerInterval: 1,
+      prefillMs: 5,
+      maxTokens: 200_000,
+      coldRequests: 2,
+      maxRunning: 64,
+      warmAfterRequests: 8,
+      honoursFencing: true,
+      memberCheckMs: 100,
+      ...options,
+    };
+    this.#listener = new HttpListener(this.#createApp());
+  }
+
+  get name(): string {
+    return this.#options.name;
+  }
+
+  get address(): string {
+    return this.#listener.address;
+  }
+
+  get state(): EngineState {
+    return this.#state;
+  }
+
+  /** Gets the number of requests that the engine holds. */
+  get heldRequests(): number {
+    return this.#running.size + this.#waiting.length;
+  }
+
+  /** Starts the engine and returns its address. */
+  async start(port = 0): Promise<string> {
+    await this.#listener.listen(port);
+    this.#lifeCycle.addCallback(() => this.#listener.close());
+    void this.#runGeneration();
+    void this.#runMemberChecks();
+    return this.address;
+  }
+
+  async dispose(): Promise<void> {
+    await this.#lifeCycle.dispose();
+  }
+
+  /** Crashes the engine: all connections break, and it restarts empty with a new boot id. */
+  crash(): void {
+    this.crashes++;
+    this.#boot++;
+    this.#state = "empty";
+    this.#order = undefined;
+    this.#connectedMembers = [];
+    this.#dropRequests();
+    this.#cachedPrefixes.clear();
+    this.#listener.dropConnections();
+  }
+
+  /** Turns the engine cold without a restart. */
+  turnCold(): void {
+    if (this.#state === "ready") {
+      this.#state = "cold";
+      this.#finishedSinceLoad = 0;
+    }
+  }
+
+  /** Gives the engine a loaded group without an order, as a test's set-up. */
+  async assumeOrder(
+    order: EngineOrder,
+    state: EngineState = "ready",
+  ): Promise<void> {
+    this.#order = order;
+    this.#generation = order.generation;
+    this.#state = state;
+    await this.#checkMembers();
+  }
+
+  #dropRequests(): void {
+    for (const request of [...this.#running.values(), ...this.#waiting]) {
+      request.res.destroy();
+    }
+    this.#running.clear();
+    this.#waiting.length = 0;
+  }
+
+  #getStatus(): EngineStatus {
+    return {
+      bootId: `${this.#options.name}-${this.#boot}`,
+      generation: this.#generation,
+      state: this.#state,
+      groupId: this.#order?.groupId,
+      model: this.#order?.model,
+      modelVersion: this.#order?.modelVersion,
+      connectedMembers: this.#connectedMembers,
+      runningRequests: this.#running.size,
+      waitingRequests: this.#waiting.length,
+      heldTokens: this.#getHeldTokens(),
+      maxTokens: this.#options.maxTokens,
+      tokenIntervalMs: this.#options.tokenIntervalMs * this.faults.slowdown *
+        (this.#state === "cold" ? 2 : 1),
+    };
+  }
+
+  #getLaggingStatus(): EngineStatus {
+    const now = Date.now();
+    this.#statusHistory.push({ atMs: now, status: this.#getStatus() });
+    const limit = now - this.faults.statusLagMs;
+    while (
+      this.#statusHistory.length > 1 && this.#statusHistory[1].atMs <= limit
+    ) {
+      this.#statusHistory.shift();
+    }
+    return this.#statusHistory[0].status;
+  }
+
+  #getHeldTokens(): number {
+    let tokens = 0;
+    for (const request of [...this.#running.values(), ...this.#waiting]) {
+      tokens += request.promptTokens + request.nextIndex;
+    }
+    return tokens;
+  }
+
+  #createApp(): Express {
+    const app = express();
+    app.disable("x-powered-by");
+    app.use(express.json({ limit: "8mb" }));
+    this.#addControlRoutes(app);
+    app.use(async (_req, res, next) => {
+      while (this.faults.paused) {
+        if (!await delay(20, this.#lifeCycle.signal)) {
+          res.destroy();
+          return;
+        }
+      }
+      if (await applyFaultsBeforeCall(this.faults)) {
+        res.status(503).json({ message: "The engine is unavailable" });
+        return;
+      }
+      next();
+    });
+    app.get("/status", (_req, res) => {
+      res.json(this.#getLaggingStatus());
+    });
+    app.post("/orders", (req, res) => this.#handleOrder(req, res));
+    app.post("/v1/chat/completions", (req, res) => this.#handleChat(req, res));
+    app.post("/abort", (req, res) => {
+      this.#cancel(String((req.body as { request_id: string }).request_id));
+      res.json({ aborted: true });
+    });
+    app.get("/cache-events", (req, res) => {
+      const since = Number(req.query.since ?? 0);
+      res.json({
+        events: this.#cacheEvents.filter((e) => e.sequence > since),
+      });
+    });
+    app.post("/kv/export", (req, res) => this.#handleKvExport(req, res));
+    app.post("/kv/import", (req, res) => {
+      const { prefixHashes } = req.body as { prefixHashes: number[] };
+      prefixHashes.forEach((hash) => this.#storePrefix(hash));
+      res.json({ imported: prefixHashes.length });
+    });
+    return app;
+  }
+
+  #addControlRoutes(app: Express): void {
+    app.post("/control/faults", (req, res) => {
+      Object.assign(this.faults, req.body);
+      res.json(this.faults);
+    });
+    app.post("/control/crash", (_req, res) => {
+      res.json({ crashed: true });
+      setTimeout(() => this.crash(), 1);
+    });
+    app.post("/control/turn-cold", (_req, res) => {
+      this.turnCold();
+      res.json({ state: this.#state });
+    });
+    app.get("/control/record", (_req, res) => {
+      res.json({
+        crashes: this.crashes,
+        peakRequests: this.peakRequests,
+        started: this.startedRequests.length,
+        cancelled: this.cancelledRequests.length,
+        refusedIncomplete: this.refusedIncomplete,
+      });
+    });
+  }
+
+  async #handleOrder(req: Request, res: Response): Promise<void> {
+    const order = req.body as EngineOrder;
+    if (this.#options.honoursFencing && order.generation < this.#generation) {
+      res.status(409).json({ generation: this.#generation });
+      return;
+    }
+    this.orders.push(order);
+    this.#generation = order.generation;
+    res.json({ generation: order.generation });
+    if (order.action === "unload") {
+      this.#dropRequests();
+      this.#state = "empty";
+      this.#order = undefined;
+      return;
+    }
+    if (order.action === "load" && !this.#isSameOrder(order)) {
+      await this.#load(order);
+    }
+  }
+
+  #isSameOrder(order: EngineOrder): boolean {
+    return this.#order?.groupId === order.groupId &&
+      this.#order.generation === order.generation && this.#state !== "empty";
+  }
+
+  async #load(order: EngineOrder): Promise<void> {
+    this.#dropRequests();
+    this.#order = order;
+    this.#state = "loading";
+    const boot = this.#boot;
+    if (this.#options.platformUrl !== undefined) {
+      await got.post(`${this.#options.platformUrl}/v1/weights/fetch`, {
+        retry: { limit: 0 },
+        throwHttpErrors: false,
+      }).catch(() => undefined);
+    }
+    if (
+      this.#boot === boot && this.#order === order && this.#state === "loading"
+    ) {
+      this.#state = "cold";
+      this.#finishedSinceLoad = 0;
+      await this.#checkMembers();
+    }
+  }
+
+  #isComplete(): boolean {
+    const order = this.#order;
+    return order !== undefined && order.leader === this.#options.name &&
+      Object.keys(order.members).every((m) =>
+        this.#connectedMembers.includes(m)
+      );
+  }
+
+  async #runMemberChecks(): Promise<void> {
+    while (
+      await delay(this.#options.memberCheckMs, this.#lifeCycle.signal)
+    ) {
+      await this.#checkMembers();
+    }
+  }
+
+  async #checkMembers(): Promise<void> {
+    const order = this.#order;
+    if (
+      order === undefined || this.#state === "loading" || this.faults.paused
+    ) {
+      return;
+    }
+    const wasComplete = this.#isComplete();
+    const names = Object.keys(order.members);
+    const reached = await Promise.all(
+      names.map((name) => this.#reachMember(order, name)),
+    );
+    if (this.#order !== order) {
+      return;
+    }
+    this.#connectedMembers = names.filter((_, index) => reached[index]);
+    // The loss of one member ends every request of the group.
+    if (wasComplete && !this.#isComplete()) {
+      this.#dropRequests();
+    }
+  }
+
+  async #reachMember(order: EngineOrder, name: string): Promise<boolean> {
+    if (name === this.#options.name) {
+      return true;
+    }
+    try {
+      const status = await got(`http://${order.members[name]}/status`, {
+        timeout: { request: 500 },
+        retry: { limit: 0 },
+      }).json<EngineStatus>();
+      return status.groupId === order.groupId &&
+        status.generation === order.generation &&
+        status.state !== "empty" && status.state !== "loading";
+    } catch {
+      return false;
+    }
+  }
+
+  #handleChat(req: Request, res: Response): void {
+    const body = req.body as ChatBody;
+    if (!this.#isComplete()) {
+      this.refusedIncomplete++;
+      res.status(503).json({ message: "The group is not complete" });
+      return;
+    }
+    const text = body.messages.map((m) => m.content).join("\n");
+    const marker = this.faults.crashMarker;
+    this.startedRequests.push(body.request_id ?? "");
+    if (marker !== undefined && text.includes(marker)) {
+      this.crash();
+      return;
+    }
+    const request = this.#createRequest(body, res);
+    res.status(200).set("content-type", "text/event-stream").flushHeaders();
+    res.on("close", () => this.#cancel(request.id));
+    this.#touchPrefix(text);
+    this.#enqueue(request);
+  }
+
+  #createRequest(body: ChatBody, res: Response): RunningRequest {
+    const answer = getExpectedAnswer(body.messages, body.max_tokens ?? 512);
+    return {
+      id: body.request_id ?? `anonymous-${this.startedRequests.length}`,
+      answer,
+      promptTokens: getPromptTokens(body.messages),
+      priority: body.priority ?? 5,
+      res,
+      startedAtMs: Date.now(),
+      nextIndex: Math.min(body.resume_tokens?.length ?? 0, answer.length),
+      firstTokenAtMs: 0,
+      blocked: false,
+    };
+  }
+
+  #enqueue(request: RunningRequest): void {
+    this.#waiting.push(request);
+    this.#waiting.sort((a, b) => a.priority - b.priority);
+    this.#admitWaiting();
+    this.peakRequests = Math.max(this.peakRequests, this.heldRequests);
+    const tooCold = this.#state === "cold" &&
+      this.heldRequests > this.#options.coldRequests +
+          Math.floor(this.#finishedSinceLoad / 2);
+    if (tooCold || this.#getHeldTokens() > this.#options.maxTokens) {
+      this.crash();
+    }
+  }
+
+  #admitWaiting(): void {
+    while (
+      this.#waiting.length > 0 && this.#running.size < this.#options.maxRunning
+    ) {
+      const request = this.#waiting.shift()!;
+      request.firstTokenAtMs = Date.now() + this.#options.prefillMs;
+      this.#running.set(request.id, request);
+    }
+  }
+
+  async #runGeneration(): Promise<void> {
+    this.#nextTickAtMs = Date.now();
+    for (;;) {
+      const slow = this.faults.slowdown * (this.#state === "cold" ? 2 : 1);
+      this.#nextTickAtMs += this.#options.tokenIntervalMs * slow;
+      const waitMs = Math.max(0, this.#nextTickAtMs - Date.now());
+      if (!await delay(waitMs, this.#lifeCycle.signal)) {
+        return;
+      }
+      this.#nextTickAtMs = Math.max(this.#nextTickAtMs, Date.now() - 50);
+      if (!this.faults.paused) {
+        this.#generateTokens();
+      }
+    }
+  }
+
+  #generateTokens(): void {
+    const now = Date.now();
+    for (const request of this.#running.values()) {
+      if (!request.blocked && request.firstTokenAtMs <= now) {
+        this.#generateFor(request);
+      }
+    }
+    if (this.#getHeldTokens() > this.#options.maxTokens) {
+      this.crash();
+      return;
+    }
+    this.#admitWaiting();
+  }
+
+  #generateFor(request: RunningRequest): void {
+    const end = Math.min(
+      request.nextIndex + this.#options.tokensPerInterval,
+      request.answer.length,
+    );
+    let text = "";
+    for (; request.nextIndex < end; request.nextIndex++) {
+      text += formatTokenEvent(request);
+    }
+    if (request.nextIndex >= request.answer.length) {
+      this.#finish(request, text);
+      return;
+    }
+    if (!request.res.write(text)) {
+      request.blocked = true;
+      request.res.once("drain", () => request.blocked = false);
+    }
+  }
+
+  #finish(request: RunningRequest, text: string): void {
+    this.#running.delete(request.id);
+    this.#finishedSinceLoad++;
+    if (
+      this.#state === "cold" &&
+      this.#finishedSinceLoad >= this.#options.warmAfterRequests
+    ) {
+      this.#state = "ready";
+    }
+    request.res.end(text + formatEndEvent(request));
+  }
+
+  #cancel(id: string): void {
+    const waitingIndex = this.#waiting.findIndex((r) => r.id === id);
+    const request = this.#running.get(id) ?? this.#waiting[waitingIndex];
+    if (request === undefined) {
+      return;
+    }
+    this.#running.delete(id);
+    if (waitingIndex >= 0) {
+      this.#waiting.splice(waitingIndex, 1);
+    }
+    this.cancelledRequests.push(id);
+    request.res.end();
+    this.#admitWaiting();
+  }
+
+  #touchPrefix(text: string): void {
+    this.#storePrefix(getHash32(text.slice(0, PREFIX_CHARACTERS)));
+  }
+
+  #storePrefix(hash: number): void {
+    this.#cachedPrefixes.delete(hash);
+    this.#cachedPrefixes.set(hash, Date.now());
+    this.#publishCacheEvent("stored", hash);
+    if (this.#cachedPrefixes.size > MAX_CACHED_PREFIXES) {
+      const oldest = this.#cachedPrefixes.keys().next().value!;
+      this.#cachedPrefixes.delete(oldest);
+      this.#publishCacheEvent("evicted", oldest);
+    }
+  }
+
+  #publishCacheEvent(type: CacheEvent["type"], prefixHash: number): void {
+    const sequence = ++this.#cacheSequence;
+    if (Math.random() >= this.faults.cacheEventLoss) {
+      this.#cacheEvents.push({ sequence, type, prefixHash });
+      this.#cacheEvents.splice(0, this.#cacheEvents.length - 1_000);
+    }
+  }
+
+  #handleKvExport(req: Request, res: Response): void {
+    const { request_id: id } = req.body as { request_id: string };
+    const request = this.#running.get(id);
+    if (request === undefined) {
+      res.status(404).json({ message: "The request is not running" });
+      return;
+    }
+    res.json({
+      requestId: id,
+      generatedTokens: request.nextIndex,
+      prefixHashes: [...this.#cachedPrefixes.keys()],
+    });
+  }
+}
+
+function formatTokenEvent(request: RunningRequest): string {
+  const index = request.nextIndex;
+  return `data: ${
+    JSON.stringify({
+      id: request.id,
+      object: "chat.completion.chunk",
+      token_index: index,
+      choices: [{ index: 0, delta: { content: request.answer[index] } }],
+    })
+  }\n\n`;
+}
+
+function formatEndEvent(request: RunningRequest): string {
+  const end = {
+    id: request.id,
+    object: "chat.completion.chunk",
+    choices: [{ index: 0, delta: {}, finish_reason: "stop" }],
+    usage: {
+      prompt_tokens: request.promptTokens,
+      completion_tokens: request.answer.length,
+    },
+  };
+  return `data: ${JSON.stringify(end)}\n\ndata: [DONE]\n\n`;
+}
--- /dev/null
+++ b/fakes/fake_platform.ts
@@ -0,0 +1,339 @@
+import express, { type Express, type Request, type Response } from "express";
+import type {
+  StoredObject,
+  WatchEvent,
+} from "../src/connection/object_store.ts";
+import type { Vm } from "../src/connection/vm_directory.ts";
+import { delay } from "../src/shared/delay.ts";
+import {
+  applyFaultsBeforeCall,
+  type CommonFaults,
+  createCommonFaults,
+  takeDroppedAnswer,
+} from "./fault_switches.ts";
+import { HttpListener } from "./http_listener.ts";
+
+const MAX_VALUE_BYTES = 1_048_576;
+const MAX_WATCH_EVENTS = 10_000;
+
+/** Fault switches of the platform. */
+export interface PlatformFaults extends CommonFaults {
+  /** Lag of watch events in milliseconds. */
+  watchLagMs: number;
+  /** Number of next watch events that are skipped silently. */
+  skipWatchEvents: number;
+  /** Lag of the VM list in milliseconds. */
+  vmListLagMs: number;
+}
+
+/** Number of calls of each kind since the start. */
+export interface PlatformCallCounts {
+  reads: number;
+  writes: number;
+  watches: number;
+  conflicts: number;
+  vmLists: number;
+  weightFetches: number;
+}
+
+interface KindLog {
+  kind: string;
+  event: WatchEvent;
+  atMs: number;
+}
+
+interface VmListVersion {
+  atMs: number;
+  vms: Vm[];
+}
+
+/** Stand-in for the platform: object API, VM list and rate-limited weight store. */
+export class FakePlatform {
+  readonly faults: PlatformFaults = {
+    ...createCommonFaults(),
+    watchLagMs: 0,
+    skipWatchEvents: 0,
+    vmListLagMs: 0,
+  };
+  readonly counts: PlatformCallCounts = {
+    reads: 0,
+    writes: 0,
+    watches: 0,
+    conflicts: 0,
+    vmLists: 0,
+    weightFetches: 0,
+  };
+  /** Time that one fetch of weights occupies the weight store, in milliseconds. */
+  weightFetchMs = 50;
+
+  readonly #objects = new Map<string, StoredObject>();
+  readonly #log: KindLog[] = [];
+  readonly #waiters = new Set<() => void>();
+  readonly #listener: HttpListener;
+  #revision = 0;
+  #vmVersions: VmListVersion[] = [{ atMs: 0, vms: [] }];
+  #weightStoreFreeAtMs = 0;
+
+  constructor() {
+    this.#listener = new HttpListener(this.#createApp());
+  }
+
+  /** Gets the base URL. */
+  get url(): string {
+    return `http://${this.#listener.address}`;
+  }
+
+  /** Starts the fake and returns its base URL. */
+  async start(port = 0): Promise<string> {
+    await this.#listener.listen(port);
+    return this.url;
+  }
+
+  async dispose(): Promise<void> {
+    await this.#listener.close();
+    this.#wakeWaiters();
+  }
+
+  /** Replaces the list of VMs. */
+  setVms(vms: readonly Vm[]): void {
+    this.#vmVersions.push({ atMs: Date.now(), vms: [...vms] });
+    this.#vmVersions = this.#vmVersions.slice(-50);
+  }
+
+  /** Gets the list of VMs without the lag. */
+  getVms(): Vm[] {
+    return this.#vmVersions.at(-1)!.vms;
+  }
+
+  /** Gets an object directly. */
+  getObject(kind: string, name: string): StoredObject | undefined {
+    return this.#objects.get(getKey(kind, name));
+  }
+
+  /** Gets all objects of a kind directly. */
+  getObjects(kind: string): StoredObject[] {
+    return [...this.#objects.values()].filter((o) => o.kind === kind);
+  }
+
+  /** Writes an object without a condition, as a test's set-up. */
+  setObject(kind: string, name: string, value: unknown): StoredObject {
+    const version = (this.getObject(kind, name)?.version ?? 0) + 1;
+    return this.#write({ kind, name, version, value });
+  }
+
+  #write(object: StoredObject): StoredObject {
+    this.#objects.set(getKey(object.kind, object.name), object);
+    this.#appendEvent(object.kind, { name: object.name, object });
+    return object;
+  }
+
+  #appendEvent(
+    kind: string,
+    event: { name: string; object?: StoredObject },
+  ): void {
+    this.#revision++;
+    if (this.faults.skipWatchEvents > 0) {
+      this.faults.skipWatchEvents--;
+      return;
+    }
+    this.#log.push({
+      kind,
+      event: { revision: this.#revision, ...event },
+      atMs: Date.now(),
+    });
+    if (this.#log.length > MAX_WATCH_EVENTS) {
+      this.#log.splice(0, MAX_WATCH_EVENTS / 2);
+    }
+    this.#wakeWaiters();
+  }
+
+  #wakeWaiters(): void {
+    for (const wake of [...this.#waiters]) {
+      wake();
+    }
+  }
+
+  #createApp(): Express {
+    const app = express();
+    app.disable("x-powered-by");
+    app.use(express.json({ limit: "2mb", strict: false }));
+    this.#addControlRoutes(app);
+    app.use(async (_req, res, next) => {
+      if (await applyFaultsBeforeCall(this.faults)) {
+        res.status(503).json({ message: "The platform is unavailable" });
+        return;
+      }
+      next();
+    });
+    app.get(
+      "/v1/objects/:kind/:name",
+      (req, res) => this.#handleGet(req.params, res),
+    );
+    app.get("/v1/objects/:kind", (req, res) => {
+      this.counts.reads++;
+      res.json({
+        revision: this.#revision,
+        objects: this.getObjects(req.params.kind),
+      });
+    });
+    app.put("/v1/objects/:kind/:name", (req, res) => this.#handlePut(req, res));
+    app.delete(
+      "/v1/objects/:kind/:name",
+      (req, res) => this.#handleDelete(req, res),
+    );
+    app.get("/v1/watch/:kind", (req, res) => this.#handleWatch(req, res));
+    app.get("/v1/vms", (_req, res) => {
+      this.counts.vmLists++;
+      res.json({ vms: this.#getLaggingVms() });
+    });
+    app.post("/v1/weights/fetch", (_req, res) => this.#handleWeights(res));
+    return app;
+  }
+
+  #addControlRoutes(app: Express): void {
+    app.get("/control/counts", (_req, res) => {
+      res.json(this.counts);
+    });
+    app.post("/control/faults", (req, res) => {
+      Object.assign(this.faults, req.body);
+      res.json(this.faults);
+    });
+    app.post("/control/vms", (req, res) => {
+      this.setVms(req.body as Vm[]);
+      res.json({ vms: this.getVms().length });
+    });
+  }
+
+  #handleGet(params: { kind: string; name: string }, res: Response): void {
+    this.counts.reads++;
+    const object = this.getObject(params.kind, params.name);
+    if (object === undefined) {
+      res.status(404).json({ message: "The object does not exist" });
+      return;
+    }
+    res.json(object);
+  }
+
+  #handlePut(req: Request, res: Response): void {
+    this.counts.writes++;
+    const kind = String(req.params.kind);
+    const name = String(req.params.name);
+    if (JSON.stringify(req.body).length > MAX_VALUE_BYTES) {
+      res.status(413).json({ message: "The value is larger than a megabyte" });
+      return;
+    }
+    const current = this.getObject(kind, name)?.version ?? 0;
+    if (current !== getExpectedVersion(req)) {
+      this.#refuseConflict(res, current);
+      return;
+    }
+    const version = current + 1;
+    this.#write({ kind, name, version, value: req.body });
+    this.#answerWrite(res, version);
+  }
+
+  #handleDelete(req: Request, res: Response): void {
+    this.counts.writes++;
+    const kind = String(req.params.kind);
+    const name = String(req.params.name);
+    const current = this.getObject(kind, name)?.version ?? 0;
+    if (current === 0 || current !== getExpectedVersion(req)) {
+      this.#refuseConflict(res, current);
+      return;
+    }
+    this.#objects.delete(getKey(kind, name));
+    this.#appendEvent(kind, { name });
+    this.#answerWrite(res, current);
+  }
+
+  #refuseConflict(res: Response, version: number): void {
+    this.counts.conflicts++;
+    res.status(412).json({
+      message: "The object has another version",
+      version,
+    });
+  }
+
+  #answerWrite(res: Response, version: number): void {
+    if (takeDroppedAnswer(this.faults)) {
+      res.destroy();
+      return;
+    }
+    res.json({ version });
+  }
+
+  async #handleWatch(req: Request, res: Response): Promise<void> {
+    this.counts.watches++;
+    const kind = String(req.params.kind);
+    const since = Number(req.query.since ?? 0);
+    const untilMs = Date.now() + Number(req.query.timeoutMs ?? 10_000);
+    const oldest = this.#log[0]?.event.revision ?? this.#revision + 1;
+    const reset = since + 1 < oldest && since !== this.#revision &&
+      this.#log.length >= MAX_WATCH_EVENTS / 2;
+    let closed = false;
+    res.on("close", () => closed = true);
+    while (!closed) {
+      const events = this.#getVisibleEvents(kind, since);
+      if (events.length > 0 || reset || Date.now() >= untilMs) {
+        const revision = events.at(-1)?.revision ?? since;
+        res.json({
+          revision: reset ? this.#revision : revision,
+          events,
+          reset,
+        });
+        return;
+      }
+      await this.#waitForEvent(untilMs);
+    }
+  }
+
+  #getVisibleEvents(kind: string, since: number): WatchEvent[] {
+    const newest = Date.now() - this.faults.watchLagMs;
+    return this.#log
+      .filter((l) =>
+        l.kind === kind && l.event.revision > since && l.atMs <= newest
+      )
+      .map((l) => l.event);
+  }
+
+  async #waitForEvent(untilMs: number): Promise<void> {
+    const stop = new AbortController();
+    const wake = () => stop.abort();
+    this.#waiters.add(wake);
+    const longestMs = this.faults.watchLagMs > 0 ? 50 : 1_000;
+    await delay(
+      Math.max(1, Math.min(untilMs - Date.now(), longestMs)),
+      stop.signal,
+    );
+    this.#waiters.delete(wake);
+    if (stop.signal.aborted && this.faults.watchLagMs > 0) {
+      await delay(Math.min(this.faults.watchLagMs, 50));
+    }
+  }
+
+  #getLaggingVms(): Vm[] {
+    const newest = Date.now() - this.faults.vmListLagMs;
+    const visible = this.#vmVersions.filter((v) => v.atMs <= newest);
+    return (visible.at(-1) ?? this.#vmVersions[0]).vms;
+  }
+
+  async #handleWeights(res: Response): Promise<void> {
+    this.counts.weightFetches++;
+    const now = Date.now();
+    this.#weightStoreFreeAtMs = Math.max(now, this.#weightStoreFreeAtMs) +
+      this.weightFetchMs;
+    await delay(this.#weightStoreFreeAtMs - now);
+    res.json({ fetched: true });
+  }
+}
+
+function getKey(kind: string, name: string): string {
+  return `${kind}/${name}`;
+}
+
+function getExpectedVersion(req: Request): number {
+  if (req.header("if-none-match") === "*") {
+    return 0;
+  }
+  return Number(req.header("if-match") ?? -1);
+}
--- /dev/null
+++ b/fakes/fake_service.ts
@@ -0,0 +1,92 @@
+import express, { type Express, type Request, type Response } from "express";
+import {
+  applyFaultsBeforeCall,
+  type CommonFaults,
+  createCommonFaults,
+  takeDroppedAnswer,
+} from "./fault_switches.ts";
+import { HttpListener } from "./http_listener.ts";
+
+/** One run of a call. */
+export interface RecordedRun {
+  readonly method: string;
+  readonly path: string;
+  readonly idempotencyKey: string | undefined;
+  readonly requestId: string | undefined;
+  readonly body: string;
+  readonly atMs: number;
+}
+
+/** Stand-in for a plain service, which records every run of a call. */
+export class FakeService {
+  readonly faults: CommonFaults = createCommonFaults();
+  readonly runs: RecordedRun[] = [];
+  readonly #listener: HttpListener;
+
+  constructor() {
+    this.#listener = new HttpListener(this.#createApp());
+  }
+
+  /** Gets the address as `host:port`. */
+  get address(): string {
+    return this.#listener.address;
+  }
+
+  /** Starts the fake and returns its address. */
+  start(port = 0): Promise<string> {
+    return this.#listener.listen(port);
+  }
+
+  async dispose(): Promise<void> {
+    await this.#listener.close();
+  }
+
+  /** Gets the number of runs with an idempotency key. */
+  getRunCount(idempotencyKey: string): number {
+    return this.runs.filter((r) => r.idempotencyKey === idempotencyKey).length;
+  }
+
+  #createApp(): Express {
+    const app = express();
+    app.disable("x-powered-by");
+    app.post("/control/faults", express.json(), (req, res) => {
+      Object.assign(this.faults, req.body);
+      res.json(this.faults);
+    });
+    app.get("/control/runs", (_req, res) => {
+      res.json(this.runs);
+    });
+    app.use(express.text({ type: () => true, limit: "4mb" }));
+    app.use((req, res) => this.#handleCall(req, res));
+    return app;
+  }
+
+  async #handleCall(req: Request, res: Response): Promise<void> {
+    const refused = this.faults.down || this.faults.refuseNext > 0;
+    if (refused) {
+      await applyFaultsBeforeCall(this.faults);
+      res.status(503).json({ message: "The service is unavailable" });
+      return;
+    }
+    const run: RecordedRun = {
+      method: req.method,
+      path: req.originalUrl,
+      idempotencyKey: req.header("idempotency-key"),
+      requestId: req.header("x-request-id"),
+      body: typeof req.body === "string" ? req.body : "",
+      atMs: Date.now(),
+    };
+    this.runs.push(run);
+    await applyFaultsBeforeCall(this.faults);
+    if (takeDroppedAnswer(this.faults)) {
+      res.destroy();
+      return;
+    }
+    res.status(200).json({
+      run: this.runs.indexOf(run) + 1,
+      method: run.method,
+      path: run.path,
+      echo: run.body,
+    });
+  }
+}
--- /dev/null
+++ b/src/connection/http_engine_client.ts
@@ -0,0 +1,209 @@
+import { createParser, type EventSourceMessage } from "eventsource-parser";
+import got, {
+  HTTPError,
+  type Request as GotStream,
+  RequestError as GotError,
+} from "got";
+import { Agent } from "node:http";
+import { type Either, Left, Right } from "purify-ts";
+import { getErrorMessage } from "../shared/errors.ts";
+import {
+  type EngineChatRequest,
+  type EngineChunk,
+  type EngineClient,
+  EngineError,
+  type EngineOrder,
+  type EngineStatus,
+  type OrderOutcome,
+} from "./engine_client.ts";
+
+const STATUS_TIMEOUT_MS = 1_000;
+const ORDER_TIMEOUT_MS = 2_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Connection failures at which no byte of the request was sent. */
+const UNSENT_CODES: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENOTFOUND",
+]);
+
+interface RawChunk {
+  token_index?: number;
+  choices: {
+    delta: { content?: string };
+    finish_reason?: "stop" | "length" | null;
+  }[];
+  usage?: { prompt_tokens: number; completion_tokens: number };
+}
+
+/** Client of the model engines over HTTP and server-sent events. */
+export class HttpEngineClient implements EngineClient {
+  readonly #agent = new Agent({ keepAlive: true, maxFreeSockets: 64 });
+
+  /** Closes the idle connections. */
+  dispose(): void {
+    this.#agent.destroy();
+  }
+
+  async *streamChat(
+    address: string,
+    request: EngineChatRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<EngineChunk, void, undefined> {
+    const stream = this.#openChatStream(address, request, signal);
+    const chunks: EngineChunk[] = [];
+    const parser = createParser({
+      onEvent: (message) => pushChunk(chunks, message, request),
+    });
+    const decoder = new TextDecoder();
+    let ended = false;
+    try {
+      for await (const data of stream) {
+        parser.feed(decoder.decode(data as Uint8Array, { stream: true }));
+        for (const chunk of chunks.splice(0)) {
+          ended ||= chunk.type === "end";
+          yield chunk;
+        }
+      }
+    } catch (error) {
+      throw convertStreamError(error, signal);
+    } finally {
+      stream.destroy();
+    }
+    if (!ended) {
+      throw new EngineError("The engine ended the stream early", {
+        verdict: "may-have-run",
+        kind: signal.aborted ? "aborted" : "lost",
+      });
+    }
+  }
+
+  async abort(address: string, requestId: string): Promise<void> {
+    await got.post(`http://${address}/abort`, {
+      json: { request_id: requestId },
+      agent: { http: this.#agent },
+      timeout: { request: STATUS_TIMEOUT_MS },
+      retry: { limit: 0 },
+    });
+  }
+
+  async getStatus(
+    address: string,
+  ): Promise<Either<EngineError, EngineStatus>> {
+    try {
+      const status = await got(`http://${address}/status`, {
+        agent: { http: this.#agent },
+        timeout: { request: STATUS_TIMEOUT_MS },
+        retry: { limit: 0 },
+      }).json<EngineStatus>();
+      return Right(status);
+    } catch (error) {
+      return Left(
+        new EngineError(
+          `The status of ${address} is not available: ${
+            getErrorMessage(error)
+          }`,
+          { verdict: "not-run", kind: "unreachable", cause: error },
+        ),
+      );
+    }
+  }
+
+  async sendOrder(address: string, order: EngineOrder): Promise<OrderOutcome> {
+    try {
+      await got.post(`http://${address}/orders`, {
+        json: order,
+        agent: { http: this.#agent },
+        timeout: { request: ORDER_TIMEOUT_MS },
+        retry: { limit: 0 },
+      });
+      return "accepted";
+    } catch (error) {
+      return error instanceof HTTPError && error.response.statusCode === 409
+        ? "fenced"
+        : "unknown";
+    }
+  }
+
+  #openChatStream(
+    address: string,
+    request: EngineChatRequest,
+    signal: AbortSignal,
+  ): GotStream {
+    return got.stream.post(`http://${address}/v1/chat/completions`, {
+      json: {
+        request_id: request.requestId,
+        model: request.model,
+        messages: request.messages,
+        max_tokens: request.maxOutputTokens,
+        priority: request.priority,
+        temperature: request.temperature,
+        stop: request.stop,
+        resume_tokens: request.resumeTokens,
+        stream: true,
+      },
+      agent: { http: this.#agent },
+      timeout: { connect: CONNECT_TIMEOUT_MS },
+      retry: { limit: 0 },
+      signal,
+    });
+  }
+}
+
+function pushChunk(
+  chunks: EngineChunk[],
+  message: EventSourceMessage,
+  request: EngineChatRequest,
+): void {
+  if (message.data === "[DONE]") {
+    return;
+  }
+  const raw = JSON.parse(message.data) as RawChunk;
+  const choice = raw.choices[0];
+  if (choice.delta.content !== undefined) {
+    chunks.push({
+      type: "token",
+      index: raw.token_index ?? request.resumeTokens.length + chunks.length,
+      text: choice.delta.content,
+    });
+  }
+  if (choice.finish_reason) {
+    chunks.push({
+      type: "end",
+      finishReason: choice.finish_reason,
+      promptTokens: raw.usage?.prompt_tokens ?? 0,
+      outputTokens: raw.usage?.completion_tokens ?? 0,
+    });
+  }
+}
+
+function convertStreamError(error: unknown, signal: AbortSignal): EngineError {
+  if (error instanceof EngineError) {
+    return error;
+  }
+  const message = `The engine failed: ${getErrorMessage(error)}`;
+  if (signal.aborted) {
+    return new EngineError(message, {
+      verdict: "may-have-run",
+      kind: "aborted",
+      cause: error,
+    });
+  }
+  if (error instanceof HTTPError) {
+    return new EngineError(message, {
+      verdict: "not-run",
+      kind: "refused",
+      cause: error,
+    });
+  }
+  const unsent = error instanceof GotError &&
+    (UNSENT_CODES.has(error.code) ||
+      (error.code === "ETIMEDOUT" && error.message.includes("'connect'")));
+  return new EngineError(message, {
+    verdict: unsent ? "not-run" : "may-have-run",
+    kind: unsent ? "unreachable" : "lost",
+    cause: error,
+  });
+}
--- /dev/null
+++ b/src/connection/http_platform_client.ts
@@ -0,0 +1,147 @@
+import got, { type Got, HTTPError } from "got";
+import { type Either, Left, Right } from "purify-ts";
+import { getErrorMessage } from "../shared/errors.ts";
+import {
+  type ObjectStore,
+  type PutObjectOptions,
+  type StoredObject,
+  StoreUnavailableError,
+  type WatchOptions,
+  type WatchResult,
+  type WriteOutcome,
+} from "./object_store.ts";
+import type { Vm, VmDirectory } from "./vm_directory.ts";
+
+const CALL_TIMEOUT_MS = 2_000;
+const WATCH_GRACE_MS = 2_000;
+
+/** Client of the platform's object API and VM list over HTTP. */
+export class HttpPlatformClient implements ObjectStore, VmDirectory {
+  readonly #got: Got;
+
+  constructor(options: { url: string }) {
+    this.#got = got.extend({
+      prefixUrl: options.url,
+      timeout: { request: CALL_TIMEOUT_MS },
+      retry: { limit: 0 },
+    });
+  }
+
+  async getObject(
+    kind: string,
+    name: string,
+  ): Promise<Either<StoreUnavailableError, StoredObject | undefined>> {
+    try {
+      const path = getObjectPath(kind, name);
+      return Right(await this.#got(path).json<StoredObject>());
+    } catch (error) {
+      return isStatus(error, 404) ? Right(undefined) : Left(wrapError(error));
+    }
+  }
+
+  async listObjects(
+    kind: string,
+  ): Promise<Either<StoreUnavailableError, StoredObject[]>> {
+    try {
+      const result = await this.#got(`v1/objects/${encodeURIComponent(kind)}`)
+        .json<{ objects: StoredObject[] }>();
+      return Right(result.objects);
+    } catch (error) {
+      return Left(wrapError(error));
+    }
+  }
+
+  putObject(options: PutObjectOptions): Promise<WriteOutcome> {
+    return this.#write(
+      options,
+      () =>
+        this.#got.put(getObjectPath(options.kind, options.name), {
+          json: options.value,
+          headers: getConditionHeaders(options.expectedVersion),
+        }).json<{ version: number }>(),
+    );
+  }
+
+  deleteObject(
+    options: Omit<PutObjectOptions, "value">,
+  ): Promise<WriteOutcome> {
+    return this.#write(
+      options,
+      () =>
+        this.#got.delete(getObjectPath(options.kind, options.name), {
+          headers: getConditionHeaders(options.expectedVersion),
+        }).json<{ version: number }>(),
+    );
+  }
+
+  async watch(
+    options: WatchOptions,
+  ): Promise<Either<StoreUnavailableError, WatchResult>> {
+    try {
+      const result = await this.#got(
+        `v1/watch/${encodeURIComponent(options.kind)}`,
+        {
+          searchParams: {
+            since: options.sinceRevision,
+            timeoutMs: options.timeoutMs,
+          },
+          timeout: { request: options.timeoutMs + WATCH_GRACE_MS },
+        },
+      ).json<WatchResult>();
+      return Right(result);
+    } catch (error) {
+      return Left(wrapError(error));
+    }
+  }
+
+  async getVms(): Promise<Either<StoreUnavailableError, Vm[]>> {
+    try {
+      const result = await this.#got("v1/vms").json<{ vms: Vm[] }>();
+      return Right(result.vms);
+    } catch (error) {
+      return Left(wrapError(error));
+    }
+  }
+
+  async #write(
+    options: { kind: string; name: string },
+    send: () => Promise<{ version: number }>,
+  ): Promise<WriteOutcome> {
+    try {
+      const { version } = await send();
+      return { outcome: "written", version };
+    } catch (error) {
+      if (isStatus(error, 412)) {
+        return { outcome: "conflict" };
+      }
+      return {
+        outcome: "unknown",
+        message:
+          `The write of "${options.kind}/${options.name}" has no answer: ${
+            getErrorMessage(error)
+          }`,
+      };
+    }
+  }
+}
+
+function getObjectPath(kind: string, name: string): string {
+  return `v1/objects/${encodeURIComponent(kind)}/${encodeURIComponent(name)}`;
+}
+
+function getConditionHeaders(version: number): Record<string, string> {
+  return version === 0
+    ? { "if-none-match": "*" }
+    : { "if-match": String(version) };
+}
+
+function isStatus(error: unknown, status: number): boolean {
+  return error instanceof HTTPError && error.response.statusCode === status;
+}
+
+function wrapError(error: unknown): StoreUnavailableError {
+  return new StoreUnavailableError(
+    `The platform's store does not answer: ${getErrorMessage(error)}`,
+    { cause: error },
+  );
+}
--- /dev/null
+++ b/src/connection/object_store.ts
@@ -0,0 +1,83 @@
+import type { Either } from "purify-ts";
+
+/** Object of the platform's store with its version. */
+export interface StoredObject {
+  readonly kind: string;
+  readonly name: string;
+  /** Version of the object; rises with each write. */
+  readonly version: number;
+  readonly value: unknown;
+}
+
+/**
+ * Outcome of a conditional write.
+ *
+ * - `written`: the write took effect.
+ * - `conflict`: the object has another version; nothing was written.
+ * - `unknown`: the answer was lost; the write may have taken effect.
+ */
+export type WriteOutcome =
+  | { readonly outcome: "written"; readonly version: number }
+  | { readonly outcome: "conflict" }
+  | { readonly outcome: "unknown"; readonly message: string };
+
+/** Failure to reach the platform's store in time. */
+export class StoreUnavailableError extends Error {
+  override readonly name = "StoreUnavailableError";
+}
+
+/** Change that a watch reported. */
+export interface WatchEvent {
+  readonly revision: number;
+  readonly name: string;
+  /** The object after the change, or undefined when it was deleted. */
+  readonly object?: StoredObject;
+}
+
+/** Result of one wait for changes. */
+export interface WatchResult {
+  /** Revision to continue from. */
+  readonly revision: number;
+  readonly events: readonly WatchEvent[];
+  /** Whether events were skipped, so that the kind has to be listed again. */
+  readonly reset: boolean;
+}
+
+/** Object API of the platform. */
+export interface ObjectStore {
+  /** Gets an object, or undefined when it does not exist. */
+  getObject(
+    kind: string,
+    name: string,
+  ): Promise<Either<StoreUnavailableError, StoredObject | undefined>>;
+  /** Gets all objects of a kind. */
+  listObjects(
+    kind: string,
+  ): Promise<Either<StoreUnavailableError, StoredObject[]>>;
+  /** Writes an object if it has the expected version; version 0 means that it does not exist yet. */
+  putObject(options: PutObjectOptions): Promise<WriteOutcome>;
+  /** Deletes an object if it has the expected version. */
+  deleteObject(
+    options: Omit<PutObjectOptions, "value">,
+  ): Promise<WriteOutcome>;
+  /** Waits for changes of a kind. */
+  watch(
+    options: WatchOptions,
+  ): Promise<Either<StoreUnavailableError, WatchResult>>;
+}
+
+/** Options of a conditional write. */
+export interface PutObjectOptions {
+  readonly kind: string;
+  readonly name: string;
+  readonly value: unknown;
+  readonly expectedVersion: number;
+}
+
+/** Options of a watch. */
+export interface WatchOptions {
+  readonly kind: string;
+  readonly sinceRevision: number;
+  /** Longest wait in milliseconds. */
+  readonly timeoutMs: number;
+}
--- /dev/null
+++ b/src/connection/peer_router.ts
@@ -0,0 +1,17 @@
+import type { DaemonContext } from "../process/daemon_context.ts";
+import { createPeerStateRouter } from "./peer_state_router.ts";
+import { peerTrpc } from "./peer_trpc.ts";
+
+/**
+ * Creates the router of the peer port.
+ *
+ * @param context - Parts of the daemon.
+ */
+export function createPeerRouter(context: DaemonContext) {
+  return peerTrpc.router({
+    state: createPeerStateRouter(context),
+  });
+}
+
+/** Type of the peer router, which the peer client is typed by. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
--- /dev/null
+++ b/src/connection/peer_trpc.ts
@@ -0,0 +1,4 @@
+import { initTRPC } from "@trpc/server";
+
+/** Builder of the peer routers. */
+export const peerTrpc = initTRPC.create();
--- /dev/null
+++ b/src/process/container.ts
@@ -0,0 +1,127 @@
+import "reflect-metadata";
+import { Container, type ServiceIdentifier } from "inversify";
+import { HttpEngineClient } from "../connection/http_engine_client.ts";
+import { HttpPlatformClient } from "../connection/http_platform_client.ts";
+import { HttpPeerClients } from "../connection/peer_clients.ts";
+import { LifeCycleManager } from "../shared/life_cycle_manager.ts";
+import { type Logger, ProcessLogger } from "../shared/logger.ts";
+import { Timeline } from "../shared/timeline.ts";
+import { ConfigHolder } from "../version/config_holder.ts";
+import { PlacementHolder } from "../version/placement_holder.ts";
+import { ConfigZonePolicy, type ZonePolicy } from "../version/zone_policy.ts";
+import type { Admission } from "./admission.ts";
+import type { DaemonContext } from "./daemon_context.ts";
+import type { DaemonSettings } from "./daemon_settings.ts";
+import { FreshnessTracker } from "./freshness_tracker.ts";
+import { GroupDirectory } from "./group_directory.ts";
+import { GroupHealthTable } from "./group_health.ts";
+import { LocalAdmission } from "./local_admission.ts";
+import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
+import { VmTable } from "./vm_table.ts";
+
+const PEER_TIMEOUT_MS = 1_000;
+
+/** Identifiers of the services that are bound to interfaces. */
+export const SERVICES = {
+  settings: Symbol("DaemonSettings") as ServiceIdentifier<DaemonSettings>,
+  logger: Symbol("Logger") as ServiceIdentifier<Logger>,
+  zonePolicy: Symbol("ZonePolicy") as ServiceIdentifier<ZonePolicy>,
+  admission: Symbol("Admission") as ServiceIdentifier<Admission>,
+  quarantine: Symbol("QuarantineList") as ServiceIdentifier<QuarantineList>,
+  context: Symbol("DaemonContext") as ServiceIdentifier<DaemonContext>,
+};
+
+/**
+ * Creates the container with the parts of one daemon.
+ *
+ * @param settings - Checked settings of the daemon.
+ * @example
+ * ```ts
+ * const context = createContainer(settings).get(SERVICES.context);
+ * ```
+ */
+export function createContainer(settings: DaemonSettings): Container {
+  const container = new Container({ defaultScope: "Singleton" });
+  container.bind(SERVICES.settings).toConstantValue(settings);
+  container.bind(LifeCycleManager).toConstantValue(new LifeCycleManager());
+  container.bind(SERVICES.logger).toConstantValue(
+    new ProcessLogger({ daemon: settings.name }, {
+      minLevel: settings.logLevel,
+    }),
+  );
+  container.bind(Timeline).toConstantValue(new Timeline(settings.name));
+  container.bind(ConfigHolder).toConstantValue(new ConfigHolder());
+  container.bind(PlacementHolder).toConstantValue(new PlacementHolder());
+  container.bind(VmTable).toConstantValue(new VmTable());
+  container.bind(GroupHealthTable).toConstantValue(new GroupHealthTable());
+  bindClients(container, settings);
+  bindDecisions(container, settings);
+  bindContext(container);
+  return container;
+}
+
+function bindClients(container: Container, settings: DaemonSettings): void {
+  container.bind(HttpPlatformClient).toConstantValue(
+    new HttpPlatformClient({ url: settings.platformUrl }),
+  );
+  container.bind(HttpEngineClient).toConstantValue(new HttpEngineClient());
+  container.bind(HttpPeerClients).toConstantValue(
+    new HttpPeerClients({ timeoutMs: PEER_TIMEOUT_MS }),
+  );
+}
+
+function bindDecisions(container: Container, settings: DaemonSettings): void {
+  container.bind(FreshnessTracker).toConstantValue(
+    new FreshnessTracker({ limitMs: settings.freshnessLimitMs }),
+  );
+  container.bind(SERVICES.quarantine).toConstantValue(
+    new LocalQuarantineList(),
+  );
+  container.bind(SERVICES.zonePolicy).toResolvedValue(
+    (configHolder: ConfigHolder) => new ConfigZonePolicy(configHolder),
+    [ConfigHolder],
+  );
+  container.bind(GroupDirectory).toResolvedValue(
+    (configHolder, placementHolder, healthTable, vmTable, zonePolicy) =>
+      new GroupDirectory({
+        configHolder,
+        placementHolder,
+        healthTable,
+        vmTable,
+        zonePolicy,
+      }),
+    [
+      ConfigHolder,
+      PlacementHolder,
+      GroupHealthTable,
+      VmTable,
+      SERVICES.zonePolicy,
+    ],
+  );
+  container.bind(SERVICES.admission).toResolvedValue(
+    (directory: GroupDirectory) => new LocalAdmission(directory),
+    [GroupDirectory],
+  );
+}
+
+function bindContext(container: Container): void {
+  container.bind(SERVICES.context).toDynamicValue(({ get }): DaemonContext => ({
+    settings: get(SERVICES.settings),
+    logger: get(SERVICES.logger),
+    timeline: get(Timeline),
+    lifeCycle: get(LifeCycleManager),
+    store: get(HttpPlatformClient),
+    vmDirectory: get(HttpPlatformClient),
+    engineClient: get(HttpEngineClient),
+    peerClients: get(HttpPeerClients),
+    configHolder: get(ConfigHolder),
+    placementHolder: get(PlacementHolder),
+    zonePolicy: get(SERVICES.zonePolicy),
+    vmTable: get(VmTable),
+    healthTable: get(GroupHealthTable),
+    groupDirectory: get(GroupDirectory),
+    admission: get(SERVICES.admission),
+    freshness: get(FreshnessTracker),
+    quarantine: get(SERVICES.quarantine),
+  }));
+}
--- /dev/null
+++ b/src/process/daemon.ts
@@ -0,0 +1,77 @@
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { createCallerApp } from "../connection/caller_app.ts";
+import { HttpServer } from "../connection/http_server.ts";
+import { createOperatorApp } from "../connection/operator_app.ts";
+import { createPeerRouter } from "../connection/peer_router.ts";
+import { createContainer, SERVICES } from "./container.ts";
+import type { DaemonContext } from "./daemon_context.ts";
+import type { DaemonSettings } from "./daemon_settings.ts";
+import { GroupMonitorTask } from "./group_monitor_task.ts";
+import { PlannerTask } from "./planner_task.ts";
+import { StoreSyncTask } from "./store_sync_task.ts";
+
+/** One daemon: its listeners and its tasks. */
+export class Daemon {
+  readonly context: DaemonContext;
+  readonly #caller: HttpServer;
+  readonly #peer: HttpServer;
+  readonly #operator: HttpServer;
+
+  constructor(settings: DaemonSettings) {
+    this.context = createContainer(settings).get(SERVICES.context);
+    this.#caller = new HttpServer(createCallerApp(this.context));
+    this.#peer = new HttpServer(
+      createHTTPHandler({ router: createPeerRouter(this.context) }),
+    );
+    this.#operator = new HttpServer(createOperatorApp(this.context));
+  }
+
+  /** Gets the address of the caller port as `host:port`. */
+  get callerAddress(): string {
+    return this.#caller.address;
+  }
+
+  /** Gets the address of the peer port as `host:port`. */
+  get peerAddress(): string {
+    return this.#peer.address;
+  }
+
+  /** Gets the address of the operator port as `host:port`. */
+  get operatorAddress(): string {
+    return this.#operator.address;
+  }
+
+  /** Starts the listeners and the tasks. */
+  async start(): Promise<void> {
+    const { settings, lifeCycle, logger } = this.context;
+    await this.#peer.listen(settings.peer);
+    lifeCycle.add(this.#peer);
+    await this.#operator.listen(settings.operator);
+    lifeCycle.add(this.#operator);
+    await this.#caller.listen(settings.caller);
+    lifeCycle.add(this.#caller);
+    this.#startTask("store-sync", new StoreSyncTask(this.context));
+    this.#startTask("group-monitor", new GroupMonitorTask(this.context));
+    this.#startTask("planner", new PlannerTask(this.context));
+    logger.write("info", "daemon-started", {
+      caller: this.callerAddress,
+      peer: this.peerAddress,
+      operator: this.operatorAddress,
+    });
+  }
+
+  /** Stops the tasks and the listeners. */
+  async dispose(): Promise<void> {
+    await this.context.lifeCycle.dispose();
+    this.context.logger.write("info", "daemon-stopped");
+  }
+
+  #startTask(name: string, task: { run(): Promise<void> }): void {
+    task.run().catch((error: unknown) => {
+      this.context.logger.write("error", "task-failed", {
+        task: name,
+        message: String(error),
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/process/daemon_context.ts
@@ -0,0 +1,38 @@
+import type { EngineClient } from "../connection/engine_client.ts";
+import type { ObjectStore } from "../connection/object_store.ts";
+import type { PeerClients } from "../connection/peer_clients.ts";
+import type { VmDirectory } from "../connection/vm_directory.ts";
+import type { LifeCycleManager } from "../shared/life_cycle_manager.ts";
+import type { Logger } from "../shared/logger.ts";
+import type { Timeline } from "../shared/timeline.ts";
+import type { ConfigHolder } from "../version/config_holder.ts";
+import type { PlacementHolder } from "../version/placement_holder.ts";
+import type { ZonePolicy } from "../version/zone_policy.ts";
+import type { Admission } from "./admission.ts";
+import type { DaemonSettings } from "./daemon_settings.ts";
+import type { FreshnessTracker } from "./freshness_tracker.ts";
+import type { GroupDirectory } from "./group_directory.ts";
+import type { GroupHealthTable } from "./group_health.ts";
+import type { QuarantineList } from "./quarantine_list.ts";
+import type { VmTable } from "./vm_table.ts";
+
+/** Parts of one daemon that its tasks and request handlers share. */
+export interface DaemonContext {
+  readonly settings: DaemonSettings;
+  readonly logger: Logger;
+  readonly timeline: Timeline;
+  readonly lifeCycle: LifeCycleManager;
+  readonly store: ObjectStore;
+  readonly vmDirectory: VmDirectory;
+  readonly engineClient: EngineClient;
+  readonly peerClients: PeerClients;
+  readonly configHolder: ConfigHolder;
+  readonly placementHolder: PlacementHolder;
+  readonly zonePolicy: ZonePolicy;
+  readonly vmTable: VmTable;
+  readonly healthTable: GroupHealthTable;
+  readonly groupDirectory: GroupDirectory;
+  readonly admission: Admission;
+  readonly freshness: FreshnessTracker;
+  readonly quarantine: QuarantineList;
+}
--- /dev/null
+++ b/src/process/daemon_settings.ts
@@ -0,0 +1,59 @@
+import { z } from "zod";
+
+const listenerSchema = z.strictObject({
+  host: z.string().default("127.0.0.1").describe("IP number to listen on"),
+  port: z.number().int().min(0).max(65_535).default(0).describe(
+    "Port, or 0 for any free one",
+  ),
+});
+
+export const daemonSettingsSchema = z.strictObject({
+  name: z.string().min(1).describe("Name of the entry VM"),
+  zone: z.string().min(1).describe("Availability zone of the entry VM"),
+  platformUrl: z.url().describe("Base URL of the platform's API"),
+  caller: listenerSchema.prefault({}).describe("Listener for callers"),
+  peer: listenerSchema.prefault({}).describe("Listener for other daemons"),
+  operator: listenerSchema.prefault({}).describe("Listener for operators"),
+  peers: z.array(z.string()).default([]).describe(
+    "Peer addresses to ask when the platform does not answer at the start",
+  ),
+  logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
+  balancerLagMs: z.number().int().min(0).default(3_000).describe(
+    "Time in which the balancer notices that the daemon is not ready",
+  ),
+  vmListLagMs: z.number().int().min(0).default(5_000).describe(
+    "Longest lag of the platform's VM list",
+  ),
+  exchangeIntervalMs: z.number().int().min(10).default(1_000).describe(
+    "Time between two exchanges with a peer",
+  ),
+  freshnessLimitMs: z.number().int().min(10).default(3_000).describe(
+    "Age of the newest store confirmation above which new work is refused",
+  ),
+  statusIntervalMs: z.number().int().min(10).default(500).describe(
+    "Time between two status requests to an engine",
+  ),
+  planIntervalMs: z.number().int().min(10).default(1_000).describe(
+    "Time between two runs of the planner",
+  ),
+  leaseDurationMs: z.number().int().min(100).default(8_000).describe(
+    "Time after which an unrenewed lease of a planner lapses",
+  ),
+  maxBodyBytes: z.number().int().min(1_024).default(4_194_304).describe(
+    "Largest body of a caller's request",
+  ),
+  maxHeldBytes: z.number().int().min(65_536).default(134_217_728).describe(
+    "Bytes held for slow readers in the whole process",
+  ),
+  maxStreamHeldBytes: z.number().int().min(1_024).default(262_144).describe(
+    "Bytes held for one stream",
+  ),
+  defaultDeadlineMs: z.number().int().min(1).default(120_000).describe(
+    "Deadline of a request that states none",
+  ),
+});
+
+/** Settings of one daemon, read from a file in JSON with comments. */
+export type DaemonSettings = z.infer<typeof daemonSettingsSchema>;
+/** Settings before defaults are filled in. */
+export type DaemonSettingsInput = z.input<typeof daemonSettingsSchema>;
--- /dev/null
+++ b/src/process/group_directory.ts
@@ -0,0 +1,90 @@
+import type { PlacedGroup } from "../version/placement.ts";
+import type { ConfigHolder } from "../version/config_holder.ts";
+import type { PlacementHolder } from "../version/placement_holder.ts";
+import type { ReceivedGroupHealth } from "./group_health.ts";
+import type { GroupHealthTable } from "./group_health.ts";
+import type { VmTable } from "./vm_table.ts";
+import type { ZonePolicy } from "../version/zone_policy.ts";
+import { getGroupMembers } from "../version/placement.ts";
+
+/** Age above which an observation of a group no longer counts, in milliseconds. */
+export const HEALTH_EXPIRY_MS = 3_000;
+
+/** Group that may take new work. */
+export interface ServingGroup {
+  readonly group: PlacedGroup;
+  readonly health: ReceivedGroupHealth;
+  readonly leaderAddress: string;
+}
+
+/** Parts that the directory combines. */
+export interface GroupDirectoryOptions {
+  readonly configHolder: ConfigHolder;
+  readonly placementHolder: PlacementHolder;
+  readonly healthTable: GroupHealthTable;
+  readonly vmTable: VmTable;
+  readonly zonePolicy: ZonePolicy;
+}
+
+/** Finds the groups that may take new work. */
+export class GroupDirectory {
+  readonly #options: GroupDirectoryOptions;
+
+  constructor(options: GroupDirectoryOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Gets the complete groups of a model in zones that are in service.
+   *
+   * @param model - Name of the model.
+   */
+  getServingGroups(model: string): ServingGroup[] {
+    const serving: ServingGroup[] = [];
+    for (const group of this.#options.placementHolder.getGroups()) {
+      if (group.model === model) {
+        const entry = this.getServingGroup(group);
+        if (entry !== undefined) {
+          serving.push(entry);
+        }
+      }
+    }
+    return serving;
+  }
+
+  /**
+   * Gets a group if it may take new work, or undefined.
+   *
+   * @param group - Placed group.
+   */
+  getServingGroup(group: PlacedGroup): ServingGroup | undefined {
+    const { healthTable, vmTable, zonePolicy } = this.#options;
+    const health = healthTable.getHealth(group.groupId);
+    const leader = vmTable.getVm(group.leader);
+    if (health === undefined || leader === undefined) {
+      return undefined;
+    }
+    const healthy = group.phase === "serving" &&
+      health.generation === group.generation &&
+      health.state !== "incomplete" &&
+      performance.now() - health.observedAtMs <= HEALTH_EXPIRY_MS;
+    const inService = zonePolicy.takesNewWork(group.zone) &&
+      !this.#hasLeavingMember(group);
+    if (!healthy || !inService) {
+      return undefined;
+    }
+    return { group, health, leaderAddress: leader.address };
+  }
+
+  #hasLeavingMember(group: PlacedGroup): boolean {
+    const { configHolder, placementHolder, vmTable } = this.#options;
+    const drained = configHolder.getCurrent()?.document.drainedVms ?? [];
+    const placement = placementHolder.getPlacement(group.fabricDomain);
+    if (placement === undefined) {
+      return true;
+    }
+    return getGroupMembers(placement.placement, group.groupId).some((name) =>
+      drained.includes(name) || vmTable.getVm(name)?.state !== "live"
+    );
+  }
+}
--- /dev/null
+++ b/src/process/group_health.ts
@@ -0,0 +1,82 @@
+/**
+ * Health of a group as its monitors see it.
+ *
+ * - `incomplete`: a member is missing or has another generation; the group serves nothing.
+ * - `cold`: complete, bears only a little.
+ * - `ready`: complete and warm.
+ */
+export type GroupHealthState = "incomplete" | "cold" | "ready";
+
+/** One observation of a group. */
+export interface GroupHealth {
+  readonly groupId: string;
+  /** Generation that all members reported. */
+  readonly generation: number;
+  readonly state: GroupHealthState;
+  /** Boot id of the leader. */
+  readonly bootId: string;
+  /** Name of the daemon that observed it. */
+  readonly observer: string;
+  /** Order of the observations of one observer for one group. */
+  readonly sequence: number;
+  /** Age of the observation in milliseconds when it was sent; receivers add the time since. */
+  readonly ageMs: number;
+  readonly runningRequests: number;
+  readonly heldTokens: number;
+  readonly maxTokens: number;
+  readonly tokenIntervalMs?: number;
+}
+
+/** Health with the time at which it was received. */
+export interface ReceivedGroupHealth extends GroupHealth {
+  /** Monotonic time of the observation, in milliseconds of `performance.now()`. */
+  readonly observedAtMs: number;
+}
+
+/** Holds the newest health of each group. */
+export class GroupHealthTable {
+  readonly #byGroup = new Map<string, ReceivedGroupHealth>();
+
+  /**
+   * Gets the newest health of a group, or undefined when none is known.
+   *
+   * @param groupId - Group to look up.
+   */
+  getHealth(groupId: string): ReceivedGroupHealth | undefined {
+    return this.#byGroup.get(groupId);
+  }
+
+  /** Gets the health of all groups. */
+  getAll(): ReceivedGroupHealth[] {
+    return [...this.#byGroup.values()];
+  }
+
+  /**
+   * Takes an observation over if it is newer than the known one: a higher generation, or the same generation and a later observation.
+   *
+   * @param health - Observation of this daemon or of a peer.
+   * @returns Whether it was taken over.
+   */
+  offer(health: GroupHealth): boolean {
+    const observedAtMs = performance.now() - health.ageMs;
+    const current = this.#byGroup.get(health.groupId);
+    const older = current !== undefined &&
+      (health.generation < current.generation ||
+        (health.generation === current.generation &&
+          observedAtMs <= current.observedAtMs));
+    if (older) {
+      return false;
+    }
+    this.#byGroup.set(health.groupId, { ...health, observedAtMs });
+    return true;
+  }
+
+  /**
+   * Forgets a group that is no longer placed.
+   *
+   * @param groupId - Group to forget.
+   */
+  remove(groupId: string): void {
+    this.#byGroup.delete(groupId);
+  }
+}
--- /dev/null
+++ b/src/process/local_admission.ts
@@ -0,0 +1,72 @@
+import { type Either, Left, Right } from "purify-ts";
+import { RequestError } from "../shared/errors.ts";
+import type {
+  Admission,
+  AdmissionRequest,
+  Grant,
+  GrantOutcome,
+} from "./admission.ts";
+import type { GroupDirectory, ServingGroup } from "./group_directory.ts";
+
+const RETRY_AFTER_MS = 500;
+
+/** Admission that counts the requests of this daemon alone, without sharing capacity with peers. */
+export class LocalAdmission implements Admission {
+  readonly #directory: GroupDirectory;
+  readonly #running = new Map<string, number>();
+
+  constructor(directory: GroupDirectory) {
+    this.#directory = directory;
+  }
+
+  acquire(request: AdmissionRequest): Promise<Either<RequestError, Grant>> {
+    const candidates = this.#directory.getServingGroups(request.model.name)
+      .filter((s) => !request.excludedGroupIds.has(s.group.groupId))
+      .filter((s) => this.#hasRoom(s, request));
+    candidates.sort((a, b) => this.#getRunning(a) - this.#getRunning(b));
+    const chosen = candidates.at(0);
+    if (chosen === undefined) {
+      return Promise.resolve(Left(createNoCapacityError(request)));
+    }
+    return Promise.resolve(Right(this.#grant(chosen)));
+  }
+
+  #getRunning(serving: ServingGroup): number {
+    return this.#running.get(serving.group.groupId) ?? 0;
+  }
+
+  #hasRoom(serving: ServingGroup, request: AdmissionRequest): boolean {
+    const slots = serving.health.state === "cold"
+      ? request.model.coldSlots
+      : request.model.slotsPerGroup;
+    return this.#getRunning(serving) < slots;
+  }
+
+  #grant(serving: ServingGroup): Grant {
+    const id = serving.group.groupId;
+    this.#running.set(id, this.#getRunning(serving) + 1);
+    let released = false;
+    return {
+      group: serving.group,
+      leaderAddress: serving.leaderAddress,
+      release: (_outcome: GrantOutcome) => {
+        if (!released) {
+          released = true;
+          this.#running.set(id, this.#getRunning(serving) - 1);
+        }
+      },
+    };
+  }
+}
+
+function createNoCapacityError(request: AdmissionRequest): RequestError {
+  return new RequestError(
+    `No group of model "${request.model.name}" has room for the request`,
+    {
+      code: "no-capacity",
+      verdict: "not-run",
+      status: 503,
+      retryAfterMs: RETRY_AFTER_MS,
+    },
+  );
+}
--- /dev/null
+++ b/src/shared/errors.ts
@@ -0,0 +1,93 @@
+import type { Verdict } from "./verdict.ts";
+
+/** Machine-readable reason of a refusal or a failed request. */
+export type RefusalCode =
+  | "bad-request"
+  | "unauthorized"
+  | "unknown-model"
+  | "unknown-service"
+  | "not-found"
+  | "body-too-large"
+  | "no-capacity"
+  | "account-limit"
+  | "deadline-exceeded"
+  | "quarantined"
+  | "stale-configuration"
+  | "shutting-down"
+  | "store-unavailable"
+  | "claim-in-progress"
+  | "claim-outcome-unknown"
+  | "key-reused"
+  | "backend-failed"
+  | "cancelled"
+  | "internal";
+
+/** Details of a refusal or a failed request. */
+export interface RequestErrorOptions {
+  /** Machine-readable reason. */
+  readonly code: RefusalCode;
+  /** Whether a backend server may have run the request. */
+  readonly verdict: Verdict;
+  /** HTTP status of the answer. */
+  readonly status: number;
+  /** Time after which a retry may succeed, in milliseconds. */
+  readonly retryAfterMs?: number;
+  /** Underlying error. */
+  readonly cause?: unknown;
+}
+
+/** Error that ends a caller's request, with the verdict whether it may have run. */
+export class RequestError extends Error {
+  readonly code: RefusalCode;
+  readonly verdict: Verdict;
+  readonly status: number;
+  readonly retryAfterMs: number | undefined;
+
+  constructor(message: string, options: RequestErrorOptions) {
+    super(message, { cause: options.cause });
+    this.name = "RequestError";
+    this.code = options.code;
+    this.verdict = options.verdict;
+    this.status = options.status;
+    this.retryAfterMs = options.retryAfterMs;
+  }
+}
+
+/** Error of an invalid state of the program itself. */
+export class InvalidStateError extends Error {
+  override readonly name = "InvalidStateError";
+}
+
+/**
+ * Gets the value or throws when it is undefined.
+ *
+ * @param value - Value to check.
+ * @param getMessage - Creates the full-sentence error message.
+ * @throws {InvalidStateError} When the value is undefined.
+ * @example
+ * ```ts
+ * const group = getDefinedOrThrow(groups.get(id), () => `Group "${id}" does not exist`);
+ * ```
+ */
+export function getDefinedOrThrow<T>(
+  value: T | undefined,
+  getMessage: () => string,
+): T {
+  if (value === undefined) {
+    throw new InvalidStateError(getMessage());
+  }
+  return value;
+}
+
+/**
+ * Gets the message of a thrown value.
+ *
+ * @param error - Thrown value of any type.
+ * @example
+ * ```ts
+ * getErrorMessage(new Error("Connection refused")); // "Connection refused"
+ * ```
+ */
+export function getErrorMessage(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/src/shared/logger.ts
@@ -0,0 +1,88 @@
+import process from "node:process";
+import { Logger as TslogLogger } from "tslog";
+
+/** Value of one field of a log line. */
+export type LogValue = string | number | boolean | null | undefined;
+
+/** Fields of one log line. */
+export type LogFields = Readonly<Record<string, LogValue>>;
+
+/** Severity of a log line. */
+export type LogLevel = "debug" | "info" | "warn" | "error";
+
+/** Writes one line of key=value pairs for each event. */
+export interface Logger {
+  /**
+   * Writes one line.
+   *
+   * @param level - Severity.
+   * @param event - Name of the event, in kebab case.
+   * @param fields - Fields of the line.
+   */
+  write(level: LogLevel, event: string, fields?: LogFields): void;
+}
+
+/** Logger that writes with tslog to standard error. */
+export class ProcessLogger implements Logger {
+  readonly #logger: TslogLogger<unknown>;
+  readonly #base: LogFields;
+
+  constructor(base: LogFields, options?: { minLevel?: LogLevel }) {
+    this.#base = base;
+    this.#logger = new TslogLogger({
+      type: "hidden",
+      minLevel: TSLOG_LEVELS[options?.minLevel ?? "info"],
+      hideLogPositionForProduction: true,
+    });
+    this.#logger.attachTransport((record) => {
+      process.stderr.write(`${String(record["0"])}\n`);
+    });
+  }
+
+  write(level: LogLevel, event: string, fields: LogFields = {}): void {
+    const line = formatLogLine({
+      time: new Date().toISOString(),
+      level,
+      event,
+      ...this.#base,
+      ...fields,
+    });
+    this.#logger[level](line);
+  }
+}
+
+/** Logger that discards all lines. */
+export class NullLogger implements Logger {
+  write(): void {}
+}
+
+const TSLOG_LEVELS: Record<LogLevel, number> = {
+  debug: 2,
+  info: 3,
+  warn: 4,
+  error: 5,
+};
+
+/**
+ * Formats fields as one line of key=value pairs. Values with spaces, quotes or control characters are quoted as JSON.
+ *
+ * @param fields - Fields in order; undefined ones are left out.
+ * @example
+ * ```ts
+ * formatLogLine({ event: "lease-lost", zone: "zone-a" }); // "event=lease-lost zone=zone-a"
+ * ```
+ */
+export function formatLogLine(fields: LogFields): string {
+  const parts: string[] = [];
+  for (const [key, value] of Object.entries(fields)) {
+    if (value !== undefined) {
+      parts.push(`${key}=${formatLogValue(value)}`);
+    }
+  }
+  return parts.join(" ");
+}
+
+function formatLogValue(value: Exclude<LogValue, undefined>): string {
+  const text = String(value);
+  return /^[^\s"=\p{Cc}]+$/u.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/src/shared/timeline.ts
@@ -0,0 +1,84 @@
+/** One event of the time line. */
+export interface TimelineEvent {
+  /** Wall clock of the process, in milliseconds since the epoch. */
+  readonly timeMs: number;
+  /** Lamport timestamp, which orders causally related events of all processes. */
+  readonly lamport: number;
+  /** Name of the process. */
+  readonly process: string;
+  /** Name of the event, in kebab case. */
+  readonly event: string;
+  /** Request that the event belongs to, if any. */
+  readonly requestId?: string;
+  /** Further fields. */
+  readonly fields: Readonly<
+    Record<string, string | number | boolean | null | undefined>
+  >;
+}
+
+/** Fields of a new event of the time line. */
+export interface TimelineEventInput {
+  readonly event: string;
+  readonly requestId?: string;
+  readonly fields?: TimelineEvent["fields"];
+}
+
+/** Records the events of one process in a bounded ring, with Lamport timestamps. */
+export class Timeline {
+  readonly #process: string;
+  readonly #capacity: number;
+  readonly #events: TimelineEvent[] = [];
+  #lamport = 0;
+
+  constructor(process: string, capacity = 4_096) {
+    this.#process = process;
+    this.#capacity = capacity;
+  }
+
+  /** Gets the current Lamport timestamp. */
+  getLamport(): number {
+    return this.#lamport;
+  }
+
+  /**
+   * Merges a Lamport timestamp that a message carried.
+   *
+   * @param lamport - Timestamp of the sender.
+   */
+  mergeLamport(lamport: number): void {
+    this.#lamport = Math.max(this.#lamport, lamport) + 1;
+  }
+
+  /**
+   * Records an event. The oldest event is dropped when the ring is full.
+   *
+   * @param input - Fields of the event.
+   */
+  record(input: TimelineEventInput): void {
+    this.#lamport++;
+    this.#events.push({
+      timeMs: Date.now(),
+      lamport: this.#lamport,
+      process: this.#process,
+      event: input.event,
+      requestId: input.requestId,
+      fields: input.fields ?? {},
+    });
+    // Trims in blocks, so that a full ring costs amortised constant time.
+    if (this.#events.length > this.#capacity * 1.25) {
+      this.#events.splice(0, this.#events.length - this.#capacity);
+    }
+  }
+
+  /**
+   * Gets the recorded events, oldest first.
+   *
+   * @param filter - Limits the events to one request.
+   */
+  getEvents(filter: { requestId?: string } = {}): TimelineEvent[] {
+    const events = filter.requestId === undefined
+      ? this.#events
+      : this.#events.filter((event) => event.requestId === filter.requestId);
+    return events.slice(-this.#capacity);
+  }
+}
--- /dev/null
+++ b/src/version/placement_holder.ts
@@ -0,0 +1,70 @@
+import { EventEmitter } from "node:events";
+import type { PlacedGroup, VersionedPlacement } from "./placement.ts";
+
+/** Holds the newest placement of each fabric domain. Object versions only rise. */
+export class PlacementHolder {
+  readonly #byDomain = new Map<string, VersionedPlacement>();
+  readonly #emitter = new EventEmitter<{ change: [VersionedPlacement] }>();
+
+  /**
+   * Gets the placement of a fabric domain, or undefined when none is known.
+   *
+   * @param fabricDomain - Name of the fabric domain.
+   */
+  getPlacement(fabricDomain: string): VersionedPlacement | undefined {
+    return this.#byDomain.get(fabricDomain);
+  }
+
+  /** Gets the placements of all fabric domains. */
+  getPlacements(): VersionedPlacement[] {
+    return [...this.#byDomain.values()];
+  }
+
+  /** Gets the groups of all fabric domains. */
+  getGroups(): PlacedGroup[] {
+    return this.getPlacements().flatMap((p) =>
+      Object.values(p.placement.groups)
+    );
+  }
+
+  /**
+   * Gets a group, or undefined when it is not placed.
+   *
+   * @param groupId - Group to look up.
+   */
+  getGroup(groupId: string): PlacedGroup | undefined {
+    for (const { placement } of this.#byDomain.values()) {
+      const group = placement.groups[groupId];
+      if (group !== undefined) {
+        return group;
+      }
+    }
+    return undefined;
+  }
+
+  /**
+   * Takes a placement over if its object version is newer.
+   *
+   * @param placement - Placement from the store or a peer.
+   * @returns Whether it was taken over.
+   */
+  offer(placement: VersionedPlacement): boolean {
+    const domain = placement.placement.fabricDomain;
+    const current = this.#byDomain.get(domain)?.objectVersion ?? 0;
+    if (placement.objectVersion <= current) {
+      return false;
+    }
+    this.#byDomain.set(domain, placement);
+    this.#emitter.emit("change", placement);
+    return true;
+  }
+
+  /**
+   * Calls a function after each change.
+   *
+   * @param listener - Gets the new placement.
+   */
+  onChange(listener: (placement: VersionedPlacement) => void): void {
+    this.#emitter.on("change", listener);
+  }
+}
--- /dev/null
+++ b/tests/quickstart_test.ts
@@ -0,0 +1,18 @@
+import { execFile } from "node:child_process";
+import process from "node:process";
+import { promisify } from "node:util";
+import { describe, expect, it } from "vitest";
+
+const QUICKSTART_TIMEOUT_MS = 60_000;
+
+describe("quickstart", () => {
+  // Guards against a break of the whole path over separate processes.
+  it("answers a model request and a booking with --once", async () => {
+    const { stdout } = await promisify(execFile)(
+      process.execPath,
+      ["dist/tools/quickstart.js", "--once"],
+      { timeout: QUICKSTART_TIMEOUT_MS },
+    );
+    expect(stdout).toContain("Both answers are right.");
+  }, QUICKSTART_TIMEOUT_MS);
+});
--- /dev/null
+++ b/tests/support/test_deployment.ts
@@ -0,0 +1,285 @@
+import { createHash } from "node:crypto";
+import got, { type Response } from "got";
+import { FakeEngine, type FakeEngineOptions } from "../../fakes/fake_engine.ts";
+import { FakePlatform } from "../../fakes/fake_platform.ts";
+import { FakeService } from "../../fakes/fake_service.ts";
+import type { Vm } from "../../src/connection/vm_directory.ts";
+import { Daemon } from "../../src/process/daemon.ts";
+import {
+  type DaemonSettingsInput,
+  daemonSettingsSchema,
+} from "../../src/process/daemon_settings.ts";
+import { delay } from "../../src/shared/delay.ts";
+import { LifeCycleManager } from "../../src/shared/life_cycle_manager.ts";
+import {
+  type ConfigDocument,
+  configSchema,
+} from "../../src/version/config_schema.ts";
+
+/** API key of the test client account. */
+export const TEST_API_KEY = "test-key";
+/** Name of the test model. */
+export const TEST_MODEL = "test-model";
+
+/** Shape of a test deployment. */
+export interface TestDeploymentOptions {
+  /** Names of the availability zones. */
+  readonly zones?: readonly string[];
+  /** Number of daemons, spread over the zones in turn. */
+  readonly daemons?: number;
+  /** Number of engines in the one fabric domain of each zone. */
+  readonly enginesPerZone?: number;
+  /** Number of VMs of a group. */
+  readonly groupSizeVms?: number;
+  readonly engine?: Partial<FakeEngineOptions>;
+  readonly settings?: Partial<DaemonSettingsInput>;
+  /** Changes the configuration document before it is stored. */
+  readonly configure?: (document: ConfigDocument) => void;
+}
+
+/** Fakes and daemons of one test, all in the test's process. */
+export class TestDeployment {
+  readonly platform = new FakePlatform();
+  readonly service = new FakeService();
+  readonly engines: FakeEngine[] = [];
+  readonly daemons: Daemon[] = [];
+  readonly #options: TestDeploymentOptions;
+  readonly #lifeCycle = new LifeCycleManager();
+  readonly #vms: Vm[] = [];
+
+  private constructor(options: TestDeploymentOptions) {
+    this.#options = options;
+  }
+
+  /** Starts a deployment and waits until a group serves in every zone. */
+  static async start(
+    options: TestDeploymentOptions = {},
+  ): Promise<TestDeployment> {
+    const deployment = new TestDeployment(options);
+    await deployment.#start();
+    return deployment;
+  }
+
+  get zones(): readonly string[] {
+    return this.#options.zones ?? ["zone-a", "zone-b"];
+  }
+
+  async dispose(): Promise<void> {
+    await this.#lifeCycle.dispose();
+  }
+
+  /** Starts one more daemon and adds it to the VM list. */
+  async startDaemon(
+    settings: Partial<DaemonSettingsInput> = {},
+  ): Promise<Daemon> {
+    const index = this.daemons.length;
+    const name = settings.name ?? `entry-${index + 1}`;
+    const zone = settings.zone ?? this.zones[index % this.zones.length];
+    const daemon = new Daemon(daemonSettingsSchema.parse({
+      name,
+      zone,
+      platformUrl: this.platform.url,
+      logLevel: "error",
+      balancerLagMs: 0,
+      vmListLagMs: 200,
+      exchangeIntervalMs: 100,
+      freshnessLimitMs: 1_500,
+      statusIntervalMs: 100,
+      planIntervalMs: 100,
+      leaseDurationMs: 1_000,
+      ...this.#options.settings,
+      ...settings,
+    }));
+    await daemon.start();
+    this.#lifeCycle.add(daemon);
+    this.daemons.push(daemon);
+    this.#vms.push({
+      name,
+      role: "entry",
+      address: daemon.peerAddress,
+      zone,
+      state: "live",
+    });
+    this.publishVms();
+    return daemon;
+  }
+
+  /** Changes the VM list with a function and publishes it. */
+  changeVms(change: (vms: Vm[]) => Vm[]): void {
+    const changed = change([...this.#vms]);
+    this.#vms.splice(0, this.#vms.length, ...changed);
+    this.publishVms();
+  }
+
+  publishVms(): void {
+    this.platform.setVms(this.#vms);
+  }
+
+  /** Writes a changed configuration document directly to the store. */
+  setConfig(change: (document: ConfigDocument) => void): number {
+    const stored = this.platform.getObject("config", "main");
+    const document = structuredClone(stored?.value) as ConfigDocument;
+    change(document);
+    return this.platform.setObject("config", "main", document).version;
+  }
+
+  /** Finds the engine that leads a group. */
+  getLeader(groupId: string): FakeEngine {
+    const group = this.daemons[0].context.placementHolder.getGroup(groupId);
+    return this.engines.find((e) => e.name === group?.leader)!;
+  }
+
+  /** Sends a chat request to a daemon and reads the whole answer. */
+  async requestChat(
+    daemon: Daemon,
+    content: string,
+    options: { headers?: Record<string, string>; stream?: boolean } = {},
+  ): Promise<Response<string>> {
+    return await got.post(
+      `http://${daemon.callerAddress}/v1/chat/completions`,
+      {
+        json: {
+          model: TEST_MODEL,
+          messages: [{ role: "user", content }],
+          stream: options.stream ?? false,
+        },
+        headers: {
+          authorization: `Bearer ${TEST_API_KEY}`,
+          ...options.headers,
+        },
+        throwHttpErrors: false,
+        retry: { limit: 0 },
+      },
+    );
+  }
+
+  /** Calls the test service through a daemon. */
+  async callService(
+    daemon: Daemon,
+    path: string,
+    options: { key?: string; body?: string; method?: "GET" | "POST" } = {},
+  ): Promise<Response<string>> {
+    return await got(
+      `http://${daemon.callerAddress}/services/bookings${path}`,
+      {
+        method: options.method ?? "POST",
+        body: options.body,
+        headers: {
+          authorization: `Bearer ${TEST_API_KEY}`,
+          "idempotency-key": options.key,
+        },
+        throwHttpErrors: false,
+        retry: { limit: 0 },
+      },
+    );
+  }
+
+  /** Waits until all daemons see a serving group in every given zone. */
+  async waitUntilServing(
+    zones: readonly string[] = this.zones,
+    timeoutMs = 10_000,
+  ): Promise<void> {
+    await waitUntil(() =>
+      this.daemons.every((daemon) => {
+        const serving = daemon.context.groupDirectory
+          .getServingGroups(TEST_MODEL);
+        return zones.every((z) => serving.some((s) => s.group.zone === z));
+      }), timeoutMs);
+  }
+
+  async #start(): Promise<void> {
+    await this.platform.start();
+    this.#lifeCycle.add(this.platform);
+    this.platform.weightFetchMs = 5;
+    await this.service.start();
+    this.#lifeCycle.add(this.service);
+    for (const zone of this.zones) {
+      await this.#startEngines(zone);
+    }
+    const document = this.#createConfig();
+    this.#options.configure?.(document);
+    this.platform.setObject("config", "main", document);
+    for (let index = 0; index < (this.#options.daemons ?? 2); index++) {
+      await this.startDaemon();
+    }
+    await this.waitUntilServing();
+  }
+
+  async #startEngines(zone: string): Promise<void> {
+    for (
+      let index = 1;
+      index <= (this.#options.enginesPerZone ?? 2);
+      index++
+    ) {
+      const name = `${zone}-gpu-${index}`;
+      const engine = new FakeEngine({
+        name,
+        platformUrl: this.platform.url,
+        tokenIntervalMs: 5,
+        warmAfterRequests: 2,
+        ...this.#options.engine,
+      });
+      const address = await engine.start();
+      this.#lifeCycle.add(engine);
+      this.engines.push(engine);
+      this.#vms.push({
+        name,
+        role: "backend",
+        address,
+        zone,
+        fabricDomain: `${zone}-rack-1`,
+        state: "live",
+      });
+    }
+  }
+
+  #createConfig(): ConfigDocument {
+    const groupSizeVms = this.#options.groupSizeVms ?? 2;
+    const perZone = this.#options.enginesPerZone ?? 2;
+    return configSchema.parse({
+      schemaVersion: 1,
+      zones: this.zones.map((name) => ({ name, region: "region-1" })),
+      models: [{
+        name: TEST_MODEL,
+        groupSizeVms,
+        placements: this.zones.map((zone) => ({
+          zones: [zone],
+          count: Math.floor(perZone / groupSizeVms),
+        })),
+        slotsPerGroup: 16,
+        kvTokensPerGroup: 100_000,
+        warmAfterRequests: 2,
+        honoursFencing: true,
+      }],
+      services: [{
+        name: "bookings",
+        backends: [{ address: this.service.address, zone: this.zones[0] }],
+        nonRepeatable: [{ method: "POST", path: "/visits*" }],
+      }],
+      clientAccounts: [{
+        name: "account-1",
+        apiKeySha256: [
+          createHash("sha256").update(TEST_API_KEY).digest("hex"),
+        ],
+      }],
+    });
+  }
+}
+
+/**
+ * Waits until a condition holds.
+ *
+ * @throws When it does not hold in time.
+ */
+export async function waitUntil(
+  condition: () => boolean | Promise<boolean>,
+  timeoutMs = 5_000,
+): Promise<void> {
+  const limitAtMs = performance.now() + timeoutMs;
+  while (!await condition()) {
+    if (performance.now() > limitAtMs) {
+      throw new Error(`The condition did not hold within ${timeoutMs} ms`);
+    }
+    await delay(10);
+  }
+}
--- /dev/null
+++ b/tests/whole_path_test.ts
@@ -0,0 +1,37 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { getExpectedAnswer } from "../fakes/fake_answer.ts";
+import { TestDeployment } from "./support/test_deployment.ts";
+
+describe("whole path", () => {
+  let deployment: TestDeployment;
+
+  beforeAll(async () => {
+    deployment = await TestDeployment.start();
+  });
+
+  afterAll(async () => {
+    await deployment.dispose();
+  });
+
+  // Guards against answers that are cut or mixed up on the way from engine to caller.
+  it("answers a chat with the whole text", async () => {
+    const content = "tokens=40 gearbox";
+    const answer = await deployment.requestChat(deployment.daemons[0], content);
+    const body = JSON.parse(answer.body);
+    expect(answer.statusCode).toBe(200);
+    expect(body.choices[0].message.content).toBe(
+      getExpectedAnswer([{ role: "user", content }], 512).join(""),
+    );
+  });
+
+  // Guards against calls that never reach the service.
+  it("passes a call on to a plain service", async () => {
+    const answer = await deployment.callService(
+      deployment.daemons[1],
+      "/visits",
+      { key: "visit-1", body: "hotel" },
+    );
+    expect(answer.statusCode).toBe(200);
+    expect(deployment.service.getRunCount("visit-1")).toBe(1);
+  });
+});
--- /dev/null
+++ b/tools/child_process.ts
@@ -0,0 +1,86 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import process from "node:process";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+
+const STOP_TIMEOUT_MS = 10_000;
+const BUILD_ROOT = new URL("../", import.meta.url);
+
+/** Separate process of a built program of this repository. */
+export class ProgramProcess {
+  readonly #child: ChildProcess;
+  readonly logLines: string[] = [];
+
+  private constructor(child: ChildProcess) {
+    this.#child = child;
+  }
+
+  /** Gets the process id. */
+  get pid(): number {
+    return this.#child.pid ?? -1;
+  }
+
+  /** Gets the exit code, or null while the process runs or when a signal ended it. */
+  get exitCode(): number | null {
+    return this.#child.exitCode;
+  }
+
+  /**
+   * Starts a program below `dist/`.
+   *
+   * @param program - Path of the built program, for example `fakes/platform_main.js`.
+   * @param args - Arguments.
+   */
+  static start(program: string, args: readonly string[]): ProgramProcess {
+    const file = fileURLToPath(new URL(program, BUILD_ROOT));
+    const child = spawn(process.execPath, [file, ...args], {
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    const started = new ProgramProcess(child);
+    createInterface({ input: child.stderr! }).on(
+      "line",
+      (line) => started.logLines.push(line),
+    );
+    return started;
+  }
+
+  /**
+   * Waits for the first line of standard output, which is JSON.
+   *
+   * @throws When the process ends before it printed a line.
+   */
+  async readFirstLine<T>(): Promise<T> {
+    const lines = createInterface({ input: this.#child.stdout! });
+    for await (const line of lines) {
+      this.#child.stdout!.resume();
+      return JSON.parse(line) as T;
+    }
+    throw new Error(`The process ended early: ${this.logLines.join(" | ")}`);
+  }
+
+  /**
+   * Sends a signal.
+   *
+   * @param signal - Name of the signal.
+   */
+  signal(signal: NodeJS.Signals): void {
+    this.#child.kill(signal);
+  }
+
+  /** Ends the process with SIGTERM, and with SIGKILL when it does not stop in time. */
+  async dispose(): Promise<number | null> {
+    if (this.#child.exitCode !== null || this.#child.signalCode !== null) {
+      return this.#child.exitCode;
+    }
+    const exited = once(this.#child, "exit");
+    this.#child.kill("SIGTERM");
+    const timer = setTimeout(
+      () => this.#child.kill("SIGKILL"),
+      STOP_TIMEOUT_MS,
+    );
+    await exited;
+    clearTimeout(timer);
+    return this.#child.exitCode;
+  }
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,17 @@
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+  test: {
+    include: [
+      "src/**/*_test.ts",
+      "fakes/**/*_test.ts",
+      "bench/**/*_test.ts",
+      "tests/**/*_test.ts",
+      "tools/**/*_test.ts",
+    ],
+    pool: "forks",
+    maxWorkers: 4,
+    testTimeout: 30_000,
+    hookTimeout: 30_000,
+  },
+});
