--- a/src/connection/caller_app.ts
+++ b/src/connection/caller_app.ts
@@ -1,28 +1,19 @@
-import { createHash, randomUUID } from "node:crypto";
+import { randomUUID } from "node:crypto";
 import { once } from "node:events";
-import express, {
-  type ErrorRequestHandler,
-  type Express,
-  type Request,
-  type Response,
-} from "express";
+import express, { type Express, type Response } from "express";
 import type { DaemonContext } from "../process/daemon_context.ts";
 import { ChatHandler } from "../request/chat_handler.ts";
 import {
   type ChatRequestBody,
   chatRequestSchema,
 } from "../request/chat_request_schema.ts";
-import type { RequestContext } from "../request/request_context.ts";
-import {
-  type ServiceCall,
-  ServiceHandler,
-} from "../request/service_handler.ts";
 import { RequestError } from "../shared/errors.ts";
-import type { ClientAccountConfig } from "../version/config_schema.ts";
 import type { EngineChunk } from "./engine_client.ts";
+import { createErrorHandler } from "./error_handler.ts";
+import { createRequestContext } from "./request_context_factory.ts";
+import { addServiceRoutes } from "./service_routes.ts";
 
 const REQUEST_ID_PATTERN = /^[\w.-]{1,64}$/;
-const MAX_IDEMPOTENCY_KEY_CHARACTERS = 255;
 
 /**
  * Creates the application of the caller port.
@@ -34,7 +25,6 @@
   app.disable("x-powered-by");
   app.disable("etag");
   const chatHandler = new ChatHandler(context);
-  const serviceHandler = new ServiceHandler(context);
   const limit = context.settings.maxBodyBytes;
   app.use((req, res, next) => {
     const given = req.header("x-request-id");
@@ -56,7 +46,7 @@
     "/v1/chat/completions",
     express.json({ limit }),
     async (req, res) => {
-      const request = createRequestContext(context, req, res);
+      const request = createRequestContext(context, { req, res });
       const body = parseChatBody(req.body);
       const chunks = chatHandler.stream(body, request);
       if (body.stream) {
@@ -66,18 +56,7 @@
       }
     },
   );
-  app.use(
-    "/services/:service",
-    express.raw({ type: () => true, limit }),
-    async (req, res) => {
-      const request = createRequestContext(context, req, res);
-      const answer = await serviceHandler.handle(createCall(req), request);
-      if (answer.contentType !== undefined) {
-        res.setHeader("content-type", answer.contentType);
-      }
-      res.status(answer.status).end(answer.body);
-    },
-  );
+  addServiceRoutes(app, context);
   app.use(() => {
     throw new RequestError("The path does not exist", {
       code: "not-found",
@@ -89,43 +68,6 @@
   return app;
 }
 
-function createRequestContext(
-  context: DaemonContext,
-  req: Request,
-  res: Response,
-): RequestContext {
-  const abortController = new AbortController();
-  res.on("close", () => abortController.abort());
-  const deadlineMs = Number(req.header("x-deadline-ms"));
-  const durationMs = deadlineMs > 0
-    ? deadlineMs
-    : context.settings.defaultDeadlineMs;
-  return {
-    requestId: String(res.locals.requestId),
-    account: getAccountOrThrow(context, req),
-    deadlineAtMs: performance.now() + durationMs,
-    signal: abortController.signal,
-  };
-}
-
-function getAccountOrThrow(
-  context: DaemonContext,
-  req: Request,
-): ClientAccountConfig {
-  const key = /^Bearer (.+)$/.exec(req.header("authorization") ?? "")?.[1];
-  const digest = createHash("sha256").update(key ?? "").digest("hex");
-  const account = context.configHolder.getCurrent()?.document.clientAccounts
-    .find((a) => a.apiKeySha256.includes(digest));
-  if (account === undefined) {
-    throw new RequestError("The API key belongs to no client account", {
-      code: "unauthorized",
-      verdict: "not-run",
-      status: 401,
-    });
-  }
-  return account;
-}
-
 function parseChatBody(value: unknown): ChatRequestBody {
   const parsed = chatRequestSchema.safeParse(value);
   if (!parsed.success) {
@@ -138,30 +80,6 @@
   return parsed.data;
 }
 
-function createCall(req: Request): ServiceCall {
-  const key = req.header("idempotency-key");
-  if (key !== undefined && key.length > MAX_IDEMPOTENCY_KEY_CHARACTERS) {
-    throw new RequestError(
-      "The idempotency key is longer than 255 characters",
-      {
-        code: "bad-request",
-        verdict: "not-run",
-        status: 400,
-      },
-    );
-  }
-  return {
-    service: String(req.params.service),
-    method: req.method as ServiceCall["method"],
-    path: req.url,
-    contentType: req.header("content-type"),
-    body: req.body instanceof Uint8Array
-      ? req.body as ServiceCall["body"]
-      : undefined,
-    idempotencyKey: key,
-  };
-}
-
 async function sendStream(
   res: Response,
   body: ChatRequestBody,
@@ -226,62 +144,3 @@
     usage,
   });
 }
-
-function createErrorHandler(context: DaemonContext): ErrorRequestHandler {
-  return (error, _req, res, _next) => {
-    const failure = convertToRequestError(error);
-    context.logger.write("info", "request-failed", {
-      requestId: String(res.locals.requestId),
-      code: failure.code,
-      verdict: failure.verdict,
-      message: failure.message,
-    });
-    const body = {
-      error: {
-        code: failure.code,
-        message: failure.message,
-        verdict: failure.verdict,
-        retryAfterMs: failure.retryAfterMs ?? null,
-        requestId: res.locals.requestId,
-      },
-    };
-    if (res.headersSent) {
-      res.end(`data: ${JSON.stringify(body)}\n\n`);
-      return;
-    }
-    if (failure.retryAfterMs !== undefined) {
-      const seconds = Math.ceil(failure.retryAfterMs / 1_000);
-      res.setHeader("retry-after", String(seconds));
-    }
-    res.status(failure.status).json(body);
-  };
-}
-
-function convertToRequestError(error: unknown): RequestError {
-  if (error instanceof RequestError) {
-    return error;
-  }
-  const type = (error as { type?: string }).type;
-  if (type === "entity.too.large") {
-    return new RequestError("The body is larger than the limit", {
-      code: "body-too-large",
-      verdict: "not-run",
-      status: 413,
-    });
-  }
-  const status = (error as { status?: number }).status;
-  if (status !== undefined && status >= 400 && status < 500) {
-    return new RequestError("The body cannot be read", {
-      code: "bad-request",
-      verdict: "not-run",
-      status,
-      cause: error,
-    });
-  }
-  return new RequestError("The daemon failed to handle the request", {
-    code: "internal",
-    verdict: "may-have-run",
-    status: 500,
-    cause: error,
-  });
-}
--- /dev/null
+++ b/src/connection/error_handler.ts
@@ -0,0 +1,69 @@
+import type { ErrorRequestHandler } from "express";
+import type { DaemonContext } from "../process/daemon_context.ts";
+import { RequestError } from "../shared/errors.ts";
+
+/**
+ * Creates the handler that answers a failed request with the error body of the caller port.
+ *
+ * @param context - Parts of the daemon.
+ */
+export function createErrorHandler(
+  context: DaemonContext,
+): ErrorRequestHandler {
+  return (error, _req, res, _next) => {
+    const failure = convertToRequestError(error);
+    context.logger.write("info", "request-failed", {
+      requestId: String(res.locals.requestId),
+      code: failure.code,
+      verdict: failure.verdict,
+      message: failure.message,
+    });
+    const body = {
+      error: {
+        code: failure.code,
+        message: failure.message,
+        verdict: failure.verdict,
+        retryAfterMs: failure.retryAfterMs ?? null,
+        requestId: res.locals.requestId,
+      },
+    };
+    if (res.headersSent) {
+      res.end(`data: ${JSON.stringify(body)}\n\n`);
+      return;
+    }
+    if (failure.retryAfterMs !== undefined) {
+      const seconds = Math.ceil(failure.retryAfterMs / 1_000);
+      res.setHeader("retry-after", String(seconds));
+    }
+    res.status(failure.status).json(body);
+  };
+}
+
+function convertToRequestError(error: unknown): RequestError {
+  if (error instanceof RequestError) {
+    return error;
+  }
+  const type = (error as { type?: string }).type;
+  if (type === "entity.too.large") {
+    return new RequestError("The body is larger than the limit", {
+      code: "body-too-large",
+      verdict: "not-run",
+      status: 413,
+    });
+  }
+  const status = (error as { status?: number }).status;
+  if (status !== undefined && status >= 400 && status < 500) {
+    return new RequestError("The body cannot be read", {
+      code: "bad-request",
+      verdict: "not-run",
+      status,
+      cause: error,
+    });
+  }
+  return new RequestError("The daemon failed to handle the request", {
+    code: "internal",
+    verdict: "may-have-run",
+    status: 500,
+    cause: error,
+  });
+}
--- /dev/null
+++ b/src/connection/request_context_factory.ts
@@ -0,0 +1,50 @@
+import { createHash } from "node:crypto";
+import type { Request, Response } from "express";
+import type { DaemonContext } from "../process/daemon_context.ts";
+import type { RequestContext } from "../request/request_context.ts";
+import { RequestError } from "../shared/errors.ts";
+import type { ClientAccountConfig } from "../version/config_schema.ts";
+
+/**
+ * Creates what a request carries along its way.
+ *
+ * @param context - Parts of the daemon.
+ * @param exchange - Request and response of the caller.
+ * @throws {RequestError} When the caller belongs to no client account.
+ */
+export function createRequestContext(
+  context: DaemonContext,
+  exchange: { req: Request; res: Response },
+): RequestContext {
+  const { req, res } = exchange;
+  const abortController = new AbortController();
+  res.on("close", () => abortController.abort());
+  const deadlineMs = Number(req.header("x-deadline-ms"));
+  const durationMs = deadlineMs > 0
+    ? deadlineMs
+    : context.settings.defaultDeadlineMs;
+  return {
+    requestId: String(res.locals.requestId),
+    account: getAccountOrThrow(context, req),
+    deadlineAtMs: performance.now() + durationMs,
+    signal: abortController.signal,
+  };
+}
+
+function getAccountOrThrow(
+  context: DaemonContext,
+  req: Request,
+): ClientAccountConfig {
+  const key = /^Bearer (.+)$/.exec(req.header("authorization") ?? "")?.[1];
+  const digest = createHash("sha256").update(key ?? "").digest("hex");
+  const account = context.configHolder.getCurrent()?.document.clientAccounts
+    .find((a) => a.apiKeySha256.includes(digest));
+  if (account === undefined) {
+    throw new RequestError("The API key belongs to no client account", {
+      code: "unauthorized",
+      verdict: "not-run",
+      status: 401,
+    });
+  }
+  return account;
+}
