Run non-repeatable calls at most once and stop the daemon in a planned way

A keyed call that is declared non-repeatable is claimed in the store before dispatch, and a re-sent key gets the stored outcome. Calls are balanced over the backend servers and retried only while no byte was sent or when they are safe. SIGTERM fails readiness, drains and exits. Parser errors and timeouts of the caller port get the JSON error body.

Ruled out: writing a separate dispatched state, which would cost a third write for each call; reusing open connections for calls that are not repeatable, since a connection that breaks while idle leaves the outcome unknown.

--- a/src/connection/caller_app.ts
+++ b/src/connection/caller_app.ts
@@ -12,6 +12,7 @@
 import { createErrorHandler } from "./error_handler.ts";
 import { createRequestContext } from "./request_context_factory.ts";
 import { addServiceRoutes } from "./service_routes.ts";
+import { createStopGate } from "./stop_gate.ts";
 
 const REQUEST_ID_PATTERN = /^[\w.-]{1,64}$/;
 
@@ -35,6 +36,7 @@
     res.setHeader("x-request-id", requestId);
     next();
   });
+  app.use(createStopGate(context));
   app.get("/v1/models", (_req, res) => {
     const models = context.configHolder.getCurrent()?.document.models ?? [];
     res.json({
--- a/src/connection/error_handler.ts
+++ b/src/connection/error_handler.ts
@@ -1,6 +1,7 @@
 import type { ErrorRequestHandler } from "express";
 import type { DaemonContext } from "../process/daemon_context.ts";
 import { RequestError } from "../shared/errors.ts";
+import { createErrorBody } from "./error_body.ts";
 
 /**
  * Creates the handler that answers a failed request with the error body of the caller port.
@@ -18,15 +19,10 @@
       verdict: failure.verdict,
       message: failure.message,
     });
-    const body = {
-      error: {
-        code: failure.code,
-        message: failure.message,
-        verdict: failure.verdict,
-        retryAfterMs: failure.retryAfterMs ?? null,
-        requestId: res.locals.requestId,
-      },
-    };
+    const body = createErrorBody(failure, String(res.locals.requestId));
+    if (res.writableEnded) {
+      return;
+    }
     if (res.headersSent) {
       res.end(`data: ${JSON.stringify(body)}\n\n`);
       return;
--- a/src/connection/operator_app.ts
+++ b/src/connection/operator_app.ts
@@ -14,7 +14,8 @@
   });
   app.get("/readyz", (_req, res) => {
     const ready = context.configHolder.getCurrent() !== undefined &&
-      context.freshness.getState() === "fresh";
+      context.freshness.getState() === "fresh" &&
+      !context.gracefulStop.isLeaving();
     res.status(ready ? 200 : 503).json({ ready });
   });
   app.get("/api/status", (_req, res) => {
--- a/src/connection/request_context_factory.ts
+++ b/src/connection/request_context_factory.ts
@@ -5,6 +5,8 @@
 import { RequestError } from "../shared/errors.ts";
 import type { ClientAccountConfig } from "../version/config_schema.ts";
 
+const MAX_DEADLINE_MS = 3_600_000;
+
 /**
  * Creates what a request carries along its way.
  *
@@ -19,10 +21,10 @@
   const { req, res } = exchange;
   const abortController = new AbortController();
   res.on("close", () => abortController.abort());
-  const deadlineMs = Number(req.header("x-deadline-ms"));
-  const durationMs = deadlineMs > 0
-    ? deadlineMs
-    : context.settings.defaultDeadlineMs;
+  const durationMs = getIntegerHeader(req, {
+    name: "x-deadline-ms",
+    max: MAX_DEADLINE_MS,
+  }) ?? context.settings.defaultDeadlineMs;
   return {
     requestId: String(res.locals.requestId),
     account: getAccountOrThrow(context, req),
@@ -31,6 +33,31 @@
   };
 }
 
+/**
+ * Gets a header that holds a whole number from 1, or undefined when it is not given.
+ *
+ * @param req - Request of the caller.
+ * @param rule - Name of the header and its largest value.
+ * @throws {RequestError} When the header is invalid.
+ */
+export function getIntegerHeader(
+  req: Request,
+  rule: { name: string; max: number },
+): number | undefined {
+  const text = req.header(rule.name);
+  if (text === undefined) {
+    return undefined;
+  }
+  const value = /^\d{1,15}$/.test(text) ? Number(text) : 0;
+  if (value < 1 || value > rule.max) {
+    throw new RequestError(
+      `The header ${rule.name} is not a whole number from 1 to ${rule.max}`,
+      { code: "bad-request", verdict: "not-run", status: 400 },
+    );
+  }
+  return value;
+}
+
 function getAccountOrThrow(
   context: DaemonContext,
   req: Request,
--- /dev/null
+++ b/src/connection/service_client.ts
@@ -0,0 +1,186 @@
+import type { Buffer } from "node:buffer";
+import { Agent } from "node:http";
+import { connect, type Socket } from "node:net";
+import got, { type OptionsInit, RequestError, TimeoutError } from "got";
+import { getErrorMessage } from "../shared/errors.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const MAX_ANSWER_BYTES = 4_194_304;
+const MAX_IDLE_SOCKETS = 16;
+
+/** One attempt of a service call. */
+export interface ServiceAttempt {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string | undefined;
+  readonly body: Buffer | undefined;
+  readonly idempotencyKey: string | undefined;
+  readonly requestId: string;
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal;
+  /** Whether the call may be sent again after a failure, so that an open connection may be reused. */
+  readonly repeatable: boolean;
+  /** Runs after the connection is open and immediately before the first byte; throws to refuse. */
+  readonly checkBeforeSend?: () => void;
+}
+
+/** Answer of a plain service. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly contentType: string | undefined;
+  readonly location: string | undefined;
+  readonly body: Buffer;
+}
+
+/** Failure of an attempt. */
+export class ServiceCallError extends Error {
+  override readonly name = "ServiceCallError";
+  /** Whether a byte of the call may have reached the backend server. */
+  readonly isSent: boolean;
+  readonly isTimeout: boolean;
+
+  constructor(
+    message: string,
+    options: { isSent: boolean; isTimeout?: boolean; cause?: unknown },
+  ) {
+    super(message, { cause: options.cause });
+    this.isSent = options.isSent;
+    this.isTimeout = options.isTimeout ?? false;
+  }
+}
+
+/** Client of plain services over HTTP. */
+export class ServiceClient {
+  readonly #agent = new Agent({
+    keepAlive: true,
+    maxFreeSockets: MAX_IDLE_SOCKETS,
+  });
+
+  /**
+   * Sends one attempt.
+   *
+   * A call that is not repeatable gets a new connection: an open one may break while the call is written, which would leave its outcome unknown.
+   *
+   * @param attempt - What to send, and where.
+   * @throws {ServiceCallError} When there is no answer.
+   */
+  async send(attempt: ServiceAttempt): Promise<ServiceAnswer> {
+    if (attempt.repeatable) {
+      return await sendWithOptions(attempt, { agent: { http: this.#agent } });
+    }
+    const socket = await openConnection(attempt);
+    let refusal: unknown;
+    const getCheckedSocket = () => {
+      try {
+        attempt.checkBeforeSend?.();
+        return socket;
+      } catch (error) {
+        refusal = error;
+        throw error;
+      }
+    };
+    try {
+      return await sendWithOptions(attempt, {
+        createConnection: getCheckedSocket,
+      });
+    } catch (error) {
+      throw refusal ?? error;
+    } finally {
+      socket.destroy();
+    }
+  }
+
+  /** Closes the idle connections. */
+  dispose(): void {
+    this.#agent.destroy();
+  }
+}
+
+async function sendWithOptions(
+  attempt: ServiceAttempt,
+  options: Pick<OptionsInit, "agent" | "createConnection">,
+): Promise<ServiceAnswer> {
+  const tooLarge = new AbortController();
+  try {
+    const pending = got(`http://${attempt.address}${attempt.path}`, {
+      ...options,
+      method: attempt.method as "GET",
+      allowGetBody: true,
+      body: attempt.body,
+      headers: {
+        "content-type": attempt.contentType,
+        "idempotency-key": attempt.idempotencyKey,
+        "x-request-id": attempt.requestId,
+      },
+      responseType: "buffer",
+      throwHttpErrors: false,
+      // A followed redirect would send the call a second time.
+      followRedirect: false,
+      decompress: false,
+      retry: { limit: 0 },
+      timeout: { request: attempt.timeoutMs },
+      signal: AbortSignal.any([attempt.signal, tooLarge.signal]),
+    });
+    pending.on("downloadProgress", (progress) => {
+      if (progress.transferred > MAX_ANSWER_BYTES) {
+        tooLarge.abort();
+      }
+    });
+    const answer = await pending;
+    return {
+      status: answer.statusCode,
+      contentType: answer.headers["content-type"],
+      location: answer.headers.location,
+      body: answer.body,
+    };
+  } catch (error) {
+    const message = tooLarge.signal.aborted
+      ? `The answer is larger than ${MAX_ANSWER_BYTES} bytes`
+      : getErrorMessage(error);
+    throw new ServiceCallError(message, {
+      isSent: !(error instanceof RequestError) ||
+        error.code !== "ECONNREFUSED",
+      isTimeout: error instanceof TimeoutError,
+      cause: error,
+    });
+  }
+}
+
+/** Opens a connection without sending a byte of the call. */
+function openConnection(attempt: ServiceAttempt): Promise<Socket> {
+  const colon = attempt.address.lastIndexOf(":");
+  const socket = connect({
+    host: attempt.address.slice(0, colon).replace(/^\[|\]$/g, ""),
+    port: Number(attempt.address.slice(colon + 1)),
+    noDelay: true,
+  });
+  return new Promise((resolve, reject) => {
+    const refuse = (message: string) => {
+      clearTimeout(timer);
+      attempt.signal.removeEventListener("abort", onAbort);
+      socket.destroy();
+      reject(new ServiceCallError(message, { isSent: false }));
+    };
+    const onAbort = () => refuse("The caller went away");
+    const timer = setTimeout(
+      () => refuse("The connection took too long to open"),
+      Math.min(CONNECT_TIMEOUT_MS, attempt.timeoutMs),
+    );
+    const onError = (error: Error) => refuse(error.message);
+    socket.once("error", onError);
+    // An error before the HTTP client listens must not end the process; the client finds the socket destroyed.
+    socket.on("error", () => {});
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      attempt.signal.removeEventListener("abort", onAbort);
+      socket.removeListener("error", onError);
+      resolve(socket);
+    });
+    if (attempt.signal.aborted) {
+      onAbort();
+      return;
+    }
+    attempt.signal.addEventListener("abort", onAbort, { once: true });
+  });
+}
--- a/src/connection/service_routes.ts
+++ b/src/connection/service_routes.ts
@@ -1,13 +1,24 @@
+import { Buffer } from "node:buffer";
 import express, { type Express, type Request } from "express";
 import type { DaemonContext } from "../process/daemon_context.ts";
-import {
-  type ServiceCall,
-  ServiceHandler,
-} from "../request/service_handler.ts";
+import type { ServiceCall } from "../request/service_call.ts";
+import { ServiceHandler } from "../request/service_handler.ts";
 import { RequestError } from "../shared/errors.ts";
-import { createRequestContext } from "./request_context_factory.ts";
+import {
+  createRequestContext,
+  getIntegerHeader,
+} from "./request_context_factory.ts";
 
-const MAX_IDEMPOTENCY_KEY_CHARACTERS = 255;
+const KEY_PATTERN = /^[\x20-\x7e]{1,255}$/;
+const MAX_ATTEMPT = 1_000_000;
+const METHODS: readonly string[] = [
+  "GET",
+  "HEAD",
+  "POST",
+  "PUT",
+  "PATCH",
+  "DELETE",
+];
 
 /**
  * Adds the routes of the plain services.
@@ -17,40 +28,61 @@
  */
 export function addServiceRoutes(app: Express, context: DaemonContext): void {
   const handler = new ServiceHandler(context);
+  const limit = context.settings.maxBodyBytes;
   app.use(
     "/services/:service",
-    express.raw({ type: () => true, limit: context.settings.maxBodyBytes }),
+    // Account, headers and deadline are checked before the body is read.
+    (req, res, next) => {
+      res.locals.request = createRequestContext(context, { req, res });
+      checkMethod(req);
+      getIdempotencyKey(req);
+      next();
+    },
+    express.raw({ type: () => true, limit, inflate: false }),
     async (req, res) => {
-      const request = createRequestContext(context, { req, res });
-      const answer = await handler.handle(createCall(req), request);
+      const answer = await handler.handle(createCall(req), res.locals.request);
       if (answer.contentType !== undefined) {
         res.setHeader("content-type", answer.contentType);
       }
+      if (answer.location !== undefined) {
+        res.setHeader("location", answer.location);
+      }
       res.status(answer.status).end(answer.body);
     },
   );
 }
 
-function createCall(req: Request): ServiceCall {
-  const key = req.header("idempotency-key");
-  if (key !== undefined && key.length > MAX_IDEMPOTENCY_KEY_CHARACTERS) {
+function checkMethod(req: Request): void {
+  if (!METHODS.includes(req.method)) {
+    throw new RequestError(
+      `The method ${req.method} is not one of ${METHODS.join(", ")}`,
+      { code: "bad-request", verdict: "not-run", status: 405 },
+    );
+  }
+}
+
+function getIdempotencyKey(req: Request): string | undefined {
+  const keys = req.headersDistinct["idempotency-key"];
+  if (keys === undefined) {
+    return undefined;
+  }
+  if (keys.length !== 1 || !KEY_PATTERN.test(keys[0])) {
     throw new RequestError(
-      "The idempotency key is longer than 255 characters",
-      {
-        code: "bad-request",
-        verdict: "not-run",
-        status: 400,
-      },
+      "The idempotency key is not one header of 1 to 255 printable characters",
+      { code: "bad-request", verdict: "not-run", status: 400 },
     );
   }
+  return keys[0];
+}
+
+function createCall(req: Request): ServiceCall {
   return {
     service: String(req.params.service),
-    method: req.method as ServiceCall["method"],
+    method: req.method,
     path: req.url,
     contentType: req.header("content-type"),
-    body: req.body instanceof Uint8Array
-      ? req.body as ServiceCall["body"]
-      : undefined,
-    idempotencyKey: key,
+    body: Buffer.isBuffer(req.body) ? req.body : undefined,
+    idempotencyKey: getIdempotencyKey(req),
+    attempt: getIntegerHeader(req, { name: "x-attempt", max: MAX_ATTEMPT }),
   };
 }
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -13,10 +13,12 @@
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { FreshnessTracker } from "./freshness_tracker.ts";
+import { GracefulStop } from "./graceful_stop.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
 import { LocalAdmission } from "./local_admission.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
+import { RetryBudget } from "./retry_budget.ts";
 import { VmTable } from "./vm_table.ts";
 
 const PEER_TIMEOUT_MS = 1_000;
@@ -54,6 +56,11 @@
   container.bind(PlacementHolder).toConstantValue(new PlacementHolder());
   container.bind(VmTable).toConstantValue(new VmTable());
   container.bind(GroupHealthTable).toConstantValue(new GroupHealthTable());
+  container.bind(RetryBudget).toConstantValue(new RetryBudget());
+  container.bind(GracefulStop).toResolvedValue(
+    (logger: Logger) => new GracefulStop(settings, logger),
+    [SERVICES.logger],
+  );
   bindClients(container, settings);
   bindDecisions(container, settings);
   bindContext(container);
@@ -123,5 +130,7 @@
     admission: get(SERVICES.admission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
+    retryBudget: get(RetryBudget),
+    gracefulStop: get(GracefulStop),
   }));
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -3,6 +3,7 @@
 import { HttpServer } from "../connection/http_server.ts";
 import { createOperatorApp } from "../connection/operator_app.ts";
 import { createPeerRouter } from "../connection/peer_router.ts";
+import { ClaimSweepTask } from "./claim_sweep_task.ts";
 import { createContainer, SERVICES } from "./container.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
@@ -16,10 +17,14 @@
   readonly #caller: HttpServer;
   readonly #peer: HttpServer;
   readonly #operator: HttpServer;
+  #stopping: Promise<void> | undefined;
 
   constructor(settings: DaemonSettings) {
     this.context = createContainer(settings).get(SERVICES.context);
-    this.#caller = new HttpServer(createCallerApp(this.context));
+    this.#caller = new HttpServer(createCallerApp(this.context), {
+      requestTimeoutMs: settings.bodyTimeoutMs,
+      maxConnections: settings.maxConnections,
+    });
     this.#peer = new HttpServer(
       createHTTPHandler({ router: createPeerRouter(this.context) }),
     );
@@ -53,6 +58,7 @@
     this.#startTask("store-sync", new StoreSyncTask(this.context));
     this.#startTask("group-monitor", new GroupMonitorTask(this.context));
     this.#startTask("planner", new PlannerTask(this.context));
+    this.#startTask("claim-sweep", new ClaimSweepTask(this.context));
     logger.write("info", "daemon-started", {
       caller: this.callerAddress,
       peer: this.peerAddress,
@@ -60,12 +66,23 @@
     });
   }
 
-  /** Stops the tasks and the listeners. */
+  /** Stops in a planned way: new work ends, requests in flight complete, then the parts are released. */
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stopOnce();
+    return this.#stopping;
+  }
+
+  /** Stops the tasks and the listeners at once. */
   async dispose(): Promise<void> {
     await this.context.lifeCycle.dispose();
     this.context.logger.write("info", "daemon-stopped");
   }
 
+  async #stopOnce(): Promise<void> {
+    await this.context.gracefulStop.run(() => this.#caller.stopListening());
+    await this.dispose();
+  }
+
   #startTask(name: string, task: { run(): Promise<void> }): void {
     task.run().catch((error: unknown) => {
       this.context.logger.write("error", "task-failed", {
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -11,9 +11,11 @@
 import type { Admission } from "./admission.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import type { FreshnessTracker } from "./freshness_tracker.ts";
+import type { GracefulStop } from "./graceful_stop.ts";
 import type { GroupDirectory } from "./group_directory.ts";
 import type { GroupHealthTable } from "./group_health.ts";
 import type { QuarantineList } from "./quarantine_list.ts";
+import type { RetryBudget } from "./retry_budget.ts";
 import type { VmTable } from "./vm_table.ts";
 
 /** Parts of one daemon that its tasks and request handlers share. */
@@ -35,4 +37,6 @@
   readonly admission: Admission;
   readonly freshness: FreshnessTracker;
   readonly quarantine: QuarantineList;
+  readonly retryBudget: RetryBudget;
+  readonly gracefulStop: GracefulStop;
 }
--- a/src/process/daemon_main.ts
+++ b/src/process/daemon_main.ts
@@ -56,9 +56,15 @@
     };
     process.stdout.write(`${JSON.stringify(addresses)}\n`);
   }
-  const stop = () => void daemon.dispose();
-  process.once("SIGTERM", stop);
-  process.once("SIGINT", stop);
+  // A second signal must not cut requests, so the handlers stay registered.
+  const stop = () => void stopDaemon(daemon);
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+}
+
+async function stopDaemon(daemon: Daemon): Promise<void> {
+  await daemon.stop();
+  process.exit(0);
 }
 
 async function readSettings(
--- a/src/process/daemon_settings.ts
+++ b/src/process/daemon_settings.ts
@@ -48,6 +48,26 @@
   maxStreamHeldBytes: z.number().int().min(1_024).default(262_144).describe(
     "Bytes held for one stream",
   ),
+  claimWaitMs: z.number().int().min(1).default(3_000).describe(
+    "Longest wait for the claim of a non-repeatable call",
+  ),
+  claimRetentionMs: z.number().int().min(1_000).default(86_400_000).describe(
+    "Time for which a claim and its answer are kept",
+  ),
+  claimSweepIntervalMs: z.number().int().min(100).default(3_600_000).describe(
+    "Time between two deletions of claims past their retention",
+  ),
+  maxStoredAnswerBytes: z.number().int().min(0).max(262_144).default(16_384)
+    .describe("Largest answer that is stored with its claim"),
+  stopTimeoutMs: z.number().int().min(1).default(600_000).describe(
+    "Time after which a planned stop ends the requests that still run",
+  ),
+  bodyTimeoutMs: z.number().int().min(100).default(30_000).describe(
+    "Time in which a caller has to send a whole request",
+  ),
+  maxConnections: z.number().int().min(1).default(2_048).describe(
+    "Connections of callers at the same time",
+  ),
   defaultDeadlineMs: z.number().int().min(1).default(120_000).describe(
     "Deadline of a request that states none",
   ),
--- /dev/null
+++ b/src/request/service_dispatcher.ts
@@ -0,0 +1,188 @@
+import {
+  type ServiceAnswer,
+  ServiceCallError,
+  type ServiceClient,
+} from "../connection/service_client.ts";
+import type { RetryBudget } from "../process/retry_budget.ts";
+import { delay } from "../shared/delay.ts";
+import { RequestError } from "../shared/errors.ts";
+import { combineVerdicts, type Verdict } from "../shared/verdict.ts";
+import type { ServiceConfig } from "../version/config_schema.ts";
+import type { BackendLease, BackendPool } from "./backend_pool.ts";
+import type { CallClass } from "./call_class.ts";
+import type { ServiceCall } from "./service_call.ts";
+
+const MAX_ATTEMPTS = 3;
+const FIRST_BACKOFF_MS = 25;
+const NO_CAPACITY_RETRY_AFTER_MS = 250;
+const RETRIED_STATUSES: readonly number[] = [502, 503, 504];
+
+/** Call with everything that its attempts need. */
+export interface Dispatch {
+  readonly service: ServiceConfig;
+  readonly call: ServiceCall;
+  readonly callClass: CallClass;
+  readonly requestId: string;
+  /** Monotonic time by which the call has to end. */
+  readonly deadlineAtMs: number;
+  /** Ends the attempts when the caller goes away. */
+  readonly signal: AbortSignal;
+  readonly checkBeforeSend?: () => void;
+}
+
+/** Sends a call to the backend servers of its service. */
+export class ServiceDispatcher {
+  readonly #pool: BackendPool;
+  readonly #client: ServiceClient;
+  readonly #retryBudget: RetryBudget;
+
+  constructor(parts: {
+    pool: BackendPool;
+    client: ServiceClient;
+    retryBudget: RetryBudget;
+  }) {
+    this.#pool = parts.pool;
+    this.#client = parts.client;
+    this.#retryBudget = parts.retryBudget;
+  }
+
+  /**
+   * Sends a call. It is sent again only when it is repeatable or when no byte of it was sent, within deadline and retry budget.
+   *
+   * @param dispatch - Call with everything that its attempts need.
+   * @throws {RequestError} When the call is refused or has no answer.
+   */
+  async dispatch(dispatch: Dispatch): Promise<ServiceAnswer> {
+    const tried = new Set<string>();
+    let verdict: Verdict = "not-run";
+    this.#retryBudget.recordFirstAttempt();
+    for (let attempt = 1;; attempt++) {
+      const remainingMs = dispatch.deadlineAtMs - performance.now();
+      if (remainingMs <= 0) {
+        throw createDeadlineError(verdict);
+      }
+      const lease = this.#pool.tryAcquire(dispatch.service, tried);
+      if (lease === undefined) {
+        throw createNoCapacityError(dispatch.service, verdict);
+      }
+      tried.add(lease.address);
+      try {
+        const answer = await this.#send(dispatch, { lease, remainingMs });
+        if (!this.#takesRetryOfAnswer(dispatch, { answer, attempt })) {
+          return answer;
+        }
+        verdict = combineVerdicts(verdict, "may-have-run");
+      } catch (error) {
+        if (!(error instanceof ServiceCallError)) {
+          throw error;
+        }
+        verdict = combineVerdicts(
+          verdict,
+          error.isSent ? "may-have-run" : "not-run",
+        );
+        if (!this.#takesRetryOfError(dispatch, { error, attempt })) {
+          throw createFailedError(dispatch, { error, verdict });
+        }
+      }
+      const backoffMs = FIRST_BACKOFF_MS * 2 ** (attempt - 1);
+      await delay(backoffMs * (0.5 + Math.random()), dispatch.signal);
+    }
+  }
+
+  async #send(
+    dispatch: Dispatch,
+    options: { lease: BackendLease; remainingMs: number },
+  ): Promise<ServiceAnswer> {
+    const { call, service } = dispatch;
+    const { lease } = options;
+    try {
+      const answer = await this.#client.send({
+        address: lease.address,
+        method: call.method,
+        path: call.path,
+        contentType: call.contentType,
+        body: call.body,
+        idempotencyKey: call.idempotencyKey,
+        requestId: dispatch.requestId,
+        timeoutMs: Math.min(service.timeoutMs, options.remainingMs),
+        signal: dispatch.signal,
+        repeatable: dispatch.callClass === "repeatable",
+        checkBeforeSend: dispatch.checkBeforeSend,
+      });
+      lease.release(
+        RETRIED_STATUSES.includes(answer.status) ? "failed" : "answered",
+      );
+      return answer;
+    } catch (error) {
+      const isBackendFault = error instanceof ServiceCallError &&
+        !dispatch.signal.aborted;
+      lease.release(isBackendFault ? "failed" : "cancelled");
+      throw error;
+    }
+  }
+
+  #takesRetryOfAnswer(
+    dispatch: Dispatch,
+    result: { answer: ServiceAnswer; attempt: number },
+  ): boolean {
+    return dispatch.callClass === "repeatable" &&
+      RETRIED_STATUSES.includes(result.answer.status) &&
+      result.attempt < MAX_ATTEMPTS && !dispatch.signal.aborted &&
+      this.#retryBudget.tryAcquire();
+  }
+
+  #takesRetryOfError(
+    dispatch: Dispatch,
+    result: { error: ServiceCallError; attempt: number },
+  ): boolean {
+    return (dispatch.callClass === "repeatable" || !result.error.isSent) &&
+      result.attempt < MAX_ATTEMPTS && !dispatch.signal.aborted &&
+      this.#retryBudget.tryAcquire();
+  }
+}
+
+function createNoCapacityError(
+  service: ServiceConfig,
+  verdict: Verdict,
+): RequestError {
+  return new RequestError(
+    `No backend server of service "${service.name}" has room for the call`,
+    {
+      code: "no-capacity",
+      verdict,
+      status: 503,
+      retryAfterMs: NO_CAPACITY_RETRY_AFTER_MS,
+    },
+  );
+}
+
+/**
+ * Creates the error of a request whose deadline passed.
+ *
+ * @param verdict - Whether the request may have run.
+ */
+export function createDeadlineError(verdict: Verdict): RequestError {
+  return new RequestError("The deadline of the request passed", {
+    code: "deadline-exceeded",
+    verdict,
+    status: 504,
+  });
+}
+
+function createFailedError(
+  dispatch: Dispatch,
+  result: { error: ServiceCallError; verdict: Verdict },
+): RequestError {
+  if (performance.now() >= dispatch.deadlineAtMs) {
+    return createDeadlineError(result.verdict);
+  }
+  return new RequestError(
+    `The call of service "${dispatch.service.name}" has no answer: ${result.error.message}`,
+    {
+      code: dispatch.signal.aborted ? "cancelled" : "backend-failed",
+      verdict: result.verdict,
+      status: result.error.isTimeout ? 504 : 502,
+      cause: result.error,
+    },
+  );
+}
--- a/src/request/service_handler.ts
+++ b/src/request/service_handler.ts
@@ -1,34 +1,33 @@
-import type { Buffer } from "node:buffer";
-import got from "got";
+import {
+  type ServiceAnswer,
+  ServiceClient,
+} from "../connection/service_client.ts";
 import type { DaemonContext } from "../process/daemon_context.ts";
-import { getErrorMessage, RequestError } from "../shared/errors.ts";
+import { RequestError } from "../shared/errors.ts";
 import type { ServiceConfig } from "../version/config_schema.ts";
+import { BackendPool } from "./backend_pool.ts";
+import { getCallClass } from "./call_class.ts";
+import { ClaimedCallHandler } from "./claimed_call_handler.ts";
 import type { RequestContext } from "./request_context.ts";
+import type { ServiceCall } from "./service_call.ts";
+import { ServiceDispatcher } from "./service_dispatcher.ts";
 
-/** Call of a plain service. */
-export interface ServiceCall {
-  readonly service: string;
-  readonly method: "GET" | "POST" | "PUT" | "PATCH" | "DELETE";
-  /** Path below the service, with the query. */
-  readonly path: string;
-  readonly contentType: string | undefined;
-  readonly body: Buffer | undefined;
-  readonly idempotencyKey: string | undefined;
-}
-
-/** Answer of a plain service. */
-export interface ServiceAnswer {
-  readonly status: number;
-  readonly contentType: string | undefined;
-  readonly body: Buffer;
-}
+const STALE_RETRY_AFTER_MS = 1_000;
 
 /** Runs one call of a plain service. */
 export class ServiceHandler {
   readonly #context: DaemonContext;
+  readonly #dispatcher: ServiceDispatcher;
+  readonly #claimedCalls: ClaimedCallHandler;
 
   constructor(context: DaemonContext) {
     this.#context = context;
+    this.#dispatcher = new ServiceDispatcher({
+      pool: new BackendPool(context),
+      client: context.lifeCycle.add(new ServiceClient()),
+      retryBudget: context.retryBudget,
+    });
+    this.#claimedCalls = new ClaimedCallHandler(context, this.#dispatcher);
   }
 
   /**
@@ -42,45 +41,32 @@
     call: ServiceCall,
     request: RequestContext,
   ): Promise<ServiceAnswer> {
+    this.#checkFreshness();
     const service = this.#getServiceOrThrow(call.service);
-    const backend = service.backends
-      .find((b) => this.#context.zonePolicy.takesNewWork(b.zone));
-    if (backend === undefined) {
-      throw new RequestError(
-        `No backend server of service "${service.name}" is in service`,
-        { code: "no-capacity", verdict: "not-run", status: 503 },
-      );
+    const callClass = getCallClass(service, call);
+    if (callClass === "non-repeatable" && call.idempotencyKey !== undefined) {
+      const key = call.idempotencyKey;
+      return await this.#claimedCalls.handle({ service, call, key, request });
     }
-    try {
-      const answer = await got(`http://${backend.address}${call.path}`, {
-        method: call.method,
-        body: call.body,
-        headers: {
-          "content-type": call.contentType,
-          "idempotency-key": call.idempotencyKey,
-          "x-request-id": request.requestId,
-        },
-        responseType: "buffer",
-        throwHttpErrors: false,
-        retry: { limit: 0 },
-        timeout: { request: service.timeoutMs },
-        signal: request.signal,
-      });
-      return {
-        status: answer.statusCode,
-        contentType: answer.headers["content-type"],
-        body: answer.body,
-      };
-    } catch (error) {
+    return await this.#dispatcher.dispatch({
+      service,
+      call,
+      callClass,
+      requestId: request.requestId,
+      deadlineAtMs: request.deadlineAtMs,
+      signal: request.signal,
+    });
+  }
+
+  #checkFreshness(): void {
+    if (this.#context.freshness.getState() === "stale") {
       throw new RequestError(
-        `The call of service "${service.name}" has no answer: ${
-          getErrorMessage(error)
-        }`,
+        "The daemon cannot confirm that its configuration is the newest",
         {
-          code: "backend-failed",
-          verdict: "may-have-run",
-          status: 502,
-          cause: error,
+          code: "stale-configuration",
+          verdict: "not-run",
+          status: 503,
+          retryAfterMs: STALE_RETRY_AFTER_MS,
         },
       );
     }
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -8,6 +8,8 @@
   | "unknown-service"
   | "not-found"
   | "body-too-large"
+  | "headers-too-large"
+  | "request-timeout"
   | "no-capacity"
   | "account-limit"
   | "deadline-exceeded"
