Test calls under store and service faults

The table found that a refused retry created a released claim for a key that another daemon had sent without a claim during an outage; the next retry could then run a second time. A claim of a call that was not sent is now only updated, never created, and the outcome of a call sent without a claim replaces another attempt's released or unknown claim.

Ruled out: a released tombstone against late writes, which is what opened the gap.

--- a/fakes/fake_platform.ts
+++ b/fakes/fake_platform.ts
@@ -24,6 +24,10 @@
   skipWatchEvents: number;
   /** Lag of the VM list in milliseconds. */
   vmListLagMs: number;
+  /** Goes down when an answer is dropped, so that the write cannot be read back. */
+  downAfterDrop: boolean;
+  /** Kind of object that the common faults are limited to; empty for all calls. */
+  faultKind: string;
 }
 
 /** Number of calls of each kind since the start. */
@@ -54,6 +58,8 @@
     watchLagMs: 0,
     skipWatchEvents: 0,
     vmListLagMs: 0,
+    downAfterDrop: false,
+    faultKind: "",
   };
   readonly counts: PlatformCallCounts = {
     reads: 0,
@@ -158,8 +164,10 @@
     app.disable("x-powered-by");
     app.use(express.json({ limit: "2mb", strict: false }));
     this.#addControlRoutes(app);
-    app.use(async (_req, res, next) => {
-      if (await applyFaultsBeforeCall(this.faults)) {
+    app.use(async (req, res, next) => {
+      if (
+        this.#hasFaults(req.path) && await applyFaultsBeforeCall(this.faults)
+      ) {
         res.status(503).json({ message: "The platform is unavailable" });
         return;
       }
@@ -229,7 +237,7 @@
     }
     const version = current + 1;
     this.#write({ kind, name, version, value: req.body });
-    this.#answerWrite(res, version);
+    this.#answerWrite(req, { res, version });
   }
 
   #handleDelete(req: Request, res: Response): void {
@@ -243,7 +251,12 @@
     }
     this.#objects.delete(getKey(kind, name));
     this.#appendEvent(kind, { name });
-    this.#answerWrite(res, current);
+    this.#answerWrite(req, { res, version: current });
+  }
+
+  #hasFaults(path: string): boolean {
+    const { faultKind } = this.faults;
+    return faultKind === "" || path.split("/")[3] === faultKind;
   }
 
   #refuseConflict(res: Response, version: number): void {
@@ -254,12 +267,16 @@
     });
   }
 
-  #answerWrite(res: Response, version: number): void {
-    if (takeDroppedAnswer(this.faults)) {
-      res.destroy();
+  #answerWrite(
+    req: Request,
+    answer: { res: Response; version: number },
+  ): void {
+    if (this.#hasFaults(req.path) && takeDroppedAnswer(this.faults)) {
+      this.faults.down ||= this.faults.downAfterDrop;
+      answer.res.destroy();
       return;
     }
-    res.json({ version });
+    answer.res.json({ version: answer.version });
   }
 
   async #handleWatch(req: Request, res: Response): Promise<void> {
--- a/src/request/claim_registry.ts
+++ b/src/request/claim_registry.ts
@@ -16,6 +16,8 @@
 const FIRST_BACKOFF_MS = 20;
 const MAX_BACKOFF_MS = 1_000;
 const MAX_OUTCOME_BACKOFF_MS = 5_000;
+/** Reads after which a lost claim write is taken to have had no effect. */
+const ABSENT_READS = 6;
 const IN_PROGRESS_RETRY_AFTER_MS = 500;
 /** Time for connecting, for the outcome write and for clock differences between daemons. */
 const EXPIRY_MARGIN_MS = 5_000;
@@ -48,6 +50,15 @@
   | { readonly type: "stored"; readonly answer: StoredAnswer }
   | { readonly type: "unavailable"; readonly held: HeldClaim };
 
+/** How a held claim is completed. */
+export interface CompleteOptions {
+  readonly end: ClaimEnd;
+  /** Whether a byte of the call may have been sent. */
+  readonly isSent: boolean;
+  /** Ends the retries. */
+  readonly signal?: AbortSignal;
+}
+
 /** Settings of the registry. */
 export type ClaimRegistrySettings = Pick<
   DaemonSettings,
@@ -124,18 +135,18 @@
    * Writes how a claim ended, with retries while the store fails.
    *
    * @param held - Claim in hand.
-   * @param end - How it ended.
-   * @param signal - Ends the retries.
-   * @returns Whether the end is known to be stored.
+   * @param options - How it ended, and what ends the retries.
+   * @returns Whether the end is known to be stored, or the claim of a call that was not sent is known to be absent.
    */
   async complete(
     held: HeldClaim,
-    end: ClaimEnd,
-    signal?: AbortSignal,
+    options: CompleteOptions,
   ): Promise<boolean> {
+    const { end, isSent, signal } = options;
     const value: Claim = { ...held.claim, ...end };
     const limitAtMs = performance.now() + OUTCOME_LIMIT_MS;
     let version = held.version;
+    let absentReads = 0;
     let backoffMs = FIRST_BACKOFF_MS;
     // After the retention another claim may have the same version number, so nothing is written any more.
     while (
@@ -154,17 +165,24 @@
       if (read.isRight()) {
         const object = read.unsafeCoerce();
         const stored = object && parseClaim(object);
-        if (
-          object === undefined
-            ? held.version !== undefined
-            : stored?.attemptId !== value.attemptId
-        ) {
+        if (stored === undefined) {
+          if (object !== undefined || held.version !== undefined) {
+            return false;
+          }
+          // A call that was not sent must not create a claim: another daemon may have sent the key without one during an outage.
+          absentReads++;
+          if (!isSent && absentReads >= ABSENT_READS) {
+            return true;
+          }
+          version = isSent ? 0 : undefined;
+        } else if (isOwn(stored, value) || isReplaced(stored, value)) {
+          if (isOwn(stored, value) && stored.state === value.state) {
+            return true;
+          }
+          version = object?.version;
+        } else {
           return false;
         }
-        if (stored?.state === value.state) {
-          return true;
-        }
-        version = object?.version ?? 0;
       }
       if (!await delay(backoffMs * (0.5 + Math.random()), signal)) {
         return false;
@@ -264,6 +282,18 @@
   }
 }
 
+function isOwn(stored: Claim, value: Claim): boolean {
+  return stored.attemptId === value.attemptId;
+}
+
+/** Gets whether the outcome of a call that was sent without a claim replaces another attempt's claim of the same call. */
+function isReplaced(stored: Claim, value: Claim): boolean {
+  return stored.requestSha256 === value.requestSha256 &&
+    (stored.state === "released" || stored.state === "unknown") &&
+    (value.state === "finished" ||
+      (value.state === "unknown" && stored.state === "released"));
+}
+
 function parseClaim(object: StoredObject): Claim | undefined {
   const parsed = claimSchema.safeParse(object.value);
   return parsed.success ? parsed.data : undefined;
--- a/src/request/claimed_call_handler.ts
+++ b/src/request/claimed_call_handler.ts
@@ -5,13 +5,16 @@
 import { getErrorMessage, RequestError } from "../shared/errors.ts";
 import type { ServiceConfig } from "../version/config_schema.ts";
 import {
-  type ClaimEnd,
   getClaimName,
   type HeldClaim,
   isSendable,
   type StoredAnswer,
 } from "./claim.ts";
-import { ClaimRegistry, createUnknownOutcomeError } from "./claim_registry.ts";
+import {
+  ClaimRegistry,
+  type CompleteOptions,
+  createUnknownOutcomeError,
+} from "./claim_registry.ts";
 import { OutageLedger } from "./outage_ledger.ts";
 import type { RequestContext } from "./request_context.ts";
 import { getCallSha256, type ServiceCall } from "./service_call.ts";
@@ -96,7 +99,10 @@
       claimed.service.claimOutage === "first-attempt-only" &&
       granted.isFirst && (claimed.call.attempt ?? 1) > 1
     ) {
-      this.#completeInBackground(granted.held, { state: "unknown" });
+      this.#completeInBackground(granted.held, {
+        end: { state: "unknown" },
+        isSent: false,
+      });
       throw createUnknownOutcomeError(
         "Its first attempt left no claim, which happens while the store is down",
       );
@@ -115,8 +121,13 @@
       });
       return;
     }
-    // The claim's write may still take effect; a released claim lets the key be used again.
-    this.#completeInBackground(held, { state: "released" });
+    // The claim's write may still take effect. A released claim lets the key be used again, unless its first attempt may have been sent without a claim.
+    const isUncertain = isRetry &&
+      claimed.service.claimOutage === "first-attempt-only";
+    this.#completeInBackground(held, {
+      end: { state: isUncertain ? "unknown" : "released" },
+      isSent: false,
+    });
     throw new RequestError(
       "The call cannot be claimed, since the platform's store does not answer",
       {
@@ -172,36 +183,44 @@
         },
       });
       await this.#complete(held, {
-        state: "finished",
-        answer: this.#createStoredAnswer(answer),
+        end: { state: "finished", answer: this.#createStoredAnswer(answer) },
+        isSent: true,
       });
       return answer;
     } catch (error) {
       await this.#complete(held, {
-        state: progress.isSent ? "unknown" : "released",
+        end: { state: progress.isSent ? "unknown" : "released" },
+        isSent: progress.isSent,
       });
       throw error;
     }
   }
 
-  async #complete(held: HeldClaim, end: ClaimEnd): Promise<void> {
-    const done = this.#completeInBackground(held, end);
+  async #complete(held: HeldClaim, options: CompleteOptions): Promise<void> {
+    const done = this.#completeInBackground(held, options);
     const stopTimer = new AbortController();
     await Promise.race([done, delay(OUTCOME_WAIT_MS, stopTimer.signal)]);
     stopTimer.abort();
   }
 
-  #completeInBackground(held: HeldClaim, end: ClaimEnd): Promise<void> {
-    const done = this.#completeAndForget(held, end);
+  #completeInBackground(
+    held: HeldClaim,
+    options: CompleteOptions,
+  ): Promise<void> {
+    const done = this.#completeAndForget(held, options);
     this.#context.gracefulStop.addBackground(done);
     return done;
   }
 
-  async #completeAndForget(held: HeldClaim, end: ClaimEnd): Promise<void> {
-    if (end.state === "released") {
-      this.#ledger.remove(held.name);
-    } else {
+  async #completeAndForget(
+    held: HeldClaim,
+    options: CompleteOptions,
+  ): Promise<void> {
+    const { end, isSent } = options;
+    if (isSent) {
       this.#ledger.update(held.name, { ...held.claim, ...end });
+    } else if (this.#ledger.getClaim(held.name) === held.claim) {
+      this.#ledger.remove(held.name);
     }
     // Beyond the bound a write is tried once, so that an outage does not multiply store calls.
     const signal = this.#pendingOutcomes < MAX_PENDING_OUTCOMES
@@ -209,10 +228,13 @@
       : AbortSignal.abort();
     this.#pendingOutcomes++;
     try {
-      const isStored = await this.#registry.complete(held, end, signal);
-      if (isStored) {
+      const isStored = await this.#registry.complete(held, {
+        ...options,
+        signal,
+      });
+      if (isStored && isSent) {
         this.#ledger.remove(held.name);
-      } else {
+      } else if (!isStored) {
         this.#context.logger.write("warn", "claim-end-not-stored", {
           claim: held.name,
           state: end.state,
--- /dev/null
+++ b/tests/at_most_once_test.ts
@@ -0,0 +1,415 @@
+import { afterEach, describe, expect, it } from "vitest";
+import { FakeService } from "../fakes/fake_service.ts";
+import { delay } from "../src/shared/delay.ts";
+import type { ServiceConfig } from "../src/version/config_schema.ts";
+import {
+  SERVICE_TIMEOUT_MS,
+  ServiceDeployment,
+  type TestAnswer,
+} from "./support/service_deployment.ts";
+import { waitUntil } from "./support/test_deployment.ts";
+
+const KEY = "visit-1";
+
+/** Steps of one case: what each sending of the key answers. */
+interface FaultCase {
+  readonly name: string;
+  readonly service?: Partial<ServiceConfig>;
+  readonly run: (
+    deployment: ServiceDeployment,
+    addresses: readonly string[],
+  ) => Promise<TestAnswer[]>;
+  /** Status, code and verdict of each answer. */
+  readonly answers: readonly string[];
+  readonly runs: number;
+}
+
+const FAULT_CASES: readonly FaultCase[] = [
+  {
+    name: "gives the stored answer to a re-sent key",
+    run: async (d, [first, second]) => [
+      await d.send({ address: first, key: KEY }),
+      await d.send({ address: second, key: KEY }),
+      await d.send({ address: first, key: KEY }),
+    ],
+    answers: ["200", "200", "200"],
+    runs: 1,
+  },
+  {
+    name: "refuses a key that was used for another body",
+    run: async (d, [first, second]) => [
+      await d.send({ address: first, key: KEY }),
+      await d.send({ address: second, key: KEY, body: "other" }),
+    ],
+    answers: ["200", "422 key-reused not-run"],
+    runs: 1,
+  },
+  {
+    name: "refuses while the store is down and runs afterwards",
+    run: async (d, [first, second]) => {
+      d.platform.faults.down = true;
+      const refused = await d.send({ address: first, key: KEY });
+      d.platform.faults.down = false;
+      return [refused, await d.send({ address: second, key: KEY })];
+    },
+    answers: ["503 store-unavailable not-run", "200"],
+    runs: 1,
+  },
+  {
+    name: "does not call a re-sent key not-run when the caller counts it",
+    run: async (d, [first, second]) => {
+      const ran = await d.send({ address: first, key: KEY, attempt: 1 });
+      d.platform.faults.down = true;
+      return [ran, await d.send({ address: second, key: KEY, attempt: 2 })];
+    },
+    answers: ["200", "503 store-unavailable may-have-run"],
+    runs: 1,
+  },
+  {
+    name: "waits for a slow store",
+    run: async (d, [first, second]) => {
+      d.platform.faults.delayMs = 150;
+      return [
+        await d.send({ address: first, key: KEY }),
+        await d.send({ address: second, key: KEY }),
+      ];
+    },
+    answers: ["200", "200"],
+    runs: 1,
+  },
+  {
+    name: "reads a claim back whose answer was lost",
+    run: async (d, [first, second]) => {
+      d.platform.faults.dropAnswerNext = 1;
+      return [
+        await d.send({ address: first, key: KEY }),
+        await d.send({ address: second, key: KEY }),
+      ];
+    },
+    answers: ["200", "200"],
+    runs: 1,
+  },
+  {
+    name: "reads a lost claim back again while the read fails",
+    run: async (d, [first, second]) => {
+      d.platform.faults.dropAnswerNext = 1;
+      d.platform.faults.downAfterDrop = true;
+      const sending = d.send({ address: first, key: KEY });
+      await waitUntil(() => d.platform.faults.down);
+      await delay(150);
+      d.platform.faults.down = false;
+      return [await sending, await d.send({ address: second, key: KEY })];
+    },
+    answers: ["200", "200"],
+    runs: 1,
+  },
+  {
+    name: "releases a lost claim that could not be read back in time",
+    run: async (d, [first, second]) => {
+      d.platform.faults.dropAnswerNext = 1;
+      d.platform.faults.downAfterDrop = true;
+      const refused = await d.send({ address: first, key: KEY });
+      d.platform.faults.down = false;
+      await waitForState(d, "released");
+      return [refused, await d.send({ address: second, key: KEY })];
+    },
+    answers: ["503 store-unavailable not-run", "200"],
+    runs: 1,
+  },
+  {
+    name: "repeats an outcome write whose answer was lost",
+    run: async (d, [first, second]) => {
+      d.service.faults.delayMs = 100;
+      const sending = d.send({ address: first, key: KEY });
+      await waitUntil(() => d.service.runs.length === 1);
+      d.platform.faults.dropAnswerNext = 1;
+      return [await sending, await d.send({ address: second, key: KEY })];
+    },
+    answers: ["200", "200"],
+    runs: 1,
+  },
+  {
+    name: "stores the outcome when the store returns",
+    run: async (d, [first, second]) => {
+      d.service.faults.delayMs = 100;
+      const sending = d.send({ address: first, key: KEY });
+      await waitUntil(() => d.service.runs.length === 1);
+      d.platform.faults.down = true;
+      const answer = await sending;
+      const during = await d.send({ address: second, key: KEY });
+      d.platform.faults.down = false;
+      await waitForState(d, "finished");
+      return [answer, during, await d.send({ address: second, key: KEY })];
+    },
+    answers: ["200", "503 store-unavailable not-run", "200"],
+    runs: 1,
+  },
+  {
+    name: "does not repeat a call whose answer the service dropped",
+    run: async (d, [first, second]) => {
+      d.service.faults.dropAnswerNext = 1;
+      return [
+        await d.send({ address: first, key: KEY }),
+        await d.send({ address: second, key: KEY }),
+      ];
+    },
+    answers: [
+      "502 backend-failed may-have-run",
+      "409 claim-outcome-unknown may-have-run",
+    ],
+    runs: 1,
+  },
+  {
+    name: "does not repeat a call that was slower than its timeout",
+    run: async (d, [first, second]) => {
+      d.service.faults.delayMs = SERVICE_TIMEOUT_MS * 2;
+      return [
+        await d.send({ address: first, key: KEY }),
+        await d.send({ address: second, key: KEY }),
+      ];
+    },
+    answers: [
+      "504 backend-failed may-have-run",
+      "409 claim-outcome-unknown may-have-run",
+    ],
+    runs: 1,
+  },
+  {
+    name: "stores the outcome of a call that outlasts its caller's deadline",
+    run: async (d, [first, second]) => {
+      d.service.faults.delayMs = 200;
+      const late = await d.send({ address: first, key: KEY, deadlineMs: 100 });
+      const running = await d.send({ address: second, key: KEY });
+      await waitForState(d, "finished");
+      return [late, running, await d.send({ address: second, key: KEY })];
+    },
+    answers: [
+      "504 deadline-exceeded may-have-run",
+      "409 claim-in-progress may-have-run",
+      "200",
+    ],
+    runs: 1,
+  },
+  {
+    name: "stores the outcome of a call whose caller went away",
+    run: async (d, [first, second]) => {
+      d.service.faults.delayMs = 100;
+      const caller = new AbortController();
+      const sending = d.send({
+        address: first,
+        key: KEY,
+        signal: caller.signal,
+      }).catch(() => {});
+      await waitUntil(() => d.service.runs.length === 1);
+      caller.abort();
+      await sending;
+      await waitForState(d, "finished");
+      return [await d.send({ address: second, key: KEY })];
+    },
+    answers: ["200"],
+    runs: 1,
+  },
+  {
+    name: "releases the claim when every connection is refused",
+    run: async (d, [first, second]) => {
+      const unused = await getUnusedAddress();
+      await d.applyService({ backends: [{ address: unused, zone: "zone-a" }] });
+      const refused = await d.send({ address: first, key: KEY });
+      await d.applyService({});
+      return [refused, await d.send({ address: second, key: KEY })];
+    },
+    answers: ["502 backend-failed not-run", "200"],
+    runs: 1,
+  },
+  {
+    name: "sends an unsent call to another backend server",
+    run: async (d, [first]) => {
+      const unused = await getUnusedAddress();
+      await d.applyService({
+        backends: [unused, d.service.address].map((address) => ({
+          address,
+          zone: "zone-a",
+        })),
+      });
+      return [
+        await d.send({ address: first, key: KEY }),
+        await d.send({ address: first, key: "visit-2" }),
+        await d.send({ address: first, key: "visit-3" }),
+        await d.send({ address: first }),
+      ];
+    },
+    answers: ["200", "200", "200", "200"],
+    runs: 4,
+  },
+  {
+    name: "does not repeat a call without a key",
+    run: async (d, [first]) => {
+      d.service.faults.dropAnswerNext = 1;
+      return [await d.send({ address: first })];
+    },
+    answers: ["502 backend-failed may-have-run"],
+    runs: 1,
+  },
+  {
+    name: "does not repeat an undeclared POST that was sent",
+    run: async (d, [first]) => {
+      d.service.faults.dropAnswerNext = 1;
+      return [await d.send({ address: first, path: "/search" })];
+    },
+    answers: ["502 backend-failed may-have-run"],
+    runs: 1,
+  },
+  {
+    name: "repeats a GET",
+    run: async (d, [first]) => {
+      d.service.faults.dropAnswerNext = 1;
+      return [await d.send({ address: first, method: "GET", path: "/jobs/1" })];
+    },
+    answers: ["200"],
+    runs: 2,
+  },
+  {
+    name: "sends a first attempt during an outage and stores its outcome later",
+    service: { claimOutage: "first-attempt-only" },
+    run: async (d, [first, second]) => {
+      d.platform.faults.down = true;
+      const answers = [
+        await d.send({ address: first, key: KEY }),
+        await d.send({ address: first, key: KEY }),
+        await d.send({ address: second, key: KEY, attempt: 2 }),
+      ];
+      d.platform.faults.down = false;
+      await waitForState(d, "finished");
+      return [...answers, await d.send({ address: second, key: KEY })];
+    },
+    answers: ["200", "200", "503 store-unavailable may-have-run", "200"],
+    runs: 1,
+  },
+  {
+    name: "does not free a key that ran during an outage for a counted retry",
+    service: { claimOutage: "first-attempt-only" },
+    run: async (d, [first, second]) => {
+      d.service.faults.delayMs = SERVICE_TIMEOUT_MS - 50;
+      d.platform.faults.down = true;
+      const sending = d.send({ address: first, key: KEY, attempt: 1 });
+      await waitUntil(() => d.service.runs.length === 1);
+      d.platform.faults.down = false;
+      d.platform.faults.dropAnswerNext = 1;
+      d.platform.faults.downAfterDrop = true;
+      const refused = await d.send({ address: second, key: KEY, attempt: 2 });
+      const ran = await sending;
+      d.platform.faults.down = false;
+      const third = await d.send({ address: second, key: KEY, attempt: 3 });
+      await waitForState(d, "finished");
+      return [
+        ran,
+        refused,
+        { ...third, code: undefined, verdict: undefined, status: 0 },
+        await d.send({ address: second, key: KEY, attempt: 4 }),
+      ];
+    },
+    answers: ["200", "503 store-unavailable may-have-run", "0", "200"],
+    runs: 1,
+  },
+  {
+    name: "refuses a counted retry whose first attempt left no claim",
+    service: { claimOutage: "first-attempt-only" },
+    run: async (d, [first]) => [
+      await d.send({ address: first, key: KEY, attempt: 2 }),
+      await d.send({ address: first, key: KEY }),
+    ],
+    answers: [
+      "409 claim-outcome-unknown may-have-run",
+      "409 claim-outcome-unknown may-have-run",
+    ],
+    runs: 0,
+  },
+  {
+    name: "reports a run whose answer is too large to be stored",
+    run: async (d, [first, second]) => {
+      const body = "x".repeat(20_000);
+      return [
+        await d.send({ address: first, key: KEY, body }),
+        await d.send({ address: second, key: KEY, body }),
+      ];
+    },
+    answers: ["200", "409 claim-outcome-unknown ran"],
+    runs: 1,
+  },
+];
+
+describe("at most once", () => {
+  let deployment: ServiceDeployment;
+
+  afterEach(async () => {
+    await deployment.dispose();
+  });
+
+  // Guards against second runs, and against refusals as not-run of calls that ran, under each fault.
+  it.each(FAULT_CASES)("$name", async (fault) => {
+    deployment = await ServiceDeployment.start({ service: fault.service });
+    const answers = await fault.run(
+      deployment,
+      deployment.daemons.map((d) => d.callerAddress),
+    );
+    expect(answers.map(formatAnswer)).toEqual(fault.answers);
+    expect(deployment.service.runs.length).toBe(fault.runs);
+    expect(deployment.collectBrokenPromises()).toEqual([]);
+  });
+
+  // Guards against a race between the claims of two daemons.
+  it("runs once when two daemons get the key at the same time", async () => {
+    deployment = await ServiceDeployment.start();
+    deployment.service.faults.delayMs = 20;
+    for (let round = 0; round < 20; round++) {
+      const answers = await Promise.all(
+        [0, 1, 0, 1].map((index) =>
+          deployment.send({
+            address: deployment.daemons[index].callerAddress,
+            key: `race-${round}`,
+          })
+        ),
+      );
+      expect(answers.some((a) => a.status === 200)).toBe(true);
+      expect(deployment.service.getRunCount(`race-${round}`)).toBe(1);
+    }
+    expect(deployment.collectBrokenPromises()).toEqual([]);
+  });
+
+  // Guards against a rise of the store's load by each call.
+  it("writes the store twice for each claimed call and not for others", async () => {
+    deployment = await ServiceDeployment.start();
+    const address = deployment.daemons[0].callerAddress;
+    const before = deployment.platform.counts.writes;
+    for (let index = 0; index < 10; index++) {
+      await deployment.send({ address, key: `count-${index}` });
+    }
+    const between = deployment.platform.counts.writes;
+    await deployment.send({ address, method: "GET", path: "/jobs" });
+    expect(between - before).toBe(20);
+    expect(deployment.platform.counts.writes).toBe(between);
+  });
+});
+
+function formatAnswer(answer: TestAnswer): string {
+  return [answer.status, answer.code, answer.verdict]
+    .filter((part) => part !== undefined).join(" ");
+}
+
+async function waitForState(
+  deployment: ServiceDeployment,
+  state: string,
+): Promise<void> {
+  await waitUntil(() =>
+    deployment.platform.getObjects("claim").some((o) =>
+      (o.value as { state: string }).state === state
+    )
+  );
+}
+
+async function getUnusedAddress(): Promise<string> {
+  const closed = new FakeService();
+  const address = await closed.start();
+  await closed.dispose();
+  return address;
+}
--- /dev/null
+++ b/tests/support/service_deployment.ts
@@ -0,0 +1,194 @@
+import { createHash } from "node:crypto";
+import got from "got";
+import { FakePlatform } from "../../fakes/fake_platform.ts";
+import { FakeService } from "../../fakes/fake_service.ts";
+import { Daemon } from "../../src/process/daemon.ts";
+import {
+  type DaemonSettingsInput,
+  daemonSettingsSchema,
+} from "../../src/process/daemon_settings.ts";
+import { LifeCycleManager } from "../../src/shared/life_cycle_manager.ts";
+import {
+  configSchema,
+  type ServiceConfig,
+} from "../../src/version/config_schema.ts";
+import { TEST_API_KEY, waitUntil } from "./test_deployment.ts";
+
+/** Longest run of a call in these tests. */
+export const SERVICE_TIMEOUT_MS = 300;
+/** Longest wait for a claim in these tests. */
+export const CLAIM_WAIT_MS = 400;
+
+/** One call as a test sends it. */
+export interface TestCall {
+  /** Address of the caller port. */
+  readonly address: string;
+  readonly key?: string;
+  readonly body?: string;
+  readonly path?: string;
+  readonly method?: "GET" | "POST";
+  readonly attempt?: number;
+  readonly deadlineMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Answer as a test sees it. */
+export interface TestAnswer {
+  readonly status: number;
+  readonly text: string;
+  readonly requestId: string;
+  /** Code of the refusal, if it is one. */
+  readonly code: string | undefined;
+  readonly verdict: string | undefined;
+}
+
+/** Fakes and daemons for tests of service calls, without models. */
+export class ServiceDeployment {
+  readonly platform = new FakePlatform();
+  readonly service = new FakeService();
+  readonly daemons: Daemon[] = [];
+  readonly answers: TestAnswer[] = [];
+  readonly #lifeCycle = new LifeCycleManager();
+  #requests = 0;
+
+  /** Starts the fakes and two daemons. */
+  static async start(
+    options: {
+      service?: Partial<ServiceConfig>;
+      settings?: Partial<DaemonSettingsInput>;
+      daemons?: number;
+    } = {},
+  ): Promise<ServiceDeployment> {
+    const deployment = new ServiceDeployment();
+    await deployment.platform.start();
+    deployment.#lifeCycle.add(deployment.platform);
+    deployment.platform.faults.faultKind = "claim";
+    await deployment.service.start();
+    deployment.#lifeCycle.add(deployment.service);
+    deployment.setService(options.service ?? {});
+    for (let index = 1; index <= (options.daemons ?? 2); index++) {
+      const daemon = new Daemon(daemonSettingsSchema.parse(
+        deployment.createSettings(`entry-${index}`, options.settings),
+      ));
+      await daemon.start();
+      deployment.#lifeCycle.add(daemon);
+      deployment.daemons.push(daemon);
+    }
+    await waitUntil(() =>
+      deployment.daemons.every((d) =>
+        d.context.configHolder.getCurrent() !== undefined
+      )
+    );
+    return deployment;
+  }
+
+  async dispose(): Promise<void> {
+    await this.#lifeCycle.dispose();
+  }
+
+  /** Creates the settings of a daemon. */
+  createSettings(
+    name: string,
+    settings: Partial<DaemonSettingsInput> = {},
+  ): DaemonSettingsInput {
+    return {
+      name,
+      zone: "zone-a",
+      platformUrl: this.platform.url,
+      logLevel: "error",
+      balancerLagMs: 0,
+      exchangeIntervalMs: 100,
+      freshnessLimitMs: 60_000,
+      planIntervalMs: 10_000,
+      claimWaitMs: CLAIM_WAIT_MS,
+      ...settings,
+    };
+  }
+
+  /** Replaces the declared service. */
+  setService(service: Partial<ServiceConfig>): number {
+    const document = configSchema.parse({
+      schemaVersion: 1,
+      zones: [{ name: "zone-a", region: "region-1" }],
+      services: [{
+        name: "bookings",
+        backends: [{ address: this.service.address, zone: "zone-a" }],
+        nonRepeatable: [{ method: "POST", path: "/visits*" }],
+        timeoutMs: SERVICE_TIMEOUT_MS,
+        ...service,
+      }],
+      clientAccounts: [{
+        name: "account-1",
+        apiKeySha256: [
+          createHash("sha256").update(TEST_API_KEY).digest("hex"),
+        ],
+      }],
+    });
+    return this.platform.setObject("config", "main", document).version;
+  }
+
+  /** Replaces the declared service and waits until every daemon has it. */
+  async applyService(service: Partial<ServiceConfig>): Promise<void> {
+    const version = this.setService(service);
+    await waitUntil(() =>
+      this.daemons.every((d) => d.context.configHolder.getVersion() >= version)
+    );
+  }
+
+  /** Sends a call under a request id of its own and keeps the answer. */
+  async send(call: TestCall): Promise<TestAnswer> {
+    const requestId = `request-${++this.#requests}`;
+    const method = call.method ?? "POST";
+    const response = await got(
+      `http://${call.address}/services/bookings${call.path ?? "/visits"}`,
+      {
+        method,
+        body: method === "POST" ? call.body ?? "hotel" : undefined,
+        headers: {
+          authorization: `Bearer ${TEST_API_KEY}`,
+          "idempotency-key": call.key,
+          "x-request-id": requestId,
+          "x-attempt": call.attempt?.toString(),
+          "x-deadline-ms": call.deadlineMs?.toString(),
+        },
+        signal: call.signal,
+        throwHttpErrors: false,
+        retry: { limit: 0 },
+      },
+    );
+    const error = response.statusCode >= 400
+      ? (JSON.parse(response.body) as {
+        error?: { code: string; verdict: string };
+      }).error
+      : undefined;
+    const answer = {
+      status: response.statusCode,
+      text: response.body,
+      requestId,
+      code: error?.code,
+      verdict: error?.verdict,
+    };
+    this.answers.push(answer);
+    return answer;
+  }
+
+  /** Lists broken promises: keys that ran twice, and refusals as `not-run` whose request ran. */
+  collectBrokenPromises(): string[] {
+    const broken: string[] = [];
+    const keys = new Set(this.service.runs.map((r) => r.idempotencyKey));
+    for (const key of keys) {
+      if (key !== undefined && this.service.getRunCount(key) > 1) {
+        broken.push(`key ${key} ran ${this.service.getRunCount(key)} times`);
+      }
+    }
+    for (const answer of this.answers) {
+      const hasRun = this.service.runs.some((r) =>
+        r.requestId === answer.requestId
+      );
+      if (answer.verdict === "not-run" && hasRun) {
+        broken.push(`${answer.requestId} ran in spite of ${answer.code}`);
+      }
+    }
+    return broken;
+  }
+}
