--- /dev/null
+++ b/tests/caller_contract_test.ts
@@ -0,0 +1,350 @@
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { gzipSync } from "node:zlib";
+import got from "got";
+import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
+import { delay } from "../src/shared/delay.ts";
+import { ServiceDeployment } from "./support/service_deployment.ts";
+import { TEST_API_KEY, waitUntil } from "./support/test_deployment.ts";
+
+const BODY_TIMEOUT_MS = 700;
+const MAX_BODY_BYTES = 2_048;
+const MAX_CONNECTIONS = 24;
+const CHAT = "/v1/chat/completions";
+const VISITS = "/services/bookings/visits";
+const AUTHORIZATION = `Bearer ${TEST_API_KEY}`;
+
+/** One bad request and the refusal that the contract states. */
+interface RefusalCase {
+  readonly name: string;
+  readonly path: string;
+  readonly method?: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string | Uint8Array;
+  readonly status: number;
+  readonly code: string;
+}
+
+/** One bad request as raw bytes. */
+interface RawCase {
+  readonly name: string;
+  readonly bytes: string;
+  readonly status: number;
+  readonly code: string;
+}
+
+const REFUSALS: readonly RefusalCase[] = [
+  {
+    name: "malformed JSON",
+    path: CHAT,
+    headers: { "content-type": "application/json" },
+    body: '{"model": ',
+    status: 400,
+    code: "bad-request",
+  },
+  {
+    name: "a JSON body of the wrong type",
+    path: CHAT,
+    headers: { "content-type": "application/json" },
+    body: '{"model": 7, "messages": "hello"}',
+    status: 400,
+    code: "bad-request",
+  },
+  {
+    name: "a chat that is not JSON",
+    path: CHAT,
+    headers: { "content-type": "text/plain" },
+    body: "hello",
+    status: 400,
+    code: "bad-request",
+  },
+  {
+    name: "an unknown model",
+    path: CHAT,
+    headers: { "content-type": "application/json" },
+    body: '{"model": "no", "messages": [{"role": "user", "content": "a"}]}',
+    status: 404,
+    code: "unknown-model",
+  },
+  {
+    name: "an oversized chat",
+    path: CHAT,
+    headers: { "content-type": "application/json" },
+    body: JSON.stringify({ model: "x".repeat(MAX_BODY_BYTES) }),
+    status: 413,
+    code: "body-too-large",
+  },
+  {
+    name: "an oversized service body",
+    path: VISITS,
+    body: "x".repeat(MAX_BODY_BYTES + 1),
+    status: 413,
+    code: "body-too-large",
+  },
+  {
+    name: "a compressed service body",
+    path: VISITS,
+    headers: { "content-encoding": "gzip" },
+    body: gzipSync("hotel"),
+    status: 415,
+    code: "bad-request",
+  },
+  {
+    name: "an unknown service",
+    path: "/services/no/visits",
+    status: 404,
+    code: "unknown-service",
+  },
+  {
+    name: "an invalid escape in a path",
+    path: "/services/%zz/visits",
+    status: 400,
+    code: "bad-request",
+  },
+  { name: "an unknown path", path: "/no", status: 404, code: "not-found" },
+  {
+    name: "an unknown method",
+    path: VISITS,
+    method: "OPTIONS",
+    status: 405,
+    code: "bad-request",
+  },
+  {
+    name: "an unknown API key",
+    path: VISITS,
+    headers: { authorization: "Bearer no" },
+    status: 401,
+    code: "unauthorized",
+  },
+  {
+    name: "an oversized idempotency key",
+    path: VISITS,
+    headers: { "idempotency-key": "x".repeat(256) },
+    status: 400,
+    code: "bad-request",
+  },
+  {
+    name: "an empty idempotency key",
+    path: VISITS,
+    headers: { "idempotency-key": "" },
+    status: 400,
+    code: "bad-request",
+  },
+  ...["abc", "0", "-1", "1.5", "1e3", "99999999999999999999", "3600001"].map((
+    value,
+  ) => ({
+    name: `the deadline ${value}`,
+    path: VISITS,
+    headers: { "x-deadline-ms": value },
+    status: 400,
+    code: "bad-request",
+  })),
+  {
+    name: "an invalid attempt number",
+    path: VISITS,
+    headers: { "x-attempt": "second" },
+    status: 400,
+    code: "bad-request",
+  },
+];
+
+const HEAD = `POST ${VISITS} HTTP/1.1\r\nhost: a\r\n` +
+  `authorization: ${AUTHORIZATION}\r\n`;
+const RAW_CASES: readonly RawCase[] = [
+  {
+    name: "two idempotency keys",
+    bytes:
+      `${HEAD}idempotency-key: a\r\nidempotency-key: b\r\ncontent-length: 0\r\n\r\n`,
+    status: 400,
+    code: "bad-request",
+  },
+  {
+    name: "bytes that are not HTTP",
+    bytes: "\x16\x03\x01 hello\r\n\r\n",
+    status: 400,
+    code: "bad-request",
+  },
+  {
+    name: "a header flood",
+    bytes: HEAD + "x-flood: 0123456789\r\n".repeat(2_000),
+    status: 431,
+    code: "headers-too-large",
+  },
+  {
+    name: "both content-length and transfer-encoding",
+    bytes:
+      `${HEAD}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`,
+    status: 400,
+    code: "bad-request",
+  },
+  {
+    name: "a connection that sends nothing",
+    bytes: "",
+    status: 408,
+    code: "request-timeout",
+  },
+  {
+    name: "headers that never end",
+    bytes: HEAD,
+    status: 408,
+    code: "request-timeout",
+  },
+  {
+    name: "a body that never comes",
+    bytes: `${HEAD}idempotency-key: slow\r\ncontent-length: 10\r\n\r\n`,
+    status: 408,
+    code: "request-timeout",
+  },
+  {
+    name: "a body that stops half-way",
+    bytes: `${HEAD}idempotency-key: slow\r\ncontent-length: 10\r\n\r\nhello`,
+    status: 408,
+    code: "request-timeout",
+  },
+];
+
+describe("caller port", () => {
+  let deployment: ServiceDeployment;
+  let address: string;
+
+  beforeAll(async () => {
+    deployment = await ServiceDeployment.start({
+      daemons: 1,
+      settings: {
+        bodyTimeoutMs: BODY_TIMEOUT_MS,
+        maxBodyBytes: MAX_BODY_BYTES,
+        maxConnections: MAX_CONNECTIONS,
+      },
+    });
+    address = deployment.daemons[0].callerAddress;
+  });
+
+  afterEach(async () => {
+    // A refused request must leave nothing behind.
+    const { gracefulStop } = deployment.daemons[0].context;
+    await waitUntil(() => gracefulStop.getRequestCount() === 0);
+    expect(deployment.service.runs).toEqual([]);
+    expect(deployment.platform.getObjects("claim")).toEqual([]);
+  });
+
+  afterAll(async () => {
+    await deployment.dispose();
+  });
+
+  // Guards against refusals that callers cannot read, and against bad requests that run.
+  it.each(REFUSALS)("refuses $name", async (refusal) => {
+    const answer = await got(`http://${address}${refusal.path}`, {
+      method: (refusal.method ?? "POST") as "POST",
+      headers: { authorization: AUTHORIZATION, ...refusal.headers },
+      body: refusal.body,
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+    });
+    expect(answer.statusCode).toBe(refusal.status);
+    checkErrorBody(answer.body, {
+      code: refusal.code,
+      requestId: String(answer.headers["x-request-id"]),
+    });
+  });
+
+  // Guards against connections that are held by broken or slow callers.
+  it.each(RAW_CASES)("answers and closes after $name", async (raw) => {
+    const startedAtMs = performance.now();
+    const text = await sendRaw(address, { bytes: raw.bytes });
+    expect(performance.now() - startedAtMs).toBeLessThan(
+      BODY_TIMEOUT_MS + 2_000,
+    );
+    const [head, body] = text.split("\r\n\r\n", 2);
+    expect(head).toContain(`HTTP/1.1 ${raw.status} `);
+    checkErrorBody(body, {
+      code: raw.code,
+      requestId: /x-request-id: (\S+)/i.exec(head)?.[1],
+    });
+  });
+
+  // Guards against requests that stay open after a caller closed its side.
+  it("releases a half-closed connection", async () => {
+    await sendRaw(address, {
+      bytes: `${HEAD}idempotency-key: half\r\ncontent-length: 10\r\n\r\nhel`,
+      halfClose: true,
+    });
+  });
+
+  // Guards against memory and descriptors taken by idle connections.
+  it("closes connections beyond the bound and serves afterwards", async () => {
+    const sockets: Socket[] = [];
+    let closed = 0;
+    for (let index = 0; index < MAX_CONNECTIONS + 10; index++) {
+      const socket = openSocket(address);
+      socket.resume().on("end", () => socket.destroy());
+      socket.on("close", () => closed++);
+      sockets.push(socket);
+    }
+    // The check precedes the header timeout, which closes the rest.
+    await waitUntil(() => closed >= 10, BODY_TIMEOUT_MS / 2);
+    for (const socket of sockets) {
+      socket.destroy();
+    }
+    await waitUntil(async () => {
+      const answer = await got(`http://${address}/v1/models`, {
+        throwHttpErrors: false,
+        retry: { limit: 0 },
+      }).catch(() => undefined);
+      return answer?.statusCode === 200;
+    });
+  });
+});
+
+function checkErrorBody(
+  text: string,
+  expected: { code: string | undefined; requestId: string | undefined },
+): void {
+  const body = JSON.parse(text);
+  expect(Object.keys(body)).toEqual(["error"]);
+  expect(body.error).toEqual({
+    code: expected.code,
+    message: expect.stringMatching(/^.{10,}$/),
+    verdict: "not-run",
+    retryAfterMs: null,
+    requestId: expected.requestId,
+  });
+  expect(expected.requestId).toMatch(/^[\w.-]{1,64}$/);
+}
+
+function openSocket(address: string): Socket {
+  const [host, port] = address.split(":");
+  const socket = connect({ host, port: Number(port), allowHalfOpen: true });
+  socket.on("error", () => {});
+  return socket;
+}
+
+/** Sends bytes and reads until the daemon closes the connection. */
+async function sendRaw(
+  address: string,
+  options: { bytes: string; halfClose?: boolean },
+): Promise<string> {
+  const socket = openSocket(address);
+  let text = "";
+  socket.on("data", (chunk) => text += String(chunk));
+  socket.write(options.bytes);
+  if (options.halfClose) {
+    socket.end();
+  }
+  const closed = new AbortController();
+  socket.on("end", () => closed.abort());
+  socket.on("close", () => closed.abort());
+  // A keep-alive answer leaves the connection open, which ends the wait as well.
+  socket.on("data", () => {
+    if (text.includes("}}")) {
+      closed.abort();
+    }
+  });
+  if (await delay(5_000, closed.signal)) {
+    throw new Error("The daemon held the connection");
+  }
+  socket.destroy();
+  if (!socket.closed) {
+    await once(socket, "close");
+  }
+  return text;
+}
