--- /dev/null
+++ b/src/process/retry_budget_test.ts
@@ -0,0 +1,30 @@
+import { describe, expect, it } from "vitest";
+import { RetryBudget } from "./retry_budget.ts";
+
+describe("RetryBudget", () => {
+  // Guards against retries that multiply an overload.
+  it("allows retries in proportion to first attempts", () => {
+    const budget = new RetryBudget({
+      ratio: 0.1,
+      initialTokens: 0,
+      maxTokens: 5,
+    });
+    let retries = 0;
+    for (let request = 0; request < 100; request++) {
+      budget.recordFirstAttempt();
+      retries += budget.tryAcquire() ? 1 : 0;
+    }
+    expect(retries).toBeGreaterThanOrEqual(9);
+    expect(retries).toBeLessThanOrEqual(10);
+  });
+
+  // Guards against a burst of retries after a long quiet time.
+  it("saves up no more than the bound", () => {
+    const budget = new RetryBudget({ ratio: 1, maxTokens: 3 });
+    for (let request = 0; request < 100; request++) {
+      budget.recordFirstAttempt();
+    }
+    const taken = [1, 2, 3, 4].map(() => budget.tryAcquire());
+    expect(taken).toEqual([true, true, true, false]);
+  });
+});
