--- /dev/null
+++ b/src/cli/cli.ts
@@ -0,0 +1,298 @@
+import yargs, { type Argv } from "yargs";
+import { CliError } from "./cli_error.ts";
+import { changeVm, changeZone } from "./commands/change_commands.ts";
+import {
+  applyConfig,
+  checkConfig,
+  printConfig,
+  printConfigDiff,
+  printConfigHistory,
+} from "./commands/config_commands.ts";
+import {
+  clearQuarantine,
+  printQuarantine,
+  printRequestExplanation,
+  printStatus,
+  printTimeline,
+} from "./commands/report_commands.ts";
+import type { CommandContext, Output } from "./command_context.ts";
+import { EXIT_CODES } from "./exit_codes.ts";
+import { OperatorClient } from "./operator_client.ts";
+
+const DEFAULT_DAEMON_URL = "http://127.0.0.1:8082";
+const VERSION = "0.1.0";
+const DEFAULT_TIMELINE_EVENTS = 200;
+
+/** Arguments, environment and output of one run of the tool. */
+export interface CliOptions {
+  readonly args: readonly string[];
+  readonly environment: Readonly<Record<string, string | undefined>>;
+  readonly output: Output;
+  readonly errorOutput: Output;
+}
+
+interface GlobalArguments {
+  daemon: string;
+  json: boolean;
+  operator: string;
+}
+
+type Run = (context: CommandContext) => Promise<number>;
+
+/** Command-line tool of the operators. */
+export class Cli {
+  readonly #options: CliOptions;
+  #run: Run | undefined;
+
+  constructor(options: CliOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Runs the command that the arguments name.
+   *
+   * @returns The exit code.
+   */
+  async run(): Promise<number> {
+    try {
+      const { args, text } = await this.#parse();
+      if (text !== "") {
+        this.#options.output.write(text);
+      }
+      return this.#run === undefined
+        ? EXIT_CODES.ok
+        : await this.#run(this.#createContext(args));
+    } catch (error) {
+      if (!(error instanceof CliError)) {
+        throw error;
+      }
+      this.#options.errorOutput.write(error.message);
+      return EXIT_CODES[error.reason];
+    }
+  }
+
+  async #parse(): Promise<{ args: GlobalArguments; text: string }> {
+    let text = "";
+    const parser = this.#createParser();
+    const args = await parser.parseAsync(
+      [...this.#options.args],
+      {},
+      (_error, _args, output) => {
+        text = output;
+      },
+    );
+    return { args: args as unknown as GlobalArguments, text };
+  }
+
+  #createContext(args: GlobalArguments): CommandContext {
+    return {
+      client: createClient(args.daemon),
+      output: this.#options.output,
+      json: args.json,
+      operator: args.operator,
+    };
+  }
+
+  #createParser(): Argv {
+    const { environment } = this.#options;
+    const parser = yargs()
+      .scriptName("tarragontally")
+      .usage("$0 <command>")
+      .option("daemon", {
+        type: "string",
+        default: environment.TARRAGONTALLY_DAEMON ?? DEFAULT_DAEMON_URL,
+        describe: "Base URL of a daemon's operator port",
+      })
+      .option("json", {
+        type: "boolean",
+        default: false,
+        describe: "Prints JSON for scripts",
+      })
+      .option("operator", {
+        type: "string",
+        default: environment.USER ?? "unknown",
+        describe: "Name under which a change is recorded",
+      })
+      .command("config", "Configuration document", (y) => this.#addConfig(y))
+      .command("status", "Zones, models, groups and VMs", () => {}, () => {
+        this.#run = printStatus;
+      })
+      .command("zone", "Availability zones", (y) => this.#addZone(y))
+      .command("vm", "VMs", (y) => this.#addVm(y))
+      .command(
+        "timeline",
+        "Events of all daemons",
+        (y) =>
+          y.option("request", { type: "string", describe: "Id of one request" })
+            .option("last", {
+              type: "number",
+              default: DEFAULT_TIMELINE_EVENTS,
+              describe: "Number of newest events",
+            }),
+        (args) => {
+          this.#run = (context) => printTimeline(context, args);
+        },
+      )
+      .command("request", "Requests", (y) => this.#addRequest(y))
+      .command(
+        "quarantine",
+        "Requests that crashed groups",
+        (y) => this.#addQuarantine(y),
+      );
+    return parser
+      .demandCommand(1, "Name a command")
+      .strict()
+      .recommendCommands()
+      .version(VERSION)
+      .help()
+      .exitProcess(false)
+      .fail((message, error) => {
+        throw error instanceof CliError
+          ? error
+          : new CliError("usage", `${message ?? error.message}; see --help`);
+      });
+  }
+
+  #addConfig(y: Argv): Argv {
+    return y
+      .command(
+        "check <file>",
+        "Checks a document without applying it",
+        (c) =>
+          c.positional("file", { type: "string", demandOption: true })
+            .option("offline", {
+              type: "boolean",
+              default: false,
+              describe: "Checks the schema alone, without a daemon",
+            }),
+        (args) => {
+          this.#run = (context) => checkConfig(context, args);
+        },
+      )
+      .command(
+        "show",
+        "Prints the configuration in force",
+        (c) => c.option("at", { type: "number", describe: "Earlier version" }),
+        (args) => {
+          this.#run = (context) => printConfig(context, { version: args.at });
+        },
+      )
+      .command(
+        "diff <file>",
+        "Prints the changes that a document would make",
+        (c) => c.positional("file", { type: "string", demandOption: true }),
+        (args) => {
+          this.#run = (context) => printConfigDiff(context, args);
+        },
+      )
+      .command(
+        "apply <file>",
+        "Offers a document for acceptance",
+        (c) =>
+          c.positional("file", { type: "string", demandOption: true })
+            .option("expected-version", {
+              type: "number",
+              describe: "Version that the change is based on",
+            }),
+        (args) => {
+          this.#run = (context) => applyConfig(context, args);
+        },
+      )
+      .command("history", "Lists the kept versions", () => {}, () => {
+        this.#run = printConfigHistory;
+      })
+      .demandCommand(1, "Name a command of config");
+  }
+
+  #addZone(y: Argv): Argv {
+    return y
+      .command(
+        "take-out <zone>",
+        "Takes an availability zone out of service",
+        (c) =>
+          c.positional("zone", { type: "string", demandOption: true })
+            .option("confirm-no-capacity", {
+              type: "string",
+              array: true,
+              default: [] as string[],
+              describe: "Models whose last capacity may go",
+            }),
+        (args) => {
+          this.#run = (context) =>
+            changeZone(context, {
+              zone: args.zone,
+              takenOut: true,
+              confirmed: args.confirmNoCapacity,
+            });
+        },
+      )
+      .command(
+        "bring-back <zone>",
+        "Brings an availability zone back into service",
+        (c) => c.positional("zone", { type: "string", demandOption: true }),
+        (args) => {
+          this.#run = (context) =>
+            changeZone(context, {
+              zone: args.zone,
+              takenOut: false,
+              confirmed: [],
+            });
+        },
+      )
+      .demandCommand(1, "Name a command of zone");
+  }
+
+  #addVm(y: Argv): Argv {
+    const addChange = (name: string, text: string, drained: boolean) =>
+      y.command(
+        `${name} <vm>`,
+        text,
+        (c) => c.positional("vm", { type: "string", demandOption: true }),
+        (args) => {
+          this.#run = (context) => changeVm(context, { vm: args.vm, drained });
+        },
+      );
+    addChange("drain", "Takes a VM out of its group and out of service", true);
+    addChange("bring-back", "Brings a drained VM back into service", false);
+    return y.demandCommand(1, "Name a command of vm");
+  }
+
+  #addRequest(y: Argv): Argv {
+    return y
+      .command(
+        "explain <id>",
+        "Tells where a request went and why",
+        (c) => c.positional("id", { type: "string", demandOption: true }),
+        (args) => {
+          this.#run = (context) => printRequestExplanation(context, args);
+        },
+      )
+      .demandCommand(1, "Name a command of request");
+  }
+
+  #addQuarantine(y: Argv): Argv {
+    return y
+      .command("list", "Lists quarantined requests", () => {}, () => {
+        this.#run = printQuarantine;
+      })
+      .command(
+        "clear [fingerprint]",
+        "Clears one entry, or all",
+        (c) => c.positional("fingerprint", { type: "string" }),
+        (args) => {
+          this.#run = (context) => clearQuarantine(context, args);
+        },
+      )
+      .demandCommand(1, "Name a command of quarantine");
+  }
+}
+
+function createClient(url: string): OperatorClient {
+  if (!/^https?:/.test(url) || !URL.canParse(url)) {
+    throw new CliError(
+      "usage",
+      `The value "${url}" of --daemon is no URL; give one like ${DEFAULT_DAEMON_URL}`,
+    );
+  }
+  return new OperatorClient({ url });
+}
--- /dev/null
+++ b/src/cli/commands/change_commands.ts
@@ -0,0 +1,70 @@
+import type { ConfigDocument } from "../../version/config_schema.ts";
+import { CliError } from "../cli_error.ts";
+import type { CommandContext } from "../command_context.ts";
+import { printAcceptResult } from "./config_commands.ts";
+
+const MAX_ATTEMPTS = 5;
+
+/**
+ * Takes an availability zone out of service, or brings it back.
+ *
+ * @param context - Context of the command.
+ * @param options - Availability zone, the wanted state, and models whose last capacity may go.
+ */
+export function changeZone(
+  context: CommandContext,
+  options: { zone: string; takenOut: boolean; confirmed: readonly string[] },
+): Promise<number> {
+  return changeDocument(context, (document) => {
+    const zone = document.zones.find((z) => z.name === options.zone);
+    if (zone === undefined) {
+      const names = document.zones.map((z) => z.name).join(", ");
+      throw new CliError(
+        "usage",
+        `The availability zone "${options.zone}" does not exist; choose one of ${names}`,
+      );
+    }
+    zone.takenOut = options.takenOut;
+    document.confirmNoCapacityFor = [
+      ...new Set([...document.confirmNoCapacityFor, ...options.confirmed]),
+    ];
+  });
+}
+
+/**
+ * Drains a VM, or brings it back.
+ *
+ * @param context - Context of the command.
+ * @param options - VM and the wanted state.
+ */
+export function changeVm(
+  context: CommandContext,
+  options: { vm: string; drained: boolean },
+): Promise<number> {
+  return changeDocument(context, (document) => {
+    const others = document.drainedVms.filter((name) => name !== options.vm);
+    document.drainedVms = options.drained ? [...others, options.vm] : others;
+  });
+}
+
+/**
+ * Changes one property of the configuration in force. A conflict with another operator's change is retried on the newer document, since such changes do not depend on each other.
+ */
+async function changeDocument(
+  context: CommandContext,
+  change: (document: ConfigDocument) => void,
+): Promise<number> {
+  for (let attempt = 1;; attempt++) {
+    const current = await context.client.getConfig();
+    const document = structuredClone(current.document);
+    change(document);
+    const result = await context.client.acceptConfig({
+      document,
+      expectedVersion: current.version,
+      operator: context.operator,
+    });
+    if (result.outcome !== "conflict" || attempt === MAX_ATTEMPTS) {
+      return printAcceptResult(context, result);
+    }
+  }
+}
--- /dev/null
+++ b/src/cli/commands/report_commands.ts
@@ -0,0 +1,185 @@
+import { renderExplanation } from "../../console/request_explanation.ts";
+import type { StatusReport } from "../../process/status_report.ts";
+import { CliError } from "../cli_error.ts";
+import { type CommandContext, printResult } from "../command_context.ts";
+import { EXIT_CODES } from "../exit_codes.ts";
+
+/**
+ * Prints zones, models, groups and stranded accelerators.
+ *
+ * @param context - Context of the command.
+ */
+export async function printStatus(context: CommandContext): Promise<number> {
+  const report = await context.client.getStatus();
+  if (context.json) {
+    context.output.write(JSON.stringify(report, undefined, 2));
+    return EXIT_CODES.ok;
+  }
+  context.output.write(
+    `${report.daemon} in ${report.zone}: configuration version ${report.configVersion}, ${report.freshness}`,
+  );
+  printZones(context, report);
+  printModels(context, report);
+  printGroups(context, report);
+  return EXIT_CODES.ok;
+}
+
+/**
+ * Prints the time line of all daemons.
+ *
+ * @param context - Context of the command.
+ * @param options - Request to limit the events to, and number of newest events.
+ */
+export async function printTimeline(
+  context: CommandContext,
+  options: { request?: string; last: number },
+): Promise<number> {
+  const timeline = await context.client.getTimeline({
+    requestId: options.request,
+  });
+  const events = timeline.events.slice(-options.last);
+  printResult(context, {
+    json: { events, missing: timeline.missing },
+    headings: ["time", "process", "event", "request", "fields"],
+    rows: events.map((event) => [
+      new Date(event.timeMs).toISOString(),
+      event.process,
+      event.event,
+      event.requestId ?? "",
+      Object.entries(event.fields).map(([key, value]) => `${key}=${value}`)
+        .join(" "),
+    ]),
+  });
+  if (!context.json && timeline.missing.length > 0) {
+    context.output.write(
+      `The events of ${timeline.missing.join(", ")} are missing`,
+    );
+  }
+  return EXIT_CODES.ok;
+}
+
+/**
+ * Prints where a request went and why.
+ *
+ * @param context - Context of the command.
+ * @param options - Id of the request.
+ */
+export async function printRequestExplanation(
+  context: CommandContext,
+  options: { id: string },
+): Promise<number> {
+  const timeline = await context.client.getTimeline({ requestId: options.id });
+  if (timeline.events.length === 0) {
+    throw new CliError(
+      "refused",
+      `No daemon knows the request "${options.id}"; check the X-Request-Id of the answer, since old events are dropped`,
+    );
+  }
+  const steps = renderExplanation(timeline.events);
+  printResult(context, {
+    json: steps,
+    headings: ["time", "process", "what happened"],
+    rows: steps.map((step) => [
+      new Date(step.timeMs).toISOString(),
+      step.process,
+      step.sentence,
+    ]),
+  });
+  return EXIT_CODES.ok;
+}
+
+/**
+ * Prints the quarantined requests.
+ *
+ * @param context - Context of the command.
+ */
+export async function printQuarantine(
+  context: CommandContext,
+): Promise<number> {
+  const entries = await context.client.getQuarantine();
+  printResult(context, {
+    json: entries,
+    headings: ["fingerprint", "lost groups", "expires in"],
+    rows: entries.map((entry) => [
+      entry.fingerprint,
+      entry.groups.join(", "),
+      `${Math.ceil(entry.expiresInMs / 1_000)} s`,
+    ]),
+  });
+  return EXIT_CODES.ok;
+}
+
+/**
+ * Clears the quarantine of one request, or of all.
+ *
+ * @param context - Context of the command.
+ * @param options - Fingerprint of the request; all when left out.
+ */
+export async function clearQuarantine(
+  context: CommandContext,
+  options: { fingerprint?: string },
+): Promise<number> {
+  const cleared = await context.client.clearQuarantine(options.fingerprint);
+  if (options.fingerprint !== undefined && cleared === 0) {
+    throw new CliError(
+      "refused",
+      `The fingerprint "${options.fingerprint}" is not quarantined; list them with "tarragontally quarantine list"`,
+    );
+  }
+  context.output.write(
+    context.json ? JSON.stringify({ cleared }) : `Cleared ${cleared} entries`,
+  );
+  return EXIT_CODES.ok;
+}
+
+function printZones(context: CommandContext, report: StatusReport): void {
+  context.output.write("");
+  printResult(context, {
+    json: report.zones,
+    headings: [
+      "zone",
+      "region",
+      "in service",
+      "complete groups",
+      "backend VMs",
+      "stranded VMs",
+    ],
+    rows: report.zones.map((zone) => [
+      zone.name,
+      zone.region,
+      zone.inService ? "yes" : "no",
+      zone.completeGroups,
+      zone.backendVms,
+      zone.strandedVms,
+    ]),
+  });
+}
+
+function printModels(context: CommandContext, report: StatusReport): void {
+  context.output.write("");
+  printResult(context, {
+    json: report.models,
+    headings: ["model", "declared groups", "complete groups"],
+    rows: report.models.map((model) => [
+      model.name,
+      model.declaredGroups,
+      model.completeGroups,
+    ]),
+  });
+}
+
+function printGroups(context: CommandContext, report: StatusReport): void {
+  context.output.write("");
+  printResult(context, {
+    json: report.groups,
+    headings: ["group", "model", "zone", "health", "takes new work", "members"],
+    rows: report.groups.map((group) => [
+      group.groupId,
+      group.model,
+      group.zone,
+      group.health,
+      group.takesNewWork ? "yes" : "no",
+      group.members.join(","),
+    ]),
+  });
+}
--- /dev/null
+++ b/src/cli/operator_client.ts
@@ -0,0 +1,162 @@
+import got, { type Got, RequestError, type Response } from "got";
+import type { CollectedTimeline } from "../process/timeline_collector.ts";
+import type { StatusReport } from "../process/status_report.ts";
+import type {
+  AcceptResult,
+  CheckResult,
+  ConfigHistoryEntry,
+} from "../version/config_acceptance.ts";
+import type { VersionedConfig } from "../version/config_schema.ts";
+import { CliError } from "./cli_error.ts";
+
+const REQUEST_TIMEOUT_MS = 30_000;
+
+/** Quarantined request as the operator port lists it. */
+export interface QuarantineEntry {
+  readonly fingerprint: string;
+  readonly groups: readonly string[];
+  readonly expiresInMs: number;
+}
+
+/** Document that is offered for acceptance. */
+export interface AcceptRequest {
+  readonly document: unknown;
+  /** Version that the change is based on. */
+  readonly expectedVersion: number;
+  readonly operator: string;
+}
+
+/** Client of a daemon's operator port. */
+export class OperatorClient {
+  readonly #url: string;
+  readonly #got: Got;
+
+  constructor(options: { url: string }) {
+    this.#url = options.url;
+    this.#got = got.extend({
+      prefixUrl: options.url,
+      timeout: { request: REQUEST_TIMEOUT_MS },
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+    });
+  }
+
+  /** Gets the state of the deployment. */
+  getStatus(): Promise<StatusReport> {
+    return this.#read("api/status");
+  }
+
+  /** Gets the configuration in force. */
+  async getConfig(): Promise<VersionedConfig> {
+    return await this.#read("api/config");
+  }
+
+  /** Gets earlier versions of the configuration, newest first. */
+  async getHistory(): Promise<ConfigHistoryEntry[]> {
+    const body = await this.#read<{ entries: ConfigHistoryEntry[] }>(
+      "api/config/history",
+    );
+    return body.entries;
+  }
+
+  /**
+   * Checks a document without accepting it.
+   *
+   * @param document - Parsed document.
+   */
+  async checkConfig(document: unknown): Promise<CheckResult> {
+    const response = await this.#send(() =>
+      this.#got.post("api/config/check", { json: { document } })
+    );
+    return this.#parse(response);
+  }
+
+  /**
+   * Offers a document for acceptance.
+   *
+   * @param request - Document and the version that it is based on.
+   */
+  async acceptConfig(request: AcceptRequest): Promise<AcceptResult> {
+    const response = await this.#send(() =>
+      this.#got.post("api/config/accept", { json: request })
+    );
+    return this.#parse(response);
+  }
+
+  /**
+   * Gets the time line of all daemons.
+   *
+   * @param filter - Limits the events to one request.
+   */
+  getTimeline(
+    filter: { requestId?: string } = {},
+  ): Promise<CollectedTimeline> {
+    const query = filter.requestId === undefined
+      ? ""
+      : `?requestId=${encodeURIComponent(filter.requestId)}`;
+    return this.#read(`api/timeline${query}`);
+  }
+
+  /** Gets the quarantined requests. */
+  async getQuarantine(): Promise<QuarantineEntry[]> {
+    const body = await this.#read<{ entries: QuarantineEntry[] }>(
+      "api/quarantine",
+    );
+    return body.entries;
+  }
+
+  /**
+   * Clears the quarantine of one request, or of all when none is named.
+   *
+   * @param fingerprint - Fingerprint of the request.
+   * @returns The number of cleared entries.
+   */
+  async clearQuarantine(fingerprint?: string): Promise<number> {
+    const path = fingerprint === undefined
+      ? "api/quarantine"
+      : `api/quarantine/${encodeURIComponent(fingerprint)}`;
+    const response = await this.#send(() => this.#got.delete(path));
+    return this.#parse<{ cleared: number }>(response).cleared;
+  }
+
+  async #read<T>(path: string): Promise<T> {
+    return this.#parse<T>(await this.#send(() => this.#got.get(path)));
+  }
+
+  async #send(
+    send: () => Promise<Response<string>>,
+  ): Promise<Response<string>> {
+    try {
+      return await send();
+    } catch (error) {
+      if (error instanceof RequestError) {
+        throw new CliError(
+          "unreachable",
+          `The daemon at ${this.#url} does not answer (${error.code}); check that it runs, or name another one with --daemon`,
+        );
+      }
+      throw error;
+    }
+  }
+
+  #parse<T>(response: Response<string>): T {
+    let body: unknown;
+    try {
+      body = JSON.parse(response.body);
+    } catch {
+      throw new CliError(
+        "unreachable",
+        `The server at ${this.#url} is not an operator port of a daemon; check the address given with --daemon`,
+      );
+    }
+    const message = (body as { message?: string }).message;
+    const hasOutcome = (body as { outcome?: string }).outcome !== undefined;
+    if (response.statusCode >= 400 && !hasOutcome) {
+      throw new CliError(
+        "refused",
+        message ?? `The daemon refused with status ${response.statusCode}`,
+      );
+    }
+    return body as T;
+  }
+}
--- a/src/connection/peer_router.ts
+++ b/src/connection/peer_router.ts
@@ -1,5 +1,6 @@
 import type { DaemonContext } from "../process/daemon_context.ts";
 import { createPeerStateRouter } from "./peer_state_router.ts";
+import { createPeerTimelineRouter } from "./peer_timeline_router.ts";
 import { peerTrpc } from "./peer_trpc.ts";
 
 /**
@@ -10,6 +11,7 @@
 export function createPeerRouter(context: DaemonContext) {
   return peerTrpc.router({
     state: createPeerStateRouter(context),
+    timeline: createPeerTimelineRouter(context),
   });
 }
 
--- /dev/null
+++ b/src/process/metrics.ts
@@ -0,0 +1,175 @@
+import { build, type Histogram } from "hdr-histogram-js";
+
+const HIGHEST_TRACKABLE_MICROSECONDS = 600_000_000;
+const SIGNIFICANT_DIGITS = 2;
+const MICROSECONDS_PER_MS = 1_000;
+const QUANTILES = [0.5, 0.95, 0.99] as const;
+
+/** Durations that are measured, as quantiles. */
+export type DurationName =
+  | "admission_wait"
+  | "time_to_first_token"
+  | "time_between_tokens"
+  | "chat_duration"
+  | "service_duration"
+  | "store_call"
+  | "peer_exchange"
+  | "event_loop_delay";
+
+/** Events that are counted. */
+export type CounterName =
+  | "chat_requests"
+  | "service_requests"
+  | "refusals"
+  | "resumes"
+  | "parks"
+  | "group_losses"
+  | "tokens"
+  | "claims"
+  | "orders"
+  | "peer_bytes_sent"
+  | "store_reads"
+  | "store_writes"
+  | "config_changes";
+
+/** Values that are read when the metrics are asked for. */
+export interface Gauge {
+  readonly name: string;
+  readonly help: string;
+  /** Gets the current value. */
+  getValue(): number;
+}
+
+/** Measures of one process: counters, gauges and duration quantiles. */
+export class Metrics {
+  readonly #counters = new Map<string, number>();
+  readonly #histograms = new Map<DurationName, Histogram>();
+  readonly #gauges: Gauge[] = [];
+
+  /**
+   * Counts an event.
+   *
+   * @param name - Event.
+   * @param options - Label of the event and number of events; one without a label when left out.
+   * @example
+   * ```ts
+   * metrics.count("refusals", { label: "no-capacity" });
+   * ```
+   */
+  count(
+    name: CounterName,
+    options: { label?: string; by?: number } = {},
+  ): void {
+    const key = getCounterKey(name, options.label);
+    this.#counters.set(key, (this.#counters.get(key) ?? 0) + (options.by ?? 1));
+  }
+
+  /**
+   * Gets a counter; 0 when nothing was counted.
+   *
+   * @param name - Event.
+   * @param label - Label of the event.
+   */
+  getCount(name: CounterName, label?: string): number {
+    return this.#counters.get(getCounterKey(name, label)) ?? 0;
+  }
+
+  /**
+   * Records a duration.
+   *
+   * @param name - What took the time.
+   * @param durationMs - Duration in milliseconds.
+   */
+  record(name: DurationName, durationMs: number): void {
+    const microseconds = Math.max(
+      1,
+      Math.round(durationMs * MICROSECONDS_PER_MS),
+    );
+    this.#getHistogram(name).recordValue(
+      Math.min(microseconds, HIGHEST_TRACKABLE_MICROSECONDS),
+    );
+  }
+
+  /**
+   * Gets a quantile of a duration in milliseconds; 0 when nothing was recorded.
+   *
+   * @param name - What took the time.
+   * @param quantile - Quantile from 0 to 1.
+   */
+  getQuantileMs(name: DurationName, quantile: number): number {
+    const histogram = this.#histograms.get(name);
+    return histogram === undefined
+      ? 0
+      : histogram.getValueAtPercentile(quantile * 100) / MICROSECONDS_PER_MS;
+  }
+
+  /**
+   * Registers a gauge.
+   *
+   * @param gauge - Value to read when the metrics are asked for.
+   */
+  addGauge(gauge: Gauge): void {
+    this.#gauges.push(gauge);
+  }
+
+  /** Renders all measures in the Prometheus text format. */
+  render(): string {
+    const lines = [
+      ...this.#renderCounters(),
+      ...this.#renderGauges(),
+      ...this.#renderHistograms(),
+    ];
+    return `${lines.join("\n")}\n`;
+  }
+
+  #getHistogram(name: DurationName): Histogram {
+    let histogram = this.#histograms.get(name);
+    if (histogram === undefined) {
+      histogram = build({
+        bitBucketSize: 32,
+        autoResize: true,
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: HIGHEST_TRACKABLE_MICROSECONDS,
+        numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+      });
+      this.#histograms.set(name, histogram);
+    }
+    return histogram;
+  }
+
+  #renderCounters(): string[] {
+    const lines: string[] = [];
+    for (const [key, value] of [...this.#counters].sort()) {
+      const [name, label] = key.split("\u0000");
+      const labels = label === undefined ? "" : `{kind="${label}"}`;
+      lines.push(`tarragontally_${name}_total${labels} ${value}`);
+    }
+    return lines;
+  }
+
+  #renderGauges(): string[] {
+    return this.#gauges.flatMap((gauge) => [
+      `# HELP tarragontally_${gauge.name} ${gauge.help}`,
+      `# TYPE tarragontally_${gauge.name} gauge`,
+      `tarragontally_${gauge.name} ${gauge.getValue()}`,
+    ]);
+  }
+
+  #renderHistograms(): string[] {
+    const lines: string[] = [];
+    for (const [name, histogram] of [...this.#histograms].sort()) {
+      const metric = `tarragontally_${name}_seconds`;
+      lines.push(`# TYPE ${metric} summary`);
+      for (const quantile of QUANTILES) {
+        const seconds = this.getQuantileMs(name, quantile) / 1_000;
+        lines.push(`${metric}{quantile="${quantile}"} ${seconds}`);
+      }
+      lines.push(`${metric}_count ${histogram.totalCount}`);
+    }
+    return lines;
+  }
+}
+
+function getCounterKey(name: CounterName, label: string | undefined): string {
+  return label === undefined ? name : `${name}\u0000${label}`;
+}
--- a/src/shared/timeline.ts
+++ b/src/shared/timeline.ts
@@ -2,7 +2,7 @@
 export interface TimelineEvent {
   /** Wall clock of the process, in milliseconds since the epoch. */
   readonly timeMs: number;
-  /** Lamport timestamp, which orders causally related events of all processes. */
+  /** Hybrid logical timestamp in microseconds: close to the wall clock, and later than every event that caused this one. */
   readonly lamport: number;
   /** Name of the process. */
   readonly process: string;
@@ -23,7 +23,13 @@
   readonly fields?: TimelineEvent["fields"];
 }
 
-/** Records the events of one process in a bounded ring, with Lamport timestamps. */
+const MICROSECONDS_PER_MS = 1_000;
+
+/**
+ * Records the events of one process in a bounded ring, with hybrid logical timestamps.
+ *
+ * The timestamps order causally related events of all processes and stay near the wall clock, so that unrelated events of a busy and an idle process are not far apart. See Kulkarni et al., "Logical Physical Clocks", 2014.
+ */
 export class Timeline {
   readonly #process: string;
   readonly #capacity: number;
@@ -35,13 +41,13 @@
     this.#capacity = capacity;
   }
 
-  /** Gets the current Lamport timestamp. */
+  /** Gets the current logical timestamp, which messages to other processes carry. */
   getLamport(): number {
     return this.#lamport;
   }
 
   /**
-   * Merges a Lamport timestamp that a message carried.
+   * Merges the logical timestamp that a message carried.
    *
    * @param lamport - Timestamp of the sender.
    */
@@ -55,7 +61,10 @@
    * @param input - Fields of the event.
    */
   record(input: TimelineEventInput): void {
-    this.#lamport++;
+    this.#lamport = Math.max(
+      this.#lamport + 1,
+      Date.now() * MICROSECONDS_PER_MS,
+    );
     this.#events.push({
       timeMs: Date.now(),
       lamport: this.#lamport,
--- a/src/version/json_document.ts
+++ b/src/version/json_document.ts
@@ -1,12 +1,17 @@
+import { closest, distance } from "fastest-levenshtein";
 import {
   findNodeAtLocation,
   getNodeValue,
+  type Node,
   type ParseError,
   parseTree,
   printParseErrorCode,
 } from "jsonc-parser";
 import { type Either, Left, Right } from "purify-ts";
 import type { z } from "zod";
+import { getSchemaNode, type SchemaNode } from "./schema_node.ts";
+
+const MAX_SUGGESTION_DISTANCE = 3;
 
 /** Fault of a document, with its place. */
 export interface DocumentFault {
@@ -20,12 +25,14 @@
   readonly message: string;
 }
 
+type Path = readonly (string | number)[];
+
 /**
  * Parses a document in JSON with comments and checks it against a schema.
  *
  * @param text - Text of the document.
  * @param schema - Schema of the value.
- * @returns The value, or the faults in the order of their places.
+ * @returns The value, or the faults with their places.
  * @example
  * ```ts
  * parseJsonDocument('{ "port": 80 /* HTTP *\/ }', schema);
@@ -38,30 +45,105 @@
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, { allowTrailingComma: true });
   if (errors.length > 0 || root === undefined) {
-    return Left(errors.map((error) => ({
-      ...getPosition(text, error.offset),
-      path: "",
-      message: `The syntax is invalid: ${printParseErrorCode(error.error)}`,
-    })));
+    return Left(getSyntaxFaults(text, errors));
   }
   const parsed = schema.safeParse(getNodeValue(root));
   if (parsed.success) {
     return Right(parsed.data);
   }
-  return Left(parsed.error.issues.map((issue) => {
-    const path = issue.path.map((part) =>
-      typeof part === "symbol" ? String(part) : part
-    );
-    const node = findNodeAtLocation(root, path) ??
-      findNodeAtLocation(root, path.slice(0, -1)) ?? root;
-    return {
-      ...getPosition(text, node.offset),
-      path: path.join("."),
-      message: issue.message,
-    };
+  const rootNode = getSchemaNode(schema);
+  return Left(
+    parsed.error.issues.flatMap((issue) =>
+      getIssueFaults(issue, { text, root, rootNode })
+    ),
+  );
+}
+
+interface DocumentSource {
+  readonly text: string;
+  readonly root: Node;
+  readonly rootNode: SchemaNode;
+}
+
+function getSyntaxFaults(
+  text: string,
+  errors: readonly ParseError[],
+): DocumentFault[] {
+  if (errors.length === 0) {
+    return [{ line: 1, column: 1, path: "", message: "The document is empty" }];
+  }
+  return errors.map((error) => ({
+    ...getPosition(text, error.offset),
+    path: "",
+    message: `The syntax is invalid: ${printParseErrorCode(error.error)}`,
   }));
 }
 
+function getIssueFaults(
+  issue: z.core.$ZodIssue,
+  source: DocumentSource,
+): DocumentFault[] {
+  const path = issue.path.map((part) =>
+    typeof part === "symbol" ? String(part) : part
+  );
+  if (issue.code !== "unrecognized_keys") {
+    return [createFault(path, getIssueMessage(issue, source, path), source)];
+  }
+  return issue.keys.map((key) =>
+    createFault(
+      [...path, key],
+      getUnknownKeyMessage(key, findSchemaNode(source.rootNode, path)),
+      source,
+    )
+  );
+}
+
+function createFault(
+  path: Path,
+  message: string,
+  source: DocumentSource,
+): DocumentFault {
+  const node = findNodeAtLocation(source.root, [...path]) ??
+    findNodeAtLocation(source.root, path.slice(0, -1)) ?? source.root;
+  // The parent of a property's value is the property, which starts at its key.
+  const start = node.parent?.type === "property" ? node.parent : node;
+  return {
+    ...getPosition(source.text, start.offset),
+    path: path.join("."),
+    message,
+  };
+}
+
+function getIssueMessage(
+  issue: z.core.$ZodIssue,
+  source: DocumentSource,
+  path: Path,
+): string {
+  const description = findSchemaNode(source.rootNode, path)?.description;
+  return description ? `${issue.message} (${description})` : issue.message;
+}
+
+function getUnknownKeyMessage(
+  key: string,
+  node: SchemaNode | undefined,
+): string {
+  const names = [...node?.members?.keys() ?? []];
+  const nearest = names.length === 0 ? undefined : closest(key, names);
+  const isNear = nearest !== undefined &&
+    distance(key, nearest) <= MAX_SUGGESTION_DISTANCE;
+  return isNear
+    ? `The key "${key}" is not known; did you mean "${nearest}"?`
+    : `The key "${key}" is not known; allowed are ${names.join(", ")}`;
+}
+
+function findSchemaNode(root: SchemaNode, path: Path): SchemaNode | undefined {
+  let node: SchemaNode | undefined = root;
+  for (const part of path) {
+    node = typeof part === "number" ? node?.element : node?.members?.get(part);
+  }
+  return node;
+}
+
 function getPosition(
   text: string,
   offset: number,
--- /dev/null
+++ b/src/version/schema_node.ts
@@ -0,0 +1,121 @@
+import { z } from "zod";
+
+/** Kind of input that a value of the schema needs. */
+export type InputKind =
+  | "object"
+  | "list"
+  | "text-list"
+  | "choice-list"
+  | "text"
+  | "number"
+  | "boolean"
+  | "choice"
+  | "constant";
+
+/** Part of a schema as the forms and the reference page see it. */
+export interface SchemaNode {
+  readonly kind: InputKind;
+  readonly description: string;
+  readonly optional: boolean;
+  /** Value that is used when none is given. */
+  readonly defaultValue?: unknown;
+  /** Members of an object. */
+  readonly members?: ReadonlyMap<string, SchemaNode>;
+  /** Elements of a list of objects. */
+  readonly element?: SchemaNode;
+  /** Allowed values of a choice, or the value of a constant. */
+  readonly choices?: readonly string[];
+  readonly minimum?: number;
+  readonly maximum?: number;
+  readonly integer?: boolean;
+  readonly pattern?: string;
+}
+
+/**
+ * Gets the node of a schema.
+ *
+ * @param schema - Schema of the configuration document or of the settings.
+ * @example
+ * ```ts
+ * getSchemaNode(configSchema).members?.get("zones")?.kind; // "list"
+ * ```
+ */
+export function getSchemaNode(schema: z.ZodType): SchemaNode {
+  const description = schema.description ?? "";
+  if (schema instanceof z.ZodOptional) {
+    const inner = getSchemaNode(schema.unwrap() as z.ZodType);
+    return { ...inner, optional: true, ...getDescription(description, inner) };
+  }
+  if (schema instanceof z.ZodDefault || schema instanceof z.ZodPrefault) {
+    const inner = getSchemaNode(schema.unwrap() as z.ZodType);
+    return {
+      ...inner,
+      defaultValue: schema.def.defaultValue,
+      ...getDescription(description, inner),
+    };
+  }
+  return { description, optional: false, ...getBaseNode(schema) };
+}
+
+function getDescription(
+  description: string,
+  inner: SchemaNode,
+): { description: string } {
+  return { description: description || inner.description };
+}
+
+type BaseNode = Omit<SchemaNode, "description" | "optional">;
+
+function getBaseNode(schema: z.ZodType): BaseNode {
+  if (schema instanceof z.ZodObject) {
+    return { kind: "object", members: getMembers(schema) };
+  }
+  if (schema instanceof z.ZodArray) {
+    return getListNode(schema.element as z.ZodType);
+  }
+  if (schema instanceof z.ZodEnum) {
+    return { kind: "choice", choices: schema.options.map(String) };
+  }
+  if (schema instanceof z.ZodLiteral) {
+    return { kind: "constant", choices: [...schema.values].map(String) };
+  }
+  if (schema instanceof z.ZodBoolean) {
+    return { kind: "boolean" };
+  }
+  if (schema instanceof z.ZodNumber) {
+    return {
+      kind: "number",
+      minimum: getFinite(schema.minValue),
+      maximum: getFinite(schema.maxValue),
+      integer: schema.format === "safeint",
+    };
+  }
+  const pattern = schema instanceof z.ZodString
+    ? schema._zod.bag.patterns?.values().next().value?.source
+    : undefined;
+  return { kind: "text", pattern };
+}
+
+function getMembers(schema: z.ZodObject): Map<string, SchemaNode> {
+  const members = new Map<string, SchemaNode>();
+  for (const [name, member] of Object.entries(schema.shape)) {
+    members.set(name, getSchemaNode(member as z.ZodType));
+  }
+  return members;
+}
+
+function getListNode(elementSchema: z.ZodType): BaseNode {
+  const element = getSchemaNode(elementSchema);
+  if (element.kind === "object") {
+    return { kind: "list", element };
+  }
+  return element.kind === "choice"
+    ? { kind: "choice-list", choices: element.choices }
+    : { kind: "text-list", element };
+}
+
+function getFinite(value: number | null): number | undefined {
+  const bounded = value !== null && Number.isFinite(value) &&
+    Math.abs(value) < Number.MAX_SAFE_INTEGER;
+  return bounded ? value : undefined;
+}
--- /dev/null
+++ b/src/version/schema_node_test.ts
@@ -0,0 +1,48 @@
+import { describe, expect, it } from "vitest";
+import { configSchema } from "./config_schema.ts";
+import { getSchemaNode } from "./schema_node.ts";
+
+describe("getSchemaNode", () => {
+  const root = getSchemaNode(configSchema);
+
+  function doTest(path: string, expected: object) {
+    let node = root;
+    for (const name of path.split(".")) {
+      node = (node.element ?? node).members!.get(name)!;
+    }
+    expect(node).toMatchObject(expected);
+  }
+
+  // Guards against fields of the document that the console cannot show.
+  it("finds lists of objects", () => {
+    doTest("zones", { kind: "list", optional: false });
+  });
+
+  it("finds booleans with their default", () => {
+    doTest("zones.takenOut", { kind: "boolean", defaultValue: false });
+  });
+
+  it("finds lists of choices", () => {
+    doTest("zones.quietHours.weekdays", { kind: "choice-list" });
+  });
+
+  it("finds optional lists of texts", () => {
+    doTest("models.placements.fabricDomains", {
+      kind: "text-list",
+      optional: true,
+    });
+  });
+
+  it("finds numbers with their bounds", () => {
+    doTest("models.groupSizeVms", {
+      kind: "number",
+      minimum: 1,
+      maximum: 64,
+      integer: true,
+    });
+  });
+
+  it("finds constants", () => {
+    doTest("schemaVersion", { kind: "constant", choices: ["1"] });
+  });
+});
