Check that function names begin with a listed verb

The house style asks for names that start with a verb of a short list. A test reads the list from docs/verbs.md and the names from the syntax trees.

--- a/src/console/form_reader.ts
+++ b/src/console/form_reader.ts
@@ -31,7 +31,7 @@
     case "boolean":
       return fields[path] === "true";
     case "choice-list":
-      return toList(fields[path]);
+      return getList(fields[path]);
     case "text-list":
       return readTextList(node, fields, path);
     case "number":
@@ -122,10 +122,10 @@
 }
 
 function readRawText(fields: FormFields, path: string): string {
-  return toList(fields[path])[0] ?? "";
+  return getList(fields[path])[0] ?? "";
 }
 
-function toList(value: string | readonly string[] | undefined): string[] {
+function getList(value: string | readonly string[] | undefined): string[] {
   if (value === undefined) {
     return [];
   }
--- a/src/console/form_reader_test.ts
+++ b/src/console/form_reader_test.ts
@@ -85,13 +85,13 @@
     const name = /name="([^"]*)"/.exec(attributes)![1];
     const isCheckbox = attributes.includes('type="checkbox"');
     if (!isCheckbox || /\schecked/.test(attributes)) {
-      fields[name] = unescape(/value="([^"]*)"/.exec(attributes)![1]);
+      fields[name] = parseEscapedText(/value="([^"]*)"/.exec(attributes)![1]);
     }
   }
   for (
     const match of text.matchAll(/<textarea name="([^"]*)"[^>]*>([^<]*)</g)
   ) {
-    fields[match[1]] = unescape(match[2]);
+    fields[match[1]] = parseEscapedText(match[2]);
   }
   for (
     const match of text.matchAll(/<select name="([^"]*)"([^]*?)<\/select>/g)
@@ -104,7 +104,7 @@
   return fields;
 }
 
-function unescape(text: string): string {
+function parseEscapedText(text: string): string {
   return text.replaceAll("&lt;", "<").replaceAll("&gt;", ">")
     .replaceAll("&quot;", '"').replaceAll("&#39;", "'").replaceAll(
       "&amp;",
--- a/src/console/form_renderer.ts
+++ b/src/console/form_renderer.ts
@@ -91,24 +91,24 @@
     case "choice-list":
       return html`<select name="${field.path}" multiple size="${
         node.choices!.length
-      }">${renderOptions(node, toTexts(value))}</select>`;
+      }">${renderOptions(node, getTexts(value))}</select>`;
     case "text-list":
       return html`<textarea name="${field.path}" rows="${
-        Math.max(2, toTexts(value).length)
-      }">${toTexts(value).join("\n")}</textarea>`;
+        Math.max(2, getTexts(value).length)
+      }">${getTexts(value).join("\n")}</textarea>`;
     case "number":
       return html`
-        <input type="number" name="${field.path}" value="${toText(
+        <input type="number" name="${field.path}" value="${formatText(
           value,
         )}" step="${node.integer ? "1" : "any"}"
-          min="${toText(node.minimum)}" max="${toText(node.maximum)}">
+          min="${formatText(node.minimum)}" max="${formatText(node.maximum)}">
       `;
     case "constant":
       return html`<input name="${field.path}" value="${
         node.choices![0]
       }" readonly>`;
     default:
-      return html`<input name="${field.path}" value="${toText(value)}">`;
+      return html`<input name="${field.path}" value="${formatText(value)}">`;
   }
 }
 
@@ -118,11 +118,11 @@
   );
 }
 
-function toTexts(value: unknown): string[] {
+function getTexts(value: unknown): string[] {
   return Array.isArray(value) ? value.map(String) : [];
 }
 
-function toText(value: unknown): string {
+function formatText(value: unknown): string {
   return value === undefined ? "" : String(value);
 }
 
--- /dev/null
+++ b/tools/verb_check.ts
@@ -0,0 +1,82 @@
+import { readFileSync } from "node:fs";
+import ts from "typescript";
+
+/** Function whose name begins with no listed verb. */
+export interface VerbFault {
+  readonly file: string;
+  /** Line, from 1. */
+  readonly line: number;
+  readonly name: string;
+}
+
+/**
+ * Reads the verbs of the table in the docs.
+ *
+ * @param file - Path of the page.
+ */
+export function readVerbs(file: string): ReadonlySet<string> {
+  const verbs = new Set<string>();
+  for (const line of readFileSync(file, "utf8").split("\n")) {
+    const cell = /^\| ([a-z, ]+) \|/.exec(line)?.[1];
+    if (cell !== undefined && cell !== "verb") {
+      cell.split(", ").forEach((verb) => verbs.add(verb));
+    }
+  }
+  return verbs;
+}
+
+/**
+ * Finds functions and methods whose name begins with no listed verb.
+ *
+ * @param files - Paths of the source files.
+ * @param verbs - Allowed verbs.
+ * @example
+ * ```ts
+ * findVerbFaults(["src/shared/delay.ts"], readVerbs("docs/verbs.md"));
+ * ```
+ */
+export function findVerbFaults(
+  files: readonly string[],
+  verbs: ReadonlySet<string>,
+): VerbFault[] {
+  return files.flatMap((file) => {
+    const source = ts.createSourceFile(
+      file,
+      readFileSync(file, "utf8"),
+      ts.ScriptTarget.ES2022,
+      true,
+    );
+    return findInNode(source, source, verbs);
+  });
+}
+
+function findInNode(
+  node: ts.Node,
+  source: ts.SourceFile,
+  verbs: ReadonlySet<string>,
+): VerbFault[] {
+  const faults: VerbFault[] = [];
+  const name = getFunctionName(node);
+  if (name !== undefined && !verbs.has(getFirstWord(name))) {
+    const { line } = source.getLineAndCharacterOfPosition(node.getStart());
+    faults.push({ file: source.fileName, line: line + 1, name });
+  }
+  node.forEachChild((child) => {
+    faults.push(...findInNode(child, source, verbs));
+  });
+  return faults;
+}
+
+function getFunctionName(node: ts.Node): string | undefined {
+  if (ts.isFunctionDeclaration(node) || ts.isMethodDeclaration(node)) {
+    return node.name !== undefined &&
+        (ts.isIdentifier(node.name) || ts.isPrivateIdentifier(node.name))
+      ? node.name.text
+      : undefined;
+  }
+  return undefined;
+}
+
+function getFirstWord(name: string): string {
+  return /^#?([a-z]+)/.exec(name)?.[1] ?? "";
+}
