--- /dev/null
+++ b/bench/load/load_runner.ts
@@ -0,0 +1,229 @@
+import got from "got";
+import { getExpectedAnswer } from "../../fakes/fake_answer.ts";
+import { delay } from "../../src/shared/delay.ts";
+import type { LoadOutcome, LoadResult } from "./load_result.ts";
+import type { PlannedRequest } from "./workload.ts";
+
+const SLOW_READER_PAUSE_MS = 40;
+const OUTPUT_LIMIT_TOKENS = 512;
+
+/** Where and how a load is sent. */
+export interface LoadRunnerOptions {
+  /** Gets the addresses of the daemons that the balancer sends requests to now. */
+  getDaemons(): readonly string[];
+  readonly model: string;
+  readonly service: string;
+  /** Gets the API key of a client account. */
+  getApiKey(account: string): string;
+}
+
+interface ChatProgress {
+  text: string;
+  firstTokenMs?: number;
+  lastPieceAtMs: number;
+  gapsMs: number[];
+}
+
+/** Sends the requests of a workload at their times and records how they end. */
+export class LoadRunner {
+  readonly #options: LoadRunnerOptions;
+  #startedAtMs = 0;
+
+  constructor(options: LoadRunnerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Runs a workload.
+   *
+   * @param requests - Requests in the order of their times.
+   * @returns The results in the order of the requests.
+   */
+  async run(requests: readonly PlannedRequest[]): Promise<LoadResult[]> {
+    this.#startedAtMs = performance.now();
+    const results: Promise<LoadResult>[] = [];
+    for (const request of requests) {
+      const waitMs = request.atMs - (performance.now() - this.#startedAtMs);
+      if (waitMs > 1) {
+        await delay(waitMs);
+      }
+      results.push(this.#send(request));
+    }
+    return await Promise.all(results);
+  }
+
+  async #send(request: PlannedRequest): Promise<LoadResult> {
+    const daemons = this.#options.getDaemons();
+    const daemon = daemons[request.daemonIndex % daemons.length];
+    return request.kind === "chat"
+      ? await this.#sendChat(request, daemon)
+      : await this.#sendCall(request, daemon);
+  }
+
+  async #sendChat(
+    request: PlannedRequest,
+    daemon: string,
+  ): Promise<LoadResult> {
+    const sentAtMs = performance.now();
+    const progress: ChatProgress = {
+      text: "",
+      lastPieceAtMs: sentAtMs,
+      gapsMs: [],
+    };
+    const stream = got.stream.post(`http://${daemon}/v1/chat/completions`, {
+      json: {
+        model: this.#options.model,
+        messages: [{ role: "user", content: request.content }],
+        max_tokens: OUTPUT_LIMIT_TOKENS,
+        stream: true,
+      },
+      headers: this.#getHeaders(request),
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+    });
+    let status = 0;
+    stream.on("response", (response: { statusCode: number }) => {
+      status = response.statusCode;
+    });
+    let failed = false;
+    try {
+      for await (const data of stream) {
+        recordPiece(progress, String(data), sentAtMs);
+        if (request.slowReader) {
+          await delay(SLOW_READER_PAUSE_MS);
+        }
+      }
+    } catch {
+      failed = true;
+    }
+    return this.#createResult(request, sentAtMs, {
+      ...getChatOutcome(request, progress, { status, failed, sentAtMs }),
+      firstTokenMs: progress.firstTokenMs,
+      // The pauses of a slow reader say nothing about the daemon.
+      gapsMs: request.slowReader ? [] : progress.gapsMs,
+    });
+  }
+
+  async #sendCall(
+    request: PlannedRequest,
+    daemon: string,
+  ): Promise<LoadResult> {
+    const sentAtMs = performance.now();
+    const url =
+      `http://${daemon}/services/${this.#options.service}${request.path}`;
+    try {
+      const answer = await got.post(url, {
+        body: request.id,
+        headers: {
+          ...this.#getHeaders(request),
+          "idempotency-key": request.id,
+        },
+        retry: { limit: 0 },
+        throwHttpErrors: false,
+      });
+      const parsed = answer.statusCode === 200 &&
+        (JSON.parse(answer.body) as { echo: string }).echo === request.id;
+      const outcome = answer.statusCode === 200
+        ? (parsed ? getTimedOutcome(request, sentAtMs) : "wrong")
+        : undefined;
+      return this.#createResult(request, sentAtMs, {
+        gapsMs: [],
+        ...(outcome === undefined ? getErrorOutcome(answer.body) : { outcome }),
+      });
+    } catch {
+      return this.#createResult(request, sentAtMs, {
+        gapsMs: [],
+        outcome: "unanswered",
+      });
+    }
+  }
+
+  #getHeaders(request: PlannedRequest): Record<string, string> {
+    return {
+      authorization: `Bearer ${this.#options.getApiKey(request.account)}`,
+      "x-request-id": request.id,
+      "x-deadline-ms": String(request.deadlineMs),
+    };
+  }
+
+  #createResult(
+    request: PlannedRequest,
+    sentAtMs: number,
+    result: Pick<LoadResult, "outcome" | "code" | "firstTokenMs" | "gapsMs">,
+  ): LoadResult {
+    return {
+      id: request.id,
+      kind: request.kind,
+      startedAtMs: sentAtMs - this.#startedAtMs,
+      durationMs: performance.now() - sentAtMs,
+      ...result,
+    };
+  }
+}
+
+function recordPiece(
+  progress: ChatProgress,
+  text: string,
+  sentAtMs: number,
+): void {
+  const now = performance.now();
+  progress.text += text;
+  if (!text.includes('"content"')) {
+    return;
+  }
+  if (progress.firstTokenMs === undefined) {
+    progress.firstTokenMs = now - sentAtMs;
+  } else {
+    progress.gapsMs.push(now - progress.lastPieceAtMs);
+  }
+  progress.lastPieceAtMs = now;
+}
+
+function getChatOutcome(
+  request: PlannedRequest,
+  progress: ChatProgress,
+  end: { status: number; failed: boolean; sentAtMs: number },
+): { outcome: LoadOutcome; code?: string } {
+  if (end.status === 0) {
+    return { outcome: "unanswered" };
+  }
+  if (end.status !== 200) {
+    return getErrorOutcome(progress.text);
+  }
+  const answer = [...progress.text.matchAll(/"content":"([^"]*)"/g)]
+    .map((match) => match[1]).join("");
+  const expected = getExpectedAnswer(
+    [{ role: "user", content: request.content }],
+    OUTPUT_LIMIT_TOKENS,
+  ).join("");
+  const ended = !end.failed && progress.text.includes("data: [DONE]");
+  if (answer === expected && ended) {
+    return { outcome: getTimedOutcome(request, end.sentAtMs) };
+  }
+  const code = /"code":"([^"]*)"/.exec(progress.text)?.[1];
+  return { outcome: expected.startsWith(answer) ? "cut" : "wrong", code };
+}
+
+function getTimedOutcome(
+  request: PlannedRequest,
+  sentAtMs: number,
+): LoadOutcome {
+  const isLate = performance.now() - sentAtMs > request.deadlineMs;
+  return isLate ? "late" : "whole";
+}
+
+function getErrorOutcome(
+  body: string,
+): { outcome: LoadOutcome; code?: string } {
+  try {
+    const { error } = JSON.parse(body) as {
+      error: { code: string; verdict: string };
+    };
+    return {
+      outcome: error.verdict === "not-run" ? "refused" : "uncertain",
+      code: error.code,
+    };
+  } catch {
+    return { outcome: "unanswered" };
+  }
+}
