--- a/src/process/claim_sweep_task_test.ts
+++ b/src/process/claim_sweep_task_test.ts
@@ -5,7 +5,7 @@
 
 const RETENTION_MS = 1_000;
 
-describe("ClaimSweepTask.sweepOnce", () => {
+describe("ClaimSweepTask.removeExpired", () => {
   let deployment: ServiceDeployment;
 
   beforeEach(async () => {
@@ -24,7 +24,7 @@
     const daemon = deployment.daemons[0];
     await deployment.send({ address: daemon.callerAddress, key: "visit-1" });
     const sweep = new ClaimSweepTask(daemon.context, { safetyMarginMs: 0 });
-    await sweep.sweepOnce();
+    await sweep.removeExpired();
     expect(deployment.platform.getObjects("claim").length).toBe(1);
     const stored = deployment.platform.getObjects("claim")[0];
     deployment.platform.setObject("claim", stored.name, {
@@ -32,9 +32,9 @@
       retainUntilMs: Date.now() + 50,
     });
     await delay(60);
-    await new ClaimSweepTask(daemon.context).sweepOnce();
+    await new ClaimSweepTask(daemon.context).removeExpired();
     expect(deployment.platform.getObjects("claim").length).toBe(1);
-    await sweep.sweepOnce();
+    await sweep.removeExpired();
     expect(deployment.platform.getObjects("claim")).toEqual([]);
   });
 });
--- a/src/request/backend_pool.ts
+++ b/src/request/backend_pool.ts
@@ -56,7 +56,7 @@
       a.penalty - b.penalty || a.running - b.running || a.draw - b.draw
     );
     const chosen = candidates.at(0);
-    return chosen === undefined ? undefined : this.#lease(chosen.address);
+    return chosen === undefined ? undefined : this.#grant(chosen.address);
   }
 
   /**
@@ -68,7 +68,7 @@
     return this.#running.get(address) ?? 0;
   }
 
-  #lease(address: string): BackendLease {
+  #grant(address: string): BackendLease {
     this.#running.set(address, this.getRunning(address) + 1);
     let released = false;
     return {
--- a/src/request/claim_registry.ts
+++ b/src/request/claim_registry.ts
@@ -114,7 +114,7 @@
       const read = await this.#store.getObject(CLAIM_KIND, held.name);
       if (read.isRight()) {
         const object = read.unsafeCoerce();
-        const decided = this.#decide(object, { held, isFirst });
+        const decided = this.#getClaimResult(object, { held, isFirst });
         if (decided !== undefined) {
           return decided;
         }
@@ -227,7 +227,7 @@
     }
   }
 
-  #decide(
+  #getClaimResult(
     object: StoredObject | undefined,
     own: { held: HeldClaim; isFirst: boolean },
   ): Either<RequestError, ClaimResult> | undefined {
--- a/src/request/claimed_call_handler.ts
+++ b/src/request/claimed_call_handler.ts
@@ -144,7 +144,7 @@
   /** Waits for the answer until the caller's deadline; the call itself ends in the background, so that its outcome is stored. */
   async #run(claimed: ClaimedCall, held: HeldClaim): Promise<ServiceAnswer> {
     const progress: RunProgress = { isSent: false, isClosed: false };
-    const running = this.#dispatch(claimed, { held, progress });
+    const running = this.#sendAndComplete(claimed, { held, progress });
     this.#context.gracefulStop.addBackground(running);
     const stopTimer = new AbortController();
     const remainingMs = claimed.request.deadlineAtMs - performance.now();
@@ -163,13 +163,13 @@
     }
   }
 
-  async #dispatch(
+  async #sendAndComplete(
     claimed: ClaimedCall,
     run: { held: HeldClaim; progress: RunProgress },
   ): Promise<ServiceAnswer> {
     const { held, progress } = run;
     try {
-      const answer = await this.#dispatcher.dispatch({
+      const answer = await this.#dispatcher.send({
         service: claimed.service,
         call: claimed.call,
         callClass: "non-repeatable",
--- a/src/request/service_dispatcher.ts
+++ b/src/request/service_dispatcher.ts
@@ -52,7 +52,7 @@
    * @param dispatch - Call with everything that its attempts need.
    * @throws {RequestError} When the call is refused or has no answer.
    */
-  async dispatch(dispatch: Dispatch): Promise<ServiceAnswer> {
+  async send(dispatch: Dispatch): Promise<ServiceAnswer> {
     const tried = new Set<string>();
     let verdict: Verdict = "not-run";
     this.#retryBudget.recordFirstAttempt();
@@ -67,7 +67,10 @@
       }
       tried.add(lease.address);
       try {
-        const answer = await this.#send(dispatch, { lease, remainingMs });
+        const answer = await this.#sendAttempt(dispatch, {
+          lease,
+          remainingMs,
+        });
         if (!this.#takesRetryOfAnswer(dispatch, { answer, attempt })) {
           return answer;
         }
@@ -89,7 +92,7 @@
     }
   }
 
-  async #send(
+  async #sendAttempt(
     dispatch: Dispatch,
     options: { lease: BackendLease; remainingMs: number },
   ): Promise<ServiceAnswer> {
--- a/src/request/service_handler.ts
+++ b/src/request/service_handler.ts
@@ -48,7 +48,7 @@
       const key = call.idempotencyKey;
       return await this.#claimedCalls.handle({ service, call, key, request });
     }
-    return await this.#dispatcher.dispatch({
+    return await this.#dispatcher.send({
       service,
       call,
       callClass,
