Spread state over the peer channel and accept configurations

Daemons learned of configuration and placement only by their own polls, so that a daemon cut off from the store went stale and a lost watch or poll delayed a version. Adds exchanges with a bounded peer set, repair by digest, announcements, store readers, watches, membership, freshness by transitive ages and by an agreeing majority, and the configuration repository.

--- a/src/connection/http_platform_client.ts
+++ b/src/connection/http_platform_client.ts
@@ -12,7 +12,8 @@
 } from "./object_store.ts";
 import type { Vm, VmDirectory } from "./vm_directory.ts";
 
-const CALL_TIMEOUT_MS = 2_000;
+// A store that answers slowly, but within the freshness limit, still counts.
+const CALL_TIMEOUT_MS = 4_000;
 const WATCH_GRACE_MS = 2_000;
 
 /** Client of the platform's object API and VM list over HTTP. */
@@ -86,6 +87,7 @@
             timeoutMs: options.timeoutMs,
           },
           timeout: { request: options.timeoutMs + WATCH_GRACE_MS },
+          signal: options.signal,
         },
       ).json<WatchResult>();
       return Right(result);
--- a/src/connection/object_store.ts
+++ b/src/connection/object_store.ts
@@ -80,4 +80,6 @@
   readonly sinceRevision: number;
   /** Longest wait in milliseconds. */
   readonly timeoutMs: number;
+  /** Ends the wait early. */
+  readonly signal?: AbortSignal;
 }
--- a/src/connection/peer_state_router.ts
+++ b/src/connection/peer_state_router.ts
@@ -1,27 +1,154 @@
 import { z } from "zod";
 import type { DaemonContext } from "../process/daemon_context.ts";
-import { configSchema } from "../version/config_schema.ts";
-import { getPeerDigest, peerDigestSchema } from "./peer_digest.ts";
+import type { GroupHealth } from "../process/group_health.ts";
+import { PeerSync } from "../process/peer_sync.ts";
+import { getErrorMessage } from "../shared/errors.ts";
+import type { VersionedConfig } from "../version/config_schema.ts";
+import type { VersionedPlacement } from "../version/placement.ts";
+import type { PeerClient } from "./peer_clients.ts";
+import {
+  getPeerDigest,
+  type PeerDigest,
+  peerDigestSchema,
+} from "./peer_digest.ts";
 import { peerTrpc } from "./peer_trpc.ts";
+import type { Vm } from "./vm_directory.ts";
+
+const versionSchema = z.object({ version: z.number() });
+const announceConfigSchema = versionSchema.extend({ from: z.string() });
+const knownPlacementsSchema = z.object({
+  known: z.array(z.object({
+    fabricDomain: z.string(),
+    objectVersion: z.number(),
+  })),
+});
+const groupIdsSchema = z.object({ groupIds: z.array(z.string()).optional() });
+const announceGroupHealthSchema = z.object({
+  from: z.string(),
+  digests: z.array(z.object({ groupId: z.string(), digest: z.string() })),
+});
 
 /**
- * Creates the procedures that spread configuration, placement and health.
+ * Creates the procedures that spread configuration, placement, health and the VM list.
  *
  * @param context - Parts of the daemon.
  */
 export function createPeerStateRouter(context: DaemonContext) {
+  const handler = new PeerStateHandler(context);
+  const { procedure } = peerTrpc;
   return peerTrpc.router({
-    exchange: peerTrpc.procedure.input(peerDigestSchema).mutation(
-      ({ input }) => {
-        context.timeline.mergeLamport(input.lamport);
-        return getPeerDigest(context);
-      },
-    ),
-    getConfig: peerTrpc.procedure.query(() =>
-      context.configHolder.getCurrent() ?? null
-    ),
-    announceConfig: peerTrpc.procedure
-      .input(z.object({ version: z.number(), document: configSchema }))
-      .mutation(({ input }) => ({ taken: context.configHolder.offer(input) })),
+    exchange: procedure.input(peerDigestSchema)
+      .mutation(({ input }) => handler.handleExchange(input)),
+    getConfig: procedure
+      .query((): VersionedConfig | null =>
+        context.configHolder.getCurrent() ?? null
+      ),
+    getConfigVersion: procedure.query(() => ({
+      version: context.configHolder.getVersion(),
+      digest: context.configHolder.getDigest(),
+    })),
+    prepareConfig: procedure.input(versionSchema).mutation(({ input }) => {
+      context.agreement.recordPrepared(input.version);
+      return { version: context.configHolder.getVersion() };
+    }),
+    announceConfig: procedure.input(announceConfigSchema)
+      .mutation(({ input }) => handler.handleAnnounceConfig(input)),
+    getPlacement: procedure.input(knownPlacementsSchema)
+      .mutation(({ input }) => handler.listNewerPlacements(input.known)),
+    getGroupHealth: procedure.input(groupIdsSchema)
+      .mutation(({ input }) => handler.listGroupHealth(input.groupIds)),
+    announceGroupHealth: procedure.input(announceGroupHealthSchema)
+      .mutation(({ input }) => handler.handleAnnounceGroupHealth(input)),
+    getVms: procedure.query((): { vms: Vm[]; ageMs: number | null } => {
+      const ageMs = context.vmTable.getAgeMs();
+      return {
+        vms: context.vmTable.getVms(),
+        ageMs: Number.isFinite(ageMs) ? Math.ceil(ageMs) : null,
+      };
+    }),
   });
 }
+
+/** Serves the messages of the state router. */
+class PeerStateHandler {
+  readonly #context: DaemonContext;
+  readonly #sync: PeerSync;
+
+  constructor(context: DaemonContext) {
+    this.#context = context;
+    this.#sync = new PeerSync(context);
+  }
+
+  /** A newer version that the message names is fetched before the answer. Ages in the message don't count, since its time on the way is unknown. */
+  async handleExchange(digest: PeerDigest): Promise<PeerDigest> {
+    this.#context.timeline.mergeLamport(digest.lamport);
+    await this.#syncConfig(digest.from, digest.configVersion);
+    return getPeerDigest(this.#context);
+  }
+
+  async handleAnnounceConfig(
+    input: { from: string; version: number },
+  ): Promise<{ version: number }> {
+    await this.#syncConfig(input.from, input.version);
+    return { version: this.#context.configHolder.getVersion() };
+  }
+
+  async handleAnnounceGroupHealth(
+    input: { from: string; digests: { groupId: string; digest: string }[] },
+  ): Promise<{ fetched: number }> {
+    const { healthTable } = this.#context;
+    const groupIds = input.digests
+      .filter((d) => healthTable.getGroupDigest(d.groupId) !== d.digest)
+      .map((d) => d.groupId);
+    const client = this.#findClient(input.from);
+    if (groupIds.length > 0 && client !== undefined) {
+      await this.#sync.syncGroupHealth(client, groupIds);
+    }
+    return { fetched: groupIds.length };
+  }
+
+  listNewerPlacements(
+    known: readonly { fabricDomain: string; objectVersion: number }[],
+  ): VersionedPlacement[] {
+    const versions = new Map(
+      known.map((k) => [k.fabricDomain, k.objectVersion]),
+    );
+    return this.#context.placementHolder.getPlacements().filter((p) =>
+      p.objectVersion > (versions.get(p.placement.fabricDomain) ?? 0)
+    );
+  }
+
+  listGroupHealth(groupIds: readonly string[] | undefined): GroupHealth[] {
+    const nowMs = performance.now();
+    return this.#context.healthTable.getAll()
+      .filter((h) => groupIds === undefined || groupIds.includes(h.groupId))
+      .map(({ observedAtMs, ...health }) => ({
+        ...health,
+        ageMs: Math.ceil(nowMs - observedAtMs),
+      }));
+  }
+
+  async #syncConfig(from: string, version: number): Promise<void> {
+    const client = this.#findClient(from);
+    this.#context.agreement.observeVersion(version);
+    if (client === undefined) {
+      return;
+    }
+    try {
+      await this.#sync.syncConfig(client, version);
+    } catch (error) {
+      this.#context.logger.write("warn", "config-fetch-failed", {
+        peer: from,
+        version,
+        message: getErrorMessage(error),
+      });
+    }
+  }
+
+  #findClient(name: string): PeerClient | undefined {
+    const address = this.#context.vmTable.getVm(name)?.address;
+    return address === undefined
+      ? undefined
+      : this.#context.peerClients.getClient(address);
+  }
+}
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -1,4 +1,5 @@
 import "reflect-metadata";
+import { randomBytes } from "node:crypto";
 import { Container, type ServiceIdentifier } from "inversify";
 import { HttpEngineClient } from "../connection/http_engine_client.ts";
 import { HttpPlatformClient } from "../connection/http_platform_client.ts";
@@ -7,9 +8,13 @@
 import { type Logger, ProcessLogger } from "../shared/logger.ts";
 import { Timeline } from "../shared/timeline.ts";
 import { ConfigHolder } from "../version/config_holder.ts";
+import { ConfigRepository } from "../version/config_repository.ts";
+import { type ConfigRules, ListedConfigRules } from "../version/config_rule.ts";
 import { PlacementHolder } from "../version/placement_holder.ts";
 import { ConfigZonePolicy, type ZonePolicy } from "../version/zone_policy.ts";
 import type { Admission } from "./admission.ts";
+import { AgreementTable } from "./agreement_table.ts";
+import { ConfigAnnouncer } from "./config_announcer.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { FreshnessTracker } from "./freshness_tracker.ts";
@@ -17,9 +22,11 @@
 import { GroupHealthTable } from "./group_health.ts";
 import { LocalAdmission } from "./local_admission.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
+import { ExchangeMembership, type Membership } from "./membership.ts";
 import { VmTable } from "./vm_table.ts";
 
 const PEER_TIMEOUT_MS = 1_000;
+const INCARNATION_BYTES = 6;
 
 /** Identifiers of the services that are bound to interfaces. */
 export const SERVICES = {
@@ -28,6 +35,8 @@
   zonePolicy: Symbol("ZonePolicy") as ServiceIdentifier<ZonePolicy>,
   admission: Symbol("Admission") as ServiceIdentifier<Admission>,
   quarantine: Symbol("QuarantineList") as ServiceIdentifier<QuarantineList>,
+  membership: Symbol("Membership") as ServiceIdentifier<Membership>,
+  configRules: Symbol("ConfigRules") as ServiceIdentifier<ConfigRules>,
   context: Symbol("DaemonContext") as ServiceIdentifier<DaemonContext>,
 };
 
@@ -55,6 +64,7 @@
   container.bind(VmTable).toConstantValue(new VmTable());
   container.bind(GroupHealthTable).toConstantValue(new GroupHealthTable());
   bindClients(container, settings);
+  bindState(container, settings);
   bindDecisions(container, settings);
   bindContext(container);
   return container;
@@ -70,9 +80,63 @@
   );
 }
 
+function bindState(container: Container, settings: DaemonSettings): void {
+  const limitMs = settings.freshnessLimitMs;
+  container.bind(SERVICES.membership).toResolvedValue(
+    (vmTable) =>
+      new ExchangeMembership({
+        self: settings.name,
+        zone: settings.zone,
+        vmTable,
+        limitMs,
+      }),
+    [VmTable],
+  );
+  container.bind(AgreementTable).toResolvedValue(
+    (configHolder, membership) =>
+      new AgreementTable({
+        self: settings.name,
+        limitMs,
+        configHolder,
+        getListedNames: () => membership.getListedNames(),
+      }),
+    [ConfigHolder, SERVICES.membership],
+  );
+  container.bind(SERVICES.configRules).toConstantValue(
+    new ListedConfigRules([]),
+  );
+  container.bind(ConfigAnnouncer).toDynamicValue(({ get }) =>
+    new ConfigAnnouncer({
+      settings,
+      logger: get(SERVICES.logger),
+      lifeCycle: get(LifeCycleManager),
+      peerClients: get(HttpPeerClients),
+      vmTable: get(VmTable),
+      membership: get(SERVICES.membership),
+      agreement: get(AgreementTable),
+      configHolder: get(ConfigHolder),
+      healthTable: get(GroupHealthTable),
+    })
+  );
+  container.bind(ConfigRepository).toDynamicValue(({ get }) =>
+    new ConfigRepository({
+      store: get(HttpPlatformClient),
+      configHolder: get(ConfigHolder),
+      rules: get(SERVICES.configRules),
+      spread: get(ConfigAnnouncer),
+      logger: get(SERVICES.logger),
+    })
+  );
+}
+
 function bindDecisions(container: Container, settings: DaemonSettings): void {
-  container.bind(FreshnessTracker).toConstantValue(
-    new FreshnessTracker({ limitMs: settings.freshnessLimitMs }),
+  container.bind(FreshnessTracker).toResolvedValue(
+    (agreement) =>
+      new FreshnessTracker({
+        limitMs: settings.freshnessLimitMs,
+        hasMajority: () => agreement.hasMajority(),
+      }),
+    [AgreementTable],
   );
   container.bind(SERVICES.quarantine).toConstantValue(
     new LocalQuarantineList(),
@@ -123,5 +187,9 @@
     admission: get(SERVICES.admission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
+    incarnation: randomBytes(INCARNATION_BYTES).toString("base64url"),
+    membership: get(SERVICES.membership),
+    agreement: get(AgreementTable),
+    configRepository: get(ConfigRepository),
   }));
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -1,15 +1,24 @@
+import type { Container } from "inversify";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { createCallerApp } from "../connection/caller_app.ts";
 import { HttpServer } from "../connection/http_server.ts";
 import { createOperatorApp } from "../connection/operator_app.ts";
 import { createPeerRouter } from "../connection/peer_router.ts";
+import { ConfigAnnouncer } from "./config_announcer.ts";
 import { createContainer, SERVICES } from "./container.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { GroupMonitorTask } from "./group_monitor_task.ts";
+import { PeerExchangeSupervisor } from "./peer_exchange_task.ts";
 import { PlannerTask } from "./planner_task.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
+/** Options of a daemon. */
+export interface DaemonOptions {
+  /** Changes the parts before the daemon uses them. */
+  readonly configureContainer?: (container: Container) => void;
+}
+
 /** One daemon: its listeners and its tasks. */
 export class Daemon {
   readonly context: DaemonContext;
@@ -17,8 +26,13 @@
   readonly #peer: HttpServer;
   readonly #operator: HttpServer;
 
-  constructor(settings: DaemonSettings) {
-    this.context = createContainer(settings).get(SERVICES.context);
+  readonly #announcer: ConfigAnnouncer;
+
+  constructor(settings: DaemonSettings, options: DaemonOptions = {}) {
+    const container = createContainer(settings);
+    options.configureContainer?.(container);
+    this.context = container.get(SERVICES.context);
+    this.#announcer = container.get(ConfigAnnouncer);
     this.#caller = new HttpServer(createCallerApp(this.context));
     this.#peer = new HttpServer(
       createHTTPHandler({ router: createPeerRouter(this.context) }),
@@ -50,6 +64,8 @@
     lifeCycle.add(this.#operator);
     await this.#caller.listen(settings.caller);
     lifeCycle.add(this.#caller);
+    this.#announcer.start();
+    this.#startTask("peer-exchange", new PeerExchangeSupervisor(this.context));
     this.#startTask("store-sync", new StoreSyncTask(this.context));
     this.#startTask("group-monitor", new GroupMonitorTask(this.context));
     this.#startTask("planner", new PlannerTask(this.context));
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -8,11 +8,14 @@
 import type { ConfigHolder } from "../version/config_holder.ts";
 import type { PlacementHolder } from "../version/placement_holder.ts";
 import type { ZonePolicy } from "../version/zone_policy.ts";
+import type { ConfigRepository } from "../version/config_repository.ts";
 import type { Admission } from "./admission.ts";
+import type { AgreementTable } from "./agreement_table.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import type { FreshnessTracker } from "./freshness_tracker.ts";
 import type { GroupDirectory } from "./group_directory.ts";
 import type { GroupHealthTable } from "./group_health.ts";
+import type { Membership } from "./membership.ts";
 import type { QuarantineList } from "./quarantine_list.ts";
 import type { VmTable } from "./vm_table.ts";
 
@@ -35,4 +38,9 @@
   readonly admission: Admission;
   readonly freshness: FreshnessTracker;
   readonly quarantine: QuarantineList;
+  /** Random id of the process. */
+  readonly incarnation: string;
+  readonly membership: Membership;
+  readonly agreement: AgreementTable;
+  readonly configRepository: ConfigRepository;
 }
--- a/src/process/freshness_tracker.ts
+++ b/src/process/freshness_tracker.ts
@@ -1,13 +1,22 @@
 /** Whether the daemon knows that its configuration is the newest. */
 export type Freshness = "fresh" | "stale";
 
+/** Options of the freshness tracker. */
+export interface FreshnessTrackerOptions {
+  /** Age of the newest store confirmation above which it no longer counts, in milliseconds. */
+  readonly limitMs: number;
+  /** Gets whether a majority of the listed daemons agrees, which stands in for the store during its outage. */
+  readonly hasMajority?: () => boolean;
+}
+
 /** Tracks the age of the newest store confirmation that any daemon is known to have had. */
 export class FreshnessTracker {
-  readonly #limitMs: number;
+  readonly #options: FreshnessTrackerOptions;
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
+  #storeReadAtMs = Number.NEGATIVE_INFINITY;
 
-  constructor(options: { limitMs: number }) {
-    this.#limitMs = options.limitMs;
+  constructor(options: FreshnessTrackerOptions) {
+    this.#options = options;
   }
 
   /**
@@ -22,6 +31,24 @@
     );
   }
 
+  /**
+   * Records that this daemon itself read the store and that it confirmed the current configuration version.
+   *
+   * @param ageMs - Time since the read was sent, in milliseconds.
+   */
+  recordStoreRead(ageMs: number): void {
+    this.#storeReadAtMs = Math.max(
+      this.#storeReadAtMs,
+      performance.now() - ageMs,
+    );
+    this.recordConfirmation(ageMs);
+  }
+
+  /** Gets whether this daemon itself read the store within the limit. */
+  reachesStore(): boolean {
+    return performance.now() - this.#storeReadAtMs <= this.#options.limitMs;
+  }
+
   /** Gets the age of the newest confirmation in milliseconds; infinite before the first one. */
   getAgeMs(): number {
     return performance.now() - this.#confirmedAtMs;
@@ -29,6 +56,7 @@
 
   /** Gets whether new work may be sent to a backend server. */
   getState(): Freshness {
-    return this.getAgeMs() <= this.#limitMs ? "fresh" : "stale";
+    const confirmed = this.getAgeMs() <= this.#options.limitMs;
+    return confirmed || this.#options.hasMajority?.() ? "fresh" : "stale";
   }
 }
--- a/src/process/group_health.ts
+++ b/src/process/group_health.ts
@@ -1,3 +1,6 @@
+import { EventEmitter } from "node:events";
+import { getHash32 } from "../shared/rendezvous_hash.ts";
+
 /**
  * Health of a group as its monitors see it.
  *
@@ -36,6 +39,8 @@
 /** Holds the newest health of each group. */
 export class GroupHealthTable {
   readonly #byGroup = new Map<string, ReceivedGroupHealth>();
+  readonly #emitter = new EventEmitter<{ change: [ReceivedGroupHealth] }>();
+  #digest: number | undefined;
 
   /**
    * Gets the newest health of a group, or undefined when none is known.
@@ -51,6 +56,36 @@
     return [...this.#byGroup.values()];
   }
 
+  /**
+   * Gets the part of a group's health that is spread when it changes; load figures are not part of it.
+   *
+   * @param groupId - Group to look up.
+   */
+  getGroupDigest(groupId: string): string {
+    const health = this.#byGroup.get(groupId);
+    return health === undefined
+      ? ""
+      : `${health.generation} ${health.state} ${health.bootId}`;
+  }
+
+  /** Gets a hash of the health of all groups without load figures and ages. */
+  getDigest(): number {
+    this.#digest ??= getHash32(
+      [...this.#byGroup.keys()].sort()
+        .map((id) => `${id} ${this.getGroupDigest(id)}`).join("|"),
+    );
+    return this.#digest;
+  }
+
+  /**
+   * Calls a function after each change of a group's generation, state or boot id.
+   *
+   * @param listener - Gets the new health.
+   */
+  onChange(listener: (health: ReceivedGroupHealth) => void): void {
+    this.#emitter.on("change", listener);
+  }
+
   /**
    * Takes an observation over if it is newer than the known one: a higher generation, or the same generation and a later observation.
    *
@@ -67,7 +102,13 @@
     if (older) {
       return false;
     }
-    this.#byGroup.set(health.groupId, { ...health, observedAtMs });
+    const digest = this.getGroupDigest(health.groupId);
+    const received = { ...health, observedAtMs };
+    this.#byGroup.set(health.groupId, received);
+    if (this.getGroupDigest(health.groupId) !== digest) {
+      this.#digest = undefined;
+      this.#emitter.emit("change", received);
+    }
     return true;
   }
 
@@ -78,5 +119,6 @@
    */
   remove(groupId: string): void {
     this.#byGroup.delete(groupId);
+    this.#digest = undefined;
   }
 }
--- /dev/null
+++ b/src/process/peer_selection.ts
@@ -0,0 +1,107 @@
+import type { Vm } from "../connection/vm_directory.ts";
+import { getRendezvousOrder } from "../shared/rendezvous_hash.ts";
+
+/** Number of other daemons up to which every daemon exchanges with every other. */
+export const MAX_FULL_MESH_PEERS = 8;
+/** Most daemons that read the store. */
+export const MAX_STORE_READERS = 64;
+const MIN_READERS_PER_ZONE = 2;
+const READER_PEERS = 2;
+
+/** A daemon and the entry VMs that it knows of. */
+export interface PeerSelectionInput {
+  readonly self: string;
+  readonly zone: string;
+  readonly entryVms: readonly Vm[];
+}
+
+/**
+ * Gets the entry VMs that read the store: at most 64, at least 2 a zone as far as that fits.
+ *
+ * @param entryVms - Entry VMs of the VM list.
+ * @example
+ * ```ts
+ * const reads = chooseStoreReaders(vmTable.getEntryVms()).has("entry-1");
+ * ```
+ */
+export function chooseStoreReaders(
+  entryVms: readonly Vm[],
+): ReadonlySet<string> {
+  const live = entryVms.filter((vm) => vm.state === "live");
+  const readers = new Set<string>();
+  const zones = [...new Set(live.map((vm) => vm.zone))].sort();
+  for (const zone of zones) {
+    const names = live.filter((vm) => vm.zone === zone).map((vm) => vm.name);
+    for (
+      const name of getRendezvousOrder("store-reader", names)
+        .slice(0, MIN_READERS_PER_ZONE)
+    ) {
+      readers.add(name);
+    }
+  }
+  const rest = live.map((vm) => vm.name).filter((name) => !readers.has(name));
+  for (const name of getRendezvousOrder("store-reader", rest)) {
+    if (readers.size >= MAX_STORE_READERS) {
+      break;
+    }
+    readers.add(name);
+  }
+  return readers;
+}
+
+/**
+ * Gets the peers that a daemon exchanges with. A small deployment is a full mesh. A larger one uses the next daemon and a chord of the zone's ring, one daemon of another zone, one of another region's zones, and two store readers.
+ *
+ * @param input - The daemon and the entry VMs.
+ * @example
+ * ```ts
+ * const peers = choosePeers({ self: "entry-1", zone: "zone-a", entryVms });
+ * ```
+ */
+export function choosePeers(input: PeerSelectionInput): Vm[] {
+  const others = input.entryVms.filter((vm) => vm.name !== input.self);
+  if (others.length <= MAX_FULL_MESH_PEERS) {
+    return others;
+  }
+  const names = new Set([
+    ...getRingPeers(input),
+    ...getRemotePeers(input),
+    ...getReaderPeers(input),
+  ]);
+  return others.filter((vm) => names.has(vm.name));
+}
+
+function getRingPeers(input: PeerSelectionInput): string[] {
+  const ring = input.entryVms.filter((vm) => vm.zone === input.zone)
+    .map((vm) => vm.name)
+    .concat(input.self);
+  const order = getRendezvousOrder("ring", [...new Set(ring)]);
+  const index = order.indexOf(input.self);
+  const chord = Math.max(2, Math.round(Math.sqrt(order.length)));
+  return [1, chord].map((step) => order[(index + step) % order.length]);
+}
+
+function getRemotePeers(input: PeerSelectionInput): string[] {
+  const zones = [...new Set(input.entryVms.map((vm) => vm.zone))]
+    .filter((zone) => zone !== input.zone);
+  return getRendezvousOrder(input.self, zones).slice(0, 2).flatMap((zone) => {
+    const names = input.entryVms.filter((vm) => vm.zone === zone)
+      .map((vm) => vm.name);
+    return getRendezvousOrder(input.self, names).slice(0, 1);
+  });
+}
+
+function getReaderPeers(input: PeerSelectionInput): string[] {
+  const readers = chooseStoreReaders(input.entryVms);
+  if (readers.has(input.self)) {
+    return [];
+  }
+  const own = input.entryVms.filter((vm) =>
+    vm.zone === input.zone && readers.has(vm.name)
+  );
+  const near = own.length >= READER_PEERS
+    ? own
+    : input.entryVms.filter((vm) => readers.has(vm.name));
+  return getRendezvousOrder(input.self, near.map((vm) => vm.name))
+    .slice(0, READER_PEERS);
+}
--- a/src/process/store_sync_task.ts
+++ b/src/process/store_sync_task.ts
@@ -1,11 +1,23 @@
+import type { StoredObject, WatchEvent } from "../connection/object_store.ts";
 import { delay } from "../shared/delay.ts";
-import { configSchema } from "../version/config_schema.ts";
 import type { DomainPlacement } from "../version/placement.ts";
+import {
+  parseStoredConfig,
+  type StoredConfig,
+} from "../version/stored_config.ts";
 import type { DaemonContext } from "./daemon_context.ts";
+import { chooseStoreReaders } from "./peer_selection.ts";
 
-/** Task that reads configuration, placement and the VM list from the platform. */
+/** Longest wait of one watch. */
+const WATCH_TIMEOUT_MS = 10_000;
+/** A slow store still gets a read in each interval, up to this number at once. */
+const MAX_READS_IN_FLIGHT = 4;
+
+/** Task that reads configuration, placement and the VM list from the platform, if this daemon is a store reader. */
 export class StoreSyncTask {
   readonly #context: DaemonContext;
+  #readsInFlight = 0;
+  #reportedRelation = "";
 
   constructor(context: DaemonContext) {
     this.#context = context;
@@ -13,10 +25,11 @@
 
   /** Runs until the daemon stops. */
   async run(): Promise<void> {
-    const { settings, lifeCycle } = this.#context;
-    do {
-      await this.syncOnce();
-    } while (await delay(settings.exchangeIntervalMs, lifeCycle.signal));
+    await Promise.all([
+      this.#runPolls(),
+      this.#runWatch("config"),
+      this.#runWatch("placement"),
+    ]);
   }
 
   /** Reads everything once. */
@@ -28,39 +41,140 @@
     ]);
   }
 
+  /** Polls give the confirmations, and the changes that a watch delays or skips. */
+  async #runPolls(): Promise<void> {
+    const { settings, lifeCycle } = this.#context;
+    do {
+      if (this.#isReader() && this.#readsInFlight < MAX_READS_IN_FLIGHT) {
+        this.#readsInFlight++;
+        void this.syncOnce().finally(() => this.#readsInFlight--);
+      }
+    } while (await delay(settings.exchangeIntervalMs, lifeCycle.signal));
+  }
+
+  async #runWatch(kind: "config" | "placement"): Promise<void> {
+    const { settings, lifeCycle, store } = this.#context;
+    let sinceRevision = 0;
+    do {
+      while (this.#isReader() && !lifeCycle.signal.aborted) {
+        const result = await store.watch({
+          kind,
+          sinceRevision,
+          timeoutMs: WATCH_TIMEOUT_MS,
+          signal: lifeCycle.signal,
+        });
+        const watched = result.toMaybe().extract();
+        if (watched === undefined) {
+          break;
+        }
+        sinceRevision = watched.revision;
+        watched.events.forEach((event) => this.#applyEvent(kind, event));
+        if (watched.reset) {
+          await this.syncOnce();
+        }
+      }
+    } while (await delay(settings.exchangeIntervalMs, lifeCycle.signal));
+  }
+
+  /** Until a list names this daemon it reads the store, since it may know no peer. */
+  #isReader(): boolean {
+    const { vmTable, settings } = this.#context;
+    const entryVms = vmTable.getEntryVms();
+    return !entryVms.some((vm) => vm.name === settings.name) ||
+      chooseStoreReaders(entryVms).has(settings.name);
+  }
+
+  #applyEvent(kind: "config" | "placement", event: WatchEvent): void {
+    if (event.object === undefined) {
+      return;
+    }
+    if (kind === "placement") {
+      this.#offerPlacement(event.object.version, event.object.value);
+    } else if (event.name === "main") {
+      parseStoredConfig(event.object).ifRight((c) => this.#offerConfig(c));
+    }
+  }
+
   async #syncConfig(): Promise<void> {
-    const { store, configHolder, freshness, logger } = this.#context;
-    const startedAtMs = performance.now();
+    const { store, freshness, agreement, configHolder } = this.#context;
+    const requestedAtMs = performance.now();
+    const versionAtRequest = configHolder.getVersion();
     const result = await store.getObject("config", "main");
     result.ifRight((object) => {
-      const parsed = configSchema.safeParse(object?.value);
-      if (object !== undefined && parsed.success) {
-        if (
-          configHolder.offer({ version: object.version, document: parsed.data })
-        ) {
-          logger.write("info", "config-applied", { version: object.version });
-        }
+      const confirmed = object === undefined
+        ? configHolder.getVersion() === 0
+        : this.#applyConfig(object, versionAtRequest);
+      if (confirmed) {
+        freshness.recordStoreRead(performance.now() - requestedAtMs);
+        agreement.observeConfirmation(requestedAtMs);
       }
-      freshness.recordConfirmation(performance.now() - startedAtMs);
     });
   }
 
+  /**
+   * Applies a configuration that was read. A store that lost versions confirms nothing; the version in force stays.
+   *
+   * @param object - Object that was read.
+   * @param versionAtRequest - Version in force when the read was sent. A version that came by another way meanwhile is no loss.
+   * @returns Whether the store confirms the version in force.
+   */
+  #applyConfig(object: StoredObject, versionAtRequest: number): boolean {
+    const parsed = parseStoredConfig(object);
+    const config = parsed.toMaybe().extract();
+    if (config === undefined) {
+      this.#reportRelation("invalid", object.version, String(parsed.extract()));
+      return false;
+    }
+    const relation = this.#context.configHolder.compare(config);
+    this.#offerConfig(config);
+    const overtaken = relation === "reverted" &&
+      config.version >= versionAtRequest;
+    this.#reportRelation(overtaken ? "same" : relation, config.version);
+    return overtaken || relation === "newer" || relation === "same";
+  }
+
+  #offerConfig(config: StoredConfig): void {
+    const { configHolder, logger } = this.#context;
+    if (configHolder.offer(config)) {
+      logger.write("info", "config-applied", {
+        version: config.version,
+        source: "store",
+      });
+    }
+  }
+
+  #reportRelation(relation: string, version: number, message?: string): void {
+    const faulty = relation !== "newer" && relation !== "same";
+    if (faulty && relation !== this.#reportedRelation) {
+      this.#context.logger.write("error", `config-${relation}`, {
+        storeVersion: version,
+        versionInForce: this.#context.configHolder.getVersion(),
+        message,
+      });
+    }
+    this.#reportedRelation = relation;
+  }
+
   async #syncPlacement(): Promise<void> {
-    const { store, placementHolder } = this.#context;
-    const result = await store.listObjects("placement");
+    const result = await this.#context.store.listObjects("placement");
     result.ifRight((objects) => {
       for (const object of objects) {
-        placementHolder.offer({
-          objectVersion: object.version,
-          placement: object.value as DomainPlacement,
-        });
+        this.#offerPlacement(object.version, object.value);
       }
     });
   }
 
+  #offerPlacement(objectVersion: number, value: unknown): void {
+    const placement = value as DomainPlacement;
+    this.#context.placementHolder.offer({ objectVersion, placement });
+  }
+
   async #syncVms(): Promise<void> {
     const { vmDirectory, vmTable } = this.#context;
+    const requestedAtMs = performance.now();
     const result = await vmDirectory.getVms();
-    result.ifRight((vms) => vmTable.replace(vms));
+    result.ifRight((vms) =>
+      vmTable.replace(vms, performance.now() - requestedAtMs)
+    );
   }
 }
--- a/src/process/vm_table.ts
+++ b/src/process/vm_table.ts
@@ -1,8 +1,12 @@
 import type { Vm } from "../connection/vm_directory.ts";
+import { getHash32 } from "../shared/rendezvous_hash.ts";
 
 /** Holds the newest list of VMs that the platform or a peer gave. */
 export class VmTable {
   #byName = new Map<string, Vm>();
+  #entryVms: Vm[] = [];
+  #digest = 0;
+  #readAtMs = Number.NEGATIVE_INFINITY;
 
   /** Gets all VMs. */
   getVms(): Vm[] {
@@ -20,7 +24,7 @@
 
   /** Gets the entry VMs. */
   getEntryVms(): Vm[] {
-    return this.getVms().filter((vm) => vm.role === "entry");
+    return [...this.#entryVms];
   }
 
   /** Gets the backend servers. */
@@ -28,12 +32,41 @@
     return this.getVms().filter((vm) => vm.role === "backend");
   }
 
+  /** Gets a hash of the list, which equal lists share. */
+  getDigest(): number {
+    return this.#digest;
+  }
+
+  /** Gets the time since the list was read from the platform in milliseconds; infinite before the first list. */
+  getAgeMs(): number {
+    return performance.now() - this.#readAtMs;
+  }
+
   /**
-   * Replaces the list.
+   * Replaces the list, unless it was read before the current one.
    *
    * @param vms - VMs as the platform lists them.
+   * @param ageMs - Time since the list was read from the platform, in milliseconds.
    */
-  replace(vms: readonly Vm[]): void {
+  replace(vms: readonly Vm[], ageMs = 0): void {
+    const readAtMs = performance.now() - ageMs;
+    if (readAtMs < this.#readAtMs) {
+      return;
+    }
+    this.#readAtMs = readAtMs;
+    const digest = getListDigest(vms);
+    if (digest === this.#digest && vms.length === this.#byName.size) {
+      return;
+    }
+    this.#digest = digest;
     this.#byName = new Map(vms.map((vm) => [vm.name, vm]));
+    this.#entryVms = this.getVms().filter((vm) => vm.role === "entry");
   }
 }
+
+function getListDigest(vms: readonly Vm[]): number {
+  const lines = vms.map((vm) =>
+    [vm.name, vm.role, vm.address, vm.zone, vm.fabricDomain, vm.state].join()
+  );
+  return getHash32(lines.sort().join("|"));
+}
--- a/src/version/config_holder.ts
+++ b/src/version/config_holder.ts
@@ -1,11 +1,21 @@
 import { EventEmitter } from "node:events";
 import { getDefinedOrThrow } from "../shared/errors.ts";
+import { getCanonicalDigest } from "./canonical_json.ts";
 import type { VersionedConfig } from "./config_schema.ts";
 
+/**
+ * How an offered configuration relates to the current one.
+ *
+ * - `reverted`: an older version, as after a restore of the store.
+ * - `conflicting`: the same version with other content.
+ */
+export type ConfigRelation = "newer" | "same" | "reverted" | "conflicting";
+
 /** Holds the newest accepted configuration. Its version only rises. */
 export class ConfigHolder {
   readonly #emitter = new EventEmitter<{ change: [VersionedConfig] }>();
   #current: VersionedConfig | undefined;
+  #digest = "";
 
   /** Gets the newest configuration, or undefined before the first one. */
   getCurrent(): VersionedConfig | undefined {
@@ -29,6 +39,23 @@
     return this.#current?.version ?? 0;
   }
 
+  /** Gets the digest of the newest configuration, or an empty text before the first one. */
+  getDigest(): string {
+    return this.#digest;
+  }
+
+  /**
+   * Compares a configuration with the current one.
+   *
+   * @param config - Version and digest of the other configuration.
+   */
+  compare(config: { version: number; digest: string }): ConfigRelation {
+    if (config.version !== this.getVersion()) {
+      return config.version > this.getVersion() ? "newer" : "reverted";
+    }
+    return this.#digest === config.digest ? "same" : "conflicting";
+  }
+
   /**
    * Takes a configuration over if it is newer than the current one.
    *
@@ -39,8 +66,9 @@
     if (config.version <= this.getVersion()) {
       return false;
     }
-    this.#current = config;
-    this.#emitter.emit("change", config);
+    this.#digest = config.digest ?? getCanonicalDigest(config.document);
+    this.#current = { ...config, digest: this.#digest };
+    this.#emitter.emit("change", this.#current);
     return true;
   }
 
--- /dev/null
+++ b/src/version/config_repository.ts
@@ -0,0 +1,394 @@
+import { randomUUID } from "node:crypto";
+import { type Either, Left, Right } from "purify-ts";
+import type {
+  ObjectStore,
+  StoredObject,
+  StoreUnavailableError,
+  WriteOutcome,
+} from "../connection/object_store.ts";
+import { delay } from "../shared/delay.ts";
+import { getErrorMessage } from "../shared/errors.ts";
+import type { Logger } from "../shared/logger.ts";
+import { getCanonicalDigest } from "./canonical_json.ts";
+import { type ConfigDifference, getConfigDiff } from "./config_diff.ts";
+import type { ConfigHolder } from "./config_holder.ts";
+import type { ConfigFault, ConfigRules } from "./config_rule.ts";
+import {
+  type ConfigDocument,
+  configSchema,
+  type VersionedConfig,
+} from "./config_schema.ts";
+import type { ConfigSpread, InForceReport } from "./config_spread.ts";
+import {
+  type ConfigEnvelope,
+  parseStoredConfig,
+  type StoredConfig,
+} from "./stored_config.ts";
+
+const CONFIG_KIND = "config";
+const CONFIG_NAME = "main";
+const HISTORY_KIND = "config-history";
+/** Earlier versions that are kept. */
+export const MAX_HISTORY_VERSIONS = 100;
+const READ_BACK_ATTEMPTS = 5;
+const READ_BACK_DELAY_MS = 300;
+
+/**
+ * Result of an attempt to accept a document.
+ *
+ * - `accepted`: the document is the newest version.
+ * - `invalid`: it breaks the schema or a rule; nothing was written.
+ * - `conflict`: another version was accepted since the base version; nothing was written.
+ * - `unavailable`: nothing was written, since the store or a majority of the daemons did not answer.
+ * - `unknown`: the write has no answer and could not be read back; it may have taken effect.
+ */
+export type AcceptResult =
+  | AcceptedResult
+  | { readonly outcome: "invalid"; readonly faults: readonly ConfigFault[] }
+  | ConflictResult
+  | { readonly outcome: "unavailable"; readonly message: string }
+  | {
+    readonly outcome: "unknown";
+    readonly version: number;
+    readonly message: string;
+  };
+
+/** Acceptance with the daemons on which the version is in force. */
+export interface AcceptedResult extends InForceReport {
+  readonly outcome: "accepted";
+  readonly version: number;
+  readonly digest: string;
+}
+
+/** Another change that came first. */
+export interface ConflictResult {
+  readonly outcome: "conflict";
+  /** Version in force. */
+  readonly winner: VersionedConfig;
+  /** Differences from the version in force to the refused document. */
+  readonly diff: readonly ConfigDifference[];
+}
+
+/** Parts of the repository. */
+export interface ConfigRepositoryOptions {
+  readonly store: ObjectStore;
+  readonly configHolder: ConfigHolder;
+  readonly rules: ConfigRules;
+  readonly spread: ConfigSpread;
+  readonly logger: Logger;
+}
+
+interface CurrentConfig {
+  readonly objectVersion: number;
+  readonly object: StoredObject | undefined;
+  readonly stored: StoredConfig | undefined;
+  /** The newer one of the stored and the held configuration. */
+  readonly newest: VersionedConfig | undefined;
+}
+
+/** Accepts configuration documents and keeps their history. */
+export class ConfigRepository {
+  readonly #options: ConfigRepositoryOptions;
+
+  constructor(options: ConfigRepositoryOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Validates a document and makes it the newest version by one conditional write.
+   *
+   * @param value - Document as parsed JSON.
+   * @param options - Version that the operator changed; the newest one when left out.
+   * @example
+   * ```ts
+   * const result = await repository.accept(document, { baseVersion: 4 });
+   * ```
+   */
+  async accept(
+    value: unknown,
+    options: { baseVersion?: number } = {},
+  ): Promise<AcceptResult> {
+    const parsed = configSchema.safeParse(value);
+    if (!parsed.success) {
+      const faults = parsed.error.issues.map((issue) => ({
+        path: issue.path.join("."),
+        message: issue.message,
+      }));
+      return { outcome: "invalid", faults };
+    }
+    const current = (await this.#readCurrent()).mapLeft((e) => e.message);
+    return await current.caseOf<Promise<AcceptResult>>({
+      Left: (message) => Promise.resolve({ outcome: "unavailable", message }),
+      Right: (c) => this.#acceptOn(c, parsed.data, options.baseVersion),
+    });
+  }
+
+  /**
+   * Accepts the document of an earlier version as a new version.
+   *
+   * @param version - Earlier version.
+   * @param options - Version that the operator saw as the newest.
+   */
+  async acceptEarlier(
+    version: number,
+    options: { baseVersion?: number } = {},
+  ): Promise<AcceptResult> {
+    const earlier = await this.getVersion(version);
+    return await earlier.caseOf<Promise<AcceptResult>>({
+      Left: (error) =>
+        Promise.resolve({ outcome: "unavailable", message: error.message }),
+      Right: (config) =>
+        config === undefined
+          ? Promise.resolve({
+            outcome: "invalid",
+            faults: [{
+              path: "",
+              message: `Version ${version} is not in the history`,
+            }],
+          })
+          : this.accept(config.document, options),
+    });
+  }
+
+  /**
+   * Gets a version from the history or the newest one, or undefined when it is not kept.
+   *
+   * @param version - Version to look up.
+   */
+  async getVersion(
+    version: number,
+  ): Promise<Either<StoreUnavailableError, StoredConfig | undefined>> {
+    const { store } = this.#options;
+    const main = await store.getObject(CONFIG_KIND, CONFIG_NAME);
+    if (main.isLeft()) {
+      return Left(main.extract() as StoreUnavailableError);
+    }
+    const newest = parseObject(main.unsafeCoerce());
+    if (newest?.version === version) {
+      return Right(newest);
+    }
+    const object = await store.getObject(HISTORY_KIND, String(version));
+    return object.map(parseObject);
+  }
+
+  /** Lists the kept earlier versions, newest first. */
+  async listVersions(): Promise<Either<StoreUnavailableError, StoredConfig[]>> {
+    const objects = await this.#options.store.listObjects(HISTORY_KIND);
+    return objects.map((list) =>
+      list.map(parseObject)
+        .filter((config) => config !== undefined)
+        .sort((a, b) => b.version - a.version)
+    );
+  }
+
+  async #acceptOn(
+    current: CurrentConfig,
+    document: ConfigDocument,
+    baseVersion: number | undefined,
+  ): Promise<AcceptResult> {
+    const { rules, spread } = this.#options;
+    const { newest } = current;
+    if (baseVersion !== undefined && baseVersion !== (newest?.version ?? 0)) {
+      return createConflict(newest, document);
+    }
+    const faults = rules.checkChange({ document, current: newest?.document });
+    if (faults.length > 0) {
+      return { outcome: "invalid", faults };
+    }
+    const version = 1 + Math.max(
+      current.objectVersion,
+      current.stored?.version ?? 0,
+      newest?.version ?? 0,
+    );
+    if (!await spread.requestMajority(version)) {
+      return {
+        outcome: "unavailable",
+        message:
+          "No majority of the listed daemons can be reached; nothing was written",
+      };
+    }
+    if (!await this.#keepHistory(current)) {
+      return {
+        outcome: "unavailable",
+        message: "The version in force cannot be copied to the history",
+      };
+    }
+    const envelope: ConfigEnvelope = {
+      version,
+      digest: getCanonicalDigest(document),
+      acceptId: randomUUID(),
+      acceptedAt: new Date().toISOString(),
+      document,
+    };
+    return await this.#write(current, envelope, document);
+  }
+
+  async #write(
+    current: CurrentConfig,
+    envelope: ConfigEnvelope,
+    document: ConfigDocument,
+  ): Promise<AcceptResult> {
+    const written = await this.#options.store.putObject({
+      kind: CONFIG_KIND,
+      name: CONFIG_NAME,
+      value: envelope,
+      expectedVersion: current.objectVersion,
+    });
+    const outcome = written.outcome === "unknown"
+      ? await this.#readBack(current, envelope)
+      : written;
+    if (outcome.outcome === "unknown") {
+      return {
+        outcome: "unknown",
+        version: envelope.version,
+        message: outcome.message,
+      };
+    }
+    if (outcome.outcome === "conflict") {
+      const winner = await this.#readCurrent();
+      return createConflict(
+        winner.toMaybe().extract()?.newest ?? current.newest,
+        document,
+      );
+    }
+    return await this.#completeAccept(envelope, document);
+  }
+
+  async #completeAccept(
+    envelope: ConfigEnvelope,
+    document: ConfigDocument,
+  ): Promise<AcceptResult> {
+    const { configHolder, spread, logger } = this.#options;
+    const { version, digest } = envelope;
+    logger.write("info", "config-accepted", { version, digest });
+    configHolder.offer({ version, digest, document });
+    const report = await spread.collectInForce(version);
+    await this.#trimHistory();
+    return { outcome: "accepted", version, digest, ...report };
+  }
+
+  async #readCurrent(): Promise<Either<StoreUnavailableError, CurrentConfig>> {
+    const { store, configHolder } = this.#options;
+    const result = await store.getObject(CONFIG_KIND, CONFIG_NAME);
+    return result.map((object) => {
+      const stored = parseObject(object);
+      const held = configHolder.getCurrent();
+      const newest = (stored?.version ?? 0) > (held?.version ?? 0)
+        ? stored
+        : held ?? stored;
+      return { objectVersion: object?.version ?? 0, object, stored, newest };
+    });
+  }
+
+  /** The write may have taken effect, or may even have been followed by another one. */
+  async #readBack(
+    current: CurrentConfig,
+    envelope: ConfigEnvelope,
+  ): Promise<WriteOutcome> {
+    const { store } = this.#options;
+    let message = "The store does not answer";
+    for (let attempt = 1; attempt <= READ_BACK_ATTEMPTS; attempt++) {
+      await delay(READ_BACK_DELAY_MS * attempt);
+      const main = await store.getObject(CONFIG_KIND, CONFIG_NAME);
+      if (main.isLeft()) {
+        message = getErrorMessage(main.extract());
+        continue;
+      }
+      const object = main.unsafeCoerce();
+      if (parseObject(object)?.acceptId === envelope.acceptId) {
+        return { outcome: "written", version: object!.version };
+      }
+      if ((object?.version ?? 0) !== current.objectVersion) {
+        return await this.#readBackHistory(envelope);
+      }
+      // The write may still be on its way. Writing again settles it, since only one of the two can match the condition.
+      const again = await store.putObject({
+        kind: CONFIG_KIND,
+        name: CONFIG_NAME,
+        value: envelope,
+        expectedVersion: current.objectVersion,
+      });
+      if (again.outcome === "written") {
+        return again;
+      }
+    }
+    return { outcome: "unknown", message };
+  }
+
+  async #readBackHistory(envelope: ConfigEnvelope): Promise<WriteOutcome> {
+    const object = await this.#options.store.getObject(
+      HISTORY_KIND,
+      String(envelope.version),
+    );
+    return object.caseOf<WriteOutcome>({
+      Left: (error) => ({ outcome: "unknown", message: error.message }),
+      Right: (kept) =>
+        parseObject(kept)?.acceptId === envelope.acceptId
+          ? { outcome: "written", version: envelope.version }
+          : { outcome: "conflict" },
+    });
+  }
+
+  /** Copies the stored version before it is replaced, so that every version but the newest is in the history. */
+  async #keepHistory(current: CurrentConfig): Promise<boolean> {
+    const { stored, object } = current;
+    if (stored === undefined || object === undefined) {
+      return true;
+    }
+    const value: ConfigEnvelope = stored.acceptId === undefined
+      ? {
+        version: stored.version,
+        digest: getCanonicalDigest(object.value),
+        acceptId: "",
+        acceptedAt: "",
+        document: object.value,
+      }
+      : object.value as ConfigEnvelope;
+    const name = String(stored.version);
+    const outcome = await this.#options.store.putObject({
+      kind: HISTORY_KIND,
+      name,
+      value,
+      expectedVersion: 0,
+    });
+    if (outcome.outcome === "written") {
+      return true;
+    }
+    const kept = await this.#options.store.getObject(HISTORY_KIND, name);
+    return kept.toMaybe().extract() !== undefined;
+  }
+
+  async #trimHistory(): Promise<void> {
+    const { store, logger } = this.#options;
+    const objects = (await store.listObjects(HISTORY_KIND)).orDefault([]);
+    const oldest = objects
+      .sort((a, b) => Number(b.name) - Number(a.name))
+      .slice(MAX_HISTORY_VERSIONS);
+    for (const { kind, name, version } of oldest) {
+      await store.deleteObject({ kind, name, expectedVersion: version });
+      logger.write("debug", "config-history-trimmed", { version: name });
+    }
+  }
+}
+
+function parseObject(
+  object: StoredObject | undefined,
+): StoredConfig | undefined {
+  return object === undefined
+    ? undefined
+    : parseStoredConfig(object).toMaybe().extract();
+}
+
+function createConflict(
+  winner: VersionedConfig | undefined,
+  document: ConfigDocument,
+): AcceptResult {
+  if (winner === undefined) {
+    return {
+      outcome: "unavailable",
+      message: "The base version does not exist and no version is in force",
+    };
+  }
+  const diff = getConfigDiff(winner.document, document);
+  return { outcome: "conflict", winner, diff };
+}
--- a/src/version/config_schema.ts
+++ b/src/version/config_schema.ts
@@ -171,4 +171,6 @@
   /** Version, which only rises. */
   readonly version: number;
   readonly document: ConfigDocument;
+  /** SHA-256 digest of the document as it was stored; computed when absent. */
+  readonly digest?: string;
 }
--- a/src/version/placement_holder.ts
+++ b/src/version/placement_holder.ts
@@ -1,10 +1,12 @@
 import { EventEmitter } from "node:events";
+import { getHash32 } from "../shared/rendezvous_hash.ts";
 import type { PlacedGroup, VersionedPlacement } from "./placement.ts";
 
 /** Holds the newest placement of each fabric domain. Object versions only rise. */
 export class PlacementHolder {
   readonly #byDomain = new Map<string, VersionedPlacement>();
   readonly #emitter = new EventEmitter<{ change: [VersionedPlacement] }>();
+  #digest: number | undefined;
 
   /**
    * Gets the placement of a fabric domain, or undefined when none is known.
@@ -42,6 +44,16 @@
     return undefined;
   }
 
+  /** Gets a hash of the object versions, which holders with the same placements share. */
+  getDigest(): number {
+    this.#digest ??= getHash32(
+      [...this.#byDomain]
+        .map(([domain, p]) => `${domain}@${p.objectVersion}`)
+        .sort().join("|"),
+    );
+    return this.#digest;
+  }
+
   /**
    * Takes a placement over if its object version is newer.
    *
@@ -55,6 +67,7 @@
       return false;
     }
     this.#byDomain.set(domain, placement);
+    this.#digest = undefined;
     this.#emitter.emit("change", placement);
     return true;
   }
--- /dev/null
+++ b/src/version/stored_config.ts
@@ -0,0 +1,56 @@
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import type { StoredObject } from "../connection/object_store.ts";
+import { getCanonicalDigest } from "./canonical_json.ts";
+import { configSchema, type VersionedConfig } from "./config_schema.ts";
+
+const envelopeSchema = z.strictObject({
+  version: z.number().int().min(1),
+  digest: z.string(),
+  acceptId: z.string(),
+  acceptedAt: z.string(),
+  document: z.unknown(),
+});
+
+/** Value of the objects `config/main` and `config-history/<version>`. */
+export type ConfigEnvelope = z.infer<typeof envelopeSchema>;
+
+/** Configuration as read from the store. */
+export interface StoredConfig extends VersionedConfig {
+  readonly digest: string;
+  /** Random id of the acceptance; absent when the document was stored without an envelope. */
+  readonly acceptId?: string;
+}
+
+/**
+ * Parses a stored configuration. A bare document, as written by a first set-up, has the version of its object.
+ *
+ * @param object - Object `config/main` or `config-history/<version>`.
+ * @returns The configuration, or the reason why it cannot be used.
+ * @example
+ * ```ts
+ * parseStoredConfig(object).ifRight((config) => holder.offer(config));
+ * ```
+ */
+export function parseStoredConfig(
+  object: StoredObject,
+): Either<string, StoredConfig> {
+  const envelope = envelopeSchema.safeParse(object.value);
+  const raw = envelope.success ? envelope.data.document : object.value;
+  const digest = getCanonicalDigest(raw);
+  if (envelope.success && envelope.data.digest !== digest) {
+    return Left("The digest of the stored configuration does not match");
+  }
+  const document = configSchema.safeParse(raw);
+  if (!document.success) {
+    return Left(
+      `The stored configuration is invalid: ${document.error.message}`,
+    );
+  }
+  return Right({
+    version: envelope.success ? envelope.data.version : object.version,
+    digest,
+    document: document.data,
+    acceptId: envelope.success ? envelope.data.acceptId : undefined,
+  });
+}
