--- a/src/connection/peer_clients.ts
+++ b/src/connection/peer_clients.ts
@@ -1,4 +1,5 @@
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { type PeerFetch, PeerHttp } from "./peer_http.ts";
 import type { PeerRouter } from "./peer_router.ts";
 
 /** Typed client of the peer port of one daemon. */
@@ -14,13 +15,24 @@
   getClient(address: string): PeerClient;
 }
 
-/** Peer clients that use tRPC over HTTP. Connections are kept alive by the runtime. */
+/** Options of the peer clients. */
+export interface HttpPeerClientsOptions {
+  readonly timeoutMs: number;
+  /** Sends the requests; the daemon's own HTTP client when left out. */
+  readonly fetch?: PeerFetch;
+}
+
+/** Peer clients that use tRPC over HTTP with connections that are kept alive. */
 export class HttpPeerClients implements PeerClients {
   readonly #timeoutMs: number;
+  readonly #fetch: PeerFetch;
+  readonly #http = new PeerHttp();
   readonly #byAddress = new Map<string, PeerClient>();
 
-  constructor(options: { timeoutMs: number }) {
+  constructor(options: HttpPeerClientsOptions) {
     this.#timeoutMs = options.timeoutMs;
+    this.#fetch = options.fetch ??
+      ((url, init) => this.#http.request(url, init));
   }
 
   getClient(address: string): PeerClient {
@@ -32,8 +44,9 @@
       links: [httpLink({
         url: `http://${address}`,
         fetch: (url, init) =>
-          fetch(url, {
-            ...init as RequestInit,
+          this.#fetch(String(url), {
+            method: init?.method,
+            body: init?.body,
             signal: this.#createSignal(init?.signal ?? undefined),
           }),
       })],
@@ -42,6 +55,11 @@
     return client;
   }
 
+  /** Closes the idle connections. */
+  dispose(): void {
+    this.#http.dispose();
+  }
+
   #createSignal(signal: AbortSignal | undefined): AbortSignal {
     const timeout = AbortSignal.timeout(this.#timeoutMs);
     return signal === undefined ? timeout : AbortSignal.any([signal, timeout]);
--- /dev/null
+++ b/src/process/agreement_table_test.ts
@@ -0,0 +1,118 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { ConfigHolder } from "../version/config_holder.ts";
+import { configSchema } from "../version/config_schema.ts";
+import { AgreementTable, PREPARED_EXPIRY_MS } from "./agreement_table.ts";
+
+const LIMIT_MS = 3_000;
+const NAMES = ["a", "b", "c", "d", "e"];
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+interface Started {
+  readonly table: AgreementTable;
+  readonly configHolder: ConfigHolder;
+}
+
+function createTable(self: string, version = 1, names = NAMES): Started {
+  const configHolder = new ConfigHolder();
+  offerVersion(configHolder, version);
+  const table = new AgreementTable({
+    self,
+    limitMs: LIMIT_MS,
+    configHolder,
+    getListedNames: () => names,
+  });
+  return { table, configHolder };
+}
+
+function offerVersion(configHolder: ConfigHolder, version: number): void {
+  const document = configSchema.parse({
+    schemaVersion: 1,
+    zones: [{ name: "zone-a", region: "region-1" }],
+    clientAccounts: [{ name: "a", apiKeySha256: ["0".repeat(64)] }],
+    clockSkewMarginMs: version,
+  });
+  configHolder.offer({ version, document });
+}
+
+function mergeNow(to: Started, from: Started): void {
+  to.table.mergeReport(from.table.getReport(), performance.now());
+}
+
+describe("hasMajority", () => {
+  // Guards against a minority that serves during an outage.
+  it("needs more than half of the listed daemons", () => {
+    const a = createTable("a");
+    mergeNow(a, createTable("b"));
+    expect(a.table.hasMajority()).toBe(false);
+    mergeNow(a, createTable("c"));
+    expect(a.table.hasMajority()).toBe(true);
+    vi.advanceTimersByTime(LIMIT_MS + 1);
+    expect(a.table.hasMajority()).toBe(false);
+  });
+
+  // Guards against a report that gets younger on its way over several daemons.
+  it("adds up the ages over several daemons", () => {
+    const a = createTable("a");
+    const b = createTable("b");
+    mergeNow(b, createTable("c"));
+    vi.advanceTimersByTime(2_000);
+    mergeNow(a, b);
+    expect(a.table.countAgreeing()).toBe(3);
+    vi.advanceTimersByTime(1_001);
+    expect(a.table.countAgreeing()).toBe(2);
+  });
+
+  // Guards against counting daemons that have another configuration or another list.
+  it.each([
+    ["another version", createTable("b", 2), 1],
+    ["another list", createTable("b", 1, ["a", "b"]), 1],
+    ["the same state", createTable("b"), 2],
+  ])("with a peer that has %s", (_name, peer, expected) => {
+    const a = createTable("a");
+    mergeNow(a, peer);
+    expect(a.table.countAgreeing()).toBe(expected);
+  });
+
+  // Guards against a majority for a version of which a newer one is known.
+  it("is void until a newer version that was heard of is in force", () => {
+    const a = createTable("a");
+    mergeNow(a, createTable("b"));
+    mergeNow(a, createTable("c"));
+    a.table.observeVersion(2);
+    expect(a.table.hasMajority()).toBe(false);
+    offerVersion(a.configHolder, 2);
+    expect(a.table.takesPart()).toBe(true);
+    expect(a.table.countAgreeing()).toBe(1);
+  });
+
+  // Guards against service with the old version while a prepared one may be accepted.
+  it("is void after a preparation until a later confirmation", () => {
+    const a = createTable("a");
+    a.table.recordPrepared(2);
+    a.table.observeConfirmation(performance.now() + 1);
+    expect(a.table.takesPart()).toBe(false);
+    a.table.observeConfirmation(performance.now() + PREPARED_EXPIRY_MS + 1);
+    expect(a.table.takesPart()).toBe(true);
+  });
+});
+
+describe("mergeReport", () => {
+  // Guards against a paused process that takes a queue of old answers for new ones.
+  it("counts the age from the request, not from the arrival", () => {
+    const a = createTable("a");
+    const b = createTable("b");
+    const c = createTable("c");
+    const requestedAtMs = performance.now();
+    const answers = [b.table.getReport(), c.table.getReport()];
+    vi.advanceTimersByTime(LIMIT_MS + 1);
+    answers.forEach((answer) => a.table.mergeReport(answer, requestedAtMs));
+    expect(a.table.countAgreeing()).toBe(1);
+  });
+});
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -75,9 +75,9 @@
     new HttpPlatformClient({ url: settings.platformUrl }),
   );
   container.bind(HttpEngineClient).toConstantValue(new HttpEngineClient());
-  container.bind(HttpPeerClients).toConstantValue(
-    new HttpPeerClients({ timeoutMs: PEER_TIMEOUT_MS }),
-  );
+  const peerClients = new HttpPeerClients({ timeoutMs: PEER_TIMEOUT_MS });
+  container.get(LifeCycleManager).add(peerClients);
+  container.bind(HttpPeerClients).toConstantValue(peerClients);
 }
 
 function bindState(container: Container, settings: DaemonSettings): void {
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -1,9 +1,8 @@
 import type { Container } from "inversify";
-import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { createCallerApp } from "../connection/caller_app.ts";
 import { HttpServer } from "../connection/http_server.ts";
 import { createOperatorApp } from "../connection/operator_app.ts";
-import { createPeerRouter } from "../connection/peer_router.ts";
+import { createPeerApp } from "../connection/peer_app.ts";
 import { ConfigAnnouncer } from "./config_announcer.ts";
 import { createContainer, SERVICES } from "./container.ts";
 import type { DaemonContext } from "./daemon_context.ts";
@@ -34,9 +33,7 @@
     this.context = container.get(SERVICES.context);
     this.#announcer = container.get(ConfigAnnouncer);
     this.#caller = new HttpServer(createCallerApp(this.context));
-    this.#peer = new HttpServer(
-      createHTTPHandler({ router: createPeerRouter(this.context) }),
-    );
+    this.#peer = new HttpServer(createPeerApp(this.context));
     this.#operator = new HttpServer(createOperatorApp(this.context));
   }
 
--- /dev/null
+++ b/src/process/freshness_tracker_test.ts
@@ -0,0 +1,62 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { FreshnessTracker } from "./freshness_tracker.ts";
+
+const LIMIT_MS = 3_000;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+describe("getState", () => {
+  // Guards against new work with a configuration that nobody confirmed within the limit.
+  it.each(
+    [
+      ["no confirmation", undefined, 0, "stale"],
+      ["a young confirmation", 0, LIMIT_MS, "fresh"],
+      ["an old confirmation", 0, LIMIT_MS + 1, "stale"],
+      ["a confirmation that was old when it came", 2_000, 1_001, "stale"],
+    ] as const,
+  )("with %s", (_name, ageMs, waitMs, expected) => {
+    const tracker = new FreshnessTracker({ limitMs: LIMIT_MS });
+    if (ageMs !== undefined) {
+      tracker.recordConfirmation(ageMs);
+    }
+    vi.advanceTimersByTime(waitMs);
+    expect(tracker.getState()).toBe(expected);
+  });
+
+  // Guards against an older confirmation that replaces a newer one.
+  it("keeps the newest confirmation", () => {
+    const tracker = new FreshnessTracker({ limitMs: LIMIT_MS });
+    tracker.recordConfirmation(0);
+    tracker.recordConfirmation(10_000);
+    expect(tracker.getAgeMs()).toBe(0);
+  });
+
+  // Guards against service during an outage without a majority.
+  it("depends on the majority without a confirmation", () => {
+    let majority = true;
+    const tracker = new FreshnessTracker({
+      limitMs: LIMIT_MS,
+      hasMajority: () => majority,
+    });
+    expect(tracker.getState()).toBe("fresh");
+    majority = false;
+    expect(tracker.getState()).toBe("stale");
+  });
+});
+
+describe("reachesStore", () => {
+  // Guards against a daemon that reports its peers' reads as its own.
+  it("counts only this daemon's reads", () => {
+    const tracker = new FreshnessTracker({ limitMs: LIMIT_MS });
+    tracker.recordConfirmation(0);
+    expect(tracker.reachesStore()).toBe(false);
+    tracker.recordStoreRead(0);
+    expect(tracker.reachesStore()).toBe(true);
+  });
+});
--- /dev/null
+++ b/src/process/membership_test.ts
@@ -0,0 +1,96 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { Vm, VmState } from "../connection/vm_directory.ts";
+import { ExchangeMembership } from "./membership.ts";
+import { VmTable } from "./vm_table.ts";
+
+const LIMIT_MS = 3_000;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+function createVm(name: string, state: VmState = "live"): Vm {
+  return { name, role: "entry", address: `${name}:1`, zone: "zone-a", state };
+}
+
+function createMembership(vms: readonly Vm[]): ExchangeMembership {
+  const vmTable = new VmTable();
+  vmTable.replace(vms);
+  return new ExchangeMembership({
+    self: "a",
+    zone: "zone-a",
+    vmTable,
+    limitMs: LIMIT_MS,
+  });
+}
+
+function createReport(incarnation: string, leaving = false) {
+  return {
+    name: "b",
+    incarnation,
+    leaving,
+    configVersion: 1,
+    heardAtMs: performance.now(),
+  };
+}
+
+describe("getState", () => {
+  // Guards against a lost daemon that still counts, and a leaving one that gets work.
+  it.each(
+    [
+      ["alive", "live", false, LIMIT_MS],
+      ["suspect", "live", false, LIMIT_MS + 1],
+      ["unreachable", "live", false, LIMIT_MS * 3 + 1],
+      ["leaving", "leaving", false, 0],
+      ["leaving", "live", true, 0],
+    ] as const,
+  )(
+    "gives %s (listed as %s, says leaving: %s) after %s ms",
+    (expected, listed, leaving, waitMs) => {
+      const membership = createMembership([
+        createVm("a"),
+        createVm("b", listed),
+      ]);
+      expect(membership.getState("b")).toBe(
+        listed === "leaving" ? "leaving" : "unreachable",
+      );
+      membership.recordReport(createReport("1", leaving));
+      vi.advanceTimersByTime(waitMs);
+      expect(membership.getState("b")).toBe(expected);
+    },
+  );
+});
+
+describe("recordReport", () => {
+  // Guards against taking a replaced daemon of the same name for the old one.
+  it("tells a new process of the same name apart", () => {
+    const membership = createMembership([createVm("a"), createVm("b")]);
+    expect(membership.recordReport(createReport("1"))).toBe(true);
+    expect(membership.recordReport(createReport("1"))).toBe(false);
+    expect(membership.recordReport(createReport("2"))).toBe(true);
+    expect(membership.getReport("b")?.incarnation).toBe("2");
+  });
+
+  // Guards against an answer that arrives late and hides the newer one.
+  it("drops an older report", () => {
+    const membership = createMembership([createVm("a"), createVm("b")]);
+    const older = createReport("1");
+    vi.advanceTimersByTime(1);
+    membership.recordReport(createReport("2"));
+    expect(membership.recordReport(older)).toBe(false);
+    expect(membership.getReport("b")?.incarnation).toBe("2");
+  });
+});
+
+describe("getListedNames", () => {
+  // Guards against a majority of one in a daemon that knows no VM list yet.
+  it("is empty before the first list and includes the daemon afterwards", () => {
+    expect(createMembership([]).getListedNames()).toEqual([]);
+    expect(createMembership([createVm("b")]).getListedNames())
+      .toEqual(["a", "b"]);
+  });
+});
--- /dev/null
+++ b/src/process/peer_selection_test.ts
@@ -0,0 +1,55 @@
+import { describe, expect, it } from "vitest";
+import type { Vm } from "../connection/vm_directory.ts";
+import { choosePeers, chooseStoreReaders } from "./peer_selection.ts";
+
+function createVms(count: number, zones: number): Vm[] {
+  return Array.from({ length: count }, (_, index) => ({
+    name: `entry-${index + 1}`,
+    role: "entry",
+    address: `10.0.0.${index + 1}:1`,
+    zone: `zone-${index % zones + 1}`,
+    state: "live",
+  }));
+}
+
+describe("chooseStoreReaders", () => {
+  // Guards against a load on the store that grows with the fleet, and against a zone without readers.
+  it.each([[7, 3, 7], [60, 3, 60], [420, 10, 64], [420, 30, 64]])(
+    "of %s daemons in %s zones",
+    (count, zones, expected) => {
+      const vms = createVms(count, zones);
+      const readers = chooseStoreReaders(vms);
+      expect(readers.size).toBe(expected);
+      for (let zone = 1; zone <= zones; zone++) {
+        const inZone = vms.filter((vm) =>
+          vm.zone === `zone-${zone}` && readers.has(vm.name)
+        );
+        expect(inZone.length).toBeGreaterThanOrEqual(2);
+      }
+    },
+  );
+});
+
+describe("choosePeers", () => {
+  // Guards against a number of exchanges that grows with the fleet, and against daemons that no news reaches.
+  it.each([[1, 1], [2, 2], [7, 3], [60, 3], [420, 10]])(
+    "reaches all of %s daemons in %s zones",
+    (count, zones) => {
+      const vms = createVms(count, zones);
+      const peers = new Map(vms.map((vm) => [
+        vm.name,
+        choosePeers({ self: vm.name, zone: vm.zone, entryVms: vms })
+          .map((p) => p.name),
+      ]));
+      for (const [name, list] of peers) {
+        expect(list.length).toBeLessThanOrEqual(8);
+        expect(list).not.toContain(name);
+      }
+      const reached = new Set(["entry-1"]);
+      for (const name of reached) {
+        peers.get(name)!.forEach((peer) => reached.add(peer));
+      }
+      expect(reached.size).toBe(count);
+    },
+  );
+});
--- /dev/null
+++ b/src/version/config_holder_test.ts
@@ -0,0 +1,54 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { ConfigHolder } from "./config_holder.ts";
+import { configSchema, type VersionedConfig } from "./config_schema.ts";
+
+function createConfig(version: number): VersionedConfig {
+  return {
+    version,
+    document: configSchema.parse({
+      schemaVersion: 1,
+      zones: [{ name: "zone-a", region: "region-1" }],
+      clientAccounts: [{ name: "a", apiKeySha256: ["0".repeat(64)] }],
+      clockSkewMarginMs: version,
+    }),
+  };
+}
+
+describe("offer", () => {
+  // Guards against a configuration that reverts when messages arrive in another order, twice or not at all (I10).
+  it("never reverts, whatever the order of delivery", () => {
+    const deliveries = fc.array(fc.integer({ min: 1, max: 20 }), {
+      minLength: 1,
+      maxLength: 60,
+    });
+    fc.assert(fc.property(deliveries, (versions) => {
+      const holder = new ConfigHolder();
+      let newest = 0;
+      for (const version of versions) {
+        holder.offer(createConfig(version));
+        newest = Math.max(newest, version);
+        expect(holder.getVersion()).toBe(newest);
+        expect(holder.getCurrentOrThrow().document.clockSkewMarginMs)
+          .toBe(newest);
+      }
+    }));
+  });
+});
+
+describe("compare", () => {
+  // Guards against a restored or replaced store that goes unnoticed.
+  it.each(
+    [
+      [6, "other", "newer"],
+      [4, "other", "reverted"],
+      [5, "other", "conflicting"],
+    ] as const,
+  )("compares version %s with digest %s", (version, digest, expected) => {
+    const holder = new ConfigHolder();
+    holder.offer(createConfig(5));
+    expect(holder.compare({ version, digest })).toBe(expected);
+    expect(holder.compare({ version: 5, digest: holder.getDigest() }))
+      .toBe("same");
+  });
+});
--- /dev/null
+++ b/tests/state_spread_test.ts
@@ -0,0 +1,342 @@
+import { afterEach, describe, expect, it } from "vitest";
+import type { Daemon } from "../src/process/daemon.ts";
+import { delay } from "../src/shared/delay.ts";
+import { getCanonicalDigest } from "../src/version/canonical_json.ts";
+import type { ConfigDocument } from "../src/version/config_schema.ts";
+import type { AcceptResult } from "../src/version/config_repository.ts";
+import { FaultLinks } from "./support/fault_links.ts";
+import { TestDeployment, waitUntil } from "./support/test_deployment.ts";
+
+const DAEMONS = 7;
+const IN_FORCE_LIMIT_MS = 6_000;
+const FRESHNESS_LIMIT_MS = 1_500;
+
+let deployment: TestDeployment | undefined;
+
+afterEach(async () => {
+  await deployment?.dispose();
+  deployment = undefined;
+});
+
+interface StartedDeployment {
+  readonly deployment: TestDeployment;
+  readonly daemons: Daemon[];
+  readonly links: FaultLinks;
+}
+
+async function assumeDeployment(
+  settings: Parameters<TestDeployment["startDaemon"]>[0] = {},
+): Promise<StartedDeployment> {
+  const links = new FaultLinks();
+  deployment = await TestDeployment.start({
+    daemons: DAEMONS,
+    settings,
+    configureContainer: (container, s) => links.bindClients(container, s),
+  });
+  const { daemons } = deployment;
+  await waitUntil(() => daemons.every((d) => countListed(d) === DAEMONS));
+  return { deployment, daemons, links };
+}
+
+function countListed(daemon: Daemon): number {
+  return daemon.context.membership.getListedNames().length;
+}
+
+function getVersion(daemon: Daemon): number {
+  return daemon.context.configHolder.getVersion();
+}
+
+function getFreshness(daemon: Daemon): string {
+  return daemon.context.freshness.getState();
+}
+
+function createChange(daemon: Daemon, marginMs: number): ConfigDocument {
+  const { document } = daemon.context.configHolder.getCurrentOrThrow();
+  return { ...document, clockSkewMarginMs: marginMs };
+}
+
+function acceptChange(
+  daemon: Daemon,
+  marginMs = 1_234,
+): Promise<AcceptResult> {
+  return daemon.context.configRepository.accept(
+    createChange(daemon, marginMs),
+    { baseVersion: getVersion(daemon) },
+  );
+}
+
+describe("a version in force on all daemons", () => {
+  interface Case {
+    readonly name: string;
+    readonly prepare: (started: StartedDeployment) => void;
+    /** Writes straight to the store instead of accepting on a daemon. */
+    readonly direct?: boolean;
+  }
+
+  // Guards against a version that is not in force everywhere within 6 s (I10).
+  const cases: Case[] = [
+    { name: "no fault", prepare: () => {} },
+    {
+      name: "a slow store",
+      prepare: (s) => s.deployment.platform.faults.delayMs = 2_000,
+    },
+    {
+      name: "a lagging watch",
+      direct: true,
+      prepare: (s) => s.deployment.platform.faults.watchLagMs = 60_000,
+    },
+    {
+      name: "skipped watch events",
+      direct: true,
+      prepare: (s) => s.deployment.platform.faults.skipWatchEvents = 1_000,
+    },
+    {
+      name: "a daemon cut from the store",
+      prepare: (s) => s.links.cutStore([s.daemons[3]]),
+    },
+    {
+      name: "all but one daemon cut from the store",
+      direct: true,
+      prepare: (s) => s.links.cutStore(s.daemons.slice(1)),
+    },
+  ];
+  it.each(cases)("with $name", async ({ prepare, direct }) => {
+    const started = await assumeDeployment();
+    prepare(started);
+    const { daemons } = started;
+    const version = getVersion(daemons[0]) + 1;
+    let startedAtMs = performance.now();
+    if (direct) {
+      started.deployment.setConfig((d) => d.clockSkewMarginMs = 1_234);
+    } else {
+      const accepting = acceptChange(daemons[0]);
+      await waitUntil(
+        () => getVersion(daemons[0]) === version,
+        20_000,
+      );
+      startedAtMs = performance.now();
+      await waitUntil(() => daemons.every((d) => getVersion(d) === version));
+      expect(performance.now() - startedAtMs).toBeLessThan(IN_FORCE_LIMIT_MS);
+      const result = await accepting;
+      expect(result).toMatchObject({
+        outcome: "accepted",
+        version,
+        notConfirmed: [],
+      });
+    }
+    await waitUntil(
+      () => daemons.every((d) => getVersion(d) === version),
+      IN_FORCE_LIMIT_MS,
+    );
+    expect(performance.now() - startedAtMs).toBeLessThan(IN_FORCE_LIMIT_MS);
+  });
+
+  // Guards against an accepted version that is lost with its answer.
+  it("with the store's answer lost", async () => {
+    const { deployment, daemons } = await assumeDeployment();
+    const version = getVersion(daemons[0]) + 1;
+    // The first write copies the old version to the history, the second is the acceptance itself.
+    deployment.platform.faults.dropAnswerNext = 2;
+    const result = await acceptChange(daemons[0]);
+    expect(result).toMatchObject({ outcome: "accepted", version });
+    expect(daemons.map(getVersion)).toEqual(daemons.map(() => version));
+  });
+
+  // Guards against a wrong report when the store goes down right after the write took effect.
+  it("reports an unknown outcome with the store down after the write, and applies the version later", async () => {
+    const { deployment, daemons } = await assumeDeployment();
+    const { platform } = deployment;
+    const version = getVersion(daemons[0]) + 1;
+    const base = platform.getObject("config", "main")!.version;
+    platform.faults.dropAnswerNext = 2;
+    const accepting = acceptChange(daemons[0]);
+    await waitUntil(() => platform.getObject("config", "main")!.version > base);
+    platform.faults.down = true;
+    const result = await accepting;
+    expect(["unknown", "accepted"]).toContain(result.outcome);
+    expect(daemons.some((d) => getVersion(d) > version)).toBe(false);
+    platform.faults.down = false;
+    await waitUntil(
+      () => daemons.every((d) => getVersion(d) === version),
+      IN_FORCE_LIMIT_MS,
+    );
+  });
+
+  // Guards against a configuration that reverts with a restored store.
+  it("stays when the store loses versions, until a new one is accepted", async () => {
+    const { deployment, daemons } = await assumeDeployment();
+    const { value } = deployment.platform.getObject("config", "main")!;
+    expect((await acceptChange(daemons[0])).outcome).toBe("accepted");
+    const version = getVersion(daemons[0]);
+    deployment.platform.setObject("config", "main", {
+      version: 1,
+      digest: getCanonicalDigest(value),
+      acceptId: "",
+      acceptedAt: "",
+      document: value,
+    });
+    await delay(500);
+    expect(daemons.map(getVersion)).toEqual(daemons.map(() => version));
+    const result = await acceptChange(daemons[2], 777);
+    expect(result.outcome).toBe("accepted");
+    expect(getVersion(daemons[6])).toBeGreaterThan(version);
+  });
+});
+
+describe("concurrent operators", () => {
+  // Guards against a change that silently overwrites another one.
+  it("gives one winner and one conflict with the difference", async () => {
+    const { daemons } = await assumeDeployment();
+    const results = await Promise.all([
+      acceptChange(daemons[0], 1_111),
+      acceptChange(daemons[1], 2_222),
+    ]);
+    const outcomes = results.map((r) => r.outcome).sort();
+    expect(outcomes).toEqual(["accepted", "conflict"]);
+    const conflict = results.find((r) => r.outcome === "conflict");
+    expect(conflict).toMatchObject({
+      diff: [{ path: "clockSkewMarginMs", kind: "changed" }],
+    });
+  });
+
+  // Guards against a rollback that lowers the version.
+  it("accepts an earlier version as a new one", async () => {
+    const { daemons } = await assumeDeployment();
+    const { configRepository, configHolder } = daemons[0].context;
+    const before = configHolder.getCurrentOrThrow();
+    await acceptChange(daemons[0]);
+    const result = await configRepository.acceptEarlier(before.version);
+    expect(result).toMatchObject({
+      outcome: "accepted",
+      version: before.version + 2,
+    });
+    expect(configHolder.getCurrentOrThrow().document).toEqual(before.document);
+    const history = (await configRepository.listVersions()).orDefault([]);
+    expect(history.map((h) => h.version)).toEqual([
+      before.version + 1,
+      before.version,
+    ]);
+  });
+});
+
+describe("freshness", () => {
+  // Guards against refusals by a daemon whose peers still reach the store, and by one whose peers alone are lost.
+  it.each(
+    [
+      ["the store", (s: StartedDeployment) => s.links.cutStore([s.daemons[0]])],
+      [
+        "its peers",
+        (s: StartedDeployment) =>
+          s.links.splitPeers([[s.daemons[0]], s.daemons.slice(1)]),
+      ],
+    ] as const,
+  )("stays fresh when cut from %s only", async (_name, cut) => {
+    const started = await assumeDeployment();
+    cut(started);
+    const untilMs = performance.now() + FRESHNESS_LIMIT_MS * 2;
+    while (performance.now() < untilMs) {
+      expect(getFreshness(started.daemons[0])).toBe("fresh");
+      await delay(20);
+    }
+  });
+
+  // Guards against new work on a daemon that may have an outdated configuration.
+  it("refuses as not-run when cut from store and peers", async () => {
+    const { deployment, daemons, links } = await assumeDeployment();
+    links.cutStore([daemons[0]]);
+    links.splitPeers([[daemons[0]], daemons.slice(1)]);
+    await delay(FRESHNESS_LIMIT_MS + 300);
+    expect(daemons.map(getFreshness)).toEqual([
+      "stale",
+      ...daemons.slice(1).map(() => "fresh"),
+    ]);
+    const answer = await deployment.requestChat(daemons[0], "tokens=2");
+    expect(answer.statusCode).toBe(503);
+    expect(JSON.parse(answer.body).error).toMatchObject({
+      code: "stale-configuration",
+      verdict: "not-run",
+    });
+    links.clear();
+    await waitUntil(() => getFreshness(daemons[0]) === "fresh");
+  });
+
+  // Guards against an outage of the store that stops the service, and against a minority that serves in it.
+  it.each(
+    [
+      ["down", { down: true }],
+      ["slower than the limit", { delayMs: 2_000 }],
+    ] as const,
+  )(
+    "continues with a majority alone when the store is %s",
+    async (_name, faults) => {
+      const { deployment, daemons, links } = await assumeDeployment();
+      Object.assign(deployment.platform.faults, faults);
+      const untilMs = performance.now() + FRESHNESS_LIMIT_MS * 2;
+      while (performance.now() < untilMs) {
+        expect(daemons.map(getFreshness)).toEqual(daemons.map(() => "fresh"));
+        await delay(20);
+      }
+      links.splitPeers([daemons.slice(0, 3), daemons.slice(3)]);
+      await delay(FRESHNESS_LIMIT_MS + 300);
+      expect(daemons.slice(0, 3).map(getFreshness)).toEqual(
+        Array(3).fill("stale"),
+      );
+      expect(daemons.slice(3).map(getFreshness)).toEqual(
+        Array(4).fill("fresh"),
+      );
+    },
+  );
+
+  // Guards against a version that a minority accepts while the majority serves an older one.
+  it("refuses an acceptance by a minority that still reaches the store", async () => {
+    const { daemons, links } = await assumeDeployment();
+    const version = getVersion(daemons[0]);
+    links.cutStore(daemons.slice(3));
+    links.splitPeers([daemons.slice(0, 3), daemons.slice(3)]);
+    const result = await acceptChange(daemons[0]);
+    expect(result.outcome).toBe("unavailable");
+    expect(daemons.map(getVersion)).toEqual(daemons.map(() => version));
+  });
+
+  // Guards against a majority that keeps serving an old version which was replaced just before the partition.
+  it("goes stale where an acceptance was prepared and its outcome is unknown", async () => {
+    const { daemons, links } = await assumeDeployment();
+    const version = getVersion(daemons[0]) + 1;
+    const apart = daemons.slice(3);
+    apart[0].context.agreement.recordPrepared(version);
+    links.cutStore(apart);
+    links.splitPeers([daemons.slice(0, 3), apart]);
+    await delay(FRESHNESS_LIMIT_MS * 2 + 300);
+    expect(apart.map(getFreshness)).toEqual(apart.map(() => "stale"));
+  });
+});
+
+describe("start", () => {
+  // Guards against a replaced daemon that cannot serve while the store is down.
+  it("takes everything from a peer when the store is down", async () => {
+    const { deployment, daemons } = await assumeDeployment();
+    deployment.platform.faults.down = true;
+    const started = await deployment.startDaemon({
+      peers: [daemons[0].peerAddress],
+    });
+    await waitUntil(() =>
+      getVersion(started) === getVersion(daemons[0]) &&
+      started.context.placementHolder.getGroups().length === 2 &&
+      getFreshness(started) === "fresh"
+    );
+  });
+
+  // Guards against daemons that stay down after a start with everything down.
+  it("comes up later when everything is down at the start", async () => {
+    const { deployment, daemons } = await assumeDeployment();
+    deployment.platform.faults.down = true;
+    const started = await deployment.startDaemon({ peers: ["127.0.0.1:9"] });
+    await delay(500);
+    expect(getFreshness(started)).toBe("stale");
+    deployment.platform.faults.down = false;
+    await waitUntil(() =>
+      getVersion(started) === getVersion(daemons[0]) &&
+      getFreshness(started) === "fresh"
+    );
+  });
+});
--- /dev/null
+++ b/tests/support/fault_links.ts
@@ -0,0 +1,110 @@
+import type { Container } from "inversify";
+import { HttpPlatformClient } from "../../src/connection/http_platform_client.ts";
+import type {
+  PutObjectOptions,
+  WatchOptions,
+} from "../../src/connection/object_store.ts";
+import { HttpPeerClients } from "../../src/connection/peer_clients.ts";
+import { PeerHttp } from "../../src/connection/peer_http.ts";
+import type { Daemon } from "../../src/process/daemon.ts";
+import type { DaemonSettings } from "../../src/process/daemon_settings.ts";
+
+const PEER_TIMEOUT_MS = 300;
+const REFUSING_URL = "http://127.0.0.1:9";
+
+/** Cuts daemons of a test from the store or from each other. */
+export class FaultLinks {
+  readonly #cutFromStore = new Set<string>();
+  readonly #groupByDaemon = new Map<string, number>();
+  readonly #nameByAddress = new Map<string, string>();
+
+  /** Binds clients that obey the cuts. */
+  bindClients(container: Container, settings: DaemonSettings): void {
+    const { name } = settings;
+    const http = new PeerHttp();
+    container.rebind(HttpPlatformClient).toConstantValue(
+      new CuttablePlatformClient(settings.platformUrl, {
+        isCut: () => this.#cutFromStore.has(name),
+      }),
+    );
+    container.rebind(HttpPeerClients).toConstantValue(
+      new HttpPeerClients({
+        timeoutMs: PEER_TIMEOUT_MS,
+        fetch: (url, init) =>
+          this.#isCut(name, new URL(url).host)
+            ? Promise.reject(new Error("The link is cut"))
+            : http.request(url, init),
+      }),
+    );
+  }
+
+  /** Cuts daemons from the store. */
+  cutStore(daemons: readonly Daemon[]): void {
+    daemons.forEach((d) => this.#cutFromStore.add(getName(d)));
+  }
+
+  /** Splits the daemons into sets that don't reach each other. */
+  splitPeers(sets: readonly (readonly Daemon[])[]): void {
+    sets.forEach((daemons, index) =>
+      daemons.forEach((daemon) => {
+        this.#groupByDaemon.set(getName(daemon), index);
+        this.#nameByAddress.set(daemon.peerAddress, getName(daemon));
+      })
+    );
+  }
+
+  /** Joins everything again. */
+  clear(): void {
+    this.#cutFromStore.clear();
+    this.#groupByDaemon.clear();
+  }
+
+  #isCut(from: string, address: string): boolean {
+    const to = this.#nameByAddress.get(address) ?? "";
+    return this.#groupByDaemon.get(from) !== this.#groupByDaemon.get(to);
+  }
+}
+
+class CuttablePlatformClient extends HttpPlatformClient {
+  readonly #refusing = new HttpPlatformClient({ url: REFUSING_URL });
+  readonly #isCut: () => boolean;
+
+  constructor(url: string, options: { isCut: () => boolean }) {
+    super({ url });
+    this.#isCut = options.isCut;
+  }
+
+  override getObject(kind: string, name: string) {
+    return this.#isCut()
+      ? this.#refusing.getObject(kind, name)
+      : super.getObject(kind, name);
+  }
+
+  override listObjects(kind: string) {
+    return this.#isCut()
+      ? this.#refusing.listObjects(kind)
+      : super.listObjects(kind);
+  }
+
+  override putObject(options: PutObjectOptions) {
+    return this.#isCut()
+      ? this.#refusing.putObject(options)
+      : super.putObject(options);
+  }
+
+  override async watch(options: WatchOptions) {
+    const result =
+      await (this.#isCut()
+        ? this.#refusing.watch(options)
+        : super.watch(options));
+    return this.#isCut() ? await this.#refusing.watch(options) : result;
+  }
+
+  override getVms() {
+    return this.#isCut() ? this.#refusing.getVms() : super.getVms();
+  }
+}
+
+function getName(daemon: Daemon): string {
+  return daemon.context.settings.name;
+}
