--- a/src/connection/peer_clients.ts
+++ b/src/connection/peer_clients.ts
@@ -47,7 +47,7 @@
           this.#fetch(String(url), {
             method: init?.method,
             body: init?.body,
-            signal: this.#createSignal(init?.signal ?? undefined),
+            timeoutMs: this.#timeoutMs,
           }),
       })],
     });
@@ -59,9 +59,4 @@
   dispose(): void {
     this.#http.dispose();
   }
-
-  #createSignal(signal: AbortSignal | undefined): AbortSignal {
-    const timeout = AbortSignal.timeout(this.#timeoutMs);
-    return signal === undefined ? timeout : AbortSignal.any([signal, timeout]);
-  }
 }
--- a/src/connection/peer_digest.ts
+++ b/src/connection/peer_digest.ts
@@ -3,39 +3,62 @@
 
 const DIGEST_CHARACTERS = 16;
 
-/** Schema of the state that two daemons exchange. */
-export const peerDigestSchema = z.object({
+/** Schema of the request of an exchange. It carries only what the receiver uses: ages and digests count from answers alone. */
+export const peerHelloSchema = z.object({
   from: z.string(),
-  /** Id of the sender's process. */
-  incarnation: z.string(),
   lamport: z.number(),
   configVersion: z.number(),
+});
+
+/** Request of an exchange. */
+export type PeerHello = z.infer<typeof peerHelloSchema>;
+
+/** Answer of an exchange: the state of a daemon. */
+export interface PeerDigest {
+  readonly from: string;
+  /** Id of the sender's process. */
+  readonly incarnation: string;
+  readonly lamport: number;
+  readonly configVersion: number;
   /** First digits of the digest of the sender's configuration. */
-  configDigest: z.string(),
+  readonly configDigest: string;
   /** Age of the newest known store confirmation in milliseconds. */
-  confirmationAgeMs: z.number().nullable(),
+  readonly confirmationAgeMs: number | null;
   /** Whether the sender itself reaches the store. */
-  reachesStore: z.boolean(),
-  leaving: z.boolean(),
-  placementDigest: z.number(),
-  healthDigest: z.number(),
-  vmListDigest: z.number(),
+  readonly reachesStore: boolean;
+  readonly leaving: boolean;
+  readonly placementDigest: number;
+  readonly healthDigest: number;
+  readonly vmListDigest: number;
   /** Time since the sender's VM list was read from the platform, in milliseconds. */
-  vmListAgeMs: z.number().nullable(),
-  listHash: z.number(),
-  heard: z.string(),
-});
+  readonly vmListAgeMs: number | null;
+  readonly listHash: number;
+  readonly heard: string;
+}
 
-/** State that two daemons exchange. */
-export type PeerDigest = z.infer<typeof peerDigestSchema>;
+/**
+ * Gets the request with which this daemon starts an exchange.
+ *
+ * @param context - Parts of the daemon.
+ */
+export function getPeerHello(context: DaemonContext): PeerHello {
+  return {
+    from: context.settings.name,
+    lamport: context.timeline.getLamport(),
+    configVersion: context.configHolder.getVersion(),
+  };
+}
 
 /**
- * Gets the state that this daemon sends to its peers.
+ * Gets the state that this daemon answers its peers with.
  *
  * @param context - Parts of the daemon.
  */
 export function getPeerDigest(context: DaemonContext): PeerDigest {
-  const agreement = context.agreement.getReport();
+  const agreement = context.agreement.getReport({
+    outage: context.freshness.getAgeMs() >
+      context.settings.freshnessLimitMs / 2,
+  });
   return {
     from: context.settings.name,
     incarnation: context.incarnation,
--- a/src/connection/peer_http.ts
+++ b/src/connection/peer_http.ts
@@ -5,7 +5,7 @@
 export interface PeerRequestInit {
   readonly method?: string;
   readonly body?: unknown;
-  readonly signal?: AbortSignal | null;
+  readonly timeoutMs: number;
 }
 
 /** Answer as the tRPC link reads it. */
@@ -25,7 +25,6 @@
 
 /** HTTP client with few headers: those of the runtime's `fetch` are longer than an exchange. */
 export class PeerHttp {
-  // Sockets in use have a timeout of their own, set by each request's signal.
   readonly #agent = new Agent({
     keepAlive: true,
     maxFreeSockets: 1,
@@ -36,7 +35,7 @@
    * Sends a request.
    *
    * @param url - URL of the procedure.
-   * @param init - Method, body and signal.
+   * @param init - Method, body and time limit of the whole call. A timer costs less than an abort signal.
    * @throws When the peer does not answer.
    */
   request(url: string, init: PeerRequestInit): Promise<PeerResponse> {
@@ -49,7 +48,6 @@
           "content-type": "application/json",
           "content-length": Buffer.byteLength(body),
         },
-        signal: init.signal ?? undefined,
       }, (response) => {
         readText(response).then((text) => {
           const status = response.statusCode ?? 0;
@@ -60,7 +58,15 @@
           });
         }, reject);
       });
+      const timer = setTimeout(
+        () =>
+          sent.destroy(
+            new Error(`The peer did not answer within ${init.timeoutMs} ms`),
+          ),
+        init.timeoutMs,
+      );
       sent.on("error", reject);
+      sent.on("close", () => clearTimeout(timer));
       sent.end(body);
     });
   }
--- a/src/connection/peer_state_router.ts
+++ b/src/connection/peer_state_router.ts
@@ -9,7 +9,8 @@
 import {
   getPeerDigest,
   type PeerDigest,
-  peerDigestSchema,
+  type PeerHello,
+  peerHelloSchema,
 } from "./peer_digest.ts";
 import { peerTrpc } from "./peer_trpc.ts";
 import type { Vm } from "./vm_directory.ts";
@@ -37,7 +38,7 @@
   const handler = new PeerStateHandler(context);
   const { procedure } = peerTrpc;
   return peerTrpc.router({
-    exchange: procedure.input(peerDigestSchema)
+    exchange: procedure.input(peerHelloSchema)
       .mutation(({ input }) => handler.handleExchange(input)),
     getConfig: procedure
       .query((): VersionedConfig | null =>
@@ -79,10 +80,10 @@
     this.#sync = new PeerSync(context);
   }
 
-  /** A newer version that the message names is fetched before the answer. Ages in the message don't count, since its time on the way is unknown. */
-  async handleExchange(digest: PeerDigest): Promise<PeerDigest> {
-    this.#context.timeline.mergeLamport(digest.lamport);
-    await this.#syncConfig(digest.from, digest.configVersion);
+  /** A newer version that the message names is fetched before the answer. */
+  async handleExchange(hello: PeerHello): Promise<PeerDigest> {
+    this.#context.timeline.mergeLamport(hello.lamport);
+    await this.#syncConfig(hello.from, hello.configVersion);
     return getPeerDigest(this.#context);
   }
 
--- a/src/process/agreement_table.ts
+++ b/src/process/agreement_table.ts
@@ -4,6 +4,8 @@
 const AGE_STEPS = 30;
 const AGE_RADIX = 36;
 const NEVER = "z";
+/** Number of daemons up to which the ages are always sent. Above it they are sent in an outage only, since they would be longer than the rest of the message. */
+const MAX_ALWAYS_REPORTED = 64;
 /** Longest time that an accepting daemon takes from its announcement to the end of its write. */
 export const PREPARED_EXPIRY_MS = 20_000;
 
@@ -95,11 +97,18 @@
     }
   }
 
-  /** Gets the report that is sent to peers. */
-  getReport(): AgreementReport {
+  /**
+   * Gets the report that is sent to peers.
+   *
+   * @param options - Whether the newest store confirmation is old, so that the ages may be needed.
+   */
+  getReport(options: { outage: boolean } = { outage: true }): AgreementReport {
     const { configHolder, self, getListedNames } = this.#options;
     const names = getListedNames();
-    const heard = names.map((name) =>
+    const reported = options.outage || names.length <= MAX_ALWAYS_REPORTED
+      ? names
+      : [];
+    const heard = reported.map((name) =>
       name === self
         ? (this.takesPart() ? "0" : NEVER)
         : this.#formatAge(this.#heardAtMs.get(name))
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -67,6 +67,8 @@
   readonly #reports = new Map<string, MemberReport>();
   #names: string[] = [];
   #namesDigest: number | undefined;
+  #peers: Vm[] = [];
+  #peersDigest: number | undefined;
 
   constructor(options: ExchangeMembershipOptions) {
     this.#options = options;
@@ -74,7 +76,15 @@
 
   getPeers(): Vm[] {
     const { self, zone, vmTable } = this.#options;
-    return choosePeers({ self, zone, entryVms: vmTable.getEntryVms() });
+    if (vmTable.getDigest() !== this.#peersDigest) {
+      this.#peersDigest = vmTable.getDigest();
+      this.#peers = choosePeers({
+        self,
+        zone,
+        entryVms: vmTable.getEntryVms(),
+      });
+    }
+    return [...this.#peers];
   }
 
   getState(name: string): MemberState {
--- a/src/process/peer_exchange_task.ts
+++ b/src/process/peer_exchange_task.ts
@@ -1,10 +1,49 @@
 import { delay } from "../shared/delay.ts";
+import type { Vm } from "../connection/vm_directory.ts";
 import { getErrorMessage } from "../shared/errors.ts";
 import type { DaemonContext } from "./daemon_context.ts";
+import { chooseStoreReaders, MAX_FULL_MESH_PEERS } from "./peer_selection.ts";
 import { PeerSync } from "./peer_sync.ts";
 
-/** Exchanges that a daemon starts in one interval; more peers are asked in turn. */
-export const MAX_EXCHANGES_PER_INTERVAL = 3;
+/** Exchanges that a daemon starts in one interval in a full mesh; more peers are asked in turn. */
+const MAX_EXCHANGES_PER_INTERVAL = 3;
+/** Longest time between two exchanges with one store reader, in intervals: with the reader's own interval it stays below the freshness limit of three. */
+const READER_INTERVALS = 1.5;
+
+/** What decides how often a peer is asked. */
+export interface ExchangeRateInput {
+  /** Configured time between two exchanges, in milliseconds. */
+  readonly intervalMs: number;
+  readonly peers: readonly Vm[];
+  readonly readers: ReadonlySet<string>;
+  /** Number of listed daemons. */
+  readonly daemons: number;
+}
+
+/**
+ * Gets the time between two exchanges with a peer, in milliseconds. A larger deployment asks store readers often, for their confirmations, and all other peers together once in an interval.
+ *
+ * @param peer - Peer to ask.
+ * @param input - Peers and readers.
+ * @example
+ * ```ts
+ * await delay(getExchangeIntervalMs(peer, input));
+ * ```
+ */
+export function getExchangeIntervalMs(
+  peer: Vm,
+  input: ExchangeRateInput,
+): number {
+  const { intervalMs, peers, readers } = input;
+  if (input.daemons <= MAX_FULL_MESH_PEERS + 1) {
+    const rounds = Math.ceil(peers.length / MAX_EXCHANGES_PER_INTERVAL);
+    return intervalMs * Math.max(1, rounds);
+  }
+  if (readers.has(peer.name)) {
+    return intervalMs * READER_INTERVALS;
+  }
+  return intervalMs * peers.filter((vm) => !readers.has(vm.name)).length;
+}
 
 /** Task that exchanges state with one peer. */
 export class PeerExchangeTask {
@@ -67,6 +106,8 @@
 export class PeerExchangeSupervisor {
   readonly #context: DaemonContext;
   readonly #tasks = new Map<string, PeerExchangeTask>();
+  #intervalByAddress = new Map<string, number>();
+  #vmListDigest: number | undefined;
 
   constructor(context: DaemonContext) {
     this.#context = context;
@@ -82,6 +123,7 @@
 
   /** Starts the exchanges with new peers and stops those with former ones. */
   refreshPeers(): void {
+    this.#refreshIntervals();
     const wanted = new Set(this.#listAddresses());
     for (const [address, task] of this.#tasks) {
       if (!wanted.has(address)) {
@@ -92,7 +134,9 @@
     for (const address of wanted) {
       if (!this.#tasks.has(address)) {
         const task = new PeerExchangeTask(this.#context, address, {
-          getIntervalMs: () => this.#getIntervalMs(),
+          getIntervalMs: () =>
+            this.#intervalByAddress.get(address) ??
+              this.#context.settings.exchangeIntervalMs,
         });
         this.#tasks.set(address, task);
         void task.run();
@@ -108,8 +152,21 @@
       : membership.getPeers().map((vm) => vm.address);
   }
 
-  #getIntervalMs(): number {
-    const rounds = Math.ceil(this.#tasks.size / MAX_EXCHANGES_PER_INTERVAL);
-    return this.#context.settings.exchangeIntervalMs * Math.max(1, rounds);
+  #refreshIntervals(): void {
+    const { membership, vmTable, settings } = this.#context;
+    if (vmTable.getDigest() === this.#vmListDigest) {
+      return;
+    }
+    this.#vmListDigest = vmTable.getDigest();
+    const peers = membership.getPeers();
+    const input: ExchangeRateInput = {
+      intervalMs: settings.exchangeIntervalMs,
+      peers,
+      readers: chooseStoreReaders(vmTable.getEntryVms()),
+      daemons: membership.getListedNames().length,
+    };
+    this.#intervalByAddress = new Map(
+      peers.map((vm) => [vm.address, getExchangeIntervalMs(vm, input)]),
+    );
   }
 }
--- a/src/process/peer_selection.ts
+++ b/src/process/peer_selection.ts
@@ -16,7 +16,7 @@
 }
 
 /**
- * Gets the entry VMs that read the store: at most 64, at least 2 a zone as far as that fits.
+ * Gets the entry VMs that read the store: at most 64 unless 2 a zone are more, and as many in each zone.
  *
  * @param entryVms - Entry VMs of the VM list.
  * @example
@@ -30,22 +30,19 @@
   const live = entryVms.filter((vm) => vm.state === "live");
   const readers = new Set<string>();
   const zones = [...new Set(live.map((vm) => vm.zone))].sort();
+  const perZone = live.length <= MAX_STORE_READERS ? live.length : Math.max(
+    MIN_READERS_PER_ZONE,
+    Math.floor(MAX_STORE_READERS / zones.length),
+  );
   for (const zone of zones) {
     const names = live.filter((vm) => vm.zone === zone).map((vm) => vm.name);
     for (
       const name of getRendezvousOrder("store-reader", names)
-        .slice(0, MIN_READERS_PER_ZONE)
+        .slice(0, perZone)
     ) {
       readers.add(name);
     }
   }
-  const rest = live.map((vm) => vm.name).filter((name) => !readers.has(name));
-  for (const name of getRendezvousOrder("store-reader", rest)) {
-    if (readers.size >= MAX_STORE_READERS) {
-      break;
-    }
-    readers.add(name);
-  }
   return readers;
 }
 
@@ -102,6 +99,22 @@
   const near = own.length >= READER_PEERS
     ? own
     : input.entryVms.filter((vm) => readers.has(vm.name));
-  return getRendezvousOrder(input.self, near.map((vm) => vm.name))
-    .slice(0, READER_PEERS);
+  return getEvenShare(input, near.map((vm) => vm.name));
+}
+
+/** Spreads the zone's other daemons evenly over the readers: a hash alone would give some readers twice the mean. */
+function getEvenShare(
+  input: PeerSelectionInput,
+  readers: readonly string[],
+): string[] {
+  const zone = input.entryVms.filter((vm) =>
+    vm.zone === input.zone && !readers.includes(vm.name)
+  ).map((vm) => vm.name);
+  const position = getRendezvousOrder("reader-share", [
+    ...new Set([...zone, input.self]),
+  ]).indexOf(input.self);
+  const order = getRendezvousOrder("reader-share", readers);
+  return order.slice(0, READER_PEERS).map((_, index) =>
+    order[(position + index) % order.length]
+  );
 }
--- a/src/process/peer_sync.ts
+++ b/src/process/peer_sync.ts
@@ -1,5 +1,5 @@
 import type { PeerClient } from "../connection/peer_clients.ts";
-import { getPeerDigest, type PeerDigest } from "../connection/peer_digest.ts";
+import { getPeerHello, type PeerDigest } from "../connection/peer_digest.ts";
 import type { DomainPlacement } from "../version/placement.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 
@@ -23,7 +23,7 @@
     const client = peerClients.getClient(address);
     const requestedAtMs = performance.now();
     const answer = await client.state.exchange.mutate(
-      getPeerDigest(this.#context),
+      getPeerHello(this.#context),
     );
     timeline.mergeLamport(answer.lamport);
     const replaced = membership.recordReport({
--- a/src/process/store_sync_task.ts
+++ b/src/process/store_sync_task.ts
@@ -18,6 +18,8 @@
   readonly #context: DaemonContext;
   #readsInFlight = 0;
   #reportedRelation = "";
+  #reader = true;
+  #readerDigest: number | undefined;
 
   constructor(context: DaemonContext) {
     this.#context = context;
@@ -79,9 +81,13 @@
   /** Until a list names this daemon it reads the store, since it may know no peer. */
   #isReader(): boolean {
     const { vmTable, settings } = this.#context;
-    const entryVms = vmTable.getEntryVms();
-    return !entryVms.some((vm) => vm.name === settings.name) ||
-      chooseStoreReaders(entryVms).has(settings.name);
+    if (vmTable.getDigest() !== this.#readerDigest) {
+      this.#readerDigest = vmTable.getDigest();
+      const entryVms = vmTable.getEntryVms();
+      this.#reader = !entryVms.some((vm) => vm.name === settings.name) ||
+        chooseStoreReaders(entryVms).has(settings.name);
+    }
+    return this.#reader;
   }
 
   #applyEvent(kind: "config" | "placement", event: WatchEvent): void {
