--- a/src/process/config_announcer.ts
+++ b/src/process/config_announcer.ts
@@ -8,6 +8,9 @@
 export const IN_FORCE_LIMIT_MS = 6_000;
 const IN_FORCE_POLL_MS = 200;
 const MAX_CALLS_AT_ONCE = 32;
+/** Rounds in which the daemons that did not answer are asked again, so that a lost message refuses no change. */
+const MAJORITY_ROUNDS = 3;
+const MAJORITY_ROUND_DELAY_MS = 200;
 
 type AnnouncerContext = Pick<
   DaemonContext,
@@ -39,15 +42,26 @@
   }
 
   async requestMajority(version: number): Promise<boolean> {
-    const { membership, peerClients, agreement } = this.#context;
+    const { membership, peerClients, agreement, lifeCycle } = this.#context;
     agreement.recordPrepared(version);
-    let taken = 1;
-    await this.#runForEach(this.#listOthers(), async (vm) => {
-      const client = peerClients.getClient(vm.address);
-      await client.state.prepareConfig.mutate({ version });
-      taken++;
-    });
-    return taken * 2 > membership.getListedNames().length;
+    const taken = new Set<string>();
+    for (let round = 1;; round++) {
+      const open = this.#listOthers().filter((vm) => !taken.has(vm.name));
+      await this.#runForEach(open, async (vm) => {
+        const client = peerClients.getClient(vm.address);
+        await client.state.prepareConfig.mutate({ version });
+        taken.add(vm.name);
+      });
+      if ((taken.size + 1) * 2 > membership.getListedNames().length) {
+        return true;
+      }
+      if (
+        round === MAJORITY_ROUNDS ||
+        !await delay(MAJORITY_ROUND_DELAY_MS, lifeCycle.signal)
+      ) {
+        return false;
+      }
+    }
   }
 
   async collectInForce(version: number): Promise<InForceReport> {
