--- a/src/connection/peer_digest.ts
+++ b/src/connection/peer_digest.ts
@@ -67,7 +67,7 @@
     configDigest: agreement.configDigest.slice(0, DIGEST_CHARACTERS),
     confirmationAgeMs: convertAge(context.freshness.getAgeMs()),
     reachesStore: context.freshness.reachesStore(),
-    leaving: context.lifeCycle.signal.aborted,
+    leaving: context.gracefulStop.isLeaving(),
     placementDigest: context.placementHolder.getDigest(),
     healthDigest: context.healthTable.getDigest(),
     vmListDigest: context.vmTable.getDigest(),
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -18,11 +18,13 @@
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { FreshnessTracker } from "./freshness_tracker.ts";
+import { GracefulStop } from "./graceful_stop.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
 import { LocalAdmission } from "./local_admission.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
 import { ExchangeMembership, type Membership } from "./membership.ts";
+import { RetryBudget } from "./retry_budget.ts";
 import { VmTable } from "./vm_table.ts";
 
 const PEER_TIMEOUT_MS = 1_000;
@@ -63,6 +65,11 @@
   container.bind(PlacementHolder).toConstantValue(new PlacementHolder());
   container.bind(VmTable).toConstantValue(new VmTable());
   container.bind(GroupHealthTable).toConstantValue(new GroupHealthTable());
+  container.bind(RetryBudget).toConstantValue(new RetryBudget());
+  container.bind(GracefulStop).toResolvedValue(
+    (logger: Logger) => new GracefulStop(settings, logger),
+    [SERVICES.logger],
+  );
   bindClients(container, settings);
   bindState(container, settings);
   bindDecisions(container, settings);
@@ -191,5 +198,7 @@
     membership: get(SERVICES.membership),
     agreement: get(AgreementTable),
     configRepository: get(ConfigRepository),
+    retryBudget: get(RetryBudget),
+    gracefulStop: get(GracefulStop),
   }));
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -3,6 +3,7 @@
 import { HttpServer } from "../connection/http_server.ts";
 import { createOperatorApp } from "../connection/operator_app.ts";
 import { createPeerApp } from "../connection/peer_app.ts";
+import { ClaimSweepTask } from "./claim_sweep_task.ts";
 import { ConfigAnnouncer } from "./config_announcer.ts";
 import { createContainer, SERVICES } from "./container.ts";
 import type { DaemonContext } from "./daemon_context.ts";
@@ -24,15 +25,18 @@
   readonly #caller: HttpServer;
   readonly #peer: HttpServer;
   readonly #operator: HttpServer;
-
   readonly #announcer: ConfigAnnouncer;
+  #stopping: Promise<void> | undefined;
 
   constructor(settings: DaemonSettings, options: DaemonOptions = {}) {
     const container = createContainer(settings);
     options.configureContainer?.(container);
     this.context = container.get(SERVICES.context);
     this.#announcer = container.get(ConfigAnnouncer);
-    this.#caller = new HttpServer(createCallerApp(this.context));
+    this.#caller = new HttpServer(createCallerApp(this.context), {
+      requestTimeoutMs: settings.bodyTimeoutMs,
+      maxConnections: settings.maxConnections,
+    });
     this.#peer = new HttpServer(createPeerApp(this.context));
     this.#operator = new HttpServer(createOperatorApp(this.context));
   }
@@ -66,6 +70,7 @@
     this.#startTask("store-sync", new StoreSyncTask(this.context));
     this.#startTask("group-monitor", new GroupMonitorTask(this.context));
     this.#startTask("planner", new PlannerTask(this.context));
+    this.#startTask("claim-sweep", new ClaimSweepTask(this.context));
     logger.write("info", "daemon-started", {
       caller: this.callerAddress,
       peer: this.peerAddress,
@@ -73,12 +78,23 @@
     });
   }
 
-  /** Stops the tasks and the listeners. */
+  /** Stops in a planned way: new work ends, requests in flight complete, then the parts are released. */
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stopOnce();
+    return this.#stopping;
+  }
+
+  /** Stops the tasks and the listeners at once. */
   async dispose(): Promise<void> {
     await this.context.lifeCycle.dispose();
     this.context.logger.write("info", "daemon-stopped");
   }
 
+  async #stopOnce(): Promise<void> {
+    await this.context.gracefulStop.run(() => this.#caller.stopListening());
+    await this.dispose();
+  }
+
   #startTask(name: string, task: { run(): Promise<void> }): void {
     task.run().catch((error: unknown) => {
       this.context.logger.write("error", "task-failed", {
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -13,10 +13,12 @@
 import type { AgreementTable } from "./agreement_table.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import type { FreshnessTracker } from "./freshness_tracker.ts";
+import type { GracefulStop } from "./graceful_stop.ts";
 import type { GroupDirectory } from "./group_directory.ts";
 import type { GroupHealthTable } from "./group_health.ts";
 import type { Membership } from "./membership.ts";
 import type { QuarantineList } from "./quarantine_list.ts";
+import type { RetryBudget } from "./retry_budget.ts";
 import type { VmTable } from "./vm_table.ts";
 
 /** Parts of one daemon that its tasks and request handlers share. */
@@ -43,4 +45,6 @@
   readonly membership: Membership;
   readonly agreement: AgreementTable;
   readonly configRepository: ConfigRepository;
+  readonly retryBudget: RetryBudget;
+  readonly gracefulStop: GracefulStop;
 }
