--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -1,33 +1,43 @@
-import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import type { Container } from "inversify";
 import { createCallerApp } from "../connection/caller_app.ts";
 import { HttpServer } from "../connection/http_server.ts";
 import { createOperatorApp } from "../connection/operator_app.ts";
-import { createPeerRouter } from "../connection/peer_router.ts";
+import { createPeerApp } from "../connection/peer_app.ts";
 import { ClaimSweepTask } from "./claim_sweep_task.ts";
+import { ConfigAnnouncer } from "./config_announcer.ts";
 import { createContainer, SERVICES } from "./container.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { GroupMonitorTask } from "./group_monitor_task.ts";
+import { PeerExchangeSupervisor } from "./peer_exchange_task.ts";
 import { PlannerTask } from "./planner_task.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
+/** Options of a daemon. */
+export interface DaemonOptions {
+  /** Changes the parts before the daemon uses them. */
+  readonly configureContainer?: (container: Container) => void;
+}
+
 /** One daemon: its listeners and its tasks. */
 export class Daemon {
   readonly context: DaemonContext;
   readonly #caller: HttpServer;
   readonly #peer: HttpServer;
   readonly #operator: HttpServer;
+  readonly #announcer: ConfigAnnouncer;
   #stopping: Promise<void> | undefined;
 
-  constructor(settings: DaemonSettings) {
-    this.context = createContainer(settings).get(SERVICES.context);
+  constructor(settings: DaemonSettings, options: DaemonOptions = {}) {
+    const container = createContainer(settings);
+    options.configureContainer?.(container);
+    this.context = container.get(SERVICES.context);
+    this.#announcer = container.get(ConfigAnnouncer);
     this.#caller = new HttpServer(createCallerApp(this.context), {
       requestTimeoutMs: settings.bodyTimeoutMs,
       maxConnections: settings.maxConnections,
     });
-    this.#peer = new HttpServer(
-      createHTTPHandler({ router: createPeerRouter(this.context) }),
-    );
+    this.#peer = new HttpServer(createPeerApp(this.context));
     this.#operator = new HttpServer(createOperatorApp(this.context));
   }
 
@@ -55,6 +65,8 @@
     lifeCycle.add(this.#operator);
     await this.#caller.listen(settings.caller);
     lifeCycle.add(this.#caller);
+    this.#announcer.start();
+    this.#startTask("peer-exchange", new PeerExchangeSupervisor(this.context));
     this.#startTask("store-sync", new StoreSyncTask(this.context));
     this.#startTask("group-monitor", new GroupMonitorTask(this.context));
     this.#startTask("planner", new PlannerTask(this.context));
