Split the planner into a pure domain plan, a lease and orders

The planner formed groups in one pass, sent every order after each write and had no lease, so two daemons could send conflicting orders and a broken group was never repaired. The decision for one fabric domain is now a pure function; the task writes it conditionally, reads a lost answer back and re-checks its lease before each order. Quiet hours, rules of acceptance and the choice of monitors come along.

--- a/src/connection/http_engine_client.ts
+++ b/src/connection/http_engine_client.ts
@@ -18,7 +18,8 @@
 } from "./engine_client.ts";
 
 const STATUS_TIMEOUT_MS = 1_000;
-const ORDER_TIMEOUT_MS = 2_000;
+/** Time after which an order counts as unanswered, in milliseconds. */
+export const ORDER_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Connection failures at which no byte of the request was sent. */
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -15,6 +15,10 @@
 import { FreshnessTracker } from "./freshness_tracker.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
+import {
+  type InFlightStreams,
+  NoInFlightStreams,
+} from "./in_flight_streams.ts";
 import { LocalAdmission } from "./local_admission.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
 import { VmTable } from "./vm_table.ts";
@@ -28,6 +32,9 @@
   zonePolicy: Symbol("ZonePolicy") as ServiceIdentifier<ZonePolicy>,
   admission: Symbol("Admission") as ServiceIdentifier<Admission>,
   quarantine: Symbol("QuarantineList") as ServiceIdentifier<QuarantineList>,
+  inFlightStreams: Symbol("InFlightStreams") as ServiceIdentifier<
+    InFlightStreams
+  >,
   context: Symbol("DaemonContext") as ServiceIdentifier<DaemonContext>,
 };
 
@@ -77,6 +84,9 @@
   container.bind(SERVICES.quarantine).toConstantValue(
     new LocalQuarantineList(),
   );
+  container.bind(SERVICES.inFlightStreams).toConstantValue(
+    new NoInFlightStreams(),
+  );
   container.bind(SERVICES.zonePolicy).toResolvedValue(
     (configHolder: ConfigHolder) => new ConfigZonePolicy(configHolder),
     [ConfigHolder],
@@ -123,5 +133,6 @@
     admission: get(SERVICES.admission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
+    inFlightStreams: get(SERVICES.inFlightStreams),
   }));
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -7,6 +7,7 @@
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { GroupMonitorTask } from "./group_monitor_task.ts";
+import { OutOfServiceTask } from "./out_of_service_task.ts";
 import { PlannerTask } from "./planner_task.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
@@ -52,6 +53,7 @@
     lifeCycle.add(this.#caller);
     this.#startTask("store-sync", new StoreSyncTask(this.context));
     this.#startTask("group-monitor", new GroupMonitorTask(this.context));
+    this.#startTask("out-of-service", new OutOfServiceTask(this.context));
     this.#startTask("planner", new PlannerTask(this.context));
     logger.write("info", "daemon-started", {
       caller: this.callerAddress,
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -13,6 +13,7 @@
 import type { FreshnessTracker } from "./freshness_tracker.ts";
 import type { GroupDirectory } from "./group_directory.ts";
 import type { GroupHealthTable } from "./group_health.ts";
+import type { InFlightStreams } from "./in_flight_streams.ts";
 import type { QuarantineList } from "./quarantine_list.ts";
 import type { VmTable } from "./vm_table.ts";
 
@@ -35,4 +36,5 @@
   readonly admission: Admission;
   readonly freshness: FreshnessTracker;
   readonly quarantine: QuarantineList;
+  readonly inFlightStreams: InFlightStreams;
 }
--- a/src/process/daemon_settings.ts
+++ b/src/process/daemon_settings.ts
@@ -39,6 +39,9 @@
   leaseDurationMs: z.number().int().min(100).default(8_000).describe(
     "Time after which an unrenewed lease of a planner lapses",
   ),
+  zoneLeaveLeadMs: z.number().int().min(0).default(600_000).describe(
+    "Time before a quiet-hours window from which other zones load the groups of the leaving zone",
+  ),
   maxBodyBytes: z.number().int().min(1_024).default(4_194_304).describe(
     "Largest body of a caller's request",
   ),
--- a/src/process/group_health.ts
+++ b/src/process/group_health.ts
@@ -25,6 +25,10 @@
   readonly heldTokens: number;
   readonly maxTokens: number;
   readonly tokenIntervalMs?: number;
+  /** Whether a member takes far longer for a token than the group's recent median. */
+  readonly straggler?: boolean;
+  /** Changes of a member's boot id that the observer saw in this generation. */
+  readonly restarts?: number;
 }
 
 /** Health with the time at which it was received. */
--- /dev/null
+++ b/src/process/group_observer.ts
@@ -0,0 +1,101 @@
+import type { EngineError, EngineStatus } from "../connection/engine_client.ts";
+import type { Either } from "purify-ts";
+
+/** Status requests in a row without an answer after which a member counts as missing. */
+export const MISSED_STATUS_LIMIT = 3;
+const STRAGGLER_FACTOR = 3;
+const MEDIAN_SAMPLES = 60;
+const MIN_MEDIAN_SAMPLES = 8;
+
+interface ObservedMember {
+  status?: EngineStatus;
+  bootId?: string;
+  misses: number;
+}
+
+/** Combines the status requests to the members of one generation of a group. */
+export class GroupObserver {
+  readonly generation: number;
+  readonly #members = new Map<string, ObservedMember>();
+  readonly #intervals: number[] = [];
+  #restarts = 0;
+  #straggler = false;
+
+  constructor(generation: number) {
+    this.generation = generation;
+  }
+
+  /** Gets the changes of a member's boot id. */
+  get restarts(): number {
+    return this.#restarts;
+  }
+
+  /** Gets whether the newest token interval is far above the recent median. */
+  get straggler(): boolean {
+    return this.#straggler;
+  }
+
+  /**
+   * Records the outcome of a status request to a member.
+   *
+   * @param name - Name of the member.
+   * @param result - Status, the failure, or undefined when the address is not known.
+   * @returns The newest status, or undefined when the member counts as missing.
+   */
+  record(
+    name: string,
+    result: Either<EngineError, EngineStatus> | undefined,
+  ): EngineStatus | undefined {
+    const member = this.#members.get(name) ?? { misses: 0 };
+    this.#members.set(name, member);
+    const status = result?.toMaybe().extract();
+    if (status !== undefined) {
+      this.#recordStatus(member, status);
+      return status;
+    }
+    const error = result?.swap().toMaybe().extract();
+    member.misses += error !== undefined && isConnectionRefused(error)
+      ? MISSED_STATUS_LIMIT
+      : 1;
+    return member.misses < MISSED_STATUS_LIMIT ? member.status : undefined;
+  }
+
+  /**
+   * Records the token interval of one observation.
+   *
+   * @param intervalMs - Longest time for a token of any member in milliseconds, if known.
+   */
+  recordInterval(intervalMs: number | undefined): void {
+    if (intervalMs === undefined) {
+      return;
+    }
+    const sorted = this.#intervals.toSorted((a, b) => a - b);
+    const median = sorted[Math.floor(sorted.length / 2)];
+    this.#straggler = sorted.length >= MIN_MEDIAN_SAMPLES &&
+      intervalMs > median * STRAGGLER_FACTOR;
+    this.#intervals.push(intervalMs);
+    if (this.#intervals.length > MEDIAN_SAMPLES) {
+      this.#intervals.shift();
+    }
+  }
+
+  #recordStatus(member: ObservedMember, status: EngineStatus): void {
+    if (member.bootId !== undefined && member.bootId !== status.bootId) {
+      this.#restarts++;
+    }
+    member.bootId = status.bootId;
+    member.status = status;
+    member.misses = 0;
+  }
+}
+
+/**
+ * Gets whether the server refused the connection, so that no process listens.
+ *
+ * @param error - Failure of a request.
+ */
+export function isConnectionRefused(error: EngineError): boolean {
+  const { cause } = error;
+  return typeof cause === "object" && cause !== null && "code" in cause &&
+    cause.code === "ECONNREFUSED";
+}
--- /dev/null
+++ b/src/process/out_of_service_task.ts
@@ -0,0 +1,70 @@
+import { delay } from "../shared/delay.ts";
+import { getGroupMembers, type PlacedGroup } from "../version/placement.ts";
+import type { DaemonContext } from "./daemon_context.ts";
+
+/** Task that moves this daemon's streams when a zone or group stops taking new work. */
+export class OutOfServiceTask {
+  readonly #context: DaemonContext;
+  #closedZones = new Set<string>();
+  #closedGroups = new Set<string>();
+
+  constructor(context: DaemonContext) {
+    this.#context = context;
+  }
+
+  /** Runs until the daemon stops. */
+  async run(): Promise<void> {
+    const { settings, lifeCycle, configHolder, placementHolder } =
+      this.#context;
+    configHolder.onChange(() => this.checkOnce());
+    placementHolder.onChange(() => this.checkOnce());
+    do {
+      this.checkOnce();
+    } while (await delay(settings.statusIntervalMs, lifeCycle.signal));
+  }
+
+  /** Compares zones and groups with the last check and moves the streams of those that stopped. */
+  checkOnce(): void {
+    const { configHolder, placementHolder, zonePolicy, inFlightStreams } =
+      this.#context;
+    const zones = configHolder.getCurrent()?.document.zones ?? [];
+    const closedZones = new Set(
+      zones.map((z) => z.name).filter((z) => !zonePolicy.takesNewWork(z)),
+    );
+    for (const zone of closedZones) {
+      if (!this.#closedZones.has(zone)) {
+        this.#record("zone-stopped", zone);
+        inFlightStreams.moveStreamsFromZone(zone);
+      }
+    }
+    this.#closedZones = closedZones;
+    const closedGroups = new Set(
+      placementHolder.getGroups().filter((g) => this.#isClosed(g))
+        .map((g) => g.groupId),
+    );
+    for (const groupId of closedGroups) {
+      if (!this.#closedGroups.has(groupId)) {
+        this.#record("group-stopped", groupId);
+        inFlightStreams.moveStreamsFromGroup(groupId);
+      }
+    }
+    this.#closedGroups = closedGroups;
+  }
+
+  /** Gets whether a group drains or has a member that is drained or leaving. */
+  #isClosed(group: PlacedGroup): boolean {
+    const { configHolder, placementHolder, vmTable } = this.#context;
+    const placement = placementHolder.getPlacement(group.fabricDomain);
+    const drained = configHolder.getCurrent()?.document.drainedVms ?? [];
+    return group.phase === "draining" ||
+      (placement !== undefined &&
+        getGroupMembers(placement.placement, group.groupId).some((name) =>
+          drained.includes(name) || vmTable.getVm(name)?.state === "leaving"
+        ));
+  }
+
+  #record(event: string, name: string): void {
+    this.#context.timeline.record({ event, fields: { name } });
+    this.#context.logger.write("info", event, { name });
+  }
+}
--- /dev/null
+++ b/src/process/planner/engine_roster.ts
@@ -0,0 +1,126 @@
+import type { Vm } from "../../connection/vm_directory.ts";
+import { getGroupMembers, type PlacedGroup } from "../../version/placement.ts";
+import type { DaemonContext } from "../daemon_context.ts";
+import { HEALTH_EXPIRY_MS } from "../group_directory.ts";
+import { MemberTracker } from "./member_tracker.ts";
+
+/** Knows the backend servers of one zone: their addresses and newest statuses. */
+export class EngineRoster {
+  readonly tracker: MemberTracker;
+  /** Addresses by VM; kept while a placed VM is missing from the lagging list. */
+  readonly addresses = new Map<string, string>();
+  readonly #context: DaemonContext;
+  readonly #idleSinceMs = new Map<string, number>();
+
+  constructor(context: DaemonContext) {
+    this.#context = context;
+    this.tracker = new MemberTracker({
+      vmListLagMs: context.settings.vmListLagMs,
+    });
+  }
+
+  /**
+   * Asks the servers for their status whose state the health of the groups does not tell: spares, and members of groups that load, drain or are not healthy.
+   *
+   * @param vms - Listed backend servers of the zone.
+   * @param zone - Name of the zone.
+   */
+  async observe(vms: readonly Vm[], zone: string): Promise<void> {
+    const placements = this.#context.placementHolder.getPlacements()
+      .map((p) => p.placement).filter((p) => p.zone === zone);
+    vms.forEach((vm) => this.addresses.set(vm.name, vm.address));
+    const groupOfVm = new Map<string, PlacedGroup>();
+    for (const placement of placements) {
+      for (const [vm, groupId] of Object.entries(placement.groupByVm)) {
+        groupOfVm.set(vm, placement.groups[groupId]);
+      }
+    }
+    const known = new Set([...vms.map((vm) => vm.name), ...groupOfVm.keys()]);
+    this.tracker.trim(known);
+    this.#trimAddresses(known);
+    await Promise.all([...known].map((name) => {
+      if (this.#isHealthy(groupOfVm.get(name))) {
+        return this.tracker.recordHealthy(name);
+      }
+      return this.#ask(name);
+    }));
+    this.#updateIdleGroups(placements.flatMap((p) => Object.values(p.groups)));
+  }
+
+  /** Forgets what was seen before a time without observation. */
+  clear(): void {
+    this.tracker.clearStatuses();
+    this.#idleSinceMs.clear();
+  }
+
+  /** Gets the draining groups that have held no request for so long that no daemon still sends one. */
+  getIdleGroups(): Set<string> {
+    const { freshnessLimitMs, exchangeIntervalMs } = this.#context.settings;
+    // A daemon that has not learnt of the draining by then refuses new work as stale.
+    const settleMs = freshnessLimitMs + 2 * exchangeIntervalMs;
+    const now = performance.now();
+    return new Set(
+      [...this.#idleSinceMs]
+        .filter(([, sinceMs]) => now - sinceMs >= settleMs)
+        .map(([groupId]) => groupId),
+    );
+  }
+
+  #trimAddresses(known: ReadonlySet<string>): void {
+    for (const name of this.addresses.keys()) {
+      if (!known.has(name)) {
+        this.addresses.delete(name);
+      }
+    }
+  }
+
+  #isHealthy(group: PlacedGroup | undefined): boolean {
+    if (group?.phase !== "serving") {
+      return false;
+    }
+    const health = this.#context.healthTable.getHealth(group.groupId);
+    return health !== undefined && health.generation === group.generation &&
+      health.state !== "incomplete" &&
+      performance.now() - health.observedAtMs <= HEALTH_EXPIRY_MS;
+  }
+
+  async #ask(name: string): Promise<void> {
+    const address = this.addresses.get(name);
+    const result = address === undefined
+      ? undefined
+      : await this.#context.engineClient.getStatus(address);
+    this.tracker.record({
+      name,
+      status: result?.toMaybe().extract(),
+      hasAddress: address !== undefined,
+    });
+  }
+
+  #updateIdleGroups(groups: readonly PlacedGroup[]): void {
+    const draining = groups.filter((g) => g.phase === "draining");
+    const ids = new Set(draining.map((g) => g.groupId));
+    for (const groupId of this.#idleSinceMs.keys()) {
+      if (!ids.has(groupId)) {
+        this.#idleSinceMs.delete(groupId);
+      }
+    }
+    for (const group of draining) {
+      if (!this.#isIdle(group)) {
+        this.#idleSinceMs.delete(group.groupId);
+      } else if (!this.#idleSinceMs.has(group.groupId)) {
+        this.#idleSinceMs.set(group.groupId, performance.now());
+      }
+    }
+  }
+
+  #isIdle(group: PlacedGroup): boolean {
+    const placement = this.#context.placementHolder
+      .getPlacement(group.fabricDomain)?.placement;
+    return placement !== undefined &&
+      getGroupMembers(placement, group.groupId).every((name) => {
+        const status = this.tracker.getView(name)?.status;
+        return status !== undefined && status.runningRequests === 0 &&
+          status.waitingRequests === 0;
+      });
+  }
+}
--- a/src/process/planner_task.ts
+++ b/src/process/planner_task.ts
@@ -1,121 +1,149 @@
-import type { EngineOrder } from "../connection/engine_client.ts";
 import { delay } from "../shared/delay.ts";
-import type { DomainPlacement, PlacedGroup } from "../version/placement.ts";
-import { getGroupMembers } from "../version/placement.ts";
 import type { DaemonContext } from "./daemon_context.ts";
+import { DomainRunner } from "./planner/domain_runner.ts";
+import { EngineRoster } from "./planner/engine_roster.ts";
+import { getTakeOverDelayMs } from "./planner/planner_competitors.ts";
+import { PlannerLease } from "./planner/planner_lease.ts";
 
-/** Task that forms complete groups and sends load orders. */
+/** Checks of a lease for each of its durations; a renewal is due at a third. */
+const LEASE_CHECKS_PER_DURATION = 6;
+
+interface ZonePlanner {
+  readonly zone: string;
+  readonly lease: PlannerLease;
+  readonly roster: EngineRoster;
+}
+
+/** Task that plans the fabric domains of the zones whose lease this daemon holds. */
 export class PlannerTask {
   readonly #context: DaemonContext;
+  readonly #planners = new Map<string, ZonePlanner>();
 
   constructor(context: DaemonContext) {
     this.#context = context;
+    context.lifeCycle.addCallback(() => this.releaseLeases());
   }
 
   /** Runs until the daemon stops. */
   async run(): Promise<void> {
+    await Promise.all([this.#runLeases(), this.#runPlans()]);
+  }
+
+  /** Acquires and renews the leases of all zones once. */
+  async refreshLeases(): Promise<void> {
+    await Promise.all(
+      this.#getZones().map((zone) => this.#refreshLease(zone)),
+    );
+  }
+
+  /** Plans the zones whose lease is held once. */
+  async planOnce(): Promise<void> {
+    await Promise.all(
+      [...this.#planners.values()].map((planner) => this.#planZone(planner)),
+    );
+  }
+
+  /** Releases all leases. */
+  async releaseLeases(): Promise<void> {
+    await Promise.all(
+      [...this.#planners.values()].map((planner) => planner.lease.release()),
+    );
+  }
+
+  async #runLeases(): Promise<void> {
     const { settings, lifeCycle } = this.#context;
     do {
-      await this.planOnce();
+      await this.#tryRun("lease-failed", () => this.refreshLeases());
+    } while (
+      await delay(
+        settings.leaseDurationMs / LEASE_CHECKS_PER_DURATION,
+        lifeCycle.signal,
+      )
+    );
+  }
+
+  async #runPlans(): Promise<void> {
+    const { settings, lifeCycle } = this.#context;
+    do {
+      await this.#tryRun("plan-failed", () => this.planOnce());
     } while (await delay(settings.planIntervalMs, lifeCycle.signal));
   }
 
-  /** Plans all fabric domains once. */
-  async planOnce(): Promise<void> {
-    const domains = new Set(
-      this.#context.vmTable.getBackendVms().map((vm) => vm.fabricDomain),
-    );
-    for (const domain of domains) {
-      if (domain !== undefined) {
-        await this.#planDomain(domain);
-      }
+  async #tryRun(event: string, run: () => Promise<void>): Promise<void> {
+    try {
+      await run();
+    } catch (error) {
+      this.#context.logger.write("error", event, { message: String(error) });
     }
   }
 
-  async #planDomain(fabricDomain: string): Promise<void> {
-    const { configHolder, placementHolder, vmTable, store } = this.#context;
-    const document = configHolder.getCurrent()?.document;
-    const vms = vmTable.getBackendVms()
-      .filter((vm) => vm.fabricDomain === fabricDomain && vm.state === "live");
-    if (document === undefined || vms.length === 0) {
+  #getZones(): string[] {
+    const { configHolder, vmTable, placementHolder } = this.#context;
+    return [
+      ...new Set([
+        ...(configHolder.getCurrent()?.document.zones ?? []).map((z) => z.name),
+        ...vmTable.getBackendVms().map((vm) => vm.zone),
+        ...placementHolder.getPlacements().map((p) => p.placement.zone),
+      ]),
+    ];
+  }
+
+  async #refreshLease(zone: string): Promise<void> {
+    const { settings, vmTable, lifeCycle, timeline } = this.#context;
+    const delayMs = getTakeOverDelayMs(zone, {
+      name: settings.name,
+      entryVms: vmTable.getEntryVms(),
+      durationMs: settings.leaseDurationMs,
+    });
+    const planner = this.#getPlanner(zone);
+    const competes = delayMs !== undefined || planner.lease.isHeld();
+    if (!competes || lifeCycle.signal.aborted) {
       return;
     }
-    const current = placementHolder.getPlacement(fabricDomain);
-    const groupByVm = { ...current?.placement.groupByVm };
-    const groups: Record<string, PlacedGroup> = {
-      ...current?.placement.groups,
-    };
-    let generation = current?.placement.lastGeneration ?? 0;
-    const free = vms.filter((vm) => groupByVm[vm.name] === undefined);
-    for (const model of document.models) {
-      const wanted = model.placements
-        .filter((p) => p.zones.includes(vms[0].zone))
-        .reduce((sum, p) => sum + p.count, 0);
-      const placed = placementHolder.getGroups()
-        .filter((g) => g.model === model.name).length;
-      for (
-        let index = placed;
-        index < wanted && free.length >= model.groupSizeVms;
-        index++
-      ) {
-        const members = free.splice(0, model.groupSizeVms);
-        const groupId = `${fabricDomain}-${++generation}`;
-        members.forEach((vm) => groupByVm[vm.name] = groupId);
-        groups[groupId] = {
-          groupId,
-          model: model.name,
-          modelVersion: model.version,
-          zone: vms[0].zone,
-          fabricDomain,
-          generation,
-          phase: "serving",
-          leader: members[0].name,
-          sizeVms: model.groupSizeVms,
-        };
-      }
+    if (await planner.lease.refresh(delayMs)) {
+      planner.roster.clear();
+      timeline.record({ event: "lease-acquired", fields: { zone } });
     }
-    if (generation !== (current?.placement.lastGeneration ?? 0)) {
-      const placement: DomainPlacement = {
-        fabricDomain,
-        zone: vms[0].zone,
-        lastGeneration: generation,
-        groupByVm,
-        groups,
+  }
+
+  #getPlanner(zone: string): ZonePlanner {
+    let planner = this.#planners.get(zone);
+    if (planner === undefined) {
+      const { store, settings } = this.#context;
+      planner = {
+        zone,
+        lease: new PlannerLease({
+          store,
+          zone,
+          holder: settings.name,
+          durationMs: settings.leaseDurationMs,
+        }),
+        roster: new EngineRoster(this.#context),
       };
-      const outcome = await store.putObject({
-        kind: "placement",
-        name: fabricDomain,
-        value: placement,
-        expectedVersion: current?.objectVersion ?? 0,
-      });
-      if (outcome.outcome === "written") {
-        placementHolder.offer({ objectVersion: outcome.version, placement });
-        await this.#sendOrders(placement);
-      }
+      this.#planners.set(zone, planner);
     }
+    return planner;
   }
 
-  async #sendOrders(placement: DomainPlacement): Promise<void> {
-    const { vmTable, engineClient } = this.#context;
-    for (const group of Object.values(placement.groups)) {
-      const members = getGroupMembers(placement, group.groupId);
-      const order: EngineOrder = {
-        action: "load",
-        generation: group.generation,
-        groupId: group.groupId,
-        members: Object.fromEntries(
-          members.map((name) => [name, vmTable.getVm(name)?.address ?? ""]),
-        ),
-        leader: group.leader,
-        model: group.model,
-        modelVersion: group.modelVersion,
-        adapters: [],
-      };
-      await Promise.all(
-        Object.values(order.members).map((address) =>
-          engineClient.sendOrder(address, order)
-        ),
-      );
+  async #planZone(planner: ZonePlanner): Promise<void> {
+    const { vmTable, placementHolder } = this.#context;
+    const { zone, lease, roster } = planner;
+    if (!lease.isHeld()) {
+      return;
+    }
+    const vms = vmTable.getBackendVms().filter((vm) => vm.zone === zone);
+    await roster.observe(vms, zone);
+    const domains = new Set([
+      ...vms.flatMap((vm) => vm.fabricDomain ?? []),
+      ...placementHolder.getPlacements()
+        .filter((p) => p.placement.zone === zone)
+        .map((p) => p.placement.fabricDomain),
+    ]);
+    const runner = new DomainRunner({ context: this.#context, ...planner });
+    for (const domain of [...domains].sort()) {
+      if (lease.isHeld()) {
+        await runner.run(domain);
+      }
     }
   }
 }
--- /dev/null
+++ b/src/version/config_rules.ts
@@ -0,0 +1,252 @@
+import type { Vm } from "../connection/vm_directory.ts";
+import { assignGroups } from "./domain_assignment.ts";
+import type { ConfigDocument, ZoneConfig } from "./config_schema.ts";
+import {
+  getQuietSpans,
+  isTimeZone,
+  mergeSpans,
+  type TimeSpan,
+} from "./quiet_hours.ts";
+
+/** Rule that a document breaks. */
+export interface RuleFault {
+  /** Path of the faulty value, for example `models.0.name`. */
+  readonly path: string;
+  /** Full sentence that says what is wrong. */
+  readonly message: string;
+}
+
+/** What the rules are checked against. */
+export interface ConfigRulesInput {
+  /** Document in force, or undefined before the first one. */
+  readonly current?: ConfigDocument;
+  readonly next: ConfigDocument;
+  /** Listed VMs, where known; without them the fit of groups is not checked. */
+  readonly vms?: readonly Vm[];
+  /** Wall clock in milliseconds since the epoch, from which quiet hours are compared. */
+  readonly nowMs: number;
+}
+
+/**
+ * Checks the rules of acceptance that the schema alone cannot express.
+ *
+ * @param input - Documents, and the VMs where known.
+ * @returns The faults in the order of the document; none when it is acceptable.
+ * @example
+ * ```ts
+ * const faults = checkConfigRules({ current, next, nowMs: Date.now() });
+ * ```
+ */
+export function checkConfigRules(input: ConfigRulesInput): RuleFault[] {
+  const { next } = input;
+  const timeFaults = checkQuietHours(next);
+  return [
+    ...checkNames(next),
+    ...timeFaults,
+    ...checkZoneReferences(next),
+    ...checkAdapters(next),
+    ...checkBackends(next),
+    ...checkFit(input),
+    // Windows in an unknown time zone cannot be compared.
+    ...(timeFaults.length === 0 ? checkLastCapacity(input) : []),
+  ];
+}
+
+function checkNames(next: ConfigDocument): RuleFault[] {
+  return [
+    ...checkDuplicates("zones", next.zones.map((z) => z.name)),
+    ...checkDuplicates("models", next.models.map((m) => m.name)),
+    ...checkDuplicates("services", next.services.map((s) => s.name)),
+    ...checkDuplicates(
+      "clientAccounts",
+      next.clientAccounts.map((a) => a.name),
+    ),
+    ...checkApiKeys(next),
+  ];
+}
+
+function checkDuplicates(list: string, names: readonly string[]): RuleFault[] {
+  return names.flatMap((name, index) =>
+    names.indexOf(name) === index ? [] : [{
+      path: `${list}.${index}.name`,
+      message: `The name "${name}" is used more than once in "${list}".`,
+    }]
+  );
+}
+
+function checkApiKeys(next: ConfigDocument): RuleFault[] {
+  const owners = new Map<string, string>();
+  return next.clientAccounts.flatMap((account, index) =>
+    account.apiKeySha256.flatMap((digest, keyIndex) => {
+      const owner = owners.get(digest);
+      owners.set(digest, owner ?? account.name);
+      return owner === undefined ? [] : [{
+        path: `clientAccounts.${index}.apiKeySha256.${keyIndex}`,
+        message: `The API key already belongs to the account "${owner}".`,
+      }];
+    })
+  );
+}
+
+function checkQuietHours(next: ConfigDocument): RuleFault[] {
+  return next.zones.flatMap((zone, index) =>
+    zone.quietHours.flatMap((window, windowIndex) =>
+      isTimeZone(window.timeZone) ? [] : [{
+        path: `zones.${index}.quietHours.${windowIndex}.timeZone`,
+        message: `The time zone "${window.timeZone}" is not an IANA time zone.`,
+      }]
+    )
+  );
+}
+
+function checkZoneReferences(next: ConfigDocument): RuleFault[] {
+  const known = new Set(next.zones.map((z) => z.name));
+  return next.models.flatMap((model, index) =>
+    model.placements.flatMap((placement, placementIndex) =>
+      placement.zones.flatMap((zone, zoneIndex) =>
+        known.has(zone) ? [] : [{
+          path:
+            `models.${index}.placements.${placementIndex}.zones.${zoneIndex}`,
+          message:
+            `The model "${model.name}" names the zone "${zone}", which is not declared.`,
+        }]
+      )
+    )
+  );
+}
+
+function checkAdapters(next: ConfigDocument): RuleFault[] {
+  const models = new Set(next.models.map((m) => m.name));
+  return next.models.flatMap((model, index) =>
+    model.adapters.flatMap((adapter, adapterIndex) => {
+      const path = `models.${index}.adapters.${adapterIndex}`;
+      if (model.adapters.indexOf(adapter) !== adapterIndex) {
+        return [{
+          path,
+          message:
+            `The model "${model.name}" lists the adapter "${adapter}" more than once.`,
+        }];
+      }
+      return models.has(adapter)
+        ? [{
+          path,
+          message: `The adapter "${adapter}" has the name of a model.`,
+        }]
+        : [];
+    })
+  );
+}
+
+function checkBackends(next: ConfigDocument): RuleFault[] {
+  const known = new Set(next.zones.map((z) => z.name));
+  return next.services.flatMap((service, index) =>
+    service.backends.flatMap((backend, backendIndex) =>
+      known.has(backend.zone) ? [] : [{
+        path: `services.${index}.backends.${backendIndex}.zone`,
+        message:
+          `The service "${service.name}" has a backend server in the zone "${backend.zone}", which is not declared.`,
+      }]
+    )
+  );
+}
+
+/** Checks that the listed VMs hold all groups while every zone and VM is in service. */
+function checkFit(input: ConfigRulesInput): RuleFault[] {
+  const { next, vms } = input;
+  if (vms === undefined) {
+    return [];
+  }
+  const assignment = assignGroups({
+    document: { ...next, drainedVms: [] },
+    vms: vms.filter((vm) => vm.role === "backend"),
+    placements: [],
+    isZoneOpen: () => true,
+  });
+  return next.models.flatMap((model, index) => {
+    const wanted = model.placements.reduce((sum, p) => sum + p.count, 0);
+    const fitting = [...assignment.values()]
+      .reduce((sum, models) => sum + (models.get(model.name) ?? 0), 0);
+    return fitting >= wanted ? [] : [{
+      path: `models.${index}.placements`,
+      message:
+        `The model "${model.name}" asks for ${wanted} groups of ${model.groupSizeVms} VMs, but only ${fitting} fit into the fabric domains.`,
+    }];
+  });
+}
+
+function checkLastCapacity(input: ConfigRulesInput): RuleFault[] {
+  const { current, next, nowMs } = input;
+  if (current === undefined) {
+    return [];
+  }
+  return current.models.flatMap((model) => {
+    const hadCapacity = !isSilenced(current, { model: model.name, nowMs });
+    const confirmed = next.confirmNoCapacityFor.includes(model.name);
+    if (
+      !hadCapacity || confirmed ||
+      !isSilenced(next, { model: model.name, nowMs })
+    ) {
+      return [];
+    }
+    const index = next.models.findIndex((m) => m.name === model.name);
+    return [{
+      path: index < 0 ? "models" : `models.${index}.placements`,
+      message:
+        `The model "${model.name}" would have no capacity at some time; list it in "confirmNoCapacityFor" to accept this.`,
+    }];
+  });
+}
+
+/** Gets whether there is a time in the coming week at which all zones of a model are out of service. */
+function isSilenced(
+  document: ConfigDocument,
+  options: { model: string; nowMs: number },
+): boolean {
+  const model = document.models.find((m) => m.name === options.model);
+  const names = new Set(
+    model?.placements.filter((p) => p.count > 0).flatMap((p) => p.zones),
+  );
+  const zones = document.zones.filter((z) => names.has(z.name) && !z.takenOut);
+  let common: TimeSpan[] = [{ startMs: -Infinity, endMs: Infinity }];
+  for (const zone of zones) {
+    common = combineSpans(
+      common,
+      getMarginSpans(document, zone, options.nowMs),
+    );
+  }
+  return common.some((span) => span.endMs > options.nowMs);
+}
+
+function getMarginSpans(
+  document: ConfigDocument,
+  zone: ZoneConfig,
+  nowMs: number,
+): TimeSpan[] {
+  const marginMs = document.clockSkewMarginMs;
+  return mergeSpans(
+    getSafeSpans(zone, nowMs).map((span) => ({
+      startMs: span.startMs - marginMs,
+      endMs: span.endMs + marginMs,
+    })),
+  );
+}
+
+/** Gets the spans of the windows whose time zone is known; the document in force was checked by an older runtime. */
+function getSafeSpans(zone: ZoneConfig, nowMs: number): TimeSpan[] {
+  const windows = zone.quietHours.filter((w) => isTimeZone(w.timeZone));
+  return getQuietSpans(windows, nowMs);
+}
+
+/** Gets the spans that two lists have in common. */
+function combineSpans(
+  a: readonly TimeSpan[],
+  b: readonly TimeSpan[],
+): TimeSpan[] {
+  return a.flatMap((x) =>
+    b.flatMap((y) => {
+      const startMs = Math.max(x.startMs, y.startMs);
+      const endMs = Math.min(x.endMs, y.endMs);
+      return startMs < endMs ? [{ startMs, endMs }] : [];
+    })
+  );
+}
--- a/src/version/placement.ts
+++ b/src/version/placement.ts
@@ -15,6 +15,8 @@
   readonly leader: string;
   /** Number of members that make the group complete. */
   readonly sizeVms: number;
+  /** Adapters that the members load; none when left out. */
+  readonly adapters?: readonly string[];
 }
 
 /** Placement of one fabric domain: the value of one object of the platform's store. */
@@ -26,6 +28,8 @@
   /** Group of each placed VM. A VM occurs once as a key, so that it is in one group at most. */
   readonly groupByVm: Readonly<Record<string, string>>;
   readonly groups: Readonly<Record<string, PlacedGroup>>;
+  /** VMs whose loss the domain's planner has confirmed, sorted; the planners of other domains subtract them from the capacity. */
+  readonly lostVms?: readonly string[];
 }
 
 /** Placement of one fabric domain with the version of its object. */
--- /dev/null
+++ b/src/version/quiet_hours.ts
@@ -0,0 +1,166 @@
+import { type QuietHours, WEEKDAYS } from "./config_schema.ts";
+
+const MINUTE_MS = 60_000;
+const DAY_MS = 86_400_000;
+const DAYS_BEHIND = 2;
+const DAYS_AHEAD = 9;
+
+/** Span of time, in milliseconds since the epoch. */
+export interface TimeSpan {
+  readonly startMs: number;
+  /** First instant after the span. */
+  readonly endMs: number;
+}
+
+const formats = new Map<string, Intl.DateTimeFormat>();
+
+/**
+ * Gets whether the runtime knows an IANA time zone.
+ *
+ * @param timeZone - Name, for example `Asia/Tokyo`.
+ */
+export function isTimeZone(timeZone: string): boolean {
+  try {
+    getFormat(timeZone);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+/**
+ * Gets the spans of quiet-hours windows around an instant, merged and in order.
+ *
+ * A window covers every instant that one of its limits may mean: where clocks are set back it begins at the first and ends at the last occurrence of its times, where they are set forward a missing time means the instant of the change.
+ *
+ * @param windows - Windows of one availability zone.
+ * @param aroundMs - Instant in milliseconds since the epoch; spans from two days before to nine days after it are returned.
+ * @example
+ * ```ts
+ * getQuietSpans(zone.quietHours, Date.now());
+ * ```
+ */
+export function getQuietSpans(
+  windows: readonly QuietHours[],
+  aroundMs: number,
+): TimeSpan[] {
+  const spans: TimeSpan[] = [];
+  for (const window of windows) {
+    const today = getLocalDayMs(window.timeZone, aroundMs);
+    for (let day = -DAYS_BEHIND; day <= DAYS_AHEAD; day++) {
+      const dayMs = today + day * DAY_MS;
+      const weekday = WEEKDAYS[(new Date(dayMs).getUTCDay() + 6) % 7];
+      if (window.weekdays.includes(weekday)) {
+        spans.push(getSpan(window, dayMs));
+      }
+    }
+  }
+  return mergeSpans(spans.filter((span) => span.endMs > span.startMs));
+}
+
+/**
+ * Merges spans that overlap or touch.
+ *
+ * @param spans - Spans in any order.
+ */
+export function mergeSpans(spans: readonly TimeSpan[]): TimeSpan[] {
+  const merged: TimeSpan[] = [];
+  for (const span of spans.toSorted((a, b) => a.startMs - b.startMs)) {
+    const last = merged.at(-1);
+    if (last !== undefined && span.startMs <= last.endMs) {
+      merged[merged.length - 1] = {
+        startMs: last.startMs,
+        endMs: Math.max(last.endMs, span.endMs),
+      };
+    } else {
+      merged.push(span);
+    }
+  }
+  return merged;
+}
+
+function getSpan(window: QuietHours, dayMs: number): TimeSpan {
+  const fromMs = parseTimeOfDay(window.from);
+  const toMs = parseTimeOfDay(window.to);
+  const endDayMs = toMs <= fromMs ? dayMs + DAY_MS : dayMs;
+  return {
+    startMs: Math.min(...resolveWallTime(window.timeZone, dayMs + fromMs)),
+    endMs: Math.max(...resolveWallTime(window.timeZone, endDayMs + toMs)),
+  };
+}
+
+function parseTimeOfDay(text: string): number {
+  const [hours, minutes] = text.split(":").map(Number);
+  return (hours * 60 + minutes) * MINUTE_MS;
+}
+
+/** Gets the start of the local day as if the local time were UTC. */
+function getLocalDayMs(timeZone: string, atMs: number): number {
+  const localMs = atMs + getOffsetMs(timeZone, atMs);
+  return Math.floor(localMs / DAY_MS) * DAY_MS;
+}
+
+/** Gets the instants that a wall time means: two where clocks are set back, the change itself where they are set forward. */
+function resolveWallTime(timeZone: string, wallMs: number): number[] {
+  const before = getOffsetMs(timeZone, wallMs - DAY_MS);
+  const after = getOffsetMs(timeZone, wallMs + DAY_MS);
+  const instants = [wallMs - before, wallMs - after].filter((atMs) =>
+    atMs + getOffsetMs(timeZone, atMs) === wallMs
+  );
+  return instants.length > 0
+    ? instants
+    : [findOffsetChange(timeZone, wallMs - after, wallMs - before)];
+}
+
+/** Finds the first instant with the offset that holds at the end of a span. */
+function findOffsetChange(
+  timeZone: string,
+  startMs: number,
+  endMs: number,
+): number {
+  const offset = getOffsetMs(timeZone, endMs);
+  let [low, high] = [startMs, endMs];
+  while (high - low > 1_000) {
+    const middle = Math.floor((low + high) / 2);
+    if (getOffsetMs(timeZone, middle) === offset) {
+      high = middle;
+    } else {
+      low = middle;
+    }
+  }
+  return Math.floor(high / 1_000) * 1_000;
+}
+
+function getOffsetMs(timeZone: string, atMs: number): number {
+  const parts = new Map(
+    getFormat(timeZone).formatToParts(atMs)
+      .map((part) => [part.type, Number(part.value)]),
+  );
+  const localMs = Date.UTC(
+    parts.get("year")!,
+    parts.get("month")! - 1,
+    parts.get("day")!,
+    parts.get("hour")!,
+    parts.get("minute")!,
+    parts.get("second")!,
+  );
+  return localMs - Math.floor(atMs / 1_000) * 1_000;
+}
+
+function getFormat(timeZone: string): Intl.DateTimeFormat {
+  let format = formats.get(timeZone);
+  if (format === undefined) {
+    format = new Intl.DateTimeFormat("en-US", {
+      timeZone,
+      hourCycle: "h23",
+      year: "numeric",
+      month: "numeric",
+      day: "numeric",
+      hour: "numeric",
+      minute: "numeric",
+      second: "numeric",
+    });
+    formats.set(timeZone, format);
+  }
+  return format;
+}
