Test the plan of a fabric domain with random events and racing planners

The first run found that a domain that came back was planned with the losses of the stored placement, so that its healthy groups were drained as surplus. The losses known now are used instead.

--- a/src/process/planner/domain_planner.ts
+++ b/src/process/planner/domain_planner.ts
@@ -48,6 +48,21 @@
   return { fabricDomain, zone, lastGeneration: 0, groupByVm: {}, groups: {} };
 }
 
+/**
+ * Gets the placement with the losses that are confirmed now.
+ *
+ * @param placement - Placement of a fabric domain.
+ * @param members - What is known about the domain's servers, by name.
+ */
+export function updateLostVms(
+  placement: DomainPlacement,
+  members: ReadonlyMap<string, MemberView>,
+): DomainPlacement {
+  const lostVms = [...members].filter(([, view]) => view.lost)
+    .map(([name]) => name).sort();
+  return { ...placement, lostVms };
+}
+
 /**
  * Gets whether a group loads another version, other adapters or another size than the configuration declares.
  *
@@ -132,16 +147,13 @@
 
   #createPlan(): DomainPlan {
     const { placement, members } = this.#input;
-    const lostVms = [...members].filter(([, view]) => view.lost)
-      .map(([name]) => name).sort();
-    const next: DomainPlacement = {
+    const next = updateLostVms({
       fabricDomain: placement.fabricDomain,
       zone: placement.zone,
       lastGeneration: this.#lastGeneration,
       groupByVm: this.#groupByVm,
       groups: this.#groups,
-      lostVms,
-    };
+    }, members);
     const current = { ...placement, lostVms: placement.lostVms ?? [] };
     return {
       placement: next,
--- /dev/null
+++ b/src/process/planner/domain_planner_test.ts
@@ -0,0 +1,574 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+  createModelEngines,
+  type ModelEngine,
+} from "../../../tests/support/model_engine.ts";
+import {
+  type ConfigDocument,
+  configSchema,
+} from "../../version/config_schema.ts";
+import { assignGroups } from "../../version/domain_assignment.ts";
+import {
+  type DomainPlacement,
+  getGroupMembers,
+  type PlacedGroup,
+} from "../../version/placement.ts";
+import {
+  createEmptyPlacement,
+  type DomainPlanInput,
+  planDomain,
+  updateLostVms,
+} from "./domain_planner.ts";
+import { countLoadSlots, isReplacementTurn } from "./load_slots.ts";
+import { MemberTracker } from "./member_tracker.ts";
+import type { MemberView } from "./member_view.ts";
+import { planOrders } from "./planner_orders.ts";
+
+const MODEL = "model-1";
+
+function createDocument(
+  options: { zones: string[]; count: number; size?: number; atOnce?: number },
+): ConfigDocument {
+  return configSchema.parse({
+    schemaVersion: 1,
+    zones: options.zones.map((name) => ({ name, region: "region-1" })),
+    models: [{
+      name: MODEL,
+      groupSizeVms: options.size ?? 2,
+      placements: [{ zones: options.zones, count: options.count }],
+      slotsPerGroup: 4,
+      kvTokensPerGroup: 1_000,
+      honoursFencing: true,
+    }],
+    clientAccounts: [{ name: "account-1", apiKeySha256: ["0".repeat(64)] }],
+    weightLoadsAtOnce: options.atOnce ?? 2,
+  });
+}
+
+interface StoredPlacement {
+  version: number;
+  placement: DomainPlacement;
+}
+
+/** Engines, store and planners of a deployment as plain state. */
+class PlannerModel {
+  document: ConfigDocument;
+  readonly engines: Map<string, ModelEngine>;
+  readonly stored = new Map<string, StoredPlacement>();
+  readonly planners: {
+    copies: Map<string, StoredPlacement>;
+    tracker: MemberTracker;
+  }[];
+  closedZones = new Set<string>();
+  readonly #domains: { name: string; zone: string; vms: number }[];
+
+  constructor(options: {
+    document: ConfigDocument;
+    domains: { name: string; zone: string; vms: number }[];
+    planners?: number;
+  }) {
+    this.document = options.document;
+    this.#domains = options.domains;
+    this.engines = createModelEngines(options.domains, { loadSteps: 2 });
+    this.planners = Array.from({ length: options.planners ?? 1 }, () => ({
+      copies: new Map(),
+      tracker: new MemberTracker({ vmListLagMs: 0 }),
+    }));
+  }
+
+  get placements(): DomainPlacement[] {
+    return [...this.stored.values()].map((s) => s.placement);
+  }
+
+  get groups(): PlacedGroup[] {
+    return this.placements.flatMap((p) => Object.values(p.groups));
+  }
+
+  syncPlanner(index: number): void {
+    this.planners[index].copies = new Map(this.stored);
+  }
+
+  observe(index: number): void {
+    for (const [name, engine] of this.engines) {
+      this.planners[index].tracker.record({
+        name,
+        status: engine.getStatus(this.engines),
+        hasAddress: true,
+      });
+    }
+  }
+
+  /** Plans all domains with a planner's copies. */
+  planAll(index: number, options: { loseAnswer?: boolean } = {}): void {
+    this.observe(index);
+    for (const { name, zone } of this.#domains) {
+      this.#planDomain(index, { name, zone, ...options });
+    }
+  }
+
+  runStep(): void {
+    this.engines.forEach((engine) => engine.runStep());
+  }
+
+  /** Lets one planner with fresh copies plan until nothing changes. */
+  runUntilStable(rounds = 30): void {
+    for (let round = 0; round < rounds; round++) {
+      this.syncPlanner(0);
+      this.planAll(0);
+      this.runStep();
+    }
+  }
+
+  #planDomain(
+    index: number,
+    options: { name: string; zone: string; loseAnswer?: boolean },
+  ): void {
+    const { copies, tracker } = this.planners[index];
+    const { name } = options;
+    const copy = copies.get(name);
+    const plan = planDomain(
+      this.#createInput(index, options),
+    );
+    let placement = copy?.placement;
+    if (plan.changed) {
+      const version = this.stored.get(name)?.version ?? 0;
+      if (version !== (copy?.version ?? 0)) {
+        return;
+      }
+      this.checkChange(copy?.placement, plan.placement);
+      const entry = { version: version + 1, placement: plan.placement };
+      this.stored.set(name, entry);
+      // The task lists the placements before its next write, so that it knows its own earlier write in any case.
+      copies.set(name, entry);
+      if (options.loseAnswer) {
+        return;
+      }
+      placement = plan.placement;
+    }
+    if (placement !== undefined) {
+      this.#sendOrders(placement, tracker.getViews());
+    }
+  }
+
+  #createInput(
+    index: number,
+    options: { name: string; zone: string },
+  ): DomainPlanInput {
+    const { copies, tracker } = this.planners[index];
+    const { name, zone } = options;
+    const members = this.#getViews(name, tracker.getViews());
+    const placement = updateLostVms(
+      copies.get(name)?.placement ?? createEmptyPlacement(name, zone),
+      members,
+    );
+    const placements = [
+      placement,
+      ...[...copies.values()].map((c) => c.placement)
+        .filter((p) => p.fabricDomain !== name),
+    ];
+    const vms = [...this.engines.values()].filter((e) => e.listed)
+      .map((e) => e.vm);
+    const isOpen = (z: string) => !this.closedZones.has(z);
+    return {
+      document: this.document,
+      vms: vms.filter((vm) => vm.fabricDomain === name),
+      members,
+      placement: copies.get(name)?.placement ?? placement,
+      wanted: assignGroups({
+        document: this.document,
+        vms,
+        placements,
+        isZoneOpen: isOpen,
+      }).get(name) ?? new Map(),
+      idleGroups: new Set(
+        Object.values(placement.groups).filter((g) => g.phase === "draining")
+          .map((g) => g.groupId),
+      ),
+      loadSlots: countLoadSlots(this.document, placements),
+      mayReplace: (model) =>
+        isReplacementTurn({
+          document: this.document,
+          placements,
+          fabricDomain: name,
+          model,
+        }),
+      zoneOpen: isOpen(zone),
+      zoneTakesWork: isOpen(zone),
+    };
+  }
+
+  #getViews(
+    domain: string,
+    views: ReadonlyMap<string, MemberView>,
+  ): Map<string, MemberView> {
+    return new Map(
+      [...views].filter(([name]) =>
+        this.engines.get(name)?.vm.fabricDomain === domain
+      ),
+    );
+  }
+
+  #sendOrders(
+    placement: DomainPlacement,
+    views: ReadonlyMap<string, MemberView>,
+  ): void {
+    const orders = planOrders({
+      placement,
+      members: this.#getViews(placement.fabricDomain, views),
+      addresses: new Map(
+        [...this.engines.values()].map((e) => [e.vm.name, e.vm.address]),
+      ),
+    });
+    orders.forEach(({ vm, order }) => this.engines.get(vm)!.applyOrder(order));
+  }
+
+  isHealthy(placement: DomainPlacement, group: PlacedGroup): boolean {
+    const members = getGroupMembers(placement, group.groupId);
+    return group.phase === "serving" && members.length === group.sizeVms &&
+      members.every((name) => {
+        const engine = this.engines.get(name)!;
+        return engine.up && engine.order?.groupId === group.groupId &&
+          engine.order.generation === group.generation &&
+          engine.stepsLeft === 0;
+      });
+  }
+
+  checkChange(
+    before: DomainPlacement | undefined,
+    after: DomainPlacement,
+  ): void {
+    expect(after.lastGeneration).toBeGreaterThanOrEqual(
+      before?.lastGeneration ?? 0,
+    );
+    for (const group of Object.values(before?.groups ?? {})) {
+      if (this.isHealthy(before!, group)) {
+        const next = after.groups[group.groupId];
+        expect({ ...next, phase: "serving" }).toEqual(group);
+        expect(getGroupMembers(after, group.groupId))
+          .toEqual(getGroupMembers(before!, group.groupId));
+      }
+    }
+    for (const group of Object.values(after.groups)) {
+      const old = before?.groups[group.groupId];
+      expect(group.generation).toBeLessThanOrEqual(after.lastGeneration);
+      expect(group.generation).toBeGreaterThanOrEqual(old?.generation ?? 0);
+      const members = getGroupMembers(after, group.groupId);
+      expect(members.length).toBe(group.sizeVms);
+      expect(members).toContain(group.leader);
+      for (const name of members) {
+        expect(this.engines.get(name)!.vm.fabricDomain)
+          .toBe(after.fabricDomain);
+      }
+    }
+  }
+
+  checkState(mostLoading: number): void {
+    const placed = this.placements.flatMap((p) => Object.keys(p.groupByVm));
+    expect(new Set(placed).size).toBe(placed.length);
+    const loading = this.groups.filter((g) => g.phase === "loading");
+    expect(loading.length).toBeLessThanOrEqual(mostLoading);
+  }
+}
+
+function createSingle(options: { vms: number; count: number }): PlannerModel {
+  const model = new PlannerModel({
+    document: createDocument({ zones: ["zone-a"], count: options.count }),
+    domains: [{ name: "rack-1", zone: "zone-a", vms: options.vms }],
+  });
+  model.runUntilStable();
+  return model;
+}
+
+const stepArbitrary = fc.oneof(
+  fc.record({ type: fc.constant("fail" as const), vm: fc.nat(11) }),
+  fc.record({ type: fc.constant("return" as const), vm: fc.nat(11) }),
+  fc.record({ type: fc.constant("restart" as const), vm: fc.nat(11) }),
+  fc.record({ type: fc.constant("unlist" as const), vm: fc.nat(11) }),
+  fc.record({ type: fc.constant("list" as const), vm: fc.nat(11) }),
+  fc.record({ type: fc.constant("drain" as const), vm: fc.nat(11) }),
+  fc.record({ type: fc.constant("count" as const), count: fc.nat(6) }),
+  fc.record({ type: fc.constant("version" as const), count: fc.nat(3) }),
+  fc.record({ type: fc.constant("zone" as const), zone: fc.nat(1) }),
+  fc.record({
+    type: fc.constant("plan" as const),
+    planner: fc.nat(1),
+    sync: fc.boolean(),
+    loseAnswer: fc.boolean(),
+  }),
+  fc.record({
+    type: fc.constant("plan" as const),
+    planner: fc.nat(1),
+    sync: fc.constant(true),
+    loseAnswer: fc.constant(false),
+  }),
+);
+
+function applyStep(
+  model: PlannerModel,
+  step: typeof stepArbitrary extends fc.Arbitrary<infer T> ? T : never,
+): void {
+  const engines = [...model.engines.values()];
+  switch (step.type) {
+    case "fail":
+      engines[step.vm].up = false;
+      break;
+    case "return":
+      engines[step.vm].up = true;
+      break;
+    case "restart":
+      engines[step.vm].restart();
+      break;
+    case "unlist":
+      engines[step.vm].listed = false;
+      break;
+    case "list":
+      engines[step.vm].listed = true;
+      break;
+    case "drain":
+      model.document = {
+        ...model.document,
+        drainedVms: [engines[step.vm].vm.name],
+      };
+      break;
+    case "count":
+      model.document = structuredClone(model.document);
+      model.document.models[0].placements[0].count = step.count;
+      break;
+    case "version":
+      model.document = structuredClone(model.document);
+      model.document.models[0].version = String(step.count);
+      break;
+    case "zone":
+      model.closedZones = new Set([["zone-a"], ["zone-b"]][step.zone]);
+      break;
+    case "plan":
+      if (step.sync) {
+        model.syncPlanner(step.planner);
+      }
+      model.planAll(step.planner, { loseAnswer: step.loseAnswer });
+      model.runStep();
+      break;
+  }
+}
+
+describe("planDomain", () => {
+  // Guards against groups that stay unformed although complete ones are possible.
+  it("forms the wanted groups and leaves the rest as spares", () => {
+    const model = createSingle({ vms: 7, count: 3 });
+    expect(model.groups.map((g) => g.phase)).toEqual([
+      "serving",
+      "serving",
+      "serving",
+    ]);
+    expect(Object.keys(model.placements[0].groupByVm).length).toBe(6);
+  });
+
+  // Guards against a loss that stops more than its own group.
+  it("gives only the broken group a new generation with a spare", () => {
+    const model = createSingle({ vms: 5, count: 2 });
+    const [first, second] = model.groups;
+    const lost = getGroupMembers(model.placements[0], first.groupId)[1];
+    model.engines.get(lost)!.up = false;
+    model.runUntilStable();
+    const repaired = model.groups.find((g) => g.groupId === first.groupId)!;
+    expect(repaired.generation).toBeGreaterThan(first.generation);
+    expect(repaired.phase).toBe("serving");
+    expect(getGroupMembers(model.placements[0], first.groupId))
+      .not.toContain(lost);
+    expect(model.groups).toContainEqual(second);
+  });
+
+  // Guards against survivors that stay bound to a group that cannot become complete.
+  it("frees the survivors when there is no spare", () => {
+    const model = createSingle({ vms: 4, count: 2 });
+    const [first, second] = model.groups;
+    const members = getGroupMembers(model.placements[0], first.groupId);
+    model.engines.get(members[0])!.up = false;
+    model.runUntilStable();
+    expect(model.groups).toEqual([second]);
+    expect(model.placements[0].groupByVm[members[1]]).toBeUndefined();
+    expect(model.engines.get(members[1])!.order).toBeUndefined();
+  });
+
+  // Guards against a VM that is dropped since the list lags.
+  it("keeps a group whose member is missing from the list but answers", () => {
+    const model = createSingle({ vms: 5, count: 2 });
+    const before = model.groups;
+    model.engines.get("rack-1-vm-001")!.listed = false;
+    model.runUntilStable();
+    expect(model.groups).toEqual(before);
+  });
+
+  // Guards against a restarted member that keeps its group broken for ever.
+  it("loads a restarted member's group again", () => {
+    const model = createSingle({ vms: 4, count: 2 });
+    model.engines.get("rack-1-vm-001")!.restart();
+    model.runUntilStable();
+    expect(model.groups.map((g) => g.phase)).toEqual(["serving", "serving"]);
+  });
+
+  // Guards against a planner that is cut off and dissolves groups that serve others.
+  it("keeps the groups of a domain of which nothing answers", () => {
+    const model = createSingle({ vms: 4, count: 2 });
+    const before = model.groups;
+    model.engines.forEach((e) => e.up = false);
+    model.runUntilStable();
+    expect(model.groups).toEqual(before);
+    expect(model.placements[0].lostVms?.length).toBe(4);
+    model.engines.forEach((e) => e.up = true);
+    model.runUntilStable();
+    expect(model.groups).toEqual(before);
+    expect(model.placements[0].lostVms).toEqual([]);
+  });
+
+  // Guards against groups that are missing while a fabric domain is lost.
+  it("moves the count of a lost domain to another one", () => {
+    const model = new PlannerModel({
+      document: createDocument({ zones: ["zone-a", "zone-b"], count: 2 }),
+      domains: [
+        { name: "rack-1", zone: "zone-a", vms: 2 },
+        { name: "rack-2", zone: "zone-b", vms: 4 },
+      ],
+    });
+    model.runUntilStable();
+    model.engines.forEach((e) => e.up = e.vm.zone !== "zone-a");
+    model.runUntilStable();
+    const serving = model.groups
+      .filter((g) => g.phase === "serving" && g.zone === "zone-b");
+    expect(serving.length).toBe(2);
+  });
+
+  // Guards against a drained VM whose group stops before its replacement serves.
+  it("replaces a drained VM's group before it is drained", () => {
+    const model = createSingle({ vms: 4, count: 1 });
+    const [first] = model.groups;
+    const [drained] = getGroupMembers(model.placements[0], first.groupId);
+    model.document = { ...model.document, drainedVms: [drained] };
+    const seen: string[] = [];
+    for (let round = 0; round < 20; round++) {
+      model.syncPlanner(0);
+      model.planAll(0);
+      model.runStep();
+      const serving = model.groups.filter((g) => g.phase === "serving");
+      seen.push(serving.map((g) => g.groupId).join());
+      expect(serving.length).toBeGreaterThanOrEqual(1);
+    }
+    expect(seen.at(-1)).not.toContain(first.groupId);
+    expect(model.placements[0].groupByVm[drained]).toBeUndefined();
+  });
+
+  // Guards against a replacement that takes more than one group out of service.
+  it("rolls a new version out with at most one group missing", () => {
+    const model = new PlannerModel({
+      document: createDocument({ zones: ["zone-a", "zone-b"], count: 4 }),
+      domains: [
+        { name: "rack-1", zone: "zone-a", vms: 4 },
+        { name: "rack-2", zone: "zone-b", vms: 4 },
+      ],
+    });
+    model.runUntilStable();
+    model.document = structuredClone(model.document);
+    model.document.models[0].version = "2";
+    for (let round = 0; round < 60; round++) {
+      model.syncPlanner(0);
+      model.planAll(0);
+      model.runStep();
+      const serving = model.groups.filter((g) => g.phase === "serving");
+      expect(serving.length).toBeGreaterThanOrEqual(3);
+    }
+    expect(model.groups.map((g) => `${g.modelVersion} ${g.phase}`))
+      .toEqual(Array(4).fill("2 serving"));
+  });
+
+  // Guards against groups of a removed model that keep their VMs.
+  it("drains the groups of a removed model and unloads the members", () => {
+    const model = createSingle({ vms: 4, count: 2 });
+    model.document = { ...model.document, models: [] };
+    model.runUntilStable();
+    expect(model.groups).toEqual([]);
+    expect([...model.engines.values()].map((e) => e.order))
+      .toEqual(Array(4).fill(undefined));
+  });
+
+  // Guards against a closed zone that keeps serving, and one that never returns.
+  it("drains a zone that is taken out and loads it again on return", () => {
+    const model = createSingle({ vms: 4, count: 2 });
+    model.closedZones = new Set(["zone-a"]);
+    model.runUntilStable();
+    expect(model.groups).toEqual([]);
+    model.closedZones = new Set();
+    model.runUntilStable();
+    expect(model.groups.map((g) => g.phase)).toEqual(["serving", "serving"]);
+  });
+
+  // Guards against an engine whose order is newer than a restored placement object.
+  it("raises the generation above an engine's", () => {
+    const model = new PlannerModel({
+      document: createDocument({ zones: ["zone-a"], count: 1 }),
+      domains: [{ name: "rack-1", zone: "zone-a", vms: 2 }],
+    });
+    model.engines.get("rack-1-vm-002")!.generation = 9;
+    model.runUntilStable();
+    expect(model.groups.map((g) => g.phase)).toEqual(["serving"]);
+    expect(model.groups[0].generation).toBeGreaterThan(9);
+  });
+
+  // Guards against a server that fails again and again and takes a group with it each time.
+  it("does not choose a server that flaps", () => {
+    const model = createSingle({ vms: 5, count: 2 });
+    const flapping = model.engines.get("rack-1-vm-001")!;
+    for (let round = 0; round < 3; round++) {
+      flapping.restart();
+      model.runUntilStable();
+    }
+    expect(model.placements[0].groupByVm["rack-1-vm-001"]).toBeUndefined();
+    expect(model.groups.map((g) => g.phase)).toEqual(["serving", "serving"]);
+  });
+
+  // Guards against rare orders of losses, returns, lags, changes and racing planners.
+  it("keeps the rules of placement for random events and two racing planners", () => {
+    fc.assert(
+      fc.property(fc.array(stepArbitrary, { maxLength: 60 }), (steps) => {
+        const model = new PlannerModel({
+          document: createDocument({ zones: ["zone-a", "zone-b"], count: 4 }),
+          domains: [
+            { name: "rack-1", zone: "zone-a", vms: 5 },
+            { name: "rack-2", zone: "zone-a", vms: 3 },
+            { name: "rack-3", zone: "zone-b", vms: 4 },
+          ],
+          planners: 2,
+        });
+        for (const step of steps) {
+          applyStep(model, step);
+          model.checkState(2 * model.document.weightLoadsAtOnce);
+        }
+      }),
+      { numRuns: 300 },
+    );
+  });
+
+  // Guards against a loss, return or lag that takes a healthy group out of service.
+  it("never drains a healthy group without a change of the configuration", () => {
+    const events = stepArbitrary.filter((s) =>
+      ["fail", "return", "restart", "unlist", "list", "plan"].includes(s.type)
+    );
+    fc.assert(
+      fc.property(fc.array(events, { maxLength: 60 }), (steps) => {
+        const model = new PlannerModel({
+          document: createDocument({ zones: ["zone-a"], count: 5 }),
+          domains: [{ name: "rack-1", zone: "zone-a", vms: 12 }],
+          planners: 2,
+        });
+        model.runUntilStable(8);
+        for (const step of steps) {
+          applyStep(model, step);
+          model.checkState(2 * model.document.weightLoadsAtOnce);
+          expect(model.groups.filter((g) => g.phase === "draining"))
+            .toEqual([]);
+        }
+      }),
+      { numRuns: 300 },
+    );
+  });
+});
--- a/src/process/planner/domain_runner.ts
+++ b/src/process/planner/domain_runner.ts
@@ -1,14 +1,14 @@
 import { isDeepStrictEqual } from "node:util";
-import type { Vm } from "../../connection/vm_directory.ts";
 import type { ConfigDocument } from "../../version/config_schema.ts";
-import {
-  assignGroups,
-  type DomainAssignment,
-} from "../../version/domain_assignment.ts";
+import { assignGroups } from "../../version/domain_assignment.ts";
 import type { DomainPlacement } from "../../version/placement.ts";
 import { isZoneOpen } from "../../version/zone_policy.ts";
 import type { DaemonContext } from "../daemon_context.ts";
-import { createEmptyPlacement, planDomain } from "./domain_planner.ts";
+import {
+  createEmptyPlacement,
+  planDomain,
+  updateLostVms,
+} from "./domain_planner.ts";
 import type { DomainPlan } from "./domain_planner.ts";
 import type { EngineRoster } from "./engine_roster.ts";
 import type { PlannerLease } from "./planner_lease.ts";
@@ -77,46 +77,38 @@
       .filter((vm) => vm.fabricDomain === fabricDomain);
     const placement = placementHolder.getPlacement(fabricDomain)?.placement ??
       createEmptyPlacement(fabricDomain, zone);
-    const placements = placementHolder.getPlacements().map((p) => p.placement);
-    const names = [
+    const members = roster.getViews([
       ...vms.map((vm) => vm.name),
       ...Object.keys(placement.groupByVm),
-    ];
+    ]);
+    const placements = placementHolder.getPlacements().map((p) => p.placement);
+    const isOpen = (name: string) =>
+      isZoneOpen(zonePolicy, { zone: name, leadMs: settings.zoneLeaveLeadMs });
+    const assignment = assignGroups({
+      document,
+      vms: vmTable.getBackendVms(),
+      // Counts with the losses known now, so that a server that is back counts at once.
+      placements: [
+        ...placements.filter((p) => p.fabricDomain !== fabricDomain),
+        updateLostVms(placement, members),
+      ],
+      isZoneOpen: isOpen,
+    });
     return planDomain({
       document,
       vms,
-      members: new Map(
-        names.flatMap((name) => {
-          const view = roster.tracker.getView(name);
-          return view === undefined ? [] : [[name, view] as const];
-        }),
-      ),
+      members,
       placement,
-      wanted: this.#assign(document).get(fabricDomain) ?? new Map(),
+      wanted: assignment.get(fabricDomain) ?? new Map(),
       idleGroups: roster.getIdleGroups(),
       loadSlots: countLoadSlots(document, placements),
       mayReplace: (model) =>
         isReplacementTurn({ document, placements, fabricDomain, model }),
-      zoneOpen: isZoneOpen(zonePolicy, {
-        zone,
-        leadMs: settings.zoneLeaveLeadMs,
-      }),
+      zoneOpen: isOpen(zone),
       zoneTakesWork: zonePolicy.takesNewWork(zone),
     });
   }
 
-  #assign(document: ConfigDocument): DomainAssignment {
-    const { placementHolder, vmTable, zonePolicy, settings } =
-      this.#options.context;
-    return assignGroups({
-      document,
-      vms: vmTable.getBackendVms(),
-      placements: placementHolder.getPlacements().map((p) => p.placement),
-      isZoneOpen: (zone) =>
-        isZoneOpen(zonePolicy, { zone, leadMs: settings.zoneLeaveLeadMs }),
-    });
-  }
-
   /** Writes a placement; a write whose answer was lost is read back before any order. */
   async #write(placement: DomainPlacement): Promise<boolean> {
     const { store, placementHolder, logger, timeline } = this.#options.context;
@@ -167,26 +159,18 @@
     if (placement !== undefined) {
       const orders = planOrders({
         placement,
-        members: this.#getDomainViews(placement, context.vmTable.getVms()),
+        members: roster.getViews([
+          ...context.vmTable.getBackendVms()
+            .filter((vm) => vm.fabricDomain === fabricDomain)
+            .map((vm) => vm.name),
+          ...Object.keys(placement.groupByVm),
+        ]),
         addresses: roster.addresses,
       });
       await Promise.all(orders.map((order) => this.#sendOrder(order)));
     }
   }
 
-  #getDomainViews(
-    placement: DomainPlacement,
-    vms: readonly Vm[],
-  ): ReturnType<EngineRoster["tracker"]["getViews"]> {
-    const names = new Set([
-      ...vms.filter((vm) => vm.fabricDomain === placement.fabricDomain)
-        .map((vm) => vm.name),
-      ...Object.keys(placement.groupByVm),
-    ]);
-    const views = this.#options.roster.tracker.getViews();
-    return new Map([...views].filter(([name]) => names.has(name)));
-  }
-
   async #sendOrder({ vm, order }: PlannedOrder): Promise<void> {
     const { context, lease, roster } = this.#options;
     const address = roster.addresses.get(vm);
--- a/src/process/planner/engine_roster.ts
+++ b/src/process/planner/engine_roster.ts
@@ -2,6 +2,7 @@
 import { getGroupMembers, type PlacedGroup } from "../../version/placement.ts";
 import type { DaemonContext } from "../daemon_context.ts";
 import { HEALTH_EXPIRY_MS } from "../group_directory.ts";
+import type { MemberView } from "./member_view.ts";
 import { MemberTracker } from "./member_tracker.ts";
 
 /** Knows the backend servers of one zone: their addresses and newest statuses. */
@@ -47,6 +48,18 @@
     this.#updateIdleGroups(placements.flatMap((p) => Object.values(p.groups)));
   }
 
+  /**
+   * Gets what is known about the given servers.
+   *
+   * @param names - Names of the VMs.
+   */
+  getViews(names: readonly string[]): Map<string, MemberView> {
+    return new Map(names.flatMap((name) => {
+      const view = this.tracker.getView(name);
+      return view === undefined ? [] : [[name, view] as const];
+    }));
+  }
+
   /** Forgets what was seen before a time without observation. */
   clear(): void {
     this.tracker.clearStatuses();
--- /dev/null
+++ b/tests/support/memory_store.ts
@@ -0,0 +1,80 @@
+import { type Either, Left, Right } from "purify-ts";
+import {
+  type ObjectStore,
+  type PutObjectOptions,
+  type StoredObject,
+  StoreUnavailableError,
+  type WatchResult,
+  type WriteOutcome,
+} from "../../src/connection/object_store.ts";
+
+/** Object store in memory, with faults. */
+export class MemoryStore implements ObjectStore {
+  /** Refuses all calls. */
+  down = false;
+  /** Number of next writes that take effect while their answer is lost. */
+  loseAnswerNext = 0;
+  /** Number of next writes that are lost together with their answer. */
+  loseWriteNext = 0;
+  /** Called after a write has taken effect and before its answer. */
+  onWritten: () => void | Promise<void> = () => {};
+  writes = 0;
+  readonly #objects = new Map<string, StoredObject>();
+
+  getObject(
+    kind: string,
+    name: string,
+  ): Promise<Either<StoreUnavailableError, StoredObject | undefined>> {
+    return Promise.resolve(
+      this.down
+        ? Left(new StoreUnavailableError("The store is down"))
+        : Right(structuredClone(this.#objects.get(`${kind}/${name}`))),
+    );
+  }
+
+  listObjects(
+    kind: string,
+  ): Promise<Either<StoreUnavailableError, StoredObject[]>> {
+    return Promise.resolve(
+      this.down
+        ? Left(new StoreUnavailableError("The store is down"))
+        : Right(structuredClone(
+          [...this.#objects.values()].filter((o) => o.kind === kind),
+        )),
+    );
+  }
+
+  async putObject(options: PutObjectOptions): Promise<WriteOutcome> {
+    const { kind, name, value, expectedVersion } = options;
+    if (this.down || this.loseWriteNext > 0) {
+      this.loseWriteNext = Math.max(0, this.loseWriteNext - 1);
+      return { outcome: "unknown", message: "The write has no answer" };
+    }
+    const key = `${kind}/${name}`;
+    if ((this.#objects.get(key)?.version ?? 0) !== expectedVersion) {
+      return { outcome: "conflict" };
+    }
+    const version = expectedVersion + 1;
+    this.writes++;
+    this.#objects.set(key, {
+      kind,
+      name,
+      version,
+      value: JSON.parse(JSON.stringify(value)),
+    });
+    await this.onWritten();
+    if (this.loseAnswerNext > 0) {
+      this.loseAnswerNext--;
+      return { outcome: "unknown", message: "The answer was lost" };
+    }
+    return { outcome: "written", version };
+  }
+
+  deleteObject(): Promise<WriteOutcome> {
+    return Promise.resolve({ outcome: "conflict" });
+  }
+
+  watch(): Promise<Either<StoreUnavailableError, WatchResult>> {
+    return Promise.resolve(Right({ revision: 0, events: [], reset: false }));
+  }
+}
--- /dev/null
+++ b/tests/support/model_engine.ts
@@ -0,0 +1,115 @@
+import type {
+  EngineOrder,
+  EngineStatus,
+} from "../../src/connection/engine_client.ts";
+import type { Vm } from "../../src/connection/vm_directory.ts";
+
+/** Backend server as plain state, for tests and measurements of the planner's decisions. */
+export class ModelEngine {
+  readonly vm: Vm;
+  readonly loadSteps: number;
+  up = true;
+  listed = true;
+  boot = 0;
+  generation = 0;
+  order: EngineOrder | undefined;
+  stepsLeft = 0;
+  orders = 0;
+
+  constructor(vm: Vm, options: { loadSteps: number }) {
+    this.vm = vm;
+    this.loadSteps = options.loadSteps;
+  }
+
+  /** Restarts the engine, which loses what it held. */
+  restart(): void {
+    this.up = true;
+    this.boot++;
+    this.order = undefined;
+  }
+
+  /** Applies an order; an old generation is refused. */
+  applyOrder(order: EngineOrder): boolean {
+    if (!this.up || order.generation < this.generation) {
+      return false;
+    }
+    this.orders++;
+    this.generation = order.generation;
+    if (order.action === "unload") {
+      this.order = undefined;
+    } else if (
+      this.order?.groupId !== order.groupId ||
+      this.order.generation !== order.generation
+    ) {
+      this.order = order;
+      this.stepsLeft = this.loadSteps;
+    }
+    return true;
+  }
+
+  /** Lets one step of loading pass. */
+  runStep(): void {
+    this.stepsLeft = Math.max(0, this.stepsLeft - 1);
+  }
+
+  /** Gets whether the engine holds the weights for a group. */
+  holds(order: EngineOrder): boolean {
+    return this.up && this.order?.groupId === order.groupId &&
+      this.order.generation === order.generation && this.stepsLeft === 0;
+  }
+
+  /** Gets the status, or undefined while the engine does not answer. */
+  getStatus(
+    engines: ReadonlyMap<string, ModelEngine>,
+  ): EngineStatus | undefined {
+    if (!this.up) {
+      return undefined;
+    }
+    const { order } = this;
+    const members = Object.keys(order?.members ?? {});
+    return {
+      bootId: `${this.vm.name}-${this.boot}`,
+      generation: this.generation,
+      state: order === undefined
+        ? "empty"
+        : this.stepsLeft > 0
+        ? "loading"
+        : "ready",
+      groupId: order?.groupId,
+      model: order?.model,
+      modelVersion: order?.modelVersion,
+      connectedMembers: members.filter((name) =>
+        engines.get(name)?.holds(order!)
+      ),
+      runningRequests: 0,
+      waitingRequests: 0,
+      heldTokens: 0,
+      maxTokens: 1_000,
+    };
+  }
+}
+
+/** Creates the engines of equal fabric domains, one zone each unless stated. */
+export function createModelEngines(
+  domains: readonly { name: string; zone: string; vms: number }[],
+  options: { loadSteps: number },
+): Map<string, ModelEngine> {
+  const engines = new Map<string, ModelEngine>();
+  for (const domain of domains) {
+    for (let index = 1; index <= domain.vms; index++) {
+      const name = `${domain.name}-vm-${String(index).padStart(3, "0")}`;
+      engines.set(
+        name,
+        new ModelEngine({
+          name,
+          role: "backend",
+          address: `10.0.0.1:${engines.size + 1}`,
+          zone: domain.zone,
+          fabricDomain: domain.name,
+          state: "live",
+        }, options),
+      );
+    }
+  }
+  return engines;
+}
