--- /dev/null
+++ b/bench/planner_bench.ts
@@ -0,0 +1,91 @@
+import { writeFileSync } from "node:fs";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { planDomain } from "../src/process/planner/domain_planner.ts";
+import { PlannerScenario, type ScenarioResult } from "./planner_scenario.ts";
+
+const COST_ROUNDS = 200;
+
+/** Cost of the planner's decisions for one size of deployment. */
+interface DecisionCost {
+  readonly servers: number;
+  readonly domains: number;
+  readonly domainP50Us: number;
+  readonly domainP95Us: number;
+  /** Assignment and plans of all fabric domains, once. */
+  readonly roundP50Ms: number;
+  readonly roundP95Ms: number;
+}
+
+function measureCost(servers: number): DecisionCost {
+  const domainCount = servers / 20;
+  const scenario = new PlannerScenario({
+    servers,
+    groups: Math.floor(servers / 4 * 0.93),
+    days: 0,
+    seed: 1,
+    way: "planner",
+  });
+  scenario.runUntilFormed();
+  const domainTimes: number[] = [];
+  const roundTimes: number[] = [];
+  for (let round = 0; round < COST_ROUNDS; round++) {
+    const roundStartMs = performance.now();
+    const assignment = scenario.assign();
+    for (const domain of scenario.domains) {
+      const startMs = performance.now();
+      planDomain(scenario.createInput(domain, assignment));
+      domainTimes.push((performance.now() - startMs) * 1_000);
+    }
+    roundTimes.push(performance.now() - roundStartMs);
+  }
+  return {
+    servers,
+    domains: domainCount,
+    domainP50Us: getQuantile(domainTimes, 0.5),
+    domainP95Us: getQuantile(domainTimes, 0.95),
+    roundP50Ms: getQuantile(roundTimes, 0.5),
+    roundP95Ms: getQuantile(roundTimes, 0.95),
+  };
+}
+
+function getQuantile(values: readonly number[], quantile: number): number {
+  const sorted = values.toSorted((a, b) => a - b);
+  const value = sorted[Math.floor((sorted.length - 1) * quantile)];
+  return Number(value.toFixed(3));
+}
+
+function measureMonth(seed: number): ScenarioResult[] {
+  const results: ScenarioResult[] = [];
+  for (const groups of [120, 140]) {
+    for (const way of ["planner", "no-spares", "re-plan"] as const) {
+      results.push(
+        new PlannerScenario({ servers: 600, groups, days: 30, seed, way })
+          .run(),
+      );
+    }
+  }
+  return results;
+}
+
+async function main(): Promise<void> {
+  const args = await yargs(hideBin(process.argv))
+    .option("json", { type: "string", describe: "File for the report" })
+    .option("seed", { type: "number", default: 1 })
+    .strict()
+    .parse();
+  // The first calls are slower until the code is compiled.
+  measureCost(60);
+  const report = {
+    seed: args.seed,
+    decisionCost: [measureCost(60), measureCost(600)],
+    month: measureMonth(args.seed),
+  };
+  console.table(report.decisionCost);
+  console.table(report.month);
+  if (args.json !== undefined) {
+    writeFileSync(args.json, `${JSON.stringify(report, null, 2)}\n`);
+  }
+}
+
+await main();
--- /dev/null
+++ b/bench/planner_scenario.ts
@@ -0,0 +1,405 @@
+import {
+  createEmptyPlacement,
+  type DomainPlanInput,
+  planDomain,
+  updateLostVms,
+} from "../src/process/planner/domain_planner.ts";
+import {
+  countLoadSlots,
+  isReplacementTurn,
+} from "../src/process/planner/load_slots.ts";
+import type { MemberView } from "../src/process/planner/member_view.ts";
+import { planOrders } from "../src/process/planner/planner_orders.ts";
+import {
+  type ConfigDocument,
+  configSchema,
+} from "../src/version/config_schema.ts";
+import {
+  assignGroups,
+  type DomainAssignment,
+} from "../src/version/domain_assignment.ts";
+import type { DomainPlacement } from "../src/version/placement.ts";
+import {
+  createModelEngines,
+  type ModelEngine,
+} from "../tests/support/model_engine.ts";
+
+const MODEL = "model-1";
+const GROUP_SIZE_VMS = 4;
+const ACCELERATORS_PER_VM = 4;
+const VMS_PER_DOMAIN = 20;
+const ZONES = 10;
+const MINUTES_PER_DAY = 1_440;
+const LOSSES_PER_DAY_AND_SERVER = 16 / 600;
+const REPLACEMENTS_PER_DAY_AND_SERVER = 160 / 600;
+/** Minutes until a lost VM is back. */
+const LOSS_MINUTES = 240;
+/** Minutes for which a VM is listed as leaving before it stops. */
+const NOTICE_MINUTES = 5;
+/** Minutes for which a replaced VM is away. */
+const REPLACEMENT_MINUTES = 10;
+/** Minutes of a load of weights. */
+const LOAD_MINUTES = 5;
+const LOADS_AT_ONCE = 4;
+
+/**
+ * How groups are formed.
+ *
+ * - `planner`: the planner as it is.
+ * - `no-spares`: the planner without the VMs that the groups do not need at the start.
+ * - `re-plan`: at each change in a fabric domain all its groups are formed anew.
+ */
+export type ScenarioWay = "planner" | "no-spares" | "re-plan";
+
+/** Options of a scenario. */
+export interface ScenarioOptions {
+  readonly servers: number;
+  readonly groups: number;
+  readonly days: number;
+  readonly seed: number;
+  readonly way: ScenarioWay;
+}
+
+/** Outcome of a scenario. */
+export interface ScenarioResult {
+  readonly way: ScenarioWay;
+  readonly groups: number;
+  readonly losses: number;
+  readonly replacements: number;
+  /** Hours for which a wanted group did not serve, summed over all groups. */
+  readonly groupDownHours: number;
+  /** Share of the wanted group time in which the groups served. */
+  readonly availability: number;
+  /** Accelerators of live VMs outside any complete group, on average. */
+  readonly strandedAccelerators: number;
+  readonly loadOrders: number;
+}
+
+interface PendingEvent {
+  readonly minute: number;
+  readonly engine: ModelEngine;
+  readonly type: "leave" | "stop" | "return";
+}
+
+/** Plain computation of failures and planner decisions, one minute after the other. */
+export class PlannerScenario {
+  readonly domains: string[];
+  readonly #options: ScenarioOptions;
+  readonly #document: ConfigDocument;
+  readonly #engines: Map<string, ModelEngine>;
+  readonly #enginesByDomain = new Map<string, ModelEngine[]>();
+  readonly #placements = new Map<string, DomainPlacement>();
+  readonly #leaving = new Set<string>();
+  readonly #withheld = new Set<string>();
+  readonly #drainSteps = new Map<string, number>();
+  readonly #dirty = new Set<string>();
+  #pending: PendingEvent[] = [];
+  #random: () => number;
+  #losses = 0;
+  #replacements = 0;
+
+  constructor(options: ScenarioOptions) {
+    this.#options = options;
+    this.#random = createRandom(options.seed);
+    const count = options.servers / VMS_PER_DOMAIN;
+    const domains = Array.from({ length: count }, (_, index) => ({
+      name: `rack-${String(index + 1).padStart(2, "0")}`,
+      zone: `zone-${index % Math.min(ZONES, count)}`,
+      vms: VMS_PER_DOMAIN,
+    }));
+    this.domains = domains.map((d) => d.name);
+    this.#document = createDocument(options, domains.map((d) => d.zone));
+    this.#engines = createModelEngines(domains, { loadSteps: LOAD_MINUTES });
+    for (const domain of domains) {
+      this.#enginesByDomain.set(
+        domain.name,
+        [...this.#engines.values()]
+          .filter((e) => e.vm.fabricDomain === domain.name),
+      );
+      this.#placements.set(
+        domain.name,
+        createEmptyPlacement(domain.name, domain.zone),
+      );
+    }
+  }
+
+  /** Runs the scenario over all days. */
+  run(): ScenarioResult {
+    this.runUntilFormed();
+    if (this.#options.way === "no-spares") {
+      this.#withholdSpares();
+    }
+    const ordersBefore = this.#countOrders();
+    const minutes = this.#options.days * MINUTES_PER_DAY;
+    let downMinutes = 0;
+    let strandedMinutes = 0;
+    for (let minute = 0; minute < minutes; minute++) {
+      this.#applyEvents(minute);
+      this.#runStep();
+      const serving = this.#countServing();
+      downMinutes += Math.max(0, this.#options.groups - serving);
+      strandedMinutes += this.#countLive() - serving * GROUP_SIZE_VMS;
+    }
+    const wantedMinutes = minutes * this.#options.groups;
+    return {
+      way: this.#options.way,
+      groups: this.#options.groups,
+      losses: this.#losses,
+      replacements: this.#replacements,
+      groupDownHours: Math.round(downMinutes / 60),
+      availability: Number((1 - downMinutes / wantedMinutes).toFixed(5)),
+      strandedAccelerators: Math.round(
+        strandedMinutes / minutes * ACCELERATORS_PER_VM,
+      ),
+      loadOrders: this.#countOrders() - ordersBefore,
+    };
+  }
+
+  /** Lets the groups form without failures. */
+  runUntilFormed(): void {
+    this.domains.forEach((domain) => this.#dirty.add(domain));
+    while (this.#countServing() < this.#options.groups) {
+      this.#runStep();
+    }
+  }
+
+  /** Assigns the counts to fabric domains. */
+  assign(): DomainAssignment {
+    return assignGroups({
+      document: this.#document,
+      vms: [...this.#engines.values()].filter((e) => this.#isListed(e))
+        .map((e) => this.#getVm(e)),
+      placements: [...this.#placements.values()],
+      isZoneOpen: () => true,
+    });
+  }
+
+  /**
+   * Creates the input of a domain's plan.
+   *
+   * @param domain - Name of the fabric domain.
+   * @param assignment - Counts by fabric domain.
+   */
+  createInput(domain: string, assignment: DomainAssignment): DomainPlanInput {
+    const engines = this.#enginesByDomain.get(domain)!;
+    const placements = [...this.#placements.values()];
+    const placement = this.#placements.get(domain)!;
+    return {
+      document: this.#document,
+      vms: engines.filter((e) => this.#isListed(e)).map((e) => this.#getVm(e)),
+      members: this.#getViews(domain),
+      placement,
+      wanted: assignment.get(domain)!,
+      idleGroups: new Set(
+        Object.keys(placement.groups)
+          .filter((id) => (this.#drainSteps.get(id) ?? 0) >= 2),
+      ),
+      loadSlots: countLoadSlots(this.#document, placements),
+      mayReplace: (model) =>
+        isReplacementTurn({
+          document: this.#document,
+          placements,
+          fabricDomain: domain,
+          model,
+        }),
+      zoneOpen: true,
+      zoneTakesWork: true,
+    };
+  }
+
+  #isListed(engine: ModelEngine): boolean {
+    return engine.listed && !this.#withheld.has(engine.vm.name);
+  }
+
+  #getVm(engine: ModelEngine): ModelEngine["vm"] {
+    return this.#leaving.has(engine.vm.name)
+      ? { ...engine.vm, state: "leaving" }
+      : engine.vm;
+  }
+
+  #getViews(domain: string): Map<string, MemberView> {
+    return new Map(
+      this.#enginesByDomain.get(domain)!
+        .filter((e) => !this.#withheld.has(e.vm.name))
+        .map((e) => [e.vm.name, {
+          status: e.getStatus(this.#engines),
+          lost: !e.up,
+          backedOff: false,
+        }]),
+    );
+  }
+
+  #withholdSpares(): void {
+    for (const engine of this.#engines.values()) {
+      const placement = this.#placements.get(engine.vm.fabricDomain!)!;
+      if (placement.groupByVm[engine.vm.name] === undefined) {
+        this.#withheld.add(engine.vm.name);
+      }
+    }
+  }
+
+  #applyEvents(minute: number): void {
+    for (const engine of this.#engines.values()) {
+      const random = this.#random() * MINUTES_PER_DAY;
+      if (!engine.up || this.#leaving.has(engine.vm.name)) {
+        continue;
+      }
+      if (random < LOSSES_PER_DAY_AND_SERVER) {
+        this.#losses++;
+        engine.up = false;
+        this.#push({ minute: minute + LOSS_MINUTES, engine, type: "return" });
+        this.#markChanged(engine);
+      } else if (
+        random < LOSSES_PER_DAY_AND_SERVER + REPLACEMENTS_PER_DAY_AND_SERVER
+      ) {
+        this.#replacements++;
+        this.#push({ minute, engine, type: "leave" });
+        const stopAt = minute + NOTICE_MINUTES;
+        this.#push({ minute: stopAt, engine, type: "stop" });
+        this.#push({
+          minute: stopAt + REPLACEMENT_MINUTES,
+          engine,
+          type: "return",
+        });
+      }
+    }
+    const due = this.#pending.filter((e) => e.minute <= minute);
+    this.#pending = this.#pending.filter((e) => e.minute > minute);
+    due.forEach((event) => this.#applyEvent(event));
+  }
+
+  #push(event: PendingEvent): void {
+    this.#pending.push(event);
+  }
+
+  #applyEvent({ engine, type }: PendingEvent): void {
+    if (type === "leave") {
+      this.#leaving.add(engine.vm.name);
+    } else if (type === "stop") {
+      engine.up = false;
+    } else {
+      this.#leaving.delete(engine.vm.name);
+      engine.restart();
+    }
+    this.#markChanged(engine);
+  }
+
+  #markChanged(engine: ModelEngine): void {
+    const domain = engine.vm.fabricDomain!;
+    this.#dirty.add(domain);
+    if (this.#options.way === "re-plan") {
+      this.#placements.set(domain, {
+        ...this.#placements.get(domain)!,
+        groups: {},
+        groupByVm: {},
+      });
+    }
+  }
+
+  #runStep(): void {
+    this.#engines.forEach((engine) => engine.runStep());
+    if (this.#dirty.size > 0) {
+      const due = [...this.#dirty].sort();
+      this.#dirty.clear();
+      for (const domain of due) {
+        this.#planDomain(domain);
+      }
+    }
+  }
+
+  #planDomain(domain: string): void {
+    const before = this.#placements.get(domain)!;
+    this.#placements.set(domain, updateLostVms(before, this.#getViews(domain)));
+    const assignment = this.assign();
+    const plan = planDomain(this.createInput(domain, assignment));
+    this.#placements.set(domain, plan.placement);
+    const views = this.#getViews(domain);
+    const orders = planOrders({
+      placement: plan.placement,
+      members: views,
+      addresses: new Map(),
+    });
+    orders.forEach(({ vm, order }) => this.#engines.get(vm)!.applyOrder(order));
+    this.#updateDirty(domain, assignment);
+  }
+
+  #updateDirty(domain: string, assignment: DomainAssignment): void {
+    const groups = Object.values(this.#placements.get(domain)!.groups);
+    for (const group of groups) {
+      if (group.phase === "draining") {
+        const steps = this.#drainSteps.get(group.groupId) ?? 0;
+        this.#drainSteps.set(group.groupId, steps + 1);
+      }
+    }
+    for (const [name, models] of assignment) {
+      const placed = Object.values(this.#placements.get(name)!.groups);
+      const unsettled = placed.some((g) => g.phase !== "serving");
+      if (unsettled || placed.length !== (models.get(MODEL) ?? 0)) {
+        this.#dirty.add(name);
+      }
+    }
+  }
+
+  #countServing(): number {
+    let serving = 0;
+    for (const [domain, placement] of this.#placements) {
+      const complete = new Map<string, number>();
+      for (const engine of this.#enginesByDomain.get(domain)!) {
+        const groupId = placement.groupByVm[engine.vm.name];
+        const group = placement.groups[groupId];
+        if (
+          group?.phase === "serving" && engine.up &&
+          !this.#leaving.has(engine.vm.name) &&
+          engine.order?.generation === group.generation &&
+          engine.stepsLeft === 0
+        ) {
+          complete.set(groupId, (complete.get(groupId) ?? 0) + 1);
+        }
+      }
+      serving += [...complete.values()]
+        .filter((members) => members === GROUP_SIZE_VMS).length;
+    }
+    return serving;
+  }
+
+  #countLive(): number {
+    return [...this.#engines.values()]
+      .filter((e) => e.up && !this.#leaving.has(e.vm.name)).length;
+  }
+
+  #countOrders(): number {
+    return [...this.#engines.values()]
+      .reduce((sum, engine) => sum + engine.orders, 0);
+  }
+}
+
+function createDocument(
+  options: ScenarioOptions,
+  zones: readonly string[],
+): ConfigDocument {
+  const names = [...new Set(zones)];
+  return configSchema.parse({
+    schemaVersion: 1,
+    zones: names.map((name) => ({ name, region: "region-1" })),
+    models: [{
+      name: MODEL,
+      groupSizeVms: GROUP_SIZE_VMS,
+      placements: [{ zones: names, count: options.groups }],
+      slotsPerGroup: 4,
+      kvTokensPerGroup: 1_000,
+    }],
+    clientAccounts: [{ name: "account-1", apiKeySha256: ["0".repeat(64)] }],
+    weightLoadsAtOnce: LOADS_AT_ONCE,
+  });
+}
+
+/** Creates a seeded generator of numbers from 0 to 1 (mulberry32). */
+function createRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state + 0x6d2b79f5) | 0;
+    let value = Math.imul(state ^ (state >>> 15), 1 | state);
+    value = (value + Math.imul(value ^ (value >>> 7), 61 | value)) ^ value;
+    return ((value ^ (value >>> 14)) >>> 0) / 4_294_967_296;
+  };
+}
--- /dev/null
+++ b/src/process/group_observer_test.ts
@@ -0,0 +1,70 @@
+import { Left, Right } from "purify-ts";
+import { describe, expect, it } from "vitest";
+import { createModelEngines } from "../../tests/support/model_engine.ts";
+import { EngineError } from "../connection/engine_client.ts";
+import { GroupObserver } from "./group_observer.ts";
+
+function createError(code: string): EngineError {
+  const cause = Object.assign(new Error("The call failed"), { code });
+  return new EngineError("The status is not available", {
+    verdict: "not-run",
+    kind: "unreachable",
+    cause,
+  });
+}
+
+describe("GroupObserver", () => {
+  const engines = createModelEngines(
+    [{ name: "rack-1", zone: "zone-a", vms: 1 }],
+    { loadSteps: 0 },
+  );
+  const engine = engines.get("rack-1-vm-001")!;
+  const getAnswer = () => Right(engine.getStatus(engines)!);
+
+  describe("record", () => {
+    // Guards against a group that stops for one slow status.
+    it("keeps the last status until three requests have no answer", () => {
+      const observer = new GroupObserver(1);
+      observer.record("vm-1", getAnswer());
+      const timeout = Left(createError("ETIMEDOUT"));
+      const seen = [1, 2, 3].map(() =>
+        observer.record("vm-1", timeout) !== undefined
+      );
+      expect(seen).toEqual([true, true, false]);
+    });
+
+    // Guards against requests to a group whose member's process is gone.
+    it("takes a refused connection as a missing member at once", () => {
+      const observer = new GroupObserver(1);
+      observer.record("vm-1", getAnswer());
+      const refused = Left(createError("ECONNREFUSED"));
+      expect(observer.record("vm-1", refused)).toBeUndefined();
+    });
+
+    // Guards against a restart that stays hidden between two status requests.
+    it("counts changes of the boot id", () => {
+      const observer = new GroupObserver(1);
+      observer.record("vm-1", getAnswer());
+      observer.record("vm-1", getAnswer());
+      expect(observer.restarts).toBe(0);
+      engine.restart();
+      observer.record("vm-1", getAnswer());
+      expect(observer.restarts).toBe(1);
+    });
+  });
+
+  describe("recordInterval", () => {
+    // Guards against a slow member that goes unnoticed, and against noise that is taken for one.
+    it("reports an interval far above the recent median", () => {
+      const observer = new GroupObserver(1);
+      const noisy = [5, 6, 5, 7, 5, 6, 9, 5, 6, 5];
+      noisy.forEach((ms) => observer.recordInterval(ms));
+      observer.recordInterval(12);
+      expect(observer.straggler).toBe(false);
+      observer.recordInterval(30);
+      expect(observer.straggler).toBe(true);
+      observer.recordInterval(5);
+      expect(observer.straggler).toBe(false);
+    });
+  });
+});
--- /dev/null
+++ b/src/process/monitor_selector_test.ts
@@ -0,0 +1,45 @@
+import { describe, expect, it } from "vitest";
+import type { Vm } from "../connection/vm_directory.ts";
+import { MonitorSelector } from "./monitor_selector.ts";
+import { VmTable } from "./vm_table.ts";
+
+describe("MonitorSelector", () => {
+  const entries = Array.from({ length: 7 }, (_, index): Vm => ({
+    name: `entry-${index + 1}`,
+    role: "entry",
+    address: `10.0.0.${index + 1}:80`,
+    zone: "zone-a",
+    state: "live",
+  }));
+  const vmTable = new VmTable();
+  const selectors = entries.map((vm) =>
+    new MonitorSelector({ name: vm.name, vmTable, everyDaemonObserves: false })
+  );
+  const groups = Array.from({ length: 50 }, (_, index) => `group-${index}`);
+
+  describe("isMonitor", () => {
+    // Guards against groups that nobody observes, and against status requests that grow with the fleet.
+    it("chooses two daemons for each group", () => {
+      vmTable.replace(entries);
+      for (const group of groups) {
+        expect(selectors.filter((s) => s.isMonitor(group)).length).toBe(2);
+      }
+    });
+
+    // Guards against observations that all move when one daemon leaves.
+    it("keeps the monitors that stay when a daemon leaves", () => {
+      vmTable.replace(entries);
+      const before = groups.map((g) => selectors[0].getMonitors(g));
+      vmTable.replace([
+        { ...entries[0], state: "leaving" },
+        ...entries.slice(1),
+      ]);
+      groups.forEach((group, index) => {
+        const stayed = before[index].filter((name) => name !== "entry-1");
+        expect(selectors[0].getMonitors(group))
+          .toEqual(expect.arrayContaining(stayed));
+        expect(selectors[0].isMonitor(group)).toBe(false);
+      });
+    });
+  });
+});
--- /dev/null
+++ b/src/process/planner/member_tracker_test.ts
@@ -0,0 +1,86 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createModelEngines } from "../../../tests/support/model_engine.ts";
+import { FLAP_MEMORY_MS, MemberTracker } from "./member_tracker.ts";
+
+describe("MemberTracker", () => {
+  const engines = createModelEngines(
+    [{ name: "rack-1", zone: "zone-a", vms: 1 }],
+    { loadSteps: 0 },
+  );
+  const engine = engines.get("rack-1-vm-001")!;
+  const name = engine.vm.name;
+  let tracker: MemberTracker;
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+    tracker = new MemberTracker({ vmListLagMs: 5_000 });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function recordAnswer(): void {
+    const status = engine.getStatus(engines);
+    tracker.record({ name, status, hasAddress: true });
+  }
+
+  function recordMisses(count: number, hasAddress = true): void {
+    for (let index = 0; index < count; index++) {
+      tracker.record({ name, hasAddress });
+    }
+  }
+
+  describe("record", () => {
+    // Guards against a group that is formed anew for one lost answer.
+    it("confirms a loss after three requests in a row without an answer", () => {
+      recordMisses(2);
+      recordAnswer();
+      recordMisses(2);
+      expect(tracker.getView(name)!.lost).toBe(false);
+      recordMisses(1);
+      expect(tracker.getView(name)!.lost).toBe(true);
+      recordAnswer();
+      expect(tracker.getView(name)!.lost).toBe(false);
+    });
+
+    // Guards against a loss that is concluded from the lagging list alone.
+    it("confirms a loss without an address only after the list's lag", () => {
+      recordMisses(5, false);
+      expect(tracker.getView(name)!.lost).toBe(false);
+      vi.advanceTimersByTime(5_000);
+      recordMisses(1, false);
+      expect(tracker.getView(name)!.lost).toBe(true);
+    });
+
+    // Guards against a server that breaks a group each time it returns.
+    it("backs off for twice as long with each further failure", () => {
+      recordAnswer();
+      const backOffs = [0, 5_000, 10_000, 20_000].map((expectedMs) => {
+        engine.restart();
+        recordAnswer();
+        vi.advanceTimersByTime(Math.max(0, expectedMs - 1));
+        const before = tracker.getView(name)!.backedOff;
+        vi.advanceTimersByTime(1);
+        return { before, after: tracker.getView(name)!.backedOff };
+      });
+      expect(backOffs).toEqual([
+        { before: false, after: false },
+        { before: true, after: false },
+        { before: true, after: false },
+        { before: true, after: false },
+      ]);
+    });
+
+    // Guards against a server that is never chosen again.
+    it("forgets failures after a time", () => {
+      recordAnswer();
+      engine.restart();
+      recordAnswer();
+      vi.advanceTimersByTime(FLAP_MEMORY_MS);
+      engine.restart();
+      recordAnswer();
+      expect(tracker.getView(name)!.backedOff).toBe(false);
+    });
+  });
+});
--- /dev/null
+++ b/src/version/domain_assignment_test.ts
@@ -0,0 +1,117 @@
+import { describe, expect, it } from "vitest";
+import { createModelEngines } from "../../tests/support/model_engine.ts";
+import { configSchema } from "./config_schema.ts";
+import { assignGroups } from "./domain_assignment.ts";
+import type { DomainPlacement } from "./placement.ts";
+
+const DOMAINS = [
+  { name: "rack-1", zone: "zone-a", vms: 8 },
+  { name: "rack-2", zone: "zone-a", vms: 6 },
+  { name: "rack-3", zone: "zone-b", vms: 6 },
+];
+
+describe("assignGroups", () => {
+  const vms = [...createModelEngines(DOMAINS, { loadSteps: 0 }).values()]
+    .map((engine) => engine.vm);
+
+  function doTest(options: {
+    placements: { zones: string[]; count: number; fabricDomains?: string[] }[];
+    placed?: DomainPlacement[];
+    closed?: string;
+    expected: Record<string, number>;
+  }): void {
+    const document = configSchema.parse({
+      schemaVersion: 1,
+      zones: ["zone-a", "zone-b"].map((name) => ({ name, region: "r" })),
+      models: [{
+        name: "model-1",
+        groupSizeVms: 2,
+        placements: options.placements,
+        slotsPerGroup: 4,
+        kvTokensPerGroup: 1_000,
+      }],
+      clientAccounts: [{ name: "account-1", apiKeySha256: ["0".repeat(64)] }],
+    });
+    const input = {
+      document,
+      placements: options.placed ?? [],
+      isZoneOpen: (zone: string) => zone !== options.closed,
+    };
+    for (const list of [vms, [...vms].reverse()]) {
+      const assignment = assignGroups({ ...input, vms: list });
+      const counts = [...assignment]
+        .map(([domain, models]) => [domain, models.get("model-1") ?? 0])
+        .filter(([, count]) => count !== 0);
+      expect(Object.fromEntries(counts)).toEqual(options.expected);
+    }
+  }
+
+  function createPlacement(domain: string, groups: number): DomainPlacement {
+    const ids = Array.from({ length: groups }, (_, i) => `${domain}-${i + 1}`);
+    const members = ids.flatMap((id, index) =>
+      [1, 2].map((n) => [
+        `${domain}-vm-${String(index * 2 + n).padStart(3, "0")}`,
+        id,
+      ])
+    );
+    return {
+      fabricDomain: domain,
+      zone: DOMAINS.find((d) => d.name === domain)!.zone,
+      lastGeneration: groups,
+      groupByVm: Object.fromEntries(members),
+      groups: Object.fromEntries(ids.map((groupId, index) => [groupId, {
+        groupId,
+        model: "model-1",
+        modelVersion: "1",
+        zone: DOMAINS.find((d) => d.name === domain)!.zone,
+        fabricDomain: domain,
+        generation: index + 1,
+        phase: "serving" as const,
+        leader: members[index * 2][0],
+        sizeVms: 2,
+      }])),
+    };
+  }
+
+  // Guards against a zone whose loss takes most groups, and a domain without spares.
+  it("spreads groups over zones and then over the VMs that are left", () => {
+    doTest({
+      placements: [{ zones: ["zone-a", "zone-b"], count: 5 }],
+      expected: { "rack-1": 2, "rack-2": 1, "rack-3": 2 },
+    });
+  });
+
+  // Guards against groups that move when the lists change.
+  it("keeps placed groups where they are", () => {
+    doTest({
+      placements: [{ zones: ["zone-a", "zone-b"], count: 3 }],
+      placed: [createPlacement("rack-2", 3)],
+      expected: { "rack-2": 3 },
+    });
+  });
+
+  // Guards against groups that are missing while a zone is out of service.
+  it("gives the groups of a closed zone to others that the entry names", () => {
+    doTest({
+      placements: [
+        { zones: ["zone-a", "zone-b"], count: 2 },
+        { zones: ["zone-a"], count: 1 },
+      ],
+      placed: [createPlacement("rack-1", 3)],
+      closed: "zone-a",
+      expected: { "rack-3": 2 },
+    });
+  });
+
+  // Guards against groups in fabric domains that the document does not name.
+  it("uses the named fabric domains only", () => {
+    doTest({
+      placements: [{
+        zones: ["zone-a"],
+        fabricDomains: ["rack-2"],
+        count: 5,
+      }],
+      expected: { "rack-2": 3 },
+    });
+  });
+});
--- /dev/null
+++ b/tests/planner_failure_test.ts
@@ -0,0 +1,318 @@
+import { Left } from "purify-ts";
+import { afterEach, describe, expect, it, vi } from "vitest";
+import { getExpectedAnswer } from "../fakes/fake_answer.ts";
+import type { FakeEngine } from "../fakes/fake_engine.ts";
+import { StoreUnavailableError } from "../src/connection/object_store.ts";
+import type { Daemon } from "../src/process/daemon.ts";
+import { delay } from "../src/shared/delay.ts";
+import {
+  type DomainPlacement,
+  getGroupMembers,
+  type PlacedGroup,
+} from "../src/version/placement.ts";
+import {
+  TEST_MODEL,
+  TestDeployment,
+  type TestDeploymentOptions,
+  waitUntil,
+} from "./support/test_deployment.ts";
+
+/** Time in which a zone or VM that is out of service stops getting new work. */
+const OUT_OF_SERVICE_LIMIT_MS = 5_000;
+
+describe("planner", () => {
+  let deployment: TestDeployment;
+
+  afterEach(async () => {
+    vi.restoreAllMocks();
+    await deployment.dispose();
+  });
+
+  async function start(options: TestDeploymentOptions = {}): Promise<void> {
+    deployment = await TestDeployment.start(options);
+  }
+
+  function getPlacement(zone: string): DomainPlacement {
+    return deployment.platform.getObject("placement", `${zone}-rack-1`)!
+      .value as DomainPlacement;
+  }
+
+  function getOnlyGroup(zone: string): PlacedGroup {
+    const groups = Object.values(getPlacement(zone).groups);
+    expect(groups.length).toBe(1);
+    return groups[0];
+  }
+
+  function getMembers(zone: string): FakeEngine[] {
+    const placement = getPlacement(zone);
+    return getGroupMembers(placement, getOnlyGroup(zone).groupId)
+      .map((name) => deployment.engines.find((e) => e.name === name)!);
+  }
+
+  function getZoneEngines(zone: string): FakeEngine[] {
+    return deployment.engines.filter((e) => e.name.startsWith(zone));
+  }
+
+  function countStarted(engines: readonly FakeEngine[]): number {
+    return engines.reduce((sum, e) => sum + e.startedRequests.length, 0);
+  }
+
+  function getHolder(zone: string): Daemon {
+    const value = deployment.platform.getObject("lease", `planner-${zone}`)!
+      .value as { holder: string };
+    return deployment.daemons
+      .find((d) => d.context.settings.name === value.holder)!;
+  }
+
+  async function waitForNewGeneration(
+    zone: string,
+    before: PlacedGroup,
+    timeoutMs = 15_000,
+  ): Promise<void> {
+    // A daemon that is cut off or stopped does not learn of the new generation.
+    await waitUntil(
+      () =>
+        deployment.daemons.some((daemon) =>
+          daemon.context.groupDirectory.getServingGroups(TEST_MODEL).some((s) =>
+            s.group.zone === zone && s.group.generation > before.generation
+          )
+        ),
+      timeoutMs,
+    );
+  }
+
+  /** Cuts a daemon off from the store without a word, as a kill or a pause does. */
+  function assumeCutOff(daemon: Daemon): void {
+    const { store } = daemon.context;
+    vi.spyOn(store, "putObject").mockResolvedValue({
+      outcome: "unknown",
+      message: "The daemon is cut off",
+    });
+    const failure = Left(new StoreUnavailableError("The daemon is cut off"));
+    vi.spyOn(store, "getObject").mockResolvedValue(failure);
+    vi.spyOn(store, "listObjects").mockResolvedValue(failure);
+  }
+
+  /** Sends requests until the signal ends. */
+  async function runLoad(
+    daemon: Daemon,
+    signal: AbortSignal,
+  ): Promise<number[]> {
+    const statuses: number[] = [];
+    while (!signal.aborted) {
+      const answer = await deployment.requestChat(daemon, "tokens=2 gearbox");
+      statuses.push(answer.statusCode);
+      await delay(20, signal);
+    }
+    return statuses;
+  }
+
+  const repairs = [
+    {
+      name: "crashes",
+      fail: (engine: FakeEngine) => engine.crash(),
+      replaced: false,
+    },
+    {
+      name: "is paused",
+      fail: (engine: FakeEngine) => {
+        engine.faults.paused = true;
+      },
+      replaced: true,
+    },
+  ];
+  for (const { name, fail, replaced } of repairs) {
+    // Guards against a broken group that is not formed again, and against healthy ones that are touched.
+    it(`gives a group a new generation when a member ${name}`, async () => {
+      await start({ enginesPerZone: 3 });
+      const before = getOnlyGroup("zone-a");
+      const other = getOnlyGroup("zone-b");
+      const failed = getMembers("zone-a")[1];
+      fail(failed);
+      await waitForNewGeneration("zone-a", before);
+      expect(getMembers("zone-a").includes(failed)).toBe(!replaced);
+      expect(getOnlyGroup("zone-b")).toEqual(other);
+    });
+  }
+
+  // Guards against groups that are dissolved or doubled while their whole domain is away.
+  it("serves again when a whole domain was lost and is back", async () => {
+    await start();
+    const other = getOnlyGroup("zone-b");
+    getZoneEngines("zone-a").forEach((e) => e.faults.paused = true);
+    await waitUntil(
+      () => getPlacement("zone-a").lostVms?.length === 2,
+      15_000,
+    );
+    getZoneEngines("zone-a").forEach((e) => e.faults.paused = false);
+    await deployment.waitUntilServing();
+    await waitUntil(() => getPlacement("zone-a").lostVms?.length === 0);
+    expect(getOnlyGroup("zone-b")).toEqual(other);
+  });
+
+  // Guards against a cold group that is formed again or counted as ready.
+  it("keeps a group that turned cold", async () => {
+    await start();
+    const before = getOnlyGroup("zone-a");
+    const { healthTable } = deployment.daemons[0].context;
+    getMembers("zone-a").forEach((e) => e.turnCold());
+    await waitUntil(() =>
+      healthTable.getHealth(before.groupId)?.state === "cold"
+    );
+    await delay(500);
+    expect(getOnlyGroup("zone-a")).toEqual(before);
+  });
+
+  // Guards against an order that is lost together with the planner that stored its placement.
+  it("sends the order that a killed planner had in hand", async () => {
+    await start({ enginesPerZone: 3 });
+    const before = getOnlyGroup("zone-a");
+    const holder = getHolder("zone-a");
+    let ordered = false;
+    vi.spyOn(holder.context.engineClient, "sendOrder").mockImplementation(
+      () => {
+        ordered = true;
+        assumeCutOff(holder);
+        return Promise.resolve("unknown");
+      },
+    );
+    getMembers("zone-a")[1].crash();
+    await waitUntil(() => ordered);
+    expect(Object.values(getPlacement("zone-a").groups)[0].phase)
+      .toBe("loading");
+    await holder.dispose();
+    await waitForNewGeneration("zone-a", before);
+    expect(getHolder("zone-a")).not.toBe(holder);
+  });
+
+  // Guards against orders of a holder whose lease another daemon has taken.
+  it("sends no order after the lease has lapsed", async () => {
+    await start({ enginesPerZone: 3 });
+    const before = getOnlyGroup("zone-a");
+    const holder = getHolder("zone-a");
+    assumeCutOff(holder);
+    const sendOrder = vi.spyOn(holder.context.engineClient, "sendOrder");
+    await waitUntil(() => getHolder("zone-a") !== holder, 10_000);
+    getMembers("zone-a")[1].crash();
+    await waitForNewGeneration("zone-a", before);
+    expect(sendOrder).not.toHaveBeenCalled();
+  });
+
+  // Guards against conflicting orders at engines that take old generations.
+  it("waits before it gives orders to engines that ignore fencing", async () => {
+    await start({
+      enginesPerZone: 3,
+      engine: { honoursFencing: false },
+      configure: (d) => d.models[0].honoursFencing = false,
+    });
+    const before = getOnlyGroup("zone-a");
+    const holder = getHolder("zone-a");
+    assumeCutOff(holder);
+    await waitUntil(() => getHolder("zone-a") !== holder, 10_000);
+    const acquiredAtMs = performance.now();
+    const engines = getZoneEngines("zone-a");
+    const countOrders = () => engines.reduce((n, e) => n + e.orders.length, 0);
+    const orders = countOrders();
+    getMembers("zone-a")[1].crash();
+    await waitUntil(() => countOrders() > orders, 15_000);
+    // Lease duration and order timeout, less the time to notice the acquisition.
+    expect(performance.now() - acquiredAtMs).toBeGreaterThan(2_900);
+    await waitForNewGeneration("zone-a", before);
+  });
+
+  // Guards against new work in a zone that operators took out, and a zone that does not return.
+  it("gives a zone no new work after it is taken out, until it is back", async () => {
+    await start();
+    const engines = getZoneEngines("zone-a");
+    const stop = new AbortController();
+    const load = runLoad(deployment.daemons[0], stop.signal);
+    await delay(300);
+    expect(countStarted(engines)).toBeGreaterThan(0);
+    deployment.setConfig((d) => d.zones[0].takenOut = true);
+    await delay(OUT_OF_SERVICE_LIMIT_MS);
+    const started = countStarted(engines);
+    await delay(1_000);
+    expect(countStarted(engines)).toBe(started);
+    deployment.setConfig((d) => d.zones[0].takenOut = false);
+    await deployment.waitUntilServing();
+    await waitUntil(() => countStarted(engines) > started);
+    stop.abort();
+    expect((await load).filter((status) => status !== 200)).toEqual([]);
+  });
+
+  // Guards against groups that are unloaded for a change that is taken back at once.
+  it("keeps the groups of a zone that is back within a second", async () => {
+    await start();
+    const before = getOnlyGroup("zone-a");
+    deployment.setConfig((d) => d.zones[0].takenOut = true);
+    await waitUntil(() => getOnlyGroup("zone-a").phase === "draining");
+    deployment.setConfig((d) => d.zones[0].takenOut = false);
+    await deployment.waitUntilServing();
+    expect(getOnlyGroup("zone-a")).toEqual(before);
+  });
+
+  // Guards against new work on a drained VM, and streams that a drain cuts.
+  it("replaces the group of a drained VM without cutting a stream", async () => {
+    await start({
+      enginesPerZone: 4,
+      zones: ["zone-a"],
+      configure: (d) => d.models[0].placements[0].count = 1,
+    });
+    const members = getMembers("zone-a");
+    const before = getOnlyGroup("zone-a");
+    const content = "tokens=450 long stream";
+    const answer = deployment.requestChat(deployment.daemons[0], content);
+    await waitUntil(() => members[0].heldRequests === 1);
+    deployment.setConfig((d) => d.drainedVms = [members[1].name]);
+    const moved = vi.spyOn(
+      deployment.daemons[0].context.inFlightStreams,
+      "moveStreamsFromGroup",
+    );
+    const body = JSON.parse((await answer).body);
+    expect(body.choices[0].message.content).toBe(
+      getExpectedAnswer([{ role: "user", content }], 512).join(""),
+    );
+    expect(members[0].cancelledRequests).toEqual([]);
+    await waitUntil(
+      () => getPlacement("zone-a").groups[before.groupId] === undefined,
+      15_000,
+    );
+    expect(moved).toHaveBeenCalledWith(before.groupId);
+    expect(getMembers("zone-a")).not.toContain(members[1]);
+    await waitUntil(() => members[1].state === "empty");
+    const started = countStarted(members);
+    await deployment.waitUntilServing();
+    const next = await deployment.requestChat(
+      deployment.daemons[1],
+      "tokens=2 next",
+    );
+    expect(next.statusCode).toBe(200);
+    expect(countStarted(members)).toBe(started);
+  });
+
+  // Guards against a zone that has a planner only while its own daemons live.
+  it("plans a zone without a live daemon of its own", async () => {
+    await start({ daemons: 3, enginesPerZone: 3 });
+    const before = getOnlyGroup("zone-b");
+    const holder = getHolder("zone-b");
+    assumeCutOff(holder);
+    await holder.dispose();
+    getMembers("zone-b")[1].crash();
+    await waitUntil(() => getHolder("zone-b") !== holder, 15_000);
+    await waitUntil(
+      () => getOnlyGroup("zone-b").generation > before.generation,
+      15_000,
+    );
+    expect(getHolder("zone-b").context.settings.zone).toBe("zone-a");
+  });
+
+  // Guards against a second set of groups after writes with lost answers.
+  it("forms each group once when answers of the store are lost", async () => {
+    await start({ enginesPerZone: 3 });
+    const before = getOnlyGroup("zone-a");
+    deployment.platform.faults.dropAnswerNext = 6;
+    getMembers("zone-a")[1].crash();
+    await waitForNewGeneration("zone-a", before);
+    expect(getMembers("zone-a").length).toBe(2);
+  });
+});
