Assign groups to fabric domains in linear time

One plan of 30 fabric domains with 600 servers took seconds, since each domain filtered all VMs and each missing group sorted all domains.

--- a/bench/planner_bench.ts
+++ b/bench/planner_bench.ts
@@ -2,9 +2,14 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { planDomain } from "../src/process/planner/domain_planner.ts";
-import { PlannerScenario, type ScenarioResult } from "./planner_scenario.ts";
+import {
+  PlannerScenario,
+  type ScenarioResult,
+  type ScenarioWay,
+} from "./planner_scenario.ts";
 
 const COST_ROUNDS = 200;
+const WAYS: readonly ScenarioWay[] = ["planner", "no-spares", "re-plan"];
 
 /** Cost of the planner's decisions for one size of deployment. */
 interface DecisionCost {
@@ -55,23 +60,40 @@
   return Number(value.toFixed(3));
 }
 
-function measureMonth(seed: number): ScenarioResult[] {
-  const results: ScenarioResult[] = [];
-  for (const groups of [120, 140]) {
-    for (const way of ["planner", "no-spares", "re-plan"] as const) {
-      results.push(
-        new PlannerScenario({ servers: 600, groups, days: 30, seed, way })
-          .run(),
-      );
-    }
-  }
-  return results;
+function measureMonth(options: {
+  seed: number;
+  groups: readonly number[];
+  ways: readonly ScenarioWay[];
+}): ScenarioResult[] {
+  return options.groups.flatMap((groups) =>
+    options.ways.map((way) =>
+      new PlannerScenario({
+        servers: 600,
+        groups,
+        days: 30,
+        seed: options.seed,
+        way,
+      }).run()
+    )
+  );
 }
 
 async function main(): Promise<void> {
   const args = await yargs(hideBin(process.argv))
     .option("json", { type: "string", describe: "File for the report" })
     .option("seed", { type: "number", default: 1 })
+    .option("groups", {
+      type: "number",
+      array: true,
+      default: [120, 140],
+      describe: "Wanted groups of the month's scenarios",
+    })
+    .option("ways", {
+      choices: WAYS,
+      array: true,
+      default: WAYS,
+      describe: "Ways to form groups",
+    })
     .strict()
     .parse();
   // The first calls are slower until the code is compiled.
@@ -79,7 +101,7 @@
   const report = {
     seed: args.seed,
     decisionCost: [measureCost(60), measureCost(600)],
-    month: measureMonth(args.seed),
+    month: measureMonth(args),
   };
   console.table(report.decisionCost);
   console.table(report.month);
--- a/bench/planner_scenario.ts
+++ b/bench/planner_scenario.ts
@@ -298,48 +298,64 @@
 
   #runStep(): void {
     this.#engines.forEach((engine) => engine.runStep());
+    for (const domain of this.#dirty) {
+      const placement = this.#placements.get(domain)!;
+      this.#placements.set(
+        domain,
+        updateLostVms(placement, this.#getViews(domain)),
+      );
+    }
     if (this.#dirty.size > 0) {
       const due = [...this.#dirty].sort();
       this.#dirty.clear();
+      const assignment = this.assign();
       for (const domain of due) {
-        this.#planDomain(domain);
+        this.#planDomain(domain, assignment);
       }
+      this.#updateDirty();
     }
   }
 
-  #planDomain(domain: string): void {
-    const before = this.#placements.get(domain)!;
-    this.#placements.set(domain, updateLostVms(before, this.#getViews(domain)));
-    const assignment = this.assign();
+  #planDomain(domain: string, assignment: DomainAssignment): void {
     const plan = planDomain(this.createInput(domain, assignment));
     this.#placements.set(domain, plan.placement);
-    const views = this.#getViews(domain);
     const orders = planOrders({
       placement: plan.placement,
-      members: views,
+      members: this.#getViews(domain),
       addresses: new Map(),
     });
     orders.forEach(({ vm, order }) => this.#engines.get(vm)!.applyOrder(order));
-    this.#updateDirty(domain, assignment);
   }
 
-  #updateDirty(domain: string, assignment: DomainAssignment): void {
-    const groups = Object.values(this.#placements.get(domain)!.groups);
-    for (const group of groups) {
-      if (group.phase === "draining") {
-        const steps = this.#drainSteps.get(group.groupId) ?? 0;
-        this.#drainSteps.set(group.groupId, steps + 1);
-      }
-    }
-    for (const [name, models] of assignment) {
-      const placed = Object.values(this.#placements.get(name)!.groups);
-      const unsettled = placed.some((g) => g.phase !== "serving");
-      if (unsettled || placed.length !== (models.get(MODEL) ?? 0)) {
-        this.#dirty.add(name);
+  /** Marks the domains whose groups have not reached what is wanted. */
+  #updateDirty(): void {
+    const assignment = this.assign();
+    for (const [domain, placement] of this.#placements) {
+      const groups = Object.values(placement.groups);
+      const unsettled = groups.filter((g) => g.phase !== "serving");
+      unsettled.filter((g) => g.phase === "draining").forEach((g) =>
+        this.#drainSteps.set(
+          g.groupId,
+          (this.#drainSteps.get(g.groupId) ?? 0) + 1,
+        )
+      );
+      const wanted = assignment.get(domain)?.get(MODEL) ?? 0;
+      if (
+        unsettled.length > 0 || groups.length !== wanted ||
+        this.#hasBrokenMember(placement)
+      ) {
+        this.#dirty.add(domain);
       }
     }
   }
 
+  #hasBrokenMember(placement: DomainPlacement): boolean {
+    return Object.entries(placement.groupByVm).some(([vm, groupId]) => {
+      const engine = this.#engines.get(vm)!;
+      return !engine.up || engine.order?.groupId !== groupId;
+    });
+  }
+
   #countServing(): number {
     let serving = 0;
     for (const [domain, placement] of this.#placements) {
--- a/src/version/domain_assignment.ts
+++ b/src/version/domain_assignment.ts
@@ -15,7 +15,7 @@
 interface DomainRoom {
   readonly name: string;
   readonly zone: string;
-  readonly vms: number;
+  /** VMs that no counted group takes. */
   left: number;
   /** Groups by model that are placed and not yet counted for an entry. */
   readonly placed: Map<string, number>;
@@ -68,27 +68,43 @@
 }
 
 function collectRooms(input: DomainAssignmentInput): DomainRoom[] {
-  const rooms = new Map<string, DomainRoom>();
-  const names = new Set([
-    ...input.vms.map((vm) => vm.fabricDomain),
-    ...input.placements.map((p) => p.fabricDomain),
-  ]);
-  for (const name of [...names].sort()) {
-    if (name !== undefined) {
-      const room = createRoom(name, input);
-      if (input.isZoneOpen(room.zone)) {
-        rooms.set(name, room);
+  const listed = new Map<string, Vm[]>();
+  for (const vm of input.vms) {
+    if (vm.fabricDomain !== undefined) {
+      const vms = listed.get(vm.fabricDomain);
+      if (vms === undefined) {
+        listed.set(vm.fabricDomain, [vm]);
+      } else {
+        vms.push(vm);
       }
     }
   }
-  return [...rooms.values()];
+  const placements = new Map(
+    input.placements.map((p) => [p.fabricDomain, p]),
+  );
+  const drained = new Set(input.document.drainedVms);
+  const names = new Set([...listed.keys(), ...placements.keys()]);
+  return [...names].sort()
+    .map((name) =>
+      createRoom(name, {
+        placement: placements.get(name),
+        listed: listed.get(name) ?? [],
+        drained,
+      })
+    )
+    .filter((room) => input.isZoneOpen(room.zone));
 }
 
-function createRoom(name: string, input: DomainAssignmentInput): DomainRoom {
-  const placement = input.placements.find((p) => p.fabricDomain === name);
-  const listed = input.vms.filter((vm) => vm.fabricDomain === name);
+function createRoom(
+  name: string,
+  options: {
+    placement: DomainPlacement | undefined;
+    listed: readonly Vm[];
+    drained: ReadonlySet<string>;
+  },
+): DomainRoom {
+  const { placement, listed, drained } = options;
   const lost = new Set(placement?.lostVms ?? []);
-  const drained = new Set(input.document.drainedVms);
   const listedNames = new Set(listed.map((vm) => vm.name));
   const usable = new Set(
     listed.filter((vm) => vm.state === "live").map((vm) => vm.name),
@@ -103,7 +119,6 @@
   return {
     name,
     zone: placement?.zone ?? listed[0].zone,
-    vms: vms.length,
     left: vms.length,
     placed: countPlaced(placement, new Set(vms)),
   };
@@ -162,25 +177,41 @@
 
 function addMissing(entry: CountEntry): void {
   const { counts, size } = entry;
-  let missing = entry.count -
-    [...counts.values()].reduce((sum, count) => sum + count, 0);
-  while (missing > 0) {
-    const candidates = entry.rooms.filter((room) => room.left >= size);
-    candidates.sort((a, b) =>
-      countInZone(entry, a.zone) - countInZone(entry, b.zone) ||
-      b.left - a.left || (a.name < b.name ? -1 : 1)
-    );
-    const chosen = candidates.at(0);
+  const inZone = new Map<string, number>();
+  let missing = entry.count;
+  for (const room of entry.rooms) {
+    const count = counts.get(room.name) ?? 0;
+    inZone.set(room.zone, (inZone.get(room.zone) ?? 0) + count);
+    missing -= count;
+  }
+  for (; missing > 0; missing--) {
+    const chosen = chooseRoom(entry, inZone);
     if (chosen === undefined) {
       return;
     }
     chosen.left -= size;
     counts.set(chosen.name, (counts.get(chosen.name) ?? 0) + 1);
-    missing--;
+    inZone.set(chosen.zone, inZone.get(chosen.zone)! + 1);
   }
 }
 
-function countInZone(entry: CountEntry, zone: string): number {
-  return entry.rooms.filter((room) => room.zone === zone)
-    .reduce((sum, room) => sum + (entry.counts.get(room.name) ?? 0), 0);
+/** Chooses the domain with the most VMs left in the zone with the fewest groups; the first by name of equal ones. */
+function chooseRoom(
+  entry: CountEntry,
+  inZone: ReadonlyMap<string, number>,
+): DomainRoom | undefined {
+  let chosen: DomainRoom | undefined;
+  for (const room of entry.rooms) {
+    if (room.left < entry.size) {
+      continue;
+    }
+    const order = chosen === undefined
+      ? -1
+      : inZone.get(room.zone)! - inZone.get(chosen.zone)! ||
+        chosen.left - room.left;
+    if (order < 0) {
+      chosen = room;
+    }
+  }
+  return chosen;
 }
