--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -21,6 +21,10 @@
 import { GracefulStop } from "./graceful_stop.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
+import {
+  type InFlightStreams,
+  NoInFlightStreams,
+} from "./in_flight_streams.ts";
 import { LocalAdmission } from "./local_admission.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
 import { ExchangeMembership, type Membership } from "./membership.ts";
@@ -37,8 +41,14 @@
   zonePolicy: Symbol("ZonePolicy") as ServiceIdentifier<ZonePolicy>,
   admission: Symbol("Admission") as ServiceIdentifier<Admission>,
   quarantine: Symbol("QuarantineList") as ServiceIdentifier<QuarantineList>,
+<<<<<<< HEAD
+  inFlightStreams: Symbol("InFlightStreams") as ServiceIdentifier<
+    InFlightStreams
+  >,
+=======
   membership: Symbol("Membership") as ServiceIdentifier<Membership>,
   configRules: Symbol("ConfigRules") as ServiceIdentifier<ConfigRules>,
+>>>>>>> main
   context: Symbol("DaemonContext") as ServiceIdentifier<DaemonContext>,
 };
 
@@ -148,6 +158,9 @@
   container.bind(SERVICES.quarantine).toConstantValue(
     new LocalQuarantineList(),
   );
+  container.bind(SERVICES.inFlightStreams).toConstantValue(
+    new NoInFlightStreams(),
+  );
   container.bind(SERVICES.zonePolicy).toResolvedValue(
     (configHolder: ConfigHolder) => new ConfigZonePolicy(configHolder),
     [ConfigHolder],
@@ -194,11 +207,15 @@
     admission: get(SERVICES.admission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
+<<<<<<< HEAD
+    inFlightStreams: get(SERVICES.inFlightStreams),
+=======
     incarnation: randomBytes(INCARNATION_BYTES).toString("base64url"),
     membership: get(SERVICES.membership),
     agreement: get(AgreementTable),
     configRepository: get(ConfigRepository),
     retryBudget: get(RetryBudget),
     gracefulStop: get(GracefulStop),
+>>>>>>> main
   }));
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -9,7 +9,11 @@
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { GroupMonitorTask } from "./group_monitor_task.ts";
+<<<<<<< HEAD
+import { OutOfServiceTask } from "./out_of_service_task.ts";
+=======
 import { PeerExchangeSupervisor } from "./peer_exchange_task.ts";
+>>>>>>> main
 import { PlannerTask } from "./planner_task.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
@@ -69,6 +73,7 @@
     this.#startTask("peer-exchange", new PeerExchangeSupervisor(this.context));
     this.#startTask("store-sync", new StoreSyncTask(this.context));
     this.#startTask("group-monitor", new GroupMonitorTask(this.context));
+    this.#startTask("out-of-service", new OutOfServiceTask(this.context));
     this.#startTask("planner", new PlannerTask(this.context));
     this.#startTask("claim-sweep", new ClaimSweepTask(this.context));
     logger.write("info", "daemon-started", {
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -16,7 +16,11 @@
 import type { GracefulStop } from "./graceful_stop.ts";
 import type { GroupDirectory } from "./group_directory.ts";
 import type { GroupHealthTable } from "./group_health.ts";
+<<<<<<< HEAD
+import type { InFlightStreams } from "./in_flight_streams.ts";
+=======
 import type { Membership } from "./membership.ts";
+>>>>>>> main
 import type { QuarantineList } from "./quarantine_list.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { VmTable } from "./vm_table.ts";
@@ -40,6 +44,9 @@
   readonly admission: Admission;
   readonly freshness: FreshnessTracker;
   readonly quarantine: QuarantineList;
+<<<<<<< HEAD
+  readonly inFlightStreams: InFlightStreams;
+=======
   /** Random id of the process. */
   readonly incarnation: string;
   readonly membership: Membership;
@@ -47,4 +54,5 @@
   readonly configRepository: ConfigRepository;
   readonly retryBudget: RetryBudget;
   readonly gracefulStop: GracefulStop;
+>>>>>>> main
 }
