--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -1,4 +1,5 @@
 import "reflect-metadata";
+import { randomBytes } from "node:crypto";
 import { Container, type ServiceIdentifier } from "inversify";
 import { HttpEngineClient } from "../connection/http_engine_client.ts";
 import { HttpPlatformClient } from "../connection/http_platform_client.ts";
@@ -7,12 +8,18 @@
 import { type Logger, ProcessLogger } from "../shared/logger.ts";
 import { Timeline } from "../shared/timeline.ts";
 import { ConfigHolder } from "../version/config_holder.ts";
+import { ConfigRepository } from "../version/config_repository.ts";
+import { type ConfigRules, ListedConfigRules } from "../version/config_rule.ts";
+import { checkConfigRules } from "../version/config_rules.ts";
 import { PlacementHolder } from "../version/placement_holder.ts";
 import { ConfigZonePolicy, type ZonePolicy } from "../version/zone_policy.ts";
 import type { Admission } from "./admission.ts";
+import { AgreementTable } from "./agreement_table.ts";
+import { ConfigAnnouncer } from "./config_announcer.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { FreshnessTracker } from "./freshness_tracker.ts";
+import { GracefulStop } from "./graceful_stop.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
 import {
@@ -21,9 +28,12 @@
 } from "./in_flight_streams.ts";
 import { LocalAdmission } from "./local_admission.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
+import { ExchangeMembership, type Membership } from "./membership.ts";
+import { RetryBudget } from "./retry_budget.ts";
 import { VmTable } from "./vm_table.ts";
 
 const PEER_TIMEOUT_MS = 1_000;
+const INCARNATION_BYTES = 6;
 
 /** Identifiers of the services that are bound to interfaces. */
 export const SERVICES = {
@@ -35,6 +45,8 @@
   inFlightStreams: Symbol("InFlightStreams") as ServiceIdentifier<
     InFlightStreams
   >,
+  membership: Symbol("Membership") as ServiceIdentifier<Membership>,
+  configRules: Symbol("ConfigRules") as ServiceIdentifier<ConfigRules>,
   context: Symbol("DaemonContext") as ServiceIdentifier<DaemonContext>,
 };
 
@@ -61,7 +73,13 @@
   container.bind(PlacementHolder).toConstantValue(new PlacementHolder());
   container.bind(VmTable).toConstantValue(new VmTable());
   container.bind(GroupHealthTable).toConstantValue(new GroupHealthTable());
+  container.bind(RetryBudget).toConstantValue(new RetryBudget());
+  container.bind(GracefulStop).toResolvedValue(
+    (logger: Logger) => new GracefulStop(settings, logger),
+    [SERVICES.logger],
+  );
   bindClients(container, settings);
+  bindState(container, settings);
   bindDecisions(container, settings);
   bindContext(container);
   return container;
@@ -72,14 +90,79 @@
     new HttpPlatformClient({ url: settings.platformUrl }),
   );
   container.bind(HttpEngineClient).toConstantValue(new HttpEngineClient());
-  container.bind(HttpPeerClients).toConstantValue(
-    new HttpPeerClients({ timeoutMs: PEER_TIMEOUT_MS }),
+  const peerClients = new HttpPeerClients({ timeoutMs: PEER_TIMEOUT_MS });
+  container.get(LifeCycleManager).add(peerClients);
+  container.bind(HttpPeerClients).toConstantValue(peerClients);
+}
+
+function bindState(container: Container, settings: DaemonSettings): void {
+  const limitMs = settings.freshnessLimitMs;
+  container.bind(SERVICES.membership).toResolvedValue(
+    (vmTable) =>
+      new ExchangeMembership({
+        self: settings.name,
+        zone: settings.zone,
+        vmTable,
+        limitMs,
+      }),
+    [VmTable],
+  );
+  container.bind(AgreementTable).toResolvedValue(
+    (configHolder, membership) =>
+      new AgreementTable({
+        self: settings.name,
+        limitMs,
+        configHolder,
+        getListedNames: () => membership.getListedNames(),
+      }),
+    [ConfigHolder, SERVICES.membership],
+  );
+  container.bind(SERVICES.configRules).toResolvedValue(
+    (vmTable: VmTable) =>
+      new ListedConfigRules([({ document, current }) =>
+        checkConfigRules({
+          current,
+          next: document,
+          // Before the first list the fit of groups is not known.
+          vms: vmTable.getBackendVms().length > 0
+            ? vmTable.getBackendVms()
+            : undefined,
+          nowMs: Date.now(),
+        })]),
+    [VmTable],
+  );
+  container.bind(ConfigAnnouncer).toDynamicValue(({ get }) =>
+    new ConfigAnnouncer({
+      settings,
+      logger: get(SERVICES.logger),
+      lifeCycle: get(LifeCycleManager),
+      peerClients: get(HttpPeerClients),
+      vmTable: get(VmTable),
+      membership: get(SERVICES.membership),
+      agreement: get(AgreementTable),
+      configHolder: get(ConfigHolder),
+      healthTable: get(GroupHealthTable),
+    })
+  );
+  container.bind(ConfigRepository).toDynamicValue(({ get }) =>
+    new ConfigRepository({
+      store: get(HttpPlatformClient),
+      configHolder: get(ConfigHolder),
+      rules: get(SERVICES.configRules),
+      spread: get(ConfigAnnouncer),
+      logger: get(SERVICES.logger),
+    })
   );
 }
 
 function bindDecisions(container: Container, settings: DaemonSettings): void {
-  container.bind(FreshnessTracker).toConstantValue(
-    new FreshnessTracker({ limitMs: settings.freshnessLimitMs }),
+  container.bind(FreshnessTracker).toResolvedValue(
+    (agreement) =>
+      new FreshnessTracker({
+        limitMs: settings.freshnessLimitMs,
+        hasMajority: () => agreement.hasMajority(),
+      }),
+    [AgreementTable],
   );
   container.bind(SERVICES.quarantine).toConstantValue(
     new LocalQuarantineList(),
@@ -134,5 +217,11 @@
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
     inFlightStreams: get(SERVICES.inFlightStreams),
+    incarnation: randomBytes(INCARNATION_BYTES).toString("base64url"),
+    membership: get(SERVICES.membership),
+    agreement: get(AgreementTable),
+    configRepository: get(ConfigRepository),
+    retryBudget: get(RetryBudget),
+    gracefulStop: get(GracefulStop),
   }));
 }
--- a/src/version/config_rules_test.ts
+++ b/src/version/config_rules_test.ts
@@ -166,6 +166,15 @@
     });
   }
 
+  // Guards against a take-out that is refused since VMs are missing.
+  it("accepts a take-out while accepted groups no longer fit", () => {
+    const current = createDocument();
+    const next = createDocument();
+    next.zones[0].takenOut = true;
+    expect(checkConfigRules({ current, next, vms: [], nowMs: NOW_MS }))
+      .toEqual([]);
+  });
+
   // Guards against a first document that is refused for what it does not change.
   it("accepts a first document without capacity", () => {
     const next = createDocument();
