--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -10,6 +10,7 @@
 import { ConfigHolder } from "../version/config_holder.ts";
 import { ConfigRepository } from "../version/config_repository.ts";
 import { type ConfigRules, ListedConfigRules } from "../version/config_rule.ts";
+import { checkConfigRules } from "../version/config_rules.ts";
 import { PlacementHolder } from "../version/placement_holder.ts";
 import { ConfigZonePolicy, type ZonePolicy } from "../version/zone_policy.ts";
 import type { Admission } from "./admission.ts";
@@ -41,14 +42,11 @@
   zonePolicy: Symbol("ZonePolicy") as ServiceIdentifier<ZonePolicy>,
   admission: Symbol("Admission") as ServiceIdentifier<Admission>,
   quarantine: Symbol("QuarantineList") as ServiceIdentifier<QuarantineList>,
-<<<<<<< HEAD
   inFlightStreams: Symbol("InFlightStreams") as ServiceIdentifier<
     InFlightStreams
   >,
-=======
   membership: Symbol("Membership") as ServiceIdentifier<Membership>,
   configRules: Symbol("ConfigRules") as ServiceIdentifier<ConfigRules>,
->>>>>>> main
   context: Symbol("DaemonContext") as ServiceIdentifier<DaemonContext>,
 };
 
@@ -119,8 +117,19 @@
       }),
     [ConfigHolder, SERVICES.membership],
   );
-  container.bind(SERVICES.configRules).toConstantValue(
-    new ListedConfigRules([]),
+  container.bind(SERVICES.configRules).toResolvedValue(
+    (vmTable: VmTable) =>
+      new ListedConfigRules([({ document, current }) =>
+        checkConfigRules({
+          current,
+          next: document,
+          // Before the first list the fit of groups is not known.
+          vms: vmTable.getBackendVms().length > 0
+            ? vmTable.getBackendVms()
+            : undefined,
+          nowMs: Date.now(),
+        })]),
+    [VmTable],
   );
   container.bind(ConfigAnnouncer).toDynamicValue(({ get }) =>
     new ConfigAnnouncer({
@@ -207,15 +216,12 @@
     admission: get(SERVICES.admission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
-<<<<<<< HEAD
     inFlightStreams: get(SERVICES.inFlightStreams),
-=======
     incarnation: randomBytes(INCARNATION_BYTES).toString("base64url"),
     membership: get(SERVICES.membership),
     agreement: get(AgreementTable),
     configRepository: get(ConfigRepository),
     retryBudget: get(RetryBudget),
     gracefulStop: get(GracefulStop),
->>>>>>> main
   }));
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -9,11 +9,8 @@
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { GroupMonitorTask } from "./group_monitor_task.ts";
-<<<<<<< HEAD
 import { OutOfServiceTask } from "./out_of_service_task.ts";
-=======
 import { PeerExchangeSupervisor } from "./peer_exchange_task.ts";
->>>>>>> main
 import { PlannerTask } from "./planner_task.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
--- a/src/version/config_rules.ts
+++ b/src/version/config_rules.ts
@@ -1,4 +1,6 @@
+import { isDeepStrictEqual } from "node:util";
 import type { Vm } from "../connection/vm_directory.ts";
+import type { ConfigFault } from "./config_rule.ts";
 import { assignGroups } from "./domain_assignment.ts";
 import type { ConfigDocument, ZoneConfig } from "./config_schema.ts";
 import {
@@ -8,14 +10,6 @@
   type TimeSpan,
 } from "./quiet_hours.ts";
 
-/** Rule that a document breaks. */
-export interface RuleFault {
-  /** Path of the faulty value, for example `models.0.name`. */
-  readonly path: string;
-  /** Full sentence that says what is wrong. */
-  readonly message: string;
-}
-
 /** What the rules are checked against. */
 export interface ConfigRulesInput {
   /** Document in force, or undefined before the first one. */
@@ -37,7 +31,7 @@
  * const faults = checkConfigRules({ current, next, nowMs: Date.now() });
  * ```
  */
-export function checkConfigRules(input: ConfigRulesInput): RuleFault[] {
+export function checkConfigRules(input: ConfigRulesInput): ConfigFault[] {
   const { next } = input;
   const timeFaults = checkQuietHours(next);
   return [
@@ -52,7 +46,7 @@
   ];
 }
 
-function checkNames(next: ConfigDocument): RuleFault[] {
+function checkNames(next: ConfigDocument): ConfigFault[] {
   return [
     ...checkDuplicates("zones", next.zones.map((z) => z.name)),
     ...checkDuplicates("models", next.models.map((m) => m.name)),
@@ -65,7 +59,10 @@
   ];
 }
 
-function checkDuplicates(list: string, names: readonly string[]): RuleFault[] {
+function checkDuplicates(
+  list: string,
+  names: readonly string[],
+): ConfigFault[] {
   return names.flatMap((name, index) =>
     names.indexOf(name) === index ? [] : [{
       path: `${list}.${index}.name`,
@@ -74,7 +71,7 @@
   );
 }
 
-function checkApiKeys(next: ConfigDocument): RuleFault[] {
+function checkApiKeys(next: ConfigDocument): ConfigFault[] {
   const owners = new Map<string, string>();
   return next.clientAccounts.flatMap((account, index) =>
     account.apiKeySha256.flatMap((digest, keyIndex) => {
@@ -88,7 +85,7 @@
   );
 }
 
-function checkQuietHours(next: ConfigDocument): RuleFault[] {
+function checkQuietHours(next: ConfigDocument): ConfigFault[] {
   return next.zones.flatMap((zone, index) =>
     zone.quietHours.flatMap((window, windowIndex) =>
       isTimeZone(window.timeZone) ? [] : [{
@@ -99,7 +96,7 @@
   );
 }
 
-function checkZoneReferences(next: ConfigDocument): RuleFault[] {
+function checkZoneReferences(next: ConfigDocument): ConfigFault[] {
   const known = new Set(next.zones.map((z) => z.name));
   return next.models.flatMap((model, index) =>
     model.placements.flatMap((placement, placementIndex) =>
@@ -115,7 +112,7 @@
   );
 }
 
-function checkAdapters(next: ConfigDocument): RuleFault[] {
+function checkAdapters(next: ConfigDocument): ConfigFault[] {
   const models = new Set(next.models.map((m) => m.name));
   return next.models.flatMap((model, index) =>
     model.adapters.flatMap((adapter, adapterIndex) => {
@@ -137,7 +134,7 @@
   );
 }
 
-function checkBackends(next: ConfigDocument): RuleFault[] {
+function checkBackends(next: ConfigDocument): ConfigFault[] {
   const known = new Set(next.zones.map((z) => z.name));
   return next.services.flatMap((service, index) =>
     service.backends.flatMap((backend, backendIndex) =>
@@ -150,9 +147,9 @@
   );
 }
 
-/** Checks that the listed VMs hold all groups while every zone and VM is in service. */
-function checkFit(input: ConfigRulesInput): RuleFault[] {
-  const { next, vms } = input;
+/** Checks that the listed VMs hold all groups of new and changed models while every zone and VM is in service. */
+function checkFit(input: ConfigRulesInput): ConfigFault[] {
+  const { current, next, vms } = input;
   if (vms === undefined) {
     return [];
   }
@@ -163,6 +160,14 @@
     isZoneOpen: () => true,
   });
   return next.models.flatMap((model, index) => {
+    const before = current?.models.find((m) => m.name === model.name);
+    // A take-out must not be refused since VMs are missing for groups that were accepted before.
+    if (
+      before?.groupSizeVms === model.groupSizeVms &&
+      isDeepStrictEqual(before.placements, model.placements)
+    ) {
+      return [];
+    }
     const wanted = model.placements.reduce((sum, p) => sum + p.count, 0);
     const fitting = [...assignment.values()]
       .reduce((sum, models) => sum + (models.get(model.name) ?? 0), 0);
@@ -174,7 +179,7 @@
   });
 }
 
-function checkLastCapacity(input: ConfigRulesInput): RuleFault[] {
+function checkLastCapacity(input: ConfigRulesInput): ConfigFault[] {
   const { current, next, nowMs } = input;
   if (current === undefined) {
     return [];
