--- a/bench/planner_bench.ts
+++ b/bench/planner_bench.ts
@@ -36,7 +36,7 @@
   const roundTimes: number[] = [];
   for (let round = 0; round < COST_ROUNDS; round++) {
     const roundStartMs = performance.now();
-    const assignment = scenario.assign();
+    const assignment = scenario.getAssignment();
     for (const domain of scenario.domains) {
       const startMs = performance.now();
       planDomain(scenario.createInput(domain, assignment));
@@ -78,7 +78,7 @@
   );
 }
 
-async function main(): Promise<void> {
+async function runBench(): Promise<void> {
   const args = await yargs(hideBin(process.argv))
     .option("json", { type: "string", describe: "File for the report" })
     .option("seed", { type: "number", default: 1 })
@@ -110,4 +110,4 @@
   }
 }
 
-await main();
+await runBench();
--- a/bench/planner_scenario.ts
+++ b/bench/planner_scenario.ts
@@ -15,8 +15,8 @@
   configSchema,
 } from "../src/version/config_schema.ts";
 import {
-  assignGroups,
   type DomainAssignment,
+  planAssignment,
 } from "../src/version/domain_assignment.ts";
 import type { DomainPlacement } from "../src/version/placement.ts";
 import {
@@ -127,7 +127,7 @@
   run(): ScenarioResult {
     this.runUntilFormed();
     if (this.#options.way === "no-spares") {
-      this.#withholdSpares();
+      this.#removeSpares();
     }
     const ordersBefore = this.#countOrders();
     const minutes = this.#options.days * MINUTES_PER_DAY;
@@ -164,8 +164,8 @@
   }
 
   /** Assigns the counts to fabric domains. */
-  assign(): DomainAssignment {
-    return assignGroups({
+  getAssignment(): DomainAssignment {
+    return planAssignment({
       document: this.#document,
       vms: [...this.#engines.values()].filter((e) => this.#isListed(e))
         .map((e) => this.#getVm(e)),
@@ -229,7 +229,7 @@
     );
   }
 
-  #withholdSpares(): void {
+  #removeSpares(): void {
     for (const engine of this.#engines.values()) {
       const placement = this.#placements.get(engine.vm.fabricDomain!)!;
       if (placement.groupByVm[engine.vm.name] === undefined) {
@@ -248,7 +248,7 @@
         this.#losses++;
         engine.up = false;
         this.#push({ minute: minute + LOSS_MINUTES, engine, type: "return" });
-        this.#markChanged(engine);
+        this.#recordChange(engine);
       } else if (
         random < LOSSES_PER_DAY_AND_SERVER + REPLACEMENTS_PER_DAY_AND_SERVER
       ) {
@@ -279,12 +279,12 @@
       engine.up = false;
     } else {
       this.#leaving.delete(engine.vm.name);
-      engine.restart();
+      engine.assumeRestart();
     }
-    this.#markChanged(engine);
+    this.#recordChange(engine);
   }
 
-  #markChanged(engine: ModelEngine): void {
+  #recordChange(engine: ModelEngine): void {
     const domain = engine.vm.fabricDomain!;
     this.#dirty.add(domain);
     if (this.#options.way === "re-plan") {
@@ -308,7 +308,7 @@
     if (this.#dirty.size > 0) {
       const due = [...this.#dirty].sort();
       this.#dirty.clear();
-      const assignment = this.assign();
+      const assignment = this.getAssignment();
       for (const domain of due) {
         this.#planDomain(domain, assignment);
       }
@@ -329,7 +329,7 @@
 
   /** Marks the domains whose groups have not reached what is wanted. */
   #updateDirty(): void {
-    const assignment = this.assign();
+    const assignment = this.getAssignment();
     for (const [domain, placement] of this.#placements) {
       const groups = Object.values(placement.groups);
       const unsettled = groups.filter((g) => g.phase !== "serving");
--- a/src/process/group_observer_test.ts
+++ b/src/process/group_observer_test.ts
@@ -47,7 +47,7 @@
       observer.record("vm-1", getAnswer());
       observer.record("vm-1", getAnswer());
       expect(observer.restarts).toBe(0);
-      engine.restart();
+      engine.assumeRestart();
       observer.record("vm-1", getAnswer());
       expect(observer.restarts).toBe(1);
     });
--- a/src/process/planner/domain_planner.ts
+++ b/src/process/planner/domain_planner.ts
@@ -136,7 +136,7 @@
     }
     this.#updateLoadedGroups();
     this.#removeDrainedGroups();
-    this.#repairBrokenGroups();
+    this.#replaceBrokenGroups();
     for (const model of this.#getModelNames()) {
       this.#resumeDrainingGroups(model);
       this.#addGroups(model);
@@ -223,10 +223,10 @@
     this.#lastGeneration++;
   }
 
-  #repairBrokenGroups(): void {
+  #replaceBrokenGroups(): void {
     for (const group of Object.values(this.#groups)) {
       if (this.#isBroken(group)) {
-        this.#repairGroup(group);
+        this.#replaceGroup(group);
       }
     }
   }
@@ -247,7 +247,7 @@
   }
 
   /** Forms a new generation of a broken group from its survivors and spares, or frees the survivors. */
-  #repairGroup(group: PlacedGroup): void {
+  #replaceGroup(group: PlacedGroup): void {
     const model = this.#getModel(group.model);
     if (this.#hasUnconfirmedMember(group)) {
       return;
--- a/src/process/planner/domain_planner_test.ts
+++ b/src/process/planner/domain_planner_test.ts
@@ -8,7 +8,7 @@
   type ConfigDocument,
   configSchema,
 } from "../../version/config_schema.ts";
-import { assignGroups } from "../../version/domain_assignment.ts";
+import { planAssignment } from "../../version/domain_assignment.ts";
 import {
   type DomainPlacement,
   getGroupMembers,
@@ -175,7 +175,7 @@
       vms: vms.filter((vm) => vm.fabricDomain === name),
       members,
       placement: copies.get(name)?.placement ?? placement,
-      wanted: assignGroups({
+      wanted: planAssignment({
         document: this.document,
         vms,
         placements,
@@ -317,7 +317,7 @@
       engines[step.vm].up = true;
       break;
     case "restart":
-      engines[step.vm].restart();
+      engines[step.vm].assumeRestart();
       break;
     case "unlist":
       engines[step.vm].listed = false;
@@ -403,7 +403,7 @@
   // Guards against a restarted member that keeps its group broken for ever.
   it("loads a restarted member's group again", () => {
     const model = createSingle({ vms: 4, count: 2 });
-    model.engines.get("rack-1-vm-001")!.restart();
+    model.engines.get("rack-1-vm-001")!.assumeRestart();
     model.runUntilStable();
     expect(model.groups.map((g) => g.phase)).toEqual(["serving", "serving"]);
   });
@@ -519,7 +519,7 @@
     const model = createSingle({ vms: 5, count: 2 });
     const flapping = model.engines.get("rack-1-vm-001")!;
     for (let round = 0; round < 3; round++) {
-      flapping.restart();
+      flapping.assumeRestart();
       model.runUntilStable();
     }
     expect(model.placements[0].groupByVm["rack-1-vm-001"]).toBeUndefined();
--- a/src/process/planner/domain_runner.ts
+++ b/src/process/planner/domain_runner.ts
@@ -1,6 +1,6 @@
 import { isDeepStrictEqual } from "node:util";
 import type { ConfigDocument } from "../../version/config_schema.ts";
-import { assignGroups } from "../../version/domain_assignment.ts";
+import { planAssignment } from "../../version/domain_assignment.ts";
 import type { DomainPlacement } from "../../version/placement.ts";
 import { isZoneOpen } from "../../version/zone_policy.ts";
 import type { DaemonContext } from "../daemon_context.ts";
@@ -84,7 +84,7 @@
     const placements = placementHolder.getPlacements().map((p) => p.placement);
     const isOpen = (name: string) =>
       isZoneOpen(zonePolicy, { zone: name, leadMs: settings.zoneLeaveLeadMs });
-    const assignment = assignGroups({
+    const assignment = planAssignment({
       document,
       vms: vmTable.getBackendVms(),
       // Counts with the losses known now, so that a server that is back counts at once.
--- a/src/process/planner/engine_roster.ts
+++ b/src/process/planner/engine_roster.ts
@@ -43,7 +43,7 @@
       if (this.#isHealthy(groupOfVm.get(name))) {
         return this.tracker.recordHealthy(name);
       }
-      return this.#ask(name);
+      return this.#requestStatus(name);
     }));
     this.#updateIdleGroups(placements.flatMap((p) => Object.values(p.groups)));
   }
@@ -97,7 +97,7 @@
       performance.now() - health.observedAtMs <= HEALTH_EXPIRY_MS;
   }
 
-  async #ask(name: string): Promise<void> {
+  async #requestStatus(name: string): Promise<void> {
     const address = this.addresses.get(name);
     const result = address === undefined
       ? undefined
--- a/src/process/planner/member_tracker_test.ts
+++ b/src/process/planner/member_tracker_test.ts
@@ -57,7 +57,7 @@
     it("backs off for twice as long with each further failure", () => {
       recordAnswer();
       const backOffs = [0, 5_000, 10_000, 20_000].map((expectedMs) => {
-        engine.restart();
+        engine.assumeRestart();
         recordAnswer();
         vi.advanceTimersByTime(Math.max(0, expectedMs - 1));
         const before = tracker.getView(name)!.backedOff;
@@ -75,10 +75,10 @@
     // Guards against a server that is never chosen again.
     it("forgets failures after a time", () => {
       recordAnswer();
-      engine.restart();
+      engine.assumeRestart();
       recordAnswer();
       vi.advanceTimersByTime(FLAP_MEMORY_MS);
-      engine.restart();
+      engine.assumeRestart();
       recordAnswer();
       expect(tracker.getView(name)!.backedOff).toBe(false);
     });
--- a/src/version/config_rules.ts
+++ b/src/version/config_rules.ts
@@ -1,7 +1,7 @@
 import { isDeepStrictEqual } from "node:util";
 import type { Vm } from "../connection/vm_directory.ts";
 import type { ConfigFault } from "./config_rule.ts";
-import { assignGroups } from "./domain_assignment.ts";
+import { planAssignment } from "./domain_assignment.ts";
 import type { ConfigDocument, ZoneConfig } from "./config_schema.ts";
 import {
   getQuietSpans,
@@ -153,7 +153,7 @@
   if (vms === undefined) {
     return [];
   }
-  const assignment = assignGroups({
+  const assignment = planAssignment({
     document: { ...next, drainedVms: [] },
     vms: vms.filter((vm) => vm.role === "backend"),
     placements: [],
--- a/src/version/domain_assignment.ts
+++ b/src/version/domain_assignment.ts
@@ -42,10 +42,10 @@
  * @param input - Configuration, VMs and placements.
  * @example
  * ```ts
- * const wanted = assignGroups(input).get("rack-1")?.get("model-1") ?? 0;
+ * const wanted = planAssignment(input).get("rack-1")?.get("model-1") ?? 0;
  * ```
  */
-export function assignGroups(input: DomainAssignmentInput): DomainAssignment {
+export function planAssignment(input: DomainAssignmentInput): DomainAssignment {
   const rooms = collectRooms(input);
   const assignment = new Map<string, Map<string, number>>(
     rooms.map((room) => [room.name, new Map()]),
@@ -55,7 +55,7 @@
   for (
     const entry of entries.toSorted((x, y) => x.rooms.length - y.rooms.length)
   ) {
-    keepPlaced(entry);
+    takePlaced(entry);
   }
   for (const entry of entries) {
     addMissing(entry);
@@ -161,7 +161,7 @@
   );
 }
 
-function keepPlaced(entry: CountEntry): void {
+function takePlaced(entry: CountEntry): void {
   let missing = entry.count;
   for (const room of entry.rooms) {
     const placed = room.placed.get(entry.model) ?? 0;
--- a/src/version/domain_assignment_test.ts
+++ b/src/version/domain_assignment_test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { createModelEngines } from "../../tests/support/model_engine.ts";
 import { configSchema } from "./config_schema.ts";
-import { assignGroups } from "./domain_assignment.ts";
+import { planAssignment } from "./domain_assignment.ts";
 import type { DomainPlacement } from "./placement.ts";
 
 const DOMAINS = [
@@ -10,7 +10,7 @@
   { name: "rack-3", zone: "zone-b", vms: 6 },
 ];
 
-describe("assignGroups", () => {
+describe("planAssignment", () => {
   const vms = [...createModelEngines(DOMAINS, { loadSteps: 0 }).values()]
     .map((engine) => engine.vm);
 
@@ -38,7 +38,7 @@
       isZoneOpen: (zone: string) => zone !== options.closed,
     };
     for (const list of [vms, [...vms].reverse()]) {
-      const assignment = assignGroups({ ...input, vms: list });
+      const assignment = planAssignment({ ...input, vms: list });
       const counts = [...assignment]
         .map(([domain, models]) => [domain, models.get("model-1") ?? 0])
         .filter(([, count]) => count !== 0);
--- a/tests/support/model_engine.ts
+++ b/tests/support/model_engine.ts
@@ -22,7 +22,7 @@
   }
 
   /** Restarts the engine, which loses what it held. */
-  restart(): void {
+  assumeRestart(): void {
     this.up = true;
     this.boot++;
     this.order = undefined;
@@ -53,7 +53,7 @@
   }
 
   /** Gets whether the engine holds the weights for a group. */
-  holds(order: EngineOrder): boolean {
+  hasLoaded(order: EngineOrder): boolean {
     return this.up && this.order?.groupId === order.groupId &&
       this.order.generation === order.generation && this.stepsLeft === 0;
   }
@@ -79,7 +79,7 @@
       model: order?.model,
       modelVersion: order?.modelVersion,
       connectedMembers: members.filter((name) =>
-        engines.get(name)?.holds(order!)
+        engines.get(name)?.hasLoaded(order!)
       ),
       runningRequests: 0,
       waitingRequests: 0,
