--- a/bench/state_bench.ts
+++ b/bench/state_bench.ts
@@ -111,12 +111,12 @@
 async function measureExchange(link: Link): Promise<ExchangeCost> {
   const sync = new PeerSync(link.sender);
   for (let index = 0; index < WARM_UP_EXCHANGES; index++) {
-    await sync.exchange(link.server.address);
+    await sync.syncPeer(link.server.address);
   }
   const bytesBefore = link.count();
   const cpuBefore = process.cpuUsage();
   for (let index = 0; index < MEASURED_EXCHANGES; index++) {
-    await sync.exchange(link.server.address);
+    await sync.syncPeer(link.server.address);
   }
   const cpu = process.cpuUsage(cpuBefore);
   return {
--- a/src/process/freshness_tracker.ts
+++ b/src/process/freshness_tracker.ts
@@ -45,7 +45,7 @@
   }
 
   /** Gets whether this daemon itself read the store within the limit. */
-  reachesStore(): boolean {
+  isStoreReached(): boolean {
     return performance.now() - this.#storeReadAtMs <= this.#options.limitMs;
   }
 
--- a/src/process/freshness_tracker_test.ts
+++ b/src/process/freshness_tracker_test.ts
@@ -50,13 +50,13 @@
   });
 });
 
-describe("reachesStore", () => {
+describe("isStoreReached", () => {
   // Guards against a daemon that reports its peers' reads as its own.
   it("counts only this daemon's reads", () => {
     const tracker = new FreshnessTracker({ limitMs: LIMIT_MS });
     tracker.recordConfirmation(0);
-    expect(tracker.reachesStore()).toBe(false);
+    expect(tracker.isStoreReached()).toBe(false);
     tracker.recordStoreRead(0);
-    expect(tracker.reachesStore()).toBe(true);
+    expect(tracker.isStoreReached()).toBe(true);
   });
 });
--- a/src/process/peer_exchange_task.ts
+++ b/src/process/peer_exchange_task.ts
@@ -75,7 +75,7 @@
     while (await delay(waitMs, signal)) {
       const startedAtMs = performance.now();
       try {
-        await sync.exchange(this.#address);
+        await sync.syncPeer(this.#address);
         this.#reportReachable(true);
       } catch (error) {
         this.#reportReachable(false, getErrorMessage(error));
--- a/src/process/peer_sync.ts
+++ b/src/process/peer_sync.ts
@@ -17,7 +17,7 @@
    * @param address - Peer port.
    * @throws When the peer does not answer.
    */
-  async exchange(address: string): Promise<void> {
+  async syncPeer(address: string): Promise<void> {
     const { peerClients, timeline, membership, agreement, logger } =
       this.#context;
     const client = peerClients.getClient(address);
@@ -41,7 +41,7 @@
     }
     await this.syncConfig(client, answer.configVersion);
     this.#takeConfirmation(answer, requestedAtMs);
-    await this.#repair(client, answer);
+    await this.#syncState(client, answer);
     agreement.mergeReport(answer, requestedAtMs);
   }
 
@@ -112,7 +112,7 @@
     }
   }
 
-  async #repair(client: PeerClient, answer: PeerDigest): Promise<void> {
+  async #syncState(client: PeerClient, answer: PeerDigest): Promise<void> {
     const { placementHolder, healthTable, vmTable } = this.#context;
     if (answer.placementDigest !== placementHolder.getDigest()) {
       await this.#syncPlacement(client);
--- a/src/version/config_repository.ts
+++ b/src/version/config_repository.ts
@@ -207,7 +207,7 @@
           "No majority of the listed daemons can be reached; nothing was written",
       };
     }
-    if (!await this.#keepHistory(current)) {
+    if (!await this.#storeEarlier(current)) {
       return {
         outcome: "unavailable",
         message: "The version in force cannot be copied to the history",
@@ -330,7 +330,7 @@
   }
 
   /** Copies the stored version before it is replaced, so that every version but the newest is in the history. */
-  async #keepHistory(current: CurrentConfig): Promise<boolean> {
+  async #storeEarlier(current: CurrentConfig): Promise<boolean> {
     const { stored, object } = current;
     if (stored === undefined || object === undefined) {
       return true;
--- a/tests/state_spread_test.ts
+++ b/tests/state_spread_test.ts
@@ -97,12 +97,12 @@
     },
     {
       name: "a daemon cut from the store",
-      prepare: (s) => s.links.cutStore([s.daemons[3]]),
+      prepare: (s) => s.links.closeStore([s.daemons[3]]),
     },
     {
       name: "all but one daemon cut from the store",
       direct: true,
-      prepare: (s) => s.links.cutStore(s.daemons.slice(1)),
+      prepare: (s) => s.links.closeStore(s.daemons.slice(1)),
     },
   ];
   it.each(cases)("with $name", async ({ prepare, direct }) => {
@@ -230,11 +230,14 @@
   // Guards against refusals by a daemon whose peers still reach the store, and by one whose peers alone are lost.
   it.each(
     [
-      ["the store", (s: StartedDeployment) => s.links.cutStore([s.daemons[0]])],
+      [
+        "the store",
+        (s: StartedDeployment) => s.links.closeStore([s.daemons[0]]),
+      ],
       [
         "its peers",
         (s: StartedDeployment) =>
-          s.links.splitPeers([[s.daemons[0]], s.daemons.slice(1)]),
+          s.links.closeLinks([[s.daemons[0]], s.daemons.slice(1)]),
       ],
     ] as const,
   )("stays fresh when cut from %s only", async (_name, cut) => {
@@ -252,8 +255,8 @@
     const { deployment, daemons, links } = await assumeDeployment(
       PRODUCTION_RATIO,
     );
-    links.cutStore([daemons[0]]);
-    links.splitPeers([[daemons[0]], daemons.slice(1)]);
+    links.closeStore([daemons[0]]);
+    links.closeLinks([[daemons[0]], daemons.slice(1)]);
     await delay(FRESHNESS_LIMIT_MS + 300);
     expect(daemons.map(getFreshness)).toEqual([
       "stale",
@@ -287,7 +290,7 @@
         expect(daemons.map(getFreshness)).toEqual(daemons.map(() => "fresh"));
         await delay(20);
       }
-      links.splitPeers([daemons.slice(0, 3), daemons.slice(3)]);
+      links.closeLinks([daemons.slice(0, 3), daemons.slice(3)]);
       await delay(FRESHNESS_LIMIT_MS + 300);
       expect(daemons.slice(0, 3).map(getFreshness)).toEqual(
         Array(3).fill("stale"),
@@ -302,8 +305,8 @@
   it("refuses an acceptance by a minority that still reaches the store", async () => {
     const { daemons, links } = await assumeDeployment(PRODUCTION_RATIO);
     const version = getVersion(daemons[0]);
-    links.cutStore(daemons.slice(3));
-    links.splitPeers([daemons.slice(0, 3), daemons.slice(3)]);
+    links.closeStore(daemons.slice(3));
+    links.closeLinks([daemons.slice(0, 3), daemons.slice(3)]);
     const result = await acceptChange(daemons[0]);
     expect(result.outcome).toBe("unavailable");
     expect(daemons.map(getVersion)).toEqual(daemons.map(() => version));
@@ -315,8 +318,8 @@
     const version = getVersion(daemons[0]) + 1;
     const apart = daemons.slice(3);
     apart[0].context.agreement.recordPrepared(version);
-    links.cutStore(apart);
-    links.splitPeers([daemons.slice(0, 3), apart]);
+    links.closeStore(apart);
+    links.closeLinks([daemons.slice(0, 3), apart]);
     await delay(FRESHNESS_LIMIT_MS * 2 + 300);
     expect(apart.map(getFreshness)).toEqual(apart.map(() => "stale"));
   });
--- a/tests/support/fault_links.ts
+++ b/tests/support/fault_links.ts
@@ -39,12 +39,12 @@
   }
 
   /** Cuts daemons from the store. */
-  cutStore(daemons: readonly Daemon[]): void {
+  closeStore(daemons: readonly Daemon[]): void {
     daemons.forEach((d) => this.#cutFromStore.add(getName(d)));
   }
 
-  /** Splits the daemons into sets that don't reach each other. */
-  splitPeers(sets: readonly (readonly Daemon[])[]): void {
+  /** Closes the links between sets of daemons. */
+  closeLinks(sets: readonly (readonly Daemon[])[]): void {
     sets.forEach((daemons, index) =>
       daemons.forEach((daemon) => {
         this.#groupByDaemon.set(getName(daemon), index);
