--- a/src/process/peer_sync.ts
+++ b/src/process/peer_sync.ts
@@ -6,6 +6,7 @@
 /** Brings this daemon's state up to date with a peer's. */
 export class PeerSync {
   readonly #context: DaemonContext;
+  #syncedHealthDigests = "";
 
   constructor(context: DaemonContext) {
     this.#context = context;
@@ -118,7 +119,7 @@
       await this.#syncPlacement(client);
     }
     if (answer.healthDigest !== healthTable.getDigest()) {
-      await this.syncGroupHealth(client);
+      await this.#syncHealthOnce(client, answer.healthDigest);
     }
     // A peer's list replaces this daemon's only when it was read clearly later, so that two readers don't swap lists.
     const youngerMs = vmTable.getAgeMs() - (answer.vmListAgeMs ?? Infinity);
@@ -130,6 +131,16 @@
     }
   }
 
+  /** Fetches once for each pair of digests: a difference that a fetch did not remove would cost the whole table with each exchange. */
+  async #syncHealthOnce(client: PeerClient, digest: number): Promise<void> {
+    const { healthTable } = this.#context;
+    if (`${digest} ${healthTable.getDigest()}` === this.#syncedHealthDigests) {
+      return;
+    }
+    await this.syncGroupHealth(client);
+    this.#syncedHealthDigests = `${digest} ${healthTable.getDigest()}`;
+  }
+
   async #syncPlacement(client: PeerClient): Promise<void> {
     const { placementHolder } = this.#context;
     const newer = await client.state.getPlacement.mutate({
