--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -10,6 +10,7 @@
 import { ConfigHolder } from "../version/config_holder.ts";
 import { ConfigRepository } from "../version/config_repository.ts";
 import { type ConfigRules, ListedConfigRules } from "../version/config_rule.ts";
+import { checkConfigRules } from "../version/config_rules.ts";
 import { PlacementHolder } from "../version/placement_holder.ts";
 import { ConfigZonePolicy, type ZonePolicy } from "../version/zone_policy.ts";
 import type { Admission } from "./admission.ts";
@@ -21,6 +22,10 @@
 import { GracefulStop } from "./graceful_stop.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
+import {
+  type InFlightStreams,
+  NoInFlightStreams,
+} from "./in_flight_streams.ts";
 import { LocalAdmission } from "./local_admission.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
 import { ExchangeMembership, type Membership } from "./membership.ts";
@@ -37,6 +42,9 @@
   zonePolicy: Symbol("ZonePolicy") as ServiceIdentifier<ZonePolicy>,
   admission: Symbol("Admission") as ServiceIdentifier<Admission>,
   quarantine: Symbol("QuarantineList") as ServiceIdentifier<QuarantineList>,
+  inFlightStreams: Symbol("InFlightStreams") as ServiceIdentifier<
+    InFlightStreams
+  >,
   membership: Symbol("Membership") as ServiceIdentifier<Membership>,
   configRules: Symbol("ConfigRules") as ServiceIdentifier<ConfigRules>,
   context: Symbol("DaemonContext") as ServiceIdentifier<DaemonContext>,
@@ -109,8 +117,19 @@
       }),
     [ConfigHolder, SERVICES.membership],
   );
-  container.bind(SERVICES.configRules).toConstantValue(
-    new ListedConfigRules([]),
+  container.bind(SERVICES.configRules).toResolvedValue(
+    (vmTable: VmTable) =>
+      new ListedConfigRules([({ document, current }) =>
+        checkConfigRules({
+          current,
+          next: document,
+          // Before the first list the fit of groups is not known.
+          vms: vmTable.getBackendVms().length > 0
+            ? vmTable.getBackendVms()
+            : undefined,
+          nowMs: Date.now(),
+        })]),
+    [VmTable],
   );
   container.bind(ConfigAnnouncer).toDynamicValue(({ get }) =>
     new ConfigAnnouncer({
@@ -148,6 +167,9 @@
   container.bind(SERVICES.quarantine).toConstantValue(
     new LocalQuarantineList(),
   );
+  container.bind(SERVICES.inFlightStreams).toConstantValue(
+    new NoInFlightStreams(),
+  );
   container.bind(SERVICES.zonePolicy).toResolvedValue(
     (configHolder: ConfigHolder) => new ConfigZonePolicy(configHolder),
     [ConfigHolder],
@@ -194,6 +216,7 @@
     admission: get(SERVICES.admission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
+    inFlightStreams: get(SERVICES.inFlightStreams),
     incarnation: randomBytes(INCARNATION_BYTES).toString("base64url"),
     membership: get(SERVICES.membership),
     agreement: get(AgreementTable),
