--- a/tests/state_spread_test.ts
+++ b/tests/state_spread_test.ts
@@ -114,11 +114,14 @@
     if (direct) {
       started.deployment.setConfig((d) => d.clockSkewMarginMs = 1_234);
     } else {
+      let early: AcceptResult | undefined;
       const accepting = acceptChange(daemons[0]);
+      accepting.then((result) => early = result);
       await waitUntil(
-        () => getVersion(daemons[0]) === version,
+        () => getVersion(daemons[0]) === version || early !== undefined,
         20_000,
       );
+      expect(getVersion(daemons[0]), JSON.stringify(early)).toBe(version);
       startedAtMs = performance.now();
       await waitUntil(() => daemons.every((d) => getVersion(d) === version));
       expect(performance.now() - startedAtMs).toBeLessThan(IN_FORCE_LIMIT_MS);
