Share a group's capacity between the daemons without a coordinator

Capacity is split into eight lanes a group. A daemon owns a lane when it ranks highest among all VMs that any list of the hold-down named, and uses it once the other daemons answered that they use nothing beyond their shares. Loans cover what a daemon lacks.

Ruled out: computing the homes from the newest list alone, with a minimum over recent lists. Two daemons that read different lists of a list that changes quickly can both skip the list that would have reduced their share. A total order for each lane that does not depend on the listed set needs no common list.

--- /dev/null
+++ b/src/connection/peer_admission_router.ts
@@ -0,0 +1,22 @@
+import type { DaemonContext } from "../process/daemon_context.ts";
+import {
+  loanBatchSchema,
+  settlementQuestionSchema,
+} from "../process/admission/loan_messages.ts";
+import { peerTrpc } from "./peer_trpc.ts";
+
+/**
+ * Creates the procedures that move capacity between daemons.
+ *
+ * @param context - Parts of the daemon.
+ */
+export function createPeerAdmissionRouter(context: DaemonContext) {
+  return peerTrpc.router({
+    exchangeLoans: peerTrpc.procedure.input(loanBatchSchema).mutation(
+      ({ input }) => context.sharedAdmission.answerLoans(input),
+    ),
+    settle: peerTrpc.procedure.input(settlementQuestionSchema).mutation(
+      ({ input }) => context.sharedAdmission.answerSettlement(input),
+    ),
+  });
+}
--- /dev/null
+++ b/src/connection/peer_loan_channel.ts
@@ -0,0 +1,41 @@
+import type {
+  LoanBatch,
+  LoanBatchAnswer,
+  LoanChannel,
+  SettlementAnswer,
+  SettlementQuestion,
+} from "../process/admission/loan_messages.ts";
+import type { VmTable } from "../process/vm_table.ts";
+import type { PeerClient, PeerClients } from "./peer_clients.ts";
+
+/** Sends loan messages over the peer ports. */
+export class PeerLoanChannel implements LoanChannel {
+  readonly #peerClients: PeerClients;
+  readonly #vmTable: VmTable;
+
+  constructor(options: { peerClients: PeerClients; vmTable: VmTable }) {
+    this.#peerClients = options.peerClients;
+    this.#vmTable = options.vmTable;
+  }
+
+  async sendLoans(peer: string, batch: LoanBatch): Promise<LoanBatchAnswer> {
+    return await this.#getClientOrThrow(peer).admission.exchangeLoans.mutate(
+      batch,
+    );
+  }
+
+  async sendSettlement(
+    peer: string,
+    question: SettlementQuestion,
+  ): Promise<SettlementAnswer> {
+    return await this.#getClientOrThrow(peer).admission.settle.mutate(question);
+  }
+
+  #getClientOrThrow(peer: string): PeerClient {
+    const address = this.#vmTable.getVm(peer)?.address;
+    if (address === undefined) {
+      throw new Error(`The entry VM "${peer}" is not listed`);
+    }
+    return this.#peerClients.getClient(address);
+  }
+}
--- a/src/connection/peer_router.ts
+++ b/src/connection/peer_router.ts
@@ -1,4 +1,5 @@
 import type { DaemonContext } from "../process/daemon_context.ts";
+import { createPeerAdmissionRouter } from "./peer_admission_router.ts";
 import { createPeerStateRouter } from "./peer_state_router.ts";
 import { peerTrpc } from "./peer_trpc.ts";
 
@@ -10,6 +11,7 @@
 export function createPeerRouter(context: DaemonContext) {
   return peerTrpc.router({
     state: createPeerStateRouter(context),
+    admission: createPeerAdmissionRouter(context),
   });
 }
 
--- /dev/null
+++ b/src/process/admission/capacity.ts
@@ -0,0 +1,44 @@
+/** Number of lanes that a group's capacity is split into, and so the largest number of homes. */
+export const LANES = 8;
+
+/** Requests and KV cache memory. */
+export interface Capacity {
+  readonly slots: number;
+  /** KV cache memory in tokens. */
+  readonly tokens: number;
+}
+
+/** No capacity. */
+export const NO_CAPACITY: Capacity = { slots: 0, tokens: 0 };
+
+/**
+ * Gets the sum of two capacities.
+ *
+ * @param a - First capacity.
+ * @param b - Second capacity.
+ */
+export function addCapacity(a: Capacity, b: Capacity): Capacity {
+  return { slots: a.slots + b.slots, tokens: a.tokens + b.tokens };
+}
+
+/**
+ * Gets the part of a group's capacity that belongs to one lane, in whole numbers. The lanes sum up to the whole, and lane 0 always has a slot.
+ *
+ * @param whole - Capacity of the group.
+ * @param lane - Number of the lane, from 0.
+ * @example
+ * ```ts
+ * getLaneCapacity({ slots: 1, tokens: 80 }, 0); // { slots: 1, tokens: 10 }
+ * ```
+ */
+export function getLaneCapacity(whole: Capacity, lane: number): Capacity {
+  return {
+    slots: getLanePart(whole.slots, lane),
+    tokens: getLanePart(whole.tokens, lane),
+  };
+}
+
+function getLanePart(whole: number, lane: number): number {
+  return Math.ceil(whole * (lane + 1) / LANES) -
+    Math.ceil(whole * lane / LANES);
+}
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -3,19 +3,20 @@
 import { HttpEngineClient } from "../connection/http_engine_client.ts";
 import { HttpPlatformClient } from "../connection/http_platform_client.ts";
 import { HttpPeerClients } from "../connection/peer_clients.ts";
+import { PeerLoanChannel } from "../connection/peer_loan_channel.ts";
 import { LifeCycleManager } from "../shared/life_cycle_manager.ts";
 import { type Logger, ProcessLogger } from "../shared/logger.ts";
 import { Timeline } from "../shared/timeline.ts";
 import { ConfigHolder } from "../version/config_holder.ts";
 import { PlacementHolder } from "../version/placement_holder.ts";
 import { ConfigZonePolicy, type ZonePolicy } from "../version/zone_policy.ts";
+import { SharedAdmission } from "./admission/shared_admission.ts";
 import type { Admission } from "./admission.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { FreshnessTracker } from "./freshness_tracker.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
-import { LocalAdmission } from "./local_admission.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
 import { VmTable } from "./vm_table.ts";
 
@@ -98,9 +99,32 @@
       SERVICES.zonePolicy,
     ],
   );
+  bindAdmission(container, settings);
+}
+
+function bindAdmission(container: Container, settings: DaemonSettings): void {
+  container.bind(SharedAdmission).toDynamicValue(({ get }) =>
+    new SharedAdmission({
+      name: settings.name,
+      zone: settings.zone,
+      vmListLagMs: settings.vmListLagMs,
+      vmListIntervalMs: settings.exchangeIntervalMs,
+      longestRequestMs: settings.defaultDeadlineMs,
+      directory: get(GroupDirectory),
+      configHolder: get(ConfigHolder),
+      placementHolder: get(PlacementHolder),
+      healthTable: get(GroupHealthTable),
+      vmTable: get(VmTable),
+      channel: new PeerLoanChannel({
+        peerClients: get(HttpPeerClients),
+        vmTable: get(VmTable),
+      }),
+      signal: get(LifeCycleManager).signal,
+    })
+  );
   container.bind(SERVICES.admission).toResolvedValue(
-    (directory: GroupDirectory) => new LocalAdmission(directory),
-    [GroupDirectory],
+    (admission: SharedAdmission) => admission,
+    [SharedAdmission],
   );
 }
 
@@ -121,6 +145,7 @@
     healthTable: get(GroupHealthTable),
     groupDirectory: get(GroupDirectory),
     admission: get(SERVICES.admission),
+    sharedAdmission: get(SharedAdmission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
   }));
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -52,6 +52,7 @@
     lifeCycle.add(this.#caller);
     this.#startTask("store-sync", new StoreSyncTask(this.context));
     this.#startTask("group-monitor", new GroupMonitorTask(this.context));
+    this.#startTask("admission", this.context.sharedAdmission);
     this.#startTask("planner", new PlannerTask(this.context));
     logger.write("info", "daemon-started", {
       caller: this.callerAddress,
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -8,6 +8,7 @@
 import type { ConfigHolder } from "../version/config_holder.ts";
 import type { PlacementHolder } from "../version/placement_holder.ts";
 import type { ZonePolicy } from "../version/zone_policy.ts";
+import type { SharedAdmission } from "./admission/shared_admission.ts";
 import type { Admission } from "./admission.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import type { FreshnessTracker } from "./freshness_tracker.ts";
@@ -33,6 +34,8 @@
   readonly healthTable: GroupHealthTable;
   readonly groupDirectory: GroupDirectory;
   readonly admission: Admission;
+  /** Side of the admission that answers the other daemons. */
+  readonly sharedAdmission: SharedAdmission;
   readonly freshness: FreshnessTracker;
   readonly quarantine: QuarantineList;
 }
