Test shared admission with several daemons and random faults

The in-process test crashed its engine in a first version: a daemon judged a group by a tick that was up to 50 ms old, and the ramp counted requests that had finished before the group turned cold. Decisions now take the newest health, and only requests that began after the turn count.

--- a/src/process/admission/cold_ramp.ts
+++ b/src/process/admission/cold_ramp.ts
@@ -75,16 +75,27 @@
     return this.#groups.get(groupId)?.cold ?? true;
   }
 
+  /** Gets the monotonic time since which a cold group is cold. */
+  getColdSinceMs(groupId: string): number {
+    return this.#groups.get(groupId)?.coldSinceMs ?? performance.now();
+  }
+
   /**
-   * Takes note that requests of a cold group have finished.
+   * Takes note that requests of a cold group have finished. Requests that began before the group turned cold do not count, since the engine does not warm up by them.
    *
    * @param groupId - Group.
-   * @param count - Number of requests.
+   * @param finished - Number of requests and the earliest monotonic time of their start.
    */
-  recordFinished(groupId: string, count = 1): void {
+  recordFinished(
+    groupId: string,
+    finished: { count: number; startedAtMs: number },
+  ): void {
     const state = this.#groups.get(groupId);
-    if (state !== undefined) {
-      state.finished += count;
+    if (
+      state !== undefined && state.cold &&
+      finished.startedAtMs >= state.coldSinceMs
+    ) {
+      state.finished += finished.count;
     }
   }
 
--- a/src/process/admission/loan_broker.ts
+++ b/src/process/admission/loan_broker.ts
@@ -25,6 +25,8 @@
   readonly startId: string;
   readonly ledger: SlotLedger;
   readonly channel: LoanChannel;
+  /** Gets whether new work may use a loan in the group's present state. */
+  isUsable(loan: Loan): boolean;
 }
 
 /** Wish for a loan. */
@@ -55,7 +57,7 @@
   readonly #options: LoanBrokerOptions;
   readonly #queues = new Map<string, PeerQueue>();
   readonly #neededAtMs = new Map<string, number>();
-  readonly #finishedByGroup = new Map<string, number>();
+  readonly #finishedByLoan = new Map<string, number>();
   #sequence = 0;
   /** Number of batches sent. */
   messages = 0;
@@ -84,10 +86,15 @@
     this.#neededAtMs.set(groupId, performance.now());
   }
 
-  /** Takes note that a request finished on a group whose first home is another daemon. */
+  /** Takes note that a request finished on a group whose first home is another daemon, which learns it with the repayment. */
   recordFinished(groupId: string): void {
-    const finished = this.#finishedByGroup.get(groupId) ?? 0;
-    this.#finishedByGroup.set(groupId, finished + 1);
+    const loan = this.#options.ledger.getBorrowedLoans(groupId).find((l) =>
+      l.firstHome && this.#options.isUsable(l)
+    );
+    if (loan !== undefined) {
+      const finished = this.#finishedByLoan.get(loan.loanId) ?? 0;
+      this.#finishedByLoan.set(loan.loanId, finished + 1);
+    }
   }
 
   /** Repays idle loans and renews the loans that are in use beyond their expiry. */
@@ -118,9 +125,9 @@
     const now = performance.now();
     for (const loan of ledger.getBorrowedLoans(groupId)) {
       const ending = loan.expiresAtMs - now < RENEW_BEFORE_MS;
-      const repaid = options.idle || ending
-        ? ledger.repay(groupId, loan.loanId)
-        : undefined;
+      const unwanted = options.idle || ending ||
+        !this.#options.isUsable(loan);
+      const repaid = unwanted ? ledger.repay(groupId, loan.loanId) : undefined;
       if (repaid !== undefined) {
         this.#pushRepayment(repaid);
       } else if (ending) {
@@ -131,11 +138,8 @@
   }
 
   #pushRepayment(loan: Loan): void {
-    let finished = 0;
-    if (loan.firstHome) {
-      finished = this.#finishedByGroup.get(loan.groupId) ?? 0;
-      this.#finishedByGroup.delete(loan.groupId);
-    }
+    const finished = this.#finishedByLoan.get(loan.loanId) ?? 0;
+    this.#finishedByLoan.delete(loan.loanId);
     this.#getQueue(loan.peer).repayments.push({
       loanId: loan.loanId,
       groupId: loan.groupId,
@@ -234,6 +238,8 @@
           // Counted from before the sending, so that it ends before the lender's own expiry.
           expiresAtMs: sentAtMs + b.holdMs,
           firstHome: given.firstHome,
+          cold: given.cold,
+          sinceMs: performance.now(),
         });
       }
       b.resolve({ slots: given?.slots ?? 0, tokens: given?.tokens ?? 0 });
--- a/src/process/admission/loan_messages.ts
+++ b/src/process/admission/loan_messages.ts
@@ -48,6 +48,8 @@
   readonly tokens: number;
   /** Whether the lender is the group's first home. */
   readonly firstHome: boolean;
+  /** Whether the group is cold for the lender. */
+  readonly cold: boolean;
 }
 
 /** Answer to a batch. */
--- a/src/process/admission/loan_office.ts
+++ b/src/process/admission/loan_office.ts
@@ -50,8 +50,14 @@
     for (const repayment of batch.repayments) {
       // A borrow that is processed after its repayment must not take effect.
       this.#voidedAtMs.set(repayment.loanId, now);
-      ledger.recordRepayment(repayment.groupId, repayment.loanId);
-      ramp.recordFinished(repayment.groupId, repayment.finished);
+      const { groupId, loanId, finished } = repayment;
+      const loan = ledger.recordRepayment(groupId, loanId);
+      if (loan !== undefined) {
+        ramp.recordFinished(groupId, {
+          count: finished,
+          startedAtMs: loan.sinceMs,
+        });
+      }
     }
     const renewed = batch.renewals.filter((r) =>
       ledger.renew(r.groupId, r.loanId, now + r.holdMs)
@@ -85,11 +91,12 @@
   }
 
   #lend(from: string, request: LoanRequest): LoanAnswer | undefined {
-    const { startId, ledger, keeper } = this.#options;
+    const { startId, ledger, keeper, ramp } = this.#options;
     const group = this.#options.getGroup(request.groupId);
     if (group === undefined || this.#voidedAtMs.has(request.loanId)) {
       return undefined;
     }
+    const cold = ramp.isCold(request.groupId);
     const firstHome = keeper.isFirstHome(request.groupId);
     const slots = Math.min(request.slots, this.#getLendableSlots(from, group));
     if (slots < 0 || (slots === 0 && request.slots > 0)) {
@@ -103,8 +110,10 @@
       capacity: { slots, tokens: request.tokens },
       expiresAtMs: performance.now() + request.holdMs,
       firstHome,
+      cold,
+      sinceMs: performance.now(),
     });
-    return loan && { loanId: loan.loanId, ...loan.capacity, firstHome };
+    return loan && { loanId: loan.loanId, ...loan.capacity, firstHome, cold };
   }
 
   #getLendableSlots(from: string, group: LendableGroup): number {
--- a/src/process/admission/shared_admission.ts
+++ b/src/process/admission/shared_admission.ts
@@ -30,7 +30,7 @@
 import { type LendableGroup, LoanOffice } from "./loan_office.ts";
 import { ShareCalculator } from "./share_calculator.ts";
 import { ShareKeeper } from "./share_keeper.ts";
-import { SlotLedger } from "./slot_ledger.ts";
+import { type Loan, SlotLedger } from "./slot_ledger.ts";
 
 const TICK_MS = 50;
 const MAX_QUEUE_LENGTH = 1_024;
@@ -106,7 +106,13 @@
       channel,
       longestRequestMs: options.longestRequestMs,
     });
-    this.broker = new LoanBroker({ name, startId, ledger, channel });
+    this.broker = new LoanBroker({
+      name,
+      startId,
+      ledger,
+      channel,
+      isUsable: (loan) => this.#isUsable(loan),
+    });
     this.#office = new LoanOffice({
       startId,
       ledger,
@@ -133,7 +139,7 @@
     if (this.#keeper.hasOpenLanes()) {
       void this.#keeper.trySettle();
     }
-    this.#observeHealth(groups);
+    groups.forEach((g) => this.#observeHealth(g.groupId, g.model));
     this.broker.refresh();
     this.broker.resume();
     this.#refuseExpired();
@@ -316,6 +322,8 @@
 
   #getUsable(serving: ServingGroup, request: AdmissionRequest): Capacity {
     const { groupId } = serving.group;
+    // The newest health counts at each decision: a tick later may be too late for a group that has turned cold.
+    this.#observeHealth(groupId, request.model);
     const untilMs = getEndMs(request);
     const free = this.ledger.getFree(groupId, untilMs);
     if (!this.ramp.isCold(groupId)) {
@@ -331,10 +339,22 @@
 
   #countFirstHomeSlots(groupId: string, untilMs: number): number {
     return this.ledger.getBorrowedLoans(groupId)
-      .filter((loan) => loan.firstHome && loan.expiresAtMs >= untilMs)
+      .filter((loan) => loan.expiresAtMs >= untilMs && this.#isUsable(loan))
       .reduce((sum, loan) => sum + loan.capacity.slots, 0);
   }
 
+  /** Gets whether a loan counts for new work: on a cold group only one that the first home gave since then, within the load that the group bears. */
+  #isUsable(loan: Loan): boolean {
+    const { groupId } = loan;
+    if (!this.ramp.isCold(groupId) || this.#keeper.isFirstHome(groupId)) {
+      return true;
+    }
+    const state = this.#options.healthTable.getHealth(groupId)?.state;
+    return loan.firstHome &&
+      loan.sinceMs >= this.ramp.getColdSinceMs(groupId) &&
+      (loan.cold || state === "ready");
+  }
+
   async #borrowFor(
     waiter: Waiter,
     candidates: readonly ServingGroup[],
@@ -475,8 +495,12 @@
       return;
     }
     if (this.#keeper.isFirstHome(groupId)) {
-      this.ramp.recordFinished(groupId);
-    } else {
+      const { startedAtMs } = end;
+      this.ramp.recordFinished(groupId, { count: 1, startedAtMs });
+    } else if (
+      this.ramp.isCold(groupId) &&
+      end.startedAtMs >= this.ramp.getColdSinceMs(groupId)
+    ) {
       this.broker.recordFinished(groupId);
     }
     const model = request.model.name;
@@ -550,16 +574,18 @@
     const group = placementHolder.getGroup(groupId);
     const model = configHolder.getCurrent()?.document.models
       .find((m) => m.name === group?.model);
-    return group && model && createLendableGroup(group, model);
+    if (group === undefined || model === undefined) {
+      return undefined;
+    }
+    this.#observeHealth(groupId, model);
+    return createLendableGroup(group, model);
   }
 
-  #observeHealth(groups: readonly LendableGroup[]): void {
-    for (const { groupId, model } of groups) {
-      const health = this.#options.healthTable.getHealth(groupId);
-      if (health !== undefined) {
-        const isFirstHome = this.#keeper.isFirstHome(groupId);
-        this.ramp.observe(health, { model, isFirstHome });
-      }
+  #observeHealth(groupId: string, model: ModelConfig): void {
+    const health = this.#options.healthTable.getHealth(groupId);
+    if (health !== undefined) {
+      const isFirstHome = this.#keeper.isFirstHome(groupId);
+      this.ramp.observe(health, { model, isFirstHome });
     }
   }
 
--- a/src/process/admission/slot_ledger.ts
+++ b/src/process/admission/slot_ledger.ts
@@ -14,6 +14,10 @@
   readonly expiresAtMs: number;
   /** Whether the lender is the group's first home, which counts the loan within the load that a cold group bears. */
   readonly firstHome: boolean;
+  /** Whether the group was cold for the lender. */
+  readonly cold: boolean;
+  /** Monotonic time at which the loan began. */
+  readonly sinceMs: number;
 }
 
 interface GroupAccount {
@@ -135,9 +139,16 @@
     return given;
   }
 
-  /** Takes note that the borrower has given a loan back. */
-  recordRepayment(groupId: string, loanId: string): void {
-    this.#groups.get(groupId)?.lent.delete(loanId);
+  /**
+   * Takes note that the borrower has given a loan back.
+   *
+   * @returns The loan, or undefined when it was not known any more.
+   */
+  recordRepayment(groupId: string, loanId: string): Loan | undefined {
+    const lent = this.#groups.get(groupId)?.lent;
+    const loan = lent?.get(loanId);
+    lent?.delete(loanId);
+    return loan;
   }
 
   /** Extends a loan that was lent. An expired loan is not revived. */
--- /dev/null
+++ b/tests/shared_admission_property_test.ts
@@ -0,0 +1,125 @@
+import process from "node:process";
+import fc from "fast-check";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { AdmissionGroup } from "./support/admission_group.ts";
+
+const NAMES = ["e0", "e1", "e2", "e3", "e4"];
+const RUNS = Number(process.env.ADMISSION_RUNS ?? 60);
+
+const stepArbitrary = fc.oneof(
+  fc.record({
+    type: fc.constantFrom("start", "stop", "remove"),
+    daemon: fc.constantFrom(...NAMES),
+  }),
+  fc.record({
+    type: fc.constant("request"),
+    daemon: fc.constantFrom(...NAMES),
+    count: fc.integer({ min: 1, max: 12 }),
+    tokens: fc.integer({ min: 1, max: 300 }),
+    durationMs: fc.integer({ min: 1, max: 4_000 }),
+    alone: fc.integer({ min: 0, max: 9 }).map((n) => n === 0),
+  }),
+  fc.record({
+    type: fc.constant("faults"),
+    loseRequests: fc.boolean(),
+    loseAnswers: fc.boolean(),
+  }),
+  fc.record({
+    type: fc.constant("wait"),
+    ms: fc.integer({ min: 1, max: 2_500 }),
+  }),
+);
+
+type Step = {
+  type: string;
+  daemon?: string;
+  count?: number;
+  tokens?: number;
+  durationMs?: number;
+  alone?: boolean;
+  loseRequests?: boolean;
+  loseAnswers?: boolean;
+  ms?: number;
+};
+
+describe("shared admission under faults", () => {
+  let aloneGranted = 0;
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  async function applyStep(group: AdmissionGroup, step: Step): Promise<void> {
+    const member = group.members.get(step.daemon ?? "");
+    if (step.type === "start") {
+      group.start(step.daemon!);
+    } else if (step.type === "stop") {
+      group.stop(step.daemon!);
+    } else if (step.type === "remove") {
+      group.remove(step.daemon!);
+    } else if (step.type === "faults") {
+      group.faults.loseRequests = step.loseRequests!;
+      group.faults.loseAnswers = step.loseAnswers!;
+    } else if (step.type === "wait") {
+      await vi.advanceTimersByTimeAsync(step.ms!);
+    } else if (member !== undefined) {
+      for (let index = 0; index < step.count!; index++) {
+        void group.request(member, {
+          tokens: step.tokens!,
+          durationMs: step.durationMs!,
+          alone: step.alone,
+        });
+      }
+    }
+  }
+
+  async function doTest(steps: readonly Step[], seed: number): Promise<number> {
+    let state = seed;
+    const group = new AdmissionGroup({
+      model: {},
+      random: () => {
+        state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+        return state / 2 ** 32;
+      },
+    });
+    NAMES.slice(0, 3).forEach((name) => group.start(name));
+    await vi.advanceTimersByTimeAsync(2_000);
+    for (const step of steps) {
+      await applyStep(group, step);
+      await vi.advanceTimersByTimeAsync(20);
+      expect(group.peakSlots).toBeLessThanOrEqual(group.model.slotsPerGroup);
+      expect(group.peakTokens).toBeLessThanOrEqual(
+        group.model.kvTokensPerGroup,
+      );
+    }
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(group.peakSlots).toBeLessThanOrEqual(group.model.slotsPerGroup);
+    expect(group.peakTokens).toBeLessThanOrEqual(group.model.kvTokensPerGroup);
+    expect(group.aloneViolations).toBe(0);
+    aloneGranted += group.aloneGranted;
+    NAMES.forEach((name) => group.stop(name));
+    await vi.advanceTimersByTimeAsync(100);
+    return group.granted;
+  }
+
+  // Guards against any interleaving of joins, leaves, restarts, lagging lists, loans and lost answers that admits more than the group bears (I3).
+  it("never admits more requests or tokens than the group has", async () => {
+    let granted = 0;
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(stepArbitrary, { minLength: 5, maxLength: 40 }),
+        fc.integer({ min: 1, max: 2 ** 31 }),
+        async (steps, seed) => {
+          granted += await doTest(steps, seed);
+        },
+      ),
+      { numRuns: RUNS, endOnFailure: false },
+    );
+    expect(granted).toBeGreaterThan(RUNS);
+    expect(aloneGranted).toBeGreaterThan(0);
+  }, 120_000);
+});
--- /dev/null
+++ b/tests/support/admission_group.ts
@@ -0,0 +1,314 @@
+import { setMaxListeners } from "node:events";
+import type { Vm } from "../../src/connection/vm_directory.ts";
+import type { Grant } from "../../src/process/admission.ts";
+import { SharedAdmission } from "../../src/process/admission/shared_admission.ts";
+import type { LoanChannel } from "../../src/process/admission/loan_messages.ts";
+import { GroupDirectory } from "../../src/process/group_directory.ts";
+import {
+  type GroupHealthState,
+  GroupHealthTable,
+} from "../../src/process/group_health.ts";
+import { VmTable } from "../../src/process/vm_table.ts";
+import { delay } from "../../src/shared/delay.ts";
+import { ConfigHolder } from "../../src/version/config_holder.ts";
+import {
+  type ConfigDocument,
+  configSchema,
+  type ModelConfig,
+} from "../../src/version/config_schema.ts";
+import { PlacementHolder } from "../../src/version/placement_holder.ts";
+
+/** Longest lag of the VM list in the tests, in milliseconds. */
+export const LIST_LAG_MS = 400;
+const LIST_INTERVAL_MS = 100;
+const LONGEST_REQUEST_MS = 5_000;
+const GROUP_ID = "rack-1-1";
+const ZONES = ["zone-a", "zone-b", "zone-c"];
+
+/** One daemon's admission with its own view of the VM list. */
+export interface AdmissionMember {
+  readonly name: string;
+  readonly admission: SharedAdmission;
+  readonly abort: AbortController;
+  readonly healthTable: GroupHealthTable;
+  readonly vmTable: VmTable;
+  /** Index of the newest list that the daemon has read. */
+  listIndex: number;
+  readonly grants: Set<Grant>;
+}
+
+/** Fault switches of the peer channel and the VM list. */
+export interface AdmissionFaults {
+  /** Whether requests to peers are lost. */
+  loseRequests: boolean;
+  /** Whether answers of peers are lost after they took effect. */
+  loseAnswers: boolean;
+}
+
+/** Admissions of several daemons that share one group, on the paused clock. */
+export class AdmissionGroup {
+  readonly faults: AdmissionFaults = {
+    loseRequests: false,
+    loseAnswers: false,
+  };
+  readonly members = new Map<string, AdmissionMember>();
+  readonly model: ModelConfig;
+  state: GroupHealthState = "ready";
+  bootId = "boot-1";
+  peakSlots = 0;
+  peakTokens = 0;
+  granted = 0;
+  /** Number of times that a request that had to run alone ran beside another one. */
+  aloneViolations = 0;
+  aloneGranted = 0;
+  readonly #document: ConfigDocument;
+  readonly #random: () => number;
+  readonly #lists: { atMs: number; vms: Vm[] }[] = [];
+  readonly #aloneGrants = new Set<Grant>();
+  readonly #tokensByGrant = new Map<Grant, number>();
+  #sequence = 0;
+
+  constructor(
+    options: { model: Partial<ModelConfig>; random: () => number },
+  ) {
+    this.#random = options.random;
+    this.#document = configSchema.parse({
+      schemaVersion: 1,
+      zones: ZONES.map((name) => ({ name, region: "region-1" })),
+      models: [{
+        name: "model-1",
+        groupSizeVms: 1,
+        placements: [{ zones: ["zone-a"], count: 1 }],
+        slotsPerGroup: 10,
+        kvTokensPerGroup: 1_000,
+        ...options.model,
+      }],
+      clientAccounts: [{ name: "account-1", apiKeySha256: ["0".repeat(64)] }],
+    });
+    this.model = this.#document.models[0];
+    this.#publish();
+  }
+
+  /** Starts a daemon that knows nothing, under a new or a former name. */
+  start(name: string): AdmissionMember {
+    this.stop(name);
+    const abort = new AbortController();
+    setMaxListeners(0, abort.signal);
+    const healthTable = new GroupHealthTable();
+    const vmTable = new VmTable();
+    const member: AdmissionMember = {
+      name,
+      admission: this.#createAdmission(name, { abort, healthTable, vmTable }),
+      abort,
+      healthTable,
+      vmTable,
+      listIndex: 0,
+      grants: new Set(),
+    };
+    this.members.set(name, member);
+    this.#publish();
+    void this.#syncMember(member);
+    void member.admission.run();
+    return member;
+  }
+
+  /** Kills a daemon: its requests end with its connections. */
+  stop(name: string): void {
+    const member = this.members.get(name);
+    if (member !== undefined) {
+      this.members.delete(name);
+      member.abort.abort();
+      member.grants.clear();
+    }
+  }
+
+  /** Removes a killed daemon from the VM list. */
+  remove(name: string): void {
+    this.stop(name);
+    this.#publish();
+  }
+
+  /** Runs a request for a time and gives its outcome. */
+  async request(
+    member: AdmissionMember,
+    options: { tokens: number; durationMs: number; alone?: boolean },
+  ): Promise<string> {
+    const outcome = await member.admission.acquire({
+      requestId: "request",
+      model: this.model,
+      account: this.#document.clientAccounts[0],
+      kvTokens: options.tokens,
+      prefixHash: 0,
+      deadlineAtMs: performance.now() + LONGEST_REQUEST_MS,
+      excludedGroupIds: new Set(),
+      alone: options.alone ?? false,
+    }, member.abort.signal);
+    if (outcome.isLeft() || this.members.get(member.name) !== member) {
+      return outcome.isLeft() ? String(outcome.extract()) : "stopped";
+    }
+    const grant = outcome.unsafeCoerce();
+    this.granted++;
+    member.grants.add(grant);
+    this.#tokensByGrant.set(grant, options.tokens);
+    if (options.alone) {
+      this.aloneGranted++;
+      this.#aloneGrants.add(grant);
+    }
+    this.#measure();
+    await delay(options.durationMs, member.abort.signal);
+    member.grants.delete(grant);
+    this.#tokensByGrant.delete(grant);
+    if (this.members.get(member.name) === member) {
+      grant.release("finished");
+    }
+    return "finished";
+  }
+
+  /** Gets the requests that run now. */
+  getRunning(): number {
+    let running = 0;
+    for (const member of this.members.values()) {
+      running += member.grants.size;
+    }
+    return running;
+  }
+
+  #measure(): void {
+    let tokens = 0;
+    for (const member of this.members.values()) {
+      for (const grant of member.grants) {
+        tokens += this.#tokensByGrant.get(grant) ?? 0;
+      }
+    }
+    const alone = [...this.members.values()].some((m) =>
+      [...m.grants].some((g) => this.#aloneGrants.has(g))
+    );
+    if (alone && this.getRunning() > 1) {
+      this.aloneViolations++;
+    }
+    this.peakSlots = Math.max(this.peakSlots, this.getRunning());
+    this.peakTokens = Math.max(this.peakTokens, tokens);
+  }
+
+  #publish(): void {
+    const entries = [...this.members.keys()].map((name): Vm => ({
+      name,
+      role: "entry",
+      address: "127.0.0.1:1",
+      zone: ZONES[Number(name.slice(1)) % ZONES.length],
+      state: "live",
+    }));
+    const backend: Vm = {
+      name: "gpu-1",
+      role: "backend",
+      address: "127.0.0.1:2",
+      zone: "zone-a",
+      fabricDomain: "rack-1",
+      state: "live",
+    };
+    this.#lists.push({ atMs: performance.now(), vms: [backend, ...entries] });
+  }
+
+  async #syncMember(member: AdmissionMember): Promise<void> {
+    do {
+      const atMs = performance.now() - this.#random() * LIST_LAG_MS;
+      const index = this.#lists.findLastIndex((l) => l.atMs <= atMs);
+      member.listIndex = Math.max(index, 0);
+      member.vmTable.replace(this.#lists[member.listIndex].vms);
+      member.healthTable.offer({
+        groupId: GROUP_ID,
+        generation: 1,
+        state: this.state,
+        bootId: this.bootId,
+        observer: member.name,
+        sequence: ++this.#sequence,
+        ageMs: 0,
+        runningRequests: 0,
+        heldTokens: 0,
+        maxTokens: 1_000,
+      });
+    } while (await delay(LIST_INTERVAL_MS, member.abort.signal));
+  }
+
+  #createAdmission(
+    name: string,
+    parts: {
+      abort: AbortController;
+      healthTable: GroupHealthTable;
+      vmTable: VmTable;
+    },
+  ): SharedAdmission {
+    const { healthTable, vmTable } = parts;
+    const configHolder = new ConfigHolder();
+    configHolder.offer({ version: 1, document: this.#document });
+    const placementHolder = new PlacementHolder();
+    placementHolder.offer({
+      objectVersion: 1,
+      placement: {
+        fabricDomain: "rack-1",
+        zone: "zone-a",
+        lastGeneration: 1,
+        groupByVm: { "gpu-1": GROUP_ID },
+        groups: {
+          [GROUP_ID]: {
+            groupId: GROUP_ID,
+            model: "model-1",
+            modelVersion: "1",
+            zone: "zone-a",
+            fabricDomain: "rack-1",
+            generation: 1,
+            phase: "serving",
+            leader: "gpu-1",
+            sizeVms: 1,
+          },
+        },
+      },
+    });
+    return new SharedAdmission({
+      name,
+      zone: "zone-a",
+      vmListLagMs: LIST_LAG_MS,
+      vmListIntervalMs: LIST_INTERVAL_MS,
+      longestRequestMs: LONGEST_REQUEST_MS,
+      directory: new GroupDirectory({
+        configHolder,
+        placementHolder,
+        healthTable,
+        vmTable,
+        zonePolicy: { takesNewWork: () => true },
+      }),
+      configHolder,
+      placementHolder,
+      healthTable,
+      vmTable,
+      channel: this.#createChannel(),
+      signal: parts.abort.signal,
+    });
+  }
+
+  #createChannel(): LoanChannel {
+    return {
+      sendLoans: (peer, batch) =>
+        this.#deliver(peer, (a) => a.answerLoans(batch)),
+      sendSettlement: (peer, question) =>
+        this.#deliver(peer, (a) => a.answerSettlement(question)),
+    };
+  }
+
+  async #deliver<T>(
+    peer: string,
+    answer: (admission: SharedAdmission) => T,
+  ): Promise<T> {
+    await delay(this.#random() * 5);
+    const member = this.members.get(peer);
+    if (member === undefined || this.faults.loseRequests) {
+      throw new Error("The peer is not reachable");
+    }
+    const result = structuredClone(answer(member.admission));
+    await delay(this.#random() * 5);
+    if (this.faults.loseAnswers) {
+      throw new Error("The answer was lost");
+    }
+    return result;
+  }
+}
