--- /dev/null
+++ b/src/process/admission/cold_ramp_test.ts
@@ -0,0 +1,72 @@
+import { describe, expect, it } from "vitest";
+import { configSchema } from "../../version/config_schema.ts";
+import type { ReceivedGroupHealth } from "../group_health.ts";
+import { ColdRamp } from "./cold_ramp.ts";
+
+const MODEL = configSchema.parse({
+  schemaVersion: 1,
+  zones: [{ name: "zone-a", region: "region-1" }],
+  models: [{
+    name: "model-1",
+    groupSizeVms: 1,
+    placements: [{ zones: ["zone-a"], count: 1 }],
+    slotsPerGroup: 16,
+    kvTokensPerGroup: 1_000,
+    warmAfterRequests: 32,
+  }],
+  clientAccounts: [{ name: "account-1", apiKeySha256: ["0".repeat(64)] }],
+}).models[0];
+
+function createHealth(
+  health: Partial<ReceivedGroupHealth> = {},
+): ReceivedGroupHealth {
+  return {
+    groupId: "group-1",
+    generation: 1,
+    state: "ready",
+    bootId: "boot-1",
+    observer: "entry-1",
+    sequence: 1,
+    ageMs: 0,
+    observedAtMs: 0,
+    runningRequests: 0,
+    heldTokens: 0,
+    maxTokens: 1_000,
+    tokenIntervalMs: 10,
+    ...health,
+  };
+}
+
+describe("ColdRamp", () => {
+  const observation = { model: MODEL, isFirstHome: true };
+
+  // Guards against full load on an engine that has just restarted or lost its warm state (I3).
+  it.each([
+    ["changed boot id", { bootId: "boot-2" }],
+    ["changed generation", { generation: 2 }],
+    ["fall in speed", { tokenIntervalMs: 40 }],
+    ["reported cold state", { state: "cold" as const }],
+  ])("is cold at once after a %s", (_name, change) => {
+    const ramp = new ColdRamp();
+    ramp.observe(createHealth(), observation);
+    ramp.observe(createHealth(), observation);
+    expect(ramp.getSlots("group-1", MODEL)).toBe(16);
+    ramp.observe(createHealth(change), observation);
+    expect(ramp.getSlots("group-1", MODEL)).toBe(MODEL.coldSlots);
+  });
+
+  // Guards against a ramp that opens by requests of the time before the group turned cold.
+  it("grows with finished requests that began while it was cold", () => {
+    const ramp = new ColdRamp();
+    ramp.observe(createHealth({ state: "cold" }), observation);
+    ramp.recordFinished("group-1", { count: 8, startedAtMs: 0 });
+    expect(ramp.getSlots("group-1", MODEL)).toBe(1);
+    ramp.recordFinished("group-1", {
+      count: 8,
+      startedAtMs: performance.now(),
+    });
+    expect(ramp.getSlots("group-1", MODEL)).toBe(4);
+    ramp.observe(createHealth(), observation);
+    expect(ramp.getSlots("group-1", MODEL)).toBe(16);
+  });
+});
--- /dev/null
+++ b/src/process/admission/group_selector_test.ts
@@ -0,0 +1,26 @@
+import { describe, expect, it } from "vitest";
+import { listPreferredGroups } from "./group_selector.ts";
+
+describe("listPreferredGroups", () => {
+  const idle = Array.from({ length: 8 }, (_, index) => ({
+    groupId: `group-${index}`,
+    zone: index < 4 ? "zone-a" : "zone-b",
+    load: 0,
+  }));
+  const preference = { zone: "zone-a", prefixHash: 42 };
+
+  // Guards against requests of one prefix that are spread over all caches, or sent to a far zone.
+  it("keeps a prefix on one group of the own zone", () => {
+    const first = listPreferredGroups(idle, preference)[0];
+    expect(first.zone).toBe("zone-a");
+    expect(listPreferredGroups([...idle].reverse(), preference)[0]).toBe(first);
+  });
+
+  // Guards against affinity that overloads one group.
+  it("leaves a group whose load is above the bound", () => {
+    const first = listPreferredGroups(idle, preference)[0];
+    const loaded = idle.map((c) => c === first ? { ...c, load: 10 } : c);
+    const next = listPreferredGroups(loaded, preference)[0];
+    expect(next.groupId).not.toBe(first.groupId);
+  });
+});
--- a/src/process/admission/slot_ledger.ts
+++ b/src/process/admission/slot_ledger.ts
@@ -131,7 +131,10 @@
       account.own.tokens - lent.tokens - account.used.tokens,
     );
     const capacity = { slots: Math.max(0, slots), tokens: Math.max(0, tokens) };
-    if (capacity.slots === 0 && capacity.tokens === 0) {
+    // Tokens without a wanted slot are of no use to the borrower and would stay locked up.
+    const useless = capacity.slots === 0 &&
+      (loan.capacity.slots > 0 || capacity.tokens === 0);
+    if (useless) {
       return undefined;
     }
     const given = { ...loan, capacity };
