--- a/bench/admission_bench.ts
+++ b/bench/admission_bench.ts
@@ -192,7 +192,7 @@
   };
 }
 
-function main(): void {
+function runBench(): void {
   const args = yargs(hideBin(process.argv))
     .option("json", { type: "string", describe: "File for the rows" })
     .option("seed", { type: "number", default: 1 })
@@ -223,4 +223,4 @@
   }
 }
 
-main();
+runBench();
--- a/src/process/admission/loan_office.ts
+++ b/src/process/admission/loan_office.ts
@@ -60,7 +60,7 @@
       }
     }
     const renewed = batch.renewals.filter((r) =>
-      ledger.renew(r.groupId, r.loanId, now + r.holdMs)
+      ledger.updateExpiry(r.groupId, r.loanId, now + r.holdMs)
     );
     const loans: LoanAnswer[] = [];
     for (const request of batch.borrows) {
--- a/src/process/admission/share_keeper.ts
+++ b/src/process/admission/share_keeper.ts
@@ -93,7 +93,7 @@
     }
     this.#settling = true;
     try {
-      await this.#settle(groupIds);
+      await this.#requestSettlement(groupIds);
     } finally {
       this.#settling = false;
       this.#nextSettlementAtMs = performance.now() + SETTLEMENT_PAUSE_MS;
@@ -127,7 +127,7 @@
     return open;
   }
 
-  async #settle(groupIds: readonly string[]): Promise<void> {
+  async #requestSettlement(groupIds: readonly string[]): Promise<void> {
     const { name, startId, calculator, channel, longestRequestMs } =
       this.#options;
     const asked = groupIds.map((groupId) => ({
--- a/src/process/admission/shared_admission.ts
+++ b/src/process/admission/shared_admission.ts
@@ -120,7 +120,7 @@
       keeper: this.#keeper,
       ramp: this.ramp,
       getGroup: (groupId) => this.#getLendableGroup(groupId),
-      onRepayment: () => this.#serveAll(),
+      onRepayment: () => this.#drainQueues(),
     });
   }
 
@@ -143,7 +143,7 @@
     this.broker.refresh();
     this.broker.resume();
     this.#refuseExpired();
-    this.#serveAll();
+    this.#drainQueues();
   }
 
   answerLoans(batch: LoanBatch): LoanBatchAnswer {
@@ -267,24 +267,24 @@
         return;
       }
       signal.addEventListener("abort", onAbort, { once: true });
-      this.#serve(request.model.name);
+      this.#drainQueue(request.model.name);
     });
   }
 
-  #serveAll(): void {
+  #drainQueues(): void {
     for (const model of this.#queues.keys()) {
-      this.#serve(model);
+      this.#drainQueue(model);
     }
   }
 
-  #serve(model: string): void {
+  #drainQueue(model: string): void {
     const queue = this.#getQueue(model);
     if (queue.length === 0) {
       return;
     }
     const serving = this.#options.directory.getServingGroups(model);
     for (const waiter of queue.list(MAX_LOOK_AHEAD)) {
-      const candidates = this.#filterCandidates(serving, waiter.request);
+      const candidates = this.#chooseCandidates(serving, waiter.request);
       const grant = this.#tryGrant(waiter.request, candidates);
       if (grant !== undefined) {
         queue.take(waiter);
@@ -368,15 +368,15 @@
     waiter.borrowRounds++;
     if (serving !== undefined) {
       const need = { slots: 1, tokens: request.kvTokens };
-      await this.#gather(serving, { need, request });
+      await this.#collectLoans(serving, { need, request });
     }
     waiter.borrowing = false;
     waiter.nextBorrowAtMs = performance.now() + BORROW_PAUSE_MS;
-    this.#serve(request.model.name);
+    this.#drainQueue(request.model.name);
   }
 
   /** Borrows from the homes of a group, one after the other, until the need is covered. */
-  async #gather(
+  async #collectLoans(
     serving: ServingGroup,
     wish: { need: Capacity; request: AdmissionRequest },
   ): Promise<void> {
@@ -448,7 +448,7 @@
     const whole = getWhole(request.model);
     this.#reserved.add(groupId);
     try {
-      await this.#gather(serving, { need: whole, request });
+      await this.#collectLoans(serving, { need: whole, request });
       if (this.ledger.tryAcquire(groupId, whole, getEndMs(request))) {
         return this.#createGrant(serving, request, whole);
       }
@@ -476,7 +476,7 @@
           this.ledger.release(group.groupId, cost);
           this.#changeInFlight(request.account.name, -1);
           this.#recordOutcome(serving, request, { outcome, startedAtMs });
-          this.#serveAll();
+          this.#drainQueues();
         }
       },
     };
@@ -513,13 +513,13 @@
   }
 
   #listCandidates(request: AdmissionRequest): ServingGroup[] {
-    return this.#filterCandidates(
+    return this.#chooseCandidates(
       this.#options.directory.getServingGroups(request.model.name),
       request,
     );
   }
 
-  #filterCandidates(
+  #chooseCandidates(
     serving: readonly ServingGroup[],
     request: AdmissionRequest,
   ): ServingGroup[] {
--- a/src/process/admission/slot_ledger.ts
+++ b/src/process/admission/slot_ledger.ts
@@ -48,7 +48,7 @@
 
   /** Gets what other daemons have borrowed from this one. */
   getLent(groupId: string): Capacity {
-    return sumLoans(this.#groups.get(groupId)?.lent.values() ?? []);
+    return countLoans(this.#groups.get(groupId)?.lent.values() ?? []);
   }
 
   /** Gets the loans that this daemon holds. */
@@ -80,7 +80,7 @@
         tokens += loan.capacity.tokens;
       }
     }
-    const lent = sumLoans(account.lent.values());
+    const lent = countLoans(account.lent.values());
     return {
       slots: slots - lent.slots - account.used.slots,
       tokens: tokens - lent.tokens - account.used.tokens,
@@ -105,7 +105,7 @@
   /** Gives the capacity of a request back. */
   release(groupId: string, cost: Capacity): void {
     const account = this.#getAccount(groupId);
-    account.used = subtractCapacity(account.used, cost);
+    account.used = diffCapacity(account.used, cost);
   }
 
   /**
@@ -121,7 +121,7 @@
     if (earlier !== undefined) {
       return earlier;
     }
-    const lent = sumLoans(account.lent.values());
+    const lent = countLoans(account.lent.values());
     const slots = Math.min(
       loan.capacity.slots,
       account.own.slots - lent.slots - account.used.slots,
@@ -155,10 +155,10 @@
   }
 
   /** Extends a loan that was lent. An expired loan is not revived. */
-  renew(groupId: string, loanId: string, expiresAtMs: number): boolean {
+  updateExpiry(groupId: string, loanId: string, expiresAtMs: number): boolean {
     const account = this.#getAccount(groupId);
     this.#dropExpired(account);
-    return extendLoan(account.lent, loanId, expiresAtMs);
+    return updateLoan(account.lent, loanId, expiresAtMs);
   }
 
   /** Adds capacity that another daemon lent. */
@@ -168,7 +168,7 @@
 
   /** Takes note that the lender extended a loan. */
   recordRenewal(groupId: string, loanId: string, expiresAtMs: number): void {
-    extendLoan(this.#getAccount(groupId).borrowed, loanId, expiresAtMs);
+    updateLoan(this.#getAccount(groupId).borrowed, loanId, expiresAtMs);
   }
 
   /**
@@ -221,7 +221,7 @@
   }
 }
 
-function sumLoans(loans: Iterable<Loan>): Capacity {
+function countLoans(loans: Iterable<Loan>): Capacity {
   let slots = 0;
   let tokens = 0;
   for (const loan of loans) {
@@ -231,11 +231,11 @@
   return { slots, tokens };
 }
 
-function subtractCapacity(a: Capacity, b: Capacity): Capacity {
+function diffCapacity(a: Capacity, b: Capacity): Capacity {
   return { slots: a.slots - b.slots, tokens: a.tokens - b.tokens };
 }
 
-function extendLoan(
+function updateLoan(
   loans: Map<string, Loan>,
   loanId: string,
   expiresAtMs: number,
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -1,4 +1,5 @@
 import "reflect-metadata";
+import { randomBytes } from "node:crypto";
 import { Container, type ServiceIdentifier } from "inversify";
 import { HttpEngineClient } from "../connection/http_engine_client.ts";
 import { HttpPlatformClient } from "../connection/http_platform_client.ts";
@@ -8,19 +9,27 @@
 import { type Logger, ProcessLogger } from "../shared/logger.ts";
 import { Timeline } from "../shared/timeline.ts";
 import { ConfigHolder } from "../version/config_holder.ts";
+import { ConfigRepository } from "../version/config_repository.ts";
+import { type ConfigRules, ListedConfigRules } from "../version/config_rule.ts";
 import { PlacementHolder } from "../version/placement_holder.ts";
 import { ConfigZonePolicy, type ZonePolicy } from "../version/zone_policy.ts";
 import { SharedAdmission } from "./admission/shared_admission.ts";
 import type { Admission } from "./admission.ts";
+import { AgreementTable } from "./agreement_table.ts";
+import { ConfigAnnouncer } from "./config_announcer.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { FreshnessTracker } from "./freshness_tracker.ts";
+import { GracefulStop } from "./graceful_stop.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
+import { ExchangeMembership, type Membership } from "./membership.ts";
+import { RetryBudget } from "./retry_budget.ts";
 import { VmTable } from "./vm_table.ts";
 
 const PEER_TIMEOUT_MS = 1_000;
+const INCARNATION_BYTES = 6;
 
 /** Identifiers of the services that are bound to interfaces. */
 export const SERVICES = {
@@ -29,6 +38,8 @@
   zonePolicy: Symbol("ZonePolicy") as ServiceIdentifier<ZonePolicy>,
   admission: Symbol("Admission") as ServiceIdentifier<Admission>,
   quarantine: Symbol("QuarantineList") as ServiceIdentifier<QuarantineList>,
+  membership: Symbol("Membership") as ServiceIdentifier<Membership>,
+  configRules: Symbol("ConfigRules") as ServiceIdentifier<ConfigRules>,
   context: Symbol("DaemonContext") as ServiceIdentifier<DaemonContext>,
 };
 
@@ -55,7 +66,13 @@
   container.bind(PlacementHolder).toConstantValue(new PlacementHolder());
   container.bind(VmTable).toConstantValue(new VmTable());
   container.bind(GroupHealthTable).toConstantValue(new GroupHealthTable());
+  container.bind(RetryBudget).toConstantValue(new RetryBudget());
+  container.bind(GracefulStop).toResolvedValue(
+    (logger: Logger) => new GracefulStop(settings, logger),
+    [SERVICES.logger],
+  );
   bindClients(container, settings);
+  bindState(container, settings);
   bindDecisions(container, settings);
   bindContext(container);
   return container;
@@ -66,14 +83,68 @@
     new HttpPlatformClient({ url: settings.platformUrl }),
   );
   container.bind(HttpEngineClient).toConstantValue(new HttpEngineClient());
-  container.bind(HttpPeerClients).toConstantValue(
-    new HttpPeerClients({ timeoutMs: PEER_TIMEOUT_MS }),
+  const peerClients = new HttpPeerClients({ timeoutMs: PEER_TIMEOUT_MS });
+  container.get(LifeCycleManager).add(peerClients);
+  container.bind(HttpPeerClients).toConstantValue(peerClients);
+}
+
+function bindState(container: Container, settings: DaemonSettings): void {
+  const limitMs = settings.freshnessLimitMs;
+  container.bind(SERVICES.membership).toResolvedValue(
+    (vmTable) =>
+      new ExchangeMembership({
+        self: settings.name,
+        zone: settings.zone,
+        vmTable,
+        limitMs,
+      }),
+    [VmTable],
+  );
+  container.bind(AgreementTable).toResolvedValue(
+    (configHolder, membership) =>
+      new AgreementTable({
+        self: settings.name,
+        limitMs,
+        configHolder,
+        getListedNames: () => membership.getListedNames(),
+      }),
+    [ConfigHolder, SERVICES.membership],
+  );
+  container.bind(SERVICES.configRules).toConstantValue(
+    new ListedConfigRules([]),
+  );
+  container.bind(ConfigAnnouncer).toDynamicValue(({ get }) =>
+    new ConfigAnnouncer({
+      settings,
+      logger: get(SERVICES.logger),
+      lifeCycle: get(LifeCycleManager),
+      peerClients: get(HttpPeerClients),
+      vmTable: get(VmTable),
+      membership: get(SERVICES.membership),
+      agreement: get(AgreementTable),
+      configHolder: get(ConfigHolder),
+      healthTable: get(GroupHealthTable),
+    })
+  );
+  container.bind(ConfigRepository).toDynamicValue(({ get }) =>
+    new ConfigRepository({
+      store: get(HttpPlatformClient),
+      configHolder: get(ConfigHolder),
+      rules: get(SERVICES.configRules),
+      spread: get(ConfigAnnouncer),
+      logger: get(SERVICES.logger),
+    })
   );
 }
 
 function bindDecisions(container: Container, settings: DaemonSettings): void {
-  container.bind(FreshnessTracker).toConstantValue(
-    new FreshnessTracker({ limitMs: settings.freshnessLimitMs }),
+  container.bind(FreshnessTracker).toResolvedValue(
+    (agreement) =>
+      new FreshnessTracker({
+        limitMs: settings.freshnessLimitMs,
+        hasMajority: () => agreement.hasMajority(),
+      }),
+    [AgreementTable],
   );
   container.bind(SERVICES.quarantine).toConstantValue(
     new LocalQuarantineList(),
@@ -148,5 +219,11 @@
     sharedAdmission: get(SharedAdmission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
+    incarnation: randomBytes(INCARNATION_BYTES).toString("base64url"),
+    membership: get(SERVICES.membership),
+    agreement: get(AgreementTable),
+    configRepository: get(ConfigRepository),
+    retryBudget: get(RetryBudget),
+    gracefulStop: get(GracefulStop),
   }));
 }
--- a/tests/support/admission_group.ts
+++ b/tests/support/admission_group.ts
@@ -289,13 +289,13 @@
   #createChannel(): LoanChannel {
     return {
       sendLoans: (peer, batch) =>
-        this.#deliver(peer, (a) => a.answerLoans(batch)),
+        this.#sendTo(peer, (a) => a.answerLoans(batch)),
       sendSettlement: (peer, question) =>
-        this.#deliver(peer, (a) => a.answerSettlement(question)),
+        this.#sendTo(peer, (a) => a.answerSettlement(question)),
     };
   }
 
-  async #deliver<T>(
+  async #sendTo<T>(
     peer: string,
     answer: (admission: SharedAdmission) => T,
   ): Promise<T> {
