--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -17,6 +17,7 @@
 import type { GracefulStop } from "./graceful_stop.ts";
 import type { GroupDirectory } from "./group_directory.ts";
 import type { GroupHealthTable } from "./group_health.ts";
+import type { InFlightStreams } from "./in_flight_streams.ts";
 import type { Membership } from "./membership.ts";
 import type { QuarantineList } from "./quarantine_list.ts";
 import type { RetryBudget } from "./retry_budget.ts";
@@ -43,6 +44,7 @@
   readonly sharedAdmission: SharedAdmission;
   readonly freshness: FreshnessTracker;
   readonly quarantine: QuarantineList;
+  readonly inFlightStreams: InFlightStreams;
   /** Random id of the process. */
   readonly incarnation: string;
   readonly membership: Membership;
