--- a/tests/support/admission_group.ts
+++ b/tests/support/admission_group.ts
@@ -275,7 +275,10 @@
         placementHolder,
         healthTable,
         vmTable,
-        zonePolicy: { takesNewWork: () => true },
+        zonePolicy: {
+          takesNewWork: () => true,
+          getNextChange: () => undefined,
+        },
       }),
       configHolder,
       placementHolder,
