--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -70,6 +70,7 @@
     this.#startTask("peer-exchange", new PeerExchangeSupervisor(this.context));
     this.#startTask("store-sync", new StoreSyncTask(this.context));
     this.#startTask("group-monitor", new GroupMonitorTask(this.context));
+    this.#startTask("admission", this.context.sharedAdmission);
     this.#startTask("out-of-service", new OutOfServiceTask(this.context));
     this.#startTask("planner", new PlannerTask(this.context));
     this.#startTask("claim-sweep", new ClaimSweepTask(this.context));
