Resume, move and park chat streams; quarantine crash requests; count held bytes

One attempt loop now owns the token sequence (duplicates dropped, a gap fails the attempt), the bounds on an engine's silence, the deadline, the explicit abort at the engine, moves and parking. Moving and parking both cancel one attempt and resume from the tokens passed on, so they share that path. Engine chunks are passed on in batches, one for each read, and written as one frame text.

Losses carry the set of requests on the group; a request is quarantined after a loss alone or after two losses with no other request in common. A running count of losses for each request (the former rule) was ruled out, since it quarantines every request of a batch that was hit twice.

--- /dev/null
+++ b/src/connection/caller_writer.ts
@@ -0,0 +1,153 @@
+import { once } from "node:events";
+import type { Response } from "express";
+import type { HeldStream } from "../process/held_bytes_accountant.ts";
+import type { DaemonContext } from "../process/daemon_context.ts";
+import type { ChatStream } from "../request/chat_stream.ts";
+import type { RequestContext } from "../request/request_context.ts";
+
+/** Part of the stream bound at which the engine is read no further; the rest takes the batch that is being written. */
+const PAUSE_SHARE = 0.5;
+/** Most bytes that the runtime buffers from an engine's connection that is not read. */
+const ENGINE_BUFFER_BYTES = 65_536;
+const PROGRESS_CHECK_MS = 100;
+
+/** Writes an answer to its caller, with back-pressure and within the bounds of held bytes. */
+export class CallerWriter implements HeldStream {
+  readonly account: string;
+  readonly maxAccountBytes: number;
+  readonly #context: DaemonContext;
+  readonly #res: Response;
+  readonly #stream: ChatStream;
+  readonly #pauseBytes: number;
+  #blocked = false;
+  #lastReadAtMs = performance.now();
+
+  constructor(
+    context: DaemonContext,
+    options: { res: Response; stream: ChatStream; request: RequestContext },
+  ) {
+    this.#context = context;
+    this.#res = options.res;
+    this.#stream = options.stream;
+    this.account = options.request.account.name;
+    this.maxAccountBytes = options.request.account.maxHeldBytes;
+    this.#pauseBytes = context.settings.maxStreamHeldBytes * PAUSE_SHARE;
+  }
+
+  get lastReadAtMs(): number {
+    return this.#lastReadAtMs;
+  }
+
+  get isBlocked(): boolean {
+    return this.#blocked;
+  }
+
+  get isRunning(): boolean {
+    return this.#stream.isRunning;
+  }
+
+  /** Gets whether the caller can still be written to. */
+  get isOpen(): boolean {
+    return !this.#res.destroyed && !this.#res.writableEnded;
+  }
+
+  park(): void {
+    this.#stream.park();
+    this.#context.timeline.record({
+      event: "stream-parked",
+      requestId: this.#stream.requestId,
+    });
+  }
+
+  close(): void {
+    this.#context.logger.write("warn", "slow-caller-closed", {
+      requestId: this.#stream.requestId,
+      account: this.account,
+    });
+    this.#stream.cancel();
+    this.#res.destroy();
+  }
+
+  /**
+   * Writes a part of the answer. Waits while the caller has too much to read.
+   *
+   * @param text - Part of the answer.
+   */
+  async write(text: string): Promise<void> {
+    const waiting = this.#res.writableLength;
+    this.#context.heldBytes.set(this, waiting + text.length);
+    if (!this.isOpen) {
+      return;
+    }
+    if (!this.#res.write(text) && this.#res.writableLength > this.#pauseBytes) {
+      await this.#waitForCaller(() =>
+        this.#stream.isRunning
+          ? this.#res.writableLength > this.#pauseBytes / 2
+          : this.#res.writableLength > 0
+      );
+    }
+    this.#update();
+  }
+
+  /**
+   * Writes the last part and waits until the caller has taken everything.
+   *
+   * @param text - Last part of the answer.
+   */
+  async finish(text: string): Promise<void> {
+    this.#context.heldBytes.set(this, this.#res.writableLength + text.length);
+    if (this.isOpen) {
+      this.#res.end(text);
+      await this.#waitForCaller(() => !this.#res.writableFinished);
+    }
+  }
+
+  /** Gives back all counted bytes. */
+  dispose(): void {
+    this.#context.heldBytes.remove(this);
+  }
+
+  async #waitForCaller(isWaiting: () => boolean): Promise<void> {
+    this.#lastReadAtMs = performance.now();
+    let length = this.#res.writableLength;
+    while (!this.#res.destroyed && isWaiting()) {
+      this.#blocked = true;
+      this.#update();
+      await this.#waitForProgress();
+      if (this.#res.writableLength < length) {
+        this.#lastReadAtMs = performance.now();
+      }
+      length = this.#res.writableLength;
+      const silentMs = performance.now() - this.#lastReadAtMs;
+      if (silentMs > this.#context.settings.stalledCallerMs) {
+        this.close();
+      }
+    }
+    this.#blocked = false;
+  }
+
+  async #waitForProgress(): Promise<void> {
+    const controller = new AbortController();
+    const timer = setTimeout(() => controller.abort(), PROGRESS_CHECK_MS);
+    const { signal } = controller;
+    await Promise.race([
+      once(this.#res, "drain", { signal }),
+      once(this.#res, "finish", { signal }),
+      once(this.#res, "close", { signal }),
+    ]).catch(() => undefined);
+    clearTimeout(timer);
+    controller.abort();
+  }
+
+  #update(): void {
+    if (this.#res.destroyed) {
+      return;
+    }
+    const kept = this.#blocked ? this.#stream.keptBytes : 0;
+    const engineBuffer = this.#blocked && this.#stream.isRunning
+      ? ENGINE_BUFFER_BYTES
+      : 0;
+    const bytes = this.#res.writableLength + kept + engineBuffer;
+    this.#context.heldBytes.set(this, bytes);
+  }
+}
--- a/src/connection/chat_routes.ts
+++ b/src/connection/chat_routes.ts
@@ -1,4 +1,3 @@
-import { once } from "node:events";
 import express, { type Response, Router } from "express";
 import type { DaemonContext } from "../process/daemon_context.ts";
 import { ChatHandler } from "../request/chat_handler.ts";
@@ -6,9 +5,17 @@
   type ChatRequestBody,
   chatRequestSchema,
 } from "../request/chat_request_schema.ts";
+import type { ChatStream } from "../request/chat_stream.ts";
 import { RequestError } from "../shared/errors.ts";
 import { createRequestContext } from "./caller_context.ts";
-import type { EngineChunk } from "./engine_client.ts";
+import { CallerWriter } from "./caller_writer.ts";
+import { type EndChunk, formatUsage, SseFrames } from "./sse_frames.ts";
+
+/** Answer that a route sends. */
+interface Answer {
+  readonly body: ChatRequestBody;
+  readonly stream: ChatStream;
+}
 
 /**
  * Creates the route of chat requests.
@@ -25,11 +32,22 @@
     async (req, res) => {
       const request = createRequestContext(context, req, res);
       const body = parseChatBody(req.body);
-      const chunks = chatHandler.stream(body, request);
-      if (body.stream) {
-        await sendStream(res, body, chunks);
-      } else {
-        await sendWhole(res, body, chunks);
+      const stream = chatHandler.createStream(body, request);
+      const writer = new CallerWriter(context, { res, stream, request });
+      try {
+        await (body.stream ? sendStream : sendWhole)(
+          res,
+          { body, stream },
+          writer,
+        );
+      } catch (error) {
+        if (res.headersSent && error instanceof RequestError) {
+          await sendErrorEvent(context, { error, res, writer });
+        } else if (!res.destroyed) {
+          throw error;
+        }
+      } finally {
+        writer.dispose();
       }
     },
   );
@@ -50,65 +68,84 @@
 
 async function sendStream(
   res: Response,
-  body: ChatRequestBody,
-  chunks: AsyncIterable<EngineChunk>,
+  answer: Answer,
+  writer: CallerWriter,
 ): Promise<void> {
-  const created = Math.floor(Date.now() / 1_000);
-  for await (const chunk of chunks) {
+  const { body, stream } = answer;
+  const frames = new SseFrames({
+    id: String(res.locals.requestId),
+    model: body.model,
+  });
+  for await (const chunks of stream.run()) {
     if (!res.headersSent) {
       res.status(200).set({
         "content-type": "text/event-stream",
         "cache-control": "no-store",
-      }).flushHeaders();
+      });
     }
-    const event = {
-      id: String(res.locals.requestId),
-      object: "chat.completion.chunk",
-      created,
-      model: body.model,
-      choices: [
-        chunk.type === "token"
-          ? { index: 0, delta: { content: chunk.text }, finish_reason: null }
-          : { index: 0, delta: {}, finish_reason: chunk.finishReason },
-      ],
-    };
-    if (!res.write(`data: ${JSON.stringify(event)}\n\n`)) {
-      await Promise.race([once(res, "drain"), once(res, "close")]);
+    let text = "";
+    for (const chunk of chunks) {
+      text += chunk.type === "token"
+        ? frames.formatToken(chunk.text)
+        : frames.formatEnd(chunk, body.stream_options?.include_usage ?? false);
     }
+    await writer.write(text);
   }
-  res.end("data: [DONE]\n\n");
+  await writer.finish("data: [DONE]\n\n");
 }
 
 async function sendWhole(
   res: Response,
-  body: ChatRequestBody,
-  chunks: AsyncIterable<EngineChunk>,
+  answer: Answer,
+  writer: CallerWriter,
 ): Promise<void> {
-  let content = "";
-  let finishReason = "stop";
-  let usage = { prompt_tokens: 0, completion_tokens: 0, total_tokens: 0 };
-  for await (const chunk of chunks) {
-    if (chunk.type === "token") {
-      content += chunk.text;
-    } else {
-      finishReason = chunk.finishReason;
-      usage = {
-        prompt_tokens: chunk.promptTokens,
-        completion_tokens: chunk.outputTokens,
-        total_tokens: chunk.promptTokens + chunk.outputTokens,
-      };
+  const { body, stream } = answer;
+  const texts: string[] = [];
+  let end: EndChunk | undefined;
+  for await (const chunks of stream.run()) {
+    for (const chunk of chunks) {
+      if (chunk.type === "token") {
+        texts.push(chunk.text);
+      } else {
+        end = chunk;
+      }
     }
   }
-  res.json({
-    id: String(res.locals.requestId),
+  res.status(200).set("content-type", "application/json; charset=utf-8");
+  await writer.finish(JSON.stringify({
+    id: res.locals.requestId,
     object: "chat.completion",
     created: Math.floor(Date.now() / 1_000),
     model: body.model,
     choices: [{
       index: 0,
-      message: { role: "assistant", content },
-      finish_reason: finishReason,
+      message: { role: "assistant", content: texts.join("") },
+      finish_reason: end?.finishReason,
     }],
-    usage,
+    usage: end && formatUsage(end),
+  }));
+}
+
+/** Ends a stream that has begun with an error event, since its status is already sent. */
+async function sendErrorEvent(
+  context: DaemonContext,
+  failure: { error: RequestError; res: Response; writer: CallerWriter },
+): Promise<void> {
+  const { error, res, writer } = failure;
+  context.logger.write("info", "request-failed", {
+    requestId: String(res.locals.requestId),
+    code: error.code,
+    verdict: error.verdict,
+    message: error.message,
   });
+  const event = {
+    error: {
+      code: error.code,
+      message: error.message,
+      verdict: error.verdict,
+      retryAfterMs: error.retryAfterMs ?? null,
+      requestId: res.locals.requestId,
+    },
+  };
+  await writer.finish(`data: ${JSON.stringify(event)}\n\n`);
 }
--- a/src/connection/engine_client.ts
+++ b/src/connection/engine_client.ts
@@ -98,14 +98,29 @@
  * - `refused`: the engine declined the request and is healthy.
  * - `unreachable`: no connection was made.
  * - `lost`: the connection broke, or the engine stopped, after the request was sent.
+ * - `silent`: the engine sent nothing in time.
+ * - `out-of-order`: a token is missing in the stream.
  * - `aborted`: the daemon cancelled the attempt.
  */
-export type EngineFailureKind = "refused" | "unreachable" | "lost" | "aborted";
+export type EngineFailureKind =
+  | "refused"
+  | "unreachable"
+  | "lost"
+  | "silent"
+  | "out-of-order"
+  | "aborted";
+
+/** KV cache of a request, as one engine exports it for another. */
+export interface KvExport {
+  readonly requestId: string;
+  readonly generatedTokens: number;
+  readonly prefixHashes: readonly number[];
+}
 
 /** Client of the model engines. */
 export interface EngineClient {
   /**
-   * Streams an answer. The next chunk is read only when the consumer asks for it.
+   * Streams an answer in batches, one for each read from the connection. More is read only when the consumer asks for it.
    *
    * @throws {EngineError} When the attempt fails.
    */
@@ -113,9 +128,21 @@
     address: string,
     request: EngineChatRequest,
     signal: AbortSignal,
-  ): AsyncIterable<EngineChunk>;
+  ): AsyncIterable<readonly EngineChunk[]>;
   /** Cancels a request at the engine. */
   abort(address: string, requestId: string): Promise<void>;
+  /**
+   * Exports the KV cache of a running request.
+   *
+   * @throws {Error} When the engine does not support it or the request does not run.
+   */
+  exportKv(address: string, requestId: string): Promise<KvExport>;
+  /**
+   * Imports an exported KV cache.
+   *
+   * @throws {Error} When the engine does not support it.
+   */
+  importKv(address: string, kv: KvExport): Promise<void>;
   /** Gets the engine's status. */
   getStatus(address: string): Promise<Either<EngineError, EngineStatus>>;
   /** Sends an order. */
--- a/src/connection/http_engine_client.ts
+++ b/src/connection/http_engine_client.ts
@@ -14,11 +14,13 @@
   EngineError,
   type EngineOrder,
   type EngineStatus,
+  type KvExport,
   type OrderOutcome,
 } from "./engine_client.ts";
 
 const STATUS_TIMEOUT_MS = 1_000;
 const ORDER_TIMEOUT_MS = 2_000;
+const KV_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Connection failures at which no byte of the request was sent. */
@@ -51,7 +53,7 @@
     address: string,
     request: EngineChatRequest,
     signal: AbortSignal,
-  ): AsyncGenerator<EngineChunk, void, undefined> {
+  ): AsyncGenerator<readonly EngineChunk[], void, undefined> {
     const stream = this.#openChatStream(address, request, signal);
     const chunks: EngineChunk[] = [];
     const parser = createParser({
@@ -62,9 +64,10 @@
     try {
       for await (const data of stream) {
         parser.feed(decoder.decode(data as Uint8Array, { stream: true }));
-        for (const chunk of chunks.splice(0)) {
-          ended ||= chunk.type === "end";
-          yield chunk;
+        const batch = chunks.splice(0);
+        if (batch.length > 0) {
+          ended ||= batch.at(-1)!.type === "end";
+          yield batch;
         }
       }
     } catch (error) {
@@ -89,6 +92,24 @@
     });
   }
 
+  async exportKv(address: string, requestId: string): Promise<KvExport> {
+    return await got.post(`http://${address}/kv/export`, {
+      json: { request_id: requestId },
+      agent: { http: this.#agent },
+      timeout: { request: KV_TIMEOUT_MS },
+      retry: { limit: 0 },
+    }).json<KvExport>();
+  }
+
+  async importKv(address: string, kv: KvExport): Promise<void> {
+    await got.post(`http://${address}/kv/import`, {
+      json: kv,
+      agent: { http: this.#agent },
+      timeout: { request: KV_TIMEOUT_MS },
+      retry: { limit: 0 },
+    });
+  }
+
   async getStatus(
     address: string,
   ): Promise<Either<EngineError, EngineStatus>> {
--- a/src/connection/peer_router.ts
+++ b/src/connection/peer_router.ts
@@ -1,4 +1,5 @@
 import type { DaemonContext } from "../process/daemon_context.ts";
+import { createPeerQuarantineRouter } from "./peer_quarantine_router.ts";
 import { createPeerStateRouter } from "./peer_state_router.ts";
 import { peerTrpc } from "./peer_trpc.ts";
 
@@ -10,6 +11,7 @@
 export function createPeerRouter(context: DaemonContext) {
   return peerTrpc.router({
     state: createPeerStateRouter(context),
+    quarantine: createPeerQuarantineRouter(context),
   });
 }
 
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -15,8 +15,11 @@
 import { FreshnessTracker } from "./freshness_tracker.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
+import { HeldBytesAccountant } from "./held_bytes_accountant.ts";
+import { InFlightStreamTable } from "./in_flight_streams.ts";
 import { LocalAdmission } from "./local_admission.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
+import { RetryBudget } from "./retry_budget.ts";
 import { VmTable } from "./vm_table.ts";
 
 const PEER_TIMEOUT_MS = 1_000;
@@ -75,7 +78,14 @@
     new FreshnessTracker({ limitMs: settings.freshnessLimitMs }),
   );
   container.bind(SERVICES.quarantine).toConstantValue(
-    new LocalQuarantineList(),
+    new LocalQuarantineList({ expiryMs: settings.quarantineExpiryMs }),
+  );
+  container.bind(InFlightStreamTable).toConstantValue(
+    new InFlightStreamTable(),
+  );
+  container.bind(RetryBudget).toConstantValue(new RetryBudget());
+  container.bind(HeldBytesAccountant).toConstantValue(
+    new HeldBytesAccountant({ maxProcessBytes: settings.maxHeldBytes }),
   );
   container.bind(SERVICES.zonePolicy).toResolvedValue(
     (configHolder: ConfigHolder) => new ConfigZonePolicy(configHolder),
@@ -123,5 +133,8 @@
     admission: get(SERVICES.admission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
+    inFlightStreams: get(InFlightStreamTable),
+    retryBudget: get(RetryBudget),
+    heldBytes: get(HeldBytesAccountant),
   }));
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -8,6 +8,7 @@
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { GroupMonitorTask } from "./group_monitor_task.ts";
 import { PlannerTask } from "./planner_task.ts";
+import { QuarantineSyncTask } from "./quarantine_sync_task.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
 /** One daemon: its listeners and its tasks. */
@@ -53,6 +54,7 @@
     this.#startTask("store-sync", new StoreSyncTask(this.context));
     this.#startTask("group-monitor", new GroupMonitorTask(this.context));
     this.#startTask("planner", new PlannerTask(this.context));
+    this.#startTask("quarantine-sync", new QuarantineSyncTask(this.context));
     logger.write("info", "daemon-started", {
       caller: this.callerAddress,
       peer: this.peerAddress,
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -13,7 +13,10 @@
 import type { FreshnessTracker } from "./freshness_tracker.ts";
 import type { GroupDirectory } from "./group_directory.ts";
 import type { GroupHealthTable } from "./group_health.ts";
+import type { HeldBytesAccountant } from "./held_bytes_accountant.ts";
+import type { InFlightStreamTable } from "./in_flight_streams.ts";
 import type { QuarantineList } from "./quarantine_list.ts";
+import type { RetryBudget } from "./retry_budget.ts";
 import type { VmTable } from "./vm_table.ts";
 
 /** Parts of one daemon that its tasks and request handlers share. */
@@ -35,4 +38,7 @@
   readonly admission: Admission;
   readonly freshness: FreshnessTracker;
   readonly quarantine: QuarantineList;
+  readonly inFlightStreams: InFlightStreamTable;
+  readonly retryBudget: RetryBudget;
+  readonly heldBytes: HeldBytesAccountant;
 }
--- a/src/process/daemon_settings.ts
+++ b/src/process/daemon_settings.ts
@@ -48,6 +48,21 @@
   maxStreamHeldBytes: z.number().int().min(1_024).default(262_144).describe(
     "Bytes held for one stream",
   ),
+  firstTokenTimeoutMs: z.number().int().min(1).default(15_000).describe(
+    "Silence of an engine before the first token after which an attempt fails",
+  ),
+  nextTokenTimeoutMs: z.number().int().min(1).default(5_000).describe(
+    "Silence of an engine between two tokens after which an attempt fails",
+  ),
+  resumeTimeoutMs: z.number().int().min(0).default(10_000).describe(
+    "Longest wait of an answer that has begun for another group",
+  ),
+  stalledCallerMs: z.number().int().min(1).default(30_000).describe(
+    "Time after which a caller that reads nothing is disconnected",
+  ),
+  quarantineExpiryMs: z.number().int().min(1).default(86_400_000).describe(
+    "Time after which a quarantined request is accepted again",
+  ),
   defaultDeadlineMs: z.number().int().min(1).default(120_000).describe(
     "Deadline of a request that states none",
   ),
--- a/src/process/local_admission.ts
+++ b/src/process/local_admission.ts
@@ -14,6 +14,8 @@
 export class LocalAdmission implements Admission {
   readonly #directory: GroupDirectory;
   readonly #running = new Map<string, number>();
+  /** Groups that one request runs on alone. */
+  readonly #taken = new Set<string>();
 
   constructor(directory: GroupDirectory) {
     this.#directory = directory;
@@ -28,7 +30,7 @@
     if (chosen === undefined) {
       return Promise.resolve(Left(createNoCapacityError(request)));
     }
-    return Promise.resolve(Right(this.#grant(chosen)));
+    return Promise.resolve(Right(this.#grant(chosen, request.alone)));
   }
 
   #getRunning(serving: ServingGroup): number {
@@ -36,15 +38,24 @@
   }
 
   #hasRoom(serving: ServingGroup, request: AdmissionRequest): boolean {
+    if (this.#taken.has(serving.group.groupId)) {
+      return false;
+    }
+    if (request.alone) {
+      return this.#getRunning(serving) === 0;
+    }
     const slots = serving.health.state === "cold"
       ? request.model.coldSlots
       : request.model.slotsPerGroup;
     return this.#getRunning(serving) < slots;
   }
 
-  #grant(serving: ServingGroup): Grant {
+  #grant(serving: ServingGroup, alone: boolean): Grant {
     const id = serving.group.groupId;
     this.#running.set(id, this.#getRunning(serving) + 1);
+    if (alone) {
+      this.#taken.add(id);
+    }
     let released = false;
     return {
       group: serving.group,
@@ -52,6 +63,9 @@
       release: (_outcome: GrantOutcome) => {
         if (!released) {
           released = true;
+          if (alone) {
+            this.#taken.delete(id);
+          }
           this.#running.set(id, this.#getRunning(serving) - 1);
         }
       },
--- /dev/null
+++ b/src/process/quarantine_sync_task.ts
@@ -0,0 +1,138 @@
+import { delay } from "../shared/delay.ts";
+import { getErrorMessage } from "../shared/errors.ts";
+import type { DaemonContext } from "./daemon_context.ts";
+import { quarantineStateSchema } from "./quarantine_state.ts";
+
+/** Peers that a change is pushed to at once; a change reaches n daemons in log8(n) hops. */
+const PUSH_FANOUT = 8;
+/** Peers whose digest is compared in each round. */
+const REPAIR_FANOUT = 2;
+const STORE_ATTEMPTS = 5;
+
+/** Task that spreads the quarantine list to the other daemons and keeps it in the store. */
+export class QuarantineSyncTask {
+  readonly #context: DaemonContext;
+  #stored = false;
+  #pushing = false;
+  #changed = false;
+
+  constructor(context: DaemonContext) {
+    this.#context = context;
+    context.quarantine.onChange(() => {
+      this.#stored = false;
+      this.#changed = true;
+      void this.#push();
+    });
+  }
+
+  /** Runs until the daemon stops. */
+  async run(): Promise<void> {
+    const { settings, lifeCycle } = this.#context;
+    do {
+      if (!this.#stored) {
+        this.#stored = true;
+        this.#stored = await this.#syncStore() && this.#stored;
+      }
+      await this.#repair();
+    } while (await delay(settings.exchangeIntervalMs, lifeCycle.signal));
+  }
+
+  async #push(): Promise<void> {
+    if (this.#pushing) {
+      return;
+    }
+    this.#pushing = true;
+    while (this.#changed && !this.#context.lifeCycle.signal.aborted) {
+      this.#changed = false;
+      const state = this.#context.quarantine.getState();
+      await Promise.all(
+        this.#choosePeers(PUSH_FANOUT).map(async (address) => {
+          try {
+            await this.#context.peerClients.getClient(address).quarantine
+              .announce.mutate(state);
+          } catch (error) {
+            this.#writeFailure(address, error);
+          }
+        }),
+      );
+    }
+    this.#pushing = false;
+  }
+
+  async #repair(): Promise<void> {
+    const { quarantine, peerClients } = this.#context;
+    for (const address of this.#choosePeers(REPAIR_FANOUT)) {
+      try {
+        const state = await peerClients.getClient(address).quarantine.compare
+          .query({ digest: quarantine.getDigest() });
+        if (state !== null) {
+          quarantine.merge(state);
+        }
+      } catch (error) {
+        this.#writeFailure(address, error);
+      }
+    }
+  }
+
+  #writeFailure(peer: string, error: unknown): void {
+    this.#context.logger.write("debug", "quarantine-exchange-failed", {
+      peer,
+      message: getErrorMessage(error),
+    });
+  }
+
+  #choosePeers(count: number): string[] {
+    const { vmTable, settings } = this.#context;
+    const addresses = vmTable.getEntryVms()
+      .filter((vm) => vm.name !== settings.name)
+      .map((vm) => ({ address: vm.address, order: Math.random() }));
+    addresses.sort((a, b) => a.order - b.order);
+    return addresses.slice(0, count).map((entry) => entry.address);
+  }
+
+  /** Merges the stored object with the list and writes it back when it lacks something. */
+  async #syncStore(): Promise<boolean> {
+    const { store, quarantine } = this.#context;
+    for (let attempt = 1; attempt <= STORE_ATTEMPTS; attempt++) {
+      const result = await store.getObject("quarantine", "main");
+      if (result.isLeft()) {
+        return false;
+      }
+      const object = result.unsafeCoerce();
+      const parsed = quarantineStateSchema.safeParse(object?.value);
+      if (parsed.success) {
+        quarantine.merge(parsed.data);
+      }
+      const entries = quarantine.getState().entries;
+      if (isEqualState(parsed.data?.entries ?? [], entries)) {
+        return true;
+      }
+      const outcome = await store.putObject({
+        kind: "quarantine",
+        name: "main",
+        value: { entries, losses: [] },
+        expectedVersion: object?.version ?? 0,
+      });
+      if (outcome.outcome === "written") {
+        return true;
+      }
+    }
+    return false;
+  }
+}
+
+interface ComparedEntry {
+  readonly fingerprint: string;
+  readonly revision: number;
+  readonly state: string;
+}
+
+function isEqualState(
+  first: readonly ComparedEntry[],
+  second: readonly ComparedEntry[],
+): boolean {
+  const format = (entries: readonly ComparedEntry[]) =>
+    entries.map((e) => `${e.fingerprint} ${e.revision} ${e.state}`).sort()
+      .join("\n");
+  return format(first) === format(second);
+}
--- /dev/null
+++ b/src/request/chat_attempt.ts
@@ -0,0 +1,135 @@
+import {
+  type EngineChatRequest,
+  type EngineChunk,
+  type EngineClient,
+  EngineError,
+} from "../connection/engine_client.ts";
+import type { Grant } from "../process/admission.ts";
+
+/** Reason for which the daemon itself ends an attempt. */
+export type AttemptEnd = "caller-left" | "deadline" | "moved" | "parked";
+
+/** Bounds on the silence of an engine. */
+export interface SilenceLimits {
+  readonly firstTokenMs: number;
+  readonly nextTokenMs: number;
+}
+
+/** Parts of an attempt. */
+export interface ChatAttemptOptions {
+  readonly engineClient: EngineClient;
+  readonly grant: Grant;
+  readonly engineRequest: EngineChatRequest;
+  readonly limits: SilenceLimits;
+}
+
+/** One run of a request on one group. */
+export class ChatAttempt {
+  readonly grant: Grant;
+  readonly #options: ChatAttemptOptions;
+  readonly #controller = new AbortController();
+  #end: AttemptEnd | "silent" | undefined;
+  #completed = false;
+
+  constructor(options: ChatAttemptOptions) {
+    this.#options = options;
+    this.grant = options.grant;
+  }
+
+  /** Gets why the daemon ended the attempt, or undefined when it did not. */
+  get end(): AttemptEnd | "silent" | undefined {
+    return this.#end;
+  }
+
+  /** Gets the id under which the engine knows the attempt. */
+  get requestId(): string {
+    return this.#options.engineRequest.requestId;
+  }
+
+  /**
+   * Ends the attempt: cancels it at the engine and gives the grant back at once, even while nobody reads.
+   *
+   * @param reason - Why it ends.
+   */
+  cancel(reason: AttemptEnd): void {
+    if (this.#end === undefined && !this.#completed) {
+      this.#end = reason;
+      this.#stop("cancelled");
+    }
+  }
+
+  /**
+   * Streams the chunks of the engine, one batch for each read.
+   *
+   * @throws {EngineError} When the attempt fails; the kind is `silent` when the engine sent nothing in time.
+   */
+  async *run(): AsyncGenerator<readonly EngineChunk[], void, undefined> {
+    const { engineClient, grant, engineRequest, limits } = this.#options;
+    const chunks = engineClient.streamChat(
+      grant.leaderAddress,
+      engineRequest,
+      this.#controller.signal,
+    )[Symbol.asyncIterator]();
+    let waiting = true;
+    const onSilence = () => {
+      if (waiting && this.#end === undefined && !this.#completed) {
+        this.#end = "silent";
+        this.#stop("group-failed");
+      }
+    };
+    let timer = setTimeout(onSilence, limits.firstTokenMs);
+    try {
+      for (let first = true;; first = false) {
+        waiting = true;
+        if (!first) {
+          timer.refresh();
+        }
+        const next = await chunks.next();
+        waiting = false;
+        if (next.done) {
+          break;
+        }
+        if (this.#end !== undefined) {
+          break;
+        }
+        if (first) {
+          clearTimeout(timer);
+          timer = setTimeout(onSilence, limits.nextTokenMs);
+        }
+        this.#completed = next.value.some((chunk) => chunk.type === "end");
+        yield next.value;
+      }
+    } catch (error) {
+      if (this.#end === undefined) {
+        throw error;
+      }
+    } finally {
+      clearTimeout(timer);
+      await chunks.return?.();
+    }
+    if (this.#end !== undefined) {
+      throw this.#createEndError(this.#end);
+    }
+  }
+
+  #createEndError(end: AttemptEnd | "silent"): EngineError {
+    return end === "silent"
+      ? new EngineError("The engine sent no token in time", {
+        verdict: "may-have-run",
+        kind: "silent",
+      })
+      : new EngineError(`The attempt was ended: ${end}`, {
+        verdict: "may-have-run",
+        kind: "aborted",
+      });
+  }
+
+  #stop(outcome: "cancelled" | "group-failed"): void {
+    const { engineClient, grant } = this.#options;
+    this.#controller.abort();
+    grant.release(outcome);
+    // The engine also notices the closed connection; a lost abort changes nothing.
+    engineClient.abort(grant.leaderAddress, this.requestId)
+      .catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/src/request/chat_stream.ts
@@ -0,0 +1,413 @@
+import { type EngineChunk, EngineError } from "../connection/engine_client.ts";
+import type { Grant } from "../process/admission.ts";
+import type { DaemonContext } from "../process/daemon_context.ts";
+import type { InFlightStream } from "../process/in_flight_streams.ts";
+import { getBackoffMs } from "../process/retry_budget.ts";
+import { delay } from "../shared/delay.ts";
+import { RequestError } from "../shared/errors.ts";
+import { getHash32 } from "../shared/rendezvous_hash.ts";
+import { combineVerdicts, type Verdict } from "../shared/verdict.ts";
+import type { ModelConfig } from "../version/config_schema.ts";
+import { type AttemptEnd, ChatAttempt } from "./chat_attempt.ts";
+import {
+  createEngineRequest,
+  getKvTokens,
+  getText,
+} from "./chat_engine_request.ts";
+import type { ChatRequestBody } from "./chat_request_schema.ts";
+import type { RequestContext } from "./request_context.ts";
+import { getRequestFingerprint } from "./request_fingerprint.ts";
+import { TokenSequence } from "./token_sequence.ts";
+
+const PREFIX_CHARACTERS = 256;
+const MAX_FAILED_ATTEMPTS = 4;
+/** Time between two tries to find another group for a stream that has to move. */
+const MOVE_RETRY_MS = 200;
+
+/** What a stream is made of. */
+export interface ChatStreamOptions {
+  readonly body: ChatRequestBody;
+  readonly model: ModelConfig;
+  readonly request: RequestContext;
+}
+
+/** Answer to one chat request over all its attempts. */
+export class ChatStream implements InFlightStream {
+  readonly fingerprint: string;
+  readonly #context: DaemonContext;
+  readonly #options: ChatStreamOptions;
+  readonly #controller = new AbortController();
+  readonly #sequence = new TokenSequence();
+  readonly #excluded = new Set<string>();
+  readonly #prefixHash: number;
+  #end: "caller-left" | "deadline" | undefined;
+  #attempt: ChatAttempt | undefined;
+  #attemptNumber = 0;
+  #failedAttempts = 0;
+  #nextGrant: Grant | undefined;
+  #moving = false;
+  #complete = false;
+  #verdict: Verdict = "not-run";
+
+  constructor(context: DaemonContext, options: ChatStreamOptions) {
+    this.#context = context;
+    this.#options = options;
+    this.fingerprint = getRequestFingerprint(options.body, options.model);
+    this.#prefixHash = getHash32(
+      getText(options.body).slice(0, PREFIX_CHARACTERS),
+    );
+  }
+
+  get requestId(): string {
+    return this.#options.request.requestId;
+  }
+
+  get groupId(): string | undefined {
+    return this.#attempt?.grant.group.groupId;
+  }
+
+  get zone(): string | undefined {
+    return this.#attempt?.grant.group.zone;
+  }
+
+  /** Gets the memory of the tokens kept for a resume, in bytes. */
+  get keptBytes(): number {
+    return this.#sequence.bytes;
+  }
+
+  /** Gets whether an engine works for the stream now. */
+  get isRunning(): boolean {
+    return this.#attempt !== undefined;
+  }
+
+  /**
+   * Cancels the request at the engine and gives its grant back. The answer continues after the last token passed on when the next batch is asked for.
+   */
+  park(): void {
+    this.#attempt?.cancel("parked");
+  }
+
+  move(): void {
+    const attempt = this.#attempt;
+    if (attempt !== undefined && !this.#moving) {
+      this.#moving = true;
+      this.#prepareMove(attempt)
+        .catch((error: unknown) => {
+          this.#context.logger.write("warn", "stream-move-failed", {
+            requestId: this.requestId,
+            message: String(error),
+          });
+        })
+        .finally(() => this.#moving = false);
+    }
+  }
+
+  /** Cancels the request, since the caller has left. */
+  cancel(): void {
+    this.#stop("caller-left");
+  }
+
+  /**
+   * Streams the whole answer in batches. When a group fails, the answer continues on another one after the last token passed on.
+   *
+   * @throws {RequestError} When the request is refused or cannot be completed.
+   */
+  async *run(): AsyncGenerator<readonly EngineChunk[], void, undefined> {
+    const { inFlightStreams, retryBudget } = this.#context;
+    const { request } = this.#options;
+    const onLeft = () => this.#stop("caller-left");
+    request.signal.addEventListener("abort", onLeft, { once: true });
+    const timer = setTimeout(
+      () => this.#stop("deadline"),
+      Math.max(0, request.deadlineAtMs - performance.now()),
+    );
+    inFlightStreams.add(this);
+    try {
+      this.#checkEnd();
+      this.#checkQuarantine();
+      retryBudget.recordRequest();
+      while (!this.#complete) {
+        yield* this.#runAttempt();
+      }
+    } finally {
+      clearTimeout(timer);
+      request.signal.removeEventListener("abort", onLeft);
+      inFlightStreams.remove(this);
+      this.#controller.abort();
+      this.#nextGrant?.release("cancelled");
+      this.#nextGrant = undefined;
+    }
+  }
+
+  async *#runAttempt(): AsyncGenerator<
+    readonly EngineChunk[],
+    void,
+    undefined
+  > {
+    const alone = this.#context.quarantine.isSuspect(this.fingerprint);
+    const grant = this.#takeNextGrant() ?? await this.#acquire(alone);
+    const attempt = this.#createAttempt(grant);
+    this.#attempt = attempt;
+    try {
+      for await (const batch of attempt.run()) {
+        this.#verdict = "may-have-run";
+        const chunks = this.#accept(batch);
+        if (chunks.length > 0) {
+          yield chunks;
+        }
+      }
+      if (!this.#complete) {
+        throw new EngineError("The engine ended the stream early", {
+          verdict: "may-have-run",
+          kind: "lost",
+        });
+      }
+      this.#attempt = undefined;
+      grant.release("finished");
+      if (alone) {
+        this.#context.quarantine.recordSurvival(this.fingerprint);
+      }
+    } catch (error) {
+      this.#recordFailure({ attempt, error, alone });
+      this.#attempt = undefined;
+      await this.#prepareRetry(attempt, error);
+    } finally {
+      this.#attempt = undefined;
+      if (!this.#complete) {
+        attempt.cancel("caller-left");
+      }
+      grant.release("cancelled");
+    }
+  }
+
+  #createAttempt(grant: Grant): ChatAttempt {
+    const { engineClient, settings } = this.#context;
+    const { body, model, request } = this.#options;
+    this.#attemptNumber++;
+    return new ChatAttempt({
+      engineClient,
+      grant,
+      engineRequest: createEngineRequest(body, model, {
+        requestId: `${request.requestId}.${this.#attemptNumber}`,
+        priority: request.account.priority,
+        resumeTokens: this.#sequence.getTexts(),
+      }),
+      limits: {
+        firstTokenMs: settings.firstTokenTimeoutMs,
+        nextTokenMs: settings.nextTokenTimeoutMs,
+      },
+    });
+  }
+
+  #accept(batch: readonly EngineChunk[]): EngineChunk[] {
+    const accepted: EngineChunk[] = [];
+    for (const chunk of batch) {
+      if (chunk.type === "end") {
+        this.#complete = true;
+        accepted.push({ ...chunk, outputTokens: this.#sequence.length });
+        break;
+      }
+      if (this.#sequence.accept(chunk)) {
+        accepted.push(chunk);
+      }
+    }
+    return accepted;
+  }
+
+  #takeNextGrant(): Grant | undefined {
+    const grant = this.#nextGrant;
+    this.#nextGrant = undefined;
+    return grant;
+  }
+
+  /** Waits for a grant. A stream that has begun tries again for a while, since a refusal would cut its answer. */
+  async #acquire(alone: boolean): Promise<Grant> {
+    const begun = this.#attemptNumber > 0;
+    const limitAtMs = performance.now() +
+      (begun ? this.#context.settings.resumeTimeoutMs : 0);
+    for (let retry = 1;; retry++) {
+      const granted = await this.#requestGrant(alone, this.#excluded);
+      const refusal = granted.swap().toMaybe().extract();
+      if (this.#end !== undefined || refusal === undefined) {
+        granted.ifRight((grant) => this.#end && grant.release("cancelled"));
+        this.#checkEnd();
+        return granted.unsafeCoerce();
+      }
+      if (performance.now() >= limitAtMs) {
+        throw this.#convertRefusal(refusal);
+      }
+      // Every other group is full or gone, so the groups that failed before get another chance.
+      this.#excluded.clear();
+      await delay(getBackoffMs(retry + 2), this.#controller.signal);
+      this.#checkEnd();
+      this.#checkQuarantine();
+    }
+  }
+
+  #requestGrant(alone: boolean, excludedGroupIds: ReadonlySet<string>) {
+    const { body, model, request } = this.#options;
+    return this.#context.admission.acquire({
+      requestId: request.requestId,
+      model,
+      account: request.account,
+      kvTokens: getKvTokens(body, model),
+      prefixHash: this.#prefixHash,
+      deadlineAtMs: request.deadlineAtMs,
+      excludedGroupIds,
+      alone,
+    }, this.#controller.signal);
+  }
+
+  #recordFailure(
+    failure: { attempt: ChatAttempt; error: unknown; alone: boolean },
+  ): void {
+    const { attempt, error } = failure;
+    const { group } = attempt.grant;
+    if (!(error instanceof EngineError) || error.kind === "aborted") {
+      return;
+    }
+    this.#verdict = combineVerdicts(this.#verdict, error.verdict);
+    this.#context.timeline.record({
+      event: "attempt-failed",
+      requestId: this.requestId,
+      fields: { groupId: group.groupId, kind: error.kind },
+    });
+    if (error.kind === "lost") {
+      const { quarantine, inFlightStreams, healthTable } = this.#context;
+      const fingerprints = inFlightStreams
+        .getStreams({ groupId: group.groupId })
+        .map((stream) => stream.fingerprint);
+      const bootId = healthTable.getHealth(group.groupId)?.bootId ?? "";
+      quarantine.recordLoss({
+        lossId: `${group.groupId}@${group.generation}/${bootId}`,
+        fingerprints,
+        alone: failure.alone && fingerprints.length === 1,
+      });
+    }
+    attempt.grant.release("group-failed");
+  }
+
+  async #prepareRetry(attempt: ChatAttempt, error: unknown): Promise<void> {
+    if (!(error instanceof EngineError)) {
+      throw error;
+    }
+    this.#checkEnd();
+    if (attempt.end === "parked" || attempt.end === "moved") {
+      return;
+    }
+    this.#excluded.add(attempt.grant.group.groupId);
+    this.#failedAttempts++;
+    this.#checkQuarantine();
+    if (
+      this.#failedAttempts >= MAX_FAILED_ATTEMPTS ||
+      !this.#context.retryBudget.tryTake()
+    ) {
+      throw new RequestError(`The request failed: ${error.message}`, {
+        code: "backend-failed",
+        verdict: this.#verdict,
+        status: 502,
+        cause: error,
+      });
+    }
+    await delay(getBackoffMs(this.#failedAttempts), this.#controller.signal);
+    this.#checkEnd();
+  }
+
+  async #prepareMove(attempt: ChatAttempt): Promise<void> {
+    const { group } = attempt.grant;
+    while (this.#attempt === attempt && attempt.end === undefined) {
+      const granted = await this.#requestGrant(
+        this.#context.quarantine.isSuspect(this.fingerprint),
+        new Set([...this.#excluded, group.groupId]),
+      );
+      const grant = granted.toMaybe().extract();
+      if (grant === undefined) {
+        await delay(MOVE_RETRY_MS, this.#controller.signal);
+        continue;
+      }
+      await this.#transferKv(attempt, grant);
+      if (this.#attempt !== attempt || attempt.end !== undefined) {
+        grant.release("cancelled");
+        return;
+      }
+      this.#context.timeline.record({
+        event: "stream-moved",
+        requestId: this.requestId,
+        fields: { from: group.groupId, to: grant.group.groupId },
+      });
+      this.#nextGrant = grant;
+      attempt.cancel("moved");
+    }
+  }
+
+  /** Copies the KV cache of the stream where the engines support it. Without it the new group computes the cache again. */
+  async #transferKv(attempt: ChatAttempt, grant: Grant): Promise<void> {
+    const { engineClient } = this.#context;
+    try {
+      const kv = await engineClient.exportKv(
+        attempt.grant.leaderAddress,
+        attempt.requestId,
+      );
+      await engineClient.importKv(grant.leaderAddress, kv);
+    } catch (error) {
+      this.#context.logger.write("debug", "kv-transfer-failed", {
+        requestId: this.requestId,
+        message: String(error),
+      });
+    }
+  }
+
+  #stop(end: AttemptEnd & ("caller-left" | "deadline")): void {
+    if (this.#end === undefined && !this.#complete) {
+      this.#end = end;
+      this.#attempt?.cancel(end);
+      this.#controller.abort();
+    }
+  }
+
+  #checkEnd(): void {
+    if (this.#options.request.signal.aborted) {
+      this.#end ??= "caller-left";
+    }
+    if (this.#end === "deadline") {
+      throw new RequestError("The deadline of the request has passed", {
+        code: "deadline-exceeded",
+        verdict: this.#getEndVerdict(),
+        status: 504,
+      });
+    }
+    if (this.#end === "caller-left") {
+      throw new RequestError("The caller closed the connection", {
+        code: "cancelled",
+        verdict: this.#getEndVerdict(),
+        status: 499,
+      });
+    }
+  }
+
+  /** An attempt that was sent may have run even though nothing came back. */
+  #getEndVerdict(): Verdict {
+    return this.#attemptNumber > 0
+      ? combineVerdicts(this.#verdict, "may-have-run")
+      : this.#verdict;
+  }
+
+  #checkQuarantine(): void {
+    if (this.#context.quarantine.isQuarantined(this.fingerprint)) {
+      throw new RequestError(
+        "The request is quarantined, since groups failed while they ran it",
+        { code: "quarantined", verdict: this.#verdict, status: 422 },
+      );
+    }
+  }
+
+  #convertRefusal(refusal: RequestError): RequestError {
+    return new RequestError(refusal.message, {
+      code: refusal.code,
+      verdict: combineVerdicts(this.#verdict, refusal.verdict),
+      status: refusal.status,
+      retryAfterMs: refusal.retryAfterMs,
+      cause: refusal,
+    });
+  }
+}
--- /dev/null
+++ b/src/request/token_sequence.ts
@@ -0,0 +1,47 @@
+import { type EngineChunk, EngineError } from "../connection/engine_client.ts";
+
+/** Token of an engine's answer. */
+export type TokenChunk = Extract<EngineChunk, { type: "token" }>;
+
+/** Checks that the tokens of an answer come whole, once and in order, over all attempts. */
+export class TokenSequence {
+  readonly #texts: string[] = [];
+  #bytes = 0;
+
+  /** Gets the number of tokens accepted. */
+  get length(): number {
+    return this.#texts.length;
+  }
+
+  /** Gets the approximate memory of the accepted tokens in bytes. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  /** Gets a copy of the accepted tokens, from which another attempt resumes. */
+  getTexts(): string[] {
+    return [...this.#texts];
+  }
+
+  /**
+   * Accepts the next token. A token that was accepted before is dropped.
+   *
+   * @param token - Token with its index in the whole answer.
+   * @returns Whether the token is new.
+   * @throws {EngineError} When a token is missing before it.
+   */
+  accept(token: TokenChunk): boolean {
+    if (token.index < this.#texts.length) {
+      return false;
+    }
+    if (token.index > this.#texts.length) {
+      throw new EngineError(
+        `The engine sent token ${token.index} where token ${this.#texts.length} was due`,
+        { verdict: "may-have-run", kind: "out-of-order" },
+      );
+    }
+    this.#texts.push(token.text);
+    this.#bytes += token.text.length * 2;
+    return true;
+  }
+}
