--- /dev/null
+++ b/src/process/held_bytes_accountant_test.ts
@@ -0,0 +1,70 @@
+import { describe, expect, it } from "vitest";
+import {
+  HeldBytesAccountant,
+  type HeldStream,
+} from "./held_bytes_accountant.ts";
+
+class TestStream implements HeldStream {
+  readonly account: string;
+  readonly maxAccountBytes: number;
+  readonly lastReadAtMs: number;
+  readonly isBlocked = true;
+  isRunning = true;
+  closed = false;
+
+  constructor(account: string, lastReadAtMs: number, maxAccountBytes = 1_000) {
+    this.account = account;
+    this.lastReadAtMs = lastReadAtMs;
+    this.maxAccountBytes = maxAccountBytes;
+  }
+
+  park(): void {
+    this.isRunning = false;
+  }
+
+  close(): void {
+    this.closed = true;
+  }
+}
+
+describe("HeldBytesAccountant", () => {
+  describe("set", () => {
+    // Guards against one account's slow readers that fill the process.
+    it("parks the slowest stream near the account's bound", () => {
+      const accountant = new HeldBytesAccountant({ maxProcessBytes: 10_000 });
+      const slow = new TestStream("a", 1);
+      const slower = new TestStream("a", 0);
+      const other = new TestStream("b", -1);
+      accountant.set(other, 300);
+      accountant.set(slow, 400);
+      accountant.set(slower, 400);
+      expect([slow, slower, other].map((s) => s.isRunning))
+        .toEqual([true, false, true]);
+      expect(accountant.getHeldBytes().closed).toBe(0);
+    });
+
+    // Guards against memory above the hard bounds.
+    it.each([
+      { name: "account", maxProcessBytes: 10_000, maxAccountBytes: 1_000 },
+      { name: "process", maxProcessBytes: 1_000, maxAccountBytes: 10_000 },
+    ])("never keeps more than the $name bound", (bounds) => {
+      const accountant = new HeldBytesAccountant(bounds);
+      const streams = Array.from(
+        { length: 20 },
+        (_, index) => new TestStream("a", index, bounds.maxAccountBytes),
+      );
+      for (let bytes = 10; bytes <= 200; bytes += 10) {
+        for (const stream of streams.filter((s) => !s.closed)) {
+          accountant.set(stream, bytes);
+          expect(accountant.getHeldBytes().processBytes)
+            .toBeLessThanOrEqual(1_000);
+        }
+      }
+      expect(streams[0].closed).toBe(true);
+      expect(streams[19].closed).toBe(false);
+      streams.forEach((stream) => accountant.remove(stream));
+      expect(accountant.getHeldBytes().processBytes).toBe(0);
+      expect(accountant.getAccountBytes("a")).toBe(0);
+    });
+  });
+});
--- a/src/process/planner_task.ts
+++ b/src/process/planner_task.ts
@@ -52,7 +52,7 @@
         .filter((p) => p.zones.includes(vms[0].zone))
         .reduce((sum, p) => sum + p.count, 0);
       const placed = placementHolder.getGroups()
-        .filter((g) => g.model === model.name).length;
+        .filter((g) => g.model === model.name && g.zone === vms[0].zone).length;
       for (
         let index = placed;
         index < wanted && free.length >= model.groupSizeVms;
--- /dev/null
+++ b/src/process/quarantine_list_test.ts
@@ -0,0 +1,137 @@
+import { describe, expect, it } from "vitest";
+import { LocalQuarantineList } from "./quarantine_list.ts";
+import { MAX_QUARANTINE_ENTRIES } from "./quarantine_state.ts";
+
+const EXPIRY_MS = 60_000;
+
+function createFingerprint(letter: string): string {
+  return letter.repeat(32);
+}
+const A = createFingerprint("a");
+const B = createFingerprint("b");
+const X = createFingerprint("c");
+
+interface Loss {
+  readonly lossId: string;
+  readonly fingerprints: readonly string[];
+  readonly alone?: boolean;
+}
+
+function createList(losses: readonly Loss[] = []): LocalQuarantineList {
+  const list = new LocalQuarantineList({ expiryMs: EXPIRY_MS });
+  losses.forEach((loss) => list.recordLoss({ alone: false, ...loss }));
+  return list;
+}
+
+describe("LocalQuarantineList", () => {
+  describe("recordLoss", () => {
+    // Guards against innocent requests that are refused, and guilty ones that are not.
+    it.each([
+      {
+        name: "one loss",
+        losses: [{ lossId: "1", fingerprints: [A, X] }],
+        quarantined: [],
+        suspects: [A, X],
+      },
+      {
+        name: "two losses with a common companion",
+        losses: [
+          { lossId: "1", fingerprints: [A, X] },
+          { lossId: "2", fingerprints: [A, X] },
+        ],
+        quarantined: [],
+        suspects: [A, X],
+      },
+      {
+        name: "two losses without a common companion",
+        losses: [
+          { lossId: "1", fingerprints: [A, X] },
+          { lossId: "2", fingerprints: [B, X] },
+        ],
+        quarantined: [X],
+        suspects: [],
+      },
+      {
+        name: "second loss alone",
+        losses: [
+          { lossId: "1", fingerprints: [A, B, X] },
+          { lossId: "2", fingerprints: [X], alone: true },
+        ],
+        quarantined: [X],
+        suspects: [],
+      },
+      {
+        name: "the same loss twice",
+        losses: [
+          { lossId: "1", fingerprints: [X] },
+          { lossId: "1", fingerprints: [X] },
+        ],
+        quarantined: [],
+        suspects: [X],
+      },
+    ])("$name", ({ losses, quarantined, suspects }) => {
+      const list = createList(losses);
+      const all = [A, B, X];
+      expect(all.filter((f) => list.isQuarantined(f))).toEqual(quarantined);
+      expect(all.filter((f) => list.isSuspect(f))).toEqual(suspects);
+    });
+  });
+
+  describe("recordSurvival", () => {
+    // Guards against an innocent suspect that runs alone forever.
+    it("ends the suspicion", () => {
+      const list = createList([{ lossId: "1", fingerprints: [A, X] }]);
+      list.recordSurvival(A);
+      expect(list.isSuspect(A)).toBe(false);
+      expect(list.isSuspect(X)).toBe(true);
+    });
+  });
+
+  describe("merge", () => {
+    // Guards against daemons that each know one half of the evidence.
+    it("combines the losses that two daemons saw", () => {
+      const first = createList([{ lossId: "1", fingerprints: [A, X] }]);
+      const second = createList([{ lossId: "2", fingerprints: [B, X] }]);
+      expect(first.merge(second.getState())).toBe(true);
+      expect(second.merge(first.getState())).toBe(true);
+      expect(first.isQuarantined(X)).toBe(true);
+      expect(second.isQuarantined(X)).toBe(true);
+      expect(first.merge(second.getState())).toBe(false);
+      expect(first.getDigest()).toBe(second.getDigest());
+    });
+
+    // Guards against a clearance that an older copy reverts.
+    it("keeps an operator's clearance", () => {
+      const first = createList([
+        { lossId: "1", fingerprints: [A, X] },
+        { lossId: "2", fingerprints: [B, X] },
+      ]);
+      const second = createList();
+      const older = first.getState();
+      second.merge(older);
+      expect(first.clear(X)).toBe(true);
+      first.merge(older);
+      second.merge(first.getState());
+      second.merge(older);
+      expect(first.isQuarantined(X)).toBe(false);
+      expect(second.isQuarantined(X)).toBe(false);
+    });
+
+    // Guards against entries that stay forever or fill the memory.
+    it("drops expired entries and keeps the bound", () => {
+      const list = createList();
+      const create = (number: number, ageMs: number) => ({
+        fingerprint: number.toString(16).padStart(32, "0"),
+        revision: 1,
+        state: "quarantined" as const,
+        ageMs,
+      });
+      expect(list.merge({ entries: [create(1, EXPIRY_MS + 1)], losses: [] }))
+        .toBe(false);
+      for (let number = 0; number < MAX_QUARANTINE_ENTRIES + 50; number++) {
+        list.merge({ entries: [create(number, 10)], losses: [] });
+      }
+      expect(list.getState().entries.length).toBe(MAX_QUARANTINE_ENTRIES);
+    });
+  });
+});
--- /dev/null
+++ b/src/request/request_fingerprint_test.ts
@@ -0,0 +1,57 @@
+import { describe, expect, it } from "vitest";
+import { configSchema } from "../version/config_schema.ts";
+import { chatRequestSchema } from "./chat_request_schema.ts";
+import { getRequestFingerprint } from "./request_fingerprint.ts";
+
+describe("getRequestFingerprint", () => {
+  const document = configSchema.parse({
+    schemaVersion: 1,
+    zones: [{ name: "zone-a", region: "region-1" }],
+    models: [{
+      name: "model-1",
+      groupSizeVms: 1,
+      placements: [{ zones: ["zone-a"], count: 1 }],
+      slotsPerGroup: 1,
+      kvTokensPerGroup: 1,
+    }],
+    clientAccounts: [{ name: "a", apiKeySha256: ["0".repeat(64)] }],
+  });
+  const base = {
+    model: "model-1",
+    messages: [{ role: "user", content: "crank" }],
+  };
+
+  function doTest(change: Record<string, unknown>): boolean {
+    const model = document.models[0];
+    const first = chatRequestSchema.parse(base);
+    const second = chatRequestSchema.parse({ ...base, ...change });
+    return getRequestFingerprint(first, model) ===
+      getRequestFingerprint(second, model);
+  }
+
+  // Guards against a retry that escapes quarantine by a changed parameter.
+  it.each([
+    { change: { stream: true } },
+    { change: { max_tokens: 7 } },
+    { change: { temperature: 1 } },
+    { change: { user: "other" } },
+    {
+      change: {
+        messages: [{
+          role: "user",
+          content: [{ type: "text", text: "crank" }],
+        }],
+      },
+    },
+  ])("stays the same for $change", ({ change }) => {
+    expect(doTest(change)).toBe(true);
+  });
+
+  // Guards against innocent requests that share a fingerprint with a guilty one.
+  it.each([
+    { change: { messages: [{ role: "user", content: "crank 2" }] } },
+    { change: { messages: [{ role: "system", content: "crank" }] } },
+  ])("differs for $change", ({ change }) => {
+    expect(doTest(change)).toBe(false);
+  });
+});
