--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -19,6 +19,8 @@
 
 const PREFIX_CHARACTERS = 256;
 const MAX_CACHED_PREFIXES = 64;
+/** Token at which a fault in the order occurs; after the start, so that tokens were passed on before. */
+const FAULT_TOKEN_INDEX = 5;
 
 /** Behaviour of a fake engine. */
 export interface FakeEngineOptions {
@@ -55,6 +57,8 @@
   slowdown: number;
   /** Lag of the status in milliseconds. */
   statusLagMs: number;
+  /** Fault in the order of the tokens of each running stream, at its fifth token. */
+  tokenFault: "none" | "duplicate" | "gap" | "swap";
   /** Probability that a cache event is lost. */
   cacheEventLoss: number;
 }
@@ -94,6 +98,7 @@
     paused: false,
     slowdown: 1,
     statusLagMs: 0,
+    tokenFault: "none",
     cacheEventLoss: 0,
   };
   /** Requests that the engine has run, by request id. */
@@ -510,7 +515,7 @@
     );
     let text = "";
     for (; request.nextIndex < end; request.nextIndex++) {
-      text += formatTokenEvent(request);
+      text += this.#formatWithFault(request);
     }
     if (request.nextIndex >= request.answer.length) {
       this.#finish(request, text);
@@ -522,6 +527,22 @@
     }
   }
 
+  #formatWithFault(request: RunningRequest): string {
+    const index = request.nextIndex;
+    const event = formatTokenEvent(request, index);
+    if (index === FAULT_TOKEN_INDEX) {
+      switch (this.faults.tokenFault) {
+        case "duplicate":
+          return formatTokenEvent(request, index - 1) + event + event;
+        case "gap":
+          return "";
+        case "swap":
+          return formatTokenEvent(request, index + 1) + event;
+      }
+    }
+    return event;
+  }
+
   #finish(request: RunningRequest, text: string): void {
     this.#running.delete(request.id);
     this.#finishedSinceLoad++;
@@ -587,8 +608,7 @@
   }
 }
 
-function formatTokenEvent(request: RunningRequest): string {
-  const index = request.nextIndex;
+function formatTokenEvent(request: RunningRequest, index: number): string {
   return `data: ${
     JSON.stringify({
       id: request.id,
--- a/src/connection/caller_writer.ts
+++ b/src/connection/caller_writer.ts
@@ -42,6 +42,13 @@
     return this.#blocked;
   }
 
+  get heldBytes(): number {
+    const engineBuffer = this.#blocked && this.#stream.isRunning
+      ? ENGINE_BUFFER_BYTES
+      : 0;
+    return this.#res.writableLength + engineBuffer;
+  }
+
   get isRunning(): boolean {
     return this.#stream.isRunning;
   }
@@ -140,14 +147,8 @@
   }
 
   #update(): void {
-    if (this.#res.destroyed) {
-      return;
+    if (!this.#res.destroyed) {
+      this.#context.heldBytes.set(this, this.heldBytes);
     }
-    const kept = this.#blocked ? this.#stream.keptBytes : 0;
-    const engineBuffer = this.#blocked && this.#stream.isRunning
-      ? ENGINE_BUFFER_BYTES
-      : 0;
-    const bytes = this.#res.writableLength + kept + engineBuffer;
-    this.#context.heldBytes.set(this, bytes);
   }
 }
--- a/src/connection/http_engine_client.ts
+++ b/src/connection/http_engine_client.ts
@@ -1,9 +1,5 @@
 import { createParser, type EventSourceMessage } from "eventsource-parser";
-import got, {
-  HTTPError,
-  type Request as GotStream,
-  RequestError as GotError,
-} from "got";
+import got, { HTTPError } from "got";
 import { Agent } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import { getErrorMessage } from "../shared/errors.ts";
@@ -17,19 +13,11 @@
   type KvExport,
   type OrderOutcome,
 } from "./engine_client.ts";
+import { convertStreamError, openEngineStream } from "./engine_stream.ts";
 
 const STATUS_TIMEOUT_MS = 1_000;
 const ORDER_TIMEOUT_MS = 2_000;
 const KV_TIMEOUT_MS = 2_000;
-const CONNECT_TIMEOUT_MS = 1_000;
-
-/** Connection failures at which no byte of the request was sent. */
-const UNSENT_CODES: ReadonlySet<string> = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "ENOTFOUND",
-]);
 
 interface RawChunk {
   token_index?: number;
@@ -54,7 +42,12 @@
     request: EngineChatRequest,
     signal: AbortSignal,
   ): AsyncGenerator<readonly EngineChunk[], void, undefined> {
-    const stream = this.#openChatStream(address, request, signal);
+    const stream = await openEngineStream({
+      address,
+      body: formatChatBody(request),
+      agent: this.#agent,
+      signal,
+    });
     const chunks: EngineChunk[] = [];
     const parser = createParser({
       onEvent: (message) => pushChunk(chunks, message, request),
@@ -147,30 +140,20 @@
         : "unknown";
     }
   }
+}
 
-  #openChatStream(
-    address: string,
-    request: EngineChatRequest,
-    signal: AbortSignal,
-  ): GotStream {
-    return got.stream.post(`http://${address}/v1/chat/completions`, {
-      json: {
-        request_id: request.requestId,
-        model: request.model,
-        messages: request.messages,
-        max_tokens: request.maxOutputTokens,
-        priority: request.priority,
-        temperature: request.temperature,
-        stop: request.stop,
-        resume_tokens: request.resumeTokens,
-        stream: true,
-      },
-      agent: { http: this.#agent },
-      timeout: { connect: CONNECT_TIMEOUT_MS },
-      retry: { limit: 0 },
-      signal,
-    });
-  }
+function formatChatBody(request: EngineChatRequest): string {
+  return JSON.stringify({
+    request_id: request.requestId,
+    model: request.model,
+    messages: request.messages,
+    max_tokens: request.maxOutputTokens,
+    priority: request.priority,
+    temperature: request.temperature,
+    stop: request.stop,
+    resume_tokens: request.resumeTokens,
+    stream: true,
+  });
 }
 
 function pushChunk(
@@ -199,32 +182,3 @@
     });
   }
 }
-
-function convertStreamError(error: unknown, signal: AbortSignal): EngineError {
-  if (error instanceof EngineError) {
-    return error;
-  }
-  const message = `The engine failed: ${getErrorMessage(error)}`;
-  if (signal.aborted) {
-    return new EngineError(message, {
-      verdict: "may-have-run",
-      kind: "aborted",
-      cause: error,
-    });
-  }
-  if (error instanceof HTTPError) {
-    return new EngineError(message, {
-      verdict: "not-run",
-      kind: "refused",
-      cause: error,
-    });
-  }
-  const unsent = error instanceof GotError &&
-    (UNSENT_CODES.has(error.code) ||
-      (error.code === "ETIMEDOUT" && error.message.includes("'connect'")));
-  return new EngineError(message, {
-    verdict: unsent ? "not-run" : "may-have-run",
-    kind: unsent ? "unreachable" : "lost",
-    cause: error,
-  });
-}
--- a/src/process/held_bytes_accountant.ts
+++ b/src/process/held_bytes_accountant.ts
@@ -1,5 +1,7 @@
 /** Part of a bound above which the slowest stream is parked, so that the bound itself is not reached by streams that grow meanwhile. */
 const PARK_SHARE = 0.75;
+/** Time without progress after which a stream may be parked. A reader that is only briefly behind is not worth a new prefill. */
+const PARK_AFTER_MS = 200;
 
 /** Stream whose held bytes are counted. */
 export interface HeldStream {
@@ -9,6 +11,8 @@
   readonly maxAccountBytes: number;
   /** Monotonic time at which the caller last took data, in milliseconds of `performance.now()`. */
   readonly lastReadAtMs: number;
+  /** All bytes held for the stream now. */
+  readonly heldBytes: number;
   /** Whether the daemon waits for the caller to read. */
   readonly isBlocked: boolean;
   /** Whether an engine still works for the stream. */
@@ -70,6 +74,14 @@
    */
   set(stream: HeldStream, bytes: number): void {
     this.#store(stream, bytes);
+    this.#relieveBounds(stream);
+    this.#peakProcessBytes = Math.max(
+      this.#peakProcessBytes,
+      this.#processBytes,
+    );
+  }
+
+  #relieveBounds(stream: HeldStream): void {
     const accountBytes = this.getAccountBytes(stream.account);
     const { maxAccountBytes } = stream;
     if (accountBytes > maxAccountBytes * PARK_SHARE) {
@@ -96,10 +108,6 @@
     const change = bytes - (this.#byStream.get(stream) ?? 0);
     this.#byStream.set(stream, bytes);
     this.#processBytes += change;
-    this.#peakProcessBytes = Math.max(
-      this.#peakProcessBytes,
-      this.#processBytes,
-    );
     const accountBytes = this.getAccountBytes(stream.account) + change;
     if (accountBytes === 0) {
       this.#byAccount.delete(stream.account);
@@ -118,10 +126,17 @@
       )
       .map(([s]) => s)
       .sort((a, b) => a.lastReadAtMs - b.lastReadAtMs);
-    const blocked = slowestFirst.find((s) => s.isBlocked && s.isRunning);
-    if (blocked !== undefined) {
-      this.#parked++;
-      blocked.park();
+    const blocked = slowestFirst.filter((s) => s.isBlocked && s.isRunning);
+    const waiting = blocked.find((s) =>
+      performance.now() - s.lastReadAtMs >= PARK_AFTER_MS
+    );
+    if (waiting !== undefined) {
+      this.#park(waiting);
+    }
+    for (const stream of blocked) {
+      if (isOver(stream) && stream.isRunning) {
+        this.#park(stream);
+      }
     }
     for (const stream of slowestFirst) {
       if (!isOver(stream)) {
@@ -132,4 +147,10 @@
       this.remove(stream);
     }
   }
+
+  #park(stream: HeldStream): void {
+    this.#parked++;
+    stream.park();
+    this.#store(stream, stream.heldBytes);
+  }
 }
--- a/src/request/chat_stream.ts
+++ b/src/request/chat_stream.ts
@@ -70,14 +70,9 @@
     return this.#attempt?.grant.group.zone;
   }
 
-  /** Gets the memory of the tokens kept for a resume, in bytes. */
-  get keptBytes(): number {
-    return this.#sequence.bytes;
-  }
-
   /** Gets whether an engine works for the stream now. */
   get isRunning(): boolean {
-    return this.#attempt !== undefined;
+    return this.#attempt !== undefined && this.#attempt.end === undefined;
   }
 
   /**
--- a/src/request/token_sequence.ts
+++ b/src/request/token_sequence.ts
@@ -6,18 +6,12 @@
 /** Checks that the tokens of an answer come whole, once and in order, over all attempts. */
 export class TokenSequence {
   readonly #texts: string[] = [];
-  #bytes = 0;
 
   /** Gets the number of tokens accepted. */
   get length(): number {
     return this.#texts.length;
   }
 
-  /** Gets the approximate memory of the accepted tokens in bytes. */
-  get bytes(): number {
-    return this.#bytes;
-  }
-
   /** Gets a copy of the accepted tokens, from which another attempt resumes. */
   getTexts(): string[] {
     return [...this.#texts];
@@ -41,7 +35,6 @@
       );
     }
     this.#texts.push(token.text);
-    this.#bytes += token.text.length * 2;
     return true;
   }
 }
--- /dev/null
+++ b/tests/support/caller_stream.ts
@@ -0,0 +1,116 @@
+import { type ClientRequest, request as sendRequest } from "node:http";
+import type { Daemon } from "../../src/process/daemon.ts";
+import { TEST_API_KEY, TEST_MODEL } from "./test_deployment.ts";
+
+/** Streamed answer as a caller reads it. */
+export class CallerStream {
+  /** Status, or undefined before the head of the answer. */
+  status: number | undefined;
+  text = "";
+  ended = false;
+  readonly #req: ClientRequest;
+  readonly #finished: Promise<void>;
+
+  private constructor(
+    daemon: Daemon,
+    options: { content: string; reads: boolean; maxTokens: number },
+  ) {
+    let finish = () => {};
+    this.#finished = new Promise((resolve) => finish = resolve);
+    this.#req = sendRequest(
+      `http://${daemon.callerAddress}/v1/chat/completions`,
+      {
+        method: "POST",
+        headers: {
+          "content-type": "application/json",
+          authorization: `Bearer ${TEST_API_KEY}`,
+        },
+      },
+      (res) => {
+        this.status = res.statusCode;
+        res.on("error", () => undefined);
+        res.on("close", () => {
+          this.ended = true;
+          finish();
+        });
+        if (!options.reads) {
+          res.pause();
+          this.#resume = () => {
+            res.on("data", (data) => this.text += String(data));
+            res.resume();
+          };
+          return;
+        }
+        res.on("data", (data) => this.text += String(data));
+      },
+    );
+    this.#req.on("error", () => {
+      this.ended = true;
+      finish();
+    });
+    this.#req.end(JSON.stringify({
+      model: TEST_MODEL,
+      messages: [{ role: "user", content: options.content }],
+      max_tokens: options.maxTokens,
+      stream: true,
+    }));
+  }
+
+  #resume = () => {};
+
+  /**
+   * Sends a streamed request.
+   *
+   * @param daemon - Daemon that gets it.
+   * @param options - Message, and whether the caller reads the answer.
+   */
+  static open(
+    daemon: Daemon,
+    options: { content: string; reads?: boolean; maxTokens?: number },
+  ): CallerStream {
+    return new CallerStream(daemon, {
+      reads: true,
+      maxTokens: 100_000,
+      ...options,
+    });
+  }
+
+  /** Gets the tokens read so far as one text. */
+  get answer(): string {
+    return this.#getEvents().map((e) => e.choices?.[0]?.delta?.content ?? "")
+      .join("");
+  }
+
+  /** Gets the error event, or undefined when there is none. */
+  get error(): { code: string; verdict: string } | undefined {
+    return this.#getEvents().find((e) => e.error !== undefined)?.error;
+  }
+
+  /** Starts reading. */
+  resume(): void {
+    this.#resume();
+  }
+
+  /** Closes the connection. */
+  close(): void {
+    this.#req.destroy();
+  }
+
+  /** Waits for the end of the answer. */
+  async wait(): Promise<this> {
+    await this.#finished;
+    return this;
+  }
+
+  #getEvents(): CallerEvent[] {
+    return this.text.split("\n\n")
+      .slice(0, -1)
+      .filter((event) => event !== "data: [DONE]")
+      .map((event) => JSON.parse(event.slice("data: ".length)));
+  }
+}
+
+interface CallerEvent {
+  choices?: { delta?: { content?: string } }[];
+  error?: { code: string; verdict: string };
+}
--- /dev/null
+++ b/tests/whole_answers_test.ts
@@ -0,0 +1,204 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { getExpectedAnswer } from "../fakes/fake_answer.ts";
+import type { FakeEngine } from "../fakes/fake_engine.ts";
+import type { ChatStream } from "../src/request/chat_stream.ts";
+import { CallerStream } from "./support/caller_stream.ts";
+import { TestDeployment, waitUntil } from "./support/test_deployment.ts";
+
+const CONTENT = "tokens=60 gearbox";
+
+function getExpected(content: string): string {
+  return getExpectedAnswer([{ role: "user", content }], 250_000).join("");
+}
+
+describe("whole answers", () => {
+  let deployment: TestDeployment;
+
+  beforeEach(async () => {
+    deployment = await TestDeployment.start({
+      settings: {
+        firstTokenTimeoutMs: 400,
+        nextTokenTimeoutMs: 300,
+        resumeTimeoutMs: 2_000,
+      },
+    });
+  });
+
+  afterEach(async () => {
+    await deployment.dispose();
+  });
+
+  function getRunningGroup(): string {
+    return deployment.daemons[0].context.inFlightStreams.getStreams()[0]
+      .groupId!;
+  }
+
+  function getLeader(): FakeEngine {
+    return deployment.getLeader(getRunningGroup());
+  }
+
+  function getMember(): FakeEngine {
+    const leader = getLeader();
+    return deployment.engines.find((e) =>
+      e !== leader && e.name.startsWith(leader.name.slice(0, 6))
+    )!;
+  }
+
+  // Guards against answers that are cut, repeated or mixed up when the group fails in the middle.
+  it.each([
+    { name: "leader crashes", fail: () => getLeader().crash() },
+    { name: "member crashes", fail: () => getMember().crash() },
+    {
+      name: "leader pauses",
+      fail: () => getLeader().faults.paused = true,
+    },
+    {
+      name: "leader is a straggler",
+      fail: () => getLeader().faults.slowdown = 1_000,
+    },
+    {
+      name: "duplicate tokens",
+      fail: () => getLeader().faults.tokenFault = "duplicate",
+    },
+    {
+      name: "missing token",
+      fail: () => getLeader().faults.tokenFault = "gap",
+    },
+    {
+      name: "tokens out of order",
+      fail: () => getLeader().faults.tokenFault = "swap",
+    },
+  ])("continues whole when: $name", async ({ fail }) => {
+    const stream = CallerStream.open(deployment.daemons[0], {
+      content: CONTENT,
+    });
+    await waitUntil(() => stream.answer !== "");
+    fail();
+    await stream.wait();
+    expect(stream.answer).toBe(getExpected(CONTENT));
+    expect(stream.error).toBeUndefined();
+    expect(stream.text.endsWith("data: [DONE]\n\n")).toBe(true);
+  });
+
+  // Guards against a stream that is cut, or answered twice, when its zone leaves service.
+  it("moves the streams of a zone", async () => {
+    const content = "tokens=200 quiet hours";
+    const stream = CallerStream.open(deployment.daemons[0], { content });
+    await waitUntil(() => stream.answer !== "");
+    const leader = getLeader();
+    const { inFlightStreams } = deployment.daemons[0].context;
+    const { zone } = inFlightStreams.getStreams()[0];
+    expect(inFlightStreams.requestMove({ zone })).toBe(1);
+    await waitUntil(() => leader.heldRequests === 0, 500);
+    await stream.wait();
+    expect(stream.answer).toBe(getExpected(content));
+  });
+
+  // Guards against a caller that waits behind a stuck engine, and a verdict that denies the run.
+  it("ends an accepted stream with an error event at its deadline", async () => {
+    const stream = CallerStream.open(deployment.daemons[0], {
+      content: CONTENT,
+    });
+    await waitUntil(() => stream.answer !== "");
+    deployment.engines.forEach((engine) => engine.faults.paused = true);
+    await stream.wait();
+    expect(stream.status).toBe(200);
+    expect(stream.error?.verdict).toBe("may-have-run");
+    expect(stream.text).not.toContain("[DONE]");
+  });
+
+  // Guards against half of an answer sent as a whole one.
+  it("sends a JSON answer whole or not at all", async () => {
+    deployment.engines.forEach((engine) => engine.faults.slowdown = 20);
+    const answer = await deployment.requestChat(
+      deployment.daemons[0],
+      CONTENT,
+      { headers: { "x-deadline-ms": "300" } },
+    );
+    expect(answer.statusCode).toBe(504);
+    expect(JSON.parse(answer.body).error).toMatchObject({
+      code: "deadline-exceeded",
+      verdict: "may-have-run",
+    });
+    await waitUntil(() => deployment.engines.every((e) => !e.heldRequests));
+  });
+
+  // Guards against work for a caller that is gone.
+  it("cancels at the engine when the caller vanishes", async () => {
+    const content = "tokens=5000 gone";
+    const stream = CallerStream.open(deployment.daemons[0], { content });
+    await waitUntil(() => stream.answer !== "");
+    const leader = getLeader();
+    stream.close();
+    await waitUntil(() => leader.heldRequests === 0, 1_000);
+    const { inFlightStreams } = deployment.daemons[0].context;
+    await waitUntil(() => inFlightStreams.getStreams().length === 0, 1_000);
+  });
+});
+
+describe("slow readers", () => {
+  const MAX_STREAM_HELD_BYTES = 65_536;
+  const MAX_HELD_BYTES = 260_000;
+  let deployment: TestDeployment;
+
+  beforeEach(async () => {
+    deployment = await TestDeployment.start({
+      engine: {
+        tokensPerInterval: 500,
+        tokenIntervalMs: 2,
+        maxTokens: 1_000_000,
+      },
+      configure: (document) => document.models[0].coldSlots = 2,
+      settings: {
+        stalledCallerMs: 1_500,
+        maxStreamHeldBytes: MAX_STREAM_HELD_BYTES,
+        maxHeldBytes: MAX_HELD_BYTES,
+      },
+    });
+  });
+
+  afterEach(async () => {
+    await deployment.dispose();
+  });
+
+  // Guards against memory and engine work for callers that never read.
+  it("parks and closes callers that never read, and leaves nothing held", async () => {
+    const { heldBytes, inFlightStreams } = deployment.daemons[0].context;
+    const streams = Array.from(
+      { length: 3 },
+      (_, index) =>
+        CallerStream.open(deployment.daemons[0], {
+          content: `tokens=200000 slow ${index}`,
+          reads: false,
+        }),
+    );
+    await waitUntil(() => heldBytes.getHeldBytes().streams === 3);
+    await waitUntil(() => inFlightStreams.getStreams().length === 0, 15_000);
+    const held = heldBytes.getHeldBytes();
+    expect(held.processBytes).toBe(0);
+    expect(held.streams).toBe(0);
+    expect(held.parked).toBeGreaterThan(0);
+    expect(held.peakProcessBytes).toBeLessThanOrEqual(MAX_HELD_BYTES);
+    expect(deployment.engines.every((e) => e.heldRequests === 0)).toBe(true);
+    streams.forEach((stream) => stream.close());
+  });
+
+  // Guards against an answer that is cut or repeated by parking.
+  it("resumes a parked stream when its caller reads again", async () => {
+    const content = "tokens=150000 patient";
+    const { heldBytes, inFlightStreams } = deployment.daemons[0].context;
+    const stream = CallerStream.open(deployment.daemons[0], {
+      content,
+      reads: false,
+      maxTokens: 200_000,
+    });
+    await waitUntil(() =>
+      heldBytes.getHeldBytes().processBytes > MAX_STREAM_HELD_BYTES
+    );
+    (inFlightStreams.getStreams()[0] as ChatStream).park();
+    await waitUntil(() => deployment.engines.every((e) => !e.heldRequests));
+    stream.resume();
+    await stream.wait();
+    expect(stream.answer).toBe(getExpected(content));
+  });
+});
