--- /dev/null
+++ b/tests/openai_contract_test.ts
@@ -0,0 +1,103 @@
+import OpenAI, { APIError } from "openai";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { getExpectedAnswer, getPromptTokens } from "../fakes/fake_answer.ts";
+import {
+  TEST_API_KEY,
+  TEST_MODEL,
+  TestDeployment,
+  waitUntil,
+} from "./support/test_deployment.ts";
+
+describe("contract with the openai client", () => {
+  let deployment: TestDeployment;
+  let client: OpenAI;
+
+  beforeAll(async () => {
+    deployment = await TestDeployment.start({
+      settings: {
+        firstTokenTimeoutMs: 300,
+        nextTokenTimeoutMs: 300,
+        resumeTimeoutMs: 500,
+      },
+    });
+    client = new OpenAI({
+      baseURL: `http://${deployment.daemons[0].callerAddress}/v1`,
+      apiKey: TEST_API_KEY,
+      maxRetries: 0,
+    });
+  });
+
+  afterAll(async () => {
+    await deployment.dispose();
+  });
+
+  const messages = [{ role: "user" as const, content: "tokens=30 quote" }];
+  const usage = {
+    prompt_tokens: getPromptTokens(messages),
+    completion_tokens: 30,
+    total_tokens: getPromptTokens(messages) + 30,
+  };
+
+  // Guards against answers that the client does not understand.
+  it("answers as JSON", async () => {
+    const answer = await client.chat.completions.create({
+      model: TEST_MODEL,
+      messages,
+    });
+    expect(answer.choices[0].message.content).toBe(
+      getExpectedAnswer(messages, 512).join(""),
+    );
+    expect(answer.choices[0].finish_reason).toBe("stop");
+    expect(answer.usage).toEqual(usage);
+  });
+
+  // Guards against a stream whose token counts are missing or attached to the wrong event.
+  it("streams with the token counts in the last event", async () => {
+    const stream = await client.chat.completions.create({
+      model: TEST_MODEL,
+      messages,
+      stream: true,
+      stream_options: { include_usage: true },
+    });
+    const chunks = [];
+    for await (const chunk of stream) {
+      chunks.push(chunk);
+    }
+    expect(chunks[0].choices[0].delta.role).toBe("assistant");
+    expect(chunks.map((c) => c.choices[0]?.delta.content ?? "").join(""))
+      .toBe(getExpectedAnswer(messages, 512).join(""));
+    expect(chunks.at(-1)!.choices).toEqual([]);
+    expect(chunks.at(-1)!.usage).toEqual(usage);
+    expect(chunks.at(-2)!.choices[0].finish_reason).toBe("stop");
+  });
+
+  // Guards against refusals that the client reports without their reason.
+  it("reports a refusal with its status and code", async () => {
+    const refused = client.chat.completions.create({ model: "none", messages });
+    await expect(refused).rejects.toMatchObject({
+      status: 404,
+      code: "unknown-model",
+    });
+  });
+
+  // Guards against a cut answer that the client takes for a whole one.
+  it("reports the failure of a stream that has begun", async () => {
+    const stream = await client.chat.completions.create({
+      model: TEST_MODEL,
+      messages: [{ role: "user", content: "tokens=2000 manual" }],
+      max_tokens: 2_000,
+      stream: true,
+    });
+    let tokens = 0;
+    const reading = (async () => {
+      for await (const chunk of stream) {
+        tokens += chunk.choices.length;
+      }
+    })();
+    reading.catch(() => undefined);
+    await waitUntil(() => tokens > 0);
+    deployment.engines.forEach((engine) => engine.faults.paused = true);
+    await expect(reading).rejects.toBeInstanceOf(APIError);
+    deployment.engines.forEach((engine) => engine.faults.paused = false);
+  });
+});
--- /dev/null
+++ b/tests/quarantine_test.ts
@@ -0,0 +1,107 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { getExpectedAnswer } from "../fakes/fake_answer.ts";
+import { CallerStream } from "./support/caller_stream.ts";
+import { TestDeployment, waitUntil } from "./support/test_deployment.ts";
+
+const MARKER = "crash-marker";
+const CRASH_CONTENT = `tokens=40 ${MARKER}`;
+
+describe("quarantine", () => {
+  let deployment: TestDeployment;
+
+  beforeEach(async () => {
+    deployment = await TestDeployment.start({
+      daemons: 3,
+      enginesPerZone: 4,
+      engine: { warmAfterRequests: 1, tokenIntervalMs: 10 },
+      settings: { resumeTimeoutMs: 5_000 },
+    });
+    deployment.engines.forEach((e) => e.faults.crashMarker = MARKER);
+  });
+
+  afterEach(async () => {
+    await deployment.dispose();
+  });
+
+  function countCrashes(): number {
+    return deployment.engines.reduce((sum, e) => sum + e.crashes, 0);
+  }
+
+  // Guards against a retried request that takes down one group after another.
+  it("crashes at most two groups, through any daemon", async () => {
+    for (let round = 0; round < 2; round++) {
+      for (const daemon of deployment.daemons) {
+        const answer = await deployment.requestChat(daemon, CRASH_CONTENT);
+        expect(answer.statusCode).not.toBe(200);
+        // The verdict denies a run only when the request was refused before its first attempt.
+        expect(JSON.parse(answer.body).error.verdict).toBe(
+          round === 0 && daemon === deployment.daemons[0]
+            ? "may-have-run"
+            : "not-run",
+        );
+      }
+    }
+    expect(countCrashes()).toBe(2);
+    const last = await deployment.requestChat(
+      deployment.daemons[2],
+      CRASH_CONTENT,
+    );
+    expect(JSON.parse(last.body).error).toMatchObject({
+      code: "quarantined",
+      verdict: "not-run",
+    });
+  });
+
+  // Guards against innocent requests of the same batch that are refused or cut.
+  it("completes innocent companions", async () => {
+    await Promise.all(
+      deployment.zones.flatMap(() =>
+        [1, 2].map((index) =>
+          deployment.requestChat(
+            deployment.daemons[0],
+            `tokens=2 warm ${index}`,
+          )
+        )
+      ),
+    );
+    const contents = [1, 2, 3, 4, 5, 6].map((i) => `tokens=60 innocent ${i}`);
+    const streams = contents.map((content) =>
+      CallerStream.open(deployment.daemons[0], { content })
+    );
+    await waitUntil(() => streams.every((s) => s.answer !== ""));
+    await deployment.requestChat(deployment.daemons[1], CRASH_CONTENT);
+    await Promise.all(streams.map((stream) => stream.wait()));
+    for (const [index, stream] of streams.entries()) {
+      const messages = [{ role: "user" as const, content: contents[index] }];
+      expect(stream.error).toBeUndefined();
+      expect(stream.answer).toBe(getExpectedAnswer(messages, 999).join(""));
+    }
+    const { quarantine } = deployment.daemons[0].context;
+    await waitUntil(() => quarantine.getQuarantined().length === 1);
+    expect(countCrashes()).toBe(2);
+  });
+
+  // Guards against a quarantine that one daemon keeps for itself, or that a restart forgets.
+  it("spreads to all daemons, to the store and back by a clearance", async () => {
+    await deployment.requestChat(deployment.daemons[0], CRASH_CONTENT);
+    const getLists = () => deployment.daemons.map((d) => d.context.quarantine);
+    await waitUntil(
+      () => getLists().every((list) => list.getQuarantined().length === 1),
+      2_000,
+    );
+    await waitUntil(() =>
+      deployment.platform.getObject("quarantine", "main") !== undefined
+    );
+    const added = await deployment.startDaemon();
+    await waitUntil(
+      () => added.context.quarantine.getQuarantined().length === 1,
+      2_000,
+    );
+    const { fingerprint } = added.context.quarantine.getQuarantined()[0];
+    expect(added.context.quarantine.clear(fingerprint)).toBe(true);
+    await waitUntil(
+      () => getLists().every((list) => list.getQuarantined().length === 0),
+      2_000,
+    );
+  });
+});
