--- a/bench/stream_load.ts
+++ b/bench/stream_load.ts
@@ -75,7 +75,9 @@
   const total = warmUp + args.rate * args.seconds;
   const startAtMs = performance.now();
   for (let index = 0; index < total; index++) {
-    const waitMs = startAtMs + index * 1_000 / args.rate - performance.now();
+    // A random moment in each slot, so that requests do not fall into step with the engines' intervals.
+    const slot = index + Math.random();
+    const waitMs = startAtMs + slot * 1_000 / args.rate - performance.now();
     if (waitMs > 0) {
       await delay(waitMs);
     }
