Keep a failed group excluded until its loss is known

A stream whose group was lost was refused by admission when every other group was out of service, cleared its exclusions, and used up its four attempts at the lost group, whose health was not known yet. Attempts that an engine declined no longer count as failures, up to 32.

--- a/src/request/chat_stream.ts
+++ b/src/request/chat_stream.ts
@@ -21,6 +21,10 @@
 
 const PREFIX_CHARACTERS = 256;
 const MAX_FAILED_ATTEMPTS = 4;
+/** Attempts that engines declined or that reached none. They cost little, and follow one another while the health of a lost group is not known yet. */
+const MAX_DECLINED_ATTEMPTS = 32;
+/** Time for which a group that failed the request gets no further attempt, longer than the monitors need to notice its loss. */
+const EXCLUSION_MS = 1_000;
 /** Time between two tries to find another group for a stream that has to move. */
 const MOVE_RETRY_MS = 200;
 
@@ -44,6 +48,8 @@
   #attempt: ChatAttempt | undefined;
   #attemptNumber = 0;
   #failedAttempts = 0;
+  #declinedAttempts = 0;
+  #lastFailureAtMs = 0;
   #nextGrant: Grant | undefined;
   #moving = false;
   #complete = false;
@@ -235,7 +241,9 @@
         throw this.#convertRefusal(refusal);
       }
       // Every other group is full or gone, so the groups that failed before get another chance.
-      this.#excluded.clear();
+      if (performance.now() - this.#lastFailureAtMs > EXCLUSION_MS) {
+        this.#excluded.clear();
+      }
       await delay(getBackoffMs(retry + 2), this.#controller.signal);
       this.#checkEnd();
       this.#checkQuarantine();
@@ -294,10 +302,16 @@
       return;
     }
     this.#excluded.add(attempt.grant.group.groupId);
-    this.#failedAttempts++;
+    this.#lastFailureAtMs = performance.now();
+    if (error.kind === "refused" || error.kind === "unreachable") {
+      this.#declinedAttempts++;
+    } else {
+      this.#failedAttempts++;
+    }
     this.#checkQuarantine();
     if (
       this.#failedAttempts >= MAX_FAILED_ATTEMPTS ||
+      this.#declinedAttempts >= MAX_DECLINED_ATTEMPTS ||
       !this.#context.chatRetryBudget.tryAcquire()
     ) {
       throw new RequestError(`The request failed: ${error.message}`, {
@@ -307,7 +321,8 @@
         cause: error,
       });
     }
-    await delay(getBackoffMs(this.#failedAttempts), this.#controller.signal);
+    const retry = this.#failedAttempts + this.#declinedAttempts;
+    await delay(getBackoffMs(retry), this.#controller.signal);
     this.#checkEnd();
   }
 
--- a/tests/quarantine_test.ts
+++ b/tests/quarantine_test.ts
@@ -105,3 +105,56 @@
     );
   });
 });
+
+describe("suspects", () => {
+  // Guards against a guilty request that hides among the requests that are retried with it.
+  it("run alone after a loss, so that the second loss names the guilty one", async () => {
+    const deployment = await TestDeployment.start({
+      zones: ["zone-a", "zone-b", "zone-c"],
+      daemons: 1,
+      engine: { tokenIntervalMs: 5, coldRequests: 16 },
+      configure: (document) => document.models[0].coldSlots = 8,
+      settings: { resumeTimeoutMs: 15_000 },
+    });
+    const [daemon] = deployment.daemons;
+    const takeOut = async (zones: readonly string[]) => {
+      const version = deployment.setConfig((document) =>
+        document.zones.forEach((z) => z.takenOut = zones.includes(z.name))
+      );
+      await waitUntil(() =>
+        daemon.context.configHolder.getVersion() === version
+      );
+    };
+    const countCrashes = () =>
+      deployment.engines.reduce((sum, e) => sum + e.crashes, 0);
+    try {
+      deployment.engines.forEach((e) => e.faults.crashMarker = MARKER);
+      await takeOut(["zone-b", "zone-c"]);
+      const contents = [1, 2, 3, 4].map((i) => `tokens=150 innocent ${i}`);
+      const streams = contents.map((content) =>
+        CallerStream.open(daemon, { content })
+      );
+      await waitUntil(() => streams.every((s) => s.answer !== ""));
+      const guilty = deployment.requestChat(daemon, CRASH_CONTENT);
+      await waitUntil(() => countCrashes() === 1);
+      await takeOut(["zone-c"]);
+      await waitUntil(() => countCrashes() === 2, 15_000);
+      await takeOut([]);
+      const refused = JSON.parse((await guilty).body).error;
+      await Promise.all(streams.map((stream) => stream.wait()));
+      expect(refused).toMatchObject({
+        code: "quarantined",
+        verdict: "may-have-run",
+      });
+      for (const [index, stream] of streams.entries()) {
+        const messages = [{ role: "user" as const, content: contents[index] }];
+        expect(stream.answer).toBe(getExpectedAnswer(messages, 999).join(""));
+      }
+      expect(countCrashes()).toBe(2);
+      const list = daemon.context.quarantine.getQuarantined();
+      expect(list.length).toBe(1);
+    } finally {
+      await deployment.dispose();
+    }
+  });
+});
