--- a/src/connection/http_engine_client.ts
+++ b/src/connection/http_engine_client.ts
@@ -16,7 +16,8 @@
 import { convertStreamError, openEngineStream } from "./engine_stream.ts";
 
 const STATUS_TIMEOUT_MS = 1_000;
-const ORDER_TIMEOUT_MS = 2_000;
+/** Time after which an order counts as unanswered, in milliseconds. */
+export const ORDER_TIMEOUT_MS = 2_000;
 const KV_TIMEOUT_MS = 2_000;
 
 interface RawChunk {
--- a/src/process/in_flight_streams.ts
+++ b/src/process/in_flight_streams.ts
@@ -1,4 +1,4 @@
-/** Streams that a request for moving selects. */
+/** Selects streams. */
 export interface StreamFilter {
   readonly zone?: string;
   readonly groupId?: string;
@@ -15,17 +15,20 @@
   requestMove(): void;
 }
 
-/** Streams in flight at this daemon. */
+/** Streams in flight of this daemon, which move when a zone or group stops taking new work. */
 export interface InFlightStreams {
-  /** Gets the streams that a filter selects; all with an empty filter. */
-  getStreams(filter?: StreamFilter): InFlightStream[];
   /**
-   * Asks for streams to be moved to other groups. Each stays on its group until another one has room.
+   * Moves the streams of a zone's groups to groups of other zones, without cutting any. Each stays on its group until another one has room.
    *
-   * @param filter - Streams to move.
-   * @returns The number of streams asked to move.
+   * @param zone - Availability zone that stops taking new work.
    */
-  requestMove(filter: StreamFilter): number;
+  moveStreamsFromZone(zone: string): void;
+  /**
+   * Moves the streams of a group to other groups, without cutting any. Each stays on its group until another one has room.
+   *
+   * @param groupId - Group that stops taking new work.
+   */
+  moveStreamsFromGroup(groupId: string): void;
 }
 
 /** Registry of the streams of one process. */
@@ -42,6 +45,11 @@
     this.#streams.delete(stream);
   }
 
+  /**
+   * Gets the streams that a filter selects.
+   *
+   * @param filter - Streams to select; all when left out.
+   */
   getStreams(filter: StreamFilter = {}): InFlightStream[] {
     return [...this.#streams].filter((stream) =>
       (filter.zone === undefined || stream.zone === filter.zone) &&
@@ -49,9 +57,11 @@
     );
   }
 
-  requestMove(filter: StreamFilter): number {
-    const streams = this.getStreams(filter);
-    streams.forEach((stream) => stream.requestMove());
-    return streams.length;
+  moveStreamsFromZone(zone: string): void {
+    this.getStreams({ zone }).forEach((stream) => stream.requestMove());
+  }
+
+  moveStreamsFromGroup(groupId: string): void {
+    this.getStreams({ groupId }).forEach((stream) => stream.requestMove());
   }
 }
