--- a/src/connection/caller_app.ts
+++ b/src/connection/caller_app.ts
@@ -1,16 +1,9 @@
 import { randomUUID } from "node:crypto";
-import { once } from "node:events";
-import express, { type Express, type Response } from "express";
+import express, { type Express } from "express";
 import type { DaemonContext } from "../process/daemon_context.ts";
-import { ChatHandler } from "../request/chat_handler.ts";
-import {
-  type ChatRequestBody,
-  chatRequestSchema,
-} from "../request/chat_request_schema.ts";
 import { RequestError } from "../shared/errors.ts";
-import type { EngineChunk } from "./engine_client.ts";
+import { createChatRoutes } from "./chat_routes.ts";
 import { createErrorHandler } from "./error_handler.ts";
-import { createRequestContext } from "./request_context_factory.ts";
 import { addServiceRoutes } from "./service_routes.ts";
 import { createStopGate } from "./stop_gate.ts";
 
@@ -25,8 +18,6 @@
   const app = express();
   app.disable("x-powered-by");
   app.disable("etag");
-  const chatHandler = new ChatHandler(context);
-  const limit = context.settings.maxBodyBytes;
   app.use((req, res, next) => {
     const given = req.header("x-request-id");
     const requestId = given !== undefined && REQUEST_ID_PATTERN.test(given)
@@ -44,20 +35,7 @@
       data: models.map((m) => ({ id: m.name, object: "model" })),
     });
   });
-  app.post(
-    "/v1/chat/completions",
-    express.json({ limit }),
-    async (req, res) => {
-      const request = createRequestContext(context, { req, res });
-      const body = parseChatBody(req.body);
-      const chunks = chatHandler.stream(body, request);
-      if (body.stream) {
-        await sendStream(res, body, chunks);
-      } else {
-        await sendWhole(res, body, chunks);
-      }
-    },
-  );
+  app.use(createChatRoutes(context));
   addServiceRoutes(app, context);
   app.use(() => {
     throw new RequestError("The path does not exist", {
@@ -69,80 +47,3 @@
   app.use(createErrorHandler(context));
   return app;
 }
-
-function parseChatBody(value: unknown): ChatRequestBody {
-  const parsed = chatRequestSchema.safeParse(value);
-  if (!parsed.success) {
-    const issue = parsed.error.issues[0];
-    throw new RequestError(
-      `The body is invalid at "${issue.path.join(".")}": ${issue.message}`,
-      { code: "bad-request", verdict: "not-run", status: 400 },
-    );
-  }
-  return parsed.data;
-}
-
-async function sendStream(
-  res: Response,
-  body: ChatRequestBody,
-  chunks: AsyncIterable<EngineChunk>,
-): Promise<void> {
-  const created = Math.floor(Date.now() / 1_000);
-  for await (const chunk of chunks) {
-    if (!res.headersSent) {
-      res.status(200).set({
-        "content-type": "text/event-stream",
-        "cache-control": "no-store",
-      }).flushHeaders();
-    }
-    const event = {
-      id: String(res.locals.requestId),
-      object: "chat.completion.chunk",
-      created,
-      model: body.model,
-      choices: [
-        chunk.type === "token"
-          ? { index: 0, delta: { content: chunk.text }, finish_reason: null }
-          : { index: 0, delta: {}, finish_reason: chunk.finishReason },
-      ],
-    };
-    if (!res.write(`data: ${JSON.stringify(event)}\n\n`)) {
-      await Promise.race([once(res, "drain"), once(res, "close")]);
-    }
-  }
-  res.end("data: [DONE]\n\n");
-}
-
-async function sendWhole(
-  res: Response,
-  body: ChatRequestBody,
-  chunks: AsyncIterable<EngineChunk>,
-): Promise<void> {
-  let content = "";
-  let finishReason = "stop";
-  let usage = { prompt_tokens: 0, completion_tokens: 0, total_tokens: 0 };
-  for await (const chunk of chunks) {
-    if (chunk.type === "token") {
-      content += chunk.text;
-    } else {
-      finishReason = chunk.finishReason;
-      usage = {
-        prompt_tokens: chunk.promptTokens,
-        completion_tokens: chunk.outputTokens,
-        total_tokens: chunk.promptTokens + chunk.outputTokens,
-      };
-    }
-  }
-  res.json({
-    id: String(res.locals.requestId),
-    object: "chat.completion",
-    created: Math.floor(Date.now() / 1_000),
-    model: body.model,
-    choices: [{
-      index: 0,
-      message: { role: "assistant", content },
-      finish_reason: finishReason,
-    }],
-    usage,
-  });
-}
--- /dev/null
+++ b/src/connection/chat_routes.ts
@@ -0,0 +1,144 @@
+import express, { type Response, Router } from "express";
+import type { DaemonContext } from "../process/daemon_context.ts";
+import { ChatHandler } from "../request/chat_handler.ts";
+import {
+  type ChatRequestBody,
+  chatRequestSchema,
+} from "../request/chat_request_schema.ts";
+import type { ChatStream } from "../request/chat_stream.ts";
+import { RequestError } from "../shared/errors.ts";
+import { CallerWriter } from "./caller_writer.ts";
+import { createErrorBody } from "./error_body.ts";
+import { createRequestContext } from "./request_context_factory.ts";
+import { type EndChunk, formatUsage, SseFrames } from "./sse_frames.ts";
+
+/** Answer that a route sends. */
+interface Answer {
+  readonly body: ChatRequestBody;
+  readonly stream: ChatStream;
+}
+
+/**
+ * Creates the route of chat requests.
+ *
+ * @param context - Parts of the daemon.
+ */
+export function createChatRoutes(context: DaemonContext): Router {
+  const app = Router();
+  const chatHandler = new ChatHandler(context);
+  const limit = context.settings.maxBodyBytes;
+  app.post(
+    "/v1/chat/completions",
+    express.json({ limit }),
+    async (req, res) => {
+      const request = createRequestContext(context, { req, res });
+      const body = parseChatBody(req.body);
+      const stream = chatHandler.createStream(body, request);
+      const writer = new CallerWriter(context, { res, stream, request });
+      try {
+        await (body.stream ? sendStream : sendWhole)(
+          res,
+          { body, stream },
+          writer,
+        );
+      } catch (error) {
+        if (res.headersSent && error instanceof RequestError) {
+          await sendErrorEvent(context, { error, res, writer });
+        } else if (!res.destroyed) {
+          throw error;
+        }
+      } finally {
+        writer.dispose();
+      }
+    },
+  );
+  return app;
+}
+
+function parseChatBody(value: unknown): ChatRequestBody {
+  const parsed = chatRequestSchema.safeParse(value);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    throw new RequestError(
+      `The body is invalid at "${issue.path.join(".")}": ${issue.message}`,
+      { code: "bad-request", verdict: "not-run", status: 400 },
+    );
+  }
+  return parsed.data;
+}
+
+async function sendStream(
+  res: Response,
+  answer: Answer,
+  writer: CallerWriter,
+): Promise<void> {
+  const { body, stream } = answer;
+  const frames = new SseFrames({
+    id: String(res.locals.requestId),
+    model: body.model,
+  });
+  for await (const chunks of stream.run()) {
+    if (!res.headersSent) {
+      res.status(200).set({
+        "content-type": "text/event-stream",
+        "cache-control": "no-store",
+      });
+    }
+    let text = "";
+    for (const chunk of chunks) {
+      text += chunk.type === "token"
+        ? frames.formatToken(chunk.text)
+        : frames.formatEnd(chunk, body.stream_options?.include_usage ?? false);
+    }
+    await writer.write(text);
+  }
+  await writer.finish("data: [DONE]\n\n");
+}
+
+async function sendWhole(
+  res: Response,
+  answer: Answer,
+  writer: CallerWriter,
+): Promise<void> {
+  const { body, stream } = answer;
+  const texts: string[] = [];
+  let end: EndChunk | undefined;
+  for await (const chunks of stream.run()) {
+    for (const chunk of chunks) {
+      if (chunk.type === "token") {
+        texts.push(chunk.text);
+      } else {
+        end = chunk;
+      }
+    }
+  }
+  res.status(200).set("content-type", "application/json; charset=utf-8");
+  await writer.finish(JSON.stringify({
+    id: res.locals.requestId,
+    object: "chat.completion",
+    created: Math.floor(Date.now() / 1_000),
+    model: body.model,
+    choices: [{
+      index: 0,
+      message: { role: "assistant", content: texts.join("") },
+      finish_reason: end?.finishReason,
+    }],
+    usage: end && formatUsage(end),
+  }));
+}
+
+/** Ends a stream that has begun with an error event, since its status is already sent. */
+async function sendErrorEvent(
+  context: DaemonContext,
+  failure: { error: RequestError; res: Response; writer: CallerWriter },
+): Promise<void> {
+  const { error, res, writer } = failure;
+  context.logger.write("info", "request-failed", {
+    requestId: String(res.locals.requestId),
+    code: error.code,
+    verdict: error.verdict,
+    message: error.message,
+  });
+  const event = createErrorBody(error, String(res.locals.requestId));
+  await writer.finish(`data: ${JSON.stringify(event)}\n\n`);
+}
--- a/src/connection/peer_router.ts
+++ b/src/connection/peer_router.ts
@@ -1,5 +1,6 @@
 import type { DaemonContext } from "../process/daemon_context.ts";
 import { createPeerAdmissionRouter } from "./peer_admission_router.ts";
+import { createPeerQuarantineRouter } from "./peer_quarantine_router.ts";
 import { createPeerStateRouter } from "./peer_state_router.ts";
 import { createPeerTimelineRouter } from "./peer_timeline_router.ts";
 import { peerTrpc } from "./peer_trpc.ts";
@@ -13,6 +14,7 @@
   return peerTrpc.router({
     state: createPeerStateRouter(context),
     admission: createPeerAdmissionRouter(context),
+    quarantine: createPeerQuarantineRouter(context),
     timeline: createPeerTimelineRouter(context),
   });
 }
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -24,16 +24,16 @@
 import { GracefulStop } from "./graceful_stop.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
-import {
-  type InFlightStreams,
-  NoInFlightStreams,
-} from "./in_flight_streams.ts";
+import { HeldBytesAccountant } from "./held_bytes_accountant.ts";
+import { InFlightStreamTable } from "./in_flight_streams.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
 import { ExchangeMembership, type Membership } from "./membership.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { VmTable } from "./vm_table.ts";
 
 const PEER_TIMEOUT_MS = 1_000;
+/** Chat requests have a budget of their own: the loss of one group needs a retry for each of its streams at once. */
+const CHAT_RETRY_BUDGET = { ratio: 0.2, maxTokens: 256, initialTokens: 256 };
 const INCARNATION_BYTES = 6;
 
 /** Identifiers of the services that are bound to interfaces. */
@@ -43,9 +43,7 @@
   zonePolicy: Symbol("ZonePolicy") as ServiceIdentifier<ZonePolicy>,
   admission: Symbol("Admission") as ServiceIdentifier<Admission>,
   quarantine: Symbol("QuarantineList") as ServiceIdentifier<QuarantineList>,
-  inFlightStreams: Symbol("InFlightStreams") as ServiceIdentifier<
-    InFlightStreams
-  >,
+  chatRetryBudget: Symbol("ChatRetryBudget") as ServiceIdentifier<RetryBudget>,
   membership: Symbol("Membership") as ServiceIdentifier<Membership>,
   configRules: Symbol("ConfigRules") as ServiceIdentifier<ConfigRules>,
   context: Symbol("DaemonContext") as ServiceIdentifier<DaemonContext>,
@@ -166,10 +164,16 @@
     [AgreementTable],
   );
   container.bind(SERVICES.quarantine).toConstantValue(
-    new LocalQuarantineList(),
+    new LocalQuarantineList({ expiryMs: settings.quarantineExpiryMs }),
   );
-  container.bind(SERVICES.inFlightStreams).toConstantValue(
-    new NoInFlightStreams(),
+  container.bind(InFlightStreamTable).toConstantValue(
+    new InFlightStreamTable(),
+  );
+  container.bind(SERVICES.chatRetryBudget).toConstantValue(
+    new RetryBudget(CHAT_RETRY_BUDGET),
+  );
+  container.bind(HeldBytesAccountant).toConstantValue(
+    new HeldBytesAccountant({ maxProcessBytes: settings.maxHeldBytes }),
   );
   container.bind(SERVICES.zonePolicy).toResolvedValue(
     (configHolder: ConfigHolder) => new ConfigZonePolicy(configHolder),
@@ -241,7 +245,9 @@
     sharedAdmission: get(SharedAdmission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
-    inFlightStreams: get(SERVICES.inFlightStreams),
+    inFlightStreams: get(InFlightStreamTable),
+    chatRetryBudget: get(SERVICES.chatRetryBudget),
+    heldBytes: get(HeldBytesAccountant),
     incarnation: randomBytes(INCARNATION_BYTES).toString("base64url"),
     membership: get(SERVICES.membership),
     agreement: get(AgreementTable),
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -17,7 +17,8 @@
 import type { GracefulStop } from "./graceful_stop.ts";
 import type { GroupDirectory } from "./group_directory.ts";
 import type { GroupHealthTable } from "./group_health.ts";
-import type { InFlightStreams } from "./in_flight_streams.ts";
+import type { HeldBytesAccountant } from "./held_bytes_accountant.ts";
+import type { InFlightStreamTable } from "./in_flight_streams.ts";
 import type { Membership } from "./membership.ts";
 import type { QuarantineList } from "./quarantine_list.ts";
 import type { RetryBudget } from "./retry_budget.ts";
@@ -44,7 +45,9 @@
   readonly sharedAdmission: SharedAdmission;
   readonly freshness: FreshnessTracker;
   readonly quarantine: QuarantineList;
-  readonly inFlightStreams: InFlightStreams;
+  readonly inFlightStreams: InFlightStreamTable;
+  readonly chatRetryBudget: RetryBudget;
+  readonly heldBytes: HeldBytesAccountant;
   /** Random id of the process. */
   readonly incarnation: string;
   readonly membership: Membership;
