--- a/src/connection/http_engine_client.ts
+++ b/src/connection/http_engine_client.ts
@@ -1,9 +1,5 @@
 import { createParser, type EventSourceMessage } from "eventsource-parser";
-import got, {
-  HTTPError,
-  type Request as GotStream,
-  RequestError as GotError,
-} from "got";
+import got, { HTTPError } from "got";
 import { Agent } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import { getErrorMessage } from "../shared/errors.ts";
@@ -14,21 +10,15 @@
   EngineError,
   type EngineOrder,
   type EngineStatus,
+  type KvExport,
   type OrderOutcome,
 } from "./engine_client.ts";
+import { convertStreamError, openEngineStream } from "./engine_stream.ts";
 
 const STATUS_TIMEOUT_MS = 1_000;
 /** Time after which an order counts as unanswered, in milliseconds. */
 export const ORDER_TIMEOUT_MS = 2_000;
-const CONNECT_TIMEOUT_MS = 1_000;
-
-/** Connection failures at which no byte of the request was sent. */
-const UNSENT_CODES: ReadonlySet<string> = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "ENOTFOUND",
-]);
+const KV_TIMEOUT_MS = 2_000;
 
 interface RawChunk {
   token_index?: number;
@@ -52,8 +42,13 @@
     address: string,
     request: EngineChatRequest,
     signal: AbortSignal,
-  ): AsyncGenerator<EngineChunk, void, undefined> {
-    const stream = this.#openChatStream(address, request, signal);
+  ): AsyncGenerator<readonly EngineChunk[], void, undefined> {
+    const stream = await openEngineStream({
+      address,
+      body: formatChatBody(request),
+      agent: this.#agent,
+      signal,
+    });
     const chunks: EngineChunk[] = [];
     const parser = createParser({
       onEvent: (message) => pushChunk(chunks, message, request),
@@ -63,9 +58,10 @@
     try {
       for await (const data of stream) {
         parser.feed(decoder.decode(data as Uint8Array, { stream: true }));
-        for (const chunk of chunks.splice(0)) {
-          ended ||= chunk.type === "end";
-          yield chunk;
+        const batch = chunks.splice(0);
+        if (batch.length > 0) {
+          ended ||= batch.at(-1)!.type === "end";
+          yield batch;
         }
       }
     } catch (error) {
@@ -90,6 +86,24 @@
     });
   }
 
+  async exportKv(address: string, requestId: string): Promise<KvExport> {
+    return await got.post(`http://${address}/kv/export`, {
+      json: { request_id: requestId },
+      agent: { http: this.#agent },
+      timeout: { request: KV_TIMEOUT_MS },
+      retry: { limit: 0 },
+    }).json<KvExport>();
+  }
+
+  async importKv(address: string, kv: KvExport): Promise<void> {
+    await got.post(`http://${address}/kv/import`, {
+      json: kv,
+      agent: { http: this.#agent },
+      timeout: { request: KV_TIMEOUT_MS },
+      retry: { limit: 0 },
+    });
+  }
+
   async getStatus(
     address: string,
   ): Promise<Either<EngineError, EngineStatus>> {
@@ -127,30 +141,20 @@
         : "unknown";
     }
   }
+}
 
-  #openChatStream(
-    address: string,
-    request: EngineChatRequest,
-    signal: AbortSignal,
-  ): GotStream {
-    return got.stream.post(`http://${address}/v1/chat/completions`, {
-      json: {
-        request_id: request.requestId,
-        model: request.model,
-        messages: request.messages,
-        max_tokens: request.maxOutputTokens,
-        priority: request.priority,
-        temperature: request.temperature,
-        stop: request.stop,
-        resume_tokens: request.resumeTokens,
-        stream: true,
-      },
-      agent: { http: this.#agent },
-      timeout: { connect: CONNECT_TIMEOUT_MS },
-      retry: { limit: 0 },
-      signal,
-    });
-  }
+function formatChatBody(request: EngineChatRequest): string {
+  return JSON.stringify({
+    request_id: request.requestId,
+    model: request.model,
+    messages: request.messages,
+    max_tokens: request.maxOutputTokens,
+    priority: request.priority,
+    temperature: request.temperature,
+    stop: request.stop,
+    resume_tokens: request.resumeTokens,
+    stream: true,
+  });
 }
 
 function pushChunk(
@@ -179,32 +183,3 @@
     });
   }
 }
-
-function convertStreamError(error: unknown, signal: AbortSignal): EngineError {
-  if (error instanceof EngineError) {
-    return error;
-  }
-  const message = `The engine failed: ${getErrorMessage(error)}`;
-  if (signal.aborted) {
-    return new EngineError(message, {
-      verdict: "may-have-run",
-      kind: "aborted",
-      cause: error,
-    });
-  }
-  if (error instanceof HTTPError) {
-    return new EngineError(message, {
-      verdict: "not-run",
-      kind: "refused",
-      cause: error,
-    });
-  }
-  const unsent = error instanceof GotError &&
-    (UNSENT_CODES.has(error.code) ||
-      (error.code === "ETIMEDOUT" && error.message.includes("'connect'")));
-  return new EngineError(message, {
-    verdict: unsent ? "not-run" : "may-have-run",
-    kind: unsent ? "unreachable" : "lost",
-    cause: error,
-  });
-}
--- a/src/connection/operator_app.ts
+++ b/src/connection/operator_app.ts
@@ -1,5 +1,6 @@
 import express, { type Express } from "express";
 import type { DaemonContext } from "../process/daemon_context.ts";
+import { addQuarantineRoutes } from "./quarantine_routes.ts";
 
 /**
  * Creates the application of the operator port.
@@ -38,5 +39,6 @@
       }),
     });
   });
+  addQuarantineRoutes(app, context);
   return app;
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -12,6 +12,7 @@
 import { OutOfServiceTask } from "./out_of_service_task.ts";
 import { PeerExchangeSupervisor } from "./peer_exchange_task.ts";
 import { PlannerTask } from "./planner_task.ts";
+import { QuarantineSyncTask } from "./quarantine_sync_task.ts";
 import { StoreSyncTask } from "./store_sync_task.ts";
 
 /** Options of a daemon. */
@@ -70,8 +71,10 @@
     this.#startTask("peer-exchange", new PeerExchangeSupervisor(this.context));
     this.#startTask("store-sync", new StoreSyncTask(this.context));
     this.#startTask("group-monitor", new GroupMonitorTask(this.context));
+    this.#startTask("admission", this.context.sharedAdmission);
     this.#startTask("out-of-service", new OutOfServiceTask(this.context));
     this.#startTask("planner", new PlannerTask(this.context));
+    this.#startTask("quarantine-sync", new QuarantineSyncTask(this.context));
     this.#startTask("claim-sweep", new ClaimSweepTask(this.context));
     logger.write("info", "daemon-started", {
       caller: this.callerAddress,
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -8,6 +8,7 @@
 import type { ConfigHolder } from "../version/config_holder.ts";
 import type { PlacementHolder } from "../version/placement_holder.ts";
 import type { ZonePolicy } from "../version/zone_policy.ts";
+import type { SharedAdmission } from "./admission/shared_admission.ts";
 import type { ConfigRepository } from "../version/config_repository.ts";
 import type { Admission } from "./admission.ts";
 import type { AgreementTable } from "./agreement_table.ts";
@@ -16,7 +17,8 @@
 import type { GracefulStop } from "./graceful_stop.ts";
 import type { GroupDirectory } from "./group_directory.ts";
 import type { GroupHealthTable } from "./group_health.ts";
-import type { InFlightStreams } from "./in_flight_streams.ts";
+import type { HeldBytesAccountant } from "./held_bytes_accountant.ts";
+import type { InFlightStreamTable } from "./in_flight_streams.ts";
 import type { Membership } from "./membership.ts";
 import type { QuarantineList } from "./quarantine_list.ts";
 import type { RetryBudget } from "./retry_budget.ts";
@@ -39,9 +41,13 @@
   readonly healthTable: GroupHealthTable;
   readonly groupDirectory: GroupDirectory;
   readonly admission: Admission;
+  /** Side of the admission that answers the other daemons. */
+  readonly sharedAdmission: SharedAdmission;
   readonly freshness: FreshnessTracker;
   readonly quarantine: QuarantineList;
-  readonly inFlightStreams: InFlightStreams;
+  readonly inFlightStreams: InFlightStreamTable;
+  readonly chatRetryBudget: RetryBudget;
+  readonly heldBytes: HeldBytesAccountant;
   /** Random id of the process. */
   readonly incarnation: string;
   readonly membership: Membership;
--- /dev/null
+++ b/tests/quarantine_test.ts
@@ -0,0 +1,160 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { getExpectedAnswer } from "../fakes/fake_answer.ts";
+import { OperatorClient } from "../src/cli/operator_client.ts";
+import { CallerStream } from "./support/caller_stream.ts";
+import { TestDeployment, waitUntil } from "./support/test_deployment.ts";
+
+const MARKER = "crash-marker";
+const CRASH_CONTENT = `tokens=40 ${MARKER}`;
+
+describe("quarantine", () => {
+  let deployment: TestDeployment;
+
+  beforeEach(async () => {
+    deployment = await TestDeployment.start({
+      daemons: 3,
+      enginesPerZone: 4,
+      engine: { tokenIntervalMs: 10, coldRequests: 16 },
+      configure: (document) => document.models[0].coldSlots = 8,
+      settings: { resumeTimeoutMs: 5_000 },
+    });
+    deployment.engines.forEach((e) => e.faults.crashMarker = MARKER);
+  });
+
+  afterEach(async () => {
+    await deployment.dispose();
+  });
+
+  function countCrashes(): number {
+    return deployment.engines.reduce((sum, e) => sum + e.crashes, 0);
+  }
+
+  // Guards against a retried request that takes down one group after another.
+  it("crashes at most two groups, through any daemon", async () => {
+    for (let round = 0; round < 2; round++) {
+      for (const daemon of deployment.daemons) {
+        const answer = await deployment.requestChat(daemon, CRASH_CONTENT);
+        expect(answer.statusCode).not.toBe(200);
+        // The verdict denies a run only when the request was refused before its first attempt.
+        expect(JSON.parse(answer.body).error.verdict).toBe(
+          round === 0 && daemon === deployment.daemons[0]
+            ? "may-have-run"
+            : "not-run",
+        );
+      }
+    }
+    expect(countCrashes()).toBe(2);
+    const last = await deployment.requestChat(
+      deployment.daemons[2],
+      CRASH_CONTENT,
+    );
+    expect(JSON.parse(last.body).error).toMatchObject({
+      code: "quarantined",
+      verdict: "not-run",
+    });
+  });
+
+  // Guards against innocent requests of the same batch that are refused or cut.
+  it("completes innocent companions", async () => {
+    const contents = [1, 2, 3, 4, 5, 6].map((i) => `tokens=60 innocent ${i}`);
+    const streams = contents.map((content) =>
+      CallerStream.open(deployment.daemons[0], { content })
+    );
+    await waitUntil(() => streams.every((s) => s.answer !== ""));
+    await deployment.requestChat(deployment.daemons[1], CRASH_CONTENT);
+    await Promise.all(streams.map((stream) => stream.wait()));
+    for (const [index, stream] of streams.entries()) {
+      const messages = [{ role: "user" as const, content: contents[index] }];
+      expect(stream.error).toBeUndefined();
+      expect(stream.answer).toBe(getExpectedAnswer(messages, 999).join(""));
+    }
+    const { quarantine } = deployment.daemons[0].context;
+    await waitUntil(() => quarantine.getQuarantined().length === 1);
+    expect(countCrashes()).toBe(2);
+  });
+
+  // Guards against a quarantine that one daemon keeps for itself, or that a restart forgets.
+  it("spreads to all daemons, to the store and back by a clearance", async () => {
+    await deployment.requestChat(deployment.daemons[0], CRASH_CONTENT);
+    const getLists = () => deployment.daemons.map((d) => d.context.quarantine);
+    await waitUntil(
+      () => getLists().every((list) => list.getQuarantined().length === 1),
+      2_000,
+    );
+    await waitUntil(() =>
+      deployment.platform.getObject("quarantine", "main") !== undefined
+    );
+    const added = await deployment.startDaemon();
+    await waitUntil(
+      () => added.context.quarantine.getQuarantined().length === 1,
+      2_000,
+    );
+    const client = new OperatorClient({
+      url: `http://${added.operatorAddress}`,
+    });
+    // The lost groups come from the peers, later than the stored fingerprint.
+    await waitUntil(
+      async () => (await client.getQuarantine())[0].groups.length === 2,
+      2_000,
+    );
+    const [entry] = await client.getQuarantine();
+    expect(await client.clearQuarantine(entry.fingerprint)).toBe(1);
+    await waitUntil(
+      () => getLists().every((list) => list.getQuarantined().length === 0),
+      2_000,
+    );
+  });
+});
+
+describe("suspects", () => {
+  // Guards against a guilty request that hides among the requests that are retried with it.
+  it("run alone after a loss, so that the second loss names the guilty one", async () => {
+    const deployment = await TestDeployment.start({
+      zones: ["zone-a", "zone-b", "zone-c"],
+      daemons: 1,
+      engine: { tokenIntervalMs: 5, coldRequests: 16 },
+      configure: (document) => document.models[0].coldSlots = 8,
+      settings: { resumeTimeoutMs: 15_000 },
+    });
+    const [daemon] = deployment.daemons;
+    const takeOut = async (zones: readonly string[]) => {
+      const version = deployment.setConfig((document) =>
+        document.zones.forEach((z) => z.takenOut = zones.includes(z.name))
+      );
+      await waitUntil(() =>
+        daemon.context.configHolder.getVersion() === version
+      );
+    };
+    const countCrashes = () =>
+      deployment.engines.reduce((sum, e) => sum + e.crashes, 0);
+    try {
+      deployment.engines.forEach((e) => e.faults.crashMarker = MARKER);
+      await takeOut(["zone-b", "zone-c"]);
+      const contents = [1, 2, 3, 4].map((i) => `tokens=150 innocent ${i}`);
+      const streams = contents.map((content) =>
+        CallerStream.open(daemon, { content })
+      );
+      await waitUntil(() => streams.every((s) => s.answer !== ""));
+      const guilty = deployment.requestChat(daemon, CRASH_CONTENT);
+      await waitUntil(() => countCrashes() === 1);
+      await takeOut(["zone-c"]);
+      await waitUntil(() => countCrashes() === 2, 15_000);
+      await takeOut([]);
+      const refused = JSON.parse((await guilty).body).error;
+      await Promise.all(streams.map((stream) => stream.wait()));
+      expect(refused).toMatchObject({
+        code: "quarantined",
+        verdict: "may-have-run",
+      });
+      for (const [index, stream] of streams.entries()) {
+        const messages = [{ role: "user" as const, content: contents[index] }];
+        expect(stream.answer).toBe(getExpectedAnswer(messages, 999).join(""));
+      }
+      expect(countCrashes()).toBe(2);
+      const list = daemon.context.quarantine.getQuarantined();
+      expect(list.length).toBe(1);
+    } finally {
+      await deployment.dispose();
+    }
+  });
+});
