Release a test deployment whose start fails

On a machine with load 29 one start exceeded its 10 s, and its seven daemons kept running, after which every later start of tests/state_spread_test.ts failed as well (18 of 20).

--- a/tests/support/test_deployment.ts
+++ b/tests/support/test_deployment.ts
@@ -63,7 +63,13 @@
     options: TestDeploymentOptions = {},
   ): Promise<TestDeployment> {
     const deployment = new TestDeployment(options);
-    await deployment.#start();
+    try {
+      await deployment.#start();
+    } catch (error) {
+      // Daemons left running would slow down every later test of the file.
+      await deployment.dispose();
+      throw error;
+    }
     return deployment;
   }
 
