--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -4,6 +4,7 @@
 import { HttpEngineClient } from "../connection/http_engine_client.ts";
 import { HttpPlatformClient } from "../connection/http_platform_client.ts";
 import { HttpPeerClients } from "../connection/peer_clients.ts";
+import { PeerLoanChannel } from "../connection/peer_loan_channel.ts";
 import { LifeCycleManager } from "../shared/life_cycle_manager.ts";
 import { type Logger, ProcessLogger } from "../shared/logger.ts";
 import { Timeline } from "../shared/timeline.ts";
@@ -13,6 +14,7 @@
 import { checkConfigRules } from "../version/config_rules.ts";
 import { PlacementHolder } from "../version/placement_holder.ts";
 import { ConfigZonePolicy, type ZonePolicy } from "../version/zone_policy.ts";
+import { SharedAdmission } from "./admission/shared_admission.ts";
 import type { Admission } from "./admission.ts";
 import { AgreementTable } from "./agreement_table.ts";
 import { ConfigAnnouncer } from "./config_announcer.ts";
@@ -22,17 +24,16 @@
 import { GracefulStop } from "./graceful_stop.ts";
 import { GroupDirectory } from "./group_directory.ts";
 import { GroupHealthTable } from "./group_health.ts";
-import {
-  type InFlightStreams,
-  NoInFlightStreams,
-} from "./in_flight_streams.ts";
-import { LocalAdmission } from "./local_admission.ts";
+import { HeldBytesAccountant } from "./held_bytes_accountant.ts";
+import { InFlightStreamTable } from "./in_flight_streams.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
 import { ExchangeMembership, type Membership } from "./membership.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { VmTable } from "./vm_table.ts";
 
 const PEER_TIMEOUT_MS = 1_000;
+/** Chat requests have a budget of their own: the loss of one group needs a retry for each of its streams at once. */
+const CHAT_RETRY_BUDGET = { ratio: 0.2, maxTokens: 256, initialTokens: 256 };
 const INCARNATION_BYTES = 6;
 
 /** Identifiers of the services that are bound to interfaces. */
@@ -42,9 +43,7 @@
   zonePolicy: Symbol("ZonePolicy") as ServiceIdentifier<ZonePolicy>,
   admission: Symbol("Admission") as ServiceIdentifier<Admission>,
   quarantine: Symbol("QuarantineList") as ServiceIdentifier<QuarantineList>,
-  inFlightStreams: Symbol("InFlightStreams") as ServiceIdentifier<
-    InFlightStreams
-  >,
+  chatRetryBudget: Symbol("ChatRetryBudget") as ServiceIdentifier<RetryBudget>,
   membership: Symbol("Membership") as ServiceIdentifier<Membership>,
   configRules: Symbol("ConfigRules") as ServiceIdentifier<ConfigRules>,
   context: Symbol("DaemonContext") as ServiceIdentifier<DaemonContext>,
@@ -165,10 +164,16 @@
     [AgreementTable],
   );
   container.bind(SERVICES.quarantine).toConstantValue(
-    new LocalQuarantineList(),
+    new LocalQuarantineList({ expiryMs: settings.quarantineExpiryMs }),
   );
-  container.bind(SERVICES.inFlightStreams).toConstantValue(
-    new NoInFlightStreams(),
+  container.bind(InFlightStreamTable).toConstantValue(
+    new InFlightStreamTable(),
+  );
+  container.bind(SERVICES.chatRetryBudget).toConstantValue(
+    new RetryBudget(CHAT_RETRY_BUDGET),
+  );
+  container.bind(HeldBytesAccountant).toConstantValue(
+    new HeldBytesAccountant({ maxProcessBytes: settings.maxHeldBytes }),
   );
   container.bind(SERVICES.zonePolicy).toResolvedValue(
     (configHolder: ConfigHolder) => new ConfigZonePolicy(configHolder),
@@ -191,9 +196,32 @@
       SERVICES.zonePolicy,
     ],
   );
+  bindAdmission(container, settings);
+}
+
+function bindAdmission(container: Container, settings: DaemonSettings): void {
+  container.bind(SharedAdmission).toDynamicValue(({ get }) =>
+    new SharedAdmission({
+      name: settings.name,
+      zone: settings.zone,
+      vmListLagMs: settings.vmListLagMs,
+      vmListIntervalMs: settings.exchangeIntervalMs,
+      longestRequestMs: settings.defaultDeadlineMs,
+      directory: get(GroupDirectory),
+      configHolder: get(ConfigHolder),
+      placementHolder: get(PlacementHolder),
+      healthTable: get(GroupHealthTable),
+      vmTable: get(VmTable),
+      channel: new PeerLoanChannel({
+        peerClients: get(HttpPeerClients),
+        vmTable: get(VmTable),
+      }),
+      signal: get(LifeCycleManager).signal,
+    })
+  );
   container.bind(SERVICES.admission).toResolvedValue(
-    (directory: GroupDirectory) => new LocalAdmission(directory),
-    [GroupDirectory],
+    (admission: SharedAdmission) => admission,
+    [SharedAdmission],
   );
 }
 
@@ -214,9 +242,12 @@
     healthTable: get(GroupHealthTable),
     groupDirectory: get(GroupDirectory),
     admission: get(SERVICES.admission),
+    sharedAdmission: get(SharedAdmission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
-    inFlightStreams: get(SERVICES.inFlightStreams),
+    inFlightStreams: get(InFlightStreamTable),
+    chatRetryBudget: get(SERVICES.chatRetryBudget),
+    heldBytes: get(HeldBytesAccountant),
     incarnation: randomBytes(INCARNATION_BYTES).toString("base64url"),
     membership: get(SERVICES.membership),
     agreement: get(AgreementTable),
