Keep planner leases out of the tests of claims

Renewals of planner leases are writes to the same fake store, so they can take a fault that a test sets for the write of a claim. The services' test deployment gets a long lease, under which no lease is written in its time. This does not explain the failure of "does not free a key that ran during an outage for a counted retry": it passes alone and still fails when the whole file runs on a busy machine (load average above 20).

--- a/tests/support/service_deployment.ts
+++ b/tests/support/service_deployment.ts
@@ -101,6 +101,8 @@
       freshnessLimitMs: 60_000,
       planIntervalMs: 10_000,
       claimWaitMs: CLAIM_WAIT_MS,
+      // Writes of planner leases would take the faults that a test sets for the write of a claim.
+      leaseDurationMs: 600_000,
       ...settings,
     };
   }
