Report readiness only after the shares are settled, and bound outputs by the context

Cause: after the merge of shared admission, requests just after a start were refused with no-capacity, since a new daemon owns no share before its hold-down. The balancer now sends it nothing before that; a daemon that the list does not name takes requests after the hold-down and borrows. An output limit above the model's context asked for more KV memory than any group has, so that the request could never be granted: it is bounded by the rest of the context, and a prompt that fills the context is refused. Prompt lengths count UTF-8 bytes: by characters, Japanese prompts counted as a third of their tokens.

--- a/src/connection/operator_app.ts
+++ b/src/connection/operator_app.ts
@@ -16,6 +16,7 @@
   app.get("/readyz", (_req, res) => {
     const ready = context.configHolder.getCurrent() !== undefined &&
       context.freshness.getState() === "fresh" &&
+      context.sharedAdmission.isReady() &&
       !context.gracefulStop.isLeaving();
     res.status(ready ? 200 : 503).json({ ready });
   });
--- a/src/process/admission/share_calculator.ts
+++ b/src/process/admission/share_calculator.ts
@@ -67,6 +67,12 @@
     }
   }
 
+  /** Gets whether the daemon has not been listed for the whole hold-down, so that it owns no lane yet. */
+  isHeldDown(): boolean {
+    return this.#listedSinceMs === undefined ||
+      performance.now() - this.#listedSinceMs < this.#options.holdDownMs;
+  }
+
   /** Gets the names of all VMs that a list of the hold-down named. */
   getKnownNames(): string[] {
     return this.#candidates.map((c) => c.name);
@@ -92,9 +98,7 @@
    * @param key - Group.
    */
   getOwnLanes(key: HomeKey): number[] {
-    const heldDown = this.#listedSinceMs === undefined ||
-      performance.now() - this.#listedSinceMs < this.#options.holdDownMs;
-    if (heldDown) {
+    if (this.isHeldDown()) {
       return [];
     }
     const lanes: number[] = [];
--- a/src/process/admission/shared_admission.ts
+++ b/src/process/admission/shared_admission.ts
@@ -89,6 +89,9 @@
   readonly #failedAtMs = new Map<string, number>();
   readonly #reserved = new Set<string>();
 
+  readonly #startedAtMs = performance.now();
+  #ready = false;
+
   constructor(options: SharedAdmissionOptions) {
     this.#options = options;
     const { name, channel } = options;
@@ -124,6 +127,22 @@
     });
   }
 
+  /** Gets whether the daemon may use all shares that it owns by the newest list. */
+  hasSettledShares(): boolean {
+    return !this.#calculator.isHeldDown() && !this.#keeper.hasOpenLanes();
+  }
+
+  /**
+   * Gets whether the daemon takes requests. Before its shares are settled it would borrow each slot; a daemon that the lagging list does not name borrows after the hold-down.
+   *
+   * Later changes of the shares do not make a daemon unready.
+   */
+  isReady(): boolean {
+    this.#ready ||= performance.now() - this.#startedAtMs >=
+      getHoldDownMs(this.#options);
+    return this.#ready;
+  }
+
   /** Keeps shares, loans and queues up to date until the daemon stops. */
   async run(): Promise<void> {
     do {
@@ -139,6 +158,7 @@
     if (this.#keeper.hasOpenLanes()) {
       void this.#keeper.trySettle();
     }
+    this.#ready ||= this.hasSettledShares();
     groups.forEach((g) => this.#observeHealth(g.groupId, g.model));
     this.broker.refresh();
     this.broker.resume();
--- a/src/request/chat_engine_request.ts
+++ b/src/request/chat_engine_request.ts
@@ -1,8 +1,10 @@
+import { Buffer } from "node:buffer";
 import type { EngineChatRequest } from "../connection/engine_client.ts";
 import type { ModelConfig } from "../version/config_schema.ts";
 import type { ChatRequestBody } from "./chat_request_schema.ts";
 
-const CHARACTERS_PER_TOKEN = 3;
+/** Tokenisers give about four bytes of English and three bytes of Japanese a token; the lower figure keeps the estimate high. */
+const UTF8_BYTES_PER_TOKEN = 3;
 
 /** What differs between the attempts of one request. */
 export interface AttemptFields {
@@ -27,8 +29,16 @@
  * @param model - Model that runs it.
  */
 export function getKvTokens(body: ChatRequestBody, model: ModelConfig): number {
-  const promptTokens = Math.ceil(getText(body).length / CHARACTERS_PER_TOKEN);
-  return promptTokens + getOutputTokens(body, model);
+  return getPromptTokens(body) + getOutputTokens(body, model);
+}
+
+/**
+ * Gets the estimated length of a request's prompt in tokens.
+ *
+ * @param body - Validated request.
+ */
+export function getPromptTokens(body: ChatRequestBody): number {
+  return Math.ceil(Buffer.byteLength(getText(body)) / UTF8_BYTES_PER_TOKEN);
 }
 
 /**
@@ -73,7 +83,7 @@
 }
 
 /**
- * Gets the output limit of a request in tokens.
+ * Gets the output limit of a request in tokens: what it asks for, within the rest of the model's context.
  *
  * @param body - Validated request.
  * @param model - Model that runs it.
@@ -82,6 +92,10 @@
   body: ChatRequestBody,
   model: ModelConfig,
 ): number {
-  return body.max_completion_tokens ?? body.max_tokens ??
+  const asked = body.max_completion_tokens ?? body.max_tokens ??
     model.defaultOutputTokens;
+  return Math.max(
+    1,
+    Math.min(asked, model.contextTokens - getPromptTokens(body)),
+  );
 }
--- a/src/request/chat_handler.ts
+++ b/src/request/chat_handler.ts
@@ -1,6 +1,7 @@
 import type { DaemonContext } from "../process/daemon_context.ts";
 import { RequestError } from "../shared/errors.ts";
 import type { ModelConfig } from "../version/config_schema.ts";
+import { getPromptTokens } from "./chat_engine_request.ts";
 import type { ChatRequestBody } from "./chat_request_schema.ts";
 import { ChatStream } from "./chat_stream.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -23,6 +24,7 @@
   createStream(body: ChatRequestBody, request: RequestContext): ChatStream {
     this.#checkFreshness();
     const model = this.#getModelOrThrow(body.model);
+    checkPromptLength(body, model);
     return new ChatStream(this.#context, { body, model, request });
   }
 
@@ -53,3 +55,14 @@
     return model;
   }
 }
+
+function checkPromptLength(body: ChatRequestBody, model: ModelConfig): void {
+  const longest = Math.min(model.contextTokens, model.kvTokensPerGroup);
+  const promptTokens = getPromptTokens(body);
+  if (promptTokens >= longest) {
+    throw new RequestError(
+      `The prompt of about ${promptTokens} tokens leaves no room in the ${longest} tokens of model "${model.name}"`,
+      { code: "bad-request", verdict: "not-run", status: 400 },
+    );
+  }
+}
--- a/src/shared/life_cycle_manager.ts
+++ b/src/shared/life_cycle_manager.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from "node:events";
+
 /** Resource that is released once. */
 export interface Disposable {
   /** Releases the resource. */
@@ -9,6 +11,11 @@
   readonly #disposables: Disposable[] = [];
   readonly #abortController = new AbortController();
 
+  constructor() {
+    // Every waiting task and request listens to the one signal.
+    setMaxListeners(0, this.#abortController.signal);
+  }
+
   /** Gets the signal that aborts when the manager is disposed. */
   get signal(): AbortSignal {
     return this.#abortController.signal;
--- a/tests/support/service_deployment.ts
+++ b/tests/support/service_deployment.ts
@@ -97,6 +97,7 @@
       platformUrl: this.platform.url,
       logLevel: "error",
       balancerLagMs: 0,
+      vmListLagMs: 200,
       exchangeIntervalMs: 100,
       freshnessLimitMs: 60_000,
       planIntervalMs: 10_000,
--- a/tests/support/test_deployment.ts
+++ b/tests/support/test_deployment.ts
@@ -201,9 +201,10 @@
   ): Promise<void> {
     await waitUntil(() =>
       this.daemons.every((daemon) => {
-        const serving = daemon.context.groupDirectory
-          .getServingGroups(TEST_MODEL);
-        return zones.every((z) => serving.some((s) => s.group.zone === z));
+        const { groupDirectory, sharedAdmission } = daemon.context;
+        const serving = groupDirectory.getServingGroups(TEST_MODEL);
+        return sharedAdmission.hasSettledShares() &&
+          zones.every((z) => serving.some((s) => s.group.zone === z));
       }), timeoutMs);
   }
 
@@ -267,7 +268,8 @@
           count: Math.floor(perZone / groupSizeVms),
         })),
         slotsPerGroup: 16,
-        kvTokensPerGroup: 100_000,
+        contextTokens: 400_000,
+        kvTokensPerGroup: 1_000_000,
         warmAfterRequests: 2,
         honoursFencing: true,
       }],
--- a/tools/quickstart.ts
+++ b/tools/quickstart.ts
@@ -68,6 +68,7 @@
     headers: { "if-none-match": "*" },
   });
   await waitUntilServing(daemons[0]);
+  await Promise.all(daemons.map(waitUntilReady));
   await checkModelAnswer(daemons[0]);
   await checkBooking(daemons[1]);
   print("\nBoth answers are right.");
@@ -127,7 +128,13 @@
   for (const [index, zone] of ZONES.entries()) {
     const name = `entry-${index + 1}`;
     const file = join(directory, `${name}.jsonc`);
-    const settings = { name, zone, platformUrl, balancerLagMs: 100 };
+    const settings = {
+      name,
+      zone,
+      platformUrl,
+      balancerLagMs: 100,
+      vmListLagMs: 200,
+    };
     await writeFile(
       file,
       `// Settings of the daemon on ${name}.\n${JSON.stringify(settings)}\n`,
@@ -190,6 +197,20 @@
   throw new Error("No complete group came up in time");
 }
 
+async function waitUntilReady(daemon: DaemonAddresses): Promise<void> {
+  const limitAtMs = performance.now() + READY_TIMEOUT_MS;
+  while (performance.now() < limitAtMs) {
+    const answer = await got(`http://${daemon.operator}/readyz`, {
+      throwHttpErrors: false,
+    });
+    if (answer.statusCode === 200) {
+      return;
+    }
+    await delay(100);
+  }
+  throw new Error("A daemon did not become ready in time");
+}
+
 async function checkModelAnswer(daemon: DaemonAddresses): Promise<void> {
   print(`\nAsking model "${MODEL}" through entry-1:`);
   const stream = got.stream.post(
