--- a/tests/support/admission_group.ts
+++ b/tests/support/admission_group.ts
@@ -21,6 +21,8 @@
 /** Longest lag of the VM list in the tests, in milliseconds. */
 export const LIST_LAG_MS = 400;
 const LIST_INTERVAL_MS = 100;
+/** Makes an observation at a change newer than a routine one in the same millisecond of the paused clock. */
+const ROUTINE_HEALTH_AGE_MS = 1;
 const LONGEST_REQUEST_MS = 5_000;
 const GROUP_ID = "rack-1-1";
 const ZONES = ["zone-a", "zone-b", "zone-c"];
@@ -197,7 +199,7 @@
       }
       const failed = [...member.grants];
       member.grants.clear();
-      this.#offerHealth(member);
+      this.#offerHealth(member, 0);
       failed.forEach((grant) => grant.release("cancelled"));
     }
   }
@@ -205,7 +207,7 @@
   /** Lets the engine report that it is ready. */
   turnReady(): void {
     this.state = "ready";
-    this.members.forEach((member) => this.#offerHealth(member));
+    this.members.forEach((member) => this.#offerHealth(member, 0));
   }
 
   /** Gets the requests that run now. */
@@ -267,11 +269,11 @@
       const index = this.#lists.findLastIndex((l) => l.atMs <= atMs);
       member.listIndex = Math.max(index, 0);
       member.vmTable.replace(this.#lists[member.listIndex].vms);
-      this.#offerHealth(member);
+      this.#offerHealth(member, ROUTINE_HEALTH_AGE_MS);
     } while (await delay(LIST_INTERVAL_MS, member.abort.signal));
   }
 
-  #offerHealth(member: AdmissionMember): void {
+  #offerHealth(member: AdmissionMember, ageMs: number): void {
     member.healthTable.offer({
       groupId: GROUP_ID,
       generation: 1,
@@ -279,7 +281,7 @@
       bootId: this.bootId,
       observer: member.name,
       sequence: ++this.#sequence,
-      ageMs: 0,
+      ageMs,
       runningRequests: 0,
       heldTokens: 0,
       maxTokens: 1_000,
