Count own loans in the settlement, and return loans in a planned stop

A borrower that gained the lanes of a dead lender counted the same slots twice, as its loan and as its own share: a directed history ran 17 requests on 10 slots. The settlement now asks the daemon itself too; the history stays within 10.

A stop hook gives all loans back and repeats lost repayments for up to 4 s.

--- /dev/null
+++ b/src/process/admission/held_loans.ts
@@ -0,0 +1,21 @@
+import type { HeldLoan } from "./loan_messages.ts";
+import type { SlotLedger } from "./slot_ledger.ts";
+
+/**
+ * Lists the loans that a daemon holds, as far as a settlement needs them.
+ *
+ * @param ledger - Ledger of the daemon.
+ * @param groupIds - Groups in question.
+ */
+export function listHeldLoans(
+  ledger: SlotLedger,
+  groupIds: readonly string[],
+): HeldLoan[] {
+  return groupIds.flatMap((groupId) =>
+    ledger.getBorrowedLoans(groupId).map((loan) => ({
+      groupId,
+      lender: loan.peer,
+      lenderStartId: loan.lenderStartId,
+    }))
+  );
+}
--- a/src/process/admission/loan_broker.ts
+++ b/src/process/admission/loan_broker.ts
@@ -1,3 +1,4 @@
+import { delay } from "../../shared/delay.ts";
 import type { Capacity } from "./capacity.ts";
 import {
   type LoanBatch,
@@ -18,6 +19,9 @@
 /** Time without new work on a group after which its free loans are repaid, in milliseconds. */
 const IDLE_LOAN_MS = 300;
 
+/** Pause between two attempts to give everything back, in milliseconds. */
+const REPAY_ALL_PAUSE_MS = 50;
+
 /** Parts of the loan broker. */
 export interface LoanBrokerOptions {
   readonly name: string;
@@ -59,6 +63,7 @@
   readonly #neededAtMs = new Map<string, number>();
   readonly #finishedByLoan = new Map<string, number>();
   #sequence = 0;
+  #sending = 0;
   /** Number of batches sent. */
   messages = 0;
 
@@ -120,6 +125,30 @@
     await Promise.all([...this.#queues.keys()].map((p) => this.#send(p)));
   }
 
+  /**
+   * Gives all loans back and repeats lost repayments until every lender has confirmed.
+   *
+   * @param timeoutMs - Longest time to try, in milliseconds; a lender that does not answer deducts its loan until the expiry.
+   * @returns Whether nothing is left to give back. Loans that are still in use are left.
+   */
+  async repayAll(timeoutMs: number): Promise<boolean> {
+    const { ledger } = this.#options;
+    const endsAtMs = performance.now() + timeoutMs;
+    while (true) {
+      ledger.getGroupIds().forEach((groupId) => this.repayFree(groupId));
+      this.resume();
+      const left = this.#sending > 0 ||
+        [...this.#queues.values()].some(hasWaiting) ||
+        ledger.getGroupIds().some((id) =>
+          ledger.getBorrowedLoans(id).length > 0
+        );
+      if (!left || performance.now() >= endsAtMs) {
+        return !left;
+      }
+      await delay(REPAY_ALL_PAUSE_MS);
+    }
+  }
+
   #refreshGroup(groupId: string, options: { idle: boolean }): void {
     const { ledger } = this.#options;
     const now = performance.now();
@@ -206,6 +235,7 @@
     };
     this.messages++;
     let answer: LoanBatchAnswer | undefined;
+    this.#sending++;
     try {
       answer = await channel.sendLoans(peer, batch);
     } catch {
@@ -219,6 +249,8 @@
           untilMs: sentAtMs + b.holdMs + RENEW_BEFORE_MS,
         });
       }
+    } finally {
+      this.#sending--;
     }
     for (const loanId of answer?.renewed ?? []) {
       const loan = renewals.find((r) => r.loanId === loanId);
--- a/src/process/admission/loan_office.ts
+++ b/src/process/admission/loan_office.ts
@@ -11,6 +11,7 @@
 } from "./loan_messages.ts";
 import type { ShareCalculator } from "./share_calculator.ts";
 import type { SharedGroup, ShareKeeper } from "./share_keeper.ts";
+import { listHeldLoans } from "./held_loans.ts";
 import type { SlotLedger } from "./slot_ledger.ts";
 
 /** Time for which a repayment that arrives before its loan is remembered, in milliseconds. */
@@ -79,17 +80,20 @@
     const { ledger, startId } = this.#options;
     return {
       startId,
-      busyGroupIds: question.groupIds.filter((id) => ledger.hasOverhang(id)),
-      heldLoans: question.groupIds.flatMap((groupId) =>
-        ledger.getBorrowedLoans(groupId).map((loan) => ({
-          groupId,
-          lender: loan.peer,
-          lenderStartId: loan.lenderStartId,
-        }))
+      busyGroupIds: question.groupIds.filter((id) =>
+        ledger.hasOverhang(id) || this.#isColdInUse(id)
       ),
+      heldLoans: listHeldLoans(ledger, question.groupIds),
     };
   }
 
+  /** Gets whether this daemon uses a cold group: a new first home counts the load of a cold group from zero. */
+  #isColdInUse(groupId: string): boolean {
+    const { ledger, ramp } = this.#options;
+    return ramp.isCold(groupId) &&
+      ledger.getUsed(groupId).slots + ledger.getLent(groupId).slots > 0;
+  }
+
   #lend(from: string, request: LoanRequest): LoanAnswer | undefined {
     const { startId, ledger, keeper, ramp } = this.#options;
     const group = this.#options.getGroup(request.groupId);
--- a/src/process/admission/loan_office_test.ts
+++ b/src/process/admission/loan_office_test.ts
@@ -149,7 +149,9 @@
   it("lends a cold group within its ramp", async () => {
     const { office, ramp } = await createOffice({ cold: true });
     const answer = office.answerLoans(
-      createBatch({ borrows: [createBorrow("loan-1"), createBorrow("loan-2")] }),
+      createBatch({
+        borrows: [createBorrow("loan-1"), createBorrow("loan-2")],
+      }),
     );
     expect(answer.loans.map((l) => l.loanId)).toEqual(["loan-1"]);
     office.answerLoans(
@@ -158,6 +160,18 @@
     expect(ramp.getFinished(GROUP_ID)).toBe(4);
   });
 
+  // Guards against a new first home that counts a cold group's load from zero beside the requests of the former one.
+  it.each([[true, [GROUP_ID]], [false, []]])(
+    "reports a used group as busy when it is cold: %s",
+    async (cold, busyGroupIds) => {
+      const { office, ledger } = await createOffice({ cold });
+      ledger.tryAcquire(GROUP_ID, { slots: 1, tokens: 10 }, 0);
+      const question = { from: "entry-2", groupIds: [GROUP_ID] };
+      expect(office.answerSettlement(question).busyGroupIds)
+        .toEqual(busyGroupIds);
+    },
+  );
+
   // Guards against a loan of a group that is no longer placed.
   it("lends nothing of an unknown group", async () => {
     const { office } = await createOffice();
--- a/src/process/admission/share_keeper.ts
+++ b/src/process/admission/share_keeper.ts
@@ -5,6 +5,7 @@
   getLaneCapacity,
   NO_CAPACITY,
 } from "./capacity.ts";
+import { listHeldLoans } from "./held_loans.ts";
 import type { LoanChannel, SettlementAnswer } from "./loan_messages.ts";
 import type { ShareCalculator } from "./share_calculator.ts";
 import type { SlotLedger } from "./slot_ledger.ts";
@@ -146,7 +147,14 @@
         startIds.set(peers[index], answer.value.startId);
       }
     });
-    const busy = findBusyGroups(answers, startIds);
+    const { ledger } = this.#options;
+    // Own loans count too: a gained lane may contain the very slots that its former owner lent to this daemon.
+    const heldLoans = listHeldLoans(ledger, groupIds);
+    const own: SettlementAnswer = { startId, heldLoans, busyGroupIds: [] };
+    const given = answers.flatMap((a) =>
+      a.status === "fulfilled" ? [a.value] : []
+    );
+    const busy = findBusyGroups([own, ...given], startIds);
     const limitMs = performance.now() - longestRequestMs;
     for (const { groupId, lanes } of asked) {
       for (const lane of lanes) {
@@ -159,17 +167,15 @@
 
 /** Finds the groups that are used beyond the shares. A loan whose lender has left or restarted counts, since nobody deducts it. */
 function findBusyGroups(
-  answers: readonly PromiseSettledResult<SettlementAnswer>[],
+  answers: readonly SettlementAnswer[],
   startIds: ReadonlyMap<string, string>,
 ): Set<string> {
   const busy = new Set<string>();
   for (const answer of answers) {
-    if (answer.status === "fulfilled") {
-      answer.value.busyGroupIds.forEach((id) => busy.add(id));
-      for (const loan of answer.value.heldLoans) {
-        if (startIds.get(loan.lender) !== loan.lenderStartId) {
-          busy.add(loan.groupId);
-        }
+    answer.busyGroupIds.forEach((id) => busy.add(id));
+    for (const loan of answer.heldLoans) {
+      if (startIds.get(loan.lender) !== loan.lenderStartId) {
+        busy.add(loan.groupId);
       }
     }
   }
--- a/src/process/admission/share_keeper_test.ts
+++ b/src/process/admission/share_keeper_test.ts
@@ -96,6 +96,30 @@
     expect(ledger.getOwn(GROUP_ID).slots > 0).toBe(settled);
   });
 
+  // Guards against slots that count twice: as the loan of a lender that has left and as part of the lane gained from it.
+  it("waits until its own loan of a former owner has ended", async () => {
+    const { ledger, refresh } = createKeeper({ holdDownMs: 0 });
+    ledger.borrow({
+      loanId: "loan-1",
+      groupId: GROUP_ID,
+      peer: "entry-9",
+      lenderStartId: "other-1",
+      capacity: { slots: 2, tokens: 20 },
+      expiresAtMs: performance.now() + 1_000,
+      firstHome: false,
+      cold: false,
+      sinceMs: 0,
+    });
+    ledger.tryAcquire(GROUP_ID, { slots: 2, tokens: 20 }, 0);
+    await refresh();
+    expect(ledger.getOwn(GROUP_ID).slots).toBe(0);
+    ledger.release(GROUP_ID, { slots: 2, tokens: 20 });
+    ledger.repay(GROUP_ID, "loan-1");
+    vi.advanceTimersByTime(SETTLEMENT_PAUSE_MS);
+    await refresh();
+    expect(ledger.getOwn(GROUP_ID).slots).toBeGreaterThan(0);
+  });
+
   // Guards against a silent peer that blocks a lane for ever, and against a lane used while the peer's longest request may run.
   it("waits for the longest request of a silent peer", async () => {
     const { ledger, state, refresh } = createKeeper({ holdDownMs: 0 });
--- a/src/process/admission/shared_admission.ts
+++ b/src/process/admission/shared_admission.ts
@@ -43,6 +43,8 @@
 /** Time after the deadline in which a cancelled request still leaves its engine, in milliseconds. */
 const FINISH_MARGIN_MS = 1_000;
 const MIN_RETRY_AFTER_MS = 250;
+/** Time for giving loans back in a planned stop, below the time limit of a stop hook, in milliseconds. */
+const REPAY_TIMEOUT_MS = 4_000;
 /** Weight of a new measurement in the average service time. */
 const SERVICE_TIME_WEIGHT = 0.1;
 
@@ -151,6 +153,11 @@
     await this.broker.dispose();
   }
 
+  /** Gives all loans back before a planned stop ends, so that their lenders need not wait for the expiry. */
+  async repayAll(): Promise<void> {
+    await this.broker.repayAll(REPAY_TIMEOUT_MS);
+  }
+
   /** Brings shares, loans and queues up to date once. */
   refresh(): void {
     const groups = this.#listSharedGroups();
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -34,6 +34,11 @@
     const container = createContainer(settings);
     options.configureContainer?.(container);
     this.context = container.get(SERVICES.context);
+    const { gracefulStop, sharedAdmission } = this.context;
+    gracefulStop.addHook({
+      name: "admission",
+      release: () => sharedAdmission.repayAll(),
+    });
     this.#announcer = container.get(ConfigAnnouncer);
     this.#caller = new HttpServer(createCallerApp(this.context), {
       requestTimeoutMs: settings.bodyTimeoutMs,
--- /dev/null
+++ b/tests/shared_admission_leave_test.ts
@@ -0,0 +1,55 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { AdmissionGroup } from "./support/admission_group.ts";
+
+const NAMES = ["e0", "e1", "e2"];
+
+describe("shared admission after a daemon has left", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function requestFromAll(group: AdmissionGroup, count: number): void {
+    for (const member of group.members.values()) {
+      for (let index = 0; index < count; index++) {
+        void group.request(member, { tokens: 10, durationMs: 4_500 });
+      }
+    }
+  }
+
+  async function doTest(leaver: string): Promise<AdmissionGroup> {
+    const group = new AdmissionGroup({ model: {}, random: () => 0.5 });
+    NAMES.forEach((name) => group.start(name));
+    await vi.advanceTimersByTimeAsync(3_000);
+    // The daemon that leaves has lent all its shares to the others.
+    const borrowers = [...group.members.values()].filter((m) =>
+      m.name !== leaver
+    );
+    for (const member of borrowers) {
+      for (let index = 0; index < 10; index++) {
+        void group.request(member, { tokens: 10, durationMs: 4_500 });
+      }
+    }
+    await vi.advanceTimersByTimeAsync(200);
+    group.remove(leaver);
+    for (let step = 0; step < 130; step++) {
+      requestFromAll(group, 1);
+      await vi.advanceTimersByTimeAsync(30);
+    }
+    group.members.forEach((m) => group.stop(m.name));
+    await vi.advanceTimersByTimeAsync(100);
+    return group;
+  }
+
+  // Guards against a borrower that gains the lanes of its dead lender and counts the same slots twice, as a loan and as its own share (I3).
+  it.each(NAMES)(
+    "keeps the bound when its lender %s leaves",
+    async (leaver) => {
+      const group = await doTest(leaver);
+      expect(group.peakSlots).toBeLessThanOrEqual(group.model.slotsPerGroup);
+    },
+  );
+});
--- /dev/null
+++ b/tests/shared_admission_stop_test.ts
@@ -0,0 +1,82 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { GracefulStop } from "../src/process/graceful_stop.ts";
+import { AdmissionGroup } from "./support/admission_group.ts";
+import { TestDeployment } from "./support/test_deployment.ts";
+
+const GROUP_ID = "rack-1-1";
+
+describe("planned stop of a daemon with loans", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function countLent(group: AdmissionGroup): number {
+    return [...group.members.values()].reduce(
+      (sum, m) => sum + m.admission.ledger.getLent(GROUP_ID).slots,
+      0,
+    );
+  }
+
+  async function doTest(faultMs: number): Promise<number> {
+    const group = new AdmissionGroup({ model: {}, random: () => 0.5 });
+    ["e0", "e1", "e2"].forEach((name) => group.start(name));
+    await vi.advanceTimersByTimeAsync(3_000);
+    const borrower =
+      [...group.members.values()].find((m) =>
+        m.admission.ledger.getOwn(GROUP_ID).slots === 0
+      ) ?? group.members.get("e2")!;
+    const own = borrower.admission.ledger.getOwn(GROUP_ID).slots;
+    for (let index = 0; index < own + 2; index++) {
+      void group.request(borrower, { tokens: 10, durationMs: 500 });
+    }
+    await vi.advanceTimersByTimeAsync(499);
+    expect(countLent(group)).toBeGreaterThan(0);
+    const stop = new GracefulStop(
+      { balancerLagMs: 0, stopTimeoutMs: 1_000 },
+      { write: () => {} },
+    );
+    stop.addHook({
+      name: "admission",
+      release: () => borrower.admission.repayAll(),
+    });
+    group.faults.loseRequests = faultMs > 0;
+    await vi.advanceTimersByTimeAsync(50);
+    const running = stop.run(() => {});
+    await vi.advanceTimersByTimeAsync(faultMs);
+    group.faults.loseRequests = false;
+    await vi.advanceTimersByTimeAsync(450);
+    await running;
+    const lent = countLent(group);
+    group.members.forEach((m) => group.stop(m.name));
+    await vi.advanceTimersByTimeAsync(100);
+    return lent;
+  }
+
+  // Guards against loans of a stopped daemon that its lenders deduct until the expiry, also when a repayment is lost at first.
+  it.each([0, 1_000])(
+    "returns all loans with lost messages for %i ms",
+    async (faultMs) => {
+      expect(await doTest(faultMs)).toBe(0);
+    },
+  );
+});
+
+describe("planned stop of the whole daemon", () => {
+  // Guards against a daemon whose stop does not give loans back.
+  it("returns the loans before it ends", async () => {
+    const deployment = await TestDeployment.start({
+      zones: ["zone-a"],
+      daemons: 2,
+      enginesPerZone: 2,
+    });
+    const [daemon] = deployment.daemons;
+    const repayAll = vi.spyOn(daemon.context.sharedAdmission, "repayAll");
+    await daemon.stop();
+    expect(repayAll).toHaveBeenCalledTimes(1);
+    await deployment.dispose();
+  });
+});
