Keep the first home's loans under running work on a cold group

A borrower with an own share gave an idle loan of the first home back while a request ran on it, since the own share covered it in the ledger; the first home then lent the slot again.

Adds tests of the queue and the refusal paths of SharedAdmission.

--- a/src/process/admission/loan_broker.ts
+++ b/src/process/admission/loan_broker.ts
@@ -31,6 +31,8 @@
   readonly channel: LoanChannel;
   /** Gets whether new work may use a loan in the group's present state. */
   isUsable(loan: Loan): boolean;
+  /** Gets whether running work depends on the loan even though the own share would cover it: on a cold group, where only the first home's loans count. */
+  isNeeded(loan: Loan): boolean;
 }
 
 /** Wish for a loan. */
@@ -154,8 +156,8 @@
     const now = performance.now();
     for (const loan of ledger.getBorrowedLoans(groupId)) {
       const ending = loan.expiresAtMs - now < RENEW_BEFORE_MS;
-      const unwanted = options.idle || ending ||
-        !this.#options.isUsable(loan);
+      const unwanted = !this.#options.isNeeded(loan) &&
+        (options.idle || ending || !this.#options.isUsable(loan));
       const repaid = unwanted ? ledger.repay(groupId, loan.loanId) : undefined;
       if (repaid !== undefined) {
         this.#pushRepayment(repaid);
--- a/src/process/admission/loan_broker_test.ts
+++ b/src/process/admission/loan_broker_test.ts
@@ -20,12 +20,17 @@
   function createBroker() {
     const ledger = new SlotLedger();
     const batches: LoanBatch[] = [];
-    const state = { fault: "none" as ChannelFault, startId: "lender-1" };
+    const state = {
+      fault: "none" as ChannelFault,
+      startId: "lender-1",
+      needed: false,
+    };
     const broker = new LoanBroker({
       name: "entry-1",
       startId: "start-1",
       ledger,
       isUsable: () => true,
+      isNeeded: () => state.needed,
       channel: {
         sendLoans: (_peer, batch) => {
           batches.push(batch);
@@ -142,6 +147,20 @@
     expect(parts.ledger.getBorrowedLoans(GROUP_ID)).toEqual([]);
   });
 
+  // Guards against a first home's loan that is given back because the own share covers it, while a request on a cold group runs on it.
+  it("keeps a needed loan although the own share covers it", async () => {
+    const parts = createBroker();
+    parts.ledger.setOwn(GROUP_ID, COST);
+    await borrow(parts);
+    parts.state.needed = true;
+    parts.ledger.tryAcquire(GROUP_ID, COST, 0);
+    parts.broker.repayFree(GROUP_ID);
+    expect(parts.ledger.getBorrowedLoans(GROUP_ID)).toHaveLength(1);
+    parts.state.needed = false;
+    parts.broker.repayFree(GROUP_ID);
+    expect(parts.ledger.getBorrowedLoans(GROUP_ID)).toEqual([]);
+  });
+
   // Guards against a loan that is given back while a request runs on it, and against one that ends under it.
   it("renews a loan in use and keeps it", async () => {
     const parts = createBroker();
--- a/src/process/admission/shared_admission.ts
+++ b/src/process/admission/shared_admission.ts
@@ -17,7 +17,11 @@
 import type { Capacity } from "./capacity.ts";
 import { ColdRamp } from "./cold_ramp.ts";
 import { FairQueue } from "./fair_queue.ts";
-import { listPreferredGroups } from "./group_selector.ts";
+import {
+  choosePreferredGroup,
+  type GroupCandidate,
+  listPreferredGroups,
+} from "./group_selector.ts";
 import { LoanBroker } from "./loan_broker.ts";
 import type {
   CapacityLender,
@@ -117,6 +121,7 @@
       ledger,
       channel,
       isUsable: (loan) => this.#isUsable(loan),
+      isNeeded: (loan) => this.#isNeeded(loan),
     });
     this.#office = new LoanOffice({
       startId,
@@ -335,7 +340,10 @@
       const usable = this.#getUsable(c, request);
       return usable.slots >= cost.slots && usable.tokens >= cost.tokens;
     });
-    const chosen = this.#listPreferred(free, request).at(0);
+    const chosen = choosePreferredGroup(
+      free.map((entry) => this.#createCandidate(entry)),
+      { zone: this.#options.zone, prefixHash: request.prefixHash },
+    )?.entry;
     if (chosen === undefined) {
       return undefined;
     }
@@ -382,6 +390,18 @@
       (loan.cold || state === "ready");
   }
 
+  #isNeeded(loan: Loan): boolean {
+    const { groupId } = loan;
+    const own = !this.ramp.isCold(groupId) ||
+      this.#keeper.isFirstHome(groupId);
+    if (own || !this.#isUsable(loan)) {
+      return false;
+    }
+    const slots = this.#countFirstHomeSlots(groupId, Number.NEGATIVE_INFINITY);
+    const used = this.ledger.getUsed(groupId).slots;
+    return slots - used < loan.capacity.slots;
+  }
+
   async #borrowFor(
     waiter: Waiter,
     candidates: readonly ServingGroup[],
@@ -572,21 +592,22 @@
     serving: readonly ServingGroup[],
     request: AdmissionRequest,
   ): ServingGroup[] {
-    const candidates = serving.map((entry) => ({
-      entry,
-      groupId: entry.group.groupId,
-      zone: entry.group.zone,
-      load: Math.max(
-        entry.health.runningRequests,
-        this.ledger.getUsed(entry.group.groupId).slots,
-      ),
-    }));
+    const candidates = serving.map((entry) => this.#createCandidate(entry));
     return listPreferredGroups(candidates, {
       zone: this.#options.zone,
       prefixHash: request.prefixHash,
     }).map((c) => c.entry);
   }
 
+  #createCandidate(
+    entry: ServingGroup,
+  ): GroupCandidate & { readonly entry: ServingGroup } {
+    const { groupId, zone } = entry.group;
+    const used = this.ledger.getUsed(groupId).slots;
+    const load = Math.max(entry.health.runningRequests, used);
+    return { entry, groupId, zone, load };
+  }
+
   #listSharedGroups(): LendableGroup[] {
     const models = this.#options.configHolder.getCurrent()?.document.models;
     const byName = new Map(models?.map((m) => [m.name, m]));
--- /dev/null
+++ b/src/process/admission/shared_admission_test.ts
@@ -0,0 +1,306 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { delay } from "../../shared/delay.ts";
+import { ConfigHolder } from "../../version/config_holder.ts";
+import { configSchema } from "../../version/config_schema.ts";
+import { PlacementHolder } from "../../version/placement_holder.ts";
+import type { AdmissionRequest, Grant } from "../admission.ts";
+import { GroupDirectory } from "../group_directory.ts";
+import { type GroupHealth, GroupHealthTable } from "../group_health.ts";
+import { VmTable } from "../vm_table.ts";
+import { getHomes } from "./home_selection.ts";
+import type { LoanBatch } from "./loan_messages.ts";
+import { SharedAdmission } from "./shared_admission.ts";
+
+const GROUP_ID = "rack-1-1";
+const SLOTS = 2;
+const HOLD_DOWN_MS = 1_000;
+
+describe("SharedAdmission", () => {
+  let abort: AbortController;
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+    abort = new AbortController();
+  });
+
+  afterEach(async () => {
+    abort.abort();
+    await vi.advanceTimersByTimeAsync(10);
+    vi.useRealTimers();
+  });
+
+  const document = configSchema.parse({
+    schemaVersion: 1,
+    zones: [{ name: "zone-a", region: "region-1" }],
+    models: [{
+      name: "model-1",
+      groupSizeVms: 1,
+      placements: [{ zones: ["zone-a"], count: 1 }],
+      slotsPerGroup: SLOTS,
+      kvTokensPerGroup: 1_000,
+      coldSlots: 1,
+    }],
+    clientAccounts: [{
+      name: "account-1",
+      apiKeySha256: ["0".repeat(64)],
+      maxConcurrent: 4,
+    }, {
+      name: "large",
+      apiKeySha256: ["1".repeat(64)],
+      maxConcurrent: 10_000,
+    }],
+  });
+
+  /** Starts one daemon that owns the whole group, or none of it when another VM is listed that does not answer. */
+  async function startAdmission(options: { peers?: string[] } = {}) {
+    const configHolder = new ConfigHolder();
+    configHolder.offer({ version: 1, document });
+    const placementHolder = new PlacementHolder();
+    placementHolder.offer({
+      objectVersion: 1,
+      placement: {
+        fabricDomain: "rack-1",
+        zone: "zone-a",
+        lastGeneration: 1,
+        groupByVm: { "gpu-1": GROUP_ID },
+        groups: {
+          [GROUP_ID]: {
+            groupId: GROUP_ID,
+            model: "model-1",
+            modelVersion: "1",
+            zone: "zone-a",
+            fabricDomain: "rack-1",
+            generation: 1,
+            phase: "serving",
+            leader: "gpu-1",
+            sizeVms: 1,
+          },
+        },
+      },
+    });
+    const vmTable = new VmTable();
+    const entries = ["entry-1", ...options.peers ?? []].map((name) => ({
+      name,
+      role: "entry" as const,
+      address: "127.0.0.1:1",
+      zone: "zone-a",
+      state: "live" as const,
+    }));
+    vmTable.replace([{
+      name: "gpu-1",
+      role: "backend",
+      address: "127.0.0.1:2",
+      zone: "zone-a",
+      fabricDomain: "rack-1",
+      state: "live",
+    }, ...entries]);
+    const healthTable = new GroupHealthTable();
+    const health: GroupHealth = {
+      groupId: GROUP_ID,
+      generation: 1,
+      state: "ready",
+      bootId: "boot-1",
+      observer: "entry-1",
+      sequence: 1,
+      ageMs: 0,
+      runningRequests: 0,
+      heldTokens: 0,
+      maxTokens: 1_000,
+    };
+    const state = { health };
+    const asked: { peer: string; batch: LoanBatch }[] = [];
+    const admission = new SharedAdmission({
+      name: "entry-1",
+      zone: "zone-a",
+      vmListLagMs: HOLD_DOWN_MS / 2 - 100,
+      vmListIntervalMs: 50,
+      longestRequestMs: 60_000,
+      directory: new GroupDirectory({
+        configHolder,
+        placementHolder,
+        healthTable,
+        vmTable,
+        zonePolicy: {
+          takesNewWork: () => true,
+          getNextChange: () => undefined,
+        },
+      }),
+      configHolder,
+      placementHolder,
+      healthTable,
+      vmTable,
+      channel: {
+        sendLoans: (peer, batch) => {
+          asked.push({ peer, batch });
+          return Promise.reject(new Error("No answer"));
+        },
+        sendSettlement: () => Promise.reject(new Error("No answer")),
+      },
+      signal: abort.signal,
+    });
+    void offerHealth();
+    void admission.run();
+    await vi.advanceTimersByTimeAsync(2 * HOLD_DOWN_MS);
+    return { admission, state, asked };
+
+    async function offerHealth(): Promise<void> {
+      do {
+        healthTable.offer(state.health);
+      } while (await delay(20, abort.signal));
+    }
+  }
+
+  function createRequest(
+    request: Partial<AdmissionRequest> = {},
+  ): AdmissionRequest {
+    return {
+      requestId: "request-1",
+      model: document.models[0],
+      account: document.clientAccounts[1],
+      kvTokens: 10,
+      prefixHash: 0,
+      deadlineAtMs: performance.now() + 5_000,
+      excludedGroupIds: new Set(),
+      alone: false,
+      ...request,
+    };
+  }
+
+  type Parts = Awaited<ReturnType<typeof startAdmission>>;
+
+  async function acquireOrThrow(
+    { admission }: Parts,
+    request: Partial<AdmissionRequest> = {},
+  ): Promise<Grant> {
+    const outcome = await admission.acquire(
+      createRequest(request),
+      abort.signal,
+    );
+    return outcome.unsafeCoerce();
+  }
+
+  /** Gets the refusal code of a request, "granted", or "waiting" when it is not decided yet. */
+  async function getOutcome(
+    { admission }: Parts,
+    request: Partial<AdmissionRequest> = {},
+  ): Promise<string> {
+    let code = "waiting";
+    void admission.acquire(createRequest(request), abort.signal).then((o) => {
+      code = o.caseOf({ Left: (e) => e.code, Right: () => "granted" });
+    });
+    await vi.advanceTimersByTimeAsync(100);
+    return code;
+  }
+
+  // Guards against an account that takes more than its limit, and against a limit that stays used after the end.
+  it("refuses an account beyond its limit of requests", async () => {
+    const parts = await startAdmission();
+    const account = document.clientAccounts[0];
+    const grants = [
+      await acquireOrThrow(parts, { account }),
+      await acquireOrThrow(parts, { account }),
+    ];
+    expect(await getOutcome(parts, { account })).toBe("waiting");
+    expect(await getOutcome(parts, { account })).toBe("waiting");
+    expect(await getOutcome(parts, { account })).toBe("account-limit");
+    grants.forEach((g) => g.release("finished"));
+    expect(await getOutcome(parts, { account })).not.toBe("account-limit");
+  });
+
+  // Guards against requests that wait although they cannot end in time, or that are decided after the caller's deadline.
+  it("refuses early when the expected wait passes the deadline", async () => {
+    const parts = await startAdmission();
+    const first = await acquireOrThrow(parts);
+    await vi.advanceTimersByTimeAsync(2_000);
+    first.release("finished");
+    await acquireOrThrow(parts);
+    await acquireOrThrow(parts);
+    expect(await getOutcome(parts)).toBe("waiting");
+    const deadlineAtMs = performance.now() + 500;
+    expect(await getOutcome(parts, { deadlineAtMs })).toBe("deadline-exceeded");
+    expect(await getOutcome(parts, { deadlineAtMs: performance.now() }))
+      .toBe("deadline-exceeded");
+  });
+
+  // Guards against a waiting request that outlasts its deadline.
+  it("refuses a waiting request at its deadline", async () => {
+    const parts = await startAdmission();
+    await acquireOrThrow(parts);
+    await acquireOrThrow(parts);
+    const deadlineAtMs = performance.now() + 90;
+    expect(await getOutcome(parts, { deadlineAtMs })).toBe("deadline-exceeded");
+  });
+
+  // Guards against a queue that grows without bound.
+  it("refuses when the queue is full", async () => {
+    const parts = await startAdmission();
+    await acquireOrThrow(parts);
+    await acquireOrThrow(parts);
+    const deadlineAtMs = performance.now() + 1_000_000;
+    for (let index = 0; index < 1_024; index++) {
+      const request = createRequest({ deadlineAtMs });
+      void parts.admission.acquire(request, abort.signal);
+    }
+    expect(await getOutcome(parts, { deadlineAtMs })).toBe("no-capacity");
+  });
+
+  // Guards against a request that may crash its group beside innocent ones, in either order.
+  it("runs an alone request only on an empty group, without neighbours", async () => {
+    const parts = await startAdmission();
+    const neighbour = await acquireOrThrow(parts);
+    expect(await getOutcome(parts, { alone: true })).toBe("no-capacity");
+    neighbour.release("finished");
+    const alone = await acquireOrThrow(parts, { alone: true });
+    expect(await getOutcome(parts)).toBe("waiting");
+    alone.release("finished");
+    expect(parts.admission.ledger.getUsed(GROUP_ID).slots).toBe(1);
+  });
+
+  // Guards against more than the ramp on a group that its first home sees turn cold.
+  it("admits the cold slots alone on a cold group", async () => {
+    const parts = await startAdmission();
+    parts.state.health = { ...parts.state.health, state: "cold" };
+    await vi.advanceTimersByTimeAsync(50);
+    expect(await getOutcome(parts)).toBe("granted");
+    expect(await getOutcome(parts)).toBe("waiting");
+  });
+
+  // Guards against work on a group that reports more than it has: the shares are wrong then.
+  it.each([
+    { runningRequests: SLOTS + 1 },
+    { heldTokens: 1_001 },
+  ])("admits nothing on a group that reports %o", async (report) => {
+    const parts = await startAdmission();
+    parts.state.health = { ...parts.state.health, ...report };
+    await vi.advanceTimersByTimeAsync(50);
+    expect(await getOutcome(parts)).toBe("no-capacity");
+  });
+
+  // Guards against new work on a group that has just failed, before a newer health is known.
+  it("admits nothing on a failed group before newer health", async () => {
+    const parts = await startAdmission();
+    const grant = await acquireOrThrow(parts);
+    parts.state.health = { ...parts.state.health, ageMs: 1_000 };
+    grant.release("group-failed");
+    expect(await getOutcome(parts)).toBe("no-capacity");
+  });
+
+  // Guards against own shares that are used while a listed peer has not answered the settlement, and against a cold group that is served through another home than its first.
+  it("asks only the first home for a loan of a cold group", async () => {
+    const peers = ["entry-2", "entry-3", "entry-4", "entry-5"];
+    const parts = await startAdmission({ peers });
+    parts.state.health = { ...parts.state.health, state: "cold" };
+    await vi.advanceTimersByTimeAsync(50);
+    expect(await getOutcome(parts)).toBe("waiting");
+    const homes = getHomes(
+      { groupId: GROUP_ID, zone: "zone-a" },
+      ["entry-1", ...peers].map((name) => ({ name, zone: "zone-a" })),
+    );
+    expect(homes[0]).not.toBe("entry-1");
+    expect(homes.length).toBeGreaterThan(2);
+    const lenders = new Set(
+      parts.asked.filter((a) => a.batch.borrows.length > 0).map((a) => a.peer),
+    );
+    expect([...lenders]).toEqual([homes[0]]);
+  });
+});
