--- a/bench/admission_bench.ts
+++ b/bench/admission_bench.ts
@@ -3,7 +3,7 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { listPreferredGroups } from "../src/process/admission/group_selector.ts";
+import { choosePreferredGroup } from "../src/process/admission/group_selector.ts";
 import { ShareCalculator } from "../src/process/admission/share_calculator.ts";
 import { SlotLedger } from "../src/process/admission/slot_ledger.ts";
 import {
@@ -89,7 +89,7 @@
       load: ledger.getUsed(g.groupId).slots,
     }));
     const preference = { zone: "zone-1", prefixHash: index };
-    const chosen = listPreferredGroups(candidates, preference)[0];
+    const chosen = choosePreferredGroup(candidates, preference)!;
     if (ledger.tryAcquire(chosen.groupId, COST, 0)) {
       ledger.release(chosen.groupId, COST);
     }
--- a/src/process/admission/group_selector.ts
+++ b/src/process/admission/group_selector.ts
@@ -1,4 +1,5 @@
 import { getHash32 } from "../../shared/rendezvous_hash.ts";
+import { combineHashes } from "./home_selection.ts";
 
 /** Load above the average at which a group loses its prefix affinity, as a factor. */
 const LOAD_BOUND = 1.25;
@@ -17,6 +18,13 @@
   readonly prefixHash: number;
 }
 
+interface RankedGroup<T> {
+  readonly candidate: T;
+  readonly remote: number;
+  readonly overloaded: number;
+  readonly weight: number;
+}
+
 /**
  * Orders groups for a request: groups of the own zone first; within a zone by rendezvous on the prefix hash, groups whose load is above the bound last.
  *
@@ -27,18 +35,60 @@
   candidates: readonly T[],
   preference: GroupPreference,
 ): T[] {
+  const bound = getLoadBound(candidates);
+  const ranked = candidates.map((c) => createRanked(c, { preference, bound }));
+  ranked.sort(compareRanked);
+  return ranked.map((r) => r.candidate);
+}
+
+/**
+ * Chooses the best group by the order of `listPreferredGroups`, without sorting.
+ *
+ * @param candidates - Groups that may take the request.
+ * @param preference - Zone of the daemon and prefix of the request.
+ * @returns The group, or undefined without candidates.
+ */
+export function choosePreferredGroup<T extends GroupCandidate>(
+  candidates: readonly T[],
+  preference: GroupPreference,
+): T | undefined {
+  const bound = getLoadBound(candidates);
+  let best: RankedGroup<T> | undefined;
+  for (const candidate of candidates) {
+    const ranked = createRanked(candidate, { preference, bound });
+    if (best === undefined || compareRanked(ranked, best) < 0) {
+      best = ranked;
+    }
+  }
+  return best?.candidate;
+}
+
+function getLoadBound(candidates: readonly GroupCandidate[]): number {
   const total = candidates.reduce((sum, c) => sum + c.load, 0);
-  const bound = Math.ceil(LOAD_BOUND * (total + 1) / candidates.length);
-  const ranked = candidates.map((candidate) => ({
+  return Math.ceil(LOAD_BOUND * (total + 1) / candidates.length);
+}
+
+function createRanked<T extends GroupCandidate>(
+  candidate: T,
+  options: { preference: GroupPreference; bound: number },
+): RankedGroup<T> {
+  const { preference, bound } = options;
+  return {
     candidate,
     remote: candidate.zone === preference.zone ? 0 : 1,
     overloaded: candidate.load + 1 > bound ? 1 : 0,
-    weight: getHash32(`${candidate.groupId}|${preference.prefixHash}`),
-  }));
-  ranked.sort((a, b) =>
-    a.remote - b.remote || a.overloaded - b.overloaded ||
+    weight: combineHashes(
+      getHash32(candidate.groupId),
+      preference.prefixHash,
+    ),
+  };
+}
+
+function compareRanked<T extends GroupCandidate>(
+  a: RankedGroup<T>,
+  b: RankedGroup<T>,
+): number {
+  return a.remote - b.remote || a.overloaded - b.overloaded ||
     (a.overloaded === 1 ? a.candidate.load - b.candidate.load : 0) ||
-    b.weight - a.weight
-  );
-  return ranked.map((r) => r.candidate);
+    b.weight - a.weight;
 }
--- a/src/process/admission/group_selector_test.ts
+++ b/src/process/admission/group_selector_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { listPreferredGroups } from "./group_selector.ts";
+import { choosePreferredGroup, listPreferredGroups } from "./group_selector.ts";
 
 describe("listPreferredGroups", () => {
   const idle = Array.from({ length: 8 }, (_, index) => ({
@@ -23,4 +23,15 @@
     const next = listPreferredGroups(loaded, preference)[0];
     expect(next.groupId).not.toBe(first.groupId);
   });
+
+  // Guards against a choice without sorting that differs from the order, and so splits a prefix over two groups.
+  it("begins with the group that choosePreferredGroup chooses", () => {
+    for (let prefixHash = 0; prefixHash < 200; prefixHash++) {
+      const loaded = idle.map((c, i) => ({ ...c, load: (prefixHash * i) % 7 }));
+      const request = { zone: "zone-b", prefixHash };
+      expect(choosePreferredGroup(loaded, request))
+        .toBe(listPreferredGroups(loaded, request)[0]);
+    }
+    expect(choosePreferredGroup([], preference)).toBeUndefined();
+  });
 });
--- a/src/process/admission/home_selection.ts
+++ b/src/process/admission/home_selection.ts
@@ -87,7 +87,13 @@
   return best;
 }
 
-function combineHashes(a: number, b: number): number {
+/**
+ * Combines two hashes into one that depends on all bits of both.
+ *
+ * @param a - First hash.
+ * @param b - Second hash.
+ */
+export function combineHashes(a: number, b: number): number {
   let hash = a ^ b;
   hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
   hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
