--- a/bench/admission_bench.ts
+++ b/bench/admission_bench.ts
@@ -154,18 +154,19 @@
     for (let index = 0; index < perStep; index++) {
       const daemon = alive[Math.floor(random() * alive.length)];
       const group = GROUP_KEYS[Math.floor(random() * GROUPS)];
-      const end = model.tryAcquire(daemon, {
+      const grant = model.tryAcquire(daemon, {
         group,
+        groups: GROUP_KEYS,
         daemons,
         untilMs: nowMs + REQUEST_STEPS * STEP_MS,
       });
       asked++;
-      if (end === undefined) {
+      if (grant === undefined) {
         refused++;
       } else {
-        running.get(group.groupId)!.add({
+        running.get(grant.groupId)!.add({
           daemon,
-          end,
+          end: () => grant.end(),
           endStep: step + REQUEST_STEPS,
         });
       }
--- a/bench/admission_policies.ts
+++ b/bench/admission_policies.ts
@@ -23,8 +23,15 @@
   readonly confirmed: Map<string, Set<number>>;
 }
 
-/** Policies that are compared. */
-export const POLICIES = ["shares", "owner", "none"] as const;
+/** Granted request. */
+export interface BenchGrant {
+  /** Group that the request runs on. */
+  readonly groupId: string;
+  end(): void;
+}
+
+/** Policies that are compared. "local" takes a group with a free own share first, as the daemon does; "shares" insists on one random group. */
+export const POLICIES = ["shares", "local", "owner", "none"] as const;
 /** Policy of admission. */
 export type Policy = typeof POLICIES[number];
 
@@ -35,6 +42,7 @@
   readonly #policy: Policy;
   readonly #whole: Capacity;
   readonly #cost: Capacity;
+  readonly #lastLender = new Map<string, string>();
   #sequence = 0;
 
   constructor(policy: Policy, sizes: { whole: Capacity; cost: Capacity }) {
@@ -46,9 +54,25 @@
   /**
    * Decides one request.
    *
-   * @returns The function that ends the request, or undefined when it is refused.
+   * @returns The grant, or undefined when it is refused.
    */
   tryAcquire(
+    daemon: BenchDaemon,
+    request: {
+      group: HomeKey;
+      groups: readonly HomeKey[];
+      daemons: ReadonlyMap<string, BenchDaemon>;
+      untilMs: number;
+    },
+  ): BenchGrant | undefined {
+    const group = this.#policy === "local"
+      ? this.#findLocalGroup(daemon, request) ?? request.group
+      : request.group;
+    const end = this.#tryGroup(daemon, { ...request, group });
+    return end && { groupId: group.groupId, end };
+  }
+
+  #tryGroup(
     daemon: BenchDaemon,
     request: {
       group: HomeKey;
@@ -56,7 +80,7 @@
       untilMs: number;
     },
   ): (() => void) | undefined {
-    if (this.#policy === "shares") {
+    if (this.#policy === "shares" || this.#policy === "local") {
       return this.#tryShares(daemon, request);
     }
     if (this.#policy === "none") {
@@ -74,6 +98,32 @@
     return owner && this.#tryCount(owner, request.group.groupId);
   }
 
+  /** Finds a group with a free own share, from the wanted one on, as the daemon does before it borrows. */
+  #findLocalGroup(
+    daemon: BenchDaemon,
+    request: {
+      group: HomeKey;
+      groups: readonly HomeKey[];
+      daemons: ReadonlyMap<string, BenchDaemon>;
+      untilMs: number;
+    },
+  ): HomeKey | undefined {
+    const { groups, group, daemons, untilMs } = request;
+    const first = groups.indexOf(group);
+    for (let index = 0; index < groups.length; index++) {
+      const candidate = groups[(first + index) % groups.length];
+      this.#refreshOwn(daemon, candidate, daemons);
+      const { slots, tokens } = daemon.ledger.getFree(
+        candidate.groupId,
+        untilMs,
+      );
+      if (slots >= this.#cost.slots && tokens >= this.#cost.tokens) {
+        return candidate;
+      }
+    }
+    return undefined;
+  }
+
   #tryCount(daemon: BenchDaemon, groupId: string): (() => void) | undefined {
     const count = daemon.grantsByGroup.get(groupId) ?? 0;
     if (count >= this.#whole.slots) {
@@ -100,9 +150,15 @@
     if (!daemon.ledger.tryAcquire(groupId, this.#cost, untilMs)) {
       const lenders = new Set(daemon.calculator.getOwners(group));
       lenders.delete(daemon.candidate.name);
-      for (const name of lenders) {
+      const key = `${daemon.candidate.name} ${groupId}`;
+      const last = this.#policy === "local" && this.#lastLender.get(key);
+      const ordered = [...lenders].sort((a, b) =>
+        Number(b === last) - Number(a === last)
+      );
+      for (const name of ordered) {
         const lender = daemons.get(name);
         if (lender !== undefined && this.#borrow(daemon, lender, request)) {
+          this.#lastLender.set(key, name);
           break;
         }
       }
--- a/src/process/admission/share_calculator.ts
+++ b/src/process/admission/share_calculator.ts
@@ -30,6 +30,7 @@
   readonly #ownersByGroup = new Map<string, string[]>();
   #candidates: HomeCandidate[] = [];
   #listedSinceMs: number | undefined;
+  #listedCount = 0;
 
   constructor(options: ShareCalculatorOptions) {
     this.#options = options;
@@ -59,6 +60,7 @@
         changed = true;
       }
     }
+    this.#listedCount = listed.length;
     const isListed = listed.some((c) => c.name === this.#options.name);
     this.#listedSinceMs = isListed ? this.#listedSinceMs ?? now : undefined;
     if (changed) {
@@ -73,6 +75,11 @@
       performance.now() - this.#listedSinceMs < this.#options.holdDownMs;
   }
 
+  /** Gets whether a VM keeps lanes although the newest list does not name it. */
+  hasUnlistedNames(): boolean {
+    return this.#seen.size > this.#listedCount;
+  }
+
   /** Gets the names of all VMs that a list of the hold-down named. */
   getKnownNames(): string[] {
     return this.#candidates.map((c) => c.name);
--- a/src/process/admission/share_calculator_test.ts
+++ b/src/process/admission/share_calculator_test.ts
@@ -88,8 +88,10 @@
     vi.advanceTimersByTime(HOLD_DOWN_MS);
     calculator.observe(createCandidates(1));
     expect(calculator.getOwnLanes(GROUP)).toHaveLength(shrunk);
+    expect(calculator.hasUnlistedNames()).toBe(true);
     vi.advanceTimersByTime(1);
     calculator.observe(createCandidates(1));
+    expect(calculator.hasUnlistedNames()).toBe(false);
     expect(calculator.getOwnLanes(GROUP)).toHaveLength(LANES);
   });
 });
--- a/src/process/admission/shared_admission.ts
+++ b/src/process/admission/shared_admission.ts
@@ -47,6 +47,8 @@
 /** Time after the deadline in which a cancelled request still leaves its engine, in milliseconds. */
 const FINISH_MARGIN_MS = 1_000;
 const MIN_RETRY_AFTER_MS = 250;
+/** Hold-downs after the start after which a daemon takes requests even if shares are still unsettled. */
+const READY_HOLD_DOWNS = 2;
 /** Time for giving loans back in a planned stop, below the time limit of a stop hook, in milliseconds. */
 const REPAY_TIMEOUT_MS = 4_000;
 /** Weight of a new measurement in the average service time. */
@@ -140,13 +142,13 @@
   }
 
   /**
-   * Gets whether the daemon takes requests. Before its shares are settled it would borrow each slot; a daemon that the lagging list does not name borrows after the hold-down.
+   * Gets whether the daemon takes requests. Before its shares are settled it would borrow each slot; a daemon that the lagging list does not name borrows after two hold-downs. It also waits until the lanes of daemons that have left are taken over.
    *
    * Later changes of the shares do not make a daemon unready.
    */
   isReady(): boolean {
     this.#ready ||= performance.now() - this.#startedAtMs >=
-      getHoldDownMs(this.#options);
+      READY_HOLD_DOWNS * getHoldDownMs(this.#options);
     return this.#ready;
   }
 
@@ -170,7 +172,9 @@
     if (this.#keeper.hasOpenLanes()) {
       void this.#keeper.trySettle();
     }
-    this.#ready ||= this.hasSettledShares();
+    // Lanes of a daemon that has left are unused until its hold-down ends: a rolling replacement that went on earlier would leave groups without usable shares.
+    this.#ready ||= this.hasSettledShares() &&
+      !this.#calculator.hasUnlistedNames();
     groups.forEach((g) => this.#observeHealth(g.groupId, g.model));
     this.broker.refresh();
     this.broker.resume();
