Serve status, acceptance, history and the console on the operator port

The command-line tool and the console offer documents through the repository's one conditional write; a race gives one winner and one conflict with the differences. The name of the operator is kept in the history. Changes that a page of another site sends are refused by the fetch metadata header.

--- a/src/cli/commands/change_commands.ts
+++ b/src/cli/commands/change_commands.ts
@@ -60,7 +60,7 @@
     change(document);
     const result = await context.client.acceptConfig({
       document,
-      expectedVersion: current.version,
+      baseVersion: current.version,
       operator: context.operator,
     });
     if (result.outcome !== "conflict" || attempt === MAX_ATTEMPTS) {
--- a/src/cli/commands/config_commands.ts
+++ b/src/cli/commands/config_commands.ts
@@ -1,9 +1,7 @@
 import { readFile } from "node:fs/promises";
-import type {
-  AcceptResult,
-  ConfigChange,
-  ConfigFault,
-} from "../../version/config_acceptance.ts";
+import type { ConfigDifference } from "../../version/config_diff.ts";
+import type { AcceptResult } from "../../version/config_repository.ts";
+import type { ConfigFault } from "../../version/config_rule.ts";
 import { configSchema } from "../../version/config_schema.ts";
 import type { ConfigDocument } from "../../version/config_schema.ts";
 import {
@@ -106,7 +104,7 @@
 ): Promise<number> {
   const { document } = await readDocumentFile(options.file);
   const result = await context.client.checkConfig(document);
-  printChanges(context, result.changes);
+  printChanges(context, result.diff);
   return EXIT_CODES.ok;
 }
 
@@ -121,11 +119,11 @@
   options: { file: string; expectedVersion?: number },
 ): Promise<number> {
   const { document } = await readDocumentFile(options.file);
-  const expectedVersion = options.expectedVersion ??
+  const baseVersion = options.expectedVersion ??
     (await context.client.checkConfig(document)).currentVersion;
   const result = await context.client.acceptConfig({
     document,
-    expectedVersion,
+    baseVersion,
     operator: context.operator,
   });
   return printAcceptResult(context, result);
@@ -145,7 +143,7 @@
     headings: ["version", "accepted at", "operator"],
     rows: entries.map((entry) => [
       entry.version,
-      new Date(entry.acceptedAtMs).toISOString(),
+      entry.acceptedAt,
       entry.operator,
     ]),
   });
@@ -170,18 +168,18 @@
       return printAccepted(context, result);
     case "conflict":
       if (!context.json) {
-        printChanges(context, result.changes);
+        printChanges(context, result.diff);
       }
       throw new CliError(
         "conflict",
-        `Another document was accepted as version ${result.currentVersion}; review the differences above, merge them into the file and apply it again`,
+        `Another document was accepted as version ${result.winner.version}; review the differences above, merge them into the file and apply it again`,
       );
     case "invalid":
       throw new CliError(
         "refused",
         formatRuleFaults("document", result.faults),
       );
-    case "not-written":
+    case "unavailable":
       throw new CliError(
         "refused",
         `The document was not accepted: ${result.message}; try again later`,
@@ -203,20 +201,20 @@
       `Accepted as version ${result.version}; in force on ${result.inForce.length} daemons`,
     );
   }
-  if (result.unconfirmed.length === 0) {
+  if (result.notConfirmed.length === 0) {
     return EXIT_CODES.ok;
   }
   throw new CliError(
     "unconfirmed",
     `Version ${result.version} is not confirmed by ${
-      result.unconfirmed.join(", ")
+      result.notConfirmed.join(", ")
     }; check these daemons with "tarragontally status"`,
   );
 }
 
 function printChanges(
   context: CommandContext,
-  changes: readonly ConfigChange[],
+  changes: readonly ConfigDifference[],
 ): void {
   if (!context.json && changes.length === 0) {
     context.output.write("There are no changes");
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -1,28 +1,22 @@
 import got, { type Got, RequestError, type Response } from "got";
+import type { QuarantinedRequest } from "../process/quarantine_list.ts";
 import type { CollectedTimeline } from "../process/timeline_collector.ts";
 import type { StatusReport } from "../process/status_report.ts";
 import type {
   AcceptResult,
   CheckResult,
-  ConfigHistoryEntry,
-} from "../version/config_acceptance.ts";
+} from "../version/config_repository.ts";
 import type { VersionedConfig } from "../version/config_schema.ts";
+import type { StoredConfig } from "../version/stored_config.ts";
 import { CliError } from "./cli_error.ts";
 
 const REQUEST_TIMEOUT_MS = 30_000;
 
-/** Quarantined request as the operator port lists it. */
-export interface QuarantineEntry {
-  readonly fingerprint: string;
-  readonly groups: readonly string[];
-  readonly expiresInMs: number;
-}
-
 /** Document that is offered for acceptance. */
 export interface AcceptRequest {
   readonly document: unknown;
   /** Version that the change is based on. */
-  readonly expectedVersion: number;
+  readonly baseVersion: number;
   readonly operator: string;
 }
 
@@ -52,8 +46,8 @@
   }
 
   /** Gets earlier versions of the configuration, newest first. */
-  async getHistory(): Promise<ConfigHistoryEntry[]> {
-    const body = await this.#read<{ entries: ConfigHistoryEntry[] }>(
+  async getHistory(): Promise<StoredConfig[]> {
+    const body = await this.#read<{ entries: StoredConfig[] }>(
       "api/config/history",
     );
     return body.entries;
@@ -98,8 +92,8 @@
   }
 
   /** Gets the quarantined requests. */
-  async getQuarantine(): Promise<QuarantineEntry[]> {
-    const body = await this.#read<{ entries: QuarantineEntry[] }>(
+  async getQuarantine(): Promise<QuarantinedRequest[]> {
+    const body = await this.#read<{ entries: QuarantinedRequest[] }>(
       "api/quarantine",
     );
     return body.entries;
--- /dev/null
+++ b/src/connection/operator_api_routes.ts
@@ -0,0 +1,85 @@
+import express, { type Express, type Response } from "express";
+import type { DaemonContext } from "../process/daemon_context.ts";
+import { createStatusReport } from "../process/status_report.ts";
+import { TimelineCollector } from "../process/timeline_collector.ts";
+import type { AcceptResult } from "../version/config_repository.ts";
+
+const MAX_DOCUMENT_BYTES = "1mb";
+
+/** Statuses of the answers to an offered document. */
+const ACCEPT_STATUSES: Readonly<Record<AcceptResult["outcome"], number>> = {
+  accepted: 200,
+  conflict: 409,
+  invalid: 422,
+  unavailable: 503,
+  unknown: 504,
+};
+
+interface CheckBody {
+  readonly document?: unknown;
+}
+
+interface AcceptBody extends CheckBody {
+  readonly baseVersion?: number;
+  readonly operator?: string;
+}
+
+/**
+ * Adds the JSON routes of the operator port.
+ *
+ * @param app - Application of the operator port.
+ * @param context - Parts of the daemon.
+ */
+export function addOperatorApiRoutes(
+  app: Express,
+  context: DaemonContext,
+): void {
+  const timelineCollector = new TimelineCollector(context);
+  app.get("/api/status", (_req, res) => {
+    res.json(createStatusReport(context));
+  });
+  app.get("/api/timeline", async (req, res) => {
+    const { requestId } = req.query;
+    res.json(
+      await timelineCollector.collect({
+        requestId: typeof requestId === "string" ? requestId : undefined,
+      }),
+    );
+  });
+  addConfigRoutes(app, context);
+}
+
+function addConfigRoutes(app: Express, context: DaemonContext): void {
+  const { configHolder, configRepository } = context;
+  const parseBody = express.json({ limit: MAX_DOCUMENT_BYTES });
+  app.get("/api/config", (_req, res) => {
+    const current = configHolder.getCurrent();
+    if (current === undefined) {
+      refuse(res, 404, "No configuration has been accepted yet");
+      return;
+    }
+    res.json({ version: current.version, document: current.document });
+  });
+  app.get("/api/config/history", async (_req, res) => {
+    const versions = await configRepository.listVersions();
+    versions.caseOf({
+      Left: (error) => refuse(res, 503, error.message),
+      Right: (entries) => void res.json({ entries }),
+    });
+  });
+  app.post("/api/config/check", parseBody, (req, res) => {
+    res.json(configRepository.check((req.body as CheckBody).document));
+  });
+  app.post("/api/config/accept", parseBody, async (req, res) => {
+    const body = req.body as AcceptBody;
+    const result = await configRepository.accept(body.document, {
+      baseVersion: body.baseVersion,
+      operator: body.operator,
+    });
+    res.status(ACCEPT_STATUSES[result.outcome]).json(result);
+  });
+}
+
+function refuse(res: Response, status: number, message: string): void {
+  res.status(status).json({ message });
+}
--- a/src/connection/operator_app.ts
+++ b/src/connection/operator_app.ts
@@ -1,5 +1,12 @@
-import express, { type Express } from "express";
+import express, {
+  type ErrorRequestHandler,
+  type Express,
+  type RequestHandler,
+} from "express";
+import { addConsoleRoutes } from "../console/console_routes.ts";
 import type { DaemonContext } from "../process/daemon_context.ts";
+import { getErrorMessage } from "../shared/errors.ts";
+import { addOperatorApiRoutes } from "./operator_api_routes.ts";
 import { addQuarantineRoutes } from "./quarantine_routes.ts";
 
 /**
@@ -10,6 +17,7 @@
 export function createOperatorApp(context: DaemonContext): Express {
   const app = express();
   app.disable("x-powered-by");
+  app.use(refuseCrossSite);
   app.get("/healthz", (_req, res) => {
     res.json({ name: context.settings.name });
   });
@@ -20,26 +28,34 @@
       !context.gracefulStop.isLeaving();
     res.status(ready ? 200 : 503).json({ ready });
   });
-  app.get("/api/status", (_req, res) => {
-    res.json({
-      name: context.settings.name,
-      configVersion: context.configHolder.getVersion(),
-      freshness: context.freshness.getState(),
-      vms: context.vmTable.getVms(),
-      groups: context.placementHolder.getGroups().map((group) => ({
-        ...group,
-        health: context.healthTable.getHealth(group.groupId) ?? null,
-      })),
-    });
-  });
-  app.get("/api/timeline", (req, res) => {
-    const requestId = req.query.requestId;
-    res.json({
-      events: context.timeline.getEvents({
-        requestId: typeof requestId === "string" ? requestId : undefined,
-      }),
-    });
-  });
+  addOperatorApiRoutes(app, context);
   addQuarantineRoutes(app, context);
+  addConsoleRoutes(app, context);
+  app.use(createErrorHandler(context));
   return app;
 }
+
+/** Refuses changes that a page of another site sends through an operator's browser. */
+const refuseCrossSite: RequestHandler = (req, res, next) => {
+  const site = req.header("sec-fetch-site");
+  const isSafe = req.method === "GET" || req.method === "HEAD";
+  if (!isSafe && site !== undefined && site !== "same-origin") {
+    res.status(403).json({
+      message: "Changes are only taken from pages of this console",
+    });
+    return;
+  }
+  next();
+};
+
+function createErrorHandler(context: DaemonContext): ErrorRequestHandler {
+  return (error, req, res, _next) => {
+    const status = (error as { status?: number }).status ?? 500;
+    context.logger.write("warn", "operator-request-failed", {
+      path: req.path,
+      status,
+      message: getErrorMessage(error),
+    });
+    res.status(status).json({ message: getErrorMessage(error) });
+  };
+}
--- /dev/null
+++ b/src/console/preview_page.ts
@@ -0,0 +1,122 @@
+import type { ConfigDifference } from "../version/config_diff.ts";
+import type {
+  AcceptResult,
+  CheckResult,
+} from "../version/config_repository.ts";
+import type { ConfigFault } from "../version/config_rule.ts";
+import { type Html, html } from "./html.ts";
+import { renderTable } from "./table.ts";
+
+/** Document of a submitted form with its check. */
+export interface PreviewedDocument {
+  readonly document: unknown;
+  readonly baseVersion: number;
+  readonly check: CheckResult;
+}
+
+/**
+ * Renders the changes of a document before it is accepted.
+ *
+ * @param preview - Document, the version that it is based on, and its check.
+ */
+export function renderPreview(preview: PreviewedDocument): Html {
+  const { check, baseVersion } = preview;
+  if (check.faults.length > 0) {
+    return html`
+      <p
+        class="bad">The document cannot be accepted. Go back and mend these values:</p>
+      ${renderFaults(check.faults)}
+    `;
+  }
+  if (check.diff.length === 0) {
+    return html`<p>There are no changes.</p>`;
+  }
+  const isOutdated = check.currentVersion !== baseVersion;
+  return html`
+    ${isOutdated
+      ? html`
+        <p
+          class="note">Version ${check
+            .currentVersion} was accepted since the form was opened; accepting this document will be refused. Open the form again.</p>
+      `
+      : undefined}
+    ${renderDifferences(check.diff)}
+    <form method="post" action="/console/accept">
+      <input type="hidden" name="$baseVersion" value="${baseVersion}">
+      <input type="hidden" name="$document" value="${JSON.stringify(
+        preview.document,
+      )}">
+      <label><span>Your name</span><input name="$operator"><small>Recorded in the history</small></label>
+      <p><button>Accept the document</button></p>
+    </form>
+    <h2>Document</h2>
+    <pre>${JSON.stringify(preview.document, undefined, 2)}</pre>
+  `;
+}
+
+/**
+ * Renders the result of an acceptance.
+ *
+ * @param result - Result of the acceptance.
+ */
+export function renderAcceptResult(result: AcceptResult): Html {
+  switch (result.outcome) {
+    case "accepted":
+      return html`
+        <p
+          class="good">Accepted as version <b>${result
+            .version}</b>; in force on ${result.inForce.join(", ")}.</p>
+        ${result.notConfirmed.length > 0
+          ? html`<p class="bad">Not confirmed by ${
+            result.notConfirmed.join(", ")
+          }.</p>`
+          : undefined}
+      `;
+    case "conflict":
+      return html`
+        <p
+          class="bad">Another document was accepted first, as version ${result
+            .winner
+            .version}. Nothing was changed by you. Differences from that version to your document:</p>
+        ${renderDifferences(result.diff)}
+      `;
+    case "invalid":
+      return html`<p class="bad">The document was refused:</p>${
+        renderFaults(result.faults)
+      }`;
+    case "unavailable":
+      return html`<p class="bad">Nothing was changed: ${result.message}.</p>`;
+    case "unknown":
+      return html`
+        <p
+          class="bad">The outcome is not known: ${result
+            .message}. Look at the overview before you try again.</p>
+      `;
+  }
+}
+
+/**
+ * Renders the differences of two documents.
+ *
+ * @param differences - Differences with their paths.
+ */
+export function renderDifferences(
+  differences: readonly ConfigDifference[],
+): Html {
+  return renderTable(
+    ["path", "change", "before", "after"],
+    differences.map((difference) => [
+      difference.path,
+      difference.kind,
+      JSON.stringify(difference.before) ?? "",
+      JSON.stringify(difference.after) ?? "",
+    ]),
+  );
+}
+
+function renderFaults(faults: readonly ConfigFault[]): Html {
+  return renderTable(
+    ["path", "fault"],
+    faults.map((fault) => [fault.path, fault.message]),
+  );
+}
--- /dev/null
+++ b/src/console/timeline_page.ts
@@ -0,0 +1,44 @@
+import type { CollectedTimeline } from "../process/timeline_collector.ts";
+import { type Html, html } from "./html.ts";
+import { renderExplanation } from "./request_explanation.ts";
+import { renderTable } from "./table.ts";
+import { renderTimelinePicture } from "./timeline_picture.ts";
+
+const MAX_SHOWN_EVENTS = 500;
+
+/**
+ * Renders the events of all daemons as a picture and a table.
+ *
+ * @param timeline - Events in causal order.
+ * @param filter - Request that the events are limited to.
+ */
+export function renderTimelinePage(
+  timeline: CollectedTimeline,
+  filter: { requestId?: string },
+): Html {
+  const events = timeline.events.slice(-MAX_SHOWN_EVENTS);
+  return html`
+    <form
+      method="get"><label><span>Request</span><input name="requestId" value="${filter
+        .requestId ??
+        ""}"><small>Leave empty for all events</small></label></form>
+    ${timeline.missing.length > 0
+      ? html`<p class="note">The events of ${
+        timeline.missing.join(", ")
+      } are missing.</p>`
+      : undefined}
+    ${events.length > 0
+      ? renderTimelinePicture(events)
+      : html`<p>No events.</p>`}
+    ${renderTable(
+      ["time", "process", "event", "request", "what happened"],
+      renderExplanation(events).map((step, index) => [
+        new Date(step.timeMs).toISOString(),
+        step.process,
+        events[index].event,
+        events[index].requestId ?? "",
+        step.sentence,
+      ]),
+    )}
+  `;
+}
--- a/src/version/config_repository.ts
+++ b/src/version/config_repository.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
+import type { z } from "zod";
 import type {
   ObjectStore,
   StoredObject,
@@ -69,6 +70,23 @@
   readonly diff: readonly ConfigDifference[];
 }
 
+/** Version that an acceptance is based on, and who asks for it. */
+export interface AcceptOptions {
+  /** Version that the operator changed; the newest one when left out. */
+  readonly baseVersion?: number;
+  /** Name under which the acceptance is recorded. */
+  readonly operator?: string;
+}
+
+/** Result of checking a document without accepting it. */
+export interface CheckResult {
+  readonly faults: readonly ConfigFault[];
+  /** Differences from the version in force to the document. */
+  readonly diff: readonly ConfigDifference[];
+  /** Version in force that the document was compared with; 0 before the first one. */
+  readonly currentVersion: number;
+}
+
 /** Parts of the repository. */
 export interface ConfigRepositoryOptions {
   readonly store: ObjectStore;
@@ -98,7 +116,7 @@
    * Validates a document and makes it the newest version by one conditional write.
    *
    * @param value - Document as parsed JSON.
-   * @param options - Version that the operator changed; the newest one when left out.
+   * @param options - Version that the operator changed, the newest one when left out, and the operator's name.
    * @example
    * ```ts
    * const result = await repository.accept(document, { baseVersion: 4 });
@@ -106,23 +124,41 @@
    */
   async accept(
     value: unknown,
-    options: { baseVersion?: number } = {},
+    options: AcceptOptions = {},
   ): Promise<AcceptResult> {
     const parsed = configSchema.safeParse(value);
     if (!parsed.success) {
-      const faults = parsed.error.issues.map((issue) => ({
-        path: issue.path.join("."),
-        message: issue.message,
-      }));
-      return { outcome: "invalid", faults };
+      return { outcome: "invalid", faults: getSchemaFaults(parsed.error) };
     }
     const current = (await this.#readCurrent()).mapLeft((e) => e.message);
     return await current.caseOf<Promise<AcceptResult>>({
       Left: (message) => Promise.resolve({ outcome: "unavailable", message }),
-      Right: (c) => this.#acceptOn(c, parsed.data, options.baseVersion),
+      Right: (c) => this.#acceptOn(c, parsed.data, options),
     });
   }
 
+  /**
+   * Checks a document against the schema, the rules and the version in force.
+   *
+   * @param value - Document as parsed JSON.
+   */
+  check(value: unknown): CheckResult {
+    const { configHolder, rules } = this.#options;
+    const current = configHolder.getCurrent();
+    const currentVersion = configHolder.getVersion();
+    const parsed = configSchema.safeParse(value);
+    if (!parsed.success) {
+      const faults = getSchemaFaults(parsed.error);
+      return { faults, diff: [], currentVersion };
+    }
+    const document = parsed.data;
+    return {
+      faults: rules.checkChange({ document, current: current?.document }),
+      diff: getConfigDiff(current?.document ?? {}, document),
+      currentVersion,
+    };
+  }
+
   /**
    * Accepts the document of an earlier version as a new version.
    *
@@ -131,7 +167,7 @@
    */
   async acceptEarlier(
     version: number,
-    options: { baseVersion?: number } = {},
+    options: AcceptOptions = {},
   ): Promise<AcceptResult> {
     const earlier = await this.getVersion(version);
     return await earlier.caseOf<Promise<AcceptResult>>({
@@ -184,8 +220,9 @@
   async #acceptOn(
     current: CurrentConfig,
     document: ConfigDocument,
-    baseVersion: number | undefined,
+    options: AcceptOptions,
   ): Promise<AcceptResult> {
+    const { baseVersion, operator = "" } = options;
     const { rules, spread } = this.#options;
     const { newest } = current;
     if (baseVersion !== undefined && baseVersion !== (newest?.version ?? 0)) {
@@ -218,6 +255,7 @@
       digest: getCanonicalDigest(document),
       acceptId: randomUUID(),
       acceptedAt: new Date().toISOString(),
+      operator,
       document,
     };
     return await this.#write(current, envelope, document);
@@ -341,6 +379,7 @@
         digest: getCanonicalDigest(object.value),
         acceptId: "",
         acceptedAt: "",
+        operator: "",
         document: object.value,
       }
       : object.value as ConfigEnvelope;
@@ -371,6 +410,13 @@
   }
 }
 
+function getSchemaFaults(error: z.ZodError): ConfigFault[] {
+  return error.issues.map((issue) => ({
+    path: issue.path.join("."),
+    message: issue.message,
+  }));
+}
+
 function parseObject(
   object: StoredObject | undefined,
 ): StoredConfig | undefined {
--- a/src/version/stored_config.ts
+++ b/src/version/stored_config.ts
@@ -9,6 +9,7 @@
   digest: z.string(),
   acceptId: z.string(),
   acceptedAt: z.string(),
+  operator: z.string().default(""),
   document: z.unknown(),
 });
 
@@ -20,6 +21,10 @@
   readonly digest: string;
   /** Random id of the acceptance; absent when the document was stored without an envelope. */
   readonly acceptId?: string;
+  /** Time of the acceptance in ISO 8601; empty when it is not known. */
+  readonly acceptedAt: string;
+  /** Name of the operator who offered the document; empty when it is not known. */
+  readonly operator: string;
 }
 
 /**
@@ -52,5 +57,7 @@
     digest,
     document: document.data,
     acceptId: envelope.success ? envelope.data.acceptId : undefined,
+    acceptedAt: envelope.success ? envelope.data.acceptedAt : "",
+    operator: envelope.success ? envelope.data.operator : "",
   });
 }
--- a/tools/quickstart.ts
+++ b/tools/quickstart.ts
@@ -77,6 +77,11 @@
   }
   print(`Callers:   http://${daemons[0].caller}/v1  (API key ${API_KEY})`);
   print(`Operators: http://${daemons[0].operator}/`);
+  print(
+    `Tool:      node dist/src/cli/cli_main.js status --daemon http://${
+      daemons[0].operator
+    }`,
+  );
   print("Press Ctrl-C to stop.");
   await interrupted;
 }
