--- /dev/null
+++ b/src/process/group_directory_test.ts
@@ -0,0 +1,153 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { Vm } from "../connection/vm_directory.ts";
+import { ConfigHolder } from "../version/config_holder.ts";
+import { type ConfigDocument, configSchema } from "../version/config_schema.ts";
+import type { PlacedGroup } from "../version/placement.ts";
+import { PlacementHolder } from "../version/placement_holder.ts";
+import { ConfigZonePolicy } from "../version/zone_policy.ts";
+import { GroupDirectory, HEALTH_EXPIRY_MS } from "./group_directory.ts";
+import { type GroupHealth, GroupHealthTable } from "./group_health.ts";
+import { VmTable } from "./vm_table.ts";
+
+const GROUP: PlacedGroup = {
+  groupId: "rack-1-1",
+  model: "model-1",
+  modelVersion: "1",
+  zone: "zone-a",
+  fabricDomain: "rack-1",
+  generation: 7,
+  phase: "serving",
+  leader: "vm-1",
+  sizeVms: 2,
+};
+
+const HEALTH: GroupHealth = {
+  groupId: GROUP.groupId,
+  generation: GROUP.generation,
+  state: "ready",
+  bootId: "boot-1",
+  observer: "entry-1",
+  sequence: 1,
+  ageMs: 0,
+  runningRequests: 0,
+  heldTokens: 0,
+  maxTokens: 1_000,
+};
+
+const VMS: readonly Vm[] = ["vm-1", "vm-2"].map((name, index) => ({
+  name,
+  role: "backend",
+  address: `127.0.0.1:${index + 1}`,
+  zone: "zone-a",
+  fabricDomain: "rack-1",
+  state: "live",
+}));
+
+interface DirectoryState {
+  readonly group?: Partial<PlacedGroup>;
+  readonly health?: Partial<GroupHealth>;
+  readonly vms?: readonly Vm[];
+  readonly change?: (document: ConfigDocument) => void;
+  readonly waitMs?: number;
+}
+
+describe("GroupDirectory", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  describe("getServingGroups", () => {
+    function doTest(state: DirectoryState): string[] {
+      const configHolder = new ConfigHolder();
+      configHolder.offer({ version: 1, document: createDocument(state) });
+      const placementHolder = new PlacementHolder();
+      placementHolder.offer({
+        objectVersion: 1,
+        placement: {
+          fabricDomain: "rack-1",
+          zone: "zone-a",
+          lastGeneration: 7,
+          groupByVm: { "vm-1": GROUP.groupId, "vm-2": GROUP.groupId },
+          groups: { [GROUP.groupId]: { ...GROUP, ...state.group } },
+        },
+      });
+      const healthTable = new GroupHealthTable();
+      healthTable.offer({ ...HEALTH, ...state.health });
+      const vmTable = new VmTable();
+      vmTable.replace(state.vms ?? VMS);
+      const directory = new GroupDirectory({
+        configHolder,
+        placementHolder,
+        healthTable,
+        vmTable,
+        zonePolicy: new ConfigZonePolicy(configHolder),
+      });
+      vi.advanceTimersByTime(state.waitMs ?? 0);
+      return directory.getServingGroups("model-1")
+        .map((serving) => serving.leaderAddress);
+    }
+
+    it("gives a complete group with the address of its leader", () => {
+      expect(doTest({})).toEqual(["127.0.0.1:1"]);
+      expect(doTest({ health: { state: "cold" } })).toHaveLength(1);
+    });
+
+    // Guards against work for a group that is not complete, or in a place that is out of service.
+    it.each<{ name: string; state: DirectoryState }>([
+      {
+        name: "a group that misses a member",
+        state: { health: { state: "incomplete" } },
+      },
+      {
+        name: "a group whose members report an older generation",
+        state: { health: { generation: 6 } },
+      },
+      {
+        name: "a group that nobody has observed lately",
+        state: { waitMs: HEALTH_EXPIRY_MS + 1 },
+      },
+      { name: "a group that loads", state: { group: { phase: "loading" } } },
+      { name: "a group that drains", state: { group: { phase: "draining" } } },
+      {
+        name: "a group with a leaving member",
+        state: { vms: [VMS[0], { ...VMS[1], state: "leaving" }] },
+      },
+      {
+        name: "a group with a member that is no longer listed",
+        state: { vms: [VMS[0]] },
+      },
+      {
+        name: "a group with a drained member",
+        state: { change: (d) => d.drainedVms = ["vm-2"] },
+      },
+      {
+        name: "a group in a zone that is taken out",
+        state: { change: (d) => d.zones[0].takenOut = true },
+      },
+      {
+        name: "a group in a zone that is not declared",
+        state: { group: { zone: "zone-b" } },
+      },
+      {
+        name: "a group of another model",
+        state: { group: { model: "other" } },
+      },
+    ])("leaves out $name", ({ state }) => {
+      expect(doTest(state)).toEqual([]);
+    });
+  });
+});
+
+function createDocument(state: DirectoryState): ConfigDocument {
+  const document = configSchema.parse({
+    schemaVersion: 1,
+    zones: [{ name: "zone-a", region: "region-1" }],
+    clientAccounts: [{ name: "account-1", apiKeySha256: ["0".repeat(64)] }],
+  });
+  state.change?.(document);
+  return document;
+}
