Wait for the peers' reports before a loss quarantines a request

A daemon judged a loss as soon as it saw it. When another daemon ran the guilty request on the same group and noticed the loss later, an innocent request was the only known one at both losses and was refused.

SharedAdmission reserves a whole group for a request that runs alone, so a second request is no longer placed on that group; the order of the reports stays open after a hold-down or a lost loan. A loss therefore counts only 500 ms after it happened, and requests that the known losses would quarantine wait that long before their next attempt, so that a guilty one does not crash a third group meanwhile. Ruled out: asking each peer for its streams on the group, which needs an answer of every daemon.

--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -34,6 +34,8 @@
 const PEER_TIMEOUT_MS = 1_000;
 /** Chat requests have a budget of their own: the loss of one group needs a retry for each of its streams at once. */
 const CHAT_RETRY_BUDGET = { ratio: 0.2, maxTokens: 256, initialTokens: 256 };
+/** Time in which the daemons that ran a request on a lost group notice the loss and report it; they push it at once. */
+const JUDGEMENT_DELAY_MS = 500;
 const INCARNATION_BYTES = 6;
 
 /** Identifiers of the services that are bound to interfaces. */
@@ -164,7 +166,10 @@
     [AgreementTable],
   );
   container.bind(SERVICES.quarantine).toConstantValue(
-    new LocalQuarantineList({ expiryMs: settings.quarantineExpiryMs }),
+    new LocalQuarantineList({
+      expiryMs: settings.quarantineExpiryMs,
+      judgementDelayMs: JUDGEMENT_DELAY_MS,
+    }),
   );
   container.bind(InFlightStreamTable).toConstantValue(
     new InFlightStreamTable(),
--- a/src/process/quarantine_list.ts
+++ b/src/process/quarantine_list.ts
@@ -1,3 +1,4 @@
+import { delay } from "../shared/delay.ts";
 import { getHash32 } from "../shared/rendezvous_hash.ts";
 import {
   MAX_QUARANTINE_ENTRIES,
@@ -23,6 +24,13 @@
    * @param fingerprint - Fingerprint of the request.
    */
   isSuspect(fingerprint: string): boolean;
+  /**
+   * Waits until the last loss of a request is judged. Resolves at once unless the losses known so far would quarantine the request and peers may still report other requests for them.
+   *
+   * @param fingerprint - Fingerprint of the request.
+   * @param signal - Ends the wait early.
+   */
+  waitForJudgement(fingerprint: string, signal: AbortSignal): Promise<void>;
   /**
    * Records the requests that were on a group when it was lost.
    *
@@ -97,12 +105,17 @@
 /** Quarantine list of one process. */
 export class LocalQuarantineList implements QuarantineList {
   readonly #expiryMs: number;
+  readonly #judgementDelayMs: number;
+  /** Monotonic times at which the requests that the known losses would quarantine are judged. */
+  readonly #judgements = new Map<string, number>();
   readonly #entries = new Map<string, HeldEntry>();
   readonly #losses = new Map<string, HeldLoss>();
   readonly #listeners: (() => void)[] = [];
 
-  constructor(options: { expiryMs: number }) {
+  /** @param options - Time for which a request stays quarantined, and time for which a loss waits for the reports of peers before it counts, in milliseconds. */
+  constructor(options: { expiryMs: number; judgementDelayMs: number }) {
     this.#expiryMs = options.expiryMs;
+    this.#judgementDelayMs = options.judgementDelayMs;
   }
 
   isQuarantined(fingerprint: string): boolean {
@@ -114,6 +127,22 @@
     return this.#losses.size > 0 && this.#getLosses(fingerprint).length > 0;
   }
 
+  async waitForJudgement(
+    fingerprint: string,
+    signal: AbortSignal,
+  ): Promise<void> {
+    for (;;) {
+      const atMs = this.#judgements.get(fingerprint);
+      if (atMs === undefined || this.isQuarantined(fingerprint)) {
+        return;
+      }
+      const waitMs = Math.max(1, atMs - performance.now());
+      if (!await delay(waitMs, signal)) {
+        return;
+      }
+    }
+  }
+
   recordLoss(loss: GroupLoss): void {
     const changed = this.#mergeLoss({
       lossId: loss.lossId,
@@ -267,16 +296,50 @@
     return changed;
   }
 
-  /** Quarantines those requests whose losses cannot be explained by another request. */
+  /** Quarantines those requests whose losses cannot be explained by another request. Daemons notice a loss at different times, so a recent loss waits for their reports. */
   #updateQuarantine(fingerprints: readonly string[]): void {
     for (const fingerprint of new Set(fingerprints)) {
-      if (!this.isQuarantined(fingerprint) && this.#isGuilty(fingerprint)) {
+      if (this.isQuarantined(fingerprint) || !this.#isGuilty(fingerprint)) {
+        continue;
+      }
+      const waitMs = this.#getJudgementWaitMs(fingerprint);
+      if (waitMs > 0) {
+        this.#delayJudgement(fingerprint, waitMs);
+      } else {
         this.#setEntry(fingerprint, "quarantined");
         this.#clearCompanions(fingerprint);
       }
     }
   }
 
+  #getJudgementWaitMs(fingerprint: string): number {
+    const lostAtMs = this.#getLosses(fingerprint).map((loss) => loss.atMs);
+    return Math.max(...lostAtMs) + this.#judgementDelayMs - performance.now();
+  }
+
+  #delayJudgement(fingerprint: string, waitMs: number): void {
+    const isWaiting = this.#judgements.has(fingerprint);
+    this.#judgements.set(fingerprint, performance.now() + waitMs);
+    if (isWaiting) {
+      return;
+    }
+    const judge = () => {
+      // A later loss prolongs the wait.
+      const remainingMs = this.#judgements.get(fingerprint)! -
+        performance.now();
+      if (remainingMs > 0) {
+        setTimeout(judge, Math.ceil(remainingMs)).unref();
+        return;
+      }
+      this.#judgements.delete(fingerprint);
+      this.#updateQuarantine([fingerprint]);
+      if (this.isQuarantined(fingerprint)) {
+        this.#publishChange();
+      }
+    };
+    setTimeout(judge, Math.ceil(waitMs)).unref();
+  }
+
   #isGuilty(fingerprint: string): boolean {
     const losses = this.#getLosses(fingerprint);
     if (losses.length < 2) {
--- a/src/process/quarantine_list_test.ts
+++ b/src/process/quarantine_list_test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from "vitest";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { LocalQuarantineList } from "./quarantine_list.ts";
 import { MAX_QUARANTINE_ENTRIES } from "./quarantine_state.ts";
 
@@ -18,7 +18,10 @@
 }
 
 function createList(losses: readonly Loss[] = []): LocalQuarantineList {
-  const list = new LocalQuarantineList({ expiryMs: EXPIRY_MS });
+  const list = new LocalQuarantineList({
+    expiryMs: EXPIRY_MS,
+    judgementDelayMs: 0,
+  });
   losses.forEach((loss) => list.recordLoss({ alone: false, ...loss }));
   return list;
 }
@@ -77,6 +80,59 @@
     });
   });
 
+  describe("waitForJudgement", () => {
+    const DELAY_MS = 500;
+    let own: LocalQuarantineList;
+    let peer: LocalQuarantineList;
+
+    beforeEach(() => {
+      vi.useFakeTimers();
+      const options = { expiryMs: EXPIRY_MS, judgementDelayMs: DELAY_MS };
+      own = new LocalQuarantineList(options);
+      peer = new LocalQuarantineList(options);
+      own.recordLoss({ lossId: "1@1", fingerprints: [A], alone: false });
+      own.recordLoss({ lossId: "2@1", fingerprints: [A], alone: true });
+    });
+
+    afterEach(() => {
+      vi.useRealTimers();
+    });
+
+    function startWaiting(): { done: boolean } {
+      const state = { done: false };
+      void own.waitForJudgement(A, new AbortController().signal)
+        .then(() => state.done = true);
+      return state;
+    }
+
+    // Guards against an innocent request that is judged before the daemon that ran the guilty one reports it.
+    it("counts the reports that peers send within the delay", async () => {
+      const waiting = startWaiting();
+      await vi.advanceTimersByTimeAsync(DELAY_MS - 100);
+      expect(waiting.done).toBe(false);
+      expect(own.isQuarantined(A)).toBe(false);
+      peer.recordLoss({ lossId: "1@1", fingerprints: [X], alone: false });
+      peer.recordLoss({ lossId: "2@1", fingerprints: [X], alone: true });
+      own.merge(peer.getState());
+      peer.merge(own.getState());
+      await vi.advanceTimersByTimeAsync(DELAY_MS * 2);
+      expect(waiting.done).toBe(true);
+      expect([A, X].filter((f) => own.isQuarantined(f))).toEqual([]);
+      expect([A, X].filter((f) => peer.isQuarantined(f))).toEqual([]);
+    });
+
+    // Guards against a guilty request that is never judged, since no peer has anything to report.
+    it("ends after the delay without a report", async () => {
+      const onChange = vi.fn();
+      own.onChange(onChange);
+      const waiting = startWaiting();
+      await vi.advanceTimersByTimeAsync(DELAY_MS + 10);
+      expect(waiting.done).toBe(true);
+      expect(own.isQuarantined(A)).toBe(true);
+      expect(onChange).toHaveBeenCalledOnce();
+    });
+  });
+
   describe("recordSurvival", () => {
     // Guards against an innocent suspect that runs alone forever.
     it("ends the suspicion", () => {
--- a/src/request/chat_stream.ts
+++ b/src/request/chat_stream.ts
@@ -125,7 +125,7 @@
     inFlightStreams.add(this);
     try {
       this.#checkEnd();
-      this.#checkQuarantine();
+      await this.#checkQuarantine();
       chatRetryBudget.recordFirstAttempt();
       while (!this.#complete) {
         yield* this.#runAttempt();
@@ -246,7 +246,7 @@
       }
       await delay(getBackoffMs(retry + 2), this.#controller.signal);
       this.#checkEnd();
-      this.#checkQuarantine();
+      await this.#checkQuarantine();
     }
   }
 
@@ -308,7 +308,7 @@
     } else {
       this.#failedAttempts++;
     }
-    this.#checkQuarantine();
+    await this.#checkQuarantine();
     if (
       this.#failedAttempts >= MAX_FAILED_ATTEMPTS ||
       this.#declinedAttempts >= MAX_DECLINED_ATTEMPTS ||
@@ -405,8 +405,17 @@
       : this.#verdict;
   }
 
-  #checkQuarantine(): void {
-    if (this.#context.quarantine.isQuarantined(this.fingerprint)) {
+  async #checkQuarantine(): Promise<void> {
+    const { quarantine } = this.#context;
+    // A request that may be about to be quarantined must not reach a further group.
+    if (quarantine.isSuspect(this.fingerprint)) {
+      await quarantine.waitForJudgement(
+        this.fingerprint,
+        this.#controller.signal,
+      );
+      this.#checkEnd();
+    }
+    if (quarantine.isQuarantined(this.fingerprint)) {
       throw new RequestError(
         "The request is quarantined, since groups failed while they ran it",
         { code: "quarantined", verdict: this.#verdict, status: 422 },
--- a/tests/quarantine_test.ts
+++ b/tests/quarantine_test.ts
@@ -1,10 +1,15 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { getExpectedAnswer } from "../fakes/fake_answer.ts";
 import { OperatorClient } from "../src/cli/operator_client.ts";
+import { chatRequestSchema } from "../src/request/chat_request_schema.ts";
+import { getRequestFingerprint } from "../src/request/request_fingerprint.ts";
+import { delay } from "../src/shared/delay.ts";
 import { CallerStream } from "./support/caller_stream.ts";
 import { TestDeployment, waitUntil } from "./support/test_deployment.ts";
 
 const MARKER = "crash-marker";
+/** Delay of a report that stays within the wait of the other daemons. */
+const REPORT_DELAY_MS = 200;
 const CRASH_CONTENT = `tokens=40 ${MARKER}`;
 
 describe("quarantine", () => {
@@ -73,6 +78,40 @@
     expect(countCrashes()).toBe(2);
   });
 
+  // Guards against an innocent request that is refused, since the daemon that ran the guilty one on the same groups notices their losses later.
+  it("waits for the reports of the other daemons", async () => {
+    const [first, second] = deployment.daemons;
+    const content = "tokens=5 innocent late report";
+    const [model] = first.context.configHolder.getCurrentOrThrow().document
+      .models;
+    const innocent = getRequestFingerprint(
+      chatRequestSchema.parse({
+        model: model.name,
+        messages: [{ role: "user", content }],
+      }),
+      model,
+    );
+    const guilty = "f".repeat(32);
+    const loss = { lossId: "lost-1@1/a", alone: false };
+    first.context.quarantine.recordLoss({ ...loss, fingerprints: [innocent] });
+    second.context.quarantine.recordLoss({ ...loss, fingerprints: [guilty] });
+    await waitUntil(() =>
+      deployment.daemons.every((d) =>
+        [innocent, guilty].every((f) => d.context.quarantine.isSuspect(f))
+      )
+    );
+    const next = { lossId: "lost-2@1/b", alone: true };
+    first.context.quarantine.recordLoss({ ...next, fingerprints: [innocent] });
+    const running = deployment.requestChat(first, content);
+    await delay(REPORT_DELAY_MS);
+    second.context.quarantine.recordLoss({ ...next, fingerprints: [guilty] });
+    const answer = await running;
+    expect(answer.statusCode, answer.body).toBe(200);
+    for (const daemon of deployment.daemons) {
+      expect(daemon.context.quarantine.getQuarantined()).toEqual([]);
+    }
+  });
+
   // Guards against a quarantine that one daemon keeps for itself, or that a restart forgets.
   it("spreads to all daemons, to the store and back by a clearance", async () => {
     await deployment.requestChat(deployment.daemons[0], CRASH_CONTENT);
