Count and record what happens to requests and groups

One Metrics and one EventRecorder are bound in the container. Chat and service paths count requests, refusals by code, resumes, parks, tokens, claims and store calls, and measure waits and durations; one gap of every 16 batches gives the time between tokens. Each step of a request is an event of the time line with the fields that request_explanation.ts uses, and one log line: debug for the usual steps, info for failures, moves and parks, warn for lost groups and quarantined requests. Lines below the log level are no longer formatted.

ObservationTask records events without a request, gauges and the delay of the event loop; it samples every 100 ms, since each sample wakes an idle process.

--- a/src/connection/caller_writer.ts
+++ b/src/connection/caller_writer.ts
@@ -60,10 +60,6 @@
 
   park(): void {
     this.#stream.park();
-    this.#context.timeline.record({
-      event: "stream-parked",
-      requestId: this.#stream.requestId,
-    });
   }
 
   close(): void {
--- a/src/connection/chat_routes.ts
+++ b/src/connection/chat_routes.ts
@@ -9,6 +9,7 @@
 import { RequestError } from "../shared/errors.ts";
 import { CallerWriter } from "./caller_writer.ts";
 import { createErrorBody } from "./error_body.ts";
+import { recordFailure } from "./error_handler.ts";
 import { createRequestContext } from "./request_context_factory.ts";
 import { type EndChunk, formatUsage, SseFrames } from "./sse_frames.ts";
 
@@ -31,8 +32,15 @@
     "/v1/chat/completions",
     express.json({ limit }),
     async (req, res) => {
+      const startedAtMs = performance.now();
+      context.metrics.count("chat_requests");
       const request = createRequestContext(context, { req, res });
       const body = parseChatBody(req.body);
+      context.events.record("debug", {
+        event: "request-received",
+        requestId: request.requestId,
+        fields: { account: request.account.name, model: body.model },
+      });
       const stream = chatHandler.createStream(body, request);
       const writer = new CallerWriter(context, { res, stream, request });
       try {
@@ -41,11 +49,17 @@
           { body, stream },
           writer,
         );
+        recordFinish(context, { stream, startedAtMs });
       } catch (error) {
         if (res.headersSent && error instanceof RequestError) {
           await sendErrorEvent(context, { error, res, writer });
         } else if (!res.destroyed) {
           throw error;
+        } else if (error instanceof RequestError) {
+          recordFailure(context, {
+            failure: error,
+            requestId: request.requestId,
+          });
         }
       } finally {
         writer.dispose();
@@ -55,6 +69,20 @@
   return app;
 }
 
+function recordFinish(
+  context: DaemonContext,
+  ended: { stream: ChatStream; startedAtMs: number },
+): void {
+  const { stream, startedAtMs } = ended;
+  const durationMs = performance.now() - startedAtMs;
+  context.metrics.record("chat_duration", durationMs);
+  context.events.record("debug", {
+    event: "request-finished",
+    requestId: stream.requestId,
+    fields: { durationMs: Math.round(durationMs), tokens: stream.tokens },
+  });
+}
+
 function parseChatBody(value: unknown): ChatRequestBody {
   const parsed = chatRequestSchema.safeParse(value);
   if (!parsed.success) {
@@ -133,12 +161,8 @@
   failure: { error: RequestError; res: Response; writer: CallerWriter },
 ): Promise<void> {
   const { error, res, writer } = failure;
-  context.logger.write("info", "request-failed", {
-    requestId: String(res.locals.requestId),
-    code: error.code,
-    verdict: error.verdict,
-    message: error.message,
-  });
-  const event = createErrorBody(error, String(res.locals.requestId));
+  const requestId = String(res.locals.requestId);
+  recordFailure(context, { failure: error, requestId });
+  const event = createErrorBody(error, requestId);
   await writer.finish(`data: ${JSON.stringify(event)}\n\n`);
 }
--- a/src/connection/error_handler.ts
+++ b/src/connection/error_handler.ts
@@ -13,11 +13,9 @@
 ): ErrorRequestHandler {
   return (error, _req, res, _next) => {
     const failure = convertToRequestError(error);
-    context.logger.write("info", "request-failed", {
+    recordFailure(context, {
+      failure,
       requestId: String(res.locals.requestId),
-      code: failure.code,
-      verdict: failure.verdict,
-      message: failure.message,
     });
     const body = createErrorBody(failure, String(res.locals.requestId));
     if (res.writableEnded) {
@@ -35,6 +33,26 @@
   };
 }
 
+/**
+ * Counts a request that ended without an answer and records it: as refused when it did not run, else as failed.
+ *
+ * @param context - Parts of the daemon.
+ * @param ended - Request and why it ended.
+ */
+export function recordFailure(
+  context: DaemonContext,
+  ended: { failure: RequestError; requestId: string },
+): void {
+  const { failure, requestId } = ended;
+  const { code, verdict, message } = failure;
+  context.metrics.count("refusals", { label: code });
+  context.events.record("info", {
+    event: verdict === "not-run" ? "request-refused" : "request-failed",
+    requestId,
+    fields: { code, verdict, message },
+  });
+}
+
 function convertToRequestError(error: unknown): RequestError {
   if (error instanceof RequestError) {
     return error;
--- a/src/connection/http_platform_client.ts
+++ b/src/connection/http_platform_client.ts
@@ -1,5 +1,6 @@
-import got, { type Got, HTTPError } from "got";
+import got, { type Got, type Hooks, HTTPError } from "got";
 import { type Either, Left, Right } from "purify-ts";
+import type { Metrics } from "../process/metrics.ts";
 import { getErrorMessage } from "../shared/errors.ts";
 import {
   type ObjectStore,
@@ -20,11 +21,13 @@
 export class HttpPlatformClient implements ObjectStore, VmDirectory {
   readonly #got: Got;
 
-  constructor(options: { url: string }) {
+  constructor(options: { url: string; metrics?: Metrics }) {
+    const { metrics } = options;
     this.#got = got.extend({
       prefixUrl: options.url,
       timeout: { request: CALL_TIMEOUT_MS },
       retry: { limit: 0 },
+      hooks: metrics === undefined ? {} : createMetricsHooks(metrics),
     });
   }
 
@@ -127,6 +130,22 @@
   }
 }
 
+/** Counts every call; the time of a waiting watch says nothing about the store, so it is not recorded. */
+function createMetricsHooks(metrics: Metrics): Partial<Hooks> {
+  return {
+    beforeRequest: [({ method }) => {
+      metrics.count(method === "GET" ? "store_reads" : "store_writes");
+    }],
+    afterResponse: [(response) => {
+      const { total } = response.timings.phases;
+      if (total !== undefined && !response.url.includes("/v1/watch/")) {
+        metrics.record("store_call", total);
+      }
+      return response;
+    }],
+  };
+}
+
 function getObjectPath(kind: string, name: string): string {
   return `v1/objects/${encodeURIComponent(kind)}/${encodeURIComponent(name)}`;
 }
--- a/src/connection/service_routes.ts
+++ b/src/connection/service_routes.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import express, { type Express, type Request } from "express";
 import type { DaemonContext } from "../process/daemon_context.ts";
+import type { RequestContext } from "../request/request_context.ts";
 import type { ServiceCall } from "../request/service_call.ts";
 import { ServiceHandler } from "../request/service_handler.ts";
 import { RequestError } from "../shared/errors.ts";
@@ -33,6 +34,8 @@
     "/services/:service",
     // Account, headers and deadline are checked before the body is read.
     (req, res, next) => {
+      res.locals.startedAtMs = performance.now();
+      context.metrics.count("service_requests");
       res.locals.request = createRequestContext(context, { req, res });
       checkMethod(req);
       getIdempotencyKey(req);
@@ -40,7 +43,21 @@
     },
     express.raw({ type: () => true, limit, inflate: false }),
     async (req, res) => {
-      const answer = await handler.handle(createCall(req), res.locals.request);
+      const request: RequestContext = res.locals.request;
+      const { requestId, account } = request;
+      context.events.record("debug", {
+        event: "request-received",
+        requestId,
+        fields: { account: account.name, service: req.params.service },
+      });
+      const answer = await handler.handle(createCall(req), request);
+      const durationMs = performance.now() - res.locals.startedAtMs;
+      context.metrics.record("service_duration", durationMs);
+      context.events.record("debug", {
+        event: "request-finished",
+        requestId,
+        fields: { durationMs: Math.round(durationMs), status: answer.status },
+      });
       if (answer.contentType !== undefined) {
         res.setHeader("content-type", answer.contentType);
       }
--- a/src/console/request_explanation.ts
+++ b/src/console/request_explanation.ts
@@ -20,7 +20,9 @@
   "request-failed": (f) =>
     `The request failed with ${f.code}, verdict ${f.verdict}: ${f.message}.`,
   "request-finished": (f) =>
-    `The request ended after ${f.durationMs} ms with ${f.tokens ?? 0} tokens.`,
+    `The request ended after ${f.durationMs} ms${
+      f.tokens === undefined ? "" : ` with ${f.tokens} tokens`
+    }.`,
   "attempt-started": (f) =>
     `Attempt ${f.attempt} was sent to group ${f.group}, generation ${f.generation}, after ${
       f.resumedTokens ?? 0
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -20,6 +20,7 @@
 import { ConfigAnnouncer } from "./config_announcer.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
+import { EventRecorder } from "./event_recorder.ts";
 import { FreshnessTracker } from "./freshness_tracker.ts";
 import { GracefulStop } from "./graceful_stop.ts";
 import { GroupDirectory } from "./group_directory.ts";
@@ -28,6 +29,7 @@
 import { InFlightStreamTable } from "./in_flight_streams.ts";
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
 import { ExchangeMembership, type Membership } from "./membership.ts";
+import { Metrics } from "./metrics.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { VmTable } from "./vm_table.ts";
 
@@ -70,6 +72,12 @@
     }),
   );
   container.bind(Timeline).toConstantValue(new Timeline(settings.name));
+  container.bind(Metrics).toConstantValue(new Metrics());
+  container.bind(EventRecorder).toResolvedValue(
+    (timeline: Timeline, logger: Logger) =>
+      new EventRecorder({ timeline, logger }),
+    [Timeline, SERVICES.logger],
+  );
   container.bind(ConfigHolder).toConstantValue(new ConfigHolder());
   container.bind(PlacementHolder).toConstantValue(new PlacementHolder());
   container.bind(VmTable).toConstantValue(new VmTable());
@@ -88,7 +96,10 @@
 
 function bindClients(container: Container, settings: DaemonSettings): void {
   container.bind(HttpPlatformClient).toConstantValue(
-    new HttpPlatformClient({ url: settings.platformUrl }),
+    new HttpPlatformClient({
+      url: settings.platformUrl,
+      metrics: container.get(Metrics),
+    }),
   );
   container.bind(HttpEngineClient).toConstantValue(new HttpEngineClient());
   const peerClients = new HttpPeerClients({ timeoutMs: PEER_TIMEOUT_MS });
@@ -235,6 +246,8 @@
     settings: get(SERVICES.settings),
     logger: get(SERVICES.logger),
     timeline: get(Timeline),
+    metrics: get(Metrics),
+    events: get(EventRecorder),
     lifeCycle: get(LifeCycleManager),
     store: get(HttpPlatformClient),
     vmDirectory: get(HttpPlatformClient),
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -9,6 +9,7 @@
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { GroupMonitorTask } from "./group_monitor_task.ts";
+import { ObservationTask } from "./observation_task.ts";
 import { OutOfServiceTask } from "./out_of_service_task.ts";
 import { PeerExchangeSupervisor } from "./peer_exchange_task.ts";
 import { PlannerTask } from "./planner_task.ts";
@@ -67,6 +68,7 @@
     lifeCycle.add(this.#operator);
     await this.#caller.listen(settings.caller);
     lifeCycle.add(this.#caller);
+    this.#startTask("observation", new ObservationTask(this.context));
     this.#announcer.start();
     this.#startTask("peer-exchange", new PeerExchangeSupervisor(this.context));
     this.#startTask("store-sync", new StoreSyncTask(this.context));
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -13,6 +13,7 @@
 import type { Admission } from "./admission.ts";
 import type { AgreementTable } from "./agreement_table.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
+import type { EventRecorder } from "./event_recorder.ts";
 import type { FreshnessTracker } from "./freshness_tracker.ts";
 import type { GracefulStop } from "./graceful_stop.ts";
 import type { GroupDirectory } from "./group_directory.ts";
@@ -20,6 +21,7 @@
 import type { HeldBytesAccountant } from "./held_bytes_accountant.ts";
 import type { InFlightStreamTable } from "./in_flight_streams.ts";
 import type { Membership } from "./membership.ts";
+import type { Metrics } from "./metrics.ts";
 import type { QuarantineList } from "./quarantine_list.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { VmTable } from "./vm_table.ts";
@@ -29,6 +31,9 @@
   readonly settings: DaemonSettings;
   readonly logger: Logger;
   readonly timeline: Timeline;
+  readonly metrics: Metrics;
+  /** Records events on the time line and in the log. */
+  readonly events: EventRecorder;
   readonly lifeCycle: LifeCycleManager;
   readonly store: ObjectStore;
   readonly vmDirectory: VmDirectory;
--- /dev/null
+++ b/src/process/event_recorder.ts
@@ -0,0 +1,31 @@
+import type { Logger, LogLevel } from "../shared/logger.ts";
+import type { Timeline, TimelineEventInput } from "../shared/timeline.ts";
+
+/** Records an event on the time line and writes it as one log line. */
+export class EventRecorder {
+  readonly #timeline: Timeline;
+  readonly #logger: Logger;
+
+  constructor(parts: { timeline: Timeline; logger: Logger }) {
+    this.#timeline = parts.timeline;
+    this.#logger = parts.logger;
+  }
+
+  /**
+   * Records an event.
+   *
+   * @param level - Severity of the log line.
+   * @param input - Fields of the event.
+   * @example
+   * ```ts
+   * events.record("info", { event: "group-lost", fields: { group: "g-1" } });
+   * ```
+   */
+  record(level: LogLevel, input: TimelineEventInput): void {
+    this.#timeline.record(input);
+    this.#logger.write(level, input.event, {
+      requestId: input.requestId,
+      ...input.fields,
+    });
+  }
+}
--- /dev/null
+++ b/src/process/observation_task.ts
@@ -0,0 +1,106 @@
+import { monitorEventLoopDelay } from "node:perf_hooks";
+import { delay } from "../shared/delay.ts";
+import type { DaemonContext } from "./daemon_context.ts";
+import type { ReceivedGroupHealth } from "./group_health.ts";
+
+/** A coarse resolution, since each sample wakes an idle process. */
+const LOOP_DELAY_RESOLUTION_MS = 100;
+const NANOSECONDS_PER_MS = 1_000_000;
+const MAX_REPORTED_FINGERPRINTS = 64;
+
+/** Task that records what happens to the daemon apart from single requests: events, gauges and the delay of the event loop. */
+export class ObservationTask {
+  readonly #context: DaemonContext;
+  readonly #servingGroups = new Set<string>();
+  #quarantined = new Set<string>();
+
+  constructor(context: DaemonContext) {
+    this.#context = context;
+    this.#addGauges();
+    context.configHolder.onChange(({ version }) => {
+      context.metrics.count("config_changes");
+      // The log line is written where the source of the configuration is known.
+      context.timeline.record({ event: "config-applied", fields: { version } });
+    });
+    context.healthTable.onChange((health) => this.#observeHealth(health));
+    context.quarantine.onChange(() => this.#observeQuarantine());
+  }
+
+  /** Runs until the daemon stops. */
+  async run(): Promise<void> {
+    const { settings, lifeCycle, metrics } = this.#context;
+    const monitor = monitorEventLoopDelay({
+      resolution: LOOP_DELAY_RESOLUTION_MS,
+    });
+    monitor.enable();
+    while (await delay(settings.exchangeIntervalMs, lifeCycle.signal)) {
+      // The monitor counts from one sample to the next, so its resolution is part of each value.
+      const longestMs = monitor.max / NANOSECONDS_PER_MS -
+        LOOP_DELAY_RESOLUTION_MS;
+      metrics.record("event_loop_delay", Math.max(0, longestMs));
+      monitor.reset();
+    }
+    monitor.disable();
+  }
+
+  #addGauges(): void {
+    const { metrics, heldBytes, inFlightStreams, configHolder } = this.#context;
+    metrics.addGauge({
+      name: "held_bytes",
+      help: "Bytes held for callers and engines.",
+      getValue: () => heldBytes.getHeldBytes().processBytes,
+    });
+    metrics.addGauge({
+      name: "chat_requests_in_flight",
+      help: "Chat requests in flight.",
+      getValue: () => inFlightStreams.getStreams().length,
+    });
+    metrics.addGauge({
+      name: "config_version",
+      help: "Version of the configuration in force.",
+      getValue: () => configHolder.getVersion(),
+    });
+    metrics.addGauge({
+      name: "free_share_slots",
+      help: "Free slots of this daemon's shares and loans over all groups.",
+      getValue: () => this.#getFreeSlots(),
+    });
+  }
+
+  #getFreeSlots(): number {
+    const { ledger } = this.#context.sharedAdmission;
+    return ledger.getGroupIds().reduce(
+      (sum, groupId) =>
+        sum + ledger.getFree(groupId, Number.NEGATIVE_INFINITY).slots,
+      0,
+    );
+  }
+
+  #observeHealth(health: ReceivedGroupHealth): void {
+    const { groupId, generation, state, observer } = health;
+    if (state !== "incomplete") {
+      this.#servingGroups.add(groupId);
+    } else if (this.#servingGroups.delete(groupId)) {
+      this.#context.metrics.count("group_losses");
+      this.#context.events.record("warn", {
+        event: "group-lost",
+        fields: { group: groupId, generation, observer },
+      });
+    }
+  }
+
+  #observeQuarantine(): void {
+    const requests = this.#context.quarantine.getQuarantined();
+    const added = requests.filter((r) => !this.#quarantined.has(r.fingerprint));
+    this.#quarantined = new Set(requests.map((r) => r.fingerprint));
+    for (const request of added.slice(0, MAX_REPORTED_FINGERPRINTS)) {
+      this.#context.events.record("warn", {
+        event: "quarantine-added",
+        fields: {
+          fingerprint: request.fingerprint,
+          groups: request.groups.join(","),
+        },
+      });
+    }
+  }
+}
--- a/src/process/out_of_service_task.ts
+++ b/src/process/out_of_service_task.ts
@@ -33,7 +33,7 @@
     );
     for (const zone of closedZones) {
       if (!this.#closedZones.has(zone)) {
-        this.#record("zone-stopped", zone);
+        this.#record("zone-out-of-service", zone);
         inFlightStreams.moveStreamsFromZone(zone);
       }
     }
@@ -44,7 +44,7 @@
     );
     for (const groupId of closedGroups) {
       if (!this.#closedGroups.has(groupId)) {
-        this.#record("group-stopped", groupId);
+        this.#record("group-out-of-service", groupId);
         inFlightStreams.moveStreamsFromGroup(groupId);
       }
     }
@@ -64,7 +64,6 @@
   }
 
   #record(event: string, name: string): void {
-    this.#context.timeline.record({ event, fields: { name } });
-    this.#context.logger.write("info", event, { name });
+    this.#context.events.record("info", { event, fields: { name } });
   }
 }
--- a/src/process/planner_task.ts
+++ b/src/process/planner_task.ts
@@ -89,7 +89,7 @@
   }
 
   async #refreshLease(zone: string): Promise<void> {
-    const { settings, vmTable, lifeCycle, timeline } = this.#context;
+    const { settings, vmTable, lifeCycle, events } = this.#context;
     const delayMs = getTakeOverDelayMs(zone, {
       name: settings.name,
       entryVms: vmTable.getEntryVms(),
@@ -102,7 +102,7 @@
     }
     if (await planner.lease.refresh(delayMs)) {
       planner.roster.clear();
-      timeline.record({ event: "lease-acquired", fields: { zone } });
+      events.record("info", { event: "lease-acquired", fields: { zone } });
     }
   }
 
--- a/src/request/chat_stream.ts
+++ b/src/request/chat_stream.ts
@@ -28,6 +28,9 @@
 /** Time between two tries to find another group for a stream that has to move. */
 const MOVE_RETRY_MS = 200;
 
+/** Batches of a stream of which one gap is measured. */
+const BATCHES_PER_SAMPLE = 16;
+
 /** What a stream is made of. */
 export interface ChatStreamOptions {
   readonly body: ChatRequestBody;
@@ -47,6 +50,10 @@
   #end: "caller-left" | "deadline" | undefined;
   #attempt: ChatAttempt | undefined;
   #attemptNumber = 0;
+  #parked = false;
+  #startedAtMs = 0;
+  #lastBatchAtMs = 0;
+  #batches = 0;
   #failedAttempts = 0;
   #declinedAttempts = 0;
   #lastFailureAtMs = 0;
@@ -68,6 +75,11 @@
     return this.#options.request.requestId;
   }
 
+  /** Gets the number of tokens of the answer so far. */
+  get tokens(): number {
+    return this.#sequence.length;
+  }
+
   get groupId(): string | undefined {
     return this.#attempt?.grant.group.groupId;
   }
@@ -85,7 +97,17 @@
    * Cancels the request at the engine and gives its grant back. The answer continues after the last token passed on when the next batch is asked for.
    */
   park(): void {
+    if (!this.isRunning) {
+      return;
+    }
     this.#attempt?.cancel("parked");
+    this.#parked = true;
+    this.#context.metrics.count("parks");
+    this.#context.events.record("info", {
+      event: "stream-parked",
+      requestId: this.requestId,
+      fields: { tokens: this.tokens },
+    });
   }
 
   requestMove(): void {
@@ -116,6 +138,7 @@
   async *run(): AsyncGenerator<readonly EngineChunk[], void, undefined> {
     const { inFlightStreams, chatRetryBudget } = this.#context;
     const { request } = this.#options;
+    this.#startedAtMs = performance.now();
     const onLeft = () => this.#stop("caller-left");
     request.signal.addEventListener("abort", onLeft, { once: true });
     const timer = setTimeout(
@@ -149,13 +172,15 @@
     undefined
   > {
     const alone = this.#context.quarantine.isSuspect(this.fingerprint);
-    const grant = this.#takeNextGrant() ?? await this.#acquire(alone);
+    const grant = this.#takeNextGrant() ?? await this.#measureAcquire(alone);
     const attempt = this.#createAttempt(grant);
     this.#attempt = attempt;
+    this.#recordStart(grant);
     try {
       for await (const batch of attempt.run()) {
         this.#verdict = "may-have-run";
         const chunks = this.#accept(batch);
+        this.#measureBatch(chunks);
         if (chunks.length > 0) {
           yield chunks;
         }
@@ -203,6 +228,66 @@
     });
   }
 
+  async #measureAcquire(alone: boolean): Promise<Grant> {
+    const startedAtMs = performance.now();
+    const grant = await this.#acquire(alone);
+    this.#context.metrics.record(
+      "admission_wait",
+      performance.now() - startedAtMs,
+    );
+    return grant;
+  }
+
+  #recordStart(grant: Grant): void {
+    const { metrics, events } = this.#context;
+    const { requestId, tokens } = this;
+    if (this.#attemptNumber > 1) {
+      metrics.count("resumes");
+    }
+    if (this.#parked) {
+      this.#parked = false;
+      events.record("info", {
+        event: "stream-resumed",
+        requestId,
+        fields: { tokens },
+      });
+    }
+    events.record("debug", {
+      event: "attempt-started",
+      requestId,
+      fields: {
+        attempt: this.#attemptNumber,
+        group: grant.group.groupId,
+        generation: grant.group.generation,
+        resumedTokens: tokens,
+      },
+    });
+  }
+
+  /** Measures the first batch and samples the later ones, so that the cost of a token stays small. */
+  #measureBatch(chunks: readonly EngineChunk[]): void {
+    const { metrics } = this.#context;
+    const tokens = chunks.at(-1)?.type === "end"
+      ? chunks.length - 1
+      : chunks.length;
+    if (tokens === 0) {
+      return;
+    }
+    metrics.count("tokens", { by: tokens });
+    const batch = this.#batches++ % BATCHES_PER_SAMPLE;
+    if (this.#batches === 1) {
+      metrics.record(
+        "time_to_first_token",
+        performance.now() - this.#startedAtMs,
+      );
+    } else if (batch === 0) {
+      this.#lastBatchAtMs = performance.now();
+    } else if (batch === 1 && this.#lastBatchAtMs > 0) {
+      const gapMs = performance.now() - this.#lastBatchAtMs;
+      metrics.record("time_between_tokens", gapMs / tokens);
+    }
+  }
+
   #accept(batch: readonly EngineChunk[]): EngineChunk[] {
     const accepted: EngineChunk[] = [];
     for (const chunk of batch) {
@@ -273,10 +358,15 @@
       return;
     }
     this.#verdict = combineVerdicts(this.#verdict, error.verdict);
-    this.#context.timeline.record({
+    this.#context.events.record("info", {
       event: "attempt-failed",
       requestId: this.requestId,
-      fields: { groupId: group.groupId, kind: error.kind },
+      fields: {
+        attempt: this.#attemptNumber,
+        group: group.groupId,
+        kind: error.kind,
+        message: error.message,
+      },
     });
     if (error.kind === "lost") {
       const { quarantine, inFlightStreams, healthTable } = this.#context;
@@ -343,10 +433,16 @@
         grant.release("cancelled");
         return;
       }
-      this.#context.timeline.record({
+      this.#context.events.record("info", {
         event: "stream-moved",
         requestId: this.requestId,
-        fields: { from: group.groupId, to: grant.group.groupId },
+        fields: {
+          group: group.groupId,
+          tokens: this.tokens,
+          reason: "its group takes no new work",
+          from: group.groupId,
+          to: grant.group.groupId,
+        },
       });
       this.#nextGrant = grant;
       attempt.cancel("moved");
--- a/src/request/claimed_call_handler.ts
+++ b/src/request/claimed_call_handler.ts
@@ -74,10 +74,12 @@
       });
     const claim = result.caseOf({
       Left: (error) => {
+        this.#recordClaim(claimed, { name, state: error.code });
         throw error;
       },
       Right: (value) => value,
     });
+    this.#recordClaim(claimed, { name, state: claim.type });
     switch (claim.type) {
       case "stored":
         return convertStoredAnswer(claim.answer);
@@ -90,6 +92,25 @@
     }
   }
 
+  #recordClaim(
+    claimed: ClaimedCall,
+    claim: { name: string; state: string },
+  ): void {
+    const { metrics, events } = this.#context;
+    const { name, state } = claim;
+    const isCreated = state === "granted";
+    metrics.count("claims", { label: state });
+    events.record(state === "unavailable" ? "warn" : "debug", {
+      event: isCreated
+        ? "claim-created"
+        : state === "unavailable"
+        ? "claim-unavailable"
+        : "claim-found",
+      requestId: claimed.request.requestId,
+      fields: isCreated ? { claim: name } : { claim: name, state },
+    });
+  }
+
   /** Refuses a counted retry whose first attempt may have been sent without a claim during an outage. */
   #checkFirstAttempt(
     claimed: ClaimedCall,
--- a/src/request/service_dispatcher.ts
+++ b/src/request/service_dispatcher.ts
@@ -3,6 +3,7 @@
   ServiceCallError,
   type ServiceClient,
 } from "../connection/service_client.ts";
+import type { EventRecorder } from "../process/event_recorder.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
 import { delay } from "../shared/delay.ts";
 import { RequestError } from "../shared/errors.ts";
@@ -35,15 +36,18 @@
   readonly #pool: BackendPool;
   readonly #client: ServiceClient;
   readonly #retryBudget: RetryBudget;
+  readonly #events: EventRecorder | undefined;
 
   constructor(parts: {
     pool: BackendPool;
     client: ServiceClient;
     retryBudget: RetryBudget;
+    events?: EventRecorder;
   }) {
     this.#pool = parts.pool;
     this.#client = parts.client;
     this.#retryBudget = parts.retryBudget;
+    this.#events = parts.events;
   }
 
   /**
@@ -110,7 +114,14 @@
         timeoutMs: Math.min(service.timeoutMs, options.remainingMs),
         signal: dispatch.signal,
         repeatable: dispatch.callClass === "repeatable",
-        checkBeforeSend: dispatch.checkBeforeSend,
+        checkBeforeSend: () => {
+          dispatch.checkBeforeSend?.();
+          this.#events?.record("debug", {
+            event: "call-sent",
+            requestId: dispatch.requestId,
+            fields: { address: lease.address, service: service.name },
+          });
+        },
       });
       lease.release(
         RETRIED_STATUSES.includes(answer.status) ? "failed" : "answered",
--- a/src/request/service_handler.ts
+++ b/src/request/service_handler.ts
@@ -26,6 +26,7 @@
       pool: new BackendPool(context),
       client: context.lifeCycle.add(new ServiceClient()),
       retryBudget: context.retryBudget,
+      events: context.events,
     });
     this.#claimedCalls = new ClaimedCallHandler(context, this.#dispatcher);
   }
--- a/src/shared/logger.ts
+++ b/src/shared/logger.ts
@@ -26,12 +26,14 @@
 export class ProcessLogger implements Logger {
   readonly #logger: TslogLogger<unknown>;
   readonly #base: LogFields;
+  readonly #minLevel: number;
 
   constructor(base: LogFields, options?: { minLevel?: LogLevel }) {
     this.#base = base;
+    this.#minLevel = TSLOG_LEVELS[options?.minLevel ?? "info"];
     this.#logger = new TslogLogger({
       type: "hidden",
-      minLevel: TSLOG_LEVELS[options?.minLevel ?? "info"],
+      minLevel: this.#minLevel,
       hideLogPositionForProduction: true,
     });
     this.#logger.attachTransport((record) => {
@@ -40,6 +42,10 @@
   }
 
   write(level: LogLevel, event: string, fields: LogFields = {}): void {
+    // Lines of single requests are mostly suppressed, and formatting them costs more than the rest of the event.
+    if (TSLOG_LEVELS[level] < this.#minLevel) {
+      return;
+    }
     const line = formatLogLine({
       time: new Date().toISOString(),
       level,
