--- a/bench/stream_bench.ts
+++ b/bench/stream_bench.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
+import { loadavg, tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
 import got from "got";
@@ -15,6 +15,11 @@
 const API_KEY = "bench-key";
 const MODEL = "bench-model";
 const ENGINES = 4;
+const IDLE_ENGINES = 60;
+const IDLE_GROUP_SIZE = 4;
+/** Time after the start in which caches fill and the idle measurement does not count. */
+const IDLE_SETTLE_MS = 5_000;
+const IDLE_SECONDS = 20;
 const READY_TIMEOUT_MS = 30_000;
 /** Clock ticks a second in `/proc/<pid>/stat`. */
 const TICKS_PER_SECOND = 100;
@@ -37,84 +42,185 @@
     default: 16,
     describe: "Tokens that an engine adds to a stream with each write",
   })
+  .option("rounds", {
+    type: "number",
+    default: 3,
+    describe: "Runs of the rate load on each side, in turn",
+  })
+  .option("idle", {
+    type: "boolean",
+    default: false,
+    describe: "Measures an idle daemon with 60 engines instead",
+  })
+  .option("daemon-node-args", {
+    type: "string",
+    default: "",
+    describe: "Arguments of the daemon's runtime, for example --cpu-prof",
+  })
   .strict()
   .parse();
 try {
-  await runBench();
+  await (args.idle ? runIdleBench() : runBench());
 } finally {
   await lifeCycle.dispose();
 }
 
 async function runBench(): Promise<void> {
+  const { daemon, engines } = await startDeployment({
+    engines: ENGINES,
+    groupSizeVms: 1,
+  });
+  const direct = { targets: engines.join(","), daemonPid: undefined };
+  const passed = { targets: daemon.caller, daemonPid: daemon.pid };
+  await runLoad(passed, ["--mode", "streams", "--streams", "4"], 100);
+  const streams = ["--mode", "streams", "--streams", String(args.streams)];
+  const rate = ["--mode", "rate", "--rate", String(args.rate)];
+  const directStreams = await runLoad(direct, streams, 2_000);
+  const daemonStreams = await runLoad(passed, streams, 2_000);
+  const directRates: RunReport[] = [];
+  const daemonRates: RunReport[] = [];
+  // Both sides in turn, so that other work on the machine reaches both.
+  for (let round = 0; round < args.rounds; round++) {
+    directRates.push(await runLoad(direct, rate, 16));
+    daemonRates.push(await runLoad(passed, rate, 16));
+  }
+  const directRate = poolRuns(directRates);
+  const daemonRate = poolRuns(daemonRates);
+  const addedP95Ms = daemonRate.firstTokenP95Ms - directRate.firstTokenP95Ms;
+  await printReport({
+    seconds: args.seconds,
+    streams: args.streams,
+    rate: args.rate,
+    rounds: args.rounds,
+    directStreams: { ...directStreams, firstTokensMs: undefined },
+    daemonStreams: { ...daemonStreams, firstTokensMs: undefined },
+    directRate,
+    daemonRate,
+    addedP50Ms: daemonRate.firstTokenP50Ms - directRate.firstTokenP50Ms,
+    addedP95Ms,
+    addedP95MsByRound: daemonRates.map((run, index) =>
+      run.firstTokenP95Ms - directRates[index].firstTokenP95Ms
+    ),
+    throughputReached:
+      daemonStreams.tokensPerSecond >= WANTED_TOKENS_PER_SECOND,
+    addedTimeReached: addedP95Ms <= WANTED_ADDED_P95_MS,
+  });
+}
+
+/** Measures CPU time and memory of a daemon without requests. */
+async function runIdleBench(): Promise<void> {
+  const { daemon } = await startDeployment({
+    engines: IDLE_ENGINES,
+    groupSizeVms: IDLE_GROUP_SIZE,
+  });
+  const empty = await startProgram<{ ready: boolean }>(
+    "bench/empty_daemon.js",
+    [],
+  );
+  await delay(IDLE_SETTLE_MS);
+  const before = await readCpuSeconds(daemon.pid);
+  await delay(IDLE_SECONDS * 1_000);
+  const after = await readCpuSeconds(daemon.pid);
+  const residentMb = await readResidentMb(daemon.pid);
+  const emptyResidentMb = await readResidentMb(empty.pid);
+  await printReport({
+    engines: IDLE_ENGINES,
+    loadAverage: loadavg(),
+    cpuPercent: (after! - before!) / IDLE_SECONDS * 100,
+    residentMb,
+    emptyResidentMb,
+    controlMb: residentMb - emptyResidentMb,
+  });
+}
+
+async function printReport(report: unknown): Promise<void> {
+  const text = `${JSON.stringify(report, undefined, 2)}\n`;
+  process.stdout.write(text);
+  if (args.json !== undefined) {
+    await writeFile(args.json, text);
+  }
+}
+
+/** Load report with the cost of the daemon and the machine's load at its end. */
+interface RunReport extends LoadReport {
+  readonly daemonCpuSeconds?: number;
+  readonly loadAverage: number;
+}
+
+/** Combines the requests of several runs. */
+function poolRuns(runs: readonly RunReport[]) {
+  const times = runs.flatMap((run) => run.firstTokensMs)
+    .sort((a, b) => a - b);
+  const getQuantile = (quantile: number) =>
+    times[Math.min(times.length - 1, Math.floor(times.length * quantile))];
+  return {
+    requests: times.length,
+    failed: runs.reduce((sum, run) => sum + run.failed, 0),
+    firstTokenP50Ms: getQuantile(0.5),
+    firstTokenP95Ms: getQuantile(0.95),
+    firstTokenP99Ms: getQuantile(0.99),
+    daemonCpuSeconds: runs.map((run) => run.daemonCpuSeconds),
+    loadAverages: runs.map((run) => run.loadAverage),
+  };
+}
+
+async function startDeployment(
+  options: { engines: number; groupSizeVms: number },
+) {
   const platform = await startProgram<{ url: string }>(
     "fakes/platform_main.js",
     [],
   );
+  const names = Array.from(
+    { length: options.engines },
+    (_, index) => `gpu-${index + 1}`,
+  );
+  // Under load each engine has a process of its own, so that none limits the others.
+  const programs = args.idle ? [names] : names.map((name) => [name]);
   const vms: Vm[] = [];
-  for (let index = 1; index <= ENGINES; index++) {
-    const name = `gpu-${index}`;
+  for (const program of programs) {
     const { result } = await startProgram<
       { addresses: Record<string, string> }
     >("fakes/engine_main.js", [
-      ...["--names", name, "--platform-url", platform.result.url],
+      ...["--names", program.join(","), "--platform-url", platform.result.url],
       ...["--token-interval-ms", String(args.tokenIntervalMs)],
       ...["--cold-requests", "1000"],
       ...["--warm-after-requests", "1", "--max-running", "1000"],
       ...["--tokens-per-interval", String(args.tokensPerInterval)],
     ]);
-    vms.push({
-      name,
-      role: "backend",
-      address: result.addresses[name],
-      zone: "zone-a",
-      fabricDomain: "rack-1",
-      state: "live",
-    });
-  }
-  const daemon = await startDaemon(platform.result.url, vms);
-  const engines = vms.filter((vm) => vm.role === "backend")
-    .map((vm) => vm.address).join(",");
-  const direct = { targets: engines, daemonPid: undefined };
-  const passed = { targets: daemon.caller, daemonPid: daemon.pid };
-  await runLoad(passed, ["--mode", "streams", "--streams", "4"], 100);
-  const streams = ["--mode", "streams", "--streams", String(args.streams)];
-  const rate = ["--mode", "rate", "--rate", String(args.rate)];
-  const report = {
-    seconds: args.seconds,
-    streams: args.streams,
-    rate: args.rate,
-    directStreams: await runLoad(direct, streams, 2_000),
-    daemonStreams: await runLoad(passed, streams, 2_000),
-    directRate: await runLoad(direct, rate, 16),
-    daemonRate: await runLoad(passed, rate, 16),
-  };
-  const addedP95Ms = report.daemonRate.firstTokenP95Ms -
-    report.directRate.firstTokenP95Ms;
-  const summary = {
-    ...report,
-    addedP95Ms,
-    throughputReached:
-      report.daemonStreams.tokensPerSecond >= WANTED_TOKENS_PER_SECOND,
-    addedTimeReached: addedP95Ms <= WANTED_ADDED_P95_MS,
-  };
-  process.stdout.write(`${JSON.stringify(summary, undefined, 2)}\n`);
-  if (args.json !== undefined) {
-    await writeFile(args.json, `${JSON.stringify(summary, undefined, 2)}\n`);
+    for (const name of program) {
+      vms.push({
+        name,
+        role: "backend",
+        address: result.addresses[name],
+        zone: "zone-a",
+        fabricDomain: "rack-1",
+        state: "live",
+      });
+    }
   }
+  const engines = vms.map((vm) => vm.address);
+  const daemon = await startDaemon(platform.result.url, {
+    vms,
+    groups: options.engines / options.groupSizeVms,
+    groupSizeVms: options.groupSizeVms,
+  });
+  return { daemon, engines };
 }
 
 async function startProgram<T>(
   program: string,
   programArgs: readonly string[],
+  nodeArgs: readonly string[] = [],
 ): Promise<{ result: T; pid: number }> {
-  const started = ProgramProcess.start(program, programArgs);
+  const started = ProgramProcess.start(program, programArgs, { nodeArgs });
   lifeCycle.addCallback(async () => void await started.dispose());
   return { result: await started.readFirstLine<T>(), pid: started.pid };
 }
 
 async function startDaemon(
   platformUrl: string,
-  vms: Vm[],
+  options: { vms: Vm[]; groups: number; groupSizeVms: number },
 ): Promise<{ caller: string; pid: number }> {
   const directory = await mkdtemp(join(tmpdir(), "tarragontally-bench-"));
   lifeCycle.addCallback(() => rm(directory, { recursive: true }));
@@ -129,31 +235,37 @@
   await writeFile(file, JSON.stringify(settings));
   const { result, pid } = await startProgram<
     { caller: string; peer: string; operator: string }
-  >("src/process/daemon_main.js", ["--settings", file, "--print-addresses"]);
-  vms.push({
+  >(
+    "src/process/daemon_main.js",
+    ["--settings", file, "--print-addresses"],
+    args.daemonNodeArgs.split(" ").filter((arg) => arg !== ""),
+  );
+  options.vms.push({
     name: "entry-1",
     role: "entry",
     address: result.peer,
     zone: "zone-a",
     state: "live",
   });
-  await got.post(`${platformUrl}/control/vms`, { json: vms });
+  await got.post(`${platformUrl}/control/vms`, { json: options.vms });
   await got.put(`${platformUrl}/v1/objects/config/main`, {
-    json: createConfig(),
+    json: createConfig(options),
     headers: { "if-none-match": "*" },
   });
-  await waitUntilServing(result.operator);
+  await waitUntilServing(result.operator, options.groups);
   return { caller: result.caller, pid };
 }
 
-function createConfig(): unknown {
+function createConfig(
+  options: { groups: number; groupSizeVms: number },
+): unknown {
   return {
     schemaVersion: 1,
     zones: [{ name: "zone-a", region: "region-1" }],
     models: [{
       name: MODEL,
-      groupSizeVms: 1,
-      placements: [{ zones: ["zone-a"], count: ENGINES }],
+      groupSizeVms: options.groupSizeVms,
+      placements: [{ zones: ["zone-a"], count: options.groups }],
       slotsPerGroup: 1_000,
       coldSlots: 1_000,
       warmAfterRequests: 1,
@@ -167,7 +279,10 @@
   };
 }
 
-async function waitUntilServing(operator: string): Promise<void> {
+async function waitUntilServing(
+  operator: string,
+  groups: number,
+): Promise<void> {
   const limitAtMs = performance.now() + READY_TIMEOUT_MS;
   while (performance.now() < limitAtMs) {
     const status = await got(`http://${operator}/api/status`).json<
@@ -176,7 +291,7 @@
     const complete = status.groups.filter((g) =>
       g.health !== null && g.health.state !== "incomplete"
     );
-    if (complete.length === ENGINES) {
+    if (complete.length === groups) {
       return;
     }
     await delay(100);
@@ -188,7 +303,7 @@
   target: { targets: string; daemonPid: number | undefined },
   loadArgs: readonly string[],
   tokens: number,
-): Promise<LoadReport & { daemonCpuSeconds?: number }> {
+): Promise<RunReport> {
   const before = await readCpuSeconds(target.daemonPid);
   const { result } = await startProgram<LoadReport>("bench/stream_load.js", [
     ...["--targets", target.targets, "--api-key", API_KEY, "--model", MODEL],
@@ -196,9 +311,10 @@
     ...loadArgs,
   ]);
   const after = await readCpuSeconds(target.daemonPid);
+  const [loadAverage] = loadavg();
   return after === undefined || before === undefined
-    ? result
-    : { ...result, daemonCpuSeconds: after - before };
+    ? { ...result, loadAverage }
+    : { ...result, loadAverage, daemonCpuSeconds: after - before };
 }
 
 async function readCpuSeconds(
@@ -211,3 +327,8 @@
   const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
   return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
 }
+
+async function readResidentMb(pid: number): Promise<number> {
+  const status = await readFile(`/proc/${pid}/status`, "utf8");
+  return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]) / 1_024;
+}
--- a/bench/stream_load.ts
+++ b/bench/stream_load.ts
@@ -28,6 +28,8 @@
   readonly firstTokenP50Ms: number;
   readonly firstTokenP95Ms: number;
   readonly firstTokenP99Ms: number;
+  /** Times to the first token in milliseconds, so that runs can be pooled. */
+  readonly firstTokensMs: readonly number[];
 }
 
 const args = await yargs(hideBin(process.argv))
@@ -112,6 +114,7 @@
     firstTokenP50Ms: histogram.percentile(50) / 1_000,
     firstTokenP95Ms: histogram.percentile(95) / 1_000,
     firstTokenP99Ms: histogram.percentile(99) / 1_000,
+    firstTokensMs: outcomes.map((o) => Number(o.firstTokenMs.toFixed(3))),
   };
 }
 
--- a/src/connection/http_engine_client.ts
+++ b/src/connection/http_engine_client.ts
@@ -13,6 +13,7 @@
   type KvExport,
   type OrderOutcome,
 } from "./engine_client.ts";
+import { PeerHttp } from "./peer_http.ts";
 import { convertStreamError, openEngineStream } from "./engine_stream.ts";
 
 const STATUS_TIMEOUT_MS = 1_000;
@@ -33,8 +34,12 @@
 export class HttpEngineClient implements EngineClient {
   readonly #agent = new Agent({ keepAlive: true, maxFreeSockets: 64 });
 
+  /** Asks each engine every second, which costs several times as much CPU time with `got`. */
+  readonly #statusHttp = new PeerHttp();
+
   /** Closes the idle connections. */
   dispose(): void {
+    this.#statusHttp.dispose();
     this.#agent.destroy();
   }
 
@@ -108,12 +113,14 @@
     address: string,
   ): Promise<Either<EngineError, EngineStatus>> {
     try {
-      const status = await got(`http://${address}/status`, {
-        agent: { http: this.#agent },
-        timeout: { request: STATUS_TIMEOUT_MS },
-        retry: { limit: 0 },
-      }).json<EngineStatus>();
-      return Right(status);
+      const answer = await this.#statusHttp.request(
+        `http://${address}/status`,
+        { timeoutMs: STATUS_TIMEOUT_MS },
+      );
+      if (!answer.ok) {
+        throw new Error(`The engine answered with status ${answer.status}`);
+      }
+      return Right(await answer.json() as EngineStatus);
     } catch (error) {
       return Left(
         new EngineError(
--- a/tools/child_process.ts
+++ b/tools/child_process.ts
@@ -31,10 +31,19 @@
    *
    * @param program - Path of the built program, for example `fakes/platform_main.js`.
    * @param args - Arguments.
+   * @param options - Arguments of the runtime, for example `--cpu-prof`.
    */
-  static start(program: string, args: readonly string[]): ProgramProcess {
+  static start(
+    program: string,
+    args: readonly string[],
+    options: { nodeArgs?: readonly string[] } = {},
+  ): ProgramProcess {
     const file = fileURLToPath(new URL(program, BUILD_ROOT));
-    const child = spawn(process.execPath, [file, ...args], {
+    const child = spawn(process.execPath, [
+      ...options.nodeArgs ?? [],
+      file,
+      ...args,
+    ], {
       stdio: ["ignore", "pipe", "pipe"],
     });
     const started = new ProgramProcess(child);
