--- a/src/connection/operator_app.ts
+++ b/src/connection/operator_app.ts
@@ -28,6 +28,9 @@
       !context.gracefulStop.isLeaving();
     res.status(ready ? 200 : 503).json({ ready });
   });
+  app.get("/metrics", (_req, res) => {
+    res.type("text/plain; version=0.0.4").send(context.metrics.render());
+  });
   addOperatorApiRoutes(app, context);
   addQuarantineRoutes(app, context);
   addConsoleRoutes(app, context);
--- a/tests/request_explanation_test.ts
+++ b/tests/request_explanation_test.ts
@@ -1,3 +1,4 @@
+import got from "got";
 import { afterEach, describe, expect, it } from "vitest";
 import { renderExplanation } from "../src/console/request_explanation.ts";
 import type { Daemon } from "../src/process/daemon.ts";
@@ -93,7 +94,9 @@
     expect(metrics.getCount("service_requests")).toBe(2);
     expect(metrics.getCount("claims", "granted")).toBe(1);
     expect(metrics.getCount("store_writes")).toBeGreaterThan(0);
-    expect(metrics.render()).toContain("tarragontally_config_version 1\n");
+    const page = await got(`http://${daemon.operatorAddress}/metrics`).text();
+    expect(page).toContain("tarragontally_config_version 1\n");
+    expect(page).toContain('tarragontally_claims_total{kind="stored"} 1\n');
   });
 
   // Guards against a refusal that leaves no trace.
