Test that a planner that lost a race writes nothing and orders nothing

Found by a trial: with the condition of the placement write removed, no test failed, since the property test of racing planners does not use DomainRunner. The new test lets another planner write just before; it fails on that trial.

--- /dev/null
+++ b/src/process/planner/domain_runner_test.ts
@@ -0,0 +1,169 @@
+import { type Either, Right } from "purify-ts";
+import { describe, expect, it } from "vitest";
+import { MemoryStore } from "../../../tests/support/memory_store.ts";
+import type {
+  EngineError,
+  EngineOrder,
+  EngineStatus,
+} from "../../connection/engine_client.ts";
+import type { Vm } from "../../connection/vm_directory.ts";
+import { NullLogger } from "../../shared/logger.ts";
+import { Timeline } from "../../shared/timeline.ts";
+import { ConfigHolder } from "../../version/config_holder.ts";
+import { configSchema } from "../../version/config_schema.ts";
+import type { DomainPlacement } from "../../version/placement.ts";
+import { PlacementHolder } from "../../version/placement_holder.ts";
+import { ConfigZonePolicy } from "../../version/zone_policy.ts";
+import type { DaemonContext } from "../daemon_context.ts";
+import { VmTable } from "../vm_table.ts";
+import { DomainRunner } from "./domain_runner.ts";
+import { EngineRoster } from "./engine_roster.ts";
+import type { PlannerLease } from "./planner_lease.ts";
+
+const DOMAIN = "rack-1";
+
+const VMS: readonly Vm[] = [1, 2, 3, 4].map((index) => ({
+  name: `vm-${index}`,
+  role: "backend",
+  address: `127.0.0.1:${index}`,
+  zone: "zone-a",
+  fabricDomain: DOMAIN,
+  state: "live",
+}));
+
+/** Placement that another planner wrote first: the same VMs in another group. */
+const OTHER_PLACEMENT: DomainPlacement = {
+  fabricDomain: DOMAIN,
+  zone: "zone-a",
+  lastGeneration: 5,
+  groupByVm: Object.fromEntries(VMS.map((vm) => [vm.name, "other-5"])),
+  groups: {
+    "other-5": {
+      groupId: "other-5",
+      model: "model-1",
+      modelVersion: "1",
+      zone: "zone-a",
+      fabricDomain: DOMAIN,
+      generation: 5,
+      phase: "serving",
+      leader: "vm-1",
+      sizeVms: 4,
+    },
+  },
+};
+
+/** Store in which another planner writes just before the first write. */
+class RacedStore extends MemoryStore {
+  #raced = false;
+
+  override async putObject(
+    options: Parameters<MemoryStore["putObject"]>[0],
+  ): ReturnType<MemoryStore["putObject"]> {
+    if (!this.#raced) {
+      this.#raced = true;
+      await super.putObject({
+        kind: "placement",
+        name: DOMAIN,
+        value: OTHER_PLACEMENT,
+        expectedVersion: 0,
+      });
+    }
+    return await super.putObject(options);
+  }
+}
+
+describe("DomainRunner", () => {
+  describe("run", () => {
+    async function doTest(store: MemoryStore) {
+      const orders: EngineOrder[] = [];
+      const context = createContext(store, orders);
+      const roster = new EngineRoster(context);
+      await roster.observe(VMS, "zone-a");
+      const runner = new DomainRunner({
+        context,
+        zone: "zone-a",
+        lease: createHeldLease(),
+        roster,
+      });
+      await runner.run(DOMAIN);
+      const stored = await store.getObject("placement", DOMAIN);
+      const placement = stored.toMaybe().extract()?.value as DomainPlacement;
+      return { orders, placement };
+    }
+
+    it("forms a group and sends its orders", async () => {
+      const { orders, placement } = await doTest(new MemoryStore());
+      expect(Object.keys(placement.groups)).toHaveLength(1);
+      expect(orders).toHaveLength(4);
+    });
+
+    // Guards against a VM in two groups: the write of a planner that lost a race replaced the placement of the winner.
+    it("leaves the placement to another planner that wrote first", async () => {
+      const { orders, placement } = await doTest(new RacedStore());
+      expect(placement).toEqual(OTHER_PLACEMENT);
+      expect(orders).toEqual([]);
+    });
+  });
+});
+
+function createContext(
+  store: MemoryStore,
+  orders: EngineOrder[],
+): DaemonContext {
+  const configHolder = new ConfigHolder();
+  configHolder.offer({
+    version: 1,
+    document: configSchema.parse({
+      schemaVersion: 1,
+      zones: [{ name: "zone-a", region: "region-1" }],
+      models: [{
+        name: "model-1",
+        groupSizeVms: 4,
+        placements: [{ zones: ["zone-a"], count: 1 }],
+        slotsPerGroup: 8,
+        kvTokensPerGroup: 10_000,
+      }],
+      clientAccounts: [{ name: "account-1", apiKeySha256: ["0".repeat(64)] }],
+    }),
+  });
+  const vmTable = new VmTable();
+  vmTable.replace(VMS);
+  return {
+    store,
+    configHolder,
+    vmTable,
+    placementHolder: new PlacementHolder(),
+    zonePolicy: new ConfigZonePolicy(configHolder),
+    settings: { vmListLagMs: 1_000, zoneLeaveLeadMs: 0 },
+    logger: new NullLogger(),
+    timeline: new Timeline("entry-1"),
+    healthTable: { getHealth: () => undefined },
+    engineClient: {
+      getStatus: (address: string) => Promise.resolve(createStatus(address)),
+      sendOrder: (_address: string, order: EngineOrder) => {
+        orders.push(order);
+        return Promise.resolve("accepted");
+      },
+    },
+  } as unknown as DaemonContext;
+}
+
+function createStatus(address: string): Either<EngineError, EngineStatus> {
+  return Right({
+    bootId: address,
+    generation: 0,
+    state: "empty",
+    connectedMembers: [],
+    runningRequests: 0,
+    waitingRequests: 0,
+    heldTokens: 0,
+    maxTokens: 10_000,
+  });
+}
+
+function createHeldLease(): PlannerLease {
+  return {
+    isHeld: () => true,
+    takesOrder: () => true,
+  } as unknown as PlannerLease;
+}
