Replay recorded traces on the decision code of several daemons

The property tests cover single modules. No test replayed the arrivals of a deployment on admission, planner, zone policy, quarantine and freshness together.

Stated outcomes come from the trace (deadline and attempts), not from a run. Ruled out: removing the zone policy from the group directory alone is not noticed, since the planner drains the zone's groups; the removal therefore covers the planner too.

--- /dev/null
+++ b/tests/replay/replay_backend.ts
@@ -0,0 +1,249 @@
+import type { Vm } from "../../src/connection/vm_directory.ts";
+import type { GroupHealthState } from "../../src/process/group_health.ts";
+import {
+  createEmptyPlacement,
+  isLoaded,
+  planDomain,
+  updateLostVms,
+} from "../../src/process/planner/domain_planner.ts";
+import {
+  countLoadSlots,
+  isReplacementTurn,
+} from "../../src/process/planner/load_slots.ts";
+import { MemberTracker } from "../../src/process/planner/member_tracker.ts";
+import { planOrders } from "../../src/process/planner/planner_orders.ts";
+import { planAssignment } from "../../src/version/domain_assignment.ts";
+import {
+  type DomainPlacement,
+  getGroupMembers,
+  type PlacedGroup,
+  type VersionedPlacement,
+} from "../../src/version/placement.ts";
+import {
+  createModelEngines,
+  type ModelEngine,
+} from "../support/model_engine.ts";
+import type { ReplayDaemon } from "./replay_daemon.ts";
+import type { TraceHeader } from "./trace.ts";
+
+const LOAD_STEPS = 10;
+
+/** Request that a group runs. */
+export interface RunningRequest {
+  readonly id: string;
+  readonly kvTokens: number;
+  readonly daemon: ReplayDaemon;
+  readonly fingerprint: string;
+  readonly startedAtMs: number;
+  /** Gets the fingerprints of the requests that its daemon lost with it. */
+  readonly onLost: (fingerprints: readonly string[]) => void;
+}
+
+/** Work of one group since it was loaded. */
+interface GroupWork {
+  readonly running: Set<RunningRequest>;
+  finished: number;
+  /** Identifies one load of the group's members. */
+  readonly loadId: string;
+}
+
+/** Backend servers, stored placements and their planner as plain state. */
+export class ReplayBackend {
+  readonly engines: Map<string, ModelEngine>;
+  readonly stored = new Map<string, VersionedPlacement>();
+  readonly #header: TraceHeader;
+  readonly #domains: readonly { name: string; zone: string }[];
+  readonly #tracker = new MemberTracker({ vmListLagMs: 0 });
+  readonly #workByGroup = new Map<string, GroupWork>();
+
+  constructor(header: TraceHeader) {
+    this.#header = header;
+    const domains = header.zones.map((zone) => ({
+      name: `${zone}-rack-1`,
+      zone,
+      vms: header.vmsPerZone,
+    }));
+    this.#domains = domains;
+    this.engines = createModelEngines(domains, { loadSteps: LOAD_STEPS });
+  }
+
+  get vms(): Vm[] {
+    return [...this.engines.values()].map((engine) => engine.vm);
+  }
+
+  /** Finds a VM by its zone and its number there, from 1. */
+  getEngine(zone: string, member: number): ModelEngine {
+    return [...this.engines.values()]
+      .filter((engine) => engine.vm.zone === zone)[member - 1];
+  }
+
+  /** Lets a step of loading pass. */
+  runStep(): void {
+    this.engines.forEach((engine) => engine.runStep());
+  }
+
+  /** Lets the planner observe, plan, store and give orders, with the view of one daemon. */
+  planAll(daemon: ReplayDaemon): void {
+    for (const [name, engine] of this.engines) {
+      const status = engine.getStatus(this.engines);
+      this.#tracker.record({ name, status, hasAddress: true });
+    }
+    this.#domains.forEach((domain) => this.#planDomain(daemon, domain));
+  }
+
+  /** Gets the state of a group as its members report it. */
+  getHealthState(group: PlacedGroup): GroupHealthState {
+    const statuses = this.#getMembers(group)
+      .map((engine) => engine.getStatus(this.engines));
+    if (!isLoaded(group, statuses)) {
+      return "incomplete";
+    }
+    return this.#getWork(group).finished < this.#header.warmAfterRequests
+      ? "cold"
+      : "ready";
+  }
+
+  getBootId(group: PlacedGroup): string {
+    const leader = this.engines.get(group.leader)!;
+    return `${leader.vm.name}-${leader.boot}`;
+  }
+
+  getRunning(groupId: string): RunningRequest[] {
+    return [...this.#workByGroup.get(groupId)?.running ?? []];
+  }
+
+  /** Gets the requests that a group bears, as its engine does, apart from the ramp under test. */
+  getBearableRequests(group: PlacedGroup): number {
+    const { coldSlots, slotsPerGroup } = this.#header;
+    return this.getHealthState(group) === "ready" ? slotsPerGroup : Math.min(
+      slotsPerGroup,
+      coldSlots + Math.floor(this.#getWork(group).finished / 2),
+    );
+  }
+
+  /** Gets whether a member of a group does not answer. */
+  hasLostMember(group: PlacedGroup): boolean {
+    return this.#getMembers(group).some((engine) => !engine.up);
+  }
+
+  addRequest(group: PlacedGroup, request: RunningRequest): void {
+    this.#getWork(group).running.add(request);
+  }
+
+  /** Removes a request; one that finished warms the group up. */
+  removeRequest(
+    group: PlacedGroup,
+    request: RunningRequest,
+    finished: boolean,
+  ): void {
+    const work = this.#workByGroup.get(group.groupId);
+    if (work?.running.delete(request) && finished) {
+      work.finished++;
+    }
+  }
+
+  /** Lets a VM fail; the requests of its group are lost. */
+  crash(engine: ModelEngine): void {
+    engine.up = false;
+    this.#cutRequests(engine);
+  }
+
+  /** Restarts the leader of a group, which loses the group. */
+  assumeLeaderRestart(group: PlacedGroup): void {
+    const leader = this.engines.get(group.leader)!;
+    leader.assumeRestart();
+    this.#cutRequests(leader);
+  }
+
+  #cutRequests(engine: ModelEngine): void {
+    for (const { placement } of this.stored.values()) {
+      const groupId = placement.groupByVm[engine.vm.name];
+      const work = this.#workByGroup.get(groupId ?? "");
+      const lost = [...work?.running ?? []];
+      this.#workByGroup.delete(groupId ?? "");
+      lost.forEach((request) =>
+        request.onLost(
+          lost.filter((other) => other.daemon === request.daemon)
+            .map((other) => other.fingerprint),
+        )
+      );
+    }
+  }
+
+  #getMembers(group: PlacedGroup): ModelEngine[] {
+    const { placement } = this.stored.get(group.fabricDomain)!;
+    return getGroupMembers(placement, group.groupId)
+      .map((name) => this.engines.get(name)!);
+  }
+
+  #getWork(group: PlacedGroup): GroupWork {
+    const loadId = `${group.generation} ${this.getBootId(group)}`;
+    let work = this.#workByGroup.get(group.groupId);
+    if (work?.loadId !== loadId) {
+      work = { running: new Set(), finished: 0, loadId };
+      this.#workByGroup.set(group.groupId, work);
+    }
+    return work;
+  }
+
+  #planDomain(
+    daemon: ReplayDaemon,
+    domain: { name: string; zone: string },
+  ): void {
+    const { name, zone } = domain;
+    const { document } = daemon.configHolder.getCurrentOrThrow();
+    const members = new Map(
+      [...this.#tracker.getViews()].filter(([vm]) =>
+        this.engines.get(vm)!.vm.fabricDomain === name
+      ),
+    );
+    const current = this.stored.get(name)?.placement ??
+      createEmptyPlacement(name, zone);
+    const known = updateLostVms(current, members);
+    const placements = [
+      known,
+      ...[...this.stored.values()].map((s) => s.placement)
+        .filter((p) => p.fabricDomain !== name),
+    ];
+    const isOpen = (z: string) => daemon.zonePolicy.takesNewWork(z);
+    const plan = planDomain({
+      document,
+      vms: this.vms.filter((vm) => vm.fabricDomain === name),
+      members,
+      placement: current,
+      wanted: planAssignment({
+        document,
+        vms: this.vms,
+        placements,
+        isZoneOpen: isOpen,
+      }).get(name) ?? new Map(),
+      idleGroups: this.#getIdleGroups(current),
+      loadSlots: countLoadSlots(document, placements),
+      mayReplace: (model) =>
+        isReplacementTurn({ document, placements, fabricDomain: name, model }),
+      zoneOpen: isOpen(zone),
+      zoneTakesWork: isOpen(zone),
+    });
+    if (plan.changed) {
+      const objectVersion = (this.stored.get(name)?.objectVersion ?? 0) + 1;
+      this.stored.set(name, { objectVersion, placement: plan.placement });
+    }
+    const orders = planOrders({
+      placement: plan.placement,
+      members,
+      addresses: new Map(this.vms.map((vm) => [vm.name, vm.address])),
+    });
+    orders.forEach(({ vm, order }) => this.engines.get(vm)!.applyOrder(order));
+  }
+
+  #getIdleGroups(placement: DomainPlacement): Set<string> {
+    return new Set(
+      Object.values(placement.groups)
+        .filter((group) =>
+          group.phase === "draining" &&
+          this.getRunning(group.groupId).length === 0
+        )
+        .map((group) => group.groupId),
+    );
+  }
+}
--- /dev/null
+++ b/tests/replay/trace_replay_test.ts
@@ -0,0 +1,117 @@
+import { readFileSync } from "node:fs";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { RemovedMechanism } from "./replay_daemon.ts";
+import { type ExpectedOutcomes, parseExpected, parseTrace } from "./trace.ts";
+import { type ReplayResult, TraceReplayer } from "./trace_replayer.ts";
+
+const DIRECTORY = "tests/traces";
+
+describe("recorded traces", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  async function runTrace(
+    name: string,
+    removed?: RemovedMechanism,
+  ): Promise<ReplayResult> {
+    const text = readFileSync(`${DIRECTORY}/${name}.jsonl`, "utf8");
+    const replayer = new TraceReplayer(parseTrace(text), {
+      removed,
+      advance: (ms) => vi.advanceTimersByTimeAsync(ms),
+    });
+    return await replayer.run();
+  }
+
+  function readExpected(name: string): ExpectedOutcomes {
+    const path = `${DIRECTORY}/${name}.expected.json`;
+    return parseExpected(readFileSync(path, "utf8"));
+  }
+
+  /** Lists the requests that did not end as stated. */
+  function listDeviations(
+    result: ReplayResult,
+    expected: ExpectedOutcomes,
+  ): string[] {
+    const unstated = [...result.requests.keys()]
+      .filter((id) => expected.requests[id] === undefined)
+      .map((id) => `${id}: no stated outcome`);
+    const deviations = Object.entries(expected.requests)
+      .flatMap(([id, bounds]) => {
+        const actual = result.requests.get(id);
+        const holds = actual !== undefined &&
+          bounds.outcomes.includes(actual.outcome) &&
+          actual.endMs <= bounds.latestEndMs &&
+          actual.attempts <= bounds.mostAttempts;
+        return holds ? [] : [`${id}: ${JSON.stringify(actual)}`];
+      });
+    return [...unstated, ...deviations];
+  }
+
+  /** Checks that the load and the faults of the trace took place. */
+  function checkTotals(result: ReplayResult, expected: ExpectedOutcomes): void {
+    for (const bounds of expected.zoneAttempts) {
+      const attempts = result.attempts.filter((a) =>
+        a.zone === bounds.zone && a.atMs >= bounds.fromMs &&
+        a.atMs < bounds.untilMs
+      ).length;
+      expect(attempts).toBeGreaterThanOrEqual(bounds.least);
+      expect(attempts).toBeLessThanOrEqual(bounds.most ?? Infinity);
+    }
+    const resumed = [...result.requests.values()]
+      .filter((r) => r.outcome === "finished" && r.attempts > 1).length;
+    expect(resumed).toBeGreaterThanOrEqual(expected.leastResumed);
+    const crashes = [...result.crashesByFingerprint.values()]
+      .reduce((sum, count) => sum + count, 0);
+    expect(crashes).toBeGreaterThanOrEqual(expected.crashes.least);
+    expect(crashes).toBeLessThanOrEqual(expected.crashes.most);
+  }
+
+  // Guards against lost, late or repeated requests and broken invariants while a zone leaves and returns (Crank Works), and while a member is lost and a request crashes its groups (Baleworks).
+  it.each(["crank_works", "baleworks"])(
+    "ends as stated: %s",
+    async (name) => {
+      const result = await runTrace(name);
+      checkTotals(result, readExpected(name));
+      expect([...result.violations]).toEqual([]);
+      expect(listDeviations(result, readExpected(name))).toEqual([]);
+    },
+    60_000,
+  );
+
+  const removals: {
+    name: string;
+    removed: RemovedMechanism;
+    violation: string;
+  }[] = [
+    {
+      name: "crank_works",
+      removed: "shared-admission",
+      violation: "cold group over its ramp",
+    },
+    {
+      name: "crank_works",
+      removed: "zone-policy",
+      violation: "new work in a zone taken out",
+    },
+    {
+      name: "baleworks",
+      removed: "quarantine",
+      violation: "more than two groups lost to a request",
+    },
+  ];
+
+  // Shows that the traces notice when a mechanism is missing.
+  it.each(removals)(
+    "breaks an invariant of $name without $removed",
+    async ({ name, removed, violation }) => {
+      const result = await runTrace(name, removed);
+      expect([...result.violations.keys()]).toContain(violation);
+    },
+    60_000,
+  );
+});
--- /dev/null
+++ b/tools/record_trace.ts
@@ -0,0 +1,202 @@
+import { writeFile } from "node:fs/promises";
+import {
+  BALEWORKS,
+  CRANK_WORKS,
+  type DeploymentProfile,
+} from "../bench/load/deployment_profile.ts";
+import { createWorkload, type PlannedRequest } from "../bench/load/workload.ts";
+import {
+  type ExpectedOutcomes,
+  formatTrace,
+  type Trace,
+  type TraceArrival,
+  type TraceHeader,
+  type TraceStep,
+} from "../tests/replay/trace.ts";
+
+const DIRECTORY = "tests/traces";
+const DURATION_MS = 40_000;
+const REQUESTS_PER_SECOND = 10;
+const PROMPT_TOKENS = 60;
+const SLOW_READ_TOKENS_PER_SECOND = 15;
+const CRASH_FINGERPRINT = "crash-request";
+
+interface Recording {
+  readonly file: string;
+  readonly profile: DeploymentProfile;
+  readonly seed: number;
+  readonly description: string;
+  readonly steps: readonly TraceStep[];
+  /** Attempts that the faults of the trace may cost a request. */
+  readonly mostAttempts: number;
+  /** Bounds on the whole trace. */
+  readonly totals: Omit<ExpectedOutcomes, "requests">;
+}
+
+const RECORDINGS: readonly Recording[] = [
+  {
+    file: "crank_works",
+    profile: CRANK_WORKS,
+    seed: 11,
+    description:
+      "zone-a is taken out and brought back while bookings and chats of a few large accounts arrive",
+    steps: [
+      createEvent(10_000, "zone-taken-out"),
+      createEvent(22_000, "zone-brought-back"),
+    ],
+    mostAttempts: 1,
+    totals: {
+      zoneAttempts: [
+        { zone: "zone-a", fromMs: 0, untilMs: 10_000, least: 10 },
+        { zone: "zone-a", fromMs: 15_000, untilMs: 22_000, least: 0, most: 0 },
+        { zone: "zone-a", fromMs: 22_000, untilMs: 40_000, least: 10 },
+      ],
+      leastResumed: 0,
+      crashes: { least: 0, most: 0 },
+    },
+  },
+  {
+    file: "baleworks",
+    profile: BALEWORKS,
+    seed: 12,
+    description:
+      "a member of zone-b is lost at the end of a shift while summaries run and gate clients read slowly; later a request crashes its group and is retried",
+    steps: [
+      {
+        type: "fault",
+        atMs: 15_000,
+        fault: "member-lost",
+        zone: "zone-b",
+        member: 2,
+      },
+      {
+        type: "fault",
+        atMs: 25_000,
+        fault: "member-back",
+        zone: "zone-b",
+        member: 2,
+      },
+      ...[0, 1, 2, 3].map((index) => createCrashRequest(index)),
+    ],
+    mostAttempts: 4,
+    totals: {
+      zoneAttempts: [
+        { zone: "zone-b", fromMs: 0, untilMs: 15_000, least: 10 },
+        { zone: "zone-b", fromMs: 15_000, untilMs: 40_000, least: 10 },
+      ],
+      leastResumed: 1,
+      crashes: { least: 2, most: 2 },
+    },
+  },
+];
+
+for (const recording of RECORDINGS) {
+  await writeRecording(recording);
+}
+
+async function writeRecording(recording: Recording): Promise<void> {
+  const trace = createTrace(recording);
+  const path = `${DIRECTORY}/${recording.file}`;
+  await writeFile(`${path}.jsonl`, formatTrace(trace));
+  const expected = createExpected(trace, recording);
+  await writeFile(
+    `${path}.expected.json`,
+    `${JSON.stringify(expected, null, 2)}\n`,
+  );
+}
+
+function createTrace(recording: Recording): Trace {
+  const { profile, seed } = recording;
+  const arrivals = createWorkload({
+    profile,
+    seed,
+    durationMs: DURATION_MS,
+    requestsPerSecond: REQUESTS_PER_SECOND,
+  }).map(createArrival);
+  const steps = [...arrivals, ...recording.steps]
+    .sort((a, b) => a.atMs - b.atMs);
+  return { header: createHeader(recording), steps };
+}
+
+function createHeader(recording: Recording): TraceHeader {
+  const { profile, seed, description } = recording;
+  return {
+    type: "header",
+    format: 1,
+    deployment: profile.name,
+    seed,
+    description,
+    zones: [...profile.zones],
+    daemons: profile.daemons,
+    vmsPerZone: 2 * profile.groupSizeVms + 1,
+    groupSizeVms: profile.groupSizeVms,
+    slotsPerGroup: profile.slotsPerGroup,
+    kvTokensPerGroup: 4_000,
+    coldSlots: 1,
+    warmAfterRequests: 16,
+    tokenIntervalMs: 20,
+    accounts: profile.accounts.map((account) => account.name),
+    durationMs: DURATION_MS,
+  };
+}
+
+function createArrival(request: PlannedRequest): TraceArrival {
+  const tokens = Number(/tokens=(\d+)/.exec(request.content)?.[1] ?? 0);
+  return {
+    type: "arrival",
+    atMs: Math.round(request.atMs),
+    id: request.id,
+    kind: request.kind,
+    account: request.account,
+    daemon: request.daemonIndex,
+    deadlineMs: request.deadlineMs,
+    promptTokens: request.kind === "chat" ? PROMPT_TOKENS : 0,
+    outputTokens: request.kind === "chat" ? tokens : 0,
+    ...(request.slowReader
+      ? { readTokensPerSecond: SLOW_READ_TOKENS_PER_SECOND }
+      : {}),
+  };
+}
+
+function createEvent(
+  atMs: number,
+  event: "zone-taken-out" | "zone-brought-back",
+): TraceStep {
+  return { type: "event", atMs, event, zone: "zone-a" };
+}
+
+/** Creates one attempt of a caller that repeats a crash request through different daemons. */
+function createCrashRequest(index: number): TraceArrival {
+  return {
+    type: "arrival",
+    atMs: DURATION_MS + 12_000 + index * 9_000,
+    id: `crash-${index}`,
+    kind: "chat",
+    account: "account-4",
+    daemon: index,
+    deadlineMs: 20_000,
+    promptTokens: PROMPT_TOKENS,
+    outputTokens: 60,
+    crashFingerprint: CRASH_FINGERPRINT,
+  };
+}
+
+/** States what callers are owed, from the trace alone and not from a run. */
+function createExpected(
+  trace: Trace,
+  recording: Recording,
+): ExpectedOutcomes {
+  const requests: ExpectedOutcomes["requests"] = {};
+  for (const step of trace.steps) {
+    if (step.type === "arrival") {
+      requests[step.id] = {
+        outcomes: step.crashFingerprint === undefined
+          ? ["finished"]
+          : ["quarantined"],
+        latestEndMs: step.atMs + step.deadlineMs,
+        mostAttempts: step.kind === "call" ? 1 : recording.mostAttempts,
+      };
+    }
+  }
+  return { ...recording.totals, requests };
+}
