Test pairs and sequences of overlapping faults

Each fault had its own test; no test let two overlap under load. Six stated pairs and sequences generated by fast-check run over TestDeployment, with checks of whole answers, true refusals, single bookings, zones out of service, cold and crash bounds and placements.

--- /dev/null
+++ b/tests/combined_failure_test.ts
@@ -0,0 +1,80 @@
+import process from "node:process";
+import fc from "fast-check";
+import { afterEach, describe, expect, it } from "vitest";
+import { delay } from "../src/shared/delay.ts";
+import {
+  CombinedFaults,
+  FAULT_NAMES,
+  type FaultName,
+} from "./support/combined_faults.ts";
+
+const SEED = Number(process.env.COMBINED_SEED ?? 20_261_204);
+const RUNS = Number(process.env.COMBINED_RUNS ?? 2);
+const TEST_TIMEOUT_MS = 60_000;
+
+describe("combined failures", () => {
+  let combined: CombinedFaults | undefined;
+
+  afterEach(async () => {
+    await combined?.dispose();
+    combined = undefined;
+  });
+
+  interface Pair {
+    readonly faults: readonly [FaultName, FaultName];
+    /** Time for which both faults last, in milliseconds. */
+    readonly holdMs: number;
+  }
+
+  // Guards against a second fault that breaks what a module does about the first: whole answers, true refusals, single bookings, cold and crash bounds, and one group for a VM.
+  const pairs: Pair[] = [
+    { faults: ["store-down", "zone-partition"], holdMs: 2_500 },
+    { faults: ["member-lost", "slow-readers"], holdMs: 1_500 },
+    { faults: ["engine-cold", "daemon-killed"], holdMs: 1_500 },
+    { faults: ["zone-taken-out", "lost-store-answers"], holdMs: 7_000 },
+    { faults: ["lease-lapsed", "crash-request"], holdMs: 2_500 },
+    { faults: ["list-lag", "new-daemon"], holdMs: 1_500 },
+  ];
+  it.each(pairs)(
+    "keeps the invariants with $faults.0 and $faults.1",
+    async ({ faults, holdMs }) => {
+      combined = await CombinedFaults.start();
+      await delay(300);
+      for (const fault of faults) {
+        await combined.assumeFault(fault);
+      }
+      await delay(holdMs);
+      await combined.repair();
+      await combined.finish();
+      expect([...combined.violations]).toEqual([]);
+      expect(combined.outcomes.answered).toBeGreaterThan(0);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  const stepArbitrary = fc.record({
+    fault: fc.constantFrom(...FAULT_NAMES),
+    pauseMs: fc.integer({ min: 50, max: 600 }),
+  });
+
+  // Guards against orders and overlaps of faults that nobody thought of.
+  it(`keeps the invariants in generated sequences, seed ${SEED}`, async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(stepArbitrary, { minLength: 3, maxLength: 5 }),
+        async (steps) => {
+          combined = await CombinedFaults.start();
+          for (const step of steps) {
+            await combined.assumeFault(step.fault);
+            await delay(step.pauseMs);
+          }
+          await combined.repair();
+          await combined.finish();
+          expect([...combined.violations]).toEqual([]);
+          await combined.dispose();
+        },
+      ),
+      { seed: SEED, numRuns: RUNS, endOnFailure: true },
+    );
+  }, TEST_TIMEOUT_MS);
+});
--- /dev/null
+++ b/tests/support/combined_faults.ts
@@ -0,0 +1,398 @@
+import { getExpectedAnswer } from "../../fakes/fake_answer.ts";
+import type { FakeEngine } from "../../fakes/fake_engine.ts";
+import type { Daemon } from "../../src/process/daemon.ts";
+import { delay } from "../../src/shared/delay.ts";
+import type { DomainPlacement } from "../../src/version/placement.ts";
+import { CallerStream } from "./caller_stream.ts";
+import { FaultLinks } from "./fault_links.ts";
+import { TestDeployment, waitUntil } from "./test_deployment.ts";
+
+/** Faults that can be active at once. */
+export const FAULT_NAMES = [
+  "store-down",
+  "zone-partition",
+  "member-lost",
+  "slow-readers",
+  "engine-cold",
+  "daemon-killed",
+  "zone-taken-out",
+  "lost-store-answers",
+  "crash-request",
+  "lease-lapsed",
+  "list-lag",
+  "new-daemon",
+] as const;
+
+/** Name of a fault. */
+export type FaultName = typeof FAULT_NAMES[number];
+
+const ZONES = ["zone-a", "zone-b"];
+const SLOTS_PER_GROUP = 16;
+const LOAD_INTERVAL_MS = 25;
+const CHECK_INTERVAL_MS = 20;
+const TAKE_OUT_LIMIT_MS = 5_000;
+const LIST_LAG_MS = 800;
+const LEASE_DURATION_MS = 1_000;
+const RECOVERY_TIMEOUT_MS = 20_000;
+const SLOW_READERS = 3;
+const SLOW_TOKENS = 1_500;
+const MAX_TOKENS = 100_000;
+const CRASH_MARKER = "crash-marker";
+
+/** Deployment under load on which faults overlap and whose invariants are checked. */
+export class CombinedFaults {
+  readonly violations = new Set<string>();
+  /** Answers by outcome: the code of a refusal, `answered`, or `connection-lost`. */
+  readonly outcomes: Record<string, number> = {};
+  readonly #deployment: TestDeployment;
+  readonly #links: FaultLinks;
+  readonly #abort = new AbortController();
+  readonly #streams: { stream: CallerStream; content: string }[] = [];
+  readonly #killed = new Set<Daemon>();
+  readonly #crashSends: Promise<unknown>[] = [];
+  readonly #load: Promise<unknown>[] = [];
+  #requests = 0;
+  #crashRequests = 0;
+  #crashesByMember = 0;
+  #takenOutAtMs = Infinity;
+  #startedInZone: number | undefined;
+
+  private constructor(deployment: TestDeployment, links: FaultLinks) {
+    this.#deployment = deployment;
+    this.#links = links;
+  }
+
+  /** Starts a deployment of two zones with two groups each, and its load. */
+  static async start(): Promise<CombinedFaults> {
+    const links = new FaultLinks();
+    const deployment = await TestDeployment.start({
+      zones: ZONES,
+      daemons: 4,
+      enginesPerZone: 4,
+      engine: { tokenIntervalMs: 5, tokensPerInterval: 4, coldRequests: 1 },
+      configure: (document) => {
+        document.models[0].slotsPerGroup = SLOTS_PER_GROUP;
+        document.models[0].coldSlots = 1;
+      },
+      settings: {
+        vmListLagMs: LIST_LAG_MS,
+        leaseDurationMs: LEASE_DURATION_MS,
+        resumeTimeoutMs: 15_000,
+        logLevel: "error",
+      },
+      configureContainer: (container, s) => links.bindClients(container, s),
+    });
+    deployment.engines.forEach((e) => e.faults.crashMarker = CRASH_MARKER);
+    const combined = new CombinedFaults(deployment, links);
+    combined.#startLoad();
+    return combined;
+  }
+
+  /** Begins a fault. */
+  async assumeFault(name: FaultName): Promise<void> {
+    const { platform } = this.#deployment;
+    switch (name) {
+      case "store-down":
+        platform.faults.down = true;
+        break;
+      case "zone-partition":
+        this.#links.closeLinks(
+          ZONES.map((z) =>
+            this.#getLive().filter((d) => d.context.settings.zone === z)
+          ),
+        );
+        break;
+      case "member-lost":
+        this.#crashesByMember++;
+        this.#getPlacedEngine().crash();
+        break;
+      case "slow-readers":
+        this.#openSlowReaders();
+        break;
+      case "engine-cold":
+        this.#deployment.engines.forEach((engine) => engine.turnCold());
+        break;
+      case "daemon-killed":
+        await this.#killDaemon();
+        break;
+      case "zone-taken-out":
+        this.#setTakenOut(true);
+        break;
+      case "lost-store-answers":
+        platform.faults.dropAnswerNext = 5;
+        break;
+      case "crash-request":
+        this.#sendCrashRequests();
+        break;
+      case "lease-lapsed":
+        this.#links.closeStore([this.#getHolder()]);
+        break;
+      case "list-lag":
+        platform.faults.vmListLagMs = LIST_LAG_MS;
+        break;
+      case "new-daemon":
+        await this.#deployment.startDaemon();
+        break;
+    }
+  }
+
+  /** Ends all faults and waits until the deployment serves as before. */
+  async repair(): Promise<void> {
+    const { platform } = this.#deployment;
+    platform.faults.down = false;
+    platform.faults.vmListLagMs = 0;
+    platform.faults.dropAnswerNext = 0;
+    this.#links.clear();
+    this.#streams.forEach(({ stream }) => stream.resume());
+    if (this.#takenOutAtMs !== Infinity) {
+      this.#setTakenOut(false);
+    }
+    await Promise.all(this.#crashSends.splice(0));
+    await waitUntil(() => this.#isServing(), RECOVERY_TIMEOUT_MS);
+    await this.#checkSlowReaders();
+  }
+
+  /** Ends the load, checks each daemon once more and stops. */
+  async finish(): Promise<void> {
+    this.#abort.abort();
+    await Promise.all(this.#load);
+    for (const daemon of this.#getLive()) {
+      await this.#sendChat(daemon, `tokens=4 last ${this.#requests++}`, true);
+    }
+    this.#checkCrashes();
+  }
+
+  async dispose(): Promise<void> {
+    this.#abort.abort();
+    await this.#deployment.dispose();
+  }
+
+  #startLoad(): void {
+    const { signal } = this.#abort;
+    this.#load.push(this.#runChats(signal), this.#runBookings(signal));
+    void this.#runChecks(signal);
+  }
+
+  async #runChats(signal: AbortSignal): Promise<void> {
+    const sent: Promise<void>[] = [];
+    while (await delay(LOAD_INTERVAL_MS, signal)) {
+      const number = this.#requests++;
+      const live = this.#getLive();
+      const daemon = live[number % live.length];
+      sent.push(this.#sendChat(daemon, `tokens=30 chat ${number}`));
+    }
+    await Promise.all(sent);
+  }
+
+  async #runBookings(signal: AbortSignal): Promise<void> {
+    const sent: Promise<void>[] = [];
+    for (
+      let number = 0;
+      await delay(LOAD_INTERVAL_MS * 4, signal);
+      number++
+    ) {
+      const live = this.#getLive();
+      sent.push(this.#sendBooking(live[number % live.length], number));
+    }
+    await Promise.all(sent);
+  }
+
+  async #runChecks(signal: AbortSignal): Promise<void> {
+    while (await delay(CHECK_INTERVAL_MS, signal)) {
+      this.#checkPlacements();
+      this.#checkZone();
+    }
+  }
+
+  async #sendChat(
+    daemon: Daemon,
+    content: string,
+    mustAnswer = false,
+  ): Promise<void> {
+    try {
+      const answer = await this.#deployment.requestChat(daemon, content);
+      const body = JSON.parse(answer.body);
+      const outcome = answer.statusCode === 200 ? "answered" : body.error.code;
+      this.#countOutcome(outcome);
+      if (answer.statusCode === 200) {
+        const expected = getExpectedAnswer(
+          [{ role: "user", content }],
+          MAX_TOKENS,
+        ).join("");
+        if (body.choices[0].message.content !== expected) {
+          this.violations.add(`not the whole answer: ${content}`);
+        }
+      } else if (body.error.verdict === "not-run") {
+        this.#checkNotRun(String(answer.headers["x-request-id"]));
+      }
+      if (mustAnswer && outcome !== "answered") {
+        this.violations.add(`refused after the repair: ${outcome}`);
+      }
+    } catch {
+      this.#countOutcome("connection-lost");
+      if (!this.#killed.has(daemon)) {
+        this.violations.add(`connection lost: ${content}`);
+      }
+    }
+  }
+
+  async #sendBooking(daemon: Daemon, number: number): Promise<void> {
+    const key = `visit-${number}`;
+    const { service } = this.#deployment;
+    try {
+      const answer = await this.#deployment.callService(daemon, "/visits", {
+        key,
+        body: key,
+      });
+      const runs = service.getRunCount(key);
+      if (answer.statusCode === 200 && runs !== 1) {
+        this.violations.add(`${key} was answered after ${runs} runs`);
+      }
+      const refused = answer.statusCode !== 200 &&
+        JSON.parse(answer.body).error.verdict === "not-run";
+      if (refused && runs > 0) {
+        this.violations.add(`${key} was called not-run after a run`);
+      }
+    } catch {
+      if (!this.#killed.has(daemon)) {
+        this.violations.add(`connection lost: ${key}`);
+      }
+    }
+    if (service.getRunCount(key) > 1) {
+      this.violations.add(`${key} ran twice`);
+    }
+  }
+
+  #sendCrashRequests(): void {
+    const content = `tokens=20 ${CRASH_MARKER} ${this.#crashRequests++}`;
+    const [first, second] = this.#getLive();
+    const send = async () => {
+      for (const daemon of [first, second, first]) {
+        await this.#deployment.requestChat(daemon, content)
+          .catch(() => undefined);
+      }
+    };
+    this.#crashSends.push(send());
+  }
+
+  #openSlowReaders(): void {
+    for (let number = 0; number < SLOW_READERS; number++) {
+      const content = `tokens=${SLOW_TOKENS} slow ${this.#requests++}`;
+      const [daemon] = this.#getLive();
+      const stream = CallerStream.open(daemon, { content, reads: false });
+      this.#streams.push({ stream, content });
+    }
+  }
+
+  async #checkSlowReaders(): Promise<void> {
+    for (const { stream, content } of this.#streams.splice(0)) {
+      await stream.wait();
+      if (stream.status !== 200) {
+        this.#countOutcome(`slow reader ${stream.status}`);
+        continue;
+      }
+      const messages = [{ role: "user" as const, content }];
+      if (
+        stream.answer !== getExpectedAnswer(messages, MAX_TOKENS).join("")
+      ) {
+        this.violations.add(
+          `a slow reader got no whole answer: ${stream.error?.code}`,
+        );
+      }
+    }
+  }
+
+  /** Kills the last daemon, never the first, and removes it from the list. */
+  async #killDaemon(): Promise<void> {
+    const daemon = this.#getLive().at(-1)!;
+    const { name } = daemon.context.settings;
+    this.#killed.add(daemon);
+    await daemon.dispose();
+    this.#deployment.changeVms((vms) => vms.filter((vm) => vm.name !== name));
+  }
+
+  #setTakenOut(takenOut: boolean): void {
+    this.#deployment.setConfig((document) =>
+      document.zones[0].takenOut = takenOut
+    );
+    this.#takenOutAtMs = takenOut ? performance.now() : Infinity;
+    this.#startedInZone = undefined;
+  }
+
+  #checkZone(): void {
+    if (performance.now() - this.#takenOutAtMs <= TAKE_OUT_LIMIT_MS) {
+      return;
+    }
+    const started = this.#deployment.engines
+      .filter((e) => e.name.startsWith(ZONES[0]))
+      .reduce((sum, e) => sum + e.startedRequests.length, 0);
+    this.#startedInZone ??= started;
+    if (started > this.#startedInZone) {
+      this.violations.add("new work in a zone taken out");
+    }
+  }
+
+  #checkPlacements(): void {
+    const vms = this.#deployment.platform.getObjects("placement")
+      .flatMap((o) => Object.keys((o.value as DomainPlacement).groupByVm));
+    if (new Set(vms).size !== vms.length) {
+      this.violations.add("a VM is in two groups");
+    }
+    for (const engine of this.#deployment.engines) {
+      if (engine.peakRequests > SLOTS_PER_GROUP) {
+        this.violations.add(`${engine.name} held ${engine.peakRequests}`);
+      }
+    }
+  }
+
+  #checkNotRun(requestId: string): void {
+    const ran = this.#deployment.engines.some((engine) =>
+      engine.startedRequests.some((id) => id.startsWith(`${requestId}.`))
+    );
+    if (ran) {
+      this.violations.add(`${requestId} was called not-run after a run`);
+    }
+  }
+
+  /** Any further crash comes from a load that a cold group does not bear, or a third group lost to a crash request. */
+  #checkCrashes(): void {
+    const crashes = this.#deployment.engines
+      .reduce((sum, engine) => sum + engine.crashes, 0);
+    const most = this.#crashesByMember + 2 * this.#crashRequests;
+    if (crashes > most) {
+      this.violations.add(`${crashes} crashes, at most ${most} by faults`);
+    }
+  }
+
+  #isServing(): boolean {
+    return this.#getLive().every((daemon) => {
+      const { groupDirectory, sharedAdmission, healthTable } = daemon.context;
+      const serving = groupDirectory.getServingGroups("test-model");
+      return sharedAdmission.hasSettledShares() && serving.length === 4 &&
+        healthTable.getAll().length >= 4;
+    });
+  }
+
+  #getLive(): Daemon[] {
+    return this.#deployment.daemons.filter((d) => !this.#killed.has(d));
+  }
+
+  #getPlacedEngine(): FakeEngine {
+    const placement = this.#deployment.platform
+      .getObject("placement", `${ZONES[1]}-rack-1`)!.value as DomainPlacement;
+    const [name] = Object.keys(placement.groupByVm);
+    return this.#deployment.engines.find((e) => e.name === name)!;
+  }
+
+  #getHolder(): Daemon {
+    const value = this.#deployment.platform
+      .getObject("lease", `planner-${ZONES[1]}`)!.value as { holder: string };
+    return this.#getLive()
+      .find((d) => d.context.settings.name === value.holder) ??
+      this.#getLive()[0];
+  }
+
+  #countOutcome(outcome: string): void {
+    this.outcomes[outcome] = (this.outcomes[outcome] ?? 0) + 1;
+  }
+}
