--- /dev/null
+++ b/bench/measures/baseline_daemon_main.ts
@@ -0,0 +1,61 @@
+import { readFile } from "node:fs/promises";
+import process from "node:process";
+import type { Container } from "inversify";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import type { Admission } from "../../src/process/admission.ts";
+import { SERVICES } from "../../src/process/container.ts";
+import { Daemon } from "../../src/process/daemon.ts";
+import { daemonSettingsSchema } from "../../src/process/daemon_settings.ts";
+import { GroupDirectory } from "../../src/process/group_directory.ts";
+import { InFlightStreamTable } from "../../src/process/in_flight_streams.ts";
+import { LocalAdmission } from "../../src/process/local_admission.ts";
+
+const args = await yargs(hideBin(process.argv))
+  .option("settings", { type: "string", demandOption: true })
+  .option("print-addresses", { type: "boolean", default: false })
+  .strict()
+  .parse();
+const settings = daemonSettingsSchema.parse(
+  JSON.parse(await readFile(args.settings, "utf8")),
+);
+const daemon = new Daemon(settings, { configureContainer: bindPlainPolicy });
+await daemon.start();
+if (args.printAddresses) {
+  const addresses = {
+    caller: daemon.callerAddress,
+    peer: daemon.peerAddress,
+    operator: daemon.operatorAddress,
+  };
+  process.stdout.write(`${JSON.stringify(addresses)}\n`);
+}
+process.on("SIGTERM", () => void stopDaemon());
+
+async function stopDaemon(): Promise<void> {
+  await daemon.stop();
+  process.exit(0);
+}
+
+/** Binds the plain policy; parking is off through the bounds of the settings and of the accounts. */
+function bindPlainPolicy(container: Container): void {
+  container.rebind(SERVICES.admission).toResolvedValue(
+    (directory: GroupDirectory) => createPlainAdmission(directory),
+    [GroupDirectory],
+  );
+  const table = new InFlightStreamTable();
+  table.moveStreamsFromZone = () => undefined;
+  table.moveStreamsFromGroup = () => undefined;
+  container.rebind(InFlightStreamTable).toConstantValue(table);
+}
+
+/** Gives a cold group as many requests as a warm one. */
+function createPlainAdmission(directory: GroupDirectory): Admission {
+  const admission = new LocalAdmission(directory);
+  return {
+    acquire: (request) =>
+      admission.acquire({
+        ...request,
+        model: { ...request.model, coldSlots: request.model.slotsPerGroup },
+      }),
+  };
+}
--- /dev/null
+++ b/bench/measures/bench.ts
@@ -0,0 +1,272 @@
+import { writeFile } from "node:fs/promises";
+import { loadavg } from "node:os";
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import type { DaemonSettingsInput } from "../../src/process/daemon_settings.ts";
+import {
+  BALEWORKS,
+  CRANK_WORKS,
+  type DeploymentProfile,
+} from "../load/deployment_profile.ts";
+import { BenchDeployment, type BenchPolicy } from "./bench_deployment.ts";
+import { measureDowntime } from "./downtime_measure.ts";
+import type { PolicyResult } from "./measure_result.ts";
+import { measureMemory } from "./memory_measure.ts";
+import { renderReport } from "./report_page.ts";
+import {
+  createSweepTable,
+  createTables,
+  formatTable,
+  type ReportTable,
+  type SweepResult,
+} from "./report_tables.ts";
+import { measureZone } from "./zone_measure.ts";
+
+const MEASURES = ["downtime", "stranded", "zone", "memory"] as const;
+const PROFILES = [CRANK_WORKS, BALEWORKS];
+/** Of 15 groups that the VMs suffice for, 12 keep whole domains; two fewer leave room for the groups of a lost domain. */
+const GROUPS = 10;
+const REQUESTS_PER_SECOND = 16;
+const SLOW_READERS = 12;
+/** Tokens that a fast engine adds to a stream each 20 ms, so that answers outgrow the buffers of the sockets. */
+const FAST_TOKENS_PER_INTERVAL = 48;
+const LONG_CONTEXT_TOKENS = 65_536;
+const CONTEXT_TOKENS = 8_192;
+/** Process bound of the measure of memory; the default one would need thousands of slow readers. */
+const SMALL_MAX_HELD_BYTES = 2_097_152;
+const LARGE_MAX_HELD_BYTES = 134_217_728;
+
+type MeasureName = typeof MEASURES[number];
+
+interface RunOptions {
+  readonly profile: DeploymentProfile;
+  readonly policy: BenchPolicy;
+  readonly quick: boolean;
+  readonly measures: readonly MeasureName[];
+  readonly settings?: Partial<DaemonSettingsInput>;
+  readonly coldSlots?: number;
+}
+
+interface SweepPlan {
+  readonly constant: string;
+  readonly measure: MeasureName;
+  readonly values: readonly number[];
+  getOptions(value: number): Pick<RunOptions, "settings" | "coldSlots">;
+}
+
+const SWEEPS: readonly SweepPlan[] = [
+  {
+    constant: "statusIntervalMs (group downtime)",
+    measure: "downtime",
+    values: [100, 500, 1_000, 2_000],
+    getOptions: (value) => ({ settings: { statusIntervalMs: value } }),
+  },
+  {
+    constant: "planIntervalMs (stranded accelerators)",
+    measure: "stranded",
+    values: [250, 1_000, 3_000],
+    getOptions: (value) => ({ settings: { planIntervalMs: value } }),
+  },
+  {
+    constant: "coldSlots (service while a zone leaves)",
+    measure: "zone",
+    values: [1, 2, 4, 8],
+    getOptions: (value) => ({ coldSlots: value }),
+  },
+  {
+    constant: "maxStreamHeldBytes (memory for slow readers)",
+    measure: "memory",
+    values: [65_536, 262_144, 1_048_576],
+    getOptions: (value) => ({
+      settings: {
+        maxStreamHeldBytes: value,
+        maxHeldBytes: LARGE_MAX_HELD_BYTES,
+      },
+    }),
+  },
+];
+
+const args = await yargs(hideBin(process.argv))
+  .option("quick", {
+    type: "boolean",
+    default: false,
+    describe: "One profile and short phases",
+  })
+  .option("sweep", {
+    type: "boolean",
+    default: false,
+    describe: "Varies one constant of each measure instead",
+  })
+  .option("measure", { choices: MEASURES })
+  .option("profile", { choices: PROFILES.map((p) => p.name) })
+  .option("seed", { type: "number", default: 1 })
+  .option("json", { type: "string", describe: "File for the results" })
+  .option("report", { type: "string", describe: "File for the HTML page" })
+  .strict()
+  .parse();
+await runBench();
+
+async function runBench(): Promise<void> {
+  const loadBefore = loadavg();
+  const results: PolicyResult[] = [];
+  const sweeps: SweepResult[] = [];
+  const tables: ReportTable[] = [];
+  if (args.sweep) {
+    sweeps.push(...await runSweeps());
+    tables.push(createSweepTable(sweeps));
+    results.push(...sweeps.map((s) => s.result));
+  } else {
+    for (const profile of chooseProfiles()) {
+      const [policy, baseline] = await runBothPolicies(profile);
+      results.push(policy, baseline);
+      tables.push(...createTables(policy, baseline));
+    }
+  }
+  const heading = [
+    `command: npm run bench -- ${process.argv.slice(2).join(" ")}`,
+    `seed ${args.seed}`,
+    `load averages before ${formatLoad(loadBefore)}`,
+    `after ${formatLoad(loadavg())}`,
+  ].join("; ");
+  print(heading);
+  tables.forEach((table) => print(`\n${formatTable(table)}`));
+  if (args.json !== undefined) {
+    const report = { heading, seed: args.seed, results, sweeps };
+    await writeFile(args.json, `${JSON.stringify(report)}\n`);
+  }
+  if (args.report !== undefined) {
+    const plotted = args.sweep ? [] : results;
+    await writeFile(
+      args.report,
+      renderReport({ heading, tables, results: plotted }),
+    );
+  }
+}
+
+function chooseProfiles(): readonly DeploymentProfile[] {
+  if (args.profile !== undefined) {
+    return PROFILES.filter((p) => p.name === args.profile);
+  }
+  return args.quick || args.sweep ? [CRANK_WORKS] : PROFILES;
+}
+
+/** Runs both policies side by side, so that the load of the machine is the same for both. */
+async function runBothPolicies(
+  profile: DeploymentProfile,
+): Promise<PolicyResult[]> {
+  const measures = args.measure === undefined ? MEASURES : [args.measure];
+  const { quick } = args;
+  return await runAll([
+    () => runPolicy({ profile, policy: "policy", quick, measures }),
+    () => runPolicy({ profile, policy: "baseline", quick, measures }),
+  ]);
+}
+
+async function runSweeps(): Promise<SweepResult[]> {
+  const [profile] = chooseProfiles();
+  const results: SweepResult[] = [];
+  const plans = SWEEPS.filter((s) =>
+    args.measure === undefined || s.measure === args.measure
+  );
+  for (const plan of plans) {
+    for (let index = 0; index < plan.values.length; index += 2) {
+      const values = plan.values.slice(index, index + 2);
+      results.push(
+        ...await runAll(values.map((value) => async () => ({
+          constant: plan.constant,
+          value,
+          result: await runPolicy({
+            profile,
+            policy: "policy",
+            quick: true,
+            measures: [plan.measure],
+            ...plan.getOptions(value),
+          }),
+        }))),
+      );
+    }
+  }
+  return results;
+}
+
+/** Waits for all runs even when one fails, so that no process stays behind. */
+async function runAll<T>(runs: readonly (() => Promise<T>)[]): Promise<T[]> {
+  const settled = await Promise.allSettled(runs.map((run) => run()));
+  return settled.map((outcome) => {
+    if (outcome.status === "rejected") {
+      throw outcome.reason;
+    }
+    return outcome.value;
+  });
+}
+
+async function runPolicy(options: RunOptions): Promise<PolicyResult> {
+  const { profile, policy, quick, measures } = options;
+  const result: PolicyResult = { profile: profile.name, policy };
+  const measureOptions = {
+    seed: args.seed,
+    quick,
+    groups: GROUPS,
+    requestsPerSecond: REQUESTS_PER_SECOND,
+  };
+  if (measures.some((m) => m !== "memory")) {
+    await withDeployment(options, {}, async (deployment) => {
+      // The zone comes first, since losses may leave groups in other zones.
+      if (measures.includes("zone")) {
+        result.zone = await measureZone(deployment, measureOptions);
+      }
+      if (measures.includes("downtime") || measures.includes("stranded")) {
+        result.downtime = await measureDowntime(deployment, measureOptions);
+      }
+    });
+  }
+  if (measures.includes("memory")) {
+    const memory = {
+      tokensPerInterval: FAST_TOKENS_PER_INTERVAL,
+      contextTokens: LONG_CONTEXT_TOKENS,
+    };
+    await withDeployment(options, memory, async (deployment) => {
+      result.memory = await measureMemory(deployment, {
+        quick,
+        readers: SLOW_READERS,
+      });
+    });
+  }
+  return result;
+}
+
+async function withDeployment(
+  options: RunOptions,
+  sizes: { tokensPerInterval?: number; contextTokens?: number },
+  run: (deployment: BenchDeployment) => Promise<void>,
+): Promise<void> {
+  const deployment = await BenchDeployment.start({
+    profile: options.profile,
+    policy: options.policy,
+    groups: GROUPS,
+    tokensPerInterval: 1,
+    contextTokens: CONTEXT_TOKENS,
+    coldSlots: options.coldSlots ?? 2,
+    ...sizes,
+    settings: {
+      ...(sizes.tokensPerInterval === undefined
+        ? {}
+        : { maxHeldBytes: SMALL_MAX_HELD_BYTES }),
+      ...options.settings,
+    },
+  });
+  try {
+    await run(deployment);
+  } finally {
+    await deployment.dispose();
+  }
+}
+
+function formatLoad(load: readonly number[]): string {
+  return load.map((value) => value.toFixed(1)).join(" ");
+}
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
--- /dev/null
+++ b/bench/measures/bench_deployment.ts
@@ -0,0 +1,334 @@
+import { createHash } from "node:crypto";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import got from "got";
+import type { Vm } from "../../src/connection/vm_directory.ts";
+import type { DaemonSettingsInput } from "../../src/process/daemon_settings.ts";
+import { delay } from "../../src/shared/delay.ts";
+import { LifeCycleManager } from "../../src/shared/life_cycle_manager.ts";
+import { ProgramProcess } from "../../tools/child_process.ts";
+import type { DeploymentProfile } from "../load/deployment_profile.ts";
+import type { StatusView } from "./status_sample.ts";
+
+export const BENCH_MODEL = "bench-model";
+export const BENCH_SERVICE = "bookings";
+const DOMAINS_PER_ZONE = 2;
+const READY_TIMEOUT_MS = 40_000;
+const POLL_MS = 100;
+const UNBOUNDED_BYTES = 1_073_741_824;
+
+/** Policy under measurement: the real one or the plain baseline. */
+export type BenchPolicy = "policy" | "baseline";
+
+/** How a deployment of a measure is set up. */
+export interface BenchDeploymentOptions {
+  readonly profile: DeploymentProfile;
+  readonly policy: BenchPolicy;
+  /** Complete groups that the configuration declares. */
+  readonly groups: number;
+  readonly tokensPerInterval: number;
+  readonly settings: Partial<DaemonSettingsInput>;
+  readonly coldSlots: number;
+  readonly contextTokens: number;
+}
+
+/** Addresses and process of a daemon. */
+export interface BenchDaemon {
+  readonly name: string;
+  readonly pid: number;
+  readonly caller: string;
+  readonly operator: string;
+}
+
+interface DaemonAddresses {
+  readonly caller: string;
+  readonly peer: string;
+  readonly operator: string;
+}
+
+interface PlacementObject {
+  readonly value: { readonly groupByVm: Readonly<Record<string, string>> };
+}
+
+/** Deployment of separate processes: platform, services, engines and daemons. */
+export class BenchDeployment {
+  readonly #options: BenchDeploymentOptions;
+  readonly #lifeCycle = new LifeCycleManager();
+  readonly #vms: Vm[] = [];
+  readonly daemons: BenchDaemon[] = [];
+  #platformUrl = "";
+  #services: { address: string; zone: string }[] = [];
+
+  private constructor(options: BenchDeploymentOptions) {
+    this.#options = options;
+  }
+
+  /** Gets the profile. */
+  get profile(): DeploymentProfile {
+    return this.#options.profile;
+  }
+
+  /**
+   * Starts the processes and waits until all groups are complete and all daemons are ready.
+   *
+   * @param options - Profile, policy and settings.
+   */
+  static async start(
+    options: BenchDeploymentOptions,
+  ): Promise<BenchDeployment> {
+    const deployment = new BenchDeployment(options);
+    try {
+      await deployment.#startAll();
+    } catch (error) {
+      await deployment.dispose();
+      throw error;
+    }
+    return deployment;
+  }
+
+  /** Ends all processes. */
+  async dispose(): Promise<void> {
+    await this.#lifeCycle.dispose();
+  }
+
+  /** Gets the status of a daemon. */
+  async getStatus(daemon = this.daemons[0]): Promise<StatusView> {
+    return await got(`http://${daemon.operator}/api/status`, {
+      timeout: { request: 2_000 },
+      retry: { limit: 0 },
+    }).json<StatusView>();
+  }
+
+  /** Gets the members of the placed groups, in the order of their names. */
+  async getPlacedMembers(): Promise<string[][]> {
+    const { objects } = await got(
+      `${this.#platformUrl}/v1/objects/placement`,
+    ).json<{ objects: PlacementObject[] }>();
+    const byGroup = new Map<string, string[]>();
+    for (const { value } of objects) {
+      for (const [vm, groupId] of Object.entries(value.groupByVm)) {
+        byGroup.set(groupId, [...byGroup.get(groupId) ?? [], vm]);
+      }
+    }
+    return [...byGroup.entries()]
+      .sort(([a], [b]) => a < b ? -1 : 1)
+      .map(([, members]) => members.sort());
+  }
+
+  /** Gets the engines of the fabric domain of an engine. */
+  getDomainMembers(name: string): string[] {
+    const domain = this.#vms.find((vm) => vm.name === name)?.fabricDomain;
+    return this.#vms.filter((vm) => vm.fabricDomain === domain)
+      .map((vm) => vm.name);
+  }
+
+  /** Crashes an engine, which restarts empty. */
+  async crashEngine(name: string): Promise<void> {
+    await got.post(`http://${this.#getAddress(name)}/control/crash`);
+  }
+
+  /** Sets fault switches of an engine. */
+  async setEngineFaults(name: string, faults: unknown): Promise<void> {
+    await got.post(`http://${this.#getAddress(name)}/control/faults`, {
+      json: faults,
+    });
+  }
+
+  /** Counts the crashes of all engines. */
+  async countCrashes(): Promise<number> {
+    const records = await Promise.all(
+      this.#vms.filter((vm) => vm.role === "backend").map((vm) =>
+        got(`http://${vm.address}/control/record`).json<{ crashes: number }>()
+      ),
+    );
+    return records.reduce((sum, record) => sum + record.crashes, 0);
+  }
+
+  /** Writes the configuration with the availability zones that are taken out. */
+  async putConfig(takenOut: readonly string[]): Promise<void> {
+    const url = `${this.#platformUrl}/v1/objects/config/main`;
+    const current = await got(url, { throwHttpErrors: false });
+    const headers: Record<string, string> = current.statusCode === 200
+      ? {
+        "if-match": String(
+          (JSON.parse(current.body) as { version: number }).version,
+        ),
+      }
+      : { "if-none-match": "*" };
+    await got.put(url, { json: this.#createConfig(takenOut), headers });
+  }
+
+  #getAddress(name: string): string {
+    return this.#vms.find((vm) => vm.name === name)!.address;
+  }
+
+  async #startAll(): Promise<void> {
+    const { profile } = this.#options;
+    const platform = await this.#startProgram<{ url: string }>(
+      "fakes/platform_main.js",
+      [],
+    );
+    this.#platformUrl = platform.result.url;
+    await Promise.all(profile.zones.map((zone) => this.#startZone(zone)));
+    this.#services.sort((a, b) => a.zone < b.zone ? -1 : 1);
+    await this.#startDaemons();
+    await got.post(`${this.#platformUrl}/control/vms`, { json: this.#vms });
+    await this.putConfig([]);
+    await this.#waitUntilReady();
+  }
+
+  async #startZone(zone: string): Promise<void> {
+    const { profile } = this.#options;
+    const service = await this.#startProgram<{ address: string }>(
+      "fakes/service_main.js",
+      [],
+    );
+    this.#services.push({ address: service.result.address, zone });
+    const names = Array.from(
+      { length: profile.enginesPerZone },
+      (_, index) => `${zone}-gpu-${String(index + 1).padStart(2, "0")}`,
+    );
+    const engines = await this.#startProgram<
+      { addresses: Record<string, string> }
+    >("fakes/engine_main.js", [
+      ...["--names", names.join(","), "--platform-url", this.#platformUrl],
+      ...["--max-running", String(profile.slotsPerGroup)],
+      ...["--tokens-per-interval", String(this.#options.tokensPerInterval)],
+    ]);
+    names.forEach((name, index) =>
+      this.#vms.push({
+        name,
+        role: "backend",
+        address: engines.result.addresses[name],
+        zone,
+        fabricDomain: `${zone}-rack-${index % DOMAINS_PER_ZONE + 1}`,
+        state: "live",
+      })
+    );
+  }
+
+  async #startDaemons(): Promise<void> {
+    const { profile, policy } = this.#options;
+    const directory = await mkdtemp(join(tmpdir(), "tarragontally-measures-"));
+    this.#lifeCycle.addCallback(() => rm(directory, { recursive: true }));
+    const program = policy === "policy"
+      ? "src/process/daemon_main.js"
+      : "bench/measures/baseline_daemon_main.js";
+    const indexes = Array.from({ length: profile.daemons }, (_, i) => i);
+    const daemons = await Promise.all(indexes.map(async (index) => {
+      const name = `entry-${index + 1}`;
+      const zone = profile.zones[index % profile.zones.length];
+      const file = join(directory, `${name}.jsonc`);
+      await writeFile(file, JSON.stringify(this.#createSettings(name, zone)));
+      const started = await this.#startProgram<DaemonAddresses>(
+        program,
+        ["--settings", file, "--print-addresses"],
+      );
+      return { name, zone, pid: started.pid, ...started.result };
+    }));
+    for (const daemon of daemons) {
+      this.daemons.push(daemon);
+      this.#vms.push({
+        name: daemon.name,
+        role: "entry",
+        address: daemon.peer,
+        zone: daemon.zone,
+        state: "live",
+      });
+    }
+  }
+
+  #createSettings(name: string, zone: string): DaemonSettingsInput {
+    return {
+      name,
+      zone,
+      platformUrl: this.#platformUrl,
+      balancerLagMs: 0,
+      vmListLagMs: 500,
+      stopTimeoutMs: 2_000,
+      logLevel: "error",
+      ...this.#options.settings,
+      ...(this.#options.policy === "baseline"
+        ? { maxHeldBytes: UNBOUNDED_BYTES, zoneLeaveLeadMs: 0 }
+        : {}),
+    };
+  }
+
+  async #startProgram<T>(
+    program: string,
+    args: readonly string[],
+  ): Promise<{ result: T; pid: number }> {
+    const started = ProgramProcess.start(program, args);
+    this.#lifeCycle.addCallback(async () => void await started.dispose());
+    return { result: await started.readFirstLine<T>(), pid: started.pid };
+  }
+
+  #createConfig(takenOut: readonly string[]): unknown {
+    const { profile, policy, groups, coldSlots, contextTokens } = this.#options;
+    return {
+      schemaVersion: 1,
+      zones: profile.zones.map((name) => ({
+        name,
+        region: "region-1",
+        takenOut: takenOut.includes(name),
+      })),
+      models: [{
+        name: BENCH_MODEL,
+        groupSizeVms: profile.groupSizeVms,
+        placements: [{ zones: profile.zones, count: groups }],
+        slotsPerGroup: profile.slotsPerGroup,
+        coldSlots,
+        warmAfterRequests: 8,
+        contextTokens,
+        kvTokensPerGroup: contextTokens * profile.slotsPerGroup * 2,
+        honoursFencing: true,
+      }],
+      services: [{
+        name: BENCH_SERVICE,
+        backends: this.#services,
+        nonRepeatable: [{ method: "POST", path: "/visits" }],
+      }],
+      clientAccounts: profile.accounts.map(({ name }) => ({
+        name,
+        apiKeySha256: [
+          createHash("sha256").update(getBenchApiKey(name)).digest("hex"),
+        ],
+        ...(policy === "baseline" ? { maxHeldBytes: UNBOUNDED_BYTES } : {}),
+      })),
+    };
+  }
+
+  async #waitUntilReady(): Promise<void> {
+    const limitAtMs = performance.now() + READY_TIMEOUT_MS;
+    while (performance.now() < limitAtMs) {
+      const { groups } = await this.getStatus();
+      const complete = groups.filter((g) =>
+        g.phase === "serving" && (g.health === "cold" || g.health === "ready")
+      ).length;
+      const answers = await Promise.all(
+        this.daemons.map((daemon) =>
+          got(`http://${daemon.operator}/readyz`, {
+            throwHttpErrors: false,
+            retry: { limit: 0 },
+          })
+        ),
+      );
+      if (
+        complete >= this.#options.groups &&
+        answers.every((answer) =>
+          answer.statusCode === 200
+        )
+      ) {
+        return;
+      }
+      await delay(POLL_MS);
+    }
+    throw new Error("The deployment did not become ready in time");
+  }
+}
+
+/** Gets the API key of a client account of the bench. */
+export function getBenchApiKey(account: string): string {
+  return `key-${account}`;
+}
--- /dev/null
+++ b/bench/measures/measure_result.ts
@@ -0,0 +1,63 @@
+import type { Downtime, StatusSample } from "./status_sample.ts";
+import type { PhaseSummary } from "./phase_summary.ts";
+import type { BenchPolicy } from "./bench_deployment.ts";
+
+/** Kind of a loss. */
+export type LossKind = "crash" | "pause" | "domain";
+
+/** Loss of members with its consequences. */
+export interface LossResult {
+  readonly kind: LossKind;
+  readonly atMs: number;
+  readonly downtime: Downtime;
+  /** Time from the loss to the first token of a request sent after it; undefined when none was served. */
+  readonly nextServedMs?: number;
+}
+
+/** Result of the measure of downtime and of stranded VMs. */
+export interface DowntimeResult {
+  readonly losses: readonly LossResult[];
+  readonly samples: readonly StatusSample[];
+  readonly strandedVmSeconds: number;
+  /** VM-seconds beyond the VMs that no declared group needs. */
+  readonly excessVmSeconds: number;
+  /** Crashes that the bench did not order. */
+  readonly otherCrashes: number;
+  readonly service: PhaseSummary;
+}
+
+/** Result of the measure of service while a zone leaves and returns. */
+export interface ZoneResult {
+  readonly phases: readonly PhaseSummary[];
+  readonly samples: readonly StatusSample[];
+  readonly otherCrashes: number;
+}
+
+/** Memory of a daemon at one time. */
+export interface MemorySample {
+  readonly atMs: number;
+  readonly heldBytes: number;
+  /** Growth of the resident set since the start of the phase. */
+  readonly residentGrowthBytes: number;
+}
+
+/** Result of the measure of memory held for slow readers. */
+export interface MemoryResult {
+  readonly readers: number;
+  readonly samples: readonly MemorySample[];
+  readonly peakHeldBytes: number;
+  readonly peakResidentGrowthBytes: number;
+  readonly parked: number;
+  readonly closed: number;
+  /** Bytes that the readers took. */
+  readonly readBytes: number;
+}
+
+/** Results of one policy for one profile. */
+export interface PolicyResult {
+  readonly profile: string;
+  readonly policy: BenchPolicy;
+  downtime?: DowntimeResult;
+  zone?: ZoneResult;
+  memory?: MemoryResult;
+}
--- /dev/null
+++ b/bench/measures/memory_measure.ts
@@ -0,0 +1,144 @@
+import { readFile } from "node:fs/promises";
+import { type IncomingMessage, request } from "node:http";
+import { delay } from "../../src/shared/delay.ts";
+import {
+  BENCH_MODEL,
+  type BenchDaemon,
+  type BenchDeployment,
+  getBenchApiKey,
+} from "./bench_deployment.ts";
+import type { MemoryResult, MemorySample } from "./measure_result.ts";
+
+const PAGE_BYTES = 4_096;
+const SAMPLE_INTERVAL_MS = 200;
+const READER_INTERVAL_MS = 100;
+const READER_BYTES = 16_384;
+const ANSWER_TOKENS = 60_000;
+
+/** Callers of the measure of memory. */
+export interface MemoryOptions {
+  readonly quick: boolean;
+  /** Callers, of which every second reads slowly and the others never. */
+  readonly readers: number;
+}
+
+/**
+ * Measures the memory of one daemon whose callers read slowly or never.
+ *
+ * @param deployment - Deployment whose engines write fast.
+ * @param options - Length and callers.
+ */
+export async function measureMemory(
+  deployment: BenchDeployment,
+  options: MemoryOptions,
+): Promise<MemoryResult> {
+  const daemon = deployment.daemons[0];
+  const durationMs = options.quick ? 7_000 : 14_000;
+  const residentBefore = await readResidentBytes(daemon.pid);
+  const startedAtMs = performance.now();
+  const stop = new AbortController();
+  const readers = Array.from(
+    { length: options.readers },
+    (_, index) =>
+      runReader(daemon, {
+        index,
+        reads: index % 2 === 0,
+        account: deployment.profile.accounts[
+          index % deployment.profile.accounts.length
+        ].name,
+        signal: stop.signal,
+      }),
+  );
+  const samples: MemorySample[] = [];
+  let peakHeldBytes = 0;
+  let parked = 0;
+  let closed = 0;
+  while (performance.now() - startedAtMs < durationMs) {
+    const { heldBytes } = await deployment.getStatus();
+    peakHeldBytes = heldBytes?.peakProcessBytes ?? 0;
+    parked = heldBytes?.parked ?? 0;
+    closed = heldBytes?.closed ?? 0;
+    samples.push({
+      atMs: performance.now() - startedAtMs,
+      heldBytes: heldBytes?.processBytes ?? 0,
+      residentGrowthBytes: await readResidentBytes(daemon.pid) -
+        residentBefore,
+    });
+    await delay(SAMPLE_INTERVAL_MS);
+  }
+  stop.abort();
+  const readBytes = (await Promise.all(readers)).reduce((a, b) => a + b, 0);
+  return {
+    readers: options.readers,
+    samples,
+    peakHeldBytes,
+    peakResidentGrowthBytes: Math.max(
+      ...samples.map((s) => s.residentGrowthBytes),
+    ),
+    parked,
+    closed,
+    readBytes,
+  };
+}
+
+async function readResidentBytes(pid: number): Promise<number> {
+  const statm = await readFile(`/proc/${pid}/statm`, "utf8");
+  return Number(statm.split(" ")[1]) * PAGE_BYTES;
+}
+
+/** Sends a chat with a long answer and reads it slowly or not at all; returns the bytes read. */
+async function runReader(
+  daemon: BenchDaemon,
+  options: {
+    index: number;
+    reads: boolean;
+    account: string;
+    signal: AbortSignal;
+  },
+): Promise<number> {
+  let readBytes = 0;
+  const response = await requestChat(daemon, options).catch(() => undefined);
+  if (response === undefined) {
+    return 0;
+  }
+  response.on("error", () => undefined);
+  while (await delay(READER_INTERVAL_MS, options.signal)) {
+    if (options.reads) {
+      const data = response.read(READER_BYTES) as Uint8Array | null;
+      readBytes += data?.length ?? 0;
+    }
+  }
+  response.destroy();
+  return readBytes;
+}
+
+function requestChat(
+  daemon: BenchDaemon,
+  options: { index: number; account: string; signal: AbortSignal },
+): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    const req = request(`http://${daemon.caller}/v1/chat/completions`, {
+      method: "POST",
+      agent: false,
+      headers: {
+        "content-type": "application/json",
+        authorization: `Bearer ${getBenchApiKey(options.account)}`,
+        "x-request-id": `reader-${options.index}`,
+      },
+    }, (response) => {
+      response.pause();
+      resolve(response);
+    });
+    req.on("error", reject);
+    options.signal.addEventListener("abort", () => req.destroy());
+    req.end(JSON.stringify({
+      model: BENCH_MODEL,
+      messages: [{
+        role: "user",
+        content: `tokens=${ANSWER_TOKENS} reader ${options.index}`,
+      }],
+      max_tokens: ANSWER_TOKENS,
+      stream: true,
+    }));
+  });
+}
--- /dev/null
+++ b/bench/measures/report_tables.ts
@@ -0,0 +1,308 @@
+import type { LoadSummary } from "../load/load_summary.ts";
+import type { PolicyResult } from "./measure_result.ts";
+
+const BYTES_PER_MIB = 1_048_576;
+
+/** Table of a report. */
+export interface ReportTable {
+  readonly title: string;
+  readonly header: readonly string[];
+  readonly rows: readonly (readonly string[])[];
+}
+
+/** Result of one value of a swept constant. */
+export interface SweepResult {
+  readonly constant: string;
+  readonly value: number;
+  readonly result: PolicyResult;
+}
+
+/**
+ * Creates the tables of a profile: the policy beside its baseline, with the gain as the baseline's cost divided by the policy's.
+ *
+ * @param policy - Result of the policy.
+ * @param baseline - Result of the baseline.
+ */
+export function createTables(
+  policy: PolicyResult,
+  baseline: PolicyResult,
+): ReportTable[] {
+  return [
+    ...createDowntimeTables(policy, baseline),
+    ...createZoneTables(policy, baseline),
+    ...createMemoryTables(policy, baseline),
+  ];
+}
+
+function createDowntimeTables(
+  policy: PolicyResult,
+  baseline: PolicyResult,
+): ReportTable[] {
+  if (policy.downtime === undefined || baseline.downtime === undefined) {
+    return [];
+  }
+  const [ours, plain] = [policy.downtime, baseline.downtime];
+  const lossRows = ours.losses.flatMap((loss, index) => {
+    const other = plain.losses[index];
+    return [
+      [
+        `${index + 1}: ${loss.kind}, groups complete again (ms)`,
+        formatDowntime(loss.downtime),
+        formatDowntime(other.downtime),
+        formatGain(loss.downtime.durationMs, other.downtime.durationMs),
+      ],
+      [
+        `${index + 1}: ${loss.kind}, next request served (ms)`,
+        formatMs(loss.nextServedMs),
+        formatMs(other.nextServedMs),
+        formatGain(loss.nextServedMs ?? NaN, other.nextServedMs ?? NaN),
+      ],
+    ];
+  });
+  const header = ["", "policy", "baseline", "gain"];
+  return [
+    {
+      title: `${policy.profile}: group downtime`,
+      header,
+      rows: [
+        ...lossRows,
+        createRow("crashes that the bench did not order", [
+          ours.otherCrashes,
+          plain.otherCrashes,
+        ]),
+      ],
+    },
+    {
+      title: `${policy.profile}: stranded accelerators (VM-seconds)`,
+      header,
+      rows: [
+        createRow("outside a complete group", [
+          ours.strandedVmSeconds,
+          plain.strandedVmSeconds,
+        ]),
+        createRow("of these beyond the VMs no group needs", [
+          ours.excessVmSeconds,
+          plain.excessVmSeconds,
+        ]),
+      ],
+    },
+    createServiceTable(`${policy.profile}: service during the losses`, [
+      { name: "policy", summary: ours.service.summary },
+      { name: "baseline", summary: plain.service.summary },
+    ]),
+  ];
+}
+
+function createZoneTables(
+  policy: PolicyResult,
+  baseline: PolicyResult,
+): ReportTable[] {
+  if (policy.zone === undefined || baseline.zone === undefined) {
+    return [];
+  }
+  const [ours, plain] = [policy.zone, baseline.zone];
+  const entries = ours.phases.flatMap(({ phase, summary }, index) => [
+    { name: `${phase}, policy`, summary },
+    { name: `${phase}, baseline`, summary: plain.phases[index].summary },
+  ]);
+  return [
+    createServiceTable(
+      `${policy.profile}: service while a zone leaves and returns`,
+      entries,
+    ),
+    {
+      title: `${policy.profile}: gain while a zone leaves and returns`,
+      header: ["", "policy", "baseline", "gain"],
+      rows: [
+        ...ours.phases.map(({ phase, summary }, index) =>
+          createRow(`${phase}: requests not answered whole in time (%)`, [
+            (1 - summary.wholeShare) * 100,
+            (1 - plain.phases[index].summary.wholeShare) * 100,
+          ])
+        ),
+        createRow("crashes that the bench did not order", [
+          ours.otherCrashes,
+          plain.otherCrashes,
+        ]),
+      ],
+    },
+  ];
+}
+
+function createMemoryTables(
+  policy: PolicyResult,
+  baseline: PolicyResult,
+): ReportTable[] {
+  if (policy.memory === undefined || baseline.memory === undefined) {
+    return [];
+  }
+  const [ours, plain] = [policy.memory, baseline.memory];
+  return [{
+    title: `${policy.profile}: memory held for slow readers`,
+    header: ["", "policy", "baseline", "gain"],
+    rows: [
+      createRow("peak of the counted bytes (MiB)", [
+        ours.peakHeldBytes / BYTES_PER_MIB,
+        plain.peakHeldBytes / BYTES_PER_MIB,
+      ]),
+      createRow("peak growth of the resident set (MiB)", [
+        ours.peakResidentGrowthBytes / BYTES_PER_MIB,
+        plain.peakResidentGrowthBytes / BYTES_PER_MIB,
+      ]),
+      [
+        "parked / closed streams",
+        `${ours.parked} / ${ours.closed}`,
+        `${plain.parked} / ${plain.closed}`,
+        "",
+      ],
+      [
+        "bytes that the readers took (MiB)",
+        formatNumber(ours.readBytes / BYTES_PER_MIB),
+        formatNumber(plain.readBytes / BYTES_PER_MIB),
+        "",
+      ],
+    ],
+  }];
+}
+
+function createServiceTable(
+  title: string,
+  entries: readonly { name: string; summary: LoadSummary }[],
+): ReportTable {
+  return {
+    title,
+    header: [
+      ...["", "requests", "whole", "late", "refused", "cut", "wrong"],
+      ...["other", "first token p50/p95/p99 ms", "between tokens p50/p95/p99"],
+    ],
+    rows: entries.map(({ name, summary }) => {
+      const { outcomes, requests } = summary;
+      const getShare = (count: number) =>
+        `${(count / Math.max(1, requests) * 100).toFixed(1)} %`;
+      return [
+        name,
+        String(requests),
+        getShare(outcomes.whole),
+        getShare(outcomes.late),
+        getShare(outcomes.refused),
+        getShare(outcomes.cut),
+        getShare(outcomes.wrong),
+        getShare(outcomes.uncertain + outcomes.unanswered),
+        formatQuantiles(summary.firstTokenMs),
+        formatQuantiles(summary.betweenTokensMs),
+      ];
+    }),
+  };
+}
+
+/**
+ * Creates the table of the sweeps.
+ *
+ * @param results - One result for each value.
+ */
+export function createSweepTable(
+  results: readonly SweepResult[],
+): ReportTable {
+  return {
+    title: "Sweeps of policy constants",
+    header: ["constant", "value", "what changes"],
+    rows: results.map(({ constant, value, result }) => [
+      constant,
+      String(value),
+      createSweepText(result),
+    ]),
+  };
+}
+
+function createSweepText(result: PolicyResult): string {
+  const parts: string[] = [];
+  const { downtime, zone, memory } = result;
+  if (downtime !== undefined) {
+    const times = downtime.losses.map((l) => formatDowntime(l.downtime));
+    const { summary } = downtime.service;
+    parts.push(
+      `downtime ms ${times.join(", ")}`,
+      `excess VM-s ${formatNumber(downtime.excessVmSeconds)}`,
+      `other crashes ${downtime.otherCrashes}`,
+      `whole ${(summary.wholeShare * 100).toFixed(1)} %`,
+      `first token ${formatQuantiles(summary.firstTokenMs)}`,
+    );
+  }
+  if (zone !== undefined) {
+    const shares = zone.phases.map(({ phase, summary }) =>
+      `${phase} ${(summary.wholeShare * 100).toFixed(1)} %`
+    );
+    parts.push(`whole ${shares.join(", ")}`);
+    parts.push(`other crashes ${zone.otherCrashes}`);
+  }
+  if (memory !== undefined) {
+    parts.push(
+      `peak counted MiB ${formatNumber(memory.peakHeldBytes / BYTES_PER_MIB)}`,
+      `peak growth MiB ${
+        formatNumber(memory.peakResidentGrowthBytes / BYTES_PER_MIB)
+      }`,
+      `parked ${memory.parked}`,
+    );
+  }
+  return parts.join("; ");
+}
+
+/**
+ * Gets the text of a table for a terminal or a Markdown page.
+ *
+ * @param table - Table to format.
+ */
+export function formatTable(table: ReportTable): string {
+  const lines = [table.header, table.header.map(() => "---"), ...table.rows]
+    .map((row) => `| ${row.join(" | ")} |`);
+  return `### ${table.title}\n\n${lines.join("\n")}\n`;
+}
+
+function createRow(name: string, values: readonly [number, number]): string[] {
+  return [
+    name,
+    formatNumber(values[0]),
+    formatNumber(values[1]),
+    formatGain(values[0], values[1]),
+  ];
+}
+
+/**
+ * Gets the cost of the baseline divided by the cost of the policy as text.
+ *
+ * @param policy - Cost of the policy.
+ * @param baseline - Cost of the baseline.
+ */
+export function formatGain(policy: number, baseline: number): string {
+  if (Number.isNaN(policy) || Number.isNaN(baseline)) {
+    return "not measured";
+  }
+  if (policy === 0) {
+    return baseline === 0 ? "both 0" : "policy 0";
+  }
+  return `${(baseline / policy).toFixed(2)}`;
+}
+
+function formatDowntime(downtime: {
+  durationMs: number;
+  restored: boolean;
+  observed: boolean;
+}): string {
+  if (!downtime.observed) {
+    return "not seen";
+  }
+  const ms = downtime.durationMs.toFixed(0);
+  return downtime.restored ? ms : `> ${ms}`;
+}
+
+function formatMs(ms: number | undefined): string {
+  return ms === undefined ? "none" : ms.toFixed(0);
+}
+
+function formatNumber(value: number): string {
+  return Number.isInteger(value) ? String(value) : value.toFixed(2);
+}
+
+function formatQuantiles(q: { p50: number; p95: number; p99: number }): string {
+  return `${q.p50.toFixed(0)} / ${q.p95.toFixed(0)} / ${q.p99.toFixed(0)}`;
+}
--- /dev/null
+++ b/bench/measures/status_poller.ts
@@ -0,0 +1,43 @@
+import { delay } from "../../src/shared/delay.ts";
+import type { BenchDeployment } from "./bench_deployment.ts";
+import { createStatusSample, type StatusSample } from "./status_sample.ts";
+
+const POLL_INTERVAL_MS = 50;
+
+/** Reads the status of one daemon again and again. */
+export class StatusPoller {
+  readonly samples: StatusSample[] = [];
+  readonly #deployment: BenchDeployment;
+  readonly #startedAtMs: number;
+  readonly #stop = new AbortController();
+  readonly #done: Promise<void>;
+
+  /**
+   * Starts polling.
+   *
+   * @param deployment - Deployment whose first daemon is asked.
+   * @param startedAtMs - Monotonic time of the start of the phase.
+   */
+  constructor(deployment: BenchDeployment, startedAtMs: number) {
+    this.#deployment = deployment;
+    this.#startedAtMs = startedAtMs;
+    this.#done = this.#run();
+  }
+
+  /** Ends the polling. */
+  async dispose(): Promise<void> {
+    this.#stop.abort();
+    await this.#done;
+  }
+
+  async #run(): Promise<void> {
+    const { groupSizeVms } = this.#deployment.profile;
+    do {
+      const status = await this.#deployment.getStatus().catch(() => undefined);
+      if (status !== undefined) {
+        const atMs = performance.now() - this.#startedAtMs;
+        this.samples.push(createStatusSample(status, { atMs, groupSizeVms }));
+      }
+    } while (await delay(POLL_INTERVAL_MS, this.#stop.signal));
+  }
+}
--- /dev/null
+++ b/bench/measures/status_sample.ts
@@ -0,0 +1,117 @@
+/** Part of the status of a daemon that the measures read. */
+export interface StatusView {
+  readonly vms: readonly {
+    readonly name: string;
+    readonly role: string;
+    readonly state: string;
+  }[];
+  readonly groups: readonly {
+    readonly phase: string;
+    readonly health: string;
+  }[];
+  readonly heldBytes?: {
+    readonly processBytes: number;
+    readonly peakProcessBytes: number;
+    readonly parked: number;
+    readonly closed: number;
+  };
+}
+
+/** Groups and VMs at one time. */
+export interface StatusSample {
+  /** Time since the start of the phase in milliseconds. */
+  readonly atMs: number;
+  /** Groups that are complete and serve. */
+  readonly completeGroups: number;
+  /** Backend VMs outside any complete group. */
+  readonly strandedVms: number;
+}
+
+/**
+ * Creates a sample from the status of a daemon.
+ *
+ * @param status - Answer of `/api/status`.
+ * @param options - Time of the status and VMs of a group.
+ */
+export function createStatusSample(
+  status: StatusView,
+  options: { atMs: number; groupSizeVms: number },
+): StatusSample {
+  const completeGroups =
+    status.groups.filter((group) =>
+      group.phase === "serving" &&
+      (group.health === "cold" || group.health === "ready")
+    ).length;
+  const vms =
+    status.vms.filter((vm) => vm.role === "backend" && vm.state === "live")
+      .length;
+  return {
+    atMs: options.atMs,
+    completeGroups,
+    strandedVms: Math.max(0, vms - completeGroups * options.groupSizeVms),
+  };
+}
+
+/** Time without all groups after a loss. */
+export interface Downtime {
+  /** Time from the loss until the groups were complete again, or until the last sample. */
+  readonly durationMs: number;
+  /** Whether the groups were complete again by the last sample. */
+  readonly restored: boolean;
+  /** Whether a sample showed the loss. */
+  readonly observed: boolean;
+}
+
+/**
+ * Gets the time from a loss until as many groups are complete as before.
+ *
+ * @param samples - Samples in the order of their times.
+ * @param loss - Time of the loss and complete groups wanted.
+ * @example
+ * ```ts
+ * const downtime = getDowntime(samples, { atMs: 5_000, wantedGroups: 10 });
+ * ```
+ */
+export function getDowntime(
+  samples: readonly StatusSample[],
+  loss: { atMs: number; untilMs?: number; wantedGroups: number },
+): Downtime {
+  const later = samples.filter((s) =>
+    s.atMs >= loss.atMs && s.atMs < (loss.untilMs ?? Infinity)
+  );
+  const dropIndex = later.findIndex((s) =>
+    s.completeGroups < loss.wantedGroups
+  );
+  if (dropIndex < 0) {
+    return { durationMs: 0, restored: true, observed: false };
+  }
+  const dropAtMs = later[dropIndex].atMs;
+  // A restoration after the next loss still belongs to this one.
+  const after = samples.filter((s) => s.atMs > dropAtMs);
+  const restoredAt = after.find((s) => s.completeGroups >= loss.wantedGroups);
+  const endAtMs = restoredAt?.atMs ?? samples[samples.length - 1].atMs;
+  return {
+    durationMs: endAtMs - loss.atMs,
+    restored: restoredAt !== undefined,
+    observed: true,
+  };
+}
+
+/**
+ * Gets the VM-seconds outside a complete group, each sample counted until the next.
+ *
+ * @param samples - Samples in the order of their times.
+ * @param exemptVms - VMs that no group needs and that do not count.
+ */
+export function getStrandedVmSeconds(
+  samples: readonly StatusSample[],
+  exemptVms = 0,
+): number {
+  let vmMs = 0;
+  for (let index = 1; index < samples.length; index++) {
+    const previous = samples[index - 1];
+    vmMs += Math.max(0, previous.strandedVms - exemptVms) *
+      (samples[index].atMs - previous.atMs);
+  }
+  return vmMs / 1_000;
+}
--- a/src/process/status_report.ts
+++ b/src/process/status_report.ts
@@ -3,6 +3,7 @@
 import type { DaemonContext } from "./daemon_context.ts";
 import type { Freshness } from "./freshness_tracker.ts";
 import type { GroupHealthState } from "./group_health.ts";
+import type { HeldBytes } from "./held_bytes_accountant.ts";
 
 /** State of one availability zone as a daemon sees it. */
 export interface ZoneStatus {
@@ -48,6 +49,8 @@
   readonly vms: readonly VmStatus[];
   /** Declared and complete groups of each model. */
   readonly models: readonly ModelStatus[];
+  /** Bytes that this daemon holds for slow readers. */
+  readonly heldBytes: HeldBytes;
 }
 
 /** Declared and complete groups of one model. */
@@ -80,6 +83,7 @@
     groups,
     vms,
     models: getModelStatuses(context, groups),
+    heldBytes: context.heldBytes.getHeldBytes(),
   };
 }
 
