--- a/bench/measures/status_sample.ts
+++ b/bench/measures/status_sample.ts
@@ -8,6 +8,7 @@
   readonly groups: readonly {
     readonly phase: string;
     readonly health: string;
+    readonly leader: string;
   }[];
   readonly heldBytes?: {
     readonly processBytes: number;
--- a/bench/measures/status_sample_test.ts
+++ b/bench/measures/status_sample_test.ts
@@ -29,7 +29,7 @@
       { phase: "serving", health: "incomplete" },
       { phase: "loading", health: "cold" },
       { phase: "serving", health: "unknown" },
-    ];
+    ].map((group) => ({ ...group, leader: "vm-2" }));
     const sample = createStatusSample({ vms, groups }, {
       atMs: 5,
       groupSizeVms: 4,
--- a/fakes/engine_main.ts
+++ b/fakes/engine_main.ts
@@ -11,6 +11,7 @@
   .option("max-running", { type: "number", default: 64 })
   .option("cold-requests", { type: "number", default: 2 })
   .option("warm-after-requests", { type: "number", default: 8 })
+  .option("member-check-ms", { type: "number", default: 100 })
   .option("honours-fencing", { type: "boolean", default: true })
   .strict()
   .parse();
@@ -24,6 +25,7 @@
     coldRequests: args.coldRequests,
     warmAfterRequests: args.warmAfterRequests,
     honoursFencing: args.honoursFencing,
+    memberCheckMs: args.memberCheckMs,
   })
 );
 const addresses: Record<string, string> = {};
