Read the new form of the status in the stream bench

The status now gives the health of a group as a string, so that the wait of the bench counted every placed group as complete. Found by reading; the stream bench was not run.

--- a/bench/stream_bench.ts
+++ b/bench/stream_bench.ts
@@ -171,10 +171,10 @@
   const limitAtMs = performance.now() + READY_TIMEOUT_MS;
   while (performance.now() < limitAtMs) {
     const status = await got(`http://${operator}/api/status`).json<
-      { groups: { health: { state: string } | null }[] }
+      { groups: { health: string }[] }
     >();
     const complete = status.groups.filter((g) =>
-      g.health !== null && g.health.state !== "incomplete"
+      g.health === "cold" || g.health === "ready"
     );
     if (complete.length === ENGINES) {
       return;
