--- a/bench/admission_bench.ts
+++ b/bench/admission_bench.ts
@@ -3,7 +3,7 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { listPreferredGroups } from "../src/process/admission/group_selector.ts";
+import { choosePreferredGroup } from "../src/process/admission/group_selector.ts";
 import { ShareCalculator } from "../src/process/admission/share_calculator.ts";
 import { SlotLedger } from "../src/process/admission/slot_ledger.ts";
 import {
@@ -89,7 +89,7 @@
       load: ledger.getUsed(g.groupId).slots,
     }));
     const preference = { zone: "zone-1", prefixHash: index };
-    const chosen = listPreferredGroups(candidates, preference)[0];
+    const chosen = choosePreferredGroup(candidates, preference)!;
     if (ledger.tryAcquire(chosen.groupId, COST, 0)) {
       ledger.release(chosen.groupId, COST);
     }
@@ -154,18 +154,19 @@
     for (let index = 0; index < perStep; index++) {
       const daemon = alive[Math.floor(random() * alive.length)];
       const group = GROUP_KEYS[Math.floor(random() * GROUPS)];
-      const end = model.tryAcquire(daemon, {
+      const grant = model.tryAcquire(daemon, {
         group,
+        groups: GROUP_KEYS,
         daemons,
         untilMs: nowMs + REQUEST_STEPS * STEP_MS,
       });
       asked++;
-      if (end === undefined) {
+      if (grant === undefined) {
         refused++;
       } else {
-        running.get(group.groupId)!.add({
+        running.get(grant.groupId)!.add({
           daemon,
-          end,
+          end: () => grant.end(),
           endStep: step + REQUEST_STEPS,
         });
       }
--- a/src/process/admission/shared_admission.ts
+++ b/src/process/admission/shared_admission.ts
@@ -17,7 +17,11 @@
 import type { Capacity } from "./capacity.ts";
 import { ColdRamp } from "./cold_ramp.ts";
 import { FairQueue } from "./fair_queue.ts";
-import { listPreferredGroups } from "./group_selector.ts";
+import {
+  choosePreferredGroup,
+  type GroupCandidate,
+  listPreferredGroups,
+} from "./group_selector.ts";
 import { LoanBroker } from "./loan_broker.ts";
 import type {
   CapacityLender,
@@ -43,6 +47,10 @@
 /** Time after the deadline in which a cancelled request still leaves its engine, in milliseconds. */
 const FINISH_MARGIN_MS = 1_000;
 const MIN_RETRY_AFTER_MS = 250;
+/** Hold-downs after the start after which a daemon takes requests even if shares are still unsettled. */
+const READY_HOLD_DOWNS = 2;
+/** Time for giving loans back in a planned stop, below the time limit of a stop hook, in milliseconds. */
+const REPAY_TIMEOUT_MS = 4_000;
 /** Weight of a new measurement in the average service time. */
 const SERVICE_TIME_WEIGHT = 0.1;
 
@@ -115,6 +123,7 @@
       ledger,
       channel,
       isUsable: (loan) => this.#isUsable(loan),
+      isNeeded: (loan) => this.#isNeeded(loan),
     });
     this.#office = new LoanOffice({
       startId,
@@ -133,13 +142,13 @@
   }
 
   /**
-   * Gets whether the daemon takes requests. Before its shares are settled it would borrow each slot; a daemon that the lagging list does not name borrows after the hold-down.
+   * Gets whether the daemon takes requests. Before its shares are settled it would borrow each slot; a daemon that the lagging list does not name borrows after two hold-downs. It also waits until the lanes of daemons that have left are taken over.
    *
    * Later changes of the shares do not make a daemon unready.
    */
   isReady(): boolean {
     this.#ready ||= performance.now() - this.#startedAtMs >=
-      getHoldDownMs(this.#options);
+      READY_HOLD_DOWNS * getHoldDownMs(this.#options);
     return this.#ready;
   }
 
@@ -151,6 +160,11 @@
     await this.broker.dispose();
   }
 
+  /** Gives all loans back before a planned stop ends, so that their lenders need not wait for the expiry. */
+  async repayAll(): Promise<void> {
+    await this.broker.repayAll(REPAY_TIMEOUT_MS);
+  }
+
   /** Brings shares, loans and queues up to date once. */
   refresh(): void {
     const groups = this.#listSharedGroups();
@@ -158,7 +172,9 @@
     if (this.#keeper.hasOpenLanes()) {
       void this.#keeper.trySettle();
     }
-    this.#ready ||= this.hasSettledShares();
+    // Lanes of a daemon that has left are unused until its hold-down ends: a rolling replacement that went on earlier would leave groups without usable shares.
+    this.#ready ||= this.hasSettledShares() &&
+      !this.#calculator.hasUnlistedNames();
     groups.forEach((g) => this.#observeHealth(g.groupId, g.model));
     this.broker.refresh();
     this.broker.resume();
@@ -328,7 +344,10 @@
       const usable = this.#getUsable(c, request);
       return usable.slots >= cost.slots && usable.tokens >= cost.tokens;
     });
-    const chosen = this.#listPreferred(free, request).at(0);
+    const chosen = choosePreferredGroup(
+      free.map((entry) => this.#createCandidate(entry)),
+      { zone: this.#options.zone, prefixHash: request.prefixHash },
+    )?.entry;
     if (chosen === undefined) {
       return undefined;
     }
@@ -375,6 +394,18 @@
       (loan.cold || state === "ready");
   }
 
+  #isNeeded(loan: Loan): boolean {
+    const { groupId } = loan;
+    const own = !this.ramp.isCold(groupId) ||
+      this.#keeper.isFirstHome(groupId);
+    if (own || !this.#isUsable(loan)) {
+      return false;
+    }
+    const slots = this.#countFirstHomeSlots(groupId, Number.NEGATIVE_INFINITY);
+    const used = this.ledger.getUsed(groupId).slots;
+    return slots - used < loan.capacity.slots;
+  }
+
   async #borrowFor(
     waiter: Waiter,
     candidates: readonly ServingGroup[],
@@ -565,21 +596,22 @@
     serving: readonly ServingGroup[],
     request: AdmissionRequest,
   ): ServingGroup[] {
-    const candidates = serving.map((entry) => ({
-      entry,
-      groupId: entry.group.groupId,
-      zone: entry.group.zone,
-      load: Math.max(
-        entry.health.runningRequests,
-        this.ledger.getUsed(entry.group.groupId).slots,
-      ),
-    }));
+    const candidates = serving.map((entry) => this.#createCandidate(entry));
     return listPreferredGroups(candidates, {
       zone: this.#options.zone,
       prefixHash: request.prefixHash,
     }).map((c) => c.entry);
   }
 
+  #createCandidate(
+    entry: ServingGroup,
+  ): GroupCandidate & { readonly entry: ServingGroup } {
+    const { groupId, zone } = entry.group;
+    const used = this.ledger.getUsed(groupId).slots;
+    const load = Math.max(entry.health.runningRequests, used);
+    return { entry, groupId, zone, load };
+  }
+
   #listSharedGroups(): LendableGroup[] {
     const models = this.#options.configHolder.getCurrent()?.document.models;
     const byName = new Map(models?.map((m) => [m.name, m]));
