Let only two homes of a group observe it in each interval above 9 daemons

Cause: every daemon asked every member of every group twice a second, which at 420 daemons is 1,200 status requests a second at each daemon. The table took the newest observation of any daemon, so a daemon that was cut off from the engines took groups out on all others, and the next status request turned them back. An observation was also as young as its last answer: a status that waited in the socket during a pause, or the last status of a silent member, counted as new.

Now the first two homes (by the lanes of the admission, so that the first home, which runs the cold ramp, is one of them) ask in each interval. The other daemons ask when what they know is older than 1.4 s, when the group is not complete, and after a miss. Another daemon's loss makes a daemon ask at once, and then one miss suffices; it never replaces a complete observation by itself. A complete group's health is as old as its oldest status.

Ruled out: refreshing ages through the exchanges. At 420 daemons they need up to 4 exchanges of 1.5 to 4 s each, longer than the expiry of 3 s, and load figures of all groups would double the exchange's size. Ruled out as well: the rule "newest observation wins" with a conservative age alone; the test of two monitors that disagree failed with it.

Up to 9 daemons (setting fullObservationDaemons) every daemon still observes every group in each interval.

--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -71,7 +71,9 @@
   container.bind(ConfigHolder).toConstantValue(new ConfigHolder());
   container.bind(PlacementHolder).toConstantValue(new PlacementHolder());
   container.bind(VmTable).toConstantValue(new VmTable());
-  container.bind(GroupHealthTable).toConstantValue(new GroupHealthTable());
+  container.bind(GroupHealthTable).toConstantValue(
+    new GroupHealthTable(settings.name),
+  );
   container.bind(RetryBudget).toConstantValue(new RetryBudget());
   container.bind(GracefulStop).toResolvedValue(
     (logger: Logger) => new GracefulStop(settings, logger),
--- a/src/process/daemon_settings.ts
+++ b/src/process/daemon_settings.ts
@@ -33,6 +33,9 @@
   statusIntervalMs: z.number().int().min(10).default(500).describe(
     "Time between two status requests to an engine",
   ),
+  fullObservationDaemons: z.number().int().min(0).default(9).describe(
+    "Number of entry VMs up to which every daemon requests every engine's status in each interval; above it only the first two homes of a group do",
+  ),
   planIntervalMs: z.number().int().min(10).default(1_000).describe(
     "Time between two runs of the planner",
   ),
--- a/src/process/group_directory.ts
+++ b/src/process/group_directory.ts
@@ -2,14 +2,11 @@
 import type { ConfigHolder } from "../version/config_holder.ts";
 import type { PlacementHolder } from "../version/placement_holder.ts";
 import type { ReceivedGroupHealth } from "./group_health.ts";
-import type { GroupHealthTable } from "./group_health.ts";
+import { type GroupHealthTable, HEALTH_EXPIRY_MS } from "./group_health.ts";
 import type { VmTable } from "./vm_table.ts";
 import type { ZonePolicy } from "../version/zone_policy.ts";
 import { getGroupMembers } from "../version/placement.ts";
 
-/** Age above which an observation of a group no longer counts, in milliseconds. */
-export const HEALTH_EXPIRY_MS = 3_000;
-
 /** Group that may take new work. */
 export interface ServingGroup {
   readonly group: PlacedGroup;
--- a/src/process/group_health.ts
+++ b/src/process/group_health.ts
@@ -10,6 +10,9 @@
  */
 export type GroupHealthState = "incomplete" | "cold" | "ready";
 
+/** Age above which an observation of a group no longer counts, in milliseconds. */
+export const HEALTH_EXPIRY_MS = 3_000;
+
 /** One observation of a group. */
 export interface GroupHealth {
   readonly groupId: string;
@@ -40,12 +43,24 @@
   readonly observedAtMs: number;
 }
 
+/** Events of the table. */
+interface GroupHealthEvents {
+  change: [ReceivedGroupHealth];
+  doubt: [string];
+}
+
 /** Holds the newest health of each group. */
 export class GroupHealthTable {
+  readonly #self: string | undefined;
   readonly #byGroup = new Map<string, ReceivedGroupHealth>();
-  readonly #emitter = new EventEmitter<{ change: [ReceivedGroupHealth] }>();
+  readonly #emitter = new EventEmitter<GroupHealthEvents>();
   #digest: number | undefined;
 
+  /** @param self - Name of this daemon, whose own observations take precedence. */
+  constructor(self?: string) {
+    this.#self = self;
+  }
+
   /**
    * Gets the newest health of a group, or undefined when none is known.
    *
@@ -91,7 +106,16 @@
   }
 
   /**
-   * Takes an observation over if it is newer than the known one: a higher generation, or the same generation and a later observation.
+   * Calls a function when another daemon reports a group as incomplete that counts as complete here.
+   *
+   * @param listener - Gets the group.
+   */
+  onDoubt(listener: (groupId: string) => void): void {
+    this.#emitter.on("doubt", listener);
+  }
+
+  /**
+   * Takes an observation over if it is newer than the known one: a higher generation, or the same generation and a later observation. Another daemon's report of an incomplete group only makes this daemon ask the members itself: a daemon that is cut off from the engines would otherwise take the group from all others. Nor does another daemon's report end a loss that this daemon saw itself.
    *
    * @param health - Observation of this daemon or of a peer.
    * @returns Whether it was taken over.
@@ -99,13 +123,21 @@
   offer(health: GroupHealth): boolean {
     const observedAtMs = performance.now() - health.ageMs;
     const current = this.#byGroup.get(health.groupId);
+    // This daemon's own observations come in order; two of them may rest on the same old status of a silent member.
+    const successive = this.#isOwn(health) && this.#isOwn(current);
     const older = current !== undefined &&
       (health.generation < current.generation ||
-        (health.generation === current.generation &&
+        (health.generation === current.generation && !successive &&
           observedAtMs <= current.observedAtMs));
     if (older) {
       return false;
     }
+    if (current !== undefined && this.#isDisputed(current, health)) {
+      if (health.state === "incomplete") {
+        this.#emitter.emit("doubt", health.groupId);
+      }
+      return false;
+    }
     const digest = this.getGroupDigest(health.groupId);
     const received = { ...health, observedAtMs };
     this.#byGroup.set(health.groupId, received);
@@ -116,6 +148,23 @@
     return true;
   }
 
+  #isOwn(health: GroupHealth | undefined): boolean {
+    return health !== undefined && health.observer === this.#self;
+  }
+
+  /** Another daemon's loss is disputed by any complete observation that counts, another daemon's completeness only by an own loss. */
+  #isDisputed(current: ReceivedGroupHealth, offered: GroupHealth): boolean {
+    const comparable = this.#self !== undefined && !this.#isOwn(offered) &&
+      offered.generation === current.generation &&
+      performance.now() - current.observedAtMs <= HEALTH_EXPIRY_MS;
+    if (!comparable) {
+      return false;
+    }
+    return current.state === "incomplete"
+      ? this.#isOwn(current) && offered.state !== "incomplete"
+      : offered.state === "incomplete";
+  }
+
   /**
    * Forgets a group that is no longer placed.
    *
--- a/src/process/group_monitor_task.ts
+++ b/src/process/group_monitor_task.ts
@@ -2,11 +2,23 @@
 import { delay } from "../shared/delay.ts";
 import { getGroupMembers, type PlacedGroup } from "../version/placement.ts";
 import type { DaemonContext } from "./daemon_context.ts";
-import type { GroupHealthState } from "./group_health.ts";
+import { type GroupHealthState, HEALTH_EXPIRY_MS } from "./group_health.ts";
 import { GroupObserver } from "./group_observer.ts";
 import { MonitorSelector } from "./monitor_selector.ts";
 import { isLoaded } from "./planner/domain_planner.ts";
 
+/** Statuses of one group's members. */
+interface Observation {
+  /** Status of each member, the leader first; undefined when a member counts as missing. */
+  readonly statuses: readonly (EngineStatus | undefined)[];
+  readonly observer: GroupObserver;
+  /** Time of the requests, in milliseconds of `performance.now()`. */
+  readonly requestedAtMs: number;
+}
+
+/** Age of a group's health above which a daemon that is no monitor of the group asks its members itself: one request that times out after 1 s and another one fit before the expiry. */
+export const REFRESH_AGE_MS = HEALTH_EXPIRY_MS / 2 - 100;
+
 /** Task that asks the members of groups for their status. */
 export class GroupMonitorTask {
   readonly #context: DaemonContext;
@@ -20,8 +32,9 @@
     this.#selector = selector ?? new MonitorSelector({
       name: context.settings.name,
       vmTable: context.vmTable,
-      everyDaemonObserves: true,
+      fullObservationDaemons: context.settings.fullObservationDaemons,
     });
+    context.healthTable.onDoubt((groupId) => this.#observeDoubted(groupId));
   }
 
   /** Runs until the daemon stops. */
@@ -40,12 +53,38 @@
     const groups = this.#context.placementHolder.getGroups();
     this.#removeOthers(new Set(groups.map((group) => group.groupId)));
     await Promise.all(
-      groups.filter((group) => this.#selector.isMonitor(group.groupId))
-        .filter((group) => !this.#busy.has(group.groupId))
+      groups.filter((group) => !this.#busy.has(group.groupId))
+        .filter((group) =>
+          this.#selector.isMonitor(group) || this.#isRefreshDue(group)
+        )
         .map((group) => this.#observe(group)),
     );
   }
 
+  /** A daemon that is no monitor asks as often as a monitor while the group is not known to be complete. */
+  #isRefreshDue(group: PlacedGroup): boolean {
+    const health = this.#context.healthTable.getHealth(group.groupId);
+    return health === undefined || health.generation !== group.generation ||
+      health.state === "incomplete" ||
+      performance.now() - health.observedAtMs > REFRESH_AGE_MS ||
+      this.#observers.get(group.groupId)?.hasMisses() === true;
+  }
+
+  /** Asks the members at once, so that a loss that another daemon saw first takes effect without its own three misses. */
+  #observeDoubted(groupId: string): void {
+    const { placementHolder, lifeCycle, logger } = this.#context;
+    const group = placementHolder.getGroup(groupId);
+    if (group === undefined || lifeCycle.signal.aborted) {
+      return;
+    }
+    this.#getObserver(group).observeDoubt();
+    if (!this.#busy.has(groupId)) {
+      this.#observe(group).catch((error: unknown) =>
+        logger.write("error", "observation-failed", { message: String(error) })
+      );
+    }
+  }
+
   #removeOthers(placed: ReadonlySet<string>): void {
     const { healthTable } = this.#context;
     for (const health of healthTable.getAll()) {
@@ -64,6 +103,7 @@
     }
     const observer = this.#getObserver(group);
     const members = getGroupMembers(placement.placement, group.groupId);
+    const requestedAtMs = performance.now();
     this.#busy.add(group.groupId);
     try {
       const statuses = await Promise.all(members.map(async (name) => {
@@ -71,9 +111,9 @@
         const result = address === undefined
           ? undefined
           : await engineClient.getStatus(address);
-        return observer.record(name, result);
+        return observer.record(name, result, requestedAtMs);
       }));
-      this.#record(group, statuses, observer);
+      this.#record(group, { statuses, observer, requestedAtMs });
     } finally {
       this.#busy.delete(group.groupId);
     }
@@ -90,10 +130,10 @@
 
   #record(
     group: PlacedGroup,
-    statuses: readonly (EngineStatus | undefined)[],
-    observer: GroupObserver,
+    observation: Observation,
   ): void {
     const { healthTable, settings } = this.#context;
+    const { statuses, observer } = observation;
     const leader = statuses[0];
     const state = getGroupState(group, statuses);
     if (state === "ready") {
@@ -106,7 +146,7 @@
       bootId: leader?.bootId ?? "",
       observer: settings.name,
       sequence: ++this.#sequence,
-      ageMs: 0,
+      ageMs: performance.now() - getObservedAtMs(state, observation),
       runningRequests: leader?.runningRequests ?? 0,
       heldTokens: leader?.heldTokens ?? 0,
       maxTokens: leader?.maxTokens ?? 0,
@@ -133,6 +173,16 @@
   return statuses[0]!.state === "ready" ? "ready" : "cold";
 }
 
+/** A complete group's health is as old as the oldest status in it: an answer that waited while this process was paused, or the last status of a member that has stopped answering, does not make it young. */
+function getObservedAtMs(
+  state: GroupHealthState,
+  { observer, requestedAtMs }: Observation,
+): number {
+  return state === "incomplete"
+    ? requestedAtMs
+    : Math.min(requestedAtMs, observer.getOldestRequestMs());
+}
+
 function getLongestInterval(
   statuses: readonly (EngineStatus | undefined)[],
 ): number | undefined {
--- a/src/process/group_observer.ts
+++ b/src/process/group_observer.ts
@@ -9,6 +9,8 @@
 
 interface ObservedMember {
   status?: EngineStatus;
+  /** Time at which the status was requested, in milliseconds of `performance.now()`. */
+  requestedAtMs: number;
   bootId?: string;
   misses: number;
 }
@@ -35,22 +37,45 @@
     return this.#straggler;
   }
 
+  /** Gets whether the last request to a member had no answer. */
+  hasMisses(): boolean {
+    return [...this.#members.values()].some((member) => member.misses > 0);
+  }
+
+  /** Gets when the oldest status that still stands for a member was requested, in milliseconds of `performance.now()`; infinite without one. */
+  getOldestRequestMs(): number {
+    const times = [...this.#members.values()]
+      .filter((member) => member.misses < MISSED_STATUS_LIMIT)
+      .map((member) => member.requestedAtMs);
+    return Math.min(Infinity, ...times);
+  }
+
+  /** Takes note that another daemon misses a member, so that one request without an answer suffices here. */
+  observeDoubt(): void {
+    for (const member of this.#members.values()) {
+      member.misses = Math.max(member.misses, MISSED_STATUS_LIMIT - 1);
+    }
+  }
+
   /**
    * Records the outcome of a status request to a member.
    *
    * @param name - Name of the member.
    * @param result - Status, the failure, or undefined when the address is not known.
+   * @param requestedAtMs - Time of the request, in milliseconds of `performance.now()`.
    * @returns The newest status, or undefined when the member counts as missing.
    */
   record(
     name: string,
     result: Either<EngineError, EngineStatus> | undefined,
+    requestedAtMs = performance.now(),
   ): EngineStatus | undefined {
-    const member = this.#members.get(name) ?? { misses: 0 };
+    const member = this.#members.get(name) ?? { misses: 0, requestedAtMs };
     this.#members.set(name, member);
     const status = result?.toMaybe().extract();
     if (status !== undefined) {
       this.#recordStatus(member, status);
+      member.requestedAtMs = requestedAtMs;
       return status;
     }
     const error = result?.swap().toMaybe().extract();
--- a/src/process/group_observer_test.ts
+++ b/src/process/group_observer_test.ts
@@ -41,6 +41,32 @@
       expect(observer.record("vm-1", refused)).toBeUndefined();
     });
 
+    // Guards against a loss that each daemon finds only after its own three misses.
+    it("takes one miss as enough after another daemon's report", () => {
+      const observer = new GroupObserver(1);
+      observer.record("vm-1", getAnswer());
+      observer.observeDoubt();
+      const timeout = Left(createError("ETIMEDOUT"));
+      expect(observer.record("vm-1", timeout)).toBeUndefined();
+      observer.record("vm-1", getAnswer());
+      expect(observer.record("vm-1", timeout)).toBeDefined();
+    });
+
+    // Guards against the last status of a silent member that counts as young.
+    it("keeps the time of the oldest status that stands", () => {
+      const observer = new GroupObserver(1);
+      const timeout = Left(createError("ETIMEDOUT"));
+      observer.record("vm-1", getAnswer(), 1_000);
+      observer.record("vm-2", getAnswer(), 1_000);
+      observer.record("vm-1", getAnswer(), 2_000);
+      observer.record("vm-2", timeout, 2_000);
+      expect(observer.hasMisses()).toBe(true);
+      expect(observer.getOldestRequestMs()).toBe(1_000);
+      observer.record("vm-2", getAnswer(), 3_000);
+      expect(observer.hasMisses()).toBe(false);
+      expect(observer.getOldestRequestMs()).toBe(2_000);
+    });
+
     // Guards against a restart that stays hidden between two status requests.
     it("counts changes of the boot id", () => {
       const observer = new GroupObserver(1);
--- a/src/process/monitor_selector_test.ts
+++ b/src/process/monitor_selector_test.ts
@@ -13,9 +13,12 @@
   }));
   const vmTable = new VmTable();
   const selectors = entries.map((vm) =>
-    new MonitorSelector({ name: vm.name, vmTable, everyDaemonObserves: false })
+    new MonitorSelector({ name: vm.name, vmTable, fullObservationDaemons: 0 })
   );
-  const groups = Array.from({ length: 50 }, (_, index) => `group-${index}`);
+  const groups = Array.from({ length: 50 }, (_, index) => ({
+    groupId: `group-${index}`,
+    zone: "zone-a",
+  }));
 
   describe("isMonitor", () => {
     // Guards against groups that nobody observes, and against status requests that grow with the fleet.
@@ -26,6 +29,17 @@
       }
     });
 
+    // Guards against a loss that is seen later in the deployments that run today.
+    it("chooses every daemon up to the set number", () => {
+      vmTable.replace(entries);
+      const selector = new MonitorSelector({
+        name: "entry-1",
+        vmTable,
+        fullObservationDaemons: entries.length,
+      });
+      expect(groups.every((g) => selector.isMonitor(g))).toBe(true);
+    });
+
     // Guards against observations that all move when one daemon leaves.
     it("keeps the monitors that stay when a daemon leaves", () => {
       vmTable.replace(entries);
--- a/src/process/planner/engine_roster.ts
+++ b/src/process/planner/engine_roster.ts
@@ -1,7 +1,7 @@
 import type { Vm } from "../../connection/vm_directory.ts";
 import { getGroupMembers, type PlacedGroup } from "../../version/placement.ts";
 import type { DaemonContext } from "../daemon_context.ts";
-import { HEALTH_EXPIRY_MS } from "../group_directory.ts";
+import { HEALTH_EXPIRY_MS } from "../group_health.ts";
 import type { MemberView } from "./member_view.ts";
 import { MemberTracker } from "./member_tracker.ts";
 
--- /dev/null
+++ b/tests/group_health_test.ts
@@ -0,0 +1,258 @@
+import type { Container } from "inversify";
+import { Left } from "purify-ts";
+import { afterEach, describe, expect, it } from "vitest";
+import type { FakeEngine } from "../fakes/fake_engine.ts";
+import { EngineError } from "../src/connection/engine_client.ts";
+import { HttpEngineClient } from "../src/connection/http_engine_client.ts";
+import type { Daemon } from "../src/process/daemon.ts";
+import type { DaemonSettings } from "../src/process/daemon_settings.ts";
+import { HEALTH_EXPIRY_MS } from "../src/process/group_health.ts";
+import {
+  MONITORS_PER_GROUP,
+  MonitorSelector,
+} from "../src/process/monitor_selector.ts";
+import { delay } from "../src/shared/delay.ts";
+import type { PlacedGroup } from "../src/version/placement.ts";
+import { FaultLinks } from "./support/fault_links.ts";
+import { TestDeployment, waitUntil } from "./support/test_deployment.ts";
+
+const DAEMONS = 7;
+const LOSS_LIMIT_MS = 1_000;
+/** The interval of the default settings. */
+const STATUS_INTERVAL_MS = 500;
+
+type EngineFault = "none" | "unreachable" | "silent";
+
+/** Engine client whose status requests fail as a test says. */
+class FaultyEngineClient extends HttpEngineClient {
+  fault: EngineFault = "none";
+  requests = 0;
+
+  override async getStatus(address: string) {
+    this.requests++;
+    if (this.fault === "silent") {
+      await new Promise(() => {});
+    }
+    if (this.fault === "unreachable") {
+      const cause = Object.assign(new Error("The link is cut"), {
+        code: "ECONNREFUSED",
+      });
+      return Left(
+        new EngineError("The link is cut", {
+          verdict: "not-run",
+          kind: "unreachable",
+          cause,
+        }),
+      );
+    }
+    return await super.getStatus(address);
+  }
+}
+
+let deployment: TestDeployment | undefined;
+
+afterEach(async () => {
+  await deployment?.dispose();
+  deployment = undefined;
+});
+
+interface Started {
+  readonly daemons: Daemon[];
+  readonly monitors: Daemon[];
+  readonly others: Daemon[];
+  readonly group: PlacedGroup;
+  readonly member: FakeEngine;
+  readonly links: FaultLinks;
+  readonly clients: Map<string, FaultyEngineClient>;
+}
+
+/** Starts 7 daemons of which only the first two homes of a group observe it in each interval. */
+async function assumeDeployment(): Promise<Started> {
+  const links = new FaultLinks();
+  const clients = new Map<string, FaultyEngineClient>();
+  const bind = (container: Container, settings: DaemonSettings) => {
+    links.bindClients(container, settings);
+    const client = new FaultyEngineClient();
+    clients.set(settings.name, client);
+    container.rebind(HttpEngineClient).toConstantValue(client);
+  };
+  deployment = await TestDeployment.start({
+    daemons: DAEMONS,
+    settings: {
+      fullObservationDaemons: 0,
+      statusIntervalMs: STATUS_INTERVAL_MS,
+    },
+    configureContainer: bind,
+  });
+  const { daemons } = deployment;
+  const { placementHolder, vmTable } = daemons[0].context;
+  const group = placementHolder.getGroups()[0];
+  await waitUntil(() =>
+    daemons.every((d) =>
+      d.context.membership.getListedNames().length === DAEMONS &&
+      serves(d, group)
+    )
+  );
+  const names = new MonitorSelector({
+    name: "",
+    vmTable,
+    fullObservationDaemons: 0,
+  }).getMonitors(group);
+  const isMonitor = (d: Daemon) => names.includes(d.context.settings.name);
+  const monitors = daemons.filter(isMonitor);
+  expect(monitors.length).toBe(MONITORS_PER_GROUP);
+  return {
+    daemons,
+    monitors,
+    others: daemons.filter((d) => !isMonitor(d)),
+    group,
+    member: deployment.getLeader(group.groupId),
+    links,
+    clients,
+  };
+}
+
+function serves(daemon: Daemon, group: PlacedGroup): boolean {
+  return daemon.context.groupDirectory.getServingGroup(group) !== undefined;
+}
+
+function getClient(started: Started, daemon: Daemon): FaultyEngineClient {
+  return started.clients.get(daemon.context.settings.name)!;
+}
+
+/** Checks for longer than the expiry that the group serves on all given daemons without a break. */
+async function expectService(
+  daemons: readonly Daemon[],
+  group: PlacedGroup,
+): Promise<void> {
+  const untilMs = performance.now() + HEALTH_EXPIRY_MS + 1_000;
+  while (performance.now() < untilMs) {
+    expect(daemons.map((d) => serves(d, group)))
+      .toEqual(daemons.map(() => true));
+    await delay(20);
+  }
+}
+
+interface MonitorFault {
+  readonly name: string;
+  /** Puts the fault into force. */
+  readonly assume: (started: Started) => Promise<void> | void;
+  /** Gets the daemons that work without a fault. */
+  readonly getSound: (started: Started) => Daemon[];
+}
+
+const FAULTS: MonitorFault[] = [
+  { name: "no fault", assume: () => {}, getSound: (s) => s.daemons },
+  {
+    name: "a monitor that is killed",
+    assume: (s) => s.monitors[0].dispose(),
+    getSound: (s) => [s.monitors[1], ...s.others],
+  },
+  {
+    name: "both monitors killed",
+    assume: async (s) => {
+      await Promise.all(s.monitors.map((d) => d.dispose()));
+    },
+    getSound: (s) => s.others,
+  },
+  {
+    name: "a monitor that stands still",
+    assume: (s) => {
+      getClient(s, s.monitors[0]).fault = "silent";
+      s.links.closeLinks([[s.monitors[0]], [s.monitors[1], ...s.others]]);
+    },
+    getSound: (s) => [s.monitors[1], ...s.others],
+  },
+  {
+    name: "a monitor cut off from its peers",
+    assume: (s) =>
+      s.links.closeLinks([[s.monitors[0]], [s.monitors[1], ...s.others]]),
+    getSound: (s) => s.daemons,
+  },
+  {
+    name: "a monitor cut off from the engines, so that two monitors disagree",
+    assume: (s) => {
+      getClient(s, s.monitors[0]).fault = "unreachable";
+    },
+    getSound: (s) => [s.monitors[1], ...s.others],
+  },
+];
+
+describe("group health with two monitors a group", () => {
+  // Guards against service that a fault of a monitor takes from the other daemons.
+  it.each(FAULTS)("keeps the group in service with $name", async (fault) => {
+    const started = await assumeDeployment();
+    await fault.assume(started);
+    await expectService(fault.getSound(started), started.group);
+  });
+
+  // Guards against new work for a group whose loss its monitors cannot report.
+  it.each(FAULTS)("takes a lost group out with $name", async (fault) => {
+    const started = await assumeDeployment();
+    const { group, member } = started;
+    await fault.assume(started);
+    const startedAtMs = performance.now();
+    await member.dispose();
+    const sound = fault.getSound(started);
+    await waitUntil(() => sound.every((d) => !serves(d, group)));
+    expect(performance.now() - startedAtMs).toBeLessThan(HEALTH_EXPIRY_MS);
+  });
+
+  // Guards against a loss that only the monitors know of.
+  it("spreads a loss to all daemons within a second", async () => {
+    const { daemons, group, member } = await assumeDeployment();
+    const startedAtMs = performance.now();
+    await member.dispose();
+    await waitUntil(() => daemons.every((d) => !serves(d, group)));
+    expect(performance.now() - startedAtMs).toBeLessThan(LOSS_LIMIT_MS);
+  });
+
+  // Guards against work for a group whose member has stopped, which no refused connection shows.
+  it("takes a group with a paused member out before its health expires", async () => {
+    const { daemons, group, member } = await assumeDeployment();
+    const startedAtMs = performance.now();
+    member.faults.paused = true;
+    await waitUntil(() => daemons.every((d) => !serves(d, group)));
+    expect(performance.now() - startedAtMs)
+      .toBeLessThan(HEALTH_EXPIRY_MS + LOSS_LIMIT_MS);
+  });
+
+  // Guards against status requests that grow with the number of daemons at the rate of the monitors.
+  it("asks the members less often on daemons that are no monitors", async () => {
+    const started = await assumeDeployment();
+    const { groupId } = started.group;
+    const groups = started.daemons[0].context.placementHolder.getGroups();
+    const selector = new MonitorSelector({
+      name: "",
+      vmTable: started.daemons[0].context.vmTable,
+      fullObservationDaemons: 0,
+    });
+    const idle = started.others.find((d) =>
+      groups.every((g) =>
+        !selector.getMonitors(g).includes(d.context.settings.name)
+      )
+    )!;
+    expect(idle, groupId).toBeDefined();
+    const client = getClient(started, idle);
+    const before = client.requests;
+    await delay(6_000);
+    const members = started.group.sizeVms * groups.length;
+    const monitorRequests = members * 6_000 / STATUS_INTERVAL_MS;
+    expect(client.requests - before).toBeLessThan(monitorRequests / 2);
+  });
+});
+
+describe("a daemon cut off from the engines", () => {
+  // Guards against requests to a group that this daemon alone does not reach.
+  it("does not take the group for complete on another daemon's word", async () => {
+    const started = await assumeDeployment();
+    const [cut] = started.monitors;
+    getClient(started, cut).fault = "unreachable";
+    await waitUntil(() => !serves(cut, started.group));
+    const untilMs = performance.now() + HEALTH_EXPIRY_MS;
+    while (performance.now() < untilMs) {
+      expect(serves(cut, started.group)).toBe(false);
+      await delay(20);
+    }
+  });
+});
