Spread the exchanges evenly over the daemons

Cause: at 60 daemons the busiest daemon got 8 exchanges a second against a mean of 5.33, and at 420 daemons 14.33 against 4.93: the daemon of another zone was chosen by hash, and a reader that happened to be a ring or remote peer was asked at the rate of a chosen reader.

Now each daemon takes its remote peers by its position in its zone's ring, readers are left out where other daemons exist, and only the two chosen readers are asked every 1.5 intervals. Ruled out: equal positions in all rings (8 instead of 5 hops at 60 daemons); a stride through the ring gives 4.

--- a/bench/state_bench.ts
+++ b/bench/state_bench.ts
@@ -13,6 +13,7 @@
 import { getExchangeIntervalMs } from "../src/process/peer_exchange_task.ts";
 import {
   choosePeers,
+  chooseReaderPeers,
   chooseStoreReaders,
 } from "../src/process/peer_selection.ts";
 import { PeerSync } from "../src/process/peer_sync.ts";
@@ -180,12 +181,14 @@
   const readers = chooseStoreReaders(entryVms);
   const rates = new Map(entryVms.map((vm) => [vm.name, 0]));
   for (const vm of entryVms) {
-    const peers = choosePeers({ self: vm.name, zone: vm.zone, entryVms });
+    const input = { self: vm.name, zone: vm.zone, entryVms };
+    const peers = choosePeers(input);
+    const asked = new Set(chooseReaderPeers(input));
     for (const peer of peers) {
       const rate = 1_000 / getExchangeIntervalMs(peer, {
         intervalMs: INTERVAL_MS,
         peers,
-        readers,
+        readers: asked,
         daemons,
       });
       rates.set(vm.name, rates.get(vm.name)! + rate);
@@ -235,9 +238,10 @@
     exchanged.set(vm.name, new Set());
   });
   let longestIntervalMs = 0;
-  const readers = chooseStoreReaders(entryVms);
   for (const vm of entryVms) {
-    const peers = choosePeers({ self: vm.name, zone: vm.zone, entryVms });
+    const input = { self: vm.name, zone: vm.zone, entryVms };
+    const peers = choosePeers(input);
+    const readers = new Set(chooseReaderPeers(input));
     for (const peer of peers) {
       pushed.get(vm.name)!.add(peer.name);
       exchanged.get(vm.name)!.add(peer.name);
--- a/src/process/peer_exchange_task.ts
+++ b/src/process/peer_exchange_task.ts
@@ -2,7 +2,7 @@
 import type { Vm } from "../connection/vm_directory.ts";
 import { getErrorMessage } from "../shared/errors.ts";
 import type { DaemonContext } from "./daemon_context.ts";
-import { chooseStoreReaders, MAX_FULL_MESH_PEERS } from "./peer_selection.ts";
+import { chooseReaderPeers, MAX_FULL_MESH_PEERS } from "./peer_selection.ts";
 import { PeerSync } from "./peer_sync.ts";
 
 /** Exchanges that a daemon starts in one interval in a full mesh; more peers are asked in turn. */
@@ -15,6 +15,7 @@
   /** Configured time between two exchanges, in milliseconds. */
   readonly intervalMs: number;
   readonly peers: readonly Vm[];
+  /** Names of the peers that are asked for their store confirmations. */
   readonly readers: ReadonlySet<string>;
   /** Number of listed daemons. */
   readonly daemons: number;
@@ -162,7 +163,11 @@
     const input: ExchangeRateInput = {
       intervalMs: settings.exchangeIntervalMs,
       peers,
-      readers: chooseStoreReaders(vmTable.getEntryVms()),
+      readers: new Set(chooseReaderPeers({
+        self: settings.name,
+        zone: settings.zone,
+        entryVms: vmTable.getEntryVms(),
+      })),
       daemons: membership.getListedNames().length,
     };
     this.#intervalByAddress = new Map(
--- a/src/process/peer_selection.ts
+++ b/src/process/peer_selection.ts
@@ -47,7 +47,7 @@
 }
 
 /**
- * Gets the peers that a daemon exchanges with. A small deployment is a full mesh. A larger one uses the next daemon and a chord of the zone's ring, one daemon of another zone, one of another region's zones, and two store readers.
+ * Gets the peers that a daemon exchanges with. A small deployment is a full mesh. A larger one uses the next daemon and a chord of the zone's ring, one daemon in each of two other zones, and two store readers.
  *
  * @param input - The daemon and the entry VMs.
  * @example
@@ -63,36 +63,89 @@
   const names = new Set([
     ...getRingPeers(input),
     ...getRemotePeers(input),
-    ...getReaderPeers(input),
+    ...chooseReaderPeers(input),
   ]);
   return others.filter((vm) => names.has(vm.name));
 }
 
 function getRingPeers(input: PeerSelectionInput): string[] {
-  const ring = input.entryVms.filter((vm) => vm.zone === input.zone)
-    .map((vm) => vm.name)
-    .concat(input.self);
-  const order = getRendezvousOrder("ring", [...new Set(ring)]);
+  const order = getRing(input.zone, input);
   const index = order.indexOf(input.self);
   const chord = Math.max(2, Math.round(Math.sqrt(order.length)));
   return [1, chord].map((step) => order[(index + step) % order.length]);
 }
 
+/** Gives each daemon of a zone its own pair of zones and position in them, so that every daemon is chosen equally often when the zones have the same size. Store readers are left to the daemons that ask them for confirmations. */
 function getRemotePeers(input: PeerSelectionInput): string[] {
   const zones = [...new Set(input.entryVms.map((vm) => vm.zone))]
-    .filter((zone) => zone !== input.zone);
-  return getRendezvousOrder(input.self, zones).slice(0, 2).flatMap((zone) => {
-    const names = input.entryVms.filter((vm) => vm.zone === zone)
-      .map((vm) => vm.name);
-    return getRendezvousOrder(input.self, names).slice(0, 1);
+    .concat(input.zone).sort();
+  const order = [...new Set(zones)];
+  const readers = chooseStoreReaders(input.entryVms);
+  const remote = getRing(input.zone, input).indexOf(input.self);
+  const offsets = new Set(
+    [0, 1].map((step) => 1 + (remote + step) % Math.max(1, order.length - 1)),
+  );
+  return [...offsets].flatMap((offset) => {
+    const zone = order[(order.indexOf(input.zone) + offset) % order.length];
+    const ring = getRing(zone, input);
+    const eased = ring.filter((name) => !readers.has(name));
+    const names = eased.length > 0 ? eased : ring;
+    const position = remote * getStride(names.length) + offset;
+    return zone === input.zone ? [] : [names[position % names.length]];
   });
 }
 
-function getReaderPeers(input: PeerSelectionInput): string[] {
+/** Gets a step through a ring that meets every position once. Links between equal positions would leave the daemons of two rings as far apart as in one. */
+function getStride(length: number): number {
+  let stride = Math.ceil(Math.sqrt(length)) + 1;
+  while (getCommonDivisor(stride, length) !== 1) {
+    stride++;
+  }
+  return stride;
+}
+
+function getCommonDivisor(a: number, b: number): number {
+  return b === 0 ? a : getCommonDivisor(b, a % b);
+}
+
+/** Gets the daemons of a zone in the order of its ring. */
+function getRing(zone: string, input: PeerSelectionInput): string[] {
+  const names = input.entryVms.filter((vm) => vm.zone === zone)
+    .map((vm) => vm.name)
+    .concat(zone === input.zone ? input.self : []);
+  return getRendezvousOrder("ring", [...new Set(names)]);
+}
+
+/**
+ * Gets the names of the peers that a daemon asks often for their store confirmations: two readers of its zone. Where every daemon reads the store, all peers are.
+ *
+ * @param input - The daemon and the entry VMs.
+ * @example
+ * ```ts
+ * const readers = new Set(chooseReaderPeers({ self, zone, entryVms }));
+ * ```
+ */
+export function chooseReaderPeers(input: PeerSelectionInput): string[] {
   const readers = chooseStoreReaders(input.entryVms);
   if (readers.has(input.self)) {
-    return [];
+    return choosePeersOfReader(input, readers);
   }
+  return getReaderPeers(input, readers);
+}
+
+/** A reader that the store does not answer depends on its peers; with few readers, every peer is one. */
+function choosePeersOfReader(
+  input: PeerSelectionInput,
+  readers: ReadonlySet<string>,
+): string[] {
+  const names = [...getRingPeers(input), ...getRemotePeers(input)];
+  return names.filter((name) => readers.has(name));
+}
+
+function getReaderPeers(
+  input: PeerSelectionInput,
+  readers: ReadonlySet<string>,
+): string[] {
   const own = input.entryVms.filter((vm) =>
     vm.zone === input.zone && readers.has(vm.name)
   );
--- a/src/process/peer_selection_test.ts
+++ b/src/process/peer_selection_test.ts
@@ -1,6 +1,10 @@
 import { describe, expect, it } from "vitest";
 import type { Vm } from "../connection/vm_directory.ts";
-import { choosePeers, chooseStoreReaders } from "./peer_selection.ts";
+import {
+  choosePeers,
+  chooseReaderPeers,
+  chooseStoreReaders,
+} from "./peer_selection.ts";
 
 function createVms(count: number, zones: number): Vm[] {
   return Array.from({ length: count }, (_, index) => ({
@@ -53,4 +57,27 @@
       expect(reached.size).toBe(count);
     },
   );
+
+  // Guards against daemons that answer far more exchanges than others.
+  it.each([[60, 3, 4, 0], [420, 10, 6, 14]])(
+    "spreads the askers of %s daemons in %s zones evenly",
+    (count, zones, mostOthers, mostOfReader) => {
+      const vms = createVms(count, zones);
+      const others = new Map(vms.map((vm) => [vm.name, 0]));
+      const asReader = new Map(vms.map((vm) => [vm.name, 0]));
+      for (const vm of vms) {
+        const input = { self: vm.name, zone: vm.zone, entryVms: vms };
+        const readers = chooseReaderPeers(input);
+        const isReader = chooseStoreReaders(vms).has(vm.name);
+        for (const peer of choosePeers(input)) {
+          const counts = readers.includes(peer.name) && !isReader
+            ? asReader
+            : others;
+          counts.set(peer.name, counts.get(peer.name)! + 1);
+        }
+      }
+      expect(Math.max(...others.values())).toBeLessThanOrEqual(mostOthers);
+      expect(Math.max(...asReader.values())).toBeLessThanOrEqual(mostOfReader);
+    },
+  );
 });
