Keep three misses for a silent member after another daemon's report

Cause: after a report of an incomplete group one miss sufficed. A daemon short of processor time misses a status, reports the group, and the other daemons of the machine do the same on their next miss: positive feedback. A refused connection still counts at once, and a silent member's group ends with the expiry of its health, which counts from the last answer.

--- a/src/process/group_monitor_task.ts
+++ b/src/process/group_monitor_task.ts
@@ -70,14 +70,13 @@
       this.#observers.get(group.groupId)?.hasMisses() === true;
   }
 
-  /** Asks the members at once, so that a loss that another daemon saw first takes effect without its own three misses. */
+  /** Asks the members at once, so that the loss of a process that another daemon saw first is found before the next interval. A member that is silent counts as missing after three misses of this daemon: on one miss, a daemon that is short of processor time would take the group from all. */
   #observeDoubted(groupId: string): void {
     const { placementHolder, lifeCycle, logger } = this.#context;
     const group = placementHolder.getGroup(groupId);
     if (group === undefined || lifeCycle.signal.aborted) {
       return;
     }
-    this.#getObserver(group).observeDoubt();
     if (!this.#busy.has(groupId)) {
       this.#observe(group).catch((error: unknown) =>
         logger.write("error", "observation-failed", { message: String(error) })
--- a/src/process/group_observer.ts
+++ b/src/process/group_observer.ts
@@ -50,13 +50,6 @@
     return Math.min(Infinity, ...times);
   }
 
-  /** Takes note that another daemon misses a member, so that one request without an answer suffices here. */
-  observeDoubt(): void {
-    for (const member of this.#members.values()) {
-      member.misses = Math.max(member.misses, MISSED_STATUS_LIMIT - 1);
-    }
-  }
-
   /**
    * Records the outcome of a status request to a member.
    *
