--- a/src/process/group_directory.ts
+++ b/src/process/group_directory.ts
@@ -7,6 +7,8 @@
 import type { ZonePolicy } from "../version/zone_policy.ts";
 import { getGroupMembers } from "../version/placement.ts";
 
+export { HEALTH_EXPIRY_MS };
+
 /** Group that may take new work. */
 export interface ServingGroup {
   readonly group: PlacedGroup;
