--- a/tests/group_health_test.ts
+++ b/tests/group_health_test.ts
@@ -90,7 +90,7 @@
   await waitUntil(() =>
     daemons.every((d) =>
       d.context.membership.getListedNames().length === DAEMONS &&
-      serves(d, group)
+      takesWork(d, group)
     )
   );
   const names = new MonitorSelector({
@@ -112,7 +112,7 @@
   };
 }
 
-function serves(daemon: Daemon, group: PlacedGroup): boolean {
+function takesWork(daemon: Daemon, group: PlacedGroup): boolean {
   return daemon.context.groupDirectory.getServingGroup(group) !== undefined;
 }
 
@@ -121,13 +121,13 @@
 }
 
 /** Checks for longer than the expiry that the group serves on all given daemons without a break. */
-async function expectService(
+async function checkService(
   daemons: readonly Daemon[],
   group: PlacedGroup,
 ): Promise<void> {
   const untilMs = performance.now() + HEALTH_EXPIRY_MS + 1_000;
   while (performance.now() < untilMs) {
-    expect(daemons.map((d) => serves(d, group)))
+    expect(daemons.map((d) => takesWork(d, group)))
       .toEqual(daemons.map(() => true));
     await delay(20);
   }
@@ -183,7 +183,7 @@
   it.each(FAULTS)("keeps the group in service with $name", async (fault) => {
     const started = await assumeDeployment();
     await fault.assume(started);
-    await expectService(fault.getSound(started), started.group);
+    await checkService(fault.getSound(started), started.group);
   });
 
   // Guards against new work for a group whose loss its monitors cannot report.
@@ -194,7 +194,7 @@
     const startedAtMs = performance.now();
     await member.dispose();
     const sound = fault.getSound(started);
-    await waitUntil(() => sound.every((d) => !serves(d, group)));
+    await waitUntil(() => sound.every((d) => !takesWork(d, group)));
     expect(performance.now() - startedAtMs).toBeLessThan(HEALTH_EXPIRY_MS);
   });
 
@@ -203,7 +203,7 @@
     const { daemons, group, member } = await assumeDeployment();
     const startedAtMs = performance.now();
     await member.dispose();
-    await waitUntil(() => daemons.every((d) => !serves(d, group)));
+    await waitUntil(() => daemons.every((d) => !takesWork(d, group)));
     expect(performance.now() - startedAtMs).toBeLessThan(LOSS_LIMIT_MS);
   });
 
@@ -212,7 +212,7 @@
     const { daemons, group, member } = await assumeDeployment();
     const startedAtMs = performance.now();
     member.faults.paused = true;
-    await waitUntil(() => daemons.every((d) => !serves(d, group)));
+    await waitUntil(() => daemons.every((d) => !takesWork(d, group)));
     expect(performance.now() - startedAtMs)
       .toBeLessThan(HEALTH_EXPIRY_MS + LOSS_LIMIT_MS);
   });
@@ -248,10 +248,10 @@
     const started = await assumeDeployment();
     const [cut] = started.monitors;
     getClient(started, cut).fault = "unreachable";
-    await waitUntil(() => !serves(cut, started.group));
+    await waitUntil(() => !takesWork(cut, started.group));
     const untilMs = performance.now() + HEALTH_EXPIRY_MS;
     while (performance.now() < untilMs) {
-      expect(serves(cut, started.group)).toBe(false);
+      expect(takesWork(cut, started.group)).toBe(false);
       await delay(20);
     }
   });
