--- a/src/process/group_observer_test.ts
+++ b/src/process/group_observer_test.ts
@@ -41,6 +41,21 @@
       expect(observer.record("vm-1", refused)).toBeUndefined();
     });
 
+    // Guards against the last status of a silent member that counts as young.
+    it("keeps the time of the oldest status that stands", () => {
+      const observer = new GroupObserver(1);
+      const timeout = Left(createError("ETIMEDOUT"));
+      observer.record("vm-1", getAnswer(), 1_000);
+      observer.record("vm-2", getAnswer(), 1_000);
+      observer.record("vm-1", getAnswer(), 2_000);
+      observer.record("vm-2", timeout, 2_000);
+      expect(observer.hasMisses()).toBe(true);
+      expect(observer.getOldestRequestMs()).toBe(1_000);
+      observer.record("vm-2", getAnswer(), 3_000);
+      expect(observer.hasMisses()).toBe(false);
+      expect(observer.getOldestRequestMs()).toBe(2_000);
+    });
+
     // Guards against a restart that stays hidden between two status requests.
     it("counts changes of the boot id", () => {
       const observer = new GroupObserver(1);
