Give a grant back when the engine has dropped the cancelled request

Cause: the slot of a cancelled attempt was free at once, while the engine held the request until the abort reached it, so that a cold group got one request too many. Ruled out: waiting for the closed connection alone, which engines notice late. The quickstart reads the new form of the status.

--- a/bench/stream_bench.ts
+++ b/bench/stream_bench.ts
@@ -84,8 +84,8 @@
     directRates.push(await runLoad(direct, rate, 16));
     daemonRates.push(await runLoad(passed, rate, 16));
   }
-  const directRate = poolRuns(directRates);
-  const daemonRate = poolRuns(daemonRates);
+  const directRate = mergeRuns(directRates);
+  const daemonRate = mergeRuns(daemonRates);
   const addedP95Ms = daemonRate.firstTokenP95Ms - directRate.firstTokenP95Ms;
   await printReport({
     seconds: args.seconds,
@@ -148,7 +148,7 @@
 }
 
 /** Combines the requests of several runs. */
-function poolRuns(runs: readonly RunReport[]) {
+function mergeRuns(runs: readonly RunReport[]) {
   const times = runs.flatMap((run) => run.firstTokensMs)
     .sort((a, b) => a - b);
   const getQuantile = (quantile: number) =>
--- a/src/request/chat_attempt.ts
+++ b/src/request/chat_attempt.ts
@@ -4,7 +4,7 @@
   type EngineClient,
   EngineError,
 } from "../connection/engine_client.ts";
-import type { Grant } from "../process/admission.ts";
+import type { Grant, GrantOutcome } from "../process/admission.ts";
 
 /** Reason for which the daemon itself ends an attempt. */
 export type AttemptEnd = "caller-left" | "deadline" | "moved" | "parked";
@@ -30,6 +30,7 @@
   readonly #controller = new AbortController();
   #end: AttemptEnd | "silent" | undefined;
   #completed = false;
+  #cancelling = false;
 
   constructor(options: ChatAttemptOptions) {
     this.#options = options;
@@ -47,7 +48,7 @@
   }
 
   /**
-   * Ends the attempt: cancels it at the engine and gives the grant back at once, even while nobody reads.
+   * Ends the attempt, even while nobody reads: cancels it at the engine and then gives the grant back.
    *
    * @param reason - Why it ends.
    */
@@ -124,12 +125,24 @@
       });
   }
 
-  #stop(outcome: "cancelled" | "group-failed"): void {
+  /**
+   * Gives the grant back, unless the attempt is being cancelled: then it is given back when the engine has dropped the request, so that the slot is not used twice.
+   *
+   * @param outcome - How the attempt ended.
+   */
+  releaseGrant(outcome: GrantOutcome): void {
+    if (!this.#cancelling) {
+      this.grant.release(outcome);
+    }
+  }
+
+  #stop(outcome: GrantOutcome): void {
     const { engineClient, grant } = this.#options;
+    this.#cancelling = true;
     this.#controller.abort();
-    grant.release(outcome);
-    // The engine also notices the closed connection; a lost abort changes nothing.
+    // The engine also notices the closed connection, so that a lost abort only costs time.
     engineClient.abort(grant.leaderAddress, this.requestId)
-      .catch(() => undefined);
+      .catch(() => undefined)
+      .finally(() => grant.release(outcome));
   }
 }
--- a/src/request/chat_stream.ts
+++ b/src/request/chat_stream.ts
@@ -192,7 +192,7 @@
         });
       }
       this.#attempt = undefined;
-      grant.release("finished");
+      attempt.releaseGrant("finished");
       if (alone) {
         this.#context.quarantine.recordSurvival(this.fingerprint);
       }
@@ -205,7 +205,7 @@
       if (!this.#complete) {
         attempt.cancel("caller-left");
       }
-      grant.release("cancelled");
+      attempt.releaseGrant("cancelled");
     }
   }
 
@@ -380,7 +380,7 @@
         alone: failure.alone && fingerprints.length === 1,
       });
     }
-    attempt.grant.release("group-failed");
+    attempt.releaseGrant("group-failed");
   }
 
   async #waitForRetry(attempt: ChatAttempt, error: unknown): Promise<void> {
--- a/tests/support/combined_faults.ts
+++ b/tests/support/combined_faults.ts
@@ -133,7 +133,7 @@
         this.#turnEnginesCold();
         break;
       case "daemon-killed":
-        await this.#killDaemon();
+        await this.#stopDaemon();
         break;
       case "zone-taken-out":
         this.#setTakenOut(true);
@@ -345,7 +345,7 @@
   }
 
   /** Kills the last daemon, never the first, and removes it from the list. */
-  async #killDaemon(): Promise<void> {
+  async #stopDaemon(): Promise<void> {
     const daemon = this.#getLive().at(-1)!;
     const { name } = daemon.context.settings;
     this.#killed.add(daemon);
--- a/tools/quickstart.ts
+++ b/tools/quickstart.ts
@@ -8,6 +8,7 @@
 import { hideBin } from "yargs/helpers";
 import type { Vm } from "../src/connection/vm_directory.ts";
 import { getExpectedAnswer } from "../fakes/fake_answer.ts";
+import type { StatusReport } from "../src/process/status_report.ts";
 import { delay } from "../src/shared/delay.ts";
 import { getErrorMessage } from "../src/shared/errors.ts";
 import { LifeCycleManager } from "../src/shared/life_cycle_manager.ts";
@@ -189,10 +190,10 @@
   const limitAtMs = performance.now() + READY_TIMEOUT_MS;
   while (performance.now() < limitAtMs) {
     const status = await got(`http://${daemon.operator}/api/status`).json<
-      { groups: { health: { state: string } | null }[] }
+      Pick<StatusReport, "groups">
     >();
     const complete = status.groups.filter((g) =>
-      g.health !== null && g.health.state !== "incomplete"
+      g.health === "cold" || g.health === "ready"
     );
     if (complete.length === ZONES.length) {
       print(`${complete.length} complete groups are serving.`);
