Retry a suspect beside other requests when no group of its own is free

Cause: after the loss of a group every stream of it is a suspect and was retried alone, one group for each. A suspect now waits 1 s for a group of its own, then shares a group on which this daemon runs no other suspect; two losses still have one request in common then. Ruled out: sharing at once, since the second loss names the guilty request only when suspects are apart.

--- a/src/request/chat_stream.ts
+++ b/src/request/chat_stream.ts
@@ -31,6 +31,15 @@
 /** Batches of a stream of which one gap is measured. */
 const BATCHES_PER_SAMPLE = 16;
 
+/** Time in milliseconds for which a suspect waits for a group of its own. The loss of one group makes suspects of all its streams, and groups that are free of other requests are rare under load. */
+const ALONE_WAIT_MS = 1_000;
+
+/** Grant, and whether the request runs alone on its group. */
+interface ChatGrant {
+  readonly grant: Grant;
+  readonly alone: boolean;
+}
+
 /** What a stream is made of. */
 export interface ChatStreamOptions {
   readonly body: ChatRequestBody;
@@ -57,7 +66,7 @@
   #failedAttempts = 0;
   #declinedAttempts = 0;
   #lastFailureAtMs = 0;
-  #nextGrant: Grant | undefined;
+  #nextGrant: ChatGrant | undefined;
   #moving = false;
   #complete = false;
   #verdict: Verdict = "not-run";
@@ -161,7 +170,7 @@
       if (this.#moving) {
         this.#controller.abort();
       }
-      this.#nextGrant?.release("cancelled");
+      this.#nextGrant?.grant.release("cancelled");
       this.#nextGrant = undefined;
     }
   }
@@ -171,8 +180,8 @@
     void,
     undefined
   > {
-    const alone = this.#context.quarantine.isSuspect(this.fingerprint);
-    const grant = this.#takeNextGrant() ?? await this.#measureAcquire(alone);
+    const { grant, alone } = this.#takeNextGrant() ??
+      await this.#measureAcquire();
     const attempt = this.#createAttempt(grant);
     this.#attempt = attempt;
     this.#recordStart(grant);
@@ -228,14 +237,14 @@
     });
   }
 
-  async #measureAcquire(alone: boolean): Promise<Grant> {
+  async #measureAcquire(): Promise<ChatGrant> {
     const startedAtMs = performance.now();
-    const grant = await this.#acquire(alone);
+    const acquired = await this.#acquire();
     this.#context.metrics.record(
       "admission_wait",
       performance.now() - startedAtMs,
     );
-    return grant;
+    return acquired;
   }
 
   #recordStart(grant: Grant): void {
@@ -303,24 +312,31 @@
     return accepted;
   }
 
-  #takeNextGrant(): Grant | undefined {
+  #takeNextGrant(): ChatGrant | undefined {
     const grant = this.#nextGrant;
     this.#nextGrant = undefined;
     return grant;
   }
 
   /** Waits for a grant. A stream that has begun tries again for a while, since a refusal would cut its answer. */
-  async #acquire(alone: boolean): Promise<Grant> {
+  async #acquire(): Promise<ChatGrant> {
     const begun = this.#attemptNumber > 0;
-    const limitAtMs = performance.now() +
+    const startedAtMs = performance.now();
+    const limitAtMs = startedAtMs +
       (begun ? this.#context.settings.resumeTimeoutMs : 0);
     for (let retry = 1;; retry++) {
-      const granted = await this.#requestGrant(alone, this.#excluded);
+      const suspect = this.#context.quarantine.isSuspect(this.fingerprint);
+      const alone = suspect &&
+        performance.now() - startedAtMs <= ALONE_WAIT_MS;
+      const excluded = suspect && !alone
+        ? new Set([...this.#excluded, ...this.#listSuspectGroups()])
+        : this.#excluded;
+      const granted = await this.#requestGrant(alone, excluded);
       const refusal = granted.swap().toMaybe().extract();
       if (this.#end !== undefined || refusal === undefined) {
         granted.ifRight((grant) => this.#end && grant.release("cancelled"));
         this.#checkEnd();
-        return granted.unsafeCoerce();
+        return { grant: granted.unsafeCoerce(), alone };
       }
       if (performance.now() >= limitAtMs) {
         throw this.#convertRefusal(refusal);
@@ -335,6 +351,16 @@
     }
   }
 
+  /** Lists the groups on which this daemon runs another suspect. Two suspects on one group could not be told apart by its loss. */
+  #listSuspectGroups(): string[] {
+    const { inFlightStreams, quarantine } = this.#context;
+    return inFlightStreams.getStreams()
+      .filter((stream) =>
+        stream !== this && quarantine.isSuspect(stream.fingerprint)
+      )
+      .flatMap((stream) => stream.groupId ?? []);
+  }
+
   #requestGrant(alone: boolean, excludedGroupIds: ReadonlySet<string>) {
     const { body, model, request } = this.#options;
     return this.#context.admission.acquire({
@@ -419,8 +445,9 @@
   async #runMove(attempt: ChatAttempt): Promise<void> {
     const { group } = attempt.grant;
     while (this.#attempt === attempt && attempt.end === undefined) {
+      const alone = this.#context.quarantine.isSuspect(this.fingerprint);
       const granted = await this.#requestGrant(
-        this.#context.quarantine.isSuspect(this.fingerprint),
+        alone,
         new Set([...this.#excluded, group.groupId]),
       );
       const grant = granted.toMaybe().extract();
@@ -444,7 +471,7 @@
           to: grant.group.groupId,
         },
       });
-      this.#nextGrant = grant;
+      this.#nextGrant = { grant, alone };
       attempt.cancel("moved");
     }
   }
