Give no group to queued or resumed requests while the configuration is stale

Cause: freshness was checked when a request arrived. The directory of groups now gives none while stale; requests in flight go on. Both request paths share one check of freshness instead of two copies. Found by reading while the duplicates were removed; a unit test guards it and fails without the check.

--- a/src/process/admission/shared_admission_test.ts
+++ b/src/process/admission/shared_admission_test.ts
@@ -124,6 +124,7 @@
           takesNewWork: () => true,
           getNextChange: () => undefined,
         },
+        freshness: { getState: () => "fresh" },
       }),
       configHolder,
       placementHolder,
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -198,13 +198,21 @@
     [ConfigHolder],
   );
   container.bind(GroupDirectory).toResolvedValue(
-    (configHolder, placementHolder, healthTable, vmTable, zonePolicy) =>
+    (
+      configHolder,
+      placementHolder,
+      healthTable,
+      vmTable,
+      zonePolicy,
+      freshness,
+    ) =>
       new GroupDirectory({
         configHolder,
         placementHolder,
         healthTable,
         vmTable,
         zonePolicy,
+        freshness,
       }),
     [
       ConfigHolder,
@@ -212,6 +220,7 @@
       GroupHealthTable,
       VmTable,
       SERVICES.zonePolicy,
+      FreshnessTracker,
     ],
   );
   bindAdmission(container, settings);
--- a/src/process/group_directory.ts
+++ b/src/process/group_directory.ts
@@ -1,4 +1,5 @@
 import type { PlacedGroup } from "../version/placement.ts";
+import type { Freshness } from "./freshness_tracker.ts";
 import type { ConfigHolder } from "../version/config_holder.ts";
 import type { PlacementHolder } from "../version/placement_holder.ts";
 import type { ReceivedGroupHealth } from "./group_health.ts";
@@ -16,6 +17,12 @@
   readonly leaderAddress: string;
 }
 
+/** Tells whether the configuration is known to be the newest. */
+export interface FreshnessSource {
+  /** Gets whether new work may be sent to a backend server. */
+  getState(): Freshness;
+}
+
 /** Parts that the directory combines. */
 export interface GroupDirectoryOptions {
   readonly configHolder: ConfigHolder;
@@ -23,6 +30,7 @@
   readonly healthTable: GroupHealthTable;
   readonly vmTable: VmTable;
   readonly zonePolicy: ZonePolicy;
+  readonly freshness: FreshnessSource;
 }
 
 /** Finds the groups that may take new work. */
@@ -34,12 +42,15 @@
   }
 
   /**
-   * Gets the complete groups of a model in zones that are in service.
+   * Gets the complete groups of a model in zones that are in service; none while the configuration is stale, since a zone may have been taken out. Requests that waited in a queue, and streams that resume, ask here again.
    *
    * @param model - Name of the model.
    */
   getServingGroups(model: string): ServingGroup[] {
     const serving: ServingGroup[] = [];
+    if (this.#options.freshness.getState() === "stale") {
+      return serving;
+    }
     for (const group of this.#options.placementHolder.getGroups()) {
       if (group.model === model) {
         const entry = this.getServingGroup(group);
--- a/src/process/group_directory_test.ts
+++ b/src/process/group_directory_test.ts
@@ -5,6 +5,7 @@
 import type { PlacedGroup } from "../version/placement.ts";
 import { PlacementHolder } from "../version/placement_holder.ts";
 import { ConfigZonePolicy } from "../version/zone_policy.ts";
+import type { Freshness } from "./freshness_tracker.ts";
 import { GroupDirectory, HEALTH_EXPIRY_MS } from "./group_directory.ts";
 import { type GroupHealth, GroupHealthTable } from "./group_health.ts";
 import { VmTable } from "./vm_table.ts";
@@ -49,6 +50,7 @@
   readonly vms?: readonly Vm[];
   readonly change?: (document: ConfigDocument) => void;
   readonly waitMs?: number;
+  readonly freshness?: Freshness;
 }
 
 describe("GroupDirectory", () => {
@@ -85,6 +87,7 @@
         healthTable,
         vmTable,
         zonePolicy: new ConfigZonePolicy(configHolder),
+        freshness: { getState: () => state.freshness ?? "fresh" },
       });
       vi.advanceTimersByTime(state.waitMs ?? 0);
       return directory.getServingGroups("model-1")
@@ -110,6 +113,10 @@
         name: "a group that nobody has observed lately",
         state: { waitMs: HEALTH_EXPIRY_MS + 1 },
       },
+      {
+        name: "all groups while the configuration is stale",
+        state: { freshness: "stale" },
+      },
       { name: "a group that loads", state: { group: { phase: "loading" } } },
       { name: "a group that drains", state: { group: { phase: "draining" } } },
       {
--- a/src/request/chat_handler.ts
+++ b/src/request/chat_handler.ts
@@ -4,6 +4,7 @@
 import { getPromptTokens } from "./chat_engine_request.ts";
 import type { ChatRequestBody } from "./chat_request_schema.ts";
 import { ChatStream } from "./chat_stream.ts";
+import { checkFreshness } from "./freshness_check.ts";
 import type { RequestContext } from "./request_context.ts";
 
 /** Accepts chat requests. */
@@ -22,26 +23,12 @@
    * @throws {RequestError} When the request is refused.
    */
   createStream(body: ChatRequestBody, request: RequestContext): ChatStream {
-    this.#checkFreshness();
+    checkFreshness(this.#context.freshness);
     const model = this.#getModelOrThrow(body.model);
     checkPromptLength(body, model);
     return new ChatStream(this.#context, { body, model, request });
   }
 
-  #checkFreshness(): void {
-    if (this.#context.freshness.getState() === "stale") {
-      throw new RequestError(
-        "The daemon cannot confirm that its configuration is the newest",
-        {
-          code: "stale-configuration",
-          verdict: "not-run",
-          status: 503,
-          retryAfterMs: 1_000,
-        },
-      );
-    }
-  }
-
   #getModelOrThrow(name: string): ModelConfig {
     const document = this.#context.configHolder.getCurrent()?.document;
     const model = document?.models.find((m) => m.name === name);
--- a/src/request/service_handler.ts
+++ b/src/request/service_handler.ts
@@ -8,12 +8,11 @@
 import { BackendPool } from "./backend_pool.ts";
 import { getCallClass } from "./call_class.ts";
 import { ClaimedCallHandler } from "./claimed_call_handler.ts";
+import { checkFreshness } from "./freshness_check.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { ServiceCall } from "./service_call.ts";
 import { ServiceDispatcher } from "./service_dispatcher.ts";
 
-const STALE_RETRY_AFTER_MS = 1_000;
-
 /** Runs one call of a plain service. */
 export class ServiceHandler {
   readonly #context: DaemonContext;
@@ -42,7 +41,7 @@
     call: ServiceCall,
     request: RequestContext,
   ): Promise<ServiceAnswer> {
-    this.#checkFreshness();
+    checkFreshness(this.#context.freshness);
     const service = this.#getServiceOrThrow(call.service);
     const callClass = getCallClass(service, call);
     if (callClass === "non-repeatable" && call.idempotencyKey !== undefined) {
@@ -59,20 +58,6 @@
     });
   }
 
-  #checkFreshness(): void {
-    if (this.#context.freshness.getState() === "stale") {
-      throw new RequestError(
-        "The daemon cannot confirm that its configuration is the newest",
-        {
-          code: "stale-configuration",
-          verdict: "not-run",
-          status: 503,
-          retryAfterMs: STALE_RETRY_AFTER_MS,
-        },
-      );
-    }
-  }
-
   #getServiceOrThrow(name: string): ServiceConfig {
     const document = this.#context.configHolder.getCurrent()?.document;
     const service = document?.services.find((s) => s.name === name);
--- a/tests/replay/replay_daemon.ts
+++ b/tests/replay/replay_daemon.ts
@@ -85,6 +85,7 @@
       healthTable: this.healthTable,
       vmTable: this.vmTable,
       zonePolicy: this.zonePolicy,
+      freshness: this.freshness,
     });
     this.shared = new SharedAdmission({
       name,
--- a/tests/support/admission_group.ts
+++ b/tests/support/admission_group.ts
@@ -338,6 +338,7 @@
           takesNewWork: () => true,
           getNextChange: () => undefined,
         },
+        freshness: { getState: () => "fresh" },
       }),
       configHolder,
       placementHolder,
