--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,6 +9,7 @@
       "tests/**/*_test.ts",
       "tools/**/*_test.ts",
     ],
+    setupFiles: ["tests/support/fast_check_seed.ts"],
     pool: "forks",
     maxWorkers: 4,
     testTimeout: 30_000,
