Read a group's members from an index of the placement holder

Cause: the directory collected and sorted the members of every group from its whole fabric domain at each choice of a group, on the path of each request; the monitor and the out-of-service task did the same at each interval. The holder now builds the index when it takes a placement over. The addresses of a daemon were put together in three places and declared in a fourth; Daemon.getAddresses serves all. Behaviour and tests are unchanged.

--- a/bench/measures/baseline_daemon_main.ts
+++ b/bench/measures/baseline_daemon_main.ts
@@ -22,12 +22,7 @@
 const daemon = new Daemon(settings, { configureContainer: bindPlainPolicy });
 await daemon.start();
 if (args.printAddresses) {
-  const addresses = {
-    caller: daemon.callerAddress,
-    peer: daemon.peerAddress,
-    operator: daemon.operatorAddress,
-  };
-  process.stdout.write(`${JSON.stringify(addresses)}\n`);
+  process.stdout.write(`${JSON.stringify(daemon.getAddresses())}\n`);
 }
 process.on("SIGTERM", () => void stopDaemon());
 
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -6,6 +6,7 @@
 import { ClaimSweepTask } from "./claim_sweep_task.ts";
 import { ConfigAnnouncer } from "./config_announcer.ts";
 import { createContainer, SERVICES } from "./container.ts";
+import type { DaemonAddresses } from "./daemon_addresses.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { GroupMonitorTask } from "./group_monitor_task.ts";
@@ -64,6 +65,15 @@
     return this.#operator.address;
   }
 
+  /** Gets the addresses of all listeners. */
+  getAddresses(): DaemonAddresses {
+    return {
+      caller: this.callerAddress,
+      peer: this.peerAddress,
+      operator: this.operatorAddress,
+    };
+  }
+
   /** Starts the listeners and the tasks. */
   async start(): Promise<void> {
     const { settings, lifeCycle, logger } = this.context;
@@ -83,11 +93,7 @@
     this.#startTask("planner", new PlannerTask(this.context));
     this.#startTask("quarantine-sync", new QuarantineSyncTask(this.context));
     this.#startTask("claim-sweep", new ClaimSweepTask(this.context));
-    logger.write("info", "daemon-started", {
-      caller: this.callerAddress,
-      peer: this.peerAddress,
-      operator: this.operatorAddress,
-    });
+    logger.write("info", "daemon-started", { ...this.getAddresses() });
   }
 
   /** Stops in a planned way: new work ends, requests in flight complete, then the parts are released. */
--- a/src/process/daemon_main.ts
+++ b/src/process/daemon_main.ts
@@ -49,12 +49,7 @@
     return;
   }
   if (args.printAddresses) {
-    const addresses = {
-      caller: daemon.callerAddress,
-      peer: daemon.peerAddress,
-      operator: daemon.operatorAddress,
-    };
-    process.stdout.write(`${JSON.stringify(addresses)}\n`);
+    process.stdout.write(`${JSON.stringify(daemon.getAddresses())}\n`);
   }
   // A second signal must not cut requests, so the handlers stay registered.
   const stop = () => void stopDaemon(daemon);
--- a/src/process/group_directory.ts
+++ b/src/process/group_directory.ts
@@ -6,7 +6,6 @@
 import { type GroupHealthTable, HEALTH_EXPIRY_MS } from "./group_health.ts";
 import type { VmTable } from "./vm_table.ts";
 import type { ZonePolicy } from "../version/zone_policy.ts";
-import { getGroupMembers } from "../version/placement.ts";
 
 export { HEALTH_EXPIRY_MS };
 
@@ -89,12 +88,10 @@
   #hasLeavingMember(group: PlacedGroup): boolean {
     const { configHolder, placementHolder, vmTable } = this.#options;
     const drained = configHolder.getCurrent()?.document.drainedVms ?? [];
-    const placement = placementHolder.getPlacement(group.fabricDomain);
-    if (placement === undefined) {
-      return true;
-    }
-    return getGroupMembers(placement.placement, group.groupId).some((name) =>
-      drained.includes(name) || vmTable.getVm(name)?.state !== "live"
-    );
+    const members = placementHolder.getMembers(group);
+    return members === undefined ||
+      members.some((name) =>
+        drained.includes(name) || vmTable.getVm(name)?.state !== "live"
+      );
   }
 }
--- a/src/process/group_monitor_task.ts
+++ b/src/process/group_monitor_task.ts
@@ -1,6 +1,6 @@
 import type { EngineStatus } from "../connection/engine_client.ts";
 import { delay } from "../shared/delay.ts";
-import { getGroupMembers, type PlacedGroup } from "../version/placement.ts";
+import type { PlacedGroup } from "../version/placement.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import { type GroupHealthState, HEALTH_EXPIRY_MS } from "./group_health.ts";
 import { GroupObserver } from "./group_observer.ts";
@@ -96,12 +96,11 @@
 
   async #observe(group: PlacedGroup): Promise<void> {
     const { placementHolder, vmTable, engineClient } = this.#context;
-    const placement = placementHolder.getPlacement(group.fabricDomain);
-    if (placement === undefined) {
+    const members = placementHolder.getMembers(group);
+    if (members === undefined) {
       return;
     }
     const observer = this.#getObserver(group);
-    const members = getGroupMembers(placement.placement, group.groupId);
     const requestedAtMs = performance.now();
     this.#busy.add(group.groupId);
     try {
--- a/src/process/out_of_service_task.ts
+++ b/src/process/out_of_service_task.ts
@@ -1,5 +1,5 @@
 import { delay } from "../shared/delay.ts";
-import { getGroupMembers, type PlacedGroup } from "../version/placement.ts";
+import type { PlacedGroup } from "../version/placement.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 
 /** Task that moves this daemon's streams when a zone or group stops taking new work. */
@@ -54,13 +54,12 @@
   /** Gets whether a group drains or has a member that is drained or leaving. */
   #isClosed(group: PlacedGroup): boolean {
     const { configHolder, placementHolder, vmTable } = this.#context;
-    const placement = placementHolder.getPlacement(group.fabricDomain);
     const drained = configHolder.getCurrent()?.document.drainedVms ?? [];
+    const members = placementHolder.getMembers(group) ?? [];
     return group.phase === "draining" ||
-      (placement !== undefined &&
-        getGroupMembers(placement.placement, group.groupId).some((name) =>
-          drained.includes(name) || vmTable.getVm(name)?.state === "leaving"
-        ));
+      members.some((name) =>
+        drained.includes(name) || vmTable.getVm(name)?.state === "leaving"
+      );
   }
 
   #record(event: string, name: string): void {
--- a/src/version/placement_holder.ts
+++ b/src/version/placement_holder.ts
@@ -1,10 +1,19 @@
 import { EventEmitter } from "node:events";
 import { getHash32 } from "../shared/rendezvous_hash.ts";
-import type { PlacedGroup, VersionedPlacement } from "./placement.ts";
+import {
+  type DomainPlacement,
+  getGroupMembers,
+  type PlacedGroup,
+  type VersionedPlacement,
+} from "./placement.ts";
+
+type MembersByGroup = ReadonlyMap<string, readonly string[]>;
 
 /** Holds the newest placement of each fabric domain. Object versions only rise. */
 export class PlacementHolder {
   readonly #byDomain = new Map<string, VersionedPlacement>();
+  /** Members by group, for each fabric domain; they are read at each choice of a group. */
+  readonly #membersByDomain = new Map<string, MembersByGroup>();
   readonly #emitter = new EventEmitter<{ change: [VersionedPlacement] }>();
   #digest: number | undefined;
 
@@ -54,6 +63,16 @@
     return this.#digest;
   }
 
+  /**
+   * Gets the names of a group's members, the leader first, or undefined when its fabric domain has no placement.
+   *
+   * @param group - Placed group.
+   */
+  getMembers(group: PlacedGroup): readonly string[] | undefined {
+    const members = this.#membersByDomain.get(group.fabricDomain);
+    return members && (members.get(group.groupId) ?? []);
+  }
+
   /**
    * Takes a placement over if its object version is newer.
    *
@@ -67,6 +86,7 @@
       return false;
     }
     this.#byDomain.set(domain, placement);
+    this.#membersByDomain.set(domain, getMembersByGroup(placement.placement));
     this.#digest = undefined;
     this.#emitter.emit("change", placement);
     return true;
@@ -81,3 +101,10 @@
     this.#emitter.on("change", listener);
   }
 }
+
+function getMembersByGroup(placement: DomainPlacement): MembersByGroup {
+  const groupIds = new Set(Object.values(placement.groupByVm));
+  return new Map(
+    [...groupIds].map((id) => [id, getGroupMembers(placement, id)]),
+  );
+}
--- a/tools/quickstart.ts
+++ b/tools/quickstart.ts
@@ -8,6 +8,7 @@
 import { hideBin } from "yargs/helpers";
 import type { Vm } from "../src/connection/vm_directory.ts";
 import { getExpectedAnswer } from "../fakes/fake_answer.ts";
+import type { DaemonAddresses } from "../src/process/daemon_addresses.ts";
 import type { StatusReport } from "../src/process/status_report.ts";
 import { delay } from "../src/shared/delay.ts";
 import { getErrorMessage } from "../src/shared/errors.ts";
@@ -24,12 +25,6 @@
   { role: "user" as const, content: "The gearbox of the awning grinds." },
 ];
 
-interface DaemonAddresses {
-  readonly caller: string;
-  readonly peer: string;
-  readonly operator: string;
-}
-
 const lifeCycle = new LifeCycleManager();
 const args = await yargs(hideBin(process.argv))
   .option("once", {
