--- a/src/connection/object_store.ts
+++ b/src/connection/object_store.ts
@@ -66,6 +66,21 @@
   ): Promise<Either<StoreUnavailableError, WatchResult>>;
 }
 
+/** Objects of a kind at one revision. */
+export interface ObjectSnapshot {
+  /** Revision from which a watch continues. */
+  readonly revision: number;
+  readonly objects: readonly StoredObject[];
+}
+
+/** Object API that lists a kind together with the revision of the list. */
+export interface SnapshotStore extends ObjectStore {
+  /** Gets all objects of a kind and the revision at which they were read. */
+  listSnapshot(
+    kind: string,
+  ): Promise<Either<StoreUnavailableError, ObjectSnapshot>>;
+}
+
 /** Options of a conditional write. */
 export interface PutObjectOptions {
   readonly kind: string;
--- /dev/null
+++ b/src/process/fleet/backend_server.ts
@@ -0,0 +1,56 @@
+/** State of a backend server in its group. */
+export type MembershipState =
+  | "joining"
+  | "ready"
+  | "open"
+  | "closing"
+  | "broken";
+
+/** Group that a backend server belongs to. */
+export interface GroupMembership {
+  readonly groupName: string;
+  /** Generation of the group; orders of an older one are refused. */
+  readonly generation: number;
+  /** Position in the member list; the head has 0. */
+  readonly rank: number;
+  readonly state: MembershipState;
+}
+
+/** Backend server as it registered itself. */
+export interface BackendServer {
+  /** Identifies the server; may be kept over a restart. */
+  readonly id: string;
+  /** Wall-clock time of the server's start in milliseconds; tells two lives with one id apart. */
+  readonly startedAtMs: number;
+  readonly service: string;
+  /** IP number and port. */
+  readonly address: string;
+  readonly zone: string;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  readonly isDraining: boolean;
+  /** Monotonic time of this process until which the server is cold, in milliseconds. */
+  readonly coldUntilMs: number;
+  /** Fabric domain; undefined for plain services. */
+  readonly domain?: string;
+  /** Models whose weights are on the host. */
+  readonly stagedModels: readonly string[];
+  /** Models that the server holds in a group or has loaded. */
+  readonly loadedModels: readonly string[];
+  readonly membership?: GroupMembership;
+}
+
+/** State that a backend server reported when it was asked. */
+export interface BackendReport {
+  readonly startedAtMs: number;
+  readonly membership?: GroupMembership;
+  readonly stagedModels?: readonly string[];
+  readonly loadedModels: readonly string[];
+  /** Whether an order is in progress. */
+  readonly isBusy: boolean;
+  readonly runningRequests: number;
+  readonly waitingRequests: number;
+  readonly heldTokens: number;
+  /** Factor of the usual step time; above 1 the server is slow. */
+  readonly slowness: number;
+}
--- /dev/null
+++ b/src/process/fleet/group_admission.ts
@@ -0,0 +1,153 @@
+import { RequestError } from "../../shared/errors.ts";
+import type { GroupTable, ReplicaGroup } from "./group_table.ts";
+import type { GroupLoads } from "./group_loads.ts";
+
+/** What a request asks of the admission. */
+export interface GroupDemand {
+  readonly service: string;
+  readonly model: string;
+  /** Rank; 0 is the most urgent. */
+  readonly priority: number;
+  /** Groups that the request is not sent to again. */
+  readonly excludedGroups: ReadonlySet<string>;
+  /** Requests that a group runs at once. */
+  readonly slots: number;
+  /** Monotonic time until which the request waits for a place, in milliseconds. */
+  readonly waitUntilMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Right to send one request to a group. */
+export interface GroupGrant {
+  readonly group: ReplicaGroup;
+  /** Gives the place back. */
+  release(): void;
+}
+
+interface Waiter {
+  readonly demand: GroupDemand;
+  readonly settle: (grant: GroupGrant | undefined) => void;
+}
+
+/** Gives requests their places in groups. Requests wait here rather than at an engine, so that the first free place of any group serves them. */
+export class GroupAdmission {
+  readonly #groups: GroupTable;
+  readonly #loads: GroupLoads;
+  readonly #zone: string;
+  readonly #waiters: Waiter[] = [];
+
+  constructor(
+    options: { groups: GroupTable; loads: GroupLoads; zone: string },
+  ) {
+    this.#groups = options.groups;
+    this.#loads = options.loads;
+    this.#zone = options.zone;
+    this.#groups.onChange(() => this.refresh());
+    this.#loads.onChange(() => this.refresh());
+  }
+
+  /** Gets the number of requests that wait for a place. */
+  get waiting(): number {
+    return this.#waiters.length;
+  }
+
+  /**
+   * Waits for a place in a group.
+   *
+   * @throws {RequestError} When no place is free in time.
+   */
+  async acquire(demand: GroupDemand): Promise<GroupGrant> {
+    const grant = this.#tryGrant(demand) ?? await this.#wait(demand);
+    if (grant === undefined) {
+      throw createCapacityError(demand);
+    }
+    return grant;
+  }
+
+  /** Gives free places to the requests that wait. */
+  refresh(): void {
+    for (const waiter of [...this.#waiters]) {
+      const grant = this.#tryGrant(waiter.demand);
+      if (grant !== undefined) {
+        waiter.settle(grant);
+      }
+    }
+  }
+
+  #wait(demand: GroupDemand): Promise<GroupGrant | undefined> {
+    const waitMs = demand.waitUntilMs - performance.now();
+    if (waitMs <= 0 || demand.signal.aborted) {
+      return Promise.resolve(undefined);
+    }
+    return new Promise((resolve) => {
+      const settle = (grant: GroupGrant | undefined) => {
+        clearTimeout(timer);
+        demand.signal.removeEventListener("abort", onAbort);
+        this.#waiters.splice(this.#waiters.indexOf(waiter), 1);
+        resolve(grant);
+      };
+      const onAbort = () => settle(undefined);
+      const waiter = { demand, settle };
+      const timer = setTimeout(onAbort, waitMs);
+      demand.signal.addEventListener("abort", onAbort, { once: true });
+      const next = this.#waiters.findIndex((other) =>
+        other.demand.priority > demand.priority
+      );
+      this.#waiters.splice(next < 0 ? this.#waiters.length : next, 0, waiter);
+    });
+  }
+
+  #tryGrant(demand: GroupDemand): GroupGrant | undefined {
+    const group = this.#chooseGroup(demand);
+    if (group === undefined) {
+      return undefined;
+    }
+    this.#loads.add(group.key);
+    let isReleased = false;
+    return {
+      group,
+      release: () => {
+        if (!isReleased) {
+          isReleased = true;
+          this.#loads.remove(group.key);
+        }
+      },
+    };
+  }
+
+  /** Chooses the group with the fewest requests; among equals one in the daemon's own zone. */
+  #chooseGroup(demand: GroupDemand): ReplicaGroup | undefined {
+    let best: ReplicaGroup | undefined;
+    let bestScore = Number.POSITIVE_INFINITY;
+    for (
+      const group of this.#groups.listServing(demand.service, demand.model)
+    ) {
+      const load = this.#loads.getLoad(group.key);
+      if (load >= demand.slots || demand.excludedGroups.has(group.key)) {
+        continue;
+      }
+      const score = load + (group.head.zone === this.#zone ? 0 : 0.5) +
+        Math.random() * 0.1;
+      if (score < bestScore) {
+        bestScore = score;
+        best = group;
+      }
+    }
+    return best;
+  }
+}
+
+/** Time after which a refused request may find a place, in milliseconds: about that of one answer. */
+const RETRY_AFTER_MS = 500;
+
+function createCapacityError(demand: GroupDemand): RequestError {
+  return new RequestError(
+    `No group of the model "${demand.model}" has a free place`,
+    {
+      code: "no-capacity",
+      verdict: "not-run",
+      status: 503,
+      retryAfterMs: RETRY_AFTER_MS,
+    },
+  );
+}
--- /dev/null
+++ b/src/process/fleet/group_guard.ts
@@ -0,0 +1,122 @@
+import type { GroupOrderClient } from "../../connection/group_order_client.ts";
+import { delay } from "../../shared/delay.ts";
+import type { Logger } from "../../shared/logger.ts";
+import type { BackendServer } from "./backend_server.ts";
+import type { GroupTable, ReplicaGroup } from "./group_table.ts";
+import type { StreamAttempt, StreamAttempts } from "./stream_attempts.ts";
+
+const CHECK_INTERVAL_MS = 100;
+/** Silence of all streams of a group after which its members are asked, in milliseconds: several times the time between two batches of a full group. */
+const STREAM_SILENCE_MS = 400;
+/** The same while no stream has begun, since long prompts are read first. */
+const FIRST_EVENT_SILENCE_MS = 800;
+/** Time in which a living member answers, in milliseconds. */
+const REPORT_TIMEOUT_MS = 300;
+/** Time after which a group whose members all answered is asked again, in milliseconds. */
+const RECHECK_MS = 1_000;
+
+/** Finds the groups that have lost a member by the silence of their streams, long before the list or the engine tells. */
+export class GroupGuard {
+  readonly #groups: GroupTable;
+  readonly #attempts: StreamAttempts;
+  readonly #orders: GroupOrderClient;
+  readonly #logger: Logger;
+  readonly #checkedAtMs = new Map<string, number>();
+
+  constructor(options: {
+    groups: GroupTable;
+    attempts: StreamAttempts;
+    orders: GroupOrderClient;
+    logger: Logger;
+  }) {
+    this.#groups = options.groups;
+    this.#attempts = options.attempts;
+    this.#orders = options.orders;
+    this.#logger = options.logger;
+    this.#groups.onChange(() => this.#abandonLost());
+  }
+
+  /** Checks the groups until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (await delay(CHECK_INTERVAL_MS, signal)) {
+      for (const [key, attempts] of this.#attempts.listByGroup()) {
+        if (isSilent(attempts) && !this.#wasChecked(key)) {
+          this.checkGroup(attempts[0].group, "silence");
+        }
+      }
+    }
+  }
+
+  /**
+   * Asks all members of a group for their state, and records the loss of the group when one does not confirm it.
+   *
+   * @param group - Group in doubt.
+   * @param cause - What raised the doubt.
+   */
+  async checkGroup(group: ReplicaGroup, cause: string): Promise<void> {
+    this.#checkedAtMs.set(group.key, performance.now());
+    const faults = await Promise.all(
+      group.members.map((member) => this.#findFault(group, member)),
+    );
+    const fault = faults.find((found) => found !== undefined);
+    this.#logger.write("info", "group-checked", {
+      group: group.key,
+      cause,
+      outcome: fault ?? "all members answer",
+    });
+    if (fault !== undefined) {
+      this.#groups.recordLoss(group.key, fault);
+      this.#attempts.abandonGroup(group.key, fault);
+    }
+  }
+
+  async #findFault(
+    group: ReplicaGroup,
+    member: BackendServer,
+  ): Promise<string | undefined> {
+    const target = { serverId: member.id, address: member.address };
+    const result = await this.#orders.getReport(target, REPORT_TIMEOUT_MS);
+    return result.caseOf({
+      Left: (error) => `member ${member.id}: ${error.message}`,
+      Right: ({ membership }) => {
+        const isMember = membership?.groupName === group.name &&
+          membership.generation === group.generation;
+        if (!isMember) {
+          return `member ${member.id} is in another group`;
+        }
+        return member.id === group.head.id && membership.state !== "open"
+          ? `head ${member.id} is ${membership.state}`
+          : undefined;
+      },
+    });
+  }
+
+  #wasChecked(key: string): boolean {
+    const atMs = this.#checkedAtMs.get(key);
+    return atMs !== undefined && performance.now() - atMs < RECHECK_MS;
+  }
+
+  /** Ends the attempts at groups of which another part has learned that they are lost. */
+  #abandonLost(): void {
+    for (const key of this.#groups.listLost()) {
+      this.#attempts.abandonGroup(key, "the group is lost");
+    }
+    for (const key of this.#checkedAtMs.keys()) {
+      if (!this.#wasChecked(key)) {
+        this.#checkedAtMs.delete(key);
+      }
+    }
+  }
+}
+
+function isSilent(attempts: readonly StreamAttempt[]): boolean {
+  const nowMs = performance.now();
+  const lastEventAtMs = Math.max(
+    ...attempts.map(({ lastEventAtMs }) => lastEventAtMs ?? 0),
+  );
+  if (lastEventAtMs > 0) {
+    return nowMs - lastEventAtMs > STREAM_SILENCE_MS;
+  }
+  const startedAtMs = Math.min(...attempts.map((a) => a.startedAtMs));
+  return nowMs - startedAtMs > FIRST_EVENT_SILENCE_MS;
+}
--- /dev/null
+++ b/src/process/fleet/group_table.ts
@@ -0,0 +1,183 @@
+import type { Logger } from "../../shared/logger.ts";
+import type { ModelServing } from "../../version/routing_config.ts";
+import type { BackendDirectory } from "./backend_directory.ts";
+import type { BackendServer } from "./backend_server.ts";
+
+/** Replica of a model on several backend servers. */
+export interface ReplicaGroup {
+  /** Name and generation in one word; never used again for another group. */
+  readonly key: string;
+  readonly name: string;
+  readonly generation: number;
+  readonly service: string;
+  readonly model: string;
+  /** Backend server that takes the requests. */
+  readonly head: BackendServer;
+  /** Members in the order of their ranks. */
+  readonly members: readonly BackendServer[];
+}
+
+/** Gives the size of a model's groups. */
+export type ModelLookup = (
+  service: string,
+  model: string,
+) => ModelServing | undefined;
+
+/** Groups that take requests, found from what their members report. */
+export class GroupTable {
+  readonly #directory: BackendDirectory;
+  readonly #logger: Logger;
+  readonly #findModel: ModelLookup;
+  readonly #lost = new Map<string, string>();
+  readonly #listeners = new Set<() => void>();
+  #groups = new Map<string, ReplicaGroup>();
+  #excludedZones: ReadonlySet<string> = new Set();
+
+  constructor(options: {
+    directory: BackendDirectory;
+    logger: Logger;
+    findModel: ModelLookup;
+  }) {
+    this.#directory = options.directory;
+    this.#logger = options.logger;
+    this.#findModel = options.findModel;
+    this.#directory.onChange(() => this.refresh());
+  }
+
+  /** Lists the groups that take requests for a model. */
+  listServing(service: string, model: string): ReplicaGroup[] {
+    return this.listAll().filter((group) =>
+      group.service === service && group.model === model
+    );
+  }
+
+  /** Lists all groups that take requests. */
+  listAll(): ReplicaGroup[] {
+    return [...this.#groups.values()];
+  }
+
+  /** Gets whether a group takes requests. */
+  isServing(key: string): boolean {
+    return this.#groups.has(key);
+  }
+
+  /** Lists the keys of the groups that are known to be lost. */
+  listLost(): string[] {
+    return [...this.#lost.keys()];
+  }
+
+  /** Registers a listener for changes. */
+  onChange(listener: () => void): void {
+    this.#listeners.add(listener);
+  }
+
+  /** Sets the zones whose backend servers take no requests. */
+  setExcludedZones(zones: ReadonlySet<string>): void {
+    this.#excludedZones = zones;
+    this.refresh();
+  }
+
+  /**
+   * Records that a group has lost a member, so that it gets no further request.
+   *
+   * @param key - Group.
+   * @param reason - What showed the loss.
+   */
+  recordLoss(key: string, reason: string): void {
+    if (this.#lost.has(key)) {
+      return;
+    }
+    this.#lost.set(key, reason);
+    this.#logger.write("info", "group-lost", { group: key, reason });
+    this.refresh();
+  }
+
+  /** Finds the groups anew from the directory. */
+  refresh(): void {
+    const members = this.#collectMembers();
+    this.#forgetLost(members);
+    const groups = new Map<string, ReplicaGroup>();
+    for (const [key, servers] of members) {
+      const group = this.#createGroup(key, servers);
+      if (group !== undefined) {
+        groups.set(key, group);
+      }
+    }
+    this.#recordDifference(groups);
+    this.#groups = groups;
+    this.#listeners.forEach((listener) => listener());
+  }
+
+  #collectMembers(): Map<string, BackendServer[]> {
+    const members = new Map<string, BackendServer[]>();
+    for (const server of this.#directory.listServers()) {
+      const key = getMembershipKey(server);
+      if (key !== undefined) {
+        members.set(key, [...(members.get(key) ?? []), server]);
+      }
+    }
+    return members;
+  }
+
+  #createGroup(
+    key: string,
+    servers: readonly BackendServer[],
+  ): ReplicaGroup | undefined {
+    const head = servers.find(({ membership }) => membership?.rank === 0);
+    if (head?.membership?.state !== "open" || this.#lost.has(key)) {
+      return undefined;
+    }
+    const model = head.loadedModels[0];
+    const size = this.#findModel(head.service, model)?.groupSize;
+    const isWhole = servers.length === size &&
+      servers.every(({ isDraining }) => !isDraining);
+    if (!isWhole || servers.some(({ zone }) => this.#excludedZones.has(zone))) {
+      return undefined;
+    }
+    return {
+      key,
+      name: head.membership.groupName,
+      generation: head.membership.generation,
+      service: head.service,
+      model,
+      head,
+      members: [...servers].sort((a, b) =>
+        (a.membership?.rank ?? 0) - (b.membership?.rank ?? 0)
+      ),
+    };
+  }
+
+  #forgetLost(members: ReadonlyMap<string, unknown>): void {
+    for (const key of this.#lost.keys()) {
+      if (!members.has(key)) {
+        this.#lost.delete(key);
+      }
+    }
+  }
+
+  #recordDifference(groups: ReadonlyMap<string, ReplicaGroup>): void {
+    for (const [key, group] of groups) {
+      if (!this.#groups.has(key)) {
+        this.#logger.write("info", "group-serving", {
+          group: key,
+          model: group.model,
+          head: group.head.id,
+          zone: group.head.zone,
+        });
+      }
+    }
+    for (const key of this.#groups.keys()) {
+      if (!groups.has(key)) {
+        this.#logger.write("info", "group-not-serving", { group: key });
+      }
+    }
+  }
+}
+
+/** Gets the key of the group that a backend server belongs to. */
+export function getMembershipKey(server: BackendServer): string | undefined {
+  const { membership } = server;
+  return membership === undefined
+    ? undefined
+    : `${membership.groupName}/${membership.generation}`;
+}
--- /dev/null
+++ b/src/process/fleet/kind_watch.ts
@@ -0,0 +1,202 @@
+import type {
+  SnapshotStore,
+  StoredObject,
+} from "../../connection/object_store.ts";
+import { delay } from "../../shared/delay.ts";
+import { getErrorMessage } from "../../shared/errors.ts";
+import type { Logger } from "../../shared/logger.ts";
+
+/** Longest wait of one watch in milliseconds. A watch whose connection went silent is noticed after it. */
+const WATCH_WAIT_MS = 10_000;
+/** Pause before a failed call to the store is made again, in milliseconds. */
+const RETRY_PAUSE_MS = 250;
+
+/** Changes of a kind since the last ones. */
+export interface KindChange<T> {
+  readonly changed: ReadonlyMap<string, T>;
+  readonly removed: readonly string[];
+  /** Revision of the store up to which the changes are complete. */
+  readonly revision: number;
+  /** Time for which the store had not answered before, in milliseconds. */
+  readonly outageMs: number;
+}
+
+/** What is watched, and how. */
+export interface KindWatchOptions<T> {
+  readonly store: SnapshotStore;
+  readonly kind: string;
+  readonly logger: Logger;
+  /** Time to gather changes before they are asked for again, in milliseconds. Each call to the store is priced. */
+  readonly gatherMs: number;
+  /** Whether an object that cannot be decoded keeps its last good value, in place of being removed. */
+  readonly keepsLastGood: boolean;
+  /**
+   * Decodes an object.
+   *
+   * @throws When the object cannot be decoded.
+   */
+  decode(object: StoredObject): T;
+  /** Takes the changes. */
+  onChange(change: KindChange<T>): void;
+}
+
+/** Copy of all objects of one kind, kept up to date by a watch. */
+export class KindWatch<T> {
+  readonly #options: KindWatchOptions<T>;
+  readonly #names = new Set<string>();
+  #revision: number | undefined;
+  #confirmedAtMs: number | undefined;
+  #isAnswering = true;
+
+  constructor(options: KindWatchOptions<T>) {
+    this.#options = options;
+  }
+
+  /** Gets the monotonic time up to which the copy is known to be current; undefined before the first list. */
+  get confirmedAtMs(): number | undefined {
+    return this.#confirmedAtMs;
+  }
+
+  /** Gets the revision of the copy; 0 before the first list. */
+  get revision(): number {
+    return this.#revision ?? 0;
+  }
+
+  /**
+   * Lists the kind, then watches it until the signal aborts.
+   *
+   * @param signal - Ends the watch.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const succeeded = this.#revision === undefined
+        ? await this.#list()
+        : await this.#watch(this.#revision, signal);
+      await delay(succeeded ? this.#options.gatherMs : RETRY_PAUSE_MS, signal);
+    }
+  }
+
+  async #list(): Promise<boolean> {
+    const { store, kind } = this.#options;
+    const askedAtMs = performance.now();
+    const result = await store.listSnapshot(kind);
+    return result.caseOf({
+      Left: (error) => this.#recordFailure(error),
+      Right: ({ revision, objects }) => {
+        const present = new Set(objects.map(({ name }) => name));
+        const removed = [...this.#names].filter((name) => !present.has(name));
+        this.#accept({ objects, removed, revision, askedAtMs });
+        return true;
+      },
+    });
+  }
+
+  async #watch(sinceRevision: number, signal: AbortSignal): Promise<boolean> {
+    const { store, kind, logger } = this.#options;
+    const askedAtMs = performance.now();
+    const result = await store.watch({
+      kind,
+      sinceRevision,
+      timeoutMs: WATCH_WAIT_MS,
+      signal,
+    });
+    if (signal.aborted) {
+      return true;
+    }
+    return result.caseOf({
+      Left: (error) => this.#recordFailure(error),
+      Right: ({ revision, events, reset }) => {
+        if (reset) {
+          logger.write("info", "watch-history-lost", { kind, sinceRevision });
+          this.#revision = undefined;
+          return true;
+        }
+        const last = new Map(events.map((event) => [event.name, event.object]));
+        const objects = [...last.values()].filter((object) =>
+          object !== undefined
+        );
+        const removed = [...last].filter(([, object]) => object === undefined)
+          .map(([name]) => name);
+        // An empty answer proves that nothing had changed when it was sent.
+        const isWait = events.length === 0;
+        this.#accept({
+          objects,
+          removed,
+          revision,
+          askedAtMs: isWait ? performance.now() : askedAtMs,
+        });
+        return true;
+      },
+    });
+  }
+
+  #accept(
+    read: {
+      objects: readonly StoredObject[];
+      removed: readonly string[];
+      revision: number;
+      askedAtMs: number;
+    },
+  ): void {
+    const changed = new Map<string, T>();
+    const removed = [...read.removed];
+    for (const object of read.objects) {
+      this.#names.add(object.name);
+      const value = this.#decode(object);
+      if (value !== undefined) {
+        changed.set(object.name, value);
+      } else if (!this.#options.keepsLastGood) {
+        removed.push(object.name);
+      }
+    }
+    read.removed.forEach((name) => this.#names.delete(name));
+    const outageMs = this.#recordAnswer(read.askedAtMs);
+    this.#revision = read.revision;
+    if (changed.size > 0 || removed.length > 0) {
+      const { revision } = read;
+      this.#options.onChange({ changed, removed, revision, outageMs });
+    }
+  }
+
+  #decode(object: StoredObject): T | undefined {
+    const { logger, kind } = this.#options;
+    try {
+      return this.#options.decode(object);
+    } catch (error) {
+      logger.write("warn", "object-not-decoded", {
+        kind,
+        name: object.name,
+        version: object.version,
+        message: getErrorMessage(error),
+      });
+      return undefined;
+    }
+  }
+
+  #recordFailure(error: Error): boolean {
+    if (this.#isAnswering) {
+      this.#isAnswering = false;
+      this.#options.logger.write("warn", "store-lost", {
+        kind: this.#options.kind,
+        revision: this.#revision,
+        message: error.message,
+      });
+    }
+    return false;
+  }
+
+  #recordAnswer(askedAtMs: number): number {
+    const outageMs = this.#isAnswering || this.#confirmedAtMs === undefined
+      ? 0
+      : performance.now() - this.#confirmedAtMs;
+    if (!this.#isAnswering) {
+      this.#isAnswering = true;
+      this.#options.logger.write("info", "store-regained", {
+        kind: this.#options.kind,
+        outageMs: Math.round(outageMs),
+      });
+    }
+    this.#confirmedAtMs = askedAtMs;
+    return outageMs;
+  }
+}
--- /dev/null
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -0,0 +1,186 @@
+import type { SnapshotStore } from "../../connection/object_store.ts";
+import { delay } from "../../shared/delay.ts";
+import { getErrorMessage } from "../../shared/errors.ts";
+import type { Logger } from "../../shared/logger.ts";
+
+const LEASE_NAME = "planner";
+const RENEW_INTERVAL_MS = 1_000;
+/** Time after an acknowledged renewal in which the holder acts, in milliseconds. */
+const HOLD_MS = 2_500;
+/** Time without a renewal after which another daemon takes the lease over, in milliseconds. Longer than the holder acts by the time that an order may be on its way. */
+const TAKE_OVER_MS = 3_500;
+const CHECK_INTERVAL_MS = 1_000;
+/** Jump of the time of day against the monotonic clock that shows that the process stood still, in milliseconds. */
+const SUSPENSION_MS = 500;
+
+/** Content of the lease object. */
+interface LeaseValue {
+  readonly holder: string;
+  readonly term: number;
+  /** Rises with each renewal, so that a renewal is a change. */
+  readonly renewal: number;
+}
+
+/** Lease by which one daemon at a time plans the groups. */
+export class PlannerLeaseHolder {
+  readonly #store: SnapshotStore;
+  readonly #kind: string;
+  readonly #name: string;
+  readonly #logger: Logger;
+  #value: LeaseValue | undefined;
+  #version = 0;
+  #changedAtMs = performance.now();
+  #renewedAtMs: number | undefined;
+  #clockOffsetMs = getClockOffsetMs();
+
+  constructor(options: {
+    store: SnapshotStore;
+    kind: string;
+    name: string;
+    logger: Logger;
+  }) {
+    this.#store = options.store;
+    this.#kind = options.kind;
+    this.#name = options.name;
+    this.#logger = options.logger;
+  }
+
+  /** Gets the term while this daemon holds the lease, and undefined otherwise. */
+  getTerm(): number | undefined {
+    this.#checkSuspension();
+    if (
+      this.#renewedAtMs === undefined || this.#value === undefined ||
+      performance.now() - this.#renewedAtMs > HOLD_MS
+    ) {
+      return undefined;
+    }
+    return this.#value.term;
+  }
+
+  /** Gives the lease up, since a backend server has seen a later term. */
+  drop(reason: string): void {
+    if (this.#renewedAtMs !== undefined) {
+      this.#renewedAtMs = undefined;
+      this.#logger.write("info", "lease-dropped", {
+        term: this.#value?.term,
+        reason,
+      });
+    }
+  }
+
+  /** Acquires and renews the lease until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#step();
+      await delay(
+        this.getTerm() === undefined ? CHECK_INTERVAL_MS : RENEW_INTERVAL_MS,
+        signal,
+      );
+    }
+    await this.#release();
+  }
+
+  async #step(): Promise<void> {
+    if (this.getTerm() !== undefined) {
+      await this.#renew();
+      return;
+    }
+    await this.#read();
+    const isOwn = this.#value?.holder === this.#name;
+    const isFree = this.#version === 0 || this.#value?.holder === "" ||
+      performance.now() - this.#changedAtMs > TAKE_OVER_MS;
+    if (isFree || isOwn) {
+      await this.#take();
+    }
+  }
+
+  async #read(): Promise<void> {
+    const result = await this.#store.getObject(this.#kind, LEASE_NAME);
+    result.ifRight((object) => {
+      const version = object?.version ?? 0;
+      if (version !== this.#version) {
+        this.#version = version;
+        this.#changedAtMs = performance.now();
+        this.#value = object?.value as LeaseValue | undefined;
+      }
+    });
+    if (result.isLeft()) {
+      // Without the store it is unknown whether the holder renews, so the wait begins anew.
+      this.#changedAtMs = performance.now();
+    }
+  }
+
+  async #take(): Promise<void> {
+    const term = (this.#value?.term ?? 0) + 1;
+    if (await this.#write({ holder: this.#name, term, renewal: 0 })) {
+      this.#logger.write("info", "lease-acquired", { term });
+    }
+  }
+
+  async #renew(): Promise<void> {
+    const value = this.#value!;
+    await this.#write({ ...value, renewal: value.renewal + 1 });
+  }
+
+  async #write(value: LeaseValue): Promise<boolean> {
+    const startedAtMs = performance.now();
+    const written = await this.#store.putObject({
+      kind: this.#kind,
+      name: LEASE_NAME,
+      value,
+      expectedVersion: this.#version,
+    });
+    if (written.outcome === "written") {
+      this.#version = written.version;
+      this.#value = value;
+      this.#renewedAtMs = startedAtMs;
+      this.#changedAtMs = performance.now();
+      return true;
+    }
+    if (written.outcome === "conflict") {
+      this.drop("another daemon changed the lease");
+    } else {
+      await this.#readBack(value, startedAtMs);
+    }
+    return false;
+  }
+
+  /** Finds out whether a write whose answer was lost took effect. */
+  async #readBack(value: LeaseValue, startedAtMs: number): Promise<void> {
+    await this.#read();
+    const found = this.#value;
+    if (found?.holder === value.holder && found.term === value.term) {
+      this.#renewedAtMs = startedAtMs;
+    }
+  }
+
+  async #release(): Promise<void> {
+    const term = this.getTerm();
+    if (term === undefined) {
+      return;
+    }
+    this.#renewedAtMs = undefined;
+    try {
+      await this.#write({ holder: "", term, renewal: 0 });
+      this.#renewedAtMs = undefined;
+    } catch (error) {
+      this.#logger.write("warn", "lease-not-released", {
+        term,
+        message: getErrorMessage(error),
+      });
+    }
+  }
+
+  /** The monotonic clock stands still while the VM is suspended, but the time of day goes on. */
+  #checkSuspension(): void {
+    const offsetMs = getClockOffsetMs();
+    if (Math.abs(offsetMs - this.#clockOffsetMs) > SUSPENSION_MS) {
+      this.#clockOffsetMs = offsetMs;
+      this.drop("the clocks show that the process stood still");
+    }
+  }
+}
+
+function getClockOffsetMs(): number {
+  return Date.now() - performance.now();
+}
--- /dev/null
+++ b/src/process/fleet/replica_planner.ts
@@ -0,0 +1,237 @@
+import { getRendezvousOrder } from "../../shared/rendezvous_hash.ts";
+import type {
+  EngineProfile,
+  ModelServing,
+} from "../../version/routing_config.ts";
+
+/** How soon a server can serve in a group of a model. */
+export type Readiness = "warm" | "staged" | "empty";
+
+/** Server as the planner sees it. */
+export interface PlannedServer {
+  readonly id: string;
+  readonly domain: string;
+  readonly zone: string;
+  readonly stagedModels: readonly string[];
+  /** Model of the server's last group since its start. */
+  readonly lastModel?: string;
+  /** Whether it may join another group now: it lives, stays, and its last group takes no requests any more. */
+  readonly isFree: boolean;
+  /** Whether it loads weights now. */
+  readonly isLoading: boolean;
+}
+
+/** Group that serves or is being formed. */
+export interface PlannedGroup {
+  readonly key: string;
+  readonly model: string;
+  readonly domain: string;
+}
+
+/** Everything that the plan depends on. */
+export interface FleetState {
+  readonly engine: EngineProfile;
+  readonly servers: readonly PlannedServer[];
+  readonly groups: readonly PlannedGroup[];
+}
+
+/** Group to form. */
+export interface GroupFormation {
+  readonly model: string;
+  readonly domain: string;
+  /** Members; the first one becomes the head. */
+  readonly members: readonly string[];
+}
+
+/** Server to prepare for a group of a model. */
+export interface ServerPreparation {
+  readonly serverId: string;
+  readonly model: string;
+  /** Whether the weights have to be loaded from the weight store. */
+  readonly needsLoad: boolean;
+}
+
+/** What to do next. */
+export interface FleetPlan {
+  readonly formations: readonly GroupFormation[];
+  readonly preparations: readonly ServerPreparation[];
+}
+
+/**
+ * Plans the groups of one service. Each fabric domain serves one model, so that the survivors of a lost group form the next one with what they hold.
+ *
+ * @param state - Servers and groups as they are.
+ * @example
+ * ```ts
+ * const { formations } = planFleet({ engine, servers, groups });
+ * ```
+ */
+export function planFleet(state: FleetState): FleetPlan {
+  const models = assignDomains(state);
+  const formations: GroupFormation[] = [];
+  const preparations: ServerPreparation[] = [];
+  for (const [domain, servers] of groupByDomain(state.servers)) {
+    const model = models.get(domain);
+    if (model !== undefined) {
+      planDomain({ domain, model, servers, formations, preparations });
+    }
+  }
+  return { formations, preparations: limitLoads(state, preparations) };
+}
+
+/**
+ * Assigns a model to each fabric domain, so that the servers of each model come close to its expected share.
+ *
+ * @param state - Servers and groups as they are.
+ */
+export function assignDomains(
+  state: FleetState,
+): ReadonlyMap<string, ModelServing> {
+  const { models } = state.engine;
+  const domains = groupByDomain(state.servers);
+  const total = state.servers.length;
+  const assigned = new Map<string, number>();
+  const byDomain = new Map<string, ModelServing>();
+  const order = listDomainsByZone(domains);
+  for (const domain of order) {
+    const size = domains.get(domain)!.length;
+    const deficit = (model: ModelServing) =>
+      model.expectedShare * total - (assigned.get(model.name) ?? 0);
+    const fitting = models.filter(({ groupSize }) => groupSize <= size);
+    const candidates = fitting.length > 0 ? fitting : models;
+    const current = getCurrentModel(state, domain);
+    const model = candidates.find(({ name }) => name === current) ??
+      candidates.reduce((a, b) => deficit(b) > deficit(a) ? b : a);
+    byDomain.set(domain, model);
+    assigned.set(model.name, (assigned.get(model.name) ?? 0) + size);
+  }
+  return byDomain;
+}
+
+/** Orders the domains so that consecutive ones lie in different zones; the domains that serve already come first. */
+function listDomainsByZone(
+  domains: ReadonlyMap<string, readonly PlannedServer[]>,
+): string[] {
+  const byZone = new Map<string, string[]>();
+  for (const domain of getRendezvousOrder("domains", [...domains.keys()])) {
+    const zone = domains.get(domain)![0].zone;
+    byZone.set(zone, [...(byZone.get(zone) ?? []), domain]);
+  }
+  const lists = [...byZone].sort(([a], [b]) => a < b ? -1 : 1)
+    .map(([, list]) => list);
+  const order: string[] = [];
+  for (let i = 0; order.length < domains.size; i++) {
+    lists.forEach((list) => list[i] !== undefined && order.push(list[i]));
+  }
+  return order;
+}
+
+/** Gets the model that most servers of a domain hold, so that the assignment stays as it is. */
+function getCurrentModel(
+  state: FleetState,
+  domain: string,
+): string | undefined {
+  const counts = new Map<string, number>();
+  for (const server of state.servers) {
+    const model = server.lastModel ?? server.stagedModels[0];
+    if (server.domain === domain && model !== undefined) {
+      counts.set(model, (counts.get(model) ?? 0) + 1);
+    }
+  }
+  return [...counts].sort(([, a], [, b]) => b - a)[0]?.[0];
+}
+
+function groupByDomain(
+  servers: readonly PlannedServer[],
+): Map<string, PlannedServer[]> {
+  const domains = new Map<string, PlannedServer[]>();
+  for (const server of servers) {
+    domains.set(server.domain, [...(domains.get(server.domain) ?? []), server]);
+  }
+  return domains;
+}
+
+function planDomain(domain: {
+  domain: string;
+  model: ModelServing;
+  servers: readonly PlannedServer[];
+  formations: GroupFormation[];
+  preparations: ServerPreparation[];
+}): void {
+  const { model } = domain;
+  const free = domain.servers.filter(({ isFree }) => isFree);
+  const usable = free.filter((server) =>
+    getReadiness(server, model.name) !== "empty"
+  ).sort((a, b) => compareReadiness(a, b, model.name));
+  let next = 0;
+  while (usable.length - next >= model.groupSize) {
+    domain.formations.push({
+      model: model.name,
+      domain: domain.domain,
+      members: usable.slice(next, next + model.groupSize).map(({ id }) => id),
+    });
+    next += model.groupSize;
+  }
+  const formed = new Set(usable.slice(0, next).map(({ id }) => id));
+  for (const server of free) {
+    const readiness = getReadiness(server, model.name);
+    if (!formed.has(server.id) && readiness !== "warm") {
+      domain.preparations.push({
+        serverId: server.id,
+        model: model.name,
+        needsLoad: readiness === "empty",
+      });
+    }
+  }
+}
+
+/** Gets how soon a server can serve in a group of a model. */
+export function getReadiness(server: PlannedServer, model: string): Readiness {
+  if (server.lastModel === model) {
+    return "warm";
+  }
+  return server.stagedModels.includes(model) ? "staged" : "empty";
+}
+
+function compareReadiness(
+  a: PlannedServer,
+  b: PlannedServer,
+  model: string,
+): number {
+  const isWarm = (server: PlannedServer) =>
+    getReadiness(server, model) === "warm" ? 0 : 1;
+  return isWarm(a) - isWarm(b) || (a.id < b.id ? -1 : 1);
+}
+
+/** Keeps as many loads as the weight store serves at full speed, taking the models in turn. */
+function limitLoads(
+  state: FleetState,
+  preparations: readonly ServerPreparation[],
+): ServerPreparation[] {
+  const loading = state.servers.filter(({ isLoading }) => isLoading).length;
+  let room = Math.max(0, state.engine.concurrentLoads - loading);
+  const loads = new Map<string, ServerPreparation[]>();
+  const kept: ServerPreparation[] = [];
+  for (const preparation of preparations) {
+    if (preparation.needsLoad) {
+      const list = loads.get(preparation.model) ?? [];
+      list.push(preparation);
+      loads.set(preparation.model, list);
+    } else {
+      kept.push(preparation);
+    }
+  }
+  for (
+    let i = 0;
+    room > 0 && [...loads.values()].some((l) => l.length > i);
+    i++
+  ) {
+    for (const list of loads.values()) {
+      if (room > 0 && list[i] !== undefined) {
+        kept.push(list[i]);
+        room--;
+      }
+    }
+  }
+  return kept;
+}
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -27,6 +27,7 @@
   | "tokens"
   | "claims"
   | "orders"
+  | "status_requests"
   | "peer_bytes_sent"
   | "store_reads"
   | "store_writes"
--- /dev/null
+++ b/src/process/routing_context.ts
@@ -0,0 +1,36 @@
+import type { BackendTransport } from "../connection/backend_transport.ts";
+import type { LifeCycleManager } from "../shared/life_cycle_manager.ts";
+import type { Logger } from "../shared/logger.ts";
+import type { RouteTable } from "../version/route_table.ts";
+import type { BackendDirectory } from "./fleet/backend_directory.ts";
+import type { GroupAdmission } from "./fleet/group_admission.ts";
+import type { GroupGuard } from "./fleet/group_guard.ts";
+import type { GroupTable } from "./fleet/group_table.ts";
+import type { RepeatBudget } from "./fleet/repeat_budget.ts";
+import type { StreamAttempts } from "./fleet/stream_attempts.ts";
+import type { ServerLoads } from "./fleet/server_loads.ts";
+import type { Metrics } from "./metrics.ts";
+import type { RoutingSettings } from "./routing_settings.ts";
+
+/** Parts of a routing daemon that its tasks and request handlers share. */
+export interface RoutingContext {
+  readonly settings: RoutingSettings;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly lifeCycle: LifeCycleManager;
+  readonly transport: BackendTransport;
+  readonly directory: BackendDirectory;
+  readonly groups: GroupTable;
+  readonly admission: GroupAdmission;
+  readonly attempts: StreamAttempts;
+  readonly guard: GroupGuard;
+  readonly serverLoads: ServerLoads;
+  /** Gets the routes in force; undefined before the first configuration. */
+  getRoutes(): RouteTable | undefined;
+  /** Gets the zones whose backend servers take no requests. */
+  getExcludedZones(): ReadonlySet<string>;
+  /** Gets the budget of repeated sendings to a service. */
+  getRepeatBudget(service: string): RepeatBudget;
+  /** Gets whether a planned stop has begun. */
+  isLeaving(): boolean;
+}
--- /dev/null
+++ b/src/process/routing_settings.ts
@@ -0,0 +1,48 @@
+/** Address that a listener is bound to. */
+export interface ListenerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Settings of a daemon that routes requests to a fleet of backend servers. */
+export interface RoutingSettings {
+  /** Name of the entry VM. */
+  readonly name: string;
+  readonly zone: string;
+  /** IP number of the entry VM. */
+  readonly ip: string;
+  readonly caller: ListenerAddress;
+  /** Listener that the balancer asks whether the daemon takes callers. */
+  readonly ready: ListenerAddress;
+  readonly peer: ListenerAddress;
+  /** Memory of the process in bytes, above which it is ended. */
+  readonly memoryBytes: number;
+  /** Processor time that the VM gives, in cores. */
+  readonly processorShare: number;
+  /** Time between two signs of life of a backend server in the list, in milliseconds. */
+  readonly heartbeatMs: number;
+  /** Time after which a leaving backend server gets no request, in milliseconds. */
+  readonly drainMs: number;
+  /** Time after which a configuration is in force, in milliseconds. */
+  readonly configMs: number;
+  /** Time after which a zone that is taken out gets no request, in milliseconds. */
+  readonly evacuateMs: number;
+  /** Time from the stop signal until the process is killed, in milliseconds. */
+  readonly stopGraceMs: number;
+  /** Time without a disturbance after which all bounds hold, in milliseconds. */
+  readonly contactMs: number;
+  /** Time for which an engine keeps work that depends on a lost member, in milliseconds. */
+  readonly engineStallMs: number;
+  /** Repeated sendings for each request of a service, over all daemons. */
+  readonly retryRatio: number;
+  /** Window of the retry budget in milliseconds. */
+  readonly retryWindowMs: number;
+  /** Repeated sendings of a window that are allowed besides the ratio, over all daemons. */
+  readonly retrySlack: number;
+  /** Factor by which the requests of a second to a cold server may exceed its rate. */
+  readonly coldOverage: number;
+  /** Requests of a second to a cold server that are allowed besides. */
+  readonly coldSlack: number;
+  /** Factor by which starts of loads may exceed the weight store's rate. */
+  readonly loadOverage: number;
+}
--- /dev/null
+++ b/src/request/routed/model_stream.ts
@@ -0,0 +1,312 @@
+import {
+  type BackendAnswer,
+  BackendError,
+} from "../../connection/backend_transport.ts";
+import type { GroupGrant } from "../../process/fleet/group_admission.ts";
+import type { StreamAttempt } from "../../process/fleet/stream_attempts.ts";
+import { RequestError } from "../../shared/errors.ts";
+import { combineVerdicts, type Verdict } from "../../shared/verdict.ts";
+import type { EngineProfile } from "../../version/routing_config.ts";
+import { type EventFrame, EventFrameReader } from "./event_frames.ts";
+import { type EndedAttempt, readAnswer } from "./ended_attempt.ts";
+import type { RequestScope } from "./request_scope.ts";
+import type { ModelDemand } from "./routed_request.ts";
+
+/** Part of the remaining time for which a request that has not begun waits for a place. */
+const FIRST_WAIT_SHARE = 0.3;
+/** Attempts that groups decline without running the request. They cost little, and a group that closes declines until its state is known. */
+const MAX_DECLINED_ATTEMPTS = 4;
+
+/** Streamed answer of a model over all its attempts. */
+export class ModelStream {
+  readonly #scope: RequestScope;
+  readonly #engine: EngineProfile;
+  readonly #demand: ModelDemand;
+  readonly #excluded = new Set<string>();
+  #lastEventId: number | undefined;
+  #verdict: Verdict = "not-run";
+  #attempts = 0;
+  #runs = 0;
+  #declined = 0;
+
+  constructor(scope: RequestScope, options: {
+    engine: EngineProfile;
+    demand: ModelDemand;
+  }) {
+    this.#scope = scope;
+    this.#engine = options.engine;
+    this.#demand = options.demand;
+    this.#lastEventId = scope.request.resumeAfter;
+  }
+
+  /**
+   * Answers the request. When a group fails, the answer continues on another one after the last event passed on.
+   *
+   * @throws {RequestError} When the request is refused or cannot be completed.
+   */
+  async run(): Promise<void> {
+    for (;;) {
+      const grant = await this.#acquire();
+      this.#attempts++;
+      const ended = await this.#runAttempt(grant);
+      this.#recordEnd(grant, ended);
+      if (ended.outcome === "complete") {
+        return;
+      }
+      if (ended.outcome === "answered") {
+        const { status, headers } = ended.answer;
+        this.#scope.writer.answer(status, headers, ended.body);
+        return;
+      }
+      this.#excluded.add(grant.group.key);
+      this.#checkRepeat(ended);
+    }
+  }
+
+  async #acquire(): Promise<GroupGrant> {
+    const { context, request, service, priority, deadlineAtMs } = this.#scope;
+    const nowMs = performance.now();
+    const hasBegun = this.#scope.writer.hasStarted();
+    const waitMs = (deadlineAtMs - nowMs) * (hasBegun ? 1 : FIRST_WAIT_SHARE);
+    try {
+      return await context.admission.acquire({
+        service: service.name,
+        model: this.#demand.model,
+        priority: hasBegun ? 0 : priority,
+        excludedGroups: this.#excluded,
+        slots: this.#engine.slots,
+        waitUntilMs: nowMs + waitMs,
+        signal: request.signal,
+      });
+    } catch (error) {
+      if (error instanceof RequestError && this.#verdict !== "not-run") {
+        throw this.#createFailure(error.message);
+      }
+      throw error;
+    }
+  }
+
+  async #runAttempt(grant: GroupGrant): Promise<EndedAttempt> {
+    const { context, request } = this.#scope;
+    const controller = new AbortController();
+    const onLeft = () => controller.abort();
+    request.signal.addEventListener("abort", onLeft, { once: true });
+    let lossReason: string | undefined;
+    const attempt: StreamAttempt = {
+      group: grant.group,
+      startedAtMs: performance.now(),
+      lastEventAtMs: undefined,
+      abandon: (reason) => {
+        lossReason = reason;
+        controller.abort();
+      },
+    };
+    const remove = context.attempts.add(attempt);
+    const timer = setTimeout(
+      onLeft,
+      Math.max(0, this.#scope.deadlineAtMs - performance.now()),
+    );
+    try {
+      return await this.#relay(attempt, controller.signal);
+    } catch (error) {
+      return convertFailure(error, lossReason);
+    } finally {
+      clearTimeout(timer);
+      remove();
+      request.signal.removeEventListener("abort", onLeft);
+      grant.release();
+    }
+  }
+
+  async #relay(
+    attempt: StreamAttempt,
+    signal: AbortSignal,
+  ): Promise<EndedAttempt> {
+    const { context, request, deadlineAtMs, account } = this.#scope;
+    const { head } = attempt.group;
+    const answer = await context.transport.send(
+      { serverId: head.id, address: head.address },
+      {
+        requestId: request.requestId,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        body: request.body,
+        timeBudgetMs: deadlineAtMs - performance.now(),
+        account,
+        resumeAfter: this.#lastEventId,
+        ownConnection: false,
+        signal,
+      },
+    );
+    if (answer.verdict === "not-run") {
+      const body = await readAnswer(answer);
+      return { outcome: "declined", answer, body };
+    }
+    if (answer.status !== 200) {
+      return { outcome: "answered", answer, body: await readAnswer(answer) };
+    }
+    await this.#relayEvents(answer, attempt);
+    return { outcome: "complete" };
+  }
+
+  async #relayEvents(
+    answer: BackendAnswer,
+    attempt: StreamAttempt,
+  ): Promise<void> {
+    const { writer, context, request } = this.#scope;
+    const reader = new EventFrameReader();
+    for await (const piece of answer.body) {
+      const frames = this.#acceptFrames(reader.push(piece));
+      attempt.lastEventAtMs = performance.now();
+      if (frames.length === 0) {
+        continue;
+      }
+      if (!writer.hasStarted()) {
+        context.metrics.record(
+          "time_to_first_token",
+          performance.now() - request.receivedAtMs,
+        );
+        writer.openStream(answer.status, answer.headers);
+      }
+      const ready = writer.write(joinFrames(frames));
+      if (ready !== undefined) {
+        await ready;
+        attempt.lastEventAtMs = performance.now();
+      }
+    }
+    if (reader.hasPartialEvent) {
+      throw new BackendError("The answer ends inside an event", {
+        kind: "reset",
+        verdict: "may-have-run",
+      });
+    }
+    if (!writer.hasStarted()) {
+      writer.openStream(answer.status, answer.headers);
+    }
+    writer.end();
+  }
+
+  /** Drops events that the caller has, and refuses a gap in the sequence. */
+  #acceptFrames(frames: readonly EventFrame[]): EventFrame[] {
+    return frames.filter(({ id }) => {
+      if (id === undefined) {
+        return true;
+      }
+      const last = this.#lastEventId;
+      if (last !== undefined && id <= last) {
+        return false;
+      }
+      if (last !== undefined && id !== last + 1) {
+        throw new BackendError(`Event ${id} follows event ${last}`, {
+          kind: "invalid",
+          verdict: "may-have-run",
+        });
+      }
+      this.#lastEventId = id;
+      return true;
+    });
+  }
+
+  #recordEnd(grant: GroupGrant, ended: EndedAttempt): void {
+    const { context, request, route } = this.#scope;
+    if (ended.outcome === "failed") {
+      this.#verdict = combineVerdicts(this.#verdict, ended.error.verdict);
+      this.#runs += ended.error.verdict === "not-run" || ended.isGroupLost
+        ? 0
+        : 1;
+    } else if (ended.outcome === "declined") {
+      this.#declined++;
+    }
+    if (ended.outcome !== "complete") {
+      context.logger.write("info", "attempt-ended", {
+        requestId: request.requestId,
+        route: route.name,
+        attempt: this.#attempts,
+        group: grant.group.key,
+        head: grant.group.head.id,
+        outcome: ended.outcome,
+        status: "answer" in ended ? ended.answer.status : undefined,
+        failedServer: "answer" in ended
+          ? ended.answer.failedServerId
+          : undefined,
+        message: ended.outcome === "failed" ? ended.error.message : undefined,
+        verdict: this.#verdict,
+        lastEvent: this.#lastEventId,
+      });
+    }
+    const isDoubtful = ended.outcome === "declined" ||
+      (ended.outcome === "failed" && !ended.isGroupLost &&
+        ended.error.kind !== "aborted");
+    if (isDoubtful) {
+      void context.guard.checkGroup(grant.group, ended.outcome);
+    }
+  }
+
+  /** Throws when the request may not be sent once more. */
+  #checkRepeat(ended: EndedAttempt): void {
+    const { context, request, route, service, deadlineAtMs } = this.#scope;
+    if (request.signal.aborted) {
+      throw this.#createFailure("The caller closed the connection");
+    }
+    if (performance.now() >= deadlineAtMs) {
+      throw this.#createFailure(
+        "The time limit of the request has passed",
+        504,
+      );
+    }
+    const mayRepeat = this.#verdict === "not-run" || route.isResumable;
+    const isExhausted = this.#runs >= route.maxAttempts ||
+      this.#declined > MAX_DECLINED_ATTEMPTS;
+    if (
+      !mayRepeat || isExhausted ||
+      !context.getRepeatBudget(service.name).tryAcquire()
+    ) {
+      throw this.#createFailure(
+        ended.outcome === "failed"
+          ? ended.error.message
+          : "No group took the request",
+      );
+    }
+    context.metrics.count("resumes");
+  }
+
+  #createFailure(message: string, mayHaveRunStatus = 502): RequestError {
+    const isNotRun = this.#verdict === "not-run";
+    return new RequestError(message, {
+      code: isNotRun ? "no-capacity" : "backend-failed",
+      verdict: this.#verdict,
+      status: isNotRun ? 503 : mayHaveRunStatus,
+      retryAfterMs: isNotRun ? RETRY_AFTER_MS : undefined,
+    });
+  }
+}
+
+/** Time after which a declined request may be taken, in milliseconds: the time to form a group anew. */
+const RETRY_AFTER_MS = 500;
+
+function joinFrames(frames: readonly EventFrame[]): Buffer {
+  return frames.length === 1
+    ? frames[0].bytes
+    : Buffer.concat(frames.map(({ bytes }) => bytes));
+}
+
+function convertFailure(
+  error: unknown,
+  lossReason: string | undefined,
+): EndedAttempt {
+  if (!(error instanceof BackendError)) {
+    throw error;
+  }
+  return {
+    outcome: "failed",
+    isGroupLost: lossReason !== undefined,
+    error: lossReason === undefined
+      ? error
+      : new BackendError(`The group was lost: ${lossReason}`, {
+        kind: "reset",
+        verdict: error.verdict,
+        cause: error,
+      }),
+  };
+}
--- /dev/null
+++ b/src/version/route_table.ts
@@ -0,0 +1,90 @@
+import type {
+  IngressLimits,
+  Route,
+  RoutedAccount,
+  RoutedService,
+  RoutingConfig,
+} from "./routing_config.ts";
+
+/** Looks up routes, services and client accounts of one version of the configuration. */
+export class RouteTable {
+  readonly version: number;
+  readonly limits: IngressLimits;
+  readonly config: RoutingConfig;
+  readonly #routesByHost = new Map<string, Route[]>();
+  readonly #services = new Map<string, RoutedService>();
+  readonly #accountsByKey = new Map<string, RoutedAccount>();
+
+  constructor(config: RoutingConfig) {
+    this.version = config.version;
+    this.limits = config.limits;
+    this.config = config;
+    for (const route of config.routes) {
+      const host = route.host.toLowerCase();
+      const routes = this.#routesByHost.get(host) ?? [];
+      routes.push(route);
+      this.#routesByHost.set(host, routes);
+    }
+    for (const routes of this.#routesByHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    for (const service of config.services) {
+      this.#services.set(service.name, service);
+    }
+    for (const account of config.accounts) {
+      account.keys.forEach((key) => this.#accountsByKey.set(key, account));
+    }
+  }
+
+  /** Gets whether callers of routes that are not public need a key. */
+  get hasAccounts(): boolean {
+    return this.config.accounts.length > 0;
+  }
+
+  /**
+   * Finds the route of a request: the one with the longest path prefix among those of the host.
+   *
+   * @param host - Host of the request, with or without a port.
+   * @param path - Path of the request, with or without a query.
+   * @example
+   * ```ts
+   * table.findRoute("app.example", "/bookings/7?full=1")?.name;
+   * ```
+   */
+  findRoute(host: string, path: string): Route | undefined {
+    const name = host.replace(/:\d+$/, "").toLowerCase();
+    const query = path.indexOf("?");
+    const plainPath = query < 0 ? path : path.slice(0, query);
+    return this.#routesByHost.get(name)?.find((route) =>
+      plainPath.startsWith(route.pathPrefix)
+    );
+  }
+
+  /** Finds a service by its name. */
+  findService(name: string): RoutedService | undefined {
+    return this.#services.get(name);
+  }
+
+  /** Finds the client account that holds a key. */
+  findAccount(key: string): RoutedAccount | undefined {
+    return this.#accountsByKey.get(key);
+  }
+}
+
+/**
+ * Chooses the service of one request among the targets of its route, in proportion to their weights.
+ *
+ * @param route - Route of the request.
+ * @param draw - Random number from 0 up to 1.
+ */
+export function chooseTarget(route: Route, draw: number): string | undefined {
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+  let rest = draw * total;
+  for (const target of route.targets) {
+    rest -= target.weight;
+    if (rest < 0) {
+      return target.service;
+    }
+  }
+  return route.targets.findLast((target) => target.weight > 0)?.service;
+}
