--- a/src/connection/peer_clients.ts
+++ b/src/connection/peer_clients.ts
@@ -41,15 +41,12 @@
       return existing;
     }
     const client = createTRPCClient<PeerRouter>({
-      links: [httpLink({
-        url: `http://${address}`,
-        fetch: (url, init) =>
-          this.#fetch(String(url), {
-            method: init?.method,
-            body: init?.body,
-            timeoutMs: this.#timeoutMs,
-          }),
-      })],
+      links: [
+        httpLink(createPeerLinkOptions(address, {
+          fetch: this.#fetch,
+          timeoutMs: this.#timeoutMs,
+        })),
+      ],
     });
     this.#byAddress.set(address, client);
     return client;
@@ -60,3 +57,27 @@
     this.#http.dispose();
   }
 }
+
+/**
+ * Creates the options of the link to a peer port.
+ *
+ * @param address - IP number and port.
+ * @param options - How requests are sent, and their time limit in milliseconds.
+ */
+export function createPeerLinkOptions(
+  address: string,
+  options: { fetch: PeerFetch; timeoutMs: number },
+) {
+  return {
+    url: `http://${address}`,
+    fetch: (
+      url: unknown,
+      init?: { method?: string; body?: unknown } | null,
+    ) =>
+      options.fetch(String(url), {
+        method: init?.method,
+        body: init?.body,
+        timeoutMs: options.timeoutMs,
+      }),
+  };
+}
--- a/src/process/fleet/backend_server.ts
+++ b/src/process/fleet/backend_server.ts
@@ -22,6 +22,8 @@
   readonly id: string;
   /** Wall-clock time of the server's start in milliseconds; tells two lives with one id apart. */
   readonly startedAtMs: number;
+  /** Version of the server's entry in the list; rises with each change. */
+  readonly entryVersion: number;
   readonly service: string;
   /** IP number and port. */
   readonly address: string;
--- /dev/null
+++ b/src/process/fleet/fleet_sync.ts
@@ -0,0 +1,168 @@
+import type { FleetPeerClients } from "../../connection/fleet_peer_router.ts";
+import { getErrorMessage } from "../../shared/errors.ts";
+import type { Logger } from "../../shared/logger.ts";
+import type { RoutingConfig } from "../../version/routing_config.ts";
+import type { PlatformAdapter } from "../platform_adapter.ts";
+import type { BackendDirectory } from "./backend_directory.ts";
+import type { BackendServer } from "./backend_server.ts";
+import type { ExcludedZones } from "./excluded_zones.ts";
+import type { GroupLoads } from "./group_loads.ts";
+import type { GroupTable } from "./group_table.ts";
+import { KindWatch } from "./kind_watch.ts";
+import type { PeerBoard } from "./peer_board.ts";
+import type { PeerNotice } from "./peer_notice.ts";
+
+/** Pauses between two calls of a watch, in milliseconds: a configuration has to be in force soon, while changes of servers come in bunches. */
+const CONFIG_GATHER_MS = 50;
+const SERVERS_GATHER_MS = 200;
+/** Time by which a peer may be ahead through the gathering of changes, in milliseconds. */
+const BEHIND_MS = 700;
+
+/** Parts that are kept up to date. */
+export interface FleetSyncOptions {
+  readonly platform: PlatformAdapter;
+  readonly directory: BackendDirectory;
+  readonly groups: GroupTable;
+  readonly loads: GroupLoads;
+  readonly excludedZones: ExcludedZones;
+  readonly board: PeerBoard;
+  readonly clients: FleetPeerClients;
+  readonly logger: Logger;
+  getConfigVersion(): number;
+  applyConfig(config: RoutingConfig, source: string): void;
+}
+
+/** Keeps this daemon's picture of configuration, zones and backend servers up to date: from the store, and from peers where they know more. */
+export class FleetSync {
+  readonly #options: FleetSyncOptions;
+  readonly #config: KindWatch<RoutingConfig>;
+  readonly #zones: KindWatch<true>;
+  readonly #servers: KindWatch<BackendServer>;
+  readonly #zoneNames = new Set<string>();
+  readonly #fetching = new Set<string>();
+  #behindSinceMs: number | undefined;
+
+  constructor(options: FleetSyncOptions) {
+    this.#options = options;
+    const { platform, logger, directory } = options;
+    const { store, kinds } = platform;
+    this.#config = new KindWatch<RoutingConfig>({
+      store,
+      logger,
+      kind: kinds.config,
+      gatherMs: CONFIG_GATHER_MS,
+      keepsLastGood: true,
+      decode: ({ value }) => platform.decodeConfig(value),
+      onChange: ({ changed }) =>
+        changed.forEach((config) => options.applyConfig(config, "store")),
+    });
+    this.#zones = new KindWatch<true>({
+      store,
+      logger,
+      kind: kinds.excludedZones,
+      gatherMs: CONFIG_GATHER_MS,
+      keepsLastGood: true,
+      decode: () => true,
+      onChange: ({ changed, removed, revision }) => {
+        [...changed.keys()].forEach((zone) => this.#zoneNames.add(zone));
+        removed.forEach((zone) => this.#zoneNames.delete(zone));
+        const zones = [...this.#zoneNames];
+        options.excludedZones.offer({ revision, zones }, "store");
+      },
+    });
+    this.#servers = new KindWatch<BackendServer>({
+      store,
+      logger,
+      kind: kinds.servers,
+      gatherMs: SERVERS_GATHER_MS,
+      keepsLastGood: false,
+      decode: ({ name, value, version }) =>
+        platform.decodeServer(name, value, version),
+      onChange: (change) => directory.applyChange(change),
+    });
+  }
+
+  /** Watches the store until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([
+      this.#config.run(signal),
+      this.#zones.run(signal),
+      this.#servers.run(signal),
+    ]);
+  }
+
+  /** Watches anew, since the running calls may wait on connections that died in an outage. */
+  restartWatches(): void {
+    this.#config.restart();
+    this.#zones.restart();
+    this.#servers.restart();
+  }
+
+  /** Takes what a peer told. */
+  applyNotice(notice: PeerNotice): void {
+    const { board, loads, groups, excludedZones, directory } = this.#options;
+    board.applyNotice(notice);
+    loads.applyPeerLoad(notice.name, notice.loads);
+    notice.lostGroups.forEach((key) =>
+      groups.recordLoss(key, `told by ${notice.name}`)
+    );
+    excludedZones.offer(notice.excludedZones, notice.name);
+    if (notice.configVersion > this.#options.getConfigVersion()) {
+      void this.#fetchConfig(notice);
+    }
+    if (notice.serversRevision > directory.changeRevision) {
+      this.#observeLag(notice);
+    } else {
+      this.#behindSinceMs = undefined;
+    }
+  }
+
+  #observeLag(notice: PeerNotice): void {
+    this.#behindSinceMs ??= performance.now();
+    if (performance.now() - this.#behindSinceMs > BEHIND_MS) {
+      this.#behindSinceMs = undefined;
+      this.#options.logger.write("info", "list-behind", {
+        peer: notice.name,
+        revision: this.#options.directory.changeRevision,
+        peerRevision: notice.serversRevision,
+      });
+      this.restartWatches();
+      void this.#fetchServers(notice);
+    }
+  }
+
+  async #fetchConfig({ name, address }: PeerNotice): Promise<void> {
+    const { clients, applyConfig } = this.#options;
+    await this.#fetchOnce("config", async () => {
+      const config = await clients.getClient(address).getConfig.query();
+      if (config !== null) {
+        applyConfig(config, name);
+      }
+    });
+  }
+
+  async #fetchServers({ address }: PeerNotice): Promise<void> {
+    const { clients, directory } = this.#options;
+    await this.#fetchOnce("servers", async () => {
+      const notice = await clients.getClient(address).getServers.query();
+      directory.offerNotice(notice);
+    });
+  }
+
+  async #fetchOnce(what: string, fetch: () => Promise<void>): Promise<void> {
+    if (this.#fetching.has(what)) {
+      return;
+    }
+    this.#fetching.add(what);
+    try {
+      await fetch();
+    } catch (error) {
+      this.#options.logger.write("warn", "peer-fetch-failed", {
+        what,
+        message: getErrorMessage(error),
+      });
+    } finally {
+      this.#fetching.delete(what);
+    }
+  }
+}
--- a/src/process/fleet/group_guard.ts
+++ b/src/process/fleet/group_guard.ts
@@ -21,6 +21,7 @@
   readonly #attempts: StreamAttempts;
   readonly #orders: GroupOrderClient;
   readonly #logger: Logger;
+  readonly #announceLoss: () => void;
   readonly #checkedAtMs = new Map<string, number>();
 
   constructor(options: {
@@ -28,11 +29,14 @@
     attempts: StreamAttempts;
     orders: GroupOrderClient;
     logger: Logger;
+    /** Tells the other daemons of a lost group at once. */
+    announceLoss(): void;
   }) {
     this.#groups = options.groups;
     this.#attempts = options.attempts;
     this.#orders = options.orders;
     this.#logger = options.logger;
+    this.#announceLoss = options.announceLoss;
     this.#groups.onChange(() => this.#abandonLost());
   }
 
@@ -67,6 +71,7 @@
     if (fault !== undefined) {
       this.#groups.recordLoss(group.key, fault);
       this.#attempts.abandonGroup(group.key, fault);
+      this.#announceLoss();
     }
   }
 
--- a/src/process/fleet/group_loads.ts
+++ b/src/process/fleet/group_loads.ts
@@ -51,7 +51,10 @@
   }
 
   /** Takes the load that a peer stated. */
-  applyPeerLoad(peer: string, loads: readonly [string, number][]): void {
+  applyPeerLoad(
+    peer: string,
+    loads: readonly (readonly [key: string, requests: number])[],
+  ): void {
     this.#peers.set(peer, { loads: new Map(loads), atMs: performance.now() });
     this.#notify();
   }
--- a/src/process/fleet/group_table.ts
+++ b/src/process/fleet/group_table.ts
@@ -61,6 +61,11 @@
     return this.#groups.has(key);
   }
 
+  /** Gets whether a group is known to be lost. */
+  isLost(key: string): boolean {
+    return this.#lost.has(key);
+  }
+
   /** Lists the keys of the groups that are known to be lost. */
   listLost(): string[] {
     return [...this.#lost.keys()];
@@ -84,7 +89,7 @@
    * @param reason - What showed the loss.
    */
   recordLoss(key: string, reason: string): void {
-    if (this.#lost.has(key)) {
+    if (this.#lost.has(key) || !this.#collectMembers().has(key)) {
       return;
     }
     this.#lost.set(key, reason);
--- a/src/process/fleet/kind_watch.ts
+++ b/src/process/fleet/kind_watch.ts
@@ -6,8 +6,10 @@
 import { getErrorMessage } from "../../shared/errors.ts";
 import type { Logger } from "../../shared/logger.ts";
 
-/** Longest wait of one watch in milliseconds. A watch whose connection went silent is noticed after it. */
+/** Longest wait of one watch in milliseconds. A watch whose connection went silent is noticed after it at the latest. */
 const WATCH_WAIT_MS = 10_000;
+/** The same after a failed call, so that the end of an outage is noticed soon. */
+const SHORT_WATCH_WAIT_MS = 1_000;
 /** Pause before a failed call to the store is made again, in milliseconds. */
 const RETRY_PAUSE_MS = 250;
 
@@ -17,6 +19,8 @@
   readonly removed: readonly string[];
   /** Revision of the store up to which the changes are complete. */
   readonly revision: number;
+  /** Revision of the last change. */
+  readonly changeRevision: number;
   /** Time for which the store had not answered before, in milliseconds. */
   readonly outageMs: number;
 }
@@ -47,6 +51,8 @@
   #revision: number | undefined;
   #confirmedAtMs: number | undefined;
   #isAnswering = true;
+  #call = new AbortController();
+  #isRestarted = false;
 
   constructor(options: KindWatchOptions<T>) {
     this.#options = options;
@@ -62,6 +68,12 @@
     return this.#revision ?? 0;
   }
 
+  /** Ends the wait of the running call and watches anew, since its connection may be dead. */
+  restart(): void {
+    this.#isRestarted = true;
+    this.#call.abort();
+  }
+
   /**
    * Lists the kind, then watches it until the signal aborts.
    *
@@ -72,6 +84,10 @@
       const succeeded = this.#revision === undefined
         ? await this.#list()
         : await this.#watch(this.#revision, signal);
+      if (this.#isRestarted) {
+        this.#isRestarted = false;
+        continue;
+      }
       await delay(succeeded ? this.#options.gatherMs : RETRY_PAUSE_MS, signal);
     }
   }
@@ -85,7 +101,8 @@
       Right: ({ revision, objects }) => {
         const present = new Set(objects.map(({ name }) => name));
         const removed = [...this.#names].filter((name) => !present.has(name));
-        this.#accept({ objects, removed, revision, askedAtMs });
+        const changeRevision = Math.max(0, ...objects.map((o) => o.version));
+        this.#accept({ objects, removed, revision, changeRevision, askedAtMs });
         return true;
       },
     });
@@ -94,13 +111,17 @@
   async #watch(sinceRevision: number, signal: AbortSignal): Promise<boolean> {
     const { store, kind, logger } = this.#options;
     const askedAtMs = performance.now();
+    this.#call = new AbortController();
+    const onAbort = () => this.#call.abort();
+    signal.addEventListener("abort", onAbort, { once: true });
     const result = await store.watch({
       kind,
       sinceRevision,
-      timeoutMs: WATCH_WAIT_MS,
-      signal,
+      timeoutMs: this.#isAnswering ? WATCH_WAIT_MS : SHORT_WATCH_WAIT_MS,
+      signal: this.#call.signal,
     });
-    if (signal.aborted) {
+    signal.removeEventListener("abort", onAbort);
+    if (this.#call.signal.aborted) {
       return true;
     }
     return result.caseOf({
@@ -123,6 +144,7 @@
           objects,
           removed,
           revision,
+          changeRevision: Math.max(0, ...events.map((e) => e.revision)),
           askedAtMs: isWait ? performance.now() : askedAtMs,
         });
         return true;
@@ -135,6 +157,7 @@
       objects: readonly StoredObject[];
       removed: readonly string[];
       revision: number;
+      changeRevision: number;
       askedAtMs: number;
     },
   ): void {
@@ -153,8 +176,14 @@
     const outageMs = this.#recordAnswer(read.askedAtMs);
     this.#revision = read.revision;
     if (changed.size > 0 || removed.length > 0) {
-      const { revision } = read;
-      this.#options.onChange({ changed, removed, revision, outageMs });
+      const { revision, changeRevision } = read;
+      this.#options.onChange({
+        changed,
+        removed,
+        revision,
+        changeRevision,
+        outageMs,
+      });
     }
   }
 
--- /dev/null
+++ b/src/process/fleet/peer_board.ts
@@ -0,0 +1,115 @@
+import type { Logger } from "../../shared/logger.ts";
+import type { PeerNotice } from "./peer_notice.ts";
+
+/** Silence of a peer after which it counts as lost, in milliseconds. */
+const PEER_SILENCE_MS = 2_000;
+/** Silence after which a peer is forgotten, in milliseconds: machines are replaced under other names. */
+const FORGET_MS = 60_000;
+
+interface KnownPeer {
+  address: string;
+  /** Monotonic time of the last notice; undefined before the first one. */
+  heardAtMs: number | undefined;
+  /** Monotonic time from which silence counts, in milliseconds. */
+  readonly knownAtMs: number;
+  notice: PeerNotice | undefined;
+  isLost: boolean;
+}
+
+/** Other daemons, and what each of them told last. */
+export class PeerBoard {
+  readonly #ownName: string;
+  readonly #logger: Logger;
+  readonly #peers = new Map<string, KnownPeer>();
+
+  constructor(options: { ownName: string; logger: Logger }) {
+    this.#ownName = options.ownName;
+    this.#logger = options.logger;
+  }
+
+  /** Takes the address of a peer that another source named. */
+  addPeer(name: string, address: string): void {
+    const known = this.#peers.get(name);
+    if (name === this.#ownName || known?.heardAtMs !== undefined) {
+      return;
+    }
+    this.#peers.set(name, {
+      address,
+      heardAtMs: undefined,
+      knownAtMs: known?.knownAtMs ?? performance.now(),
+      notice: undefined,
+      isLost: false,
+    });
+  }
+
+  /** Takes a notice that a peer sent itself. */
+  applyNotice(notice: PeerNotice): void {
+    if (notice.name === this.#ownName) {
+      return;
+    }
+    const known = this.#peers.get(notice.name);
+    if (known?.heardAtMs === undefined || known.isLost) {
+      this.#logger.write("info", "peer-heard", {
+        peer: notice.name,
+        silentMs: known?.heardAtMs === undefined
+          ? undefined
+          : Math.round(performance.now() - known.heardAtMs),
+      });
+    }
+    this.#peers.set(notice.name, {
+      address: notice.address,
+      heardAtMs: performance.now(),
+      knownAtMs: known?.knownAtMs ?? performance.now(),
+      notice,
+      isLost: false,
+    });
+    notice.peers.forEach(([name, address]) => this.addPeer(name, address));
+  }
+
+  /** Lists names and addresses of all peers. */
+  listAddresses(): [name: string, address: string][] {
+    return [...this.#peers].map(([name, { address }]) => [name, address]);
+  }
+
+  /** Lists the last notices of the peers that were heard recently. */
+  listNotices(): PeerNotice[] {
+    this.#checkSilence();
+    return [...this.#peers.values()].flatMap((peer) =>
+      peer.isLost || peer.notice === undefined ? [] : [peer.notice]
+    );
+  }
+
+  /** Gets the number of daemons, this one included, of which there is a recent sign of life. */
+  countDaemons(): number {
+    return this.listNotices().length + 1;
+  }
+
+  /** Gets whether a peer was heard recently. */
+  isHeard(name: string): boolean {
+    this.#checkSilence();
+    const peer = this.#peers.get(name);
+    return peer?.heardAtMs !== undefined && !peer.isLost;
+  }
+
+  /** Gets the monotonic time from which a peer has been silent; undefined for an unknown peer. */
+  getSilentSinceMs(name: string): number | undefined {
+    const peer = this.#peers.get(name);
+    return peer?.heardAtMs ?? peer?.knownAtMs;
+  }
+
+  #checkSilence(): void {
+    const nowMs = performance.now();
+    for (const [name, peer] of this.#peers) {
+      const silentMs = nowMs - (peer.heardAtMs ?? peer.knownAtMs);
+      if (silentMs > FORGET_MS) {
+        this.#peers.delete(name);
+      } else if (silentMs > PEER_SILENCE_MS && !peer.isLost) {
+        peer.isLost = true;
+        this.#logger.write("info", "peer-lost", {
+          peer: name,
+          silentMs: Math.round(silentMs),
+        });
+      }
+    }
+  }
+}
--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -27,6 +27,9 @@
   readonly #kind: string;
   readonly #name: string;
   readonly #logger: Logger;
+  readonly #isHolderHeard: () => boolean;
+  readonly #onRegained: () => void;
+  #isAnswering = true;
   #value: LeaseValue | undefined;
   #version = 0;
   #changedAtMs = performance.now();
@@ -38,11 +41,17 @@
     kind: string;
     name: string;
     logger: Logger;
+    /** Gets whether a peer that holds the lease is heard, so that the store need not be asked. */
+    isHolderHeard(): boolean;
+    /** Called when the store answers again. */
+    onRegained(): void;
   }) {
     this.#store = options.store;
     this.#kind = options.kind;
     this.#name = options.name;
     this.#logger = options.logger;
+    this.#isHolderHeard = options.isHolderHeard;
+    this.#onRegained = options.onRegained;
   }
 
   /** Gets the term while this daemon holds the lease, and undefined otherwise. */
@@ -85,9 +94,14 @@
       await this.#renew();
       return;
     }
+    if (this.#isHolderHeard()) {
+      this.#changedAtMs = performance.now();
+      return;
+    }
     await this.#read();
     const isOwn = this.#value?.holder === this.#name;
-    const isFree = this.#version === 0 || this.#value?.holder === "" ||
+    const isFree = (this.#version === 0 && this.#isAnswering) ||
+      this.#value?.holder === "" ||
       performance.now() - this.#changedAtMs > TAKE_OVER_MS;
     if (isFree || isOwn) {
       await this.#take();
@@ -104,6 +118,7 @@
         this.#value = object?.value as LeaseValue | undefined;
       }
     });
+    this.#recordAnswer(result.isRight());
     if (result.isLeft()) {
       // Without the store it is unknown whether the holder renews, so the wait begins anew.
       this.#changedAtMs = performance.now();
@@ -130,6 +145,7 @@
       value,
       expectedVersion: this.#version,
     });
+    this.#recordAnswer(written.outcome !== "unknown");
     if (written.outcome === "written") {
       this.#version = written.version;
       this.#value = value;
@@ -149,11 +165,22 @@
   async #readBack(value: LeaseValue, startedAtMs: number): Promise<void> {
     await this.#read();
     const found = this.#value;
-    if (found?.holder === value.holder && found.term === value.term) {
+    if (
+      found?.holder === value.holder && found.term === value.term &&
+      found.renewal === value.renewal
+    ) {
       this.#renewedAtMs = startedAtMs;
     }
   }
 
+  #recordAnswer(isAnswered: boolean): void {
+    const isRegained = isAnswered && !this.#isAnswering;
+    this.#isAnswering = isAnswered;
+    if (isRegained) {
+      this.#onRegained();
+    }
+  }
+
   async #release(): Promise<void> {
     const term = this.getTerm();
     if (term === undefined) {
--- a/src/process/fleet/replica_task.ts
+++ b/src/process/fleet/replica_task.ts
@@ -1,9 +1,3 @@
-import type { BackendTarget } from "../../connection/backend_transport.ts";
-import type {
-  GroupOrder,
-  GroupOrderClient,
-  GroupOrderOutcome,
-} from "../../connection/group_order_client.ts";
 import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type {
@@ -11,34 +5,40 @@
   RoutedService,
 } from "../../version/routing_config.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
-import type { BackendReport, BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "./backend_server.ts";
 import { getMembershipKey, type GroupTable } from "./group_table.ts";
+import {
+  createSpareName,
+  isSpareGroup,
+  type MemberOrders,
+} from "./member_orders.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
+import { SurvivorCheck } from "./survivor_check.ts";
 import {
   type FleetPlan,
   type GroupFormation,
   planFleet,
-  type PlannedGroup,
   type PlannedServer,
   type ServerPreparation,
 } from "./replica_planner.ts";
 
 const PLAN_INTERVAL_MS = 100;
-const REPORT_TIMEOUT_MS = 500;
-/** Time between two status requests to a server whose order is in progress, in milliseconds. */
-const POLL_INTERVAL_MS = 100;
-/** Time beyond the usual one after which an order that is in progress is given up, in milliseconds. */
+/** Time beyond the usual one after which an order in progress is given up, in milliseconds. */
 const ORDER_SLACK_MS = 2_000;
+/** Longest time that a closing group takes to end its requests, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 10_000;
 /** Generations of one term, which leaves room for every order that a term can see. */
 const GENERATIONS_PER_TERM = 100_000;
 /** Time after which a server whose order failed is ordered again, in milliseconds. */
 const FAILURE_PAUSE_MS = 1_000;
+/** Time for which a group has to lack a member before the others are used elsewhere, in milliseconds: entries of the list arrive in bunches. */
+const INCOMPLETE_MS = 250;
 
 /** Parts that the task works with. */
 export interface ReplicaTaskOptions {
   readonly directory: BackendDirectory;
   readonly groups: GroupTable;
-  readonly orders: GroupOrderClient;
+  readonly orders: MemberOrders;
   readonly lease: PlannerLeaseHolder;
   readonly logger: Logger;
   /** Lists the services with engines. */
@@ -46,6 +46,15 @@
   getExcludedZones(): ReadonlySet<string>;
 }
 
+/** Group as its members report it. */
+interface ReportedGroup {
+  readonly key: string;
+  readonly members: readonly BackendServer[];
+  readonly head: BackendServer | undefined;
+  /** Whether it has all members that its model needs. */
+  readonly isWhole: boolean;
+}
+
 /** Forms groups, replaces lost ones and prepares spare servers, while this daemon holds the planner's lease. */
 export class ReplicaTask {
   readonly #options: ReplicaTaskOptions;
@@ -53,13 +62,14 @@
   readonly #busy = new Map<string, "load" | "order">();
   readonly #pausedUntilMs = new Map<string, number>();
   readonly #lastModels = new Map<string, string>();
-  readonly #closing = new Set<string>();
-  readonly #forming = new Map<string, PlannedGroup>();
+  readonly #incompleteSinceMs = new Map<string, number>();
+  readonly #survivors: SurvivorCheck;
   #generation = 0;
   #term = 0;
 
   constructor(options: ReplicaTaskOptions) {
     this.#options = options;
+    this.#survivors = new SurvivorCheck(options);
   }
 
   /** Plans until the signal aborts. */
@@ -80,38 +90,40 @@
   }
 
   #planService(service: RoutedService): void {
-    const { directory } = this.#options;
-    const servers = directory.listServers(service.name);
+    const servers = this.#options.directory.listServers(service.name);
     this.#observeModels(servers);
-    this.#closeBroken(servers);
+    const reported = collectGroups(service, servers);
+    this.#observeIncomplete(reported);
+    this.#survivors.retainGroups(reported);
+    for (const group of reported.values()) {
+      this.#continueGroup(service, group);
+    }
     const plan = planFleet({
       engine: service.engine!,
       servers: servers.filter(({ domain }) => domain !== undefined)
-        .map((server) => this.#describeServer(server, servers)),
-      groups: [...this.#forming.values()],
+        .map((server) => this.#describeServer(server, reported)),
     });
     this.#applyPlan(service, plan);
   }
 
   #applyPlan(service: RoutedService, plan: FleetPlan): void {
     for (const formation of plan.formations) {
-      this.#runFormation(service, formation).catch((error: unknown) => {
-        this.#options.logger.write("error", "formation-failed", {
-          model: formation.model,
-          message: String(error),
-        });
-      });
+      this.#start("formation", this.#runFormation(service, formation));
     }
     for (const preparation of plan.preparations) {
-      this.#runPreparation(service, preparation).catch((error: unknown) => {
-        this.#options.logger.write("error", "preparation-failed", {
-          server: preparation.serverId,
-          message: String(error),
-        });
-      });
+      this.#start("preparation", this.#runPreparation(service, preparation));
     }
   }
 
+  #start(what: string, work: Promise<void>): void {
+    work.catch((error: unknown) => {
+      this.#options.logger.write("error", "order-task-failed", {
+        what,
+        message: String(error),
+      });
+    });
+  }
+
   /** A server that is ready in a group has loaded that group's model, whoever ordered it. */
   #observeModels(servers: readonly BackendServer[]): void {
     for (const server of servers) {
@@ -125,9 +137,22 @@
     }
   }
 
+  #observeIncomplete(reported: ReadonlyMap<string, ReportedGroup>): void {
+    for (const key of this.#incompleteSinceMs.keys()) {
+      if (reported.get(key)?.isWhole ?? true) {
+        this.#incompleteSinceMs.delete(key);
+      }
+    }
+    for (const { key, isWhole } of reported.values()) {
+      if (!isWhole && !this.#incompleteSinceMs.has(key)) {
+        this.#incompleteSinceMs.set(key, performance.now());
+      }
+    }
+  }
+
   #describeServer(
     server: BackendServer,
-    servers: readonly BackendServer[],
+    reported: ReadonlyMap<string, ReportedGroup>,
   ): PlannedServer {
     return {
       id: server.id,
@@ -135,120 +160,132 @@
       zone: server.zone,
       stagedModels: server.stagedModels,
       lastModel: this.#lastModels.get(getLifeKey(server)),
-      isFree: this.#isFree(server, servers),
+      isFree: this.#isFree(server, reported),
       isLoading: this.#busy.get(server.id) === "load",
     };
   }
 
-  #isFree(server: BackendServer, servers: readonly BackendServer[]): boolean {
-    const isPaused = (this.#pausedUntilMs.get(server.id) ?? 0) >
-      performance.now();
-    if (
-      server.isDraining || this.#busy.has(server.id) || isPaused ||
-      this.#options.getExcludedZones().has(server.zone)
-    ) {
+  #isFree(
+    server: BackendServer,
+    reported: ReadonlyMap<string, ReportedGroup>,
+  ): boolean {
+    const { membership } = server;
+    if (server.isDraining || !this.#takesOrders(server)) {
       return false;
     }
-    const { membership } = server;
-    if (membership === undefined || membership.state === "broken") {
+    if (
+      membership === undefined || membership.state === "broken" ||
+      (isSpareGroup(membership) && membership.state === "ready")
+    ) {
       return true;
     }
-    if (membership.state === "joining") {
-      return false;
+    const group = reported.get(getMembershipKey(server)!);
+    return membership.state !== "joining" && group !== undefined &&
+      this.#isDissolved(group) &&
+      this.#survivors.isAlive(group.key, server);
+  }
+
+  /** Gets whether the members of a group can be used for another one. */
+  #isDissolved(group: ReportedGroup): boolean {
+    if (this.#options.groups.isLost(group.key)) {
+      return true;
     }
-    const key = getMembershipKey(server);
-    const head = servers.find((other) =>
-      getMembershipKey(other) === key && other.membership?.rank === 0
-    );
-    // A head that left the list is gone, since this daemon could not close it otherwise.
-    return head === undefined || head.membership?.state === "ready" ||
-      head.membership?.state === "broken";
+    const sinceMs = this.#incompleteSinceMs.get(group.key);
+    const isIncomplete = sinceMs !== undefined &&
+      performance.now() - sinceMs >= INCOMPLETE_MS;
+    const state = group.head?.membership?.state;
+    const isLeaving = group.members.some(({ isDraining }) => isDraining);
+    // A group that a leaving member is part of ends its requests first.
+    return isLeaving
+      ? state === undefined || state === "ready" || state === "broken"
+      : isIncomplete || state === "broken";
   }
 
-  /** Closes the groups that have lost a member or will lose one, so that the other members can join the next group. */
-  #closeBroken(servers: readonly BackendServer[]): void {
-    const { groups } = this.#options;
-    for (const head of servers) {
-      const key = getMembershipKey(head);
-      if (
-        key === undefined || head.membership?.rank !== 0 ||
-        head.membership.state !== "open" || groups.isServing(key) ||
-        this.#closing.has(key) || this.#forming.has(key) ||
-        this.#options.getExcludedZones().has(head.zone)
-      ) {
-        continue;
-      }
-      const isLeaving = servers.some((server) =>
-        server.isDraining && getMembershipKey(server) === key
-      );
-      this.#closing.add(key);
-      this.#runClosing(head, isLeaving ? "finish" : "abort").catch(
-        (error: unknown) => {
-          this.#options.logger.write("error", "closing-failed", {
-            group: key,
-            message: String(error),
-          });
-        },
-      ).finally(() => this.#closing.delete(key));
+  #takesOrders(server: BackendServer): boolean {
+    const isPaused = (this.#pausedUntilMs.get(server.id) ?? 0) >
+      performance.now();
+    return !this.#busy.has(server.id) && !isPaused &&
+      !this.#options.getExcludedZones().has(server.zone);
+  }
+
+  /** Opens a whole group that an earlier planner left unopened, and closes one that a member is leaving. */
+  #continueGroup(service: RoutedService, group: ReportedGroup): void {
+    const { head, members, isWhole, key } = group;
+    if (
+      head === undefined || !isWhole || isSpareGroup(head.membership!) ||
+      this.#options.groups.isLost(key) ||
+      !members.every((member) => this.#takesOrders(member))
+    ) {
+      return;
+    }
+    const isLeaving = members.some(({ isDraining }) => isDraining);
+    const areReady = members.every(({ membership }) =>
+      membership?.state === "ready"
+    );
+    if (isLeaving && head.membership?.state === "open") {
+      this.#start("closing", this.#runClosing(head, members));
+    } else if (!isLeaving && areReady) {
+      this.#start("opening", this.#runOpening(service, head, members));
     }
   }
 
   async #runClosing(
     head: BackendServer,
-    inFlight: "finish" | "abort",
+    members: readonly BackendServer[],
   ): Promise<void> {
-    const { groupName, generation } = head.membership!;
-    const outcome = await this.#sendOrder(head, {
-      action: "close",
-      groupName,
-      generation,
-      inFlight,
-    });
-    if (outcome === "unknown" || outcome === "gone") {
-      await delay(FAILURE_PAUSE_MS);
-      return;
-    }
-    await this.#waitFor(
-      head,
-      ORDER_SLACK_MS,
-      ({ membership }) =>
-        membership?.groupName !== groupName || membership.state !== "open" &&
-          membership.state !== "closing",
+    const ids = members.map(({ id }) => id);
+    await this.#runWith(
+      ids,
+      "order",
+      () =>
+        this.#options.orders.closeGroup(head, head.membership!, {
+          timeoutMs: CLOSE_TIMEOUT_MS,
+        }),
     );
   }
 
+  async #runOpening(
+    service: RoutedService,
+    head: BackendServer,
+    members: readonly BackendServer[],
+  ): Promise<void> {
+    const ids = members.map(({ id }) => id);
+    await this.#runWith(ids, "order", () =>
+      this.#options.orders.openGroup(
+        head,
+        head.membership!,
+        getOpenBounds(service),
+      ));
+  }
+
   /** Lets a server load a model into a group of its own that never opens, so that it joins the next group at once. */
   async #runPreparation(
     service: RoutedService,
     preparation: ServerPreparation,
   ): Promise<void> {
-    const server = this.#options.directory.findServer(preparation.serverId);
+    const { directory, orders } = this.#options;
+    const server = directory.findServer(preparation.serverId);
     const model = findModel(service, preparation.model);
     if (server === undefined || model === undefined) {
       return;
     }
-    this.#busy.set(server.id, preparation.needsLoad ? "load" : "order");
-    try {
-      const generation = this.#createGeneration();
-      const groupName = `spare-${generation}`;
-      const outcome = await this.#sendOrder(server, {
-        action: "join",
-        groupName,
-        generation,
-        model: model.name,
-        members: [server.id],
-      });
-      const isReady = isTaken(outcome) && await this.#waitUntilReady(
-        server,
-        { groupName, generation },
-        getPreparationMs(service, model, preparation.needsLoad),
-      );
-      if (!isReady) {
-        this.#pause(server.id);
-      }
-    } finally {
-      this.#busy.delete(server.id);
-    }
+    const { needsLoad } = preparation;
+    const generation = ++this.#generation;
+    await this.#runWith(
+      [server.id],
+      needsLoad ? "load" : "order",
+      () =>
+        orders.joinGroup(server, {
+          groupName: createSpareName(generation),
+          generation,
+          model: model.name,
+          members: [server.id],
+        }, {
+          timeoutMs: getPreparationMs(service, model, needsLoad) +
+            ORDER_SLACK_MS,
+          firstPollMs: needsLoad ? undefined : model.warmMs,
+        }),
+    );
   }
 
   async #runFormation(
@@ -257,164 +294,101 @@
   ): Promise<void> {
     const { directory, logger } = this.#options;
     const model = findModel(service, formation.model)!;
-    const members = formation.members.map((id) => directory.findServer(id));
-    const generation = this.#createGeneration();
-    const groupName = `group-${generation}`;
-    const key = `${groupName}/${generation}`;
-    const { domain } = formation;
-    this.#forming.set(key, { key, model: model.name, domain });
-    formation.members.forEach((id) => this.#busy.set(id, "order"));
+    const members = formation.members.flatMap((id) =>
+      directory.findServer(id) ?? []
+    );
+    const generation = ++this.#generation;
+    const group = { groupName: `group-${generation}`, generation };
     const startedAtMs = performance.now();
-    let outcome = "not-ready";
-    try {
-      const joined = await Promise.all(
-        members.map((member) =>
-          member !== undefined && this.#joinMember(service, member, {
-            action: "join",
-            groupName,
-            generation,
-            model: model.name,
-            members: formation.members,
-          })
+    const isOpen = await this.#runWith(
+      formation.members,
+      "order",
+      async () =>
+        members.length === model.groupSize &&
+        await this.#joinAll(model, members, group) &&
+        await this.#options.orders.openGroup(
+          members[0],
+          group,
+          getOpenBounds(service),
         ),
-      );
-      if (joined.every(Boolean)) {
-        outcome = await this.#openGroup(service, members[0]!, {
-          groupName,
-          generation,
-        });
-      }
-      if (outcome !== "open") {
-        formation.members.forEach((id) => this.#pause(id));
-      }
-    } finally {
-      this.#forming.delete(key);
-      formation.members.forEach((id) => this.#busy.delete(id));
-      logger.write("info", "group-formed", {
-        group: key,
-        model: model.name,
-        domain,
-        members: formation.members.join(","),
-        outcome,
-        tookMs: Math.round(performance.now() - startedAtMs),
-      });
-    }
-  }
-
-  async #joinMember(
-    service: RoutedService,
-    member: BackendServer,
-    order: Extract<GroupOrder, { action: "join" }>,
-  ): Promise<boolean> {
-    const outcome = await this.#sendOrder(member, order);
-    const model = findModel(service, order.model)!;
-    return isTaken(outcome) &&
-      await this.#waitUntilReady(member, order, model.warmMs);
-  }
-
-  async #openGroup(
-    service: RoutedService,
-    head: BackendServer,
-    group: { groupName: string; generation: number },
-  ): Promise<string> {
-    const outcome = await this.#sendOrder(head, { action: "open", ...group });
-    if (!isTaken(outcome)) {
-      return outcome;
-    }
-    const isOpen = await this.#waitFor(
-      head,
-      service.engine!.openMs + ORDER_SLACK_MS,
-      ({ membership }) =>
-        membership?.groupName === group.groupName &&
-        membership.state === "open",
-      service.engine!.openMs,
     );
-    return isOpen ? "open" : "not-open";
+    logger.write("info", "group-formed", {
+      group: `${group.groupName}/${generation}`,
+      model: model.name,
+      domain: formation.domain,
+      members: formation.members.join(","),
+      outcome: isOpen ? "open" : "failed",
+      tookMs: Math.round(performance.now() - startedAtMs),
+    });
   }
 
-  #waitUntilReady(
-    server: BackendServer,
+  async #joinAll(
+    model: ModelServing,
+    members: readonly BackendServer[],
     group: { groupName: string; generation: number },
-    usualMs: number,
   ): Promise<boolean> {
-    return this.#waitFor(server, usualMs + ORDER_SLACK_MS, (report) => {
-      const { membership } = report;
-      return membership?.groupName === group.groupName &&
-        membership.generation === group.generation &&
-        membership.state === "ready";
-    });
+    const ids = members.map(({ id }) => id);
+    const joined = await Promise.all(
+      members.map((member) =>
+        this.#options.orders.joinGroup(member, {
+          ...group,
+          model: model.name,
+          members: ids,
+        }, { timeoutMs: model.warmMs + ORDER_SLACK_MS, firstPollMs: JOIN_MS })
+      ),
+    );
+    return joined.every(Boolean);
   }
 
-  /** Asks a server for its state until it has the one that is waited for. Its entry in the list is looked at first, which costs nothing. */
-  async #waitFor(
-    server: BackendServer,
-    timeoutMs: number,
-    hasState: (report: Pick<BackendReport, "membership">) => boolean,
-    firstPollMs = POLL_INTERVAL_MS,
+  /** Runs orders to servers that get no other ones meanwhile. Servers whose orders failed are left alone for a while. */
+  async #runWith(
+    serverIds: readonly string[],
+    use: "load" | "order",
+    work: () => Promise<boolean>,
   ): Promise<boolean> {
-    const { directory, orders } = this.#options;
-    const endMs = performance.now() + timeoutMs;
-    let pollAtMs = performance.now() + firstPollMs;
-    let intervalMs = POLL_INTERVAL_MS;
-    while (performance.now() < endMs) {
-      const known = directory.findServer(server.id);
-      if (known === undefined || known.startedAtMs !== server.startedAtMs) {
-        return false;
-      }
-      if (hasState(known)) {
-        return true;
-      }
-      if (performance.now() >= pollAtMs) {
-        const report = await orders.getReport(
-          getTarget(server),
-          REPORT_TIMEOUT_MS,
-        );
-        report.ifRight((found) => directory.applyReport(server.id, found));
-        intervalMs = Math.min(intervalMs * 1.5, ORDER_SLACK_MS);
-        pollAtMs = performance.now() + intervalMs;
-        continue;
+    serverIds.forEach((id) => this.#busy.set(id, use));
+    let succeeded = false;
+    try {
+      succeeded = await work();
+      return succeeded;
+    } finally {
+      const untilMs = performance.now() + FAILURE_PAUSE_MS;
+      for (const id of serverIds) {
+        this.#busy.delete(id);
+        if (!succeeded) {
+          this.#pausedUntilMs.set(id, untilMs);
+        }
       }
-      await delay(POLL_INTERVAL_MS / 2);
     }
-    return false;
   }
+}
 
-  async #sendOrder(
-    server: BackendServer,
-    order: GroupOrder,
-  ): Promise<GroupOrderOutcome> {
-    const { lease, orders, logger } = this.#options;
-    const term = lease.getTerm();
-    if (term === undefined) {
-      return "unknown";
-    }
-    const outcome = await orders.sendOrder(getTarget(server), order, term);
-    logger.write("info", "order-sent", {
-      server: server.id,
-      action: order.action,
-      group: "groupName" in order ? order.groupName : undefined,
-      model: "model" in order ? order.model : undefined,
-      term,
-      outcome,
-    });
-    if (outcome === "fenced") {
-      lease.drop(`the server ${server.id} has seen a later term`);
-    }
-    return outcome;
-  }
+/** Time in which a server joins a group of the model that it holds, in milliseconds. */
+const JOIN_MS = 200;
 
-  #pause(serverId: string): void {
-    this.#pausedUntilMs.set(serverId, performance.now() + FAILURE_PAUSE_MS);
+function collectGroups(
+  service: RoutedService,
+  servers: readonly BackendServer[],
+): Map<string, ReportedGroup> {
+  const members = new Map<string, BackendServer[]>();
+  for (const server of servers) {
+    const key = getMembershipKey(server);
+    if (key !== undefined) {
+      members.set(key, [...(members.get(key) ?? []), server]);
+    }
   }
-
-  #createGeneration(): number {
-    return ++this.#generation;
+  const groups = new Map<string, ReportedGroup>();
+  for (const [key, list] of members) {
+    const head = list.find(({ membership }) => membership?.rank === 0);
+    const size = findModel(service, head?.loadedModels[0] ?? "")?.groupSize;
+    groups.set(key, {
+      key,
+      members: list,
+      head,
+      isWhole: list.length === size,
+    });
   }
-}
-
-function isTaken(outcome: GroupOrderOutcome): boolean {
-  // An order without an answer may have been taken, which the server's state shows.
-  return outcome === "begun" || outcome === "done" || outcome === "unknown";
+  return groups;
 }
 
 function findModel(
@@ -424,6 +398,11 @@
   return service.engine?.models.find((model) => model.name === name);
 }
 
+function getOpenBounds(service: RoutedService) {
+  const { openMs } = service.engine!;
+  return { timeoutMs: openMs + ORDER_SLACK_MS, firstPollMs: openMs };
+}
+
 /** Gets the longest time of a preparation: loads share the weight store's rate. */
 function getPreparationMs(
   service: RoutedService,
@@ -435,10 +414,6 @@
     : model.warmMs;
 }
 
-function getTarget(server: BackendServer): BackendTarget {
-  return { serverId: server.id, address: server.address };
-}
-
 function getLifeKey(server: BackendServer): string {
   return `${server.id}@${server.startedAtMs}`;
 }
--- a/src/process/platform_adapter.ts
+++ b/src/process/platform_adapter.ts
@@ -23,7 +23,7 @@
   /** Decodes the configuration; throws when it cannot be read. */
   decodeConfig(value: unknown): RoutingConfig;
   /** Decodes the entry of a backend server; throws when it names no server to use. */
-  decodeServer(id: string, value: unknown): BackendServer;
+  decodeServer(id: string, value: unknown, entryVersion: number): BackendServer;
   /** Creates the listener for callers. */
   createIngress(receiver: RequestReceiver): RequestListener;
 }
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -1,3 +1,7 @@
+import {
+  createFleetPeerApp,
+  FleetPeerClients,
+} from "../connection/fleet_peer_router.ts";
 import { HttpServer } from "../connection/http_server.ts";
 import { RoutedReceiver } from "../request/routed/routed_receiver.ts";
 import { delay } from "../shared/delay.ts";
@@ -6,12 +10,16 @@
 import { RouteTable } from "../version/route_table.ts";
 import type { RoutingConfig } from "../version/routing_config.ts";
 import { BackendDirectory } from "./fleet/backend_directory.ts";
-import type { BackendServer } from "./fleet/backend_server.ts";
+import { ExcludedZones } from "./fleet/excluded_zones.ts";
+import { FleetSync } from "./fleet/fleet_sync.ts";
 import { GroupAdmission } from "./fleet/group_admission.ts";
 import { GroupGuard } from "./fleet/group_guard.ts";
 import { GroupLoads } from "./fleet/group_loads.ts";
 import { GroupTable } from "./fleet/group_table.ts";
-import { KindWatch } from "./fleet/kind_watch.ts";
+import { MemberOrders } from "./fleet/member_orders.ts";
+import { PeerBoard } from "./fleet/peer_board.ts";
+import { PeerExchange } from "./fleet/peer_exchange.ts";
+import type { PeerNotice } from "./fleet/peer_notice.ts";
 import { PlannerLeaseHolder } from "./fleet/planner_lease_holder.ts";
 import { RepeatBudget } from "./fleet/repeat_budget.ts";
 import { ReplicaTask } from "./fleet/replica_task.ts";
@@ -22,13 +30,13 @@
 import type { RoutingContext } from "./routing_context.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
 
-/** Kind of the daemons' own objects in the store. */
-const OWN_KIND = "tarragontally";
-/** Pauses between two calls of a watch, in milliseconds: a configuration has to be in force soon, while changes of servers come in bunches. */
-const CONFIG_GATHER_MS = 50;
-const SERVERS_GATHER_MS = 200;
-/** Daemons among which budgets are split before the others are known. */
-const ASSUMED_DAEMONS = 8;
+/** Kinds of the daemons' own objects in the store. */
+const LEASE_KIND = "tarragontally-leases";
+const DAEMON_KIND = "tarragontally-daemons";
+/** Time in which a peer answers, in milliseconds. */
+const PEER_TIMEOUT_MS = 1_000;
+/** Daemons among which budgets are split at least, so that a daemon that hears no other one keeps to a share. */
+const MIN_SHARING_DAEMONS = 7;
 /** Part of the grace time of a stop that is left for closing. */
 const STOP_RESERVE_MS = 700;
 const STOP_POLL_MS = 50;
@@ -52,9 +60,15 @@
   readonly #context: RoutingContext;
   readonly #caller: HttpServer;
   readonly #ready: HttpServer;
+  readonly #peer: HttpServer;
+  readonly #loads = new GroupLoads();
+  readonly #board: PeerBoard;
+  readonly #excludedZones: ExcludedZones;
+  readonly #sync: FleetSync;
+  readonly #lease: PlannerLeaseHolder;
+  readonly #exchange: PeerExchange;
   readonly #budgets = new Map<string, RepeatBudget>();
   #routes: RouteTable | undefined;
-  #excludedZones: ReadonlySet<string> = new Set();
   #isLeaving = false;
 
   constructor(options: RoutingDaemonOptions) {
@@ -69,7 +83,15 @@
           name === model
         ),
     });
-    const loads = new GroupLoads();
+    this.#board = new PeerBoard({ ownName: settings.name, logger });
+    this.#excludedZones = new ExcludedZones({
+      logger,
+      onChange: (zones) => this.#groups.setExcludedZones(zones),
+    });
+    const clients = new FleetPeerClients({ timeoutMs: PEER_TIMEOUT_MS });
+    this.#sync = this.#createSync(clients);
+    this.#lease = this.#createLease();
+    this.#exchange = this.#createExchange(clients);
     const attempts = new StreamAttempts();
     this.#context = {
       settings,
@@ -81,7 +103,7 @@
       groups: this.#groups,
       admission: new GroupAdmission({
         groups: this.#groups,
-        loads,
+        loads: this.#loads,
         zone: settings.zone,
       }),
       attempts,
@@ -90,10 +112,11 @@
         attempts,
         orders: platform.orders,
         logger,
+        announceLoss: () => this.#exchange.sendAll(),
       }),
       serverLoads: new ServerLoads(),
       getRoutes: () => this.#routes,
-      getExcludedZones: () => this.#excludedZones,
+      getExcludedZones: () => this.#excludedZones.getZones(),
       getRepeatBudget: (service) => this.#getRepeatBudget(service),
       isLeaving: () => this.#isLeaving,
     };
@@ -105,6 +128,17 @@
       res.writeHead(isReady ? 200 : 503, { "content-length": 0 });
       res.end();
     });
+    this.#peer = new HttpServer(createFleetPeerApp({
+      exchange: (notice) => this.exchange(notice),
+      getConfig: () => this.#routes?.config,
+      getServers: () => this.#directory.getNotice(),
+    }));
+  }
+
+  /** Answers a peer that exchanges notices. */
+  exchange(notice: PeerNotice): PeerNotice {
+    this.#sync.applyNotice(notice);
+    return this.#createNotice();
   }
 
   /** Gets whether the daemon can serve callers. */
@@ -120,8 +154,12 @@
     this.#lifeCycle.add(this.#caller);
     await this.#ready.listen(settings.ready);
     this.#lifeCycle.add(this.#ready);
-    this.#startWatches();
-    this.#startPlanner();
+    await this.#peer.listen(settings.peer);
+    this.#lifeCycle.add(this.#peer);
+    this.#startTask("sync", this.#sync);
+    this.#startTask("peers", this.#exchange);
+    this.#startTask("lease", this.#lease);
+    this.#startTask("replicas", this.#createReplicaTask());
     this.#startTask("guard", this.#context.guard);
     logger.write("info", "daemon-started", {
       caller: this.#caller.address,
@@ -155,76 +193,91 @@
     return this.#context.attempts.listByGroup().length;
   }
 
-  #startWatches(): void {
+  #createSync(clients: FleetPeerClients): FleetSync {
     const { platform, logger } = this.#options;
-    const { store, kinds } = platform;
-    this.#startTask(
-      "config-watch",
-      new KindWatch<RoutingConfig>({
-        store,
-        logger,
-        kind: kinds.config,
-        gatherMs: CONFIG_GATHER_MS,
-        keepsLastGood: true,
-        decode: ({ value }) => platform.decodeConfig(value),
-        onChange: ({ changed }) =>
-          changed.forEach((config) => this.#applyConfig(config)),
-      }),
-    );
-    this.#startTask(
-      "zone-watch",
-      new KindWatch<true>({
-        store,
-        logger,
-        kind: kinds.excludedZones,
-        gatherMs: CONFIG_GATHER_MS,
-        keepsLastGood: true,
-        decode: () => true,
-        onChange: ({ changed, removed }) => {
-          const zones = new Set([...this.#excludedZones, ...changed.keys()]);
-          removed.forEach((zone) => zones.delete(zone));
-          this.#applyExcludedZones(zones);
-        },
-      }),
-    );
-    this.#startTask(
-      "server-watch",
-      new KindWatch<BackendServer>({
-        store,
-        logger,
-        kind: kinds.servers,
-        gatherMs: SERVERS_GATHER_MS,
-        keepsLastGood: false,
-        decode: ({ name, value }) => platform.decodeServer(name, value),
-        onChange: (change) => this.#directory.applyChange(change),
-      }),
-    );
+    return new FleetSync({
+      platform,
+      logger,
+      clients,
+      directory: this.#directory,
+      groups: this.#groups,
+      loads: this.#loads,
+      excludedZones: this.#excludedZones,
+      board: this.#board,
+      getConfigVersion: () => this.#routes?.version ?? 0,
+      applyConfig: (config, source) => this.#applyConfig(config, source),
+    });
   }
 
-  #startPlanner(): void {
+  #createLease(): PlannerLeaseHolder {
     const { platform, logger, settings } = this.#options;
-    const lease = new PlannerLeaseHolder({
+    return new PlannerLeaseHolder({
       store: platform.store,
-      kind: OWN_KIND,
+      kind: LEASE_KIND,
       name: settings.name,
       logger,
+      isHolderHeard: () =>
+        this.#board.listNotices().some(({ plannerTerm }) =>
+          plannerTerm !== undefined
+        ),
+      onRegained: () => this.#sync.restartWatches(),
     });
-    this.#startTask("lease", lease);
-    this.#startTask(
-      "replicas",
-      new ReplicaTask({
+  }
+
+  #createExchange(clients: FleetPeerClients): PeerExchange {
+    const { platform, logger, settings } = this.#options;
+    return new PeerExchange({
+      store: platform.store,
+      kind: DAEMON_KIND,
+      name: settings.name,
+      address: this.#peerAddress,
+      board: this.#board,
+      clients,
+      logger,
+      createNotice: () => this.#createNotice(),
+      onNotice: (notice) => this.#sync.applyNotice(notice),
+    });
+  }
+
+  #createReplicaTask(): ReplicaTask {
+    const { platform, logger } = this.#options;
+    return new ReplicaTask({
+      directory: this.#directory,
+      groups: this.#groups,
+      orders: new MemberOrders({
         directory: this.#directory,
-        groups: this.#groups,
         orders: platform.orders,
-        lease,
+        lease: this.#lease,
         logger,
-        listEngineServices: () =>
-          (this.#routes?.config.services ?? []).filter(({ engine }) =>
-            engine !== undefined
-          ),
-        getExcludedZones: () => this.#excludedZones,
       }),
-    );
+      lease: this.#lease,
+      logger,
+      listEngineServices: () =>
+        (this.#routes?.config.services ?? []).filter(({ engine }) =>
+          engine !== undefined
+        ),
+      getExcludedZones: () => this.#excludedZones.getZones(),
+    });
+  }
+
+  get #peerAddress(): string {
+    const { host, port } = this.#options.settings.peer;
+    return `${host}:${port}`;
+  }
+
+  #createNotice(): PeerNotice {
+    return {
+      name: this.#options.settings.name,
+      address: this.#peerAddress,
+      isLeaving: this.#isLeaving,
+      plannerTerm: this.#lease.getTerm(),
+      configVersion: this.#routes?.version ?? 0,
+      excludedZones: this.#excludedZones.getNotice(),
+      serversRevision: this.#directory.changeRevision,
+      loads: this.#loads.listOwn(),
+      lostGroups: this.#groups.listLost(),
+      peers: this.#board.listAddresses(),
+    };
   }
 
   #startTask(
@@ -239,7 +292,7 @@
     });
   }
 
-  #applyConfig(config: RoutingConfig): void {
+  #applyConfig(config: RoutingConfig, source: string): void {
     const current = this.#routes?.version;
     if (current !== undefined && config.version <= current) {
       return;
@@ -251,19 +304,12 @@
     this.#options.logger.write("info", "config-in-force", {
       version: config.version,
       before: current,
+      source,
       routes: config.routes.length,
     });
     this.#groups.refresh();
   }
 
-  #applyExcludedZones(zones: ReadonlySet<string>): void {
-    this.#excludedZones = zones;
-    this.#options.logger.write("info", "zones-excluded", {
-      zones: [...zones].join(","),
-    });
-    this.#groups.setExcludedZones(zones);
-  }
-
   #getRepeatBudget(service: string): RepeatBudget {
     const { settings } = this.#options;
     let budget = this.#budgets.get(service);
@@ -272,7 +318,8 @@
         ratio: settings.retryRatio,
         windowMs: settings.retryWindowMs,
         slack: settings.retrySlack,
-        countDaemons: () => ASSUMED_DAEMONS,
+        countDaemons: () =>
+          Math.max(MIN_SHARING_DAEMONS, this.#board.countDaemons()),
       });
       this.#budgets.set(service, budget);
     }
