--- a/src/process/fleet/replica_planner.ts
+++ b/src/process/fleet/replica_planner.ts
@@ -82,14 +82,13 @@
   const { models } = state.engine;
   const domains = groupByDomain(state.servers);
   const total = state.servers.length;
-  const weights = getServerShares(models);
   const assigned = new Map<string, number>();
   const byDomain = new Map<string, ModelServing>();
   const order = listDomainsByZone(domains);
   for (const domain of order) {
     const size = domains.get(domain)!.length;
     const deficit = (model: ModelServing) =>
-      weights.get(model.name)! * total - (assigned.get(model.name) ?? 0);
+      model.expectedShare * total - (assigned.get(model.name) ?? 0);
     const fitting = models.filter(({ groupSize }) => groupSize <= size);
     const candidates = fitting.length > 0 ? fitting : models;
     const current = getCurrentModel(state, domain);
@@ -101,23 +100,6 @@
   return byDomain;
 }
 
-/**
- * Gets the part of the servers that each model gets. Work that is bound by tokens needs servers in proportion to the time that groups spend on it times their size; work that is bound by places needs them in proportion to the share alone. The geometric mean lies between both.
- */
-function getServerShares(
-  models: readonly ModelServing[],
-): ReadonlyMap<string, number> {
-  const times = models.map((model) =>
-    model.expectedShare * model.stepFactor * model.groupSize
-  );
-  const timesSum = times.reduce((sum, time) => sum + time, 0) || 1;
-  const means = models.map((model, i) =>
-    Math.sqrt(model.expectedShare * times[i] / timesSum)
-  );
-  const meansSum = means.reduce((sum, mean) => sum + mean, 0) || 1;
-  return new Map(models.map(({ name }, i) => [name, means[i] / meansSum]));
-}
-
 /** Orders the domains so that consecutive ones lie in different zones; the domains that serve already come first. */
 function listDomainsByZone(
   domains: ReadonlyMap<string, readonly PlannedServer[]>,
