Count domains, not servers, when models are assigned in a new fleet

Cause: servers register over three seconds, so shares counted in servers shifted with each of them and one model got two thirds of the domains, or loads began three seconds late; a third of the fleet stood empty when traffic began. Change: domains are counted; loads keep the store busy before there is traffic; servers that complete a group load before spares; silence of a group is noticed after 300 ms.

--- a/src/process/fleet/group_guard.ts
+++ b/src/process/fleet/group_guard.ts
@@ -1,17 +1,21 @@
 import type { GroupOrderClient } from "../../connection/group_order_client.ts";
+import type { Either } from "purify-ts";
+import type { BackendTarget } from "../../connection/backend_transport.ts";
 import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendReport, BackendServer } from "./backend_server.ts";
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
 import type { StreamAttempt, StreamAttempts } from "./stream_attempts.ts";
 
-const CHECK_INTERVAL_MS = 100;
+const CHECK_INTERVAL_MS = 50;
 /** Silence of all streams of a group after which its members are asked, in milliseconds: several times the time between two batches of a full group. */
-const STREAM_SILENCE_MS = 400;
+const STREAM_SILENCE_MS = 300;
 /** The same while no stream has begun, since long prompts are read first. */
-const FIRST_EVENT_SILENCE_MS = 800;
+const FIRST_EVENT_SILENCE_MS = 600;
 /** Time in which a living member answers, in milliseconds. */
 const REPORT_TIMEOUT_MS = 300;
+/** Time after which a member is asked over a second connection, since a packet of the first may be lost, in milliseconds. */
+const SECOND_REPORT_MS = 100;
 /** Time after which a group whose members all answered is asked again, in milliseconds. */
 const RECHECK_MS = 1_000;
 
@@ -80,7 +84,7 @@
     member: BackendServer,
   ): Promise<string | undefined> {
     const target = { serverId: member.id, address: member.address };
-    const result = await this.#orders.getReport(target, REPORT_TIMEOUT_MS);
+    const result = await this.#getReport(target);
     return result.caseOf({
       Left: (error) => `member ${member.id}: ${error.message}`,
       Right: ({ membership }) => {
@@ -96,6 +100,23 @@
     });
   }
 
+  async #getReport(
+    target: BackendTarget,
+  ): Promise<Either<Error, BackendReport>> {
+    const first = this.#orders.getReport(target, REPORT_TIMEOUT_MS);
+    const answered = await Promise.race([
+      first,
+      delay(SECOND_REPORT_MS).then(() => undefined),
+    ]);
+    if (answered !== undefined) {
+      return answered;
+    }
+    const secondMs = REPORT_TIMEOUT_MS - SECOND_REPORT_MS;
+    const second = this.#orders.getReport(target, secondMs);
+    const results = await Promise.all([first, second]);
+    return results.find((result) => result.isRight()) ?? results[0];
+  }
+
   #wasChecked(key: string): boolean {
     const atMs = this.#checkedAtMs.get(key);
     return atMs !== undefined && performance.now() - atMs < RECHECK_MS;
--- a/src/process/fleet/group_loads.ts
+++ b/src/process/fleet/group_loads.ts
@@ -11,14 +11,21 @@
   readonly #own = new Map<string, number>();
   readonly #peers = new Map<string, PeerLoad>();
   readonly #listeners = new Set<() => void>();
+  #hasTraffic = false;
 
   /** Registers a listener for places that become free. */
   onChange(listener: () => void): void {
     this.#listeners.add(listener);
   }
 
+  /** Gets whether any daemon has sent a request to a group. */
+  hasTraffic(): boolean {
+    return this.#hasTraffic;
+  }
+
   /** Counts a request of this daemon. */
   add(key: string): void {
+    this.#hasTraffic = true;
     this.#own.set(key, (this.#own.get(key) ?? 0) + 1);
   }
 
@@ -55,6 +62,7 @@
     peer: string,
     loads: readonly (readonly [key: string, requests: number])[],
   ): void {
+    this.#hasTraffic ||= loads.length > 0;
     this.#peers.set(peer, { loads: new Map(loads), atMs: performance.now() });
     this.#notify();
   }
--- a/src/process/fleet/replica_planner.ts
+++ b/src/process/fleet/replica_planner.ts
@@ -25,6 +25,8 @@
 export interface FleetState {
   readonly engine: EngineProfile;
   readonly servers: readonly PlannedServer[];
+  /** Whether callers have sent requests. */
+  readonly hasTraffic: boolean;
 }
 
 /** Group to form. */
@@ -41,6 +43,8 @@
   readonly model: string;
   /** Whether the weights have to be loaded from the weight store. */
   readonly needsLoad: boolean;
+  /** Whether the server is left over when all groups of its domain are formed. */
+  readonly isSpare: boolean;
 }
 
 /** What to do next. */
@@ -55,7 +59,7 @@
  * @param state - Servers as they are.
  * @example
  * ```ts
- * const { formations } = planFleet({ engine, servers });
+ * const { formations } = planFleet({ engine, servers, hasTraffic: true });
  * ```
  */
 export function planFleet(state: FleetState): FleetPlan {
@@ -72,7 +76,7 @@
 }
 
 /**
- * Assigns a model to each fabric domain, so that the servers of each model come close to its expected share.
+ * Assigns a model to each fabric domain, so that the part of the domains that each model gets comes close to its expected share. Domains are counted rather than servers, since the servers of a new fleet register one after another.
  *
  * @param state - Servers as they are.
  */
@@ -81,7 +85,7 @@
 ): ReadonlyMap<string, ModelServing> {
   const { models } = state.engine;
   const domains = groupByDomain(state.servers);
-  const total = state.servers.length;
+  const total = domains.size;
   const assigned = new Map<string, number>();
   const byDomain = new Map<string, ModelServing>();
   const order = listDomainsByZone(domains);
@@ -95,7 +99,7 @@
     const model = candidates.find(({ name }) => name === current) ??
       candidates.reduce((a, b) => deficit(b) > deficit(a) ? b : a);
     byDomain.set(domain, model);
-    assigned.set(model.name, (assigned.get(model.name) ?? 0) + size);
+    assigned.set(model.name, (assigned.get(model.name) ?? 0) + 1);
   }
   return byDomain;
 }
@@ -165,6 +169,9 @@
     next += model.groupSize;
   }
   const formed = new Set(usable.slice(0, next).map(({ id }) => id));
+  // Places of groups that the prepared servers of the domain fill; the others become spares.
+  let places = free.length - next - (free.length - next) % model.groupSize -
+    (usable.length - next);
   for (const server of free) {
     const readiness = getReadiness(server, model.name);
     if (!formed.has(server.id) && readiness !== "warm") {
@@ -172,6 +179,7 @@
         serverId: server.id,
         model: model.name,
         needsLoad: readiness === "empty",
+        isSpare: readiness === "empty" && --places < 0,
       });
     }
   }
@@ -195,16 +203,23 @@
   return isWarm(a) - isWarm(b) || (a.id < b.id ? -1 : 1);
 }
 
-/** Keeps as many loads as the weight store serves at full speed, taking the models in turn. */
+/** Loads in progress beyond those that the weight store serves at full speed, as a factor, before there is traffic: the place of a finished load is filled while the planner learns of its end. */
+const IDLE_LOAD_FACTOR = 1.5;
+
+/** Keeps as many loads as the weight store serves at full speed, taking the models in turn, and servers that complete a group before spare ones. */
 function limitLoads(
   state: FleetState,
   preparations: readonly ServerPreparation[],
 ): ServerPreparation[] {
   const loading = state.servers.filter(({ isLoading }) => isLoading).length;
-  let room = Math.max(0, state.engine.concurrentLoads - loading);
+  const factor = state.hasTraffic ? 1 : IDLE_LOAD_FACTOR;
+  let room = Math.floor(state.engine.concurrentLoads * factor) - loading;
   const loads = new Map<string, ServerPreparation[]>();
   const kept: ServerPreparation[] = [];
-  for (const preparation of preparations) {
+  const sorted = [...preparations].sort((a, b) =>
+    Number(a.isSpare) - Number(b.isSpare)
+  );
+  for (const preparation of sorted) {
     if (preparation.needsLoad) {
       const list = loads.get(preparation.model) ?? [];
       list.push(preparation);
--- a/src/process/fleet/replica_task.ts
+++ b/src/process/fleet/replica_task.ts
@@ -6,6 +6,7 @@
 } from "../../version/routing_config.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
 import type { BackendServer } from "./backend_server.ts";
+import type { GroupLoads } from "./group_loads.ts";
 import { getMembershipKey, type GroupTable } from "./group_table.ts";
 import {
   createSpareName,
@@ -22,7 +23,7 @@
   type ServerPreparation,
 } from "./replica_planner.ts";
 
-const PLAN_INTERVAL_MS = 100;
+const PLAN_INTERVAL_MS = 50;
 /** Time beyond the usual one after which an order in progress is given up, in milliseconds. */
 const ORDER_SLACK_MS = 2_000;
 /** Longest time that a closing group takes to end its requests, in milliseconds. */
@@ -34,12 +35,16 @@
 /** Time for which a group has to lack a member before the others are used elsewhere, in milliseconds: entries of the list arrive in bunches. */
 const INCOMPLETE_MS = 250;
 
+/** Time without a further fabric domain in the list after which a new fleet counts as listed, in milliseconds. Models are assigned to domains once, so all domains have to be known. */
+const SETTLE_MS = 300;
+
 /** Parts that the task works with. */
 export interface ReplicaTaskOptions {
   readonly directory: BackendDirectory;
   readonly groups: GroupTable;
   readonly orders: MemberOrders;
   readonly lease: PlannerLeaseHolder;
+  readonly loads: GroupLoads;
   readonly logger: Logger;
   /** Lists the services with engines. */
   listEngineServices(): RoutedService[];
@@ -66,6 +71,8 @@
   readonly #survivors: SurvivorCheck;
   #generation = 0;
   #term = 0;
+  #domainCount = 0;
+  #countedAtMs = 0;
 
   constructor(options: ReplicaTaskOptions) {
     this.#options = options;
@@ -91,6 +98,9 @@
 
   #planService(service: RoutedService): void {
     const servers = this.#options.directory.listServers(service.name);
+    if (!this.#isSettled(servers)) {
+      return;
+    }
     this.#observeModels(servers);
     const reported = collectGroups(service, servers);
     this.#observeIncomplete(reported);
@@ -102,10 +112,23 @@
       engine: service.engine!,
       servers: servers.filter(({ domain }) => domain !== undefined)
         .map((server) => this.#describeServer(server, reported)),
+      hasTraffic: this.#options.loads.hasTraffic(),
     });
     this.#applyPlan(service, plan);
   }
 
+  /** Gets whether all fabric domains of a fleet without any loaded model are known. */
+  #isSettled(servers: readonly BackendServer[]): boolean {
+    const domains = new Set(servers.map(({ domain }) => domain)).size;
+    if (domains !== this.#domainCount) {
+      this.#domainCount = domains;
+      this.#countedAtMs = performance.now();
+    }
+    return this.#busy.size > 0 ||
+      servers.some(({ stagedModels }) => stagedModels.length > 0) ||
+      performance.now() - this.#countedAtMs >= SETTLE_MS;
+  }
+
   #applyPlan(service: RoutedService, plan: FleetPlan): void {
     for (const formation of plan.formations) {
       this.#start("formation", this.#runFormation(service, formation));
@@ -334,7 +357,10 @@
           ...group,
           model: model.name,
           members: ids,
-        }, { timeoutMs: model.warmMs + ORDER_SLACK_MS, firstPollMs: JOIN_MS })
+        }, {
+          timeoutMs: model.warmMs + ORDER_SLACK_MS,
+          firstPollMs: JOIN_MS + POLL_DELAY_MS,
+        })
       ),
     );
     return joined.every(Boolean);
@@ -365,6 +391,8 @@
 
 /** Time in which a server joins a group of the model that it holds, in milliseconds. */
 const JOIN_MS = 200;
+/** Time after the usual one of an order until the server is asked whether it is done, in milliseconds. */
+const POLL_DELAY_MS = 20;
 
 function collectGroups(
   service: RoutedService,
@@ -400,7 +428,10 @@
 
 function getOpenBounds(service: RoutedService) {
   const { openMs } = service.engine!;
-  return { timeoutMs: openMs + ORDER_SLACK_MS, firstPollMs: openMs };
+  return {
+    timeoutMs: openMs + ORDER_SLACK_MS,
+    firstPollMs: openMs + POLL_DELAY_MS,
+  };
 }
 
 /** Gets the longest time of a preparation: loads share the weight store's rate. */
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -251,6 +251,7 @@
         logger,
       }),
       lease: this.#lease,
+      loads: this.#loads,
       logger,
       listEngineServices: () =>
         (this.#routes?.config.services ?? []).filter(({ engine }) =>
