Write logs to standard output within bounds, serve metrics, and listen on in a planned stop

Log lines went to standard error and could block. Change: a stop listens for 4.5 s and ends with its last request; one line for each answered request; a bounded sink; counters and histograms at the metrics address.

--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -41,7 +41,9 @@
 const STOP_RESERVE_MS = 700;
 const STOP_POLL_MS = 50;
 /** Time in which the balancer learns that the daemon is not ready, in milliseconds. */
-const BALANCER_LAG_MS = 3_000;
+const BALANCER_LAG_MS = 2_500;
+/** Time after which a stopping daemon takes no connection any more, in milliseconds. The balancer goes on sending callers while most daemons of a zone are away. */
+const LISTEN_IN_STOP_MS = 4_500;
 
 /** Options of a routing daemon. */
 export interface RoutingDaemonOptions {
@@ -58,9 +60,11 @@
   readonly #directory: BackendDirectory;
   readonly #groups: GroupTable;
   readonly #context: RoutingContext;
+  readonly #receiver: RoutedReceiver;
   readonly #caller: HttpServer;
   readonly #ready: HttpServer;
   readonly #peer: HttpServer;
+  readonly #metrics: HttpServer;
   readonly #loads = new GroupLoads();
   readonly #board: PeerBoard;
   readonly #excludedZones: ExcludedZones;
@@ -74,6 +78,7 @@
   constructor(options: RoutingDaemonOptions) {
     this.#options = options;
     const { logger, platform, settings, metrics } = options;
+    this.#addGauges(metrics);
     this.#directory = new BackendDirectory({ logger });
     this.#groups = new GroupTable({
       directory: this.#directory,
@@ -120,14 +125,17 @@
       getRepeatBudget: (service) => this.#getRepeatBudget(service),
       isLeaving: () => this.#isLeaving,
     };
-    this.#caller = new HttpServer(
-      platform.createIngress(new RoutedReceiver(this.#context)),
-    );
+    this.#receiver = new RoutedReceiver(this.#context);
+    this.#caller = new HttpServer(platform.createIngress(this.#receiver));
     this.#ready = new HttpServer((req, res) => {
       const isReady = req.url === platform.readyPath && this.isReady();
       res.writeHead(isReady ? 200 : 503, { "content-length": 0 });
       res.end();
     });
+    this.#metrics = new HttpServer((_req, res) => {
+      res.setHeader("content-type", "text/plain; version=0.0.4");
+      res.end(metrics.render());
+    });
     this.#peer = new HttpServer(createFleetPeerApp({
       exchange: (notice) => this.exchange(notice),
       getConfig: () => this.#routes?.config,
@@ -135,6 +143,29 @@
     }));
   }
 
+  #addGauges(metrics: Metrics): void {
+    metrics.addGauge({
+      name: "serving_groups",
+      help: "Groups that take requests",
+      getValue: () => this.#groups.listAll().length,
+    });
+    metrics.addGauge({
+      name: "waiting_requests",
+      help: "Requests that wait for a place in a group",
+      getValue: () => this.#context.admission.waiting,
+    });
+    metrics.addGauge({
+      name: "config_version",
+      help: "Version of the configuration in force",
+      getValue: () => this.#routes?.version ?? 0,
+    });
+    metrics.addGauge({
+      name: "peers",
+      help: "Other daemons that were heard recently",
+      getValue: () => this.#board.listNotices().length,
+    });
+  }
+
   /** Answers a peer that exchanges notices. */
   exchange(notice: PeerNotice): PeerNotice {
     this.#sync.applyNotice(notice);
@@ -156,6 +187,8 @@
     this.#lifeCycle.add(this.#ready);
     await this.#peer.listen(settings.peer);
     this.#lifeCycle.add(this.#peer);
+    await this.#metrics.listen(settings.metrics);
+    this.#lifeCycle.add(this.#metrics);
     this.#startTask("sync", this.#sync);
     this.#startTask("peers", this.#exchange);
     this.#startTask("lease", this.#lease);
@@ -178,21 +211,22 @@
     const endMs = startedAtMs + settings.stopGraceMs - STOP_RESERVE_MS;
     logger.write("info", "stop-started", {});
     await delay(BALANCER_LAG_MS);
-    this.#caller.stopListening();
-    while (performance.now() < endMs && this.#inFlight > 0) {
+    let isListening = true;
+    while (performance.now() < endMs && this.#receiver.inFlight > 0) {
+      if (isListening && performance.now() - startedAtMs > LISTEN_IN_STOP_MS) {
+        isListening = false;
+        this.#caller.stopListening();
+      }
       await delay(STOP_POLL_MS);
     }
+    const cut = this.#receiver.inFlight;
     await this.#lifeCycle.dispose();
     logger.write("info", "daemon-stopped", {
-      cut: this.#inFlight,
+      cut,
       tookMs: Math.round(performance.now() - startedAtMs),
     });
   }
 
-  get #inFlight(): number {
-    return this.#context.attempts.listByGroup().length;
-  }
-
   #createSync(clients: FleetPeerClients): FleetSync {
     const { platform, logger } = this.#options;
     return new FleetSync({
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -15,6 +15,8 @@
   /** Listener that the balancer asks whether the daemon takes callers. */
   readonly ready: ListenerAddress;
   readonly peer: ListenerAddress;
+  /** Listener for metrics. */
+  readonly metrics: ListenerAddress;
   /** Memory of the process in bytes, above which it is ended. */
   readonly memoryBytes: number;
   /** Processor time that the VM gives, in cores. */
--- a/src/request/routed/model_stream.ts
+++ b/src/request/routed/model_stream.ts
@@ -5,6 +5,7 @@
 import type { GroupGrant } from "../../process/fleet/group_admission.ts";
 import type { StreamAttempt } from "../../process/fleet/stream_attempts.ts";
 import { RequestError } from "../../shared/errors.ts";
+import type { LogFields } from "../../shared/logger.ts";
 import { combineVerdicts, type Verdict } from "../../shared/verdict.ts";
 import type { EngineProfile } from "../../version/routing_config.ts";
 import { type EventFrame, EventFrameReader } from "./event_frames.ts";
@@ -28,6 +29,8 @@
   #attempts = 0;
   #runs = 0;
   #declined = 0;
+  #waitedMs = 0;
+  #lastGroup: string | undefined;
 
   constructor(scope: RequestScope, options: {
     engine: EngineProfile;
@@ -39,6 +42,17 @@
     this.#lastEventId = scope.request.resumeAfter;
   }
 
+  /** Gets what the log says of the answered request. */
+  describe(): LogFields {
+    return {
+      model: this.#demand.model,
+      group: this.#lastGroup,
+      attempts: this.#attempts,
+      waitedMs: Math.round(this.#waitedMs),
+      lastEvent: this.#lastEventId,
+    };
+  }
+
   /**
    * Answers the request. When a group fails, the answer continues on another one after the last event passed on.
    *
@@ -48,6 +62,7 @@
     for (;;) {
       const grant = await this.#acquire();
       this.#attempts++;
+      this.#lastGroup = grant.group.key;
       const ended = await this.#runAttempt(grant);
       this.#recordEnd(grant, ended);
       if (ended.outcome === "complete") {
@@ -83,6 +98,10 @@
         throw this.#createFailure(error.message);
       }
       throw error;
+    } finally {
+      const waitedMs = performance.now() - nowMs;
+      this.#waitedMs += waitedMs;
+      context.metrics.record("admission_wait", waitedMs);
     }
   }
 
--- a/src/request/routed/plain_call.ts
+++ b/src/request/routed/plain_call.ts
@@ -1,6 +1,7 @@
 import { BackendError } from "../../connection/backend_transport.ts";
 import type { BackendServer } from "../../process/fleet/backend_server.ts";
 import { RequestError } from "../../shared/errors.ts";
+import type { LogFields } from "../../shared/logger.ts";
 import { combineVerdicts, type Verdict } from "../../shared/verdict.ts";
 import { type EndedAttempt, readAnswer } from "./ended_attempt.ts";
 import type { RequestScope } from "./request_scope.ts";
@@ -19,11 +20,21 @@
   #verdict: Verdict = "not-run";
   #attempts = 0;
   #runs = 0;
+  #status: number | undefined;
 
   constructor(scope: RequestScope) {
     this.#scope = scope;
   }
 
+  /** Gets what the log says of the answered call. */
+  describe(): LogFields {
+    return {
+      servers: [...this.#tried].join(","),
+      attempts: this.#attempts,
+      status: this.#status,
+    };
+  }
+
   /**
    * Answers the call. A call that is not idempotent is sent once more only when the server states that it has not run.
    *
@@ -41,6 +52,7 @@
       this.#recordEnd(server, ended);
       if (ended.outcome === "answered") {
         const { status, headers } = ended.answer;
+        this.#status = status;
         this.#scope.writer.answer(status, headers, ended.body);
         return;
       }
--- a/src/request/routed/routed_receiver.ts
+++ b/src/request/routed/routed_receiver.ts
@@ -1,4 +1,5 @@
 import type { RoutingContext } from "../../process/routing_context.ts";
+import type { LogFields } from "../../shared/logger.ts";
 import { RequestError } from "../../shared/errors.ts";
 import { chooseTarget, type RouteTable } from "../../version/route_table.ts";
 import type {
@@ -27,11 +28,17 @@
 /** Answers the requests of all routes. */
 export class RoutedReceiver implements RequestReceiver {
   readonly #context: RoutingContext;
+  #inFlight = 0;
 
   constructor(context: RoutingContext) {
     this.#context = context;
   }
 
+  /** Gets the number of requests that are being answered. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
   getLimits(): IngressLimits {
     return this.#context.getRoutes()?.limits ?? DEFAULT_LIMITS;
   }
@@ -43,6 +50,7 @@
   async receive(request: RoutedRequest, writer: AnswerWriter): Promise<void> {
     const startedAtMs = performance.now();
     const { logger, metrics } = this.#context;
+    this.#inFlight++;
     try {
       await this.#dispatch(request, writer);
     } catch (error) {
@@ -61,6 +69,7 @@
       }
       throw error;
     } finally {
+      this.#inFlight--;
       metrics.record("service_duration", performance.now() - startedAtMs);
     }
   }
@@ -72,13 +81,30 @@
     const { engine } = scope.service;
     if (engine !== undefined && request.demand !== undefined) {
       metrics.count("chat_requests");
-      await new ModelStream(scope, { engine, demand: request.demand }).run();
+      const { demand } = request;
+      await this.#run(scope, new ModelStream(scope, { engine, demand }));
     } else {
       metrics.count("service_requests");
-      await new PlainCall(scope).run();
+      await this.#run(scope, new PlainCall(scope));
     }
   }
 
+  async #run(
+    scope: RequestScope,
+    answering: { run(): Promise<void>; describe(): LogFields },
+  ): Promise<void> {
+    await answering.run();
+    const { request, route, account } = scope;
+    this.#context.logger.write("info", "request-answered", {
+      requestId: request.requestId,
+      route: route.name,
+      account,
+      configVersion: this.#context.getRoutes()?.version,
+      ...answering.describe(),
+      tookMs: Math.round(performance.now() - request.receivedAtMs),
+    });
+  }
+
   #createScope(request: RoutedRequest, writer: AnswerWriter): RequestScope {
     const routes = this.#context.getRoutes();
     if (routes === undefined) {
--- /dev/null
+++ b/src/shared/log_sink.ts
@@ -0,0 +1,103 @@
+import { write } from "node:fs";
+
+const STANDARD_OUTPUT = 1;
+/** Lines of one second; further ones are dropped and counted, so that a storm of failures costs no more than this. */
+const MAX_LINES_PER_SECOND = 400;
+/** Bytes that wait for a slow reader. */
+const MAX_WAITING_BYTES = 262_144;
+const SECOND_MS = 1_000;
+
+/** Takes finished log lines. */
+export interface LogSink {
+  /** Takes a line without a line feed. It never blocks. */
+  writeLine(line: string): void;
+}
+
+/** Writes a text and calls back; injected in tests. */
+export type WriteText = (
+  text: string,
+  callback: (error: Error | null) => void,
+) => void;
+
+/** Writes log lines to standard output in the background, and drops lines past its bounds. */
+export class BoundedLogSink implements LogSink {
+  readonly #write: WriteText;
+  readonly #waiting: string[] = [];
+  #waitingBytes = 0;
+  #isWriting = false;
+  #dropped = 0;
+  #droppedTotal = 0;
+  #secondStartMs = 0;
+  #linesOfSecond = 0;
+
+  constructor(options: { write?: WriteText } = {}) {
+    this.#write = options.write ?? writeStandardOutput;
+  }
+
+  /** Gets the number of lines dropped since the start. */
+  get droppedLines(): number {
+    return this.#droppedTotal;
+  }
+
+  writeLine(line: string): void {
+    if (!this.#hasRoom(line)) {
+      this.#dropped++;
+      this.#droppedTotal++;
+      return;
+    }
+    if (this.#dropped > 0) {
+      this.#append(`level=warn event=log-lines-dropped lines=${this.#dropped}`);
+      this.#dropped = 0;
+    }
+    this.#append(line);
+    this.#flush();
+  }
+
+  #hasRoom(line: string): boolean {
+    const nowMs = performance.now();
+    if (nowMs - this.#secondStartMs >= SECOND_MS) {
+      this.#secondStartMs = nowMs;
+      this.#linesOfSecond = 0;
+    }
+    return ++this.#linesOfSecond <= MAX_LINES_PER_SECOND &&
+      this.#waitingBytes + line.length <= MAX_WAITING_BYTES;
+  }
+
+  #append(line: string): void {
+    this.#waiting.push(line);
+    this.#waitingBytes += line.length;
+  }
+
+  #flush(): void {
+    if (this.#isWriting || this.#waiting.length === 0) {
+      return;
+    }
+    const text = `${this.#waiting.join("\n")}\n`;
+    this.#waiting.length = 0;
+    this.#isWriting = true;
+    // The bytes count until they are written, since a slow reader keeps them in memory.
+    this.#write(text, () => {
+      this.#isWriting = false;
+      this.#waitingBytes = this.#waiting.reduce((n, l) => n + l.length, 0);
+      this.#flush();
+    });
+  }
+}
+
+/** Writes through the thread pool, since a write to a full pipe would block the event loop. */
+function writeStandardOutput(
+  text: string,
+  callback: (error: Error | null) => void,
+): void {
+  const bytes = Buffer.from(text);
+  const writeRest = (offset: number) => {
+    write(STANDARD_OUTPUT, bytes, offset, (error, written) => {
+      if (error !== null || offset + written >= bytes.length) {
+        callback(error);
+      } else {
+        writeRest(offset + written);
+      }
+    });
+  };
+  writeRest(0);
+}
--- a/src/shared/logger.ts
+++ b/src/shared/logger.ts
@@ -1,5 +1,6 @@
 import process from "node:process";
 import { Logger as TslogLogger } from "tslog";
+import type { LogSink } from "./log_sink.ts";
 
 /** Value of one field of a log line. */
 export type LogValue = string | number | boolean | null | undefined;
@@ -22,13 +23,20 @@
   write(level: LogLevel, event: string, fields?: LogFields): void;
 }
 
-/** Logger that writes with tslog to standard error. */
+const STANDARD_ERROR: LogSink = {
+  writeLine: (line) => void process.stderr.write(`${line}\n`),
+};
+
+/** Logger that writes with tslog, to standard error unless another sink is given. */
 export class ProcessLogger implements Logger {
   readonly #logger: TslogLogger<unknown>;
   readonly #base: LogFields;
   readonly #minLevel: number;
 
-  constructor(base: LogFields, options?: { minLevel?: LogLevel }) {
+  constructor(
+    base: LogFields,
+    options?: { minLevel?: LogLevel; sink?: LogSink },
+  ) {
     this.#base = base;
     this.#minLevel = TSLOG_LEVELS[options?.minLevel ?? "info"];
     this.#logger = new TslogLogger({
@@ -36,8 +44,9 @@
       minLevel: this.#minLevel,
       hideLogPositionForProduction: true,
     });
+    const sink = options?.sink ?? STANDARD_ERROR;
     this.#logger.attachTransport((record) => {
-      process.stderr.write(`${String(record["0"])}\n`);
+      sink.writeLine(String(record["0"]));
     });
   }
 
