--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,6 +4,7 @@
   test: {
     include: [
       "src/**/*_test.ts",
+      "platform/**/*_test.ts",
       "fakes/**/*_test.ts",
       "bench/**/*_test.ts",
       "tests/**/*_test.ts",
