--- a/src/connection/fleet_peer_router.ts
+++ b/src/connection/fleet_peer_router.ts
@@ -18,7 +18,7 @@
   return peerTrpc.router({
     exchange: peerTrpc.procedure
       .input(parseNotice)
-      .mutation(({ input }) => responder.exchange(input)),
+      .mutation(({ input }) => responder.handleNotice(input)),
     getConfig: peerTrpc.procedure.query(() => responder.getConfig() ?? null),
     getServers: peerTrpc.procedure.query(() => responder.getServers()),
   });
--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -125,7 +125,7 @@
         this.#remove(id, "removed");
       }
     }
-    this.#notify();
+    this.#publishChange();
   }
 
   /**
@@ -147,7 +147,7 @@
       stagedModels: report.stagedModels ?? server.stagedModels,
     });
     this.#reportedAtMs.set(id, performance.now());
-    this.#notify();
+    this.#publishChange();
   }
 
   /** Keeps what a server reported just now over an entry that it wrote before. */
@@ -183,7 +183,7 @@
     const timer = setTimeout(() => {
       this.#missing.delete(id);
       this.#remove(id, "lapsed in an outage of the store");
-      this.#notify();
+      this.#publishChange();
     }, REAPPEAR_MS);
     timer.unref();
     this.#missing.set(id, timer);
@@ -202,7 +202,7 @@
     }
   }
 
-  #notify(): void {
+  #publishChange(): void {
     this.#listeners.forEach((listener) => listener());
   }
 }
--- /dev/null
+++ b/src/process/fleet/crash_ledger_test.ts
@@ -0,0 +1,64 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { CrashLedger } from "./crash_ledger.ts";
+
+describe("CrashLedger", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function doTest(groupKeys: readonly string[]): CrashLedger {
+    const ledger = new CrashLedger();
+    groupKeys.forEach((groupKey) =>
+      ledger.recordCrash({ fingerprint: "f", groupKey })
+    );
+    return ledger;
+  }
+
+  describe("isRefused", () => {
+    it.each([
+      [["g1", "g2"], false],
+      [["g1", "g1", "g1"], false],
+      [["g1", "g2", "g3"], true],
+    ])("judges the crashes %j", (groupKeys, expected) => {
+      const ledger = doTest(groupKeys);
+      expect(ledger.isRefused("f")).toBe(expected);
+      expect(ledger.isRefused("other")).toBe(false);
+    });
+
+    it("forgets after a minute", () => {
+      const ledger = doTest(["g1", "g2", "g3"]);
+      vi.advanceTimersByTime(61_000);
+      expect(ledger.isRefused("f")).toBe(false);
+    });
+
+    it("forgets when the request was answered", () => {
+      const ledger = doTest(["g1", "g2"]);
+      ledger.recordSuccess("f");
+      ledger.recordCrash({ fingerprint: "f", groupKey: "g3" });
+      expect(ledger.isRefused("f")).toBe(false);
+    });
+  });
+
+  describe("applyNotice", () => {
+    it("counts the crashes that three daemons saw", () => {
+      const ledgers = ["g1", "g2", "g3"].map((key) => doTest([key]));
+      const told = ledgers.flatMap((ledger) => ledger.listRecent());
+      const [first] = ledgers;
+      told.forEach((notice) => first.applyNotice(notice));
+      expect(first.isRefused("f")).toBe(true);
+    });
+  });
+
+  describe("listRecent", () => {
+    it("lists a crash for several exchanges, then no more", () => {
+      const ledger = doTest(["g1"]);
+      vi.advanceTimersByTime(1_400);
+      expect(ledger.listRecent()).toHaveLength(1);
+      vi.advanceTimersByTime(200);
+      expect(ledger.listRecent()).toHaveLength(0);
+    });
+  });
+});
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -5,6 +5,7 @@
 import type { PlatformAdapter } from "../platform_adapter.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
 import type { BackendServer } from "./backend_server.ts";
+import type { CrashLedger } from "./crash_ledger.ts";
 import type { ExcludedZones } from "./excluded_zones.ts";
 import type { GroupLoads } from "./group_loads.ts";
 import type { GroupTable } from "./group_table.ts";
@@ -24,6 +25,7 @@
   readonly directory: BackendDirectory;
   readonly groups: GroupTable;
   readonly loads: GroupLoads;
+  readonly crashes: CrashLedger;
   readonly excludedZones: ExcludedZones;
   readonly board: PeerBoard;
   readonly clients: FleetPeerClients;
@@ -39,7 +41,7 @@
   readonly #zones: KindWatch<true>;
   readonly #servers: KindWatch<BackendServer>;
   readonly #zoneNames = new Set<string>();
-  readonly #fetching = new Set<string>();
+  readonly #running = new Set<string>();
   #behindSinceMs: number | undefined;
 
   constructor(options: FleetSyncOptions) {
@@ -100,15 +102,17 @@
 
   /** Takes what a peer told. */
   applyNotice(notice: PeerNotice): void {
-    const { board, loads, groups, excludedZones, directory } = this.#options;
+    const { board, loads, groups, crashes, excludedZones, directory } =
+      this.#options;
     board.applyNotice(notice);
     loads.applyPeerLoad(notice.name, notice.loads);
     notice.lostGroups.forEach((key) =>
       groups.recordLoss(key, `told by ${notice.name}`)
     );
+    notice.crashes.forEach((crash) => crashes.applyNotice(crash));
     excludedZones.offer(notice.excludedZones, notice.name);
     if (notice.configVersion > this.#options.getConfigVersion()) {
-      void this.#fetchConfig(notice);
+      void this.#requestConfig(notice);
     }
     if (notice.serversRevision > directory.changeRevision) {
       this.#observeLag(notice);
@@ -127,13 +131,13 @@
         peerRevision: notice.serversRevision,
       });
       this.restartWatches();
-      void this.#fetchServers(notice);
+      void this.#requestServers(notice);
     }
   }
 
-  async #fetchConfig({ name, address }: PeerNotice): Promise<void> {
+  async #requestConfig({ name, address }: PeerNotice): Promise<void> {
     const { clients, applyConfig } = this.#options;
-    await this.#fetchOnce("config", async () => {
+    await this.#runOnce("config", async () => {
       const config = await clients.getClient(address).getConfig.query();
       if (config !== null) {
         applyConfig(config, name);
@@ -141,19 +145,19 @@
     });
   }
 
-  async #fetchServers({ address }: PeerNotice): Promise<void> {
+  async #requestServers({ address }: PeerNotice): Promise<void> {
     const { clients, directory } = this.#options;
-    await this.#fetchOnce("servers", async () => {
+    await this.#runOnce("servers", async () => {
       const notice = await clients.getClient(address).getServers.query();
       directory.offerNotice(notice);
     });
   }
 
-  async #fetchOnce(what: string, fetch: () => Promise<void>): Promise<void> {
-    if (this.#fetching.has(what)) {
+  async #runOnce(what: string, fetch: () => Promise<void>): Promise<void> {
+    if (this.#running.has(what)) {
       return;
     }
-    this.#fetching.add(what);
+    this.#running.add(what);
     try {
       await fetch();
     } catch (error) {
@@ -162,7 +166,7 @@
         message: getErrorMessage(error),
       });
     } finally {
-      this.#fetching.delete(what);
+      this.#running.delete(what);
     }
   }
 }
--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -12,6 +12,8 @@
   readonly excludedGroups: ReadonlySet<string>;
   /** Requests that a group runs at once. */
   readonly slots: number;
+  /** Monotonic time until which a place still lets the first event arrive within the objective, in milliseconds. */
+  readonly onTimeUntilMs: number;
   /** Monotonic time until which the request waits for a place, in milliseconds. */
   readonly waitUntilMs: number;
   readonly signal: AbortSignal;
@@ -29,6 +31,22 @@
   readonly settle: (grant: GroupGrant | undefined) => void;
 }
 
+/**
+ * Orders the requests that wait: the more urgent first, then those that can still be on time, then by their arrival. In a burst that outlasts the places, first-come-first-served would make every request late; this order keeps as many on time as there are places, and the late ones get what is left.
+ *
+ * @param waiting - Requests in the order of their arrival.
+ * @param nowMs - Monotonic time in milliseconds.
+ */
+export function sortWaiting<T extends { readonly demand: GroupDemand }>(
+  waiting: readonly T[],
+  nowMs: number,
+): T[] {
+  const isLate = ({ demand }: T) => Number(demand.onTimeUntilMs < nowMs);
+  return [...waiting].sort((a, b) =>
+    a.demand.priority - b.demand.priority || isLate(a) - isLate(b)
+  );
+}
+
 /** Gives requests their places in groups. Requests wait here rather than at an engine, so that the first free place of any group serves them. */
 export class GroupAdmission {
   readonly #groups: GroupTable;
@@ -66,7 +84,10 @@
 
   /** Gives free places to the requests that wait. */
   refresh(): void {
-    for (const waiter of [...this.#waiters]) {
+    if (this.#waiters.length === 0) {
+      return;
+    }
+    for (const waiter of sortWaiting(this.#waiters, performance.now())) {
       const grant = this.#tryGrant(waiter.demand);
       if (grant !== undefined) {
         waiter.settle(grant);
@@ -90,10 +111,7 @@
       const waiter = { demand, settle };
       const timer = setTimeout(onAbort, waitMs);
       demand.signal.addEventListener("abort", onAbort, { once: true });
-      const next = this.#waiters.findIndex((other) =>
-        other.demand.priority > demand.priority
-      );
-      this.#waiters.splice(next < 0 ? this.#waiters.length : next, 0, waiter);
+      this.#waiters.push(waiter);
     });
   }
 
--- /dev/null
+++ b/src/process/fleet/group_admission_test.ts
@@ -0,0 +1,157 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { NullLogger } from "../../shared/logger.ts";
+import { BackendDirectory } from "./backend_directory.ts";
+import type { BackendServer } from "./backend_server.ts";
+import { GroupAdmission, type GroupDemand } from "./group_admission.ts";
+import { GroupLoads } from "./group_loads.ts";
+import { GroupTable } from "./group_table.ts";
+
+const SLOTS = 2;
+
+describe("GroupAdmission", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function createHead(id: string): BackendServer {
+    return {
+      id,
+      startedAtMs: 1,
+      entryVersion: 1,
+      service: "models",
+      address: "127.0.0.1:1",
+      zone: "z",
+      slots: SLOTS,
+      isDraining: false,
+      coldUntilMs: 0,
+      domain: "d",
+      stagedModels: [],
+      loadedModels: ["m"],
+      membership: {
+        groupName: id,
+        generation: 1,
+        rank: 0,
+        state: "open",
+      },
+    };
+  }
+
+  function doTest(heads: readonly string[]) {
+    const logger = new NullLogger();
+    const directory = new BackendDirectory({ logger });
+    const loads = new GroupLoads();
+    const groups = new GroupTable({
+      directory,
+      logger,
+      findModel: () => ({
+        name: "m",
+        groupSize: 1,
+        expectedShare: 1,
+        stepFactor: 1,
+        loadMs: 1,
+        warmMs: 1,
+      }),
+    });
+    const admission = new GroupAdmission({ groups, loads, zone: "z" });
+    directory.applyChange({
+      changed: new Map(heads.map((id) => [id, createHead(id)])),
+      removed: [],
+      revision: 1,
+      changeRevision: 1,
+      outageMs: 0,
+    });
+    return { admission, loads, groups };
+  }
+
+  function createDemand(demand: Partial<GroupDemand> = {}): GroupDemand {
+    return {
+      service: "models",
+      model: "m",
+      priority: 0,
+      excludedGroups: new Set(),
+      slots: SLOTS,
+      onTimeUntilMs: performance.now() + 200,
+      waitUntilMs: performance.now() + 1_000,
+      signal: new AbortController().signal,
+      ...demand,
+    };
+  }
+
+  describe("acquire", () => {
+    it("spreads requests over the groups, with the loads of the peers", async () => {
+      const { admission, loads } = doTest(["g1", "g2"]);
+      loads.applyPeerLoad("peer", [["g1/1", 2]]);
+      const grants = [
+        await admission.acquire(createDemand()),
+        await admission.acquire(createDemand()),
+      ];
+      expect(grants.map(({ group }) => group.key)).toEqual(["g2/1", "g2/1"]);
+    });
+
+    it("gives a free place to a request that waits", async () => {
+      const { admission } = doTest(["g1"]);
+      const grants = await Promise.all([
+        admission.acquire(createDemand()),
+        admission.acquire(createDemand()),
+      ]);
+      const waiting = admission.acquire(createDemand());
+      expect(admission.waiting).toBe(1);
+      grants[0].release();
+      expect((await waiting).group.key).toBe("g1/1");
+    });
+
+    it("refuses as not run when no place is free in time", async () => {
+      const { admission } = doTest([]);
+      const refused = expect(admission.acquire(createDemand())).rejects
+        .toMatchObject({ status: 503, verdict: "not-run" });
+      await vi.advanceTimersByTimeAsync(1_000);
+      await refused;
+    });
+
+    it("leaves out groups that the request is not sent to again", async () => {
+      const { admission } = doTest(["g1", "g2"]);
+      const excludedGroups = new Set(["g1/1"]);
+      const grant = await admission.acquire(createDemand({ excludedGroups }));
+      expect(grant.group.key).toBe("g2/1");
+    });
+
+    // A burst that outlasts the places: first-come-first-served would serve only requests that are late already.
+    it("serves a request that can be on time before one that is late, in a burst", async () => {
+      const { admission } = doTest(["g1"]);
+      const grants = await Promise.all([
+        admission.acquire(createDemand()),
+        admission.acquire(createDemand()),
+      ]);
+      const served: string[] = [];
+      const first = admission.acquire(createDemand())
+        .then(() => served.push("late"));
+      await vi.advanceTimersByTimeAsync(300);
+      const second = admission.acquire(createDemand())
+        .then(() => served.push("on time"));
+      grants[0].release();
+      await second;
+      grants[1].release();
+      await first;
+      expect(served).toEqual(["on time", "late"]);
+    });
+
+    it("serves the more urgent request first", async () => {
+      const { admission } = doTest(["g1"]);
+      const grants = await Promise.all([
+        admission.acquire(createDemand()),
+        admission.acquire(createDemand()),
+      ]);
+      const served: number[] = [];
+      const all = [2, 1].map((priority) =>
+        admission.acquire(createDemand({ priority }))
+          .then(() => served.push(priority))
+      );
+      grants.forEach((grant) => grant.release());
+      await Promise.all(all);
+      expect(served).toEqual([1, 2]);
+    });
+  });
+});
--- a/src/process/fleet/group_guard.ts
+++ b/src/process/fleet/group_guard.ts
@@ -48,7 +48,7 @@
   async run(signal: AbortSignal): Promise<void> {
     while (await delay(CHECK_INTERVAL_MS, signal)) {
       for (const [key, attempts] of this.#attempts.listByGroup()) {
-        if (isSilent(attempts) && !this.#wasChecked(key)) {
+        if (isSilent(attempts) && !this.#hasRecentCheck(key)) {
           this.checkGroup(attempts[0].group, "silence");
         }
       }
@@ -117,7 +117,7 @@
     return results.find((result) => result.isRight()) ?? results[0];
   }
 
-  #wasChecked(key: string): boolean {
+  #hasRecentCheck(key: string): boolean {
     const atMs = this.#checkedAtMs.get(key);
     return atMs !== undefined && performance.now() - atMs < RECHECK_MS;
   }
@@ -128,7 +128,7 @@
       this.#attempts.abandonGroup(key, "the group is lost");
     }
     for (const key of this.#checkedAtMs.keys()) {
-      if (!this.#wasChecked(key)) {
+      if (!this.#hasRecentCheck(key)) {
         this.#checkedAtMs.delete(key);
       }
     }
--- a/src/process/fleet/group_loads.ts
+++ b/src/process/fleet/group_loads.ts
@@ -37,7 +37,7 @@
     } else {
       this.#own.delete(key);
     }
-    this.#notify();
+    this.#publishChange();
   }
 
   /** Gets the requests in flight in a group, over all daemons. */
@@ -64,10 +64,10 @@
   ): void {
     this.#hasTraffic ||= loads.length > 0;
     this.#peers.set(peer, { loads: new Map(loads), atMs: performance.now() });
-    this.#notify();
+    this.#publishChange();
   }
 
-  #notify(): void {
+  #publishChange(): void {
     this.#listeners.forEach((listener) => listener());
   }
 }
--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -60,12 +60,12 @@
     for (const [name, address] of this.#options.board.listAddresses()) {
       const isDue = (this.#notBeforeMs.get(name) ?? 0) <= nowMs;
       if (isDue && !this.#running.has(name)) {
-        void this.#exchange(name, address);
+        void this.#callPeer(name, address);
       }
     }
   }
 
-  async #exchange(name: string, address: string): Promise<void> {
+  async #callPeer(name: string, address: string): Promise<void> {
     const { clients, createNotice, onNotice } = this.#options;
     this.#running.add(name);
     try {
--- a/src/process/fleet/peer_notice.ts
+++ b/src/process/fleet/peer_notice.ts
@@ -1,5 +1,6 @@
 import type { RoutingConfig } from "../../version/routing_config.ts";
 import type { BackendServer } from "./backend_server.ts";
+import type { CrashNotice } from "./crash_ledger.ts";
 
 /** Zones that take no requests, as of a revision of the store. */
 export interface ExcludedZonesNotice {
@@ -24,6 +25,8 @@
   readonly loads: readonly (readonly [group: string, requests: number])[];
   /** Groups that the daemon knows to be lost. */
   readonly lostGroups: readonly string[];
+  /** Crashes of groups while they ran a request, of the last moments. */
+  readonly crashes: readonly CrashNotice[];
   /** Peer listeners of the daemons that it hears from. */
   readonly peers: readonly (readonly [name: string, address: string])[];
 }
@@ -42,7 +45,7 @@
 /** Answers the other daemons. */
 export interface PeerResponder {
   /** Takes a peer's notice and answers with the own one. */
-  exchange(notice: PeerNotice): PeerNotice;
+  handleNotice(notice: PeerNotice): PeerNotice;
   /** Gets the configuration in force. */
   getConfig(): RoutingConfig | undefined;
   /** Gets the list of backend servers. */
--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -80,7 +80,7 @@
   /** Acquires and renews the lease until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await this.#step();
+      await this.#runStep();
       await delay(
         this.getTerm() === undefined ? CHECK_INTERVAL_MS : RENEW_INTERVAL_MS,
         signal,
@@ -89,9 +89,9 @@
     await this.#release();
   }
 
-  async #step(): Promise<void> {
+  async #runStep(): Promise<void> {
     if (this.getTerm() !== undefined) {
-      await this.#renew();
+      await this.#keepLease();
       return;
     }
     if (this.#isHolderHeard()) {
@@ -132,7 +132,7 @@
     }
   }
 
-  async #renew(): Promise<void> {
+  async #keepLease(): Promise<void> {
     const value = this.#value!;
     await this.#write({ ...value, renewal: value.renewal + 1 });
   }
--- /dev/null
+++ b/src/process/fleet/repeat_budget_test.ts
@@ -0,0 +1,65 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { RepeatBudget } from "./repeat_budget.ts";
+
+describe("RepeatBudget", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function doTest(daemons = 7) {
+    return new RepeatBudget({
+      ratio: 0.2,
+      windowMs: 10_000,
+      slack: 70,
+      countDaemons: () => daemons,
+    });
+  }
+
+  function countRights(budget: RepeatBudget): number {
+    let rights = 0;
+    while (budget.tryAcquire()) {
+      rights++;
+    }
+    return rights;
+  }
+
+  describe("tryAcquire", () => {
+    it("gives this daemon's part of the slack without a request", () => {
+      expect(countRights(doTest())).toBe(10);
+    });
+
+    it("gives a fifth of the requests besides", () => {
+      const budget = doTest();
+      for (let i = 0; i < 100; i++) {
+        budget.recordRequest();
+      }
+      expect(countRights(budget)).toBe(30);
+    });
+
+    it("gives nothing more within the window", () => {
+      const budget = doTest();
+      countRights(budget);
+      vi.advanceTimersByTime(9_000);
+      expect(countRights(budget)).toBe(0);
+      vi.advanceTimersByTime(2_000);
+      expect(countRights(budget)).toBe(10);
+    });
+
+    // All daemons together keep to the bound of the service, whatever the load of each of them.
+    it("keeps the sum over the daemons within the bound", () => {
+      const budgets = Array.from({ length: 7 }, () => doTest());
+      let requests = 0;
+      budgets.forEach((budget, i) => {
+        for (let n = 0; n < i * 37; n++) {
+          budget.recordRequest();
+          requests++;
+        }
+      });
+      const rights = budgets.reduce((sum, b) => sum + countRights(b), 0);
+      expect(rights).toBeLessThanOrEqual(0.2 * requests + 70);
+    });
+  });
+});
--- a/src/process/fleet/replica_planner.ts
+++ b/src/process/fleet/replica_planner.ts
@@ -66,7 +66,7 @@
   const models = assignDomains(state);
   const formations: GroupFormation[] = [];
   const preparations: ServerPreparation[] = [];
-  for (const [domain, servers] of groupByDomain(state.servers)) {
+  for (const [domain, servers] of collectDomains(state.servers)) {
     const model = models.get(domain);
     if (model !== undefined) {
       planDomain({ domain, model, servers, formations, preparations });
@@ -84,7 +84,7 @@
   state: FleetState,
 ): ReadonlyMap<string, ModelServing> {
   const { models } = state.engine;
-  const domains = groupByDomain(state.servers);
+  const domains = collectDomains(state.servers);
   const total = domains.size;
   const assigned = new Map<string, number>();
   const byDomain = new Map<string, ModelServing>();
@@ -137,7 +137,7 @@
   return [...counts].sort(([, a], [, b]) => b - a)[0]?.[0];
 }
 
-function groupByDomain(
+function collectDomains(
   servers: readonly PlannedServer[],
 ): Map<string, PlannedServer[]> {
   const domains = new Map<string, PlannedServer[]>();
--- /dev/null
+++ b/src/process/fleet/replica_planner_test.ts
@@ -0,0 +1,176 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import type { EngineProfile } from "../../version/routing_config.ts";
+import {
+  assignDomains,
+  type FleetState,
+  planFleet,
+  type PlannedServer,
+} from "./replica_planner.ts";
+
+const ENGINE: EngineProfile = {
+  slots: 12,
+  maxTokens: 1_000_000,
+  stepMs: 8,
+  stepPerRequestMs: 0.1,
+  promptTokensPerSecond: 45_000,
+  stepsPerBatch: 5,
+  loadsPerSecond: 5,
+  concurrentLoads: 7,
+  openMs: 300,
+  reportLagMs: 200,
+  models: [
+    {
+      name: "large",
+      groupSize: 4,
+      expectedShare: 0.5,
+      stepFactor: 1,
+      loadMs: 16_000,
+      warmMs: 1_600,
+    },
+    {
+      name: "small",
+      groupSize: 2,
+      expectedShare: 0.5,
+      stepFactor: 0.6,
+      loadMs: 12_000,
+      warmMs: 1_100,
+    },
+  ],
+};
+
+function createServers(
+  domain: string,
+  count: number,
+  server: Partial<PlannedServer> = {},
+): PlannedServer[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `${domain}-${i}`,
+    domain,
+    zone: domain.slice(0, 1),
+    stagedModels: [],
+    isFree: true,
+    isLoading: false,
+    ...server,
+  }));
+}
+
+function createState(
+  servers: PlannedServer[],
+  hasTraffic = true,
+): FleetState {
+  return { engine: ENGINE, servers, hasTraffic };
+}
+
+describe("assignDomains", () => {
+  function doTest(servers: PlannedServer[]): string[] {
+    return [...assignDomains(createState(servers))]
+      .map(([domain, { name }]) => `${domain}=${name}`).sort();
+  }
+
+  it("splits the domains by the expected shares and spreads each model over the zones", () => {
+    const assigned = doTest(
+      ["a0", "a1", "b0", "b1", "c0", "c1"].flatMap((d) => createServers(d, 10)),
+    );
+    expect(assigned.filter((a) => a.endsWith("large"))).toHaveLength(3);
+    expect(assigned.filter((a) => a.endsWith("small"))).toHaveLength(3);
+  });
+
+  // Servers of a new fleet register one after another; the assignment must not depend on how many have.
+  it("does not change while further servers of the domains register", () => {
+    const domains = ["a0", "a1", "b0", "b1", "c0", "c1"];
+    const few = domains.flatMap((d, i) => createServers(d, 4 + i));
+    const all = domains.flatMap((d) => createServers(d, 10));
+    expect(doTest(few)).toEqual(doTest(all));
+  });
+
+  it("keeps the model that most servers of a domain hold", () => {
+    const servers = createServers("a0", 10, { lastModel: "small" });
+    expect(doTest(servers)).toEqual(["a0=small"]);
+  });
+});
+
+describe("planFleet", () => {
+  it("forms groups of servers that hold the model, the warm ones first", () => {
+    const servers = [
+      ...createServers("a0", 3, { stagedModels: ["large"] }),
+      ...createServers("a0", 3, { lastModel: "large" })
+        .map((server) => ({ ...server, id: `warm-${server.id}` })),
+    ];
+    const { formations } = planFleet(createState(servers));
+    expect(formations).toHaveLength(1);
+    expect(
+      formations[0].members.slice(0, 3).every((id) => id.startsWith("warm")),
+    ).toBe(true);
+  });
+
+  it("loads as many servers as the weight store serves, those that complete a group before spares", () => {
+    const servers = createServers("a0", 6, { stagedModels: [] });
+    const { preparations } = planFleet(createState(servers));
+    expect(preparations.filter(({ needsLoad }) => needsLoad)).toHaveLength(6);
+    expect(preparations.map(({ isSpare }) => isSpare).sort()).toEqual(
+      [false, false, false, false, true, true],
+    );
+    const many = ["a0", "b0", "c0"].flatMap((d) => createServers(d, 10));
+    expect(planFleet(createState(many)).preparations).toHaveLength(7);
+    expect(planFleet(createState(many, false)).preparations).toHaveLength(10);
+  });
+
+  it("leaves servers alone that are not free", () => {
+    const servers = createServers("a0", 10, {
+      lastModel: "large",
+      isFree: false,
+    });
+    expect(planFleet(createState(servers))).toEqual({
+      formations: [],
+      preparations: [],
+    });
+  });
+
+  const serverArbitrary = fc.record({
+    domain: fc.constantFrom("a0", "a1", "b0"),
+    held: fc.constantFrom(undefined, "large", "small"),
+    isStaged: fc.boolean(),
+    isFree: fc.boolean(),
+    isLoading: fc.boolean(),
+  });
+
+  it("uses no server twice, forms only whole groups in one domain and keeps the load bound", () => {
+    fc.assert(
+      fc.property(
+        fc.array(serverArbitrary, { maxLength: 40 }),
+        (drawn) => {
+          const servers = drawn.map((server, i): PlannedServer => ({
+            id: `s${i}`,
+            domain: server.domain,
+            zone: server.domain.slice(0, 1),
+            stagedModels: server.isStaged && server.held !== undefined
+              ? [server.held]
+              : [],
+            lastModel: server.isStaged ? undefined : server.held,
+            isFree: server.isFree,
+            isLoading: server.isLoading,
+          }));
+          const { formations, preparations } = planFleet(createState(servers));
+          const used = [
+            ...formations.flatMap(({ members }) => members),
+            ...preparations.map(({ serverId }) => serverId),
+          ];
+          expect(new Set(used).size).toBe(used.length);
+          const byId = new Map(servers.map((server) => [server.id, server]));
+          expect(used.every((id) => byId.get(id)!.isFree)).toBe(true);
+          for (const { model, domain, members } of formations) {
+            const size = ENGINE.models.find(({ name }) => name === model)!
+              .groupSize;
+            expect(members).toHaveLength(size);
+            expect(members.every((id) => byId.get(id)!.domain === domain))
+              .toBe(true);
+          }
+          const loading = servers.filter(({ isLoading }) => isLoading).length;
+          const loads = preparations.filter(({ needsLoad }) => needsLoad);
+          expect(loads.length).toBeLessThanOrEqual(Math.max(0, 7 - loading));
+        },
+      ),
+    );
+  });
+});
--- a/src/process/fleet/survivor_check.ts
+++ b/src/process/fleet/survivor_check.ts
@@ -31,7 +31,7 @@
     const isDue = known === undefined || (known.state === "silent" &&
       performance.now() - known.atMs > RECHECK_MS);
     if (isDue) {
-      void this.#ask(states, server);
+      void this.#observe(states, server);
     }
     return known?.state === "alive";
   }
@@ -45,7 +45,7 @@
     }
   }
 
-  async #ask(
+  async #observe(
     states: Map<string, CheckState>,
     server: BackendServer,
   ): Promise<void> {
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -10,6 +10,7 @@
 import { RouteTable } from "../version/route_table.ts";
 import type { RoutingConfig } from "../version/routing_config.ts";
 import { BackendDirectory } from "./fleet/backend_directory.ts";
+import { CrashLedger } from "./fleet/crash_ledger.ts";
 import { ExcludedZones } from "./fleet/excluded_zones.ts";
 import { FleetSync } from "./fleet/fleet_sync.ts";
 import { GroupAdmission } from "./fleet/group_admission.ts";
@@ -66,6 +67,7 @@
   readonly #peer: HttpServer;
   readonly #metrics: HttpServer;
   readonly #loads = new GroupLoads();
+  readonly #crashes = new CrashLedger();
   readonly #board: PeerBoard;
   readonly #excludedZones: ExcludedZones;
   readonly #sync: FleetSync;
@@ -120,6 +122,7 @@
         announceLoss: () => this.#exchange.sendAll(),
       }),
       serverLoads: new ServerLoads(),
+      crashes: this.#crashes,
       getRoutes: () => this.#routes,
       getExcludedZones: () => this.#excludedZones.getZones(),
       getRepeatBudget: (service) => this.#getRepeatBudget(service),
@@ -137,7 +140,7 @@
       res.end(metrics.render());
     });
     this.#peer = new HttpServer(createFleetPeerApp({
-      exchange: (notice) => this.exchange(notice),
+      handleNotice: (notice) => this.handleNotice(notice),
       getConfig: () => this.#routes?.config,
       getServers: () => this.#directory.getNotice(),
     }));
@@ -167,7 +170,7 @@
   }
 
   /** Answers a peer that exchanges notices. */
-  exchange(notice: PeerNotice): PeerNotice {
+  handleNotice(notice: PeerNotice): PeerNotice {
     this.#sync.applyNotice(notice);
     return this.#createNotice();
   }
@@ -236,6 +239,7 @@
       directory: this.#directory,
       groups: this.#groups,
       loads: this.#loads,
+      crashes: this.#crashes,
       excludedZones: this.#excludedZones,
       board: this.#board,
       getConfigVersion: () => this.#routes?.version ?? 0,
@@ -311,6 +315,7 @@
       serversRevision: this.#directory.changeRevision,
       loads: this.#loads.listOwn(),
       lostGroups: this.#groups.listLost(),
+      crashes: this.#crashes.listRecent(),
       peers: this.#board.listAddresses(),
     };
   }
--- /dev/null
+++ b/src/request/routed/event_frames_test.ts
@@ -0,0 +1,42 @@
+import { Buffer } from "node:buffer";
+import { describe, expect, it } from "vitest";
+import { EventFrameReader } from "./event_frames.ts";
+
+const STREAM = 'id: 1\ndata: {"a":"é"}\n\nid: 2\r\ndata: b\r\n\r\n' +
+  "weight-versions: 3\nid: 3\ndata: c\n\n";
+
+describe("EventFrameReader", () => {
+  describe("push", () => {
+    function doTest(pieces: readonly Buffer[]) {
+      const reader = new EventFrameReader();
+      const frames = pieces.flatMap((piece) => reader.push(piece));
+      return { reader, frames };
+    }
+
+    // Every offset, since a backend server may stop inside an event and a connection may split it anywhere.
+    it("finds the same events wherever the stream is split", () => {
+      const bytes = Buffer.from(STREAM);
+      for (let at = 0; at <= bytes.length; at++) {
+        const { frames, reader } = doTest([
+          bytes.subarray(0, at),
+          bytes.subarray(at),
+        ]);
+        expect(frames.map(({ id }) => id)).toEqual([1, 2, 3]);
+        expect(Buffer.concat(frames.map((f) => f.bytes)).equals(bytes))
+          .toBe(true);
+        expect(reader.hasPartialEvent).toBe(false);
+      }
+    });
+
+    it("keeps an event that is not whole", () => {
+      const { frames, reader } = doTest([Buffer.from("id: 1\n\nid: 2\nda")]);
+      expect(frames.map(({ id }) => id)).toEqual([1]);
+      expect(reader.hasPartialEvent).toBe(true);
+    });
+
+    it("gives an event without an id", () => {
+      const { frames } = doTest([Buffer.from("data: x\n\n")]);
+      expect(frames.map(({ id }) => id)).toEqual([undefined]);
+    });
+  });
+});
--- a/src/request/routed/model_stream.ts
+++ b/src/request/routed/model_stream.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import {
   type BackendAnswer,
   BackendError,
@@ -15,6 +16,7 @@
 
 /** Part of the remaining time for which a request that has not begun waits for a place. */
 const FIRST_WAIT_SHARE = 0.3;
+const MS_PER_SECOND = 1_000;
 /** Attempts that groups decline without running the request. They cost little, and a group that closes declines until its state is known. */
 const MAX_DECLINED_ATTEMPTS = 4;
 
@@ -24,6 +26,7 @@
   readonly #engine: EngineProfile;
   readonly #demand: ModelDemand;
   readonly #excluded = new Set<string>();
+  readonly #fingerprint: string;
   #lastEventId: number | undefined;
   #verdict: Verdict = "not-run";
   #attempts = 0;
@@ -40,6 +43,7 @@
     this.#engine = options.engine;
     this.#demand = options.demand;
     this.#lastEventId = scope.request.resumeAfter;
+    this.#fingerprint = getFingerprint(scope);
   }
 
   /** Gets what the log says of the answered request. */
@@ -60,12 +64,14 @@
    */
   async run(): Promise<void> {
     for (;;) {
+      this.#checkCrashes();
       const grant = await this.#acquire();
       this.#attempts++;
       this.#lastGroup = grant.group.key;
       const ended = await this.#runAttempt(grant);
       this.#recordEnd(grant, ended);
       if (ended.outcome === "complete") {
+        this.#scope.context.crashes.recordSuccess(this.#fingerprint);
         return;
       }
       if (ended.outcome === "answered") {
@@ -78,8 +84,19 @@
     }
   }
 
+  /** Refuses a request that crashes whatever runs it. */
+  #checkCrashes(): void {
+    if (this.#scope.context.crashes.isRefused(this.#fingerprint)) {
+      throw new RequestError(
+        "The request is refused, since several groups crashed while they ran it",
+        { code: "quarantined", verdict: this.#verdict, status: 503 },
+      );
+    }
+  }
+
   async #acquire(): Promise<GroupGrant> {
-    const { context, request, service, priority, deadlineAtMs } = this.#scope;
+    const { context, request, service, priority, deadlineAtMs, route } =
+      this.#scope;
     const nowMs = performance.now();
     const hasBegun = this.#scope.writer.hasStarted();
     const waitMs = (deadlineAtMs - nowMs) * (hasBegun ? 1 : FIRST_WAIT_SHARE);
@@ -90,6 +107,8 @@
         priority: hasBegun ? 0 : priority,
         excludedGroups: this.#excluded,
         slots: this.#engine.slots,
+        onTimeUntilMs: request.receivedAtMs + route.latencyObjectiveMs -
+          this.#getFirstEventMs(),
         waitUntilMs: nowMs + waitMs,
         signal: request.signal,
       });
@@ -105,6 +124,18 @@
     }
   }
 
+  /** Gets the usual time from a place in a half full group to the first event, in milliseconds. */
+  #getFirstEventMs(): number {
+    const { slots, stepMs, stepPerRequestMs, stepsPerBatch, models } =
+      this.#engine;
+    const model = models.find(({ name }) => name === this.#demand.model);
+    const batchMs = stepsPerBatch * (stepMs + stepPerRequestMs * slots / 2);
+    const readMs = this.#demand.promptTokens * MS_PER_SECOND /
+      Math.max(1, this.#engine.promptTokensPerSecond);
+    // The batch that runs when the request arrives ends first.
+    return (2 * batchMs + readMs) * (model?.stepFactor ?? 1);
+  }
+
   async #runAttempt(grant: GroupGrant): Promise<EndedAttempt> {
     const { context, request } = this.#scope;
     const controller = new AbortController();
@@ -126,7 +157,7 @@
       Math.max(0, this.#scope.deadlineAtMs - performance.now()),
     );
     try {
-      return await this.#relay(attempt, controller.signal);
+      return await this.#streamAnswer(attempt, controller.signal);
     } catch (error) {
       return convertFailure(error, lossReason);
     } finally {
@@ -137,7 +168,7 @@
     }
   }
 
-  async #relay(
+  async #streamAnswer(
     attempt: StreamAttempt,
     signal: AbortSignal,
   ): Promise<EndedAttempt> {
@@ -165,11 +196,11 @@
     if (answer.status !== 200) {
       return { outcome: "answered", answer, body: await readAnswer(answer) };
     }
-    await this.#relayEvents(answer, attempt);
+    await this.#streamEvents(answer, attempt);
     return { outcome: "complete" };
   }
 
-  async #relayEvents(
+  async #streamEvents(
     answer: BackendAnswer,
     attempt: StreamAttempt,
   ): Promise<void> {
@@ -203,7 +234,7 @@
     if (!writer.hasStarted()) {
       writer.openStream(answer.status, answer.headers);
     }
-    writer.end();
+    writer.finish();
   }
 
   /** Drops events that the caller has, and refuses a gap in the sequence. */
@@ -234,6 +265,12 @@
       this.#runs += ended.error.verdict === "not-run" || ended.isGroupLost
         ? 0
         : 1;
+      if (ended.error.kind === "reset" && !ended.isGroupLost) {
+        context.crashes.recordCrash({
+          fingerprint: this.#fingerprint,
+          groupKey: grant.group.key,
+        });
+      }
     } else if (ended.outcome === "declined") {
       this.#declined++;
     }
@@ -304,6 +341,15 @@
 /** Time after which a declined request may be taken, in milliseconds: the time to form a group anew. */
 const RETRY_AFTER_MS = 500;
 
+/** Gets a text that is the same for every repeat of a request by its caller. */
+function getFingerprint({ request, account }: RequestScope): string {
+  return createHash("sha256")
+    .update(JSON.stringify([request.method, request.path, account]))
+    .update(request.body)
+    .digest("base64url")
+    .slice(0, 16);
+}
+
 function joinFrames(frames: readonly EventFrame[]): Buffer {
   return frames.length === 1
     ? frames[0].bytes
--- a/src/request/routed/routed_request.ts
+++ b/src/request/routed/routed_request.ts
@@ -53,7 +53,7 @@
    */
   write(piece: Buffer): Promise<void> | undefined;
   /** Ends a streamed answer as complete. */
-  end(): void;
+  finish(): void;
   /** Closes the connection so that the answer is seen to be cut. */
   cut(): void;
   /** Gets whether the head of the answer was sent. */
--- a/src/shared/log_sink.ts
+++ b/src/shared/log_sink.ts
@@ -50,7 +50,7 @@
       this.#dropped = 0;
     }
     this.#append(line);
-    this.#flush();
+    this.#writeWaiting();
   }
 
   #hasRoom(line: string): boolean {
@@ -68,7 +68,7 @@
     this.#waitingBytes += line.length;
   }
 
-  #flush(): void {
+  #writeWaiting(): void {
     if (this.#isWriting || this.#waiting.length === 0) {
       return;
     }
@@ -79,7 +79,7 @@
     this.#write(text, () => {
       this.#isWriting = false;
       this.#waitingBytes = this.#waiting.reduce((n, l) => n + l.length, 0);
-      this.#flush();
+      this.#writeWaiting();
     });
   }
 }
--- a/tools/verb_check_test.ts
+++ b/tools/verb_check_test.ts
@@ -5,6 +5,7 @@
 /** Names that the runtime or a library asks for. */
 const EXEMPT_NAMES: ReadonlySet<string> = new Set([
   "toString",
+  "reuseSocket",
   "doTest",
   "html",
 ]);
@@ -12,7 +13,7 @@
 describe("findVerbFaults", () => {
   // Guards against names that drift from the list of verbs in the docs.
   it("finds no function without a listed verb", () => {
-    const files = globSync("{src,fakes,bench,tools,tests}/**/*.ts");
+    const files = globSync("{src,platform,fakes,bench,tools,tests}/**/*.ts");
     const faults = findVerbFaults(files, readVerbs("docs/verbs.md"))
       .filter((fault) => !EXEMPT_NAMES.has(fault.name))
       .map((fault) => `${fault.file}:${fault.line}: ${fault.name}`);
