--- /dev/null
+++ b/tests/platform_path_test.ts
@@ -0,0 +1,186 @@
+import { afterEach, describe, expect, it } from "vitest";
+import { delay } from "../src/shared/delay.ts";
+import {
+  PlatformDeployment,
+  waitUntil,
+} from "./support/platform_deployment.ts";
+
+const WHOLE_STREAM = Array.from(
+  { length: 20 },
+  (_, i) => `id: ${i + 1}\ndata: ${i + 1}\n\n`,
+).join("");
+
+describe("platform path", () => {
+  const deployments: PlatformDeployment[] = [];
+
+  afterEach(async () => {
+    for (const deployment of deployments.splice(0)) {
+      await deployment.dispose();
+    }
+  });
+
+  async function doTest(
+    options: { daemons?: number; models?: number; eventMs?: number } = {},
+  ): Promise<PlatformDeployment> {
+    const deployment = new PlatformDeployment();
+    deployments.push(deployment);
+    await deployment.start({ daemons: 1, models: 8, ...options });
+    await deployment.waitUntilServing();
+    return deployment;
+  }
+
+  it("forms whole groups and streams an answer with its head", async () => {
+    const deployment = await doTest();
+    const answer = await deployment.callModel();
+    expect(answer.body).toBe(WHOLE_STREAM);
+    expect(answer.headers["response-signature"]).toBeDefined();
+    expect(deployment.runs.every(({ isWhole }) => isWhole)).toBe(true);
+    expect(
+      deployment.runs.every(({ tenant, key }) =>
+        tenant === "account-1" && key === undefined
+      ),
+    ).toBe(true);
+  });
+
+  it("continues a stream on another group when a member falls silent, without a missing or repeated event", async () => {
+    const deployment = await doTest({ eventMs: 60 });
+    const { runs, fleet } = deployment;
+    const answering = deployment.callModel();
+    const before = runs.length;
+    await waitUntil(() => runs.length > before);
+    await delay(300);
+    const head = fleet.get(runs[runs.length - 1].serverId)!;
+    const other = head.group!.members.find((id) =>
+      id !== runs.at(-1)!.serverId
+    );
+    fleet.get(other!)!.crash();
+    const answer = await answering;
+    expect(answer.body).toBe(WHOLE_STREAM);
+    expect(answer.isWhole).toBe(true);
+    const lost = deployment.events.filter(({ event }) =>
+      event === "group-lost"
+    );
+    expect(lost.length).toBeGreaterThan(0);
+  });
+
+  it("forms a group of the survivors of two lost ones, and no server is in two groups", async () => {
+    const deployment = await doTest();
+    const { fleet, store } = deployment;
+    const inZone = [...fleet].filter(([id]) => /^m[0246]$/.test(id));
+    const heads = inZone.filter(([, s]) => s.group?.rank === 0);
+    expect(heads).toHaveLength(2);
+    for (const [id, head] of heads) {
+      head.crash();
+      store.deleteObject("servers", id);
+    }
+    const survivors = inZone.filter(([, s]) => !s.isDark).map(([, s]) => s);
+    await waitUntil(() =>
+      survivors.every((s) =>
+        s.group?.Name === survivors[0].group?.Name && s.group !== undefined
+      ) && survivors.some((s) => s.group?.State === "open")
+    );
+    expect(new Set(survivors.map((s) => s.group!.rank)).size).toBe(2);
+  });
+
+  it("never sends a booking again whose answer was lost", async () => {
+    const deployment = await doTest();
+    const { fleet, runs } = deployment;
+    fleet.get("p0")!.lostAnswers = 1;
+    fleet.get("p1")!.lostAnswers = 1;
+    const before = runs.length;
+    const answer = await deployment.call(deployment.callers[0], {
+      method: "POST",
+      path: "/book/1",
+    });
+    expect(answer.status).toBe(502);
+    expect(runs.length - before).toBe(1);
+  });
+
+  it("sends a lookup again whose answer was lost", async () => {
+    const deployment = await doTest();
+    deployment.fleet.get("p0")!.lostAnswers = 1;
+    const answers = [];
+    for (let i = 0; i < 4; i++) {
+      answers.push(
+        await deployment.call(deployment.callers[0], {
+          method: "GET",
+          path: "/look/1",
+        }),
+      );
+    }
+    expect(answers.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+  });
+
+  it.each([
+    ["an unknown route", "/none/1", {}, 404],
+    ["an unknown key", "/look/1", { Credential: "key-9" }, 401],
+  ])("refuses %s", async (_name, path, headers, status) => {
+    const deployment = await doTest();
+    const answer = await deployment.call(deployment.callers[0], {
+      method: "GET",
+      path,
+      headers,
+    });
+    expect(answer.status).toBe(status);
+  });
+
+  it("puts a configuration into force on all daemons", async () => {
+    const deployment = await doTest({ daemons: 2 });
+    deployment.writeConfig({ Tenants: [{ Name: "a", ApiKeys: ["key-2"] }] });
+    for (const caller of deployment.callers) {
+      await waitUntil(async () => {
+        const sent = { method: "GET", path: "/look/1" };
+        return (await deployment.call(caller, sent)).status === 401;
+      }, 2_000);
+    }
+  });
+
+  it("sends nothing to a zone that is out of service, and comes back", async () => {
+    const deployment = await doTest();
+    const { store, runs } = deployment;
+    store.putObject("evacuations", "z1", {});
+    await delay(500);
+    const before = runs.length;
+    for (let i = 0; i < 6; i++) {
+      await deployment.callModel();
+    }
+    const zone1 = runs.slice(before).filter(({ serverId }) =>
+      /^m[0246]$/.test(serverId)
+    );
+    expect(zone1).toEqual([]);
+    store.deleteObject("evacuations", "z1");
+    await waitUntil(async () => {
+      await deployment.callModel();
+      return /^m[0246]$/.test(runs.at(-1)!.serverId);
+    });
+  });
+
+  it(
+    "learns of a change after an outage of the store whose watches never answered",
+    async () => {
+      const deployment = await doTest();
+      const { store } = deployment;
+      store.fault = "silent";
+      await delay(3_000);
+      store.fault = "none";
+      store.putObject("evacuations", "z1", {});
+      const excluded = () =>
+        deployment.events.some(({ event }) => event === "zones-excluded");
+      await waitUntil(excluded, 5_000);
+    },
+    30_000,
+  );
+
+  it("stops in a planned way without cutting a stream", async () => {
+    const deployment = await doTest({ eventMs: 60 });
+    const answering = deployment.callModel();
+    await delay(200);
+    const stopping = deployment.daemons[0].stop();
+    expect((await answering).body).toBe(WHOLE_STREAM);
+    await stopping;
+    const stopped = deployment.events.find(({ event }) =>
+      event === "daemon-stopped"
+    );
+    expect(stopped?.fields.cut).toBe(0);
+  }, 30_000);
+});
--- /dev/null
+++ b/tests/support/platform_deployment.ts
@@ -0,0 +1,281 @@
+import { request } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createServer } from "node:net";
+import { createPlatformAdapter } from "../../platform/adapter.ts";
+import { parseSettings } from "../../platform/settings.ts";
+import { type WireRun, WireServer } from "../../fakes/wire_server.ts";
+import { WireStore } from "../../fakes/wire_store.ts";
+import { Metrics } from "../../src/process/metrics.ts";
+import { RoutingDaemon } from "../../src/process/routing_daemon.ts";
+import { delay } from "../../src/shared/delay.ts";
+import type { LogFields, Logger } from "../../src/shared/logger.ts";
+
+/** Answer as a caller sees it. */
+export interface SeenAnswer {
+  readonly status: number | undefined;
+  readonly body: string;
+  /** Whether the answer arrived whole. */
+  readonly isWhole: boolean;
+  readonly headers: Readonly<Record<string, unknown>>;
+}
+
+/** Store, servers and daemons of the platform on one machine. */
+export class PlatformDeployment {
+  readonly store = new WireStore();
+  readonly fleet = new Map<string, WireServer>();
+  readonly runs: WireRun[] = [];
+  readonly daemons: RoutingDaemon[] = [];
+  readonly callers: string[] = [];
+  readonly readyAddresses: string[] = [];
+  readonly events: { event: string; fields: LogFields }[] = [];
+  #version = 1;
+  #requests = 0;
+
+  /** Starts the store, the servers and the daemons. */
+  async start(
+    options: { daemons: number; models: number; eventMs?: number },
+  ): Promise<void> {
+    await this.store.start();
+    this.writeConfig({});
+    for (let i = 0; i < options.models; i++) {
+      await this.addServer({
+        id: `m${i}`,
+        service: "models",
+        zone: i % 2 === 0 ? "z1" : "z2",
+        domain: i % 2 === 0 ? "z1-d0" : "z2-d0",
+        eventMs: options.eventMs,
+      });
+    }
+    for (const id of ["p0", "p1"]) {
+      await this.addServer({ id, service: "app", zone: "z1" });
+    }
+    for (let i = 0; i < options.daemons; i++) {
+      await this.startDaemon(`entry-${i}`);
+    }
+  }
+
+  /** Adds a server that registers itself. */
+  async addServer(
+    server: {
+      id: string;
+      service: string;
+      zone: string;
+      domain?: string;
+      eventMs?: number;
+    },
+  ): Promise<WireServer> {
+    const { store, fleet, runs } = this;
+    const started = new WireServer({ ...server, store, fleet, runs });
+    await started.start();
+    return started;
+  }
+
+  /** Starts a daemon with the platform's settings. */
+  async startDaemon(name: string): Promise<void> {
+    const [front, ready, peer, metrics] = await findFreePorts(4);
+    const settings = parseSettings(JSON.stringify({
+      NodeName: name,
+      Ip: "127.0.0.1",
+      Zone: "z1",
+      Listen: { Front: `127.0.0.1:${front}`, Ready: `127.0.0.1:${ready}` },
+      InternalPorts: [peer, peer],
+      Limits: { CpuShare: 1, CpuCores: 1, MemoryMb: 350 },
+      Bounds: { FenceChecked: true, RetrySlack: 100 },
+      PlatformApi: { Address: this.store.address },
+    }));
+    const daemonMetrics = new Metrics();
+    const daemon = new RoutingDaemon({
+      settings: {
+        ...settings.daemon,
+        metrics: { host: "127.0.0.1", port: metrics },
+      },
+      platform: createPlatformAdapter({ settings, metrics: daemonMetrics }),
+      logger: this.#createLogger(),
+      metrics: daemonMetrics,
+    });
+    await daemon.start();
+    this.daemons.push(daemon);
+    this.callers.push(`127.0.0.1:${front}`);
+    this.readyAddresses.push(`127.0.0.1:${ready}`);
+  }
+
+  /** Writes the next version of the configuration. */
+  writeConfig(change: Record<string, unknown>): void {
+    this.store.putObject("config", "main", {
+      ...createConfig(this.#version++),
+      ...change,
+    });
+  }
+
+  /** Waits until each daemon has answered a stream of events whole. */
+  async waitUntilServing(): Promise<void> {
+    for (const caller of this.callers) {
+      await waitUntil(async () => (await this.callModel(caller)).isWhole);
+    }
+  }
+
+  /** Sends a model request. */
+  callModel(caller = this.callers[0]): Promise<SeenAnswer> {
+    return this.call(caller, {
+      method: "POST",
+      path: "/model/1",
+      headers: { Model: "m", "Token-Usage": "10,20", "Deadline-Ms": "6000" },
+    });
+  }
+
+  /** Sends a request. */
+  call(caller: string, sent: {
+    method: string;
+    path: string;
+    headers?: Record<string, string>;
+  }): Promise<SeenAnswer> {
+    const [host, port] = caller.split(":");
+    return new Promise((resolve) => {
+      let body = "";
+      const req = request({
+        host,
+        port,
+        method: sent.method,
+        path: sent.path,
+        agent: false,
+        headers: {
+          Host: "app.example",
+          "Request-Id": `r${++this.#requests}`,
+          Credential: "key-1",
+          "Deadline-Ms": "2000",
+          ...sent.headers,
+        },
+      }, (res) => {
+        const settle = () =>
+          resolve({
+            status: res.statusCode,
+            body,
+            isWhole: res.complete && res.statusCode === 200,
+            headers: res.headers,
+          });
+        res.on("data", (piece) => body += piece);
+        res.on("end", settle);
+        res.on("error", settle);
+      });
+      req.on(
+        "error",
+        () => resolve({ status: undefined, body, isWhole: false, headers: {} }),
+      );
+      req.end(sent.method === "POST" ? "body" : undefined);
+    });
+  }
+
+  /** Stops everything. */
+  async dispose(): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.stop()));
+    await Promise.all([...this.fleet.values()].map((s) => s.dispose()));
+    await this.store.dispose();
+  }
+
+  #createLogger(): Logger {
+    return {
+      write: (_level, event, fields = {}) => {
+        this.events.push({ event, fields });
+      },
+    };
+  }
+}
+
+/** Waits until a condition holds. */
+export async function waitUntil(
+  hasHappened: () => boolean | Promise<boolean>,
+  timeoutMs = 15_000,
+): Promise<void> {
+  const endMs = performance.now() + timeoutMs;
+  while (!await hasHappened()) {
+    if (performance.now() > endMs) {
+      throw new Error(`The condition did not hold within ${timeoutMs} ms`);
+    }
+    await delay(50);
+  }
+}
+
+async function findFreePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports = await Promise.all(
+    servers.map((server) =>
+      new Promise<number>((resolve) =>
+        server.listen(
+          0,
+          "127.0.0.1",
+          () => resolve((server.address() as AddressInfo).port),
+        )
+      )
+    ),
+  );
+  await Promise.all(
+    servers.map((server) => new Promise((resolve) => server.close(resolve))),
+  );
+  return ports;
+}
+
+function createConfig(version: number) {
+  const route = { Hostname: "app.example", TimeoutMs: 6_000, Priority: 1 };
+  return {
+    Version: version,
+    Routes: [
+      {
+        ...route,
+        Name: "model",
+        PathPrefix: "/model/",
+        Kind: "streaming",
+        Service: "models",
+        MaxAttempts: 2,
+        Resumable: true,
+        TargetLatencyMs: 300,
+        GapTargetMs: 300,
+      },
+      {
+        ...route,
+        Name: "book",
+        PathPrefix: "/book/",
+        Kind: "non_idempotent",
+        Service: "app",
+        MaxAttempts: 1,
+      },
+      {
+        ...route,
+        Name: "look",
+        PathPrefix: "/look/",
+        Kind: "idempotent",
+        Service: "app",
+        MaxAttempts: 2,
+      },
+    ],
+    Services: [
+      {
+        Name: "models",
+        HealthPath: "/health",
+        Engine: {
+          Slots: 4,
+          FormMs: 50,
+          step_ms: 5,
+          read_per_s: 45_000,
+          LoadsPerS: 20,
+          loads_at_once: 20,
+          Models: [{
+            Name: "m",
+            size: 2,
+            Share: 1,
+            pace: 1,
+            LoadS: 0.1,
+            WarmS: 0.1,
+          }],
+        },
+      },
+      { Name: "app", HealthPath: "/health" },
+    ],
+    Limits: {
+      MaxHeaderBytes: 16_384,
+      MaxBodyBytes: 4_096,
+      HeaderTimeoutMs: 3_000,
+      IdleTimeoutMs: 15_000,
+    },
+    Tenants: [{ Name: "account-1", ApiKeys: ["key-1"], Priority: 1 }],
+  };
+}
