--- a/fakes/wire_server.ts
+++ b/fakes/wire_server.ts
@@ -76,7 +76,7 @@
   /** Starts listening and registers. */
   async start(): Promise<void> {
     await this.#listener.listen();
-    this.#register();
+    this.#publishEntry();
   }
 
   /** Stops without a trace: its entry stays for a while, and nothing is answered. */
@@ -87,7 +87,7 @@
   /** Reports that the server is about to leave. */
   drain(): void {
     this.#state = "draining";
-    this.#register();
+    this.#publishEntry();
   }
 
   /** Stops listening. */
@@ -95,7 +95,7 @@
     await this.#listener.close();
   }
 
-  #register(): void {
+  #publishEntry(): void {
     const { store, id, service, zone } = this.#options;
     store.putObject("servers", id, {
       Service: service,
@@ -177,7 +177,7 @@
       this.#change(group, "open", FORM_MS);
       return 202;
     }
-    this.#register();
+    this.#publishEntry();
     return 200;
   }
 
@@ -193,7 +193,7 @@
       State: "joining",
     };
     this.#group = group;
-    this.#register();
+    this.#publishEntry();
     this.#lastModel = order.Model;
     this.#change(group, "ready", JOIN_MS);
     return 202;
@@ -203,7 +203,7 @@
     setTimeout(() => {
       if (this.#group === group) {
         group.State = state;
-        this.#register();
+        this.#publishEntry();
       }
     }, afterMs).unref();
   }
