Ignore this daemon's own observations when a peer returns them

Cause: a peer that holds this daemon's observation as the newest of a group sends it back with the health table. Its observer is this daemon, so it was taken for the next own observation and ended a loss that this daemon had seen itself. A trace of group_health_test showed the daemon's own loss at 243 ms and its own earlier 'cold' again at 500 ms, between two status requests. Ruled out: a status answer in flight when the fault begins (one observation of a group runs at a time), a change of placement or of the lease. Change: reports of peers are taken through offerFromPeer, which drops them when the observer is this daemon.

--- a/src/process/group_health.ts
+++ b/src/process/group_health.ts
@@ -148,6 +148,16 @@
     return true;
   }
 
+  /**
+   * Takes a peer's report over like {@link offer}, unless it is an observation of this daemon that the peer returns: that is never newer than the own record, but as a report of this daemon it would be taken for the next one.
+   *
+   * @param health - Observation that a peer sent.
+   * @returns Whether it was taken over.
+   */
+  offerFromPeer(health: GroupHealth): boolean {
+    return !this.#isOwn(health) && this.offer(health);
+  }
+
   #isOwn(health: GroupHealth | undefined): boolean {
     return health !== undefined && health.observer === this.#self;
   }
--- a/src/process/group_health_test.ts
+++ b/src/process/group_health_test.ts
@@ -129,4 +129,20 @@
       expect(seen).toBe(doubts);
     });
   });
+
+  describe("offerFromPeer", () => {
+    // Guards against a group that counts as complete again because a peer sent this daemon's own earlier observation back.
+    it.each<[string, Partial<GroupHealth>, GroupHealthState]>([
+      ["ignores this daemon's own observation", {}, "incomplete"],
+      ["takes the peer's own one", { observer: "peer", generation: 2 }, "ready"],
+    ])("%s", (_name, returned, state) => {
+      const table = new GroupHealthTable("self");
+      table.offer(createHealth());
+      vi.advanceTimersByTime(250);
+      table.offer(createHealth({ sequence: 2, state: "incomplete" }));
+      vi.advanceTimersByTime(250);
+      table.offerFromPeer(createHealth({ ageMs: 500, ...returned }));
+      expect(table.getHealth("group-1")?.state).toBe(state);
+    });
+  });
 });
--- a/src/process/peer_sync.ts
+++ b/src/process/peer_sync.ts
@@ -82,7 +82,7 @@
       groupIds: groupIds === undefined ? undefined : [...groupIds],
     });
     for (const health of list) {
-      this.#context.healthTable.offer({
+      this.#context.healthTable.offerFromPeer({
         ...health,
         ageMs: health.ageMs + performance.now() - requestedAtMs,
       });
