Bound the requests to cold servers over all daemons, and mend small faults of the fleet

Cause and change, each with a unit test that failed first: - A cold server got as many requests as there were places: nothing enforced the bound. ColdLimits splits it evenly over the daemons; with more daemons than requests a hash chooses the senders. Streams wait, plain calls go to another server. - The lease was given back only while the process exited, so seconds passed without a planner after a planned stop. It is released when the stop begins. - A removal that a slow watch delivered late took away a server that had registered again since. - A check of a group waited for the request whose packet was lost although the second one was answered. - A join without an answer asked the server twice. Unused settings, getters and a callback without a user are gone.

--- a/src/connection/backend_transport.ts
+++ b/src/connection/backend_transport.ts
@@ -33,8 +33,6 @@
   readonly priority?: number;
   /** Ends the attempt and closes its connection. */
   readonly signal: AbortSignal;
-  /** Called when the first byte is about to leave, from when on the request may run. */
-  readonly onSent?: () => void;
 }
 
 /** Head of a backend server's answer, and its body. */
--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -119,6 +119,11 @@
       }
     }
     for (const id of change.removed) {
+      const writtenAt = this.#servers.get(id)?.entryVersion ?? 0;
+      if (writtenAt > change.revision) {
+        // The server registered again after the change.
+        continue;
+      }
       if (change.outageMs > LAPSE_OUTAGE_MS) {
         this.#removeLater(id);
       } else {
--- /dev/null
+++ b/src/process/fleet/cold_limits_test.ts
@@ -0,0 +1,81 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { BackendServer } from "./backend_server.ts";
+import { ColdLimits } from "./cold_limits.ts";
+
+const RATE = 10;
+const OVERAGE = 1.5;
+const SLACK = 5;
+const BOUND = RATE * OVERAGE + SLACK;
+const SECOND_MS = 1_000;
+
+describe("ColdLimits", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function createServer(coldForMs: number): BackendServer {
+    return {
+      id: "s1",
+      startedAtMs: 1,
+      entryVersion: 1,
+      service: "bookings",
+      address: "127.0.0.1:1",
+      zone: "z",
+      slots: 6,
+      isDraining: false,
+      coldUntilMs: performance.now() + coldForMs,
+      stagedModels: [],
+      loadedModels: [],
+    };
+  }
+
+  /** Sends as much as the limits of all daemons allow for some seconds, and gets the largest count of a sliding second. */
+  function doTest(daemons: number, rate: number, server: BackendServer) {
+    const names = Array.from({ length: daemons }, (_, i) => `entry-${i}`);
+    const limits = names.map((ownName) =>
+      new ColdLimits({
+        overage: OVERAGE,
+        slack: SLACK,
+        getRate: () => rate,
+        minDaemons: 1,
+        ownName,
+        listPeerNames: () => names.filter((name) => name !== ownName),
+      })
+    );
+    const sentAtMs: number[] = [];
+    let largest = 0;
+    for (let step = 0; step < 60; step++) {
+      for (const limit of limits) {
+        while (limit.isOpen(server) && sentAtMs.length < 10_000) {
+          limit.record(server);
+          sentAtMs.push(performance.now());
+        }
+      }
+      const sinceMs = performance.now() - SECOND_MS;
+      largest = Math.max(
+        largest,
+        sentAtMs.filter((atMs) => atMs > sinceMs).length,
+      );
+      vi.advanceTimersByTime(50);
+    }
+    return { largest, sent: sentAtMs.length };
+  }
+
+  // Guards against daemons that together send a cold server more than it bears.
+  it.each([1, 7, 30, 78])("keeps the bound over %i daemons", (daemons) => {
+    const { largest, sent } = doTest(daemons, RATE, createServer(60_000));
+    expect(largest).toBeLessThanOrEqual(BOUND);
+    expect(sent).toBeGreaterThan(0);
+  });
+
+  // Guards against a limit on servers that need none.
+  it.each<[string, number, number]>([
+    ["a warm server", RATE, 0],
+    ["a service without a cold phase", 0, 60_000],
+  ])("does not limit %s", (_name, rate, coldForMs) => {
+    expect(doTest(1, rate, createServer(coldForMs)).sent).toBe(10_000);
+  });
+});
--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -1,7 +1,11 @@
 import { RequestError } from "../../shared/errors.ts";
+import type { ColdLimits } from "./cold_limits.ts";
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
 import type { GroupLoads } from "./group_loads.ts";
 
+/** Time after which a group with a cold head is looked at again, in milliseconds. */
+const COLD_RETRY_MS = 100;
+
 /** What a request asks of the admission. */
 export interface GroupDemand {
   readonly service: string;
@@ -51,14 +55,22 @@
 export class GroupAdmission {
   readonly #groups: GroupTable;
   readonly #loads: GroupLoads;
+  readonly #coldLimits: ColdLimits;
   readonly #zone: string;
   readonly #waiters: Waiter[] = [];
+  #coldTimer: NodeJS.Timeout | undefined;
 
   constructor(
-    options: { groups: GroupTable; loads: GroupLoads; zone: string },
+    options: {
+      groups: GroupTable;
+      loads: GroupLoads;
+      coldLimits: ColdLimits;
+      zone: string;
+    },
   ) {
     this.#groups = options.groups;
     this.#loads = options.loads;
+    this.#coldLimits = options.coldLimits;
     this.#zone = options.zone;
     this.#groups.onChange(() => this.refresh());
     this.#loads.onChange(() => this.refresh());
@@ -121,6 +133,7 @@
       return undefined;
     }
     this.#loads.add(group.key);
+    this.#coldLimits.record(group.head);
     let isReleased = false;
     return {
       group,
@@ -133,6 +146,14 @@
     };
   }
 
+  /** No other event tells when a cold head takes the next request. */
+  #refreshLater(): void {
+    this.#coldTimer ??= setTimeout(() => {
+      this.#coldTimer = undefined;
+      this.refresh();
+    }, COLD_RETRY_MS).unref();
+  }
+
   /** Chooses the group with the fewest requests; among equals one in the daemon's own zone. */
   #chooseGroup(demand: GroupDemand): ReplicaGroup | undefined {
     let best: ReplicaGroup | undefined;
@@ -144,6 +165,10 @@
       if (load >= demand.slots || demand.excludedGroups.has(group.key)) {
         continue;
       }
+      if (!this.#coldLimits.isOpen(group.head)) {
+        this.#refreshLater();
+        continue;
+      }
       const score = load + (group.head.zone === this.#zone ? 0 : 0.5) +
         Math.random() * 0.1;
       if (score < bestScore) {
--- a/src/process/fleet/group_admission_test.ts
+++ b/src/process/fleet/group_admission_test.ts
@@ -2,11 +2,14 @@
 import { NullLogger } from "../../shared/logger.ts";
 import { BackendDirectory } from "./backend_directory.ts";
 import type { BackendServer } from "./backend_server.ts";
+import { ColdLimits } from "./cold_limits.ts";
 import { GroupAdmission, type GroupDemand } from "./group_admission.ts";
 import { GroupLoads } from "./group_loads.ts";
 import { GroupTable } from "./group_table.ts";
 
 const SLOTS = 2;
+/** Requests of a second to a cold head. */
+const COLD_RATE = 1;
 
 describe("GroupAdmission", () => {
   beforeEach(() => {
@@ -39,7 +42,7 @@
     };
   }
 
-  function doTest(heads: readonly string[]) {
+  function doTest(heads: readonly string[], coldForMs = 0) {
     const logger = new NullLogger();
     const directory = new BackendDirectory({ logger });
     const loads = new GroupLoads();
@@ -55,9 +58,28 @@
         warmMs: 1,
       }),
     });
-    const admission = new GroupAdmission({ groups, loads, zone: "z" });
+    const coldLimits = new ColdLimits({
+      overage: 1,
+      slack: 0,
+      getRate: () => COLD_RATE,
+      minDaemons: 1,
+      ownName: "entry-1",
+      listPeerNames: () => [],
+    });
+    const admission = new GroupAdmission({
+      groups,
+      loads,
+      coldLimits,
+      zone: "z",
+    });
     directory.applyChange({
-      changed: new Map(heads.map((id) => [id, createHead(id)])),
+      changed: new Map(heads.map((id) => [
+        id,
+        {
+          ...createHead(id),
+          coldUntilMs: performance.now() + coldForMs,
+        },
+      ])),
       removed: [],
       revision: 1,
       changeRevision: 1,
@@ -111,6 +133,20 @@
       await refused;
     });
 
+    // A zone that comes back cold: the requests that waited for it would all go there in one moment.
+    it("sends a cold head no more than it bears, and the rest as it warms up", async () => {
+      const { admission } = doTest(["g1"], 1_500);
+      await admission.acquire(createDemand());
+      const second = admission.acquire(createDemand({
+        waitUntilMs: performance.now() + 5_000,
+      }));
+      expect(admission.waiting).toBe(1);
+      await vi.advanceTimersByTimeAsync(900);
+      expect(admission.waiting).toBe(1);
+      await vi.advanceTimersByTimeAsync(300);
+      expect((await second).group.key).toBe("g1/1");
+    });
+
     it("leaves out groups that the request is not sent to again", async () => {
       const { admission } = doTest(["g1", "g2"]);
       const excludedGroups = new Set(["g1/1"]);
--- a/src/process/fleet/group_guard.ts
+++ b/src/process/fleet/group_guard.ts
@@ -113,8 +113,10 @@
     }
     const secondMs = REPORT_TIMEOUT_MS - SECOND_REPORT_MS;
     const second = this.#orders.getReport(target, secondMs);
-    const results = await Promise.all([first, second]);
-    return results.find((result) => result.isRight()) ?? results[0];
+    return await Promise.any([first, second].map(async (report) => {
+      const result = await report;
+      return result.isRight() ? result : Promise.reject(result.extract());
+    })).catch(() => first);
   }
 
   #hasRecentCheck(key: string): boolean {
--- /dev/null
+++ b/src/process/fleet/group_guard_test.ts
@@ -0,0 +1,91 @@
+import { type Either, Left, Right } from "purify-ts";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { GroupOrderClient } from "../../connection/group_order_client.ts";
+import { NullLogger } from "../../shared/logger.ts";
+import type { BackendReport, BackendServer } from "./backend_server.ts";
+import { GroupGuard } from "./group_guard.ts";
+import type { GroupTable, ReplicaGroup } from "./group_table.ts";
+import { StreamAttempts } from "./stream_attempts.ts";
+
+const REPORT: BackendReport = {
+  startedAtMs: 1,
+  membership: { groupName: "g1", generation: 1, rank: 0, state: "open" },
+  loadedModels: ["m"],
+  isBusy: false,
+  runningRequests: 0,
+  waitingRequests: 0,
+  heldTokens: 0,
+  slowness: 1,
+};
+const FAILURE = Left(new Error("The server did not answer in time"));
+
+/** Answer to one status request: its outcome and the time until it comes, in milliseconds. */
+type Answer = readonly [outcome: Either<Error, BackendReport>, afterMs: number];
+
+describe("GroupGuard", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  describe("checkGroup", () => {
+    async function doTest(answers: readonly Answer[]) {
+      const head = { id: "s1", address: "127.0.0.1:1" } as BackendServer;
+      const group = {
+        key: "g1/1",
+        name: "g1",
+        generation: 1,
+        head,
+        members: [head],
+      } as unknown as ReplicaGroup;
+      const lost: string[] = [];
+      const left = [...answers];
+      const guard = new GroupGuard({
+        groups: {
+          onChange: () => {},
+          recordLoss: (key: string) => lost.push(key),
+        } as unknown as GroupTable,
+        attempts: new StreamAttempts(),
+        orders: {
+          getReport: async () => {
+            const [outcome, afterMs] = left.shift()!;
+            await new Promise((resolve) => setTimeout(resolve, afterMs));
+            return outcome;
+          },
+        } as unknown as GroupOrderClient,
+        logger: new NullLogger(),
+        announceLoss: () => {},
+      });
+      const startedAtMs = performance.now();
+      const checking = guard.checkGroup(group, "test")
+        .then(() => performance.now() - startedAtMs);
+      await vi.runAllTimersAsync();
+      return { lost, tookMs: await checking };
+    }
+
+    it.each<[string, readonly Answer[], readonly string[]]>([
+      ["the member answers", [[Right(REPORT), 5]], []],
+      ["only the second request is answered", [
+        [FAILURE, 300],
+        [Right(REPORT), 10],
+      ], []],
+      ["no request is answered", [[FAILURE, 300], [FAILURE, 200]], ["g1/1"]],
+      ["the member is in no group", [
+        [Right({ ...REPORT, membership: undefined }), 5],
+      ], ["g1/1"]],
+    ])(
+      "records a loss only by the member's state: %s",
+      async (_, answers, expected) => {
+        expect((await doTest(answers)).lost).toEqual(expected);
+      },
+    );
+
+    // Guards against a check that waits for the lost packet of the first request although the second is answered.
+    it("ends with the first answer", async () => {
+      const { tookMs } = await doTest([[FAILURE, 300], [Right(REPORT), 10]]);
+      expect(tookMs).toBeLessThan(150);
+    });
+  });
+});
--- a/src/process/fleet/kind_watch.ts
+++ b/src/process/fleet/kind_watch.ts
@@ -58,16 +58,6 @@
     this.#options = options;
   }
 
-  /** Gets the monotonic time up to which the copy is known to be current; undefined before the first list. */
-  get confirmedAtMs(): number | undefined {
-    return this.#confirmedAtMs;
-  }
-
-  /** Gets the revision of the copy; 0 before the first list. */
-  get revision(): number {
-    return this.#revision ?? 0;
-  }
-
   /** Ends the wait of the running call and watches anew, since its connection may be dead. */
   restart(): void {
     this.#isRestarted = true;
--- a/src/process/fleet/member_orders.ts
+++ b/src/process/fleet/member_orders.ts
@@ -76,10 +76,9 @@
       action: "join",
       ...group,
     });
-    const isPossible = isTaken(outcome) &&
-      (outcome !== "unknown" || await this.observeServer(server));
-    if (!isPossible) {
-      await this.observeServer(server);
+    const isAnswered = outcome === "begun" || outcome === "done";
+    const isAlive = isAnswered || await this.observeServer(server);
+    if (!isTaken(outcome) || !isAlive) {
       return false;
     }
     return await this.#waitFor(
--- a/src/process/fleet/peer_board.ts
+++ b/src/process/fleet/peer_board.ts
@@ -84,19 +84,6 @@
     return this.listNotices().length + 1;
   }
 
-  /** Gets whether a peer was heard recently. */
-  isHeard(name: string): boolean {
-    this.#checkSilence();
-    const peer = this.#peers.get(name);
-    return peer?.heardAtMs !== undefined && !peer.isLost;
-  }
-
-  /** Gets the monotonic time from which a peer has been silent; undefined for an unknown peer. */
-  getSilentSinceMs(name: string): number | undefined {
-    const peer = this.#peers.get(name);
-    return peer?.heardAtMs ?? peer?.knownAtMs;
-  }
-
   #checkSilence(): void {
     const nowMs = performance.now();
     for (const [name, peer] of this.#peers) {
--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -1,6 +1,5 @@
 import type { SnapshotStore } from "../../connection/object_store.ts";
 import { delay } from "../../shared/delay.ts";
-import { getErrorMessage } from "../../shared/errors.ts";
 import type { Logger } from "../../shared/logger.ts";
 
 const LEASE_NAME = "planner";
@@ -33,6 +32,7 @@
   readonly #isHolderHeard: () => boolean;
   readonly #onRegained: () => void;
   #isAnswering = true;
+  #isReleased = false;
   #value: LeaseValue | undefined;
   #version = 0;
   #changedAtMs = performance.now();
@@ -98,14 +98,33 @@
 
   /** Acquires and renews the lease until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
+    while (!signal.aborted && !this.#isReleased) {
       await this.#runStep();
       await delay(
         this.getTerm() === undefined ? CHECK_INTERVAL_MS : RENEW_INTERVAL_MS,
         signal,
       );
     }
-    await this.#release();
+  }
+
+  /** Gives the lease back for good, so that another daemon plans at once while this one stops. */
+  async release(): Promise<void> {
+    this.#isReleased = true;
+    const term = this.getTerm();
+    this.#renewedAtMs = undefined;
+    if (term === undefined) {
+      return;
+    }
+    const written = await this.#store.putObject({
+      kind: this.#kind,
+      name: LEASE_NAME,
+      value: { holder: "", term, renewal: 0 } satisfies LeaseValue,
+      expectedVersion: this.#version,
+    });
+    this.#logger.write("info", "lease-released", {
+      term,
+      outcome: written.outcome,
+    });
   }
 
   async #runStep(): Promise<void> {
@@ -200,23 +219,6 @@
     }
   }
 
-  async #release(): Promise<void> {
-    const term = this.getTerm();
-    if (term === undefined) {
-      return;
-    }
-    this.#renewedAtMs = undefined;
-    try {
-      await this.#write({ holder: "", term, renewal: 0 });
-      this.#renewedAtMs = undefined;
-    } catch (error) {
-      this.#logger.write("warn", "lease-not-released", {
-        term,
-        message: getErrorMessage(error),
-      });
-    }
-  }
-
   /** The monotonic clock stands still while the VM is suspended, but the time of day goes on. */
   #checkSuspension(): void {
     const offsetMs = getClockOffsetMs();
--- /dev/null
+++ b/src/process/fleet/planner_lease_holder_test.ts
@@ -0,0 +1,78 @@
+import { Right } from "purify-ts";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type {
+  PutObjectOptions,
+  SnapshotStore,
+  StoredObject,
+} from "../../connection/object_store.ts";
+import { NullLogger } from "../../shared/logger.ts";
+import { PlannerLeaseHolder } from "./planner_lease_holder.ts";
+
+/** Time within which another daemon looks at the lease, in milliseconds. */
+const CHECK_MS = 1_000;
+
+/** Store of one object that obeys the expected version. */
+function createStore() {
+  let object: StoredObject | undefined;
+  return {
+    getObject: () => Promise.resolve(Right(object)),
+    putObject: (put: PutObjectOptions) => {
+      const version = object?.version ?? 0;
+      if (put.expectedVersion !== version) {
+        return Promise.resolve({ outcome: "conflict" });
+      }
+      object = {
+        kind: put.kind,
+        name: put.name,
+        value: put.value,
+        version: version + 1,
+      };
+      return Promise.resolve({ outcome: "written", version: version + 1 });
+    },
+  } as unknown as SnapshotStore;
+}
+
+describe("PlannerLeaseHolder", () => {
+  const controller = new AbortController();
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    controller.abort();
+    vi.useRealTimers();
+  });
+
+  function startHolder(store: SnapshotStore, name: string) {
+    const holder = new PlannerLeaseHolder({
+      store,
+      kind: "leases",
+      name,
+      logger: new NullLogger(),
+      areOrdersFenced: true,
+      isHolderHeard: () => false,
+      onRegained: () => {},
+    });
+    void holder.run(controller.signal);
+    return holder;
+  }
+
+  describe("release", () => {
+    // Guards against seconds without a planner after each planned stop.
+    it("lets another daemon plan within one check, in a later term", async () => {
+      const store = createStore();
+      const first = startHolder(store, "entry-1");
+      await vi.advanceTimersByTimeAsync(0);
+      expect(first.getTerm()).toBe(1);
+      const second = startHolder(store, "entry-2");
+      await vi.advanceTimersByTimeAsync(500);
+      expect(second.getTerm()).toBeUndefined();
+      await first.release();
+      expect(first.getTerm()).toBeUndefined();
+      await vi.advanceTimersByTimeAsync(CHECK_MS);
+      expect(second.getTerm()).toBe(2);
+      await vi.advanceTimersByTimeAsync(10 * CHECK_MS);
+      expect(first.getTerm()).toBeUndefined();
+    });
+  });
+});
--- a/src/process/group_health_test.ts
+++ b/src/process/group_health_test.ts
@@ -134,7 +134,11 @@
     // Guards against a group that counts as complete again because a peer sent this daemon's own earlier observation back.
     it.each<[string, Partial<GroupHealth>, GroupHealthState]>([
       ["ignores this daemon's own observation", {}, "incomplete"],
-      ["takes the peer's own one", { observer: "peer", generation: 2 }, "ready"],
+      [
+        "takes the peer's own one",
+        { observer: "peer", generation: 2 },
+        "ready",
+      ],
     ])("%s", (_name, returned, state) => {
       const table = new GroupHealthTable("self");
       table.offer(createHealth());
--- a/src/process/routing_context.ts
+++ b/src/process/routing_context.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../shared/logger.ts";
 import type { RouteTable } from "../version/route_table.ts";
 import type { BackendDirectory } from "./fleet/backend_directory.ts";
+import type { ColdLimits } from "./fleet/cold_limits.ts";
 import type { CrashLedger } from "./fleet/crash_ledger.ts";
 import type { GroupAdmission } from "./fleet/group_admission.ts";
 import type { GroupGuard } from "./fleet/group_guard.ts";
@@ -26,6 +27,7 @@
   readonly attempts: StreamAttempts;
   readonly guard: GroupGuard;
   readonly serverLoads: ServerLoads;
+  readonly coldLimits: ColdLimits;
   readonly crashes: CrashLedger;
   /** Gets the routes in force; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -10,6 +10,7 @@
 import { RouteTable } from "../version/route_table.ts";
 import type { RoutingConfig } from "../version/routing_config.ts";
 import { BackendDirectory } from "./fleet/backend_directory.ts";
+import { ColdLimits } from "./fleet/cold_limits.ts";
 import { CrashLedger } from "./fleet/crash_ledger.ts";
 import { ExcludedZones } from "./fleet/excluded_zones.ts";
 import { FleetSync } from "./fleet/fleet_sync.ts";
@@ -100,6 +101,15 @@
     this.#lease = this.#createLease();
     this.#exchange = this.#createExchange(clients);
     const attempts = new StreamAttempts();
+    const coldLimits = new ColdLimits({
+      overage: settings.coldOverage,
+      slack: settings.coldSlack,
+      getRate: (service) =>
+        this.#routes?.findService(service)?.coldRequestsPerSecond ?? 0,
+      minDaemons: MIN_SHARING_DAEMONS,
+      ownName: settings.name,
+      listPeerNames: () => this.#board.listAddresses().map(([name]) => name),
+    });
     this.#context = {
       settings,
       logger,
@@ -111,6 +121,7 @@
       admission: new GroupAdmission({
         groups: this.#groups,
         loads: this.#loads,
+        coldLimits,
         zone: settings.zone,
       }),
       attempts,
@@ -122,6 +133,7 @@
         announceLoss: () => this.#exchange.sendAll(),
       }),
       serverLoads: new ServerLoads(),
+      coldLimits,
       crashes: this.#crashes,
       getRoutes: () => this.#routes,
       getExcludedZones: () => this.#excludedZones.getZones(),
@@ -220,6 +232,7 @@
     const startedAtMs = performance.now();
     const endMs = startedAtMs + settings.stopGraceMs - STOP_RESERVE_MS;
     logger.write("info", "stop-started", {});
+    const released = this.#lease.release();
     await delay(BALANCER_LAG_MS);
     let isListening = true;
     while (performance.now() < endMs && this.#receiver.inFlight > 0) {
@@ -230,6 +243,7 @@
       await delay(STOP_POLL_MS);
     }
     const cut = this.#receiver.inFlight;
+    await released;
     await this.#lifeCycle.dispose();
     logger.write("info", "daemon-stopped", {
       cut,
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -17,24 +17,8 @@
   readonly peer: ListenerAddress;
   /** Listener for metrics. */
   readonly metrics: ListenerAddress;
-  /** Memory of the process in bytes, above which it is ended. */
-  readonly memoryBytes: number;
-  /** Processor time that the VM gives, in cores. */
-  readonly processorShare: number;
-  /** Time between two signs of life of a backend server in the list, in milliseconds. */
-  readonly heartbeatMs: number;
-  /** Time after which a leaving backend server gets no request, in milliseconds. */
-  readonly drainMs: number;
-  /** Time after which a configuration is in force, in milliseconds. */
-  readonly configMs: number;
-  /** Time after which a zone that is taken out gets no request, in milliseconds. */
-  readonly evacuateMs: number;
   /** Time from the stop signal until the process is killed, in milliseconds. */
   readonly stopGraceMs: number;
-  /** Time without a disturbance after which all bounds hold, in milliseconds. */
-  readonly contactMs: number;
-  /** Time for which an engine keeps work that depends on a lost member, in milliseconds. */
-  readonly engineStallMs: number;
   /** Repeated sendings for each request of a service, over all daemons. */
   readonly retryRatio: number;
   /** Window of the retry budget in milliseconds. */
@@ -47,6 +31,4 @@
   readonly coldSlack: number;
   /** Whether backend servers refuse orders of an earlier term of the planner. */
   readonly areOrdersFenced: boolean;
-  /** Factor by which starts of loads may exceed the weight store's rate. */
-  readonly loadOverage: number;
 }
--- a/src/request/routed/plain_call.ts
+++ b/src/request/routed/plain_call.ts
@@ -66,13 +66,15 @@
     const servers = context.directory.listServers(service.name).filter((
       server,
     ) => !server.isDraining && !excludedZones.has(server.zone));
-    const untried = servers.filter(({ id }) => !this.#tried.has(id));
+    const untried = servers.filter((server) =>
+      !this.#tried.has(server.id) && context.coldLimits.isOpen(server)
+    );
     return context.serverLoads.chooseServer(untried, context.settings.zone);
   }
 
   async #runAttempt(server: BackendServer): Promise<EndedAttempt> {
     const { context, request, account, route } = this.#scope;
-    const { serverLoads, transport } = context;
+    const { coldLimits, serverLoads, transport } = context;
     const remainingMs = this.#scope.deadlineAtMs - performance.now();
     const isLast = route.kind !== "idempotent" ||
       this.#runs + 1 >= route.maxAttempts;
@@ -84,6 +86,7 @@
       isLast ? remainingMs : remainingMs * ATTEMPT_TIME_SHARE,
     );
     const remove = serverLoads.add(server.id);
+    coldLimits.record(server);
     try {
       const answer = await transport.send(
         { serverId: server.id, address: server.address },
--- a/tests/support/test_deployment.ts
+++ b/tests/support/test_deployment.ts
@@ -26,7 +26,7 @@
 /**
  * Intervals and limits of a deployment that keeps its defaults. Seven daemons in the process of one test occupy a core at the short intervals of the smaller deployments, so that a slower machine falls behind the limits that they are checked against.
  */
-export const DEFAULT_INTERVALS = pickIntervals(
+export const DEFAULT_INTERVALS = getIntervals(
   daemonSettingsSchema.parse({
     name: "defaults",
     zone: "zone-a",
@@ -299,7 +299,7 @@
   }
 }
 
-function pickIntervals(settings: DaemonSettings) {
+function getIntervals(settings: DaemonSettings) {
   return {
     exchangeIntervalMs: settings.exchangeIntervalMs,
     freshnessLimitMs: settings.freshnessLimitMs,
