Give each zone groups of every model, also while a new fleet registers

Domains were assigned as they registered, with the shares of the whole fleet alone. Ruled out: the order of the waiting requests; loads that came too late. Change: a domain's model follows the shares of fleet and zone together; zones that are not fully listed yet count as large as the largest; domains that have not begun swap models while that evens zones out. A log line tells each assignment. Tests: orders of registration that left a zone with one model.

--- a/src/process/fleet/replica_planner.ts
+++ b/src/process/fleet/replica_planner.ts
@@ -1,35 +1,11 @@
-import { getRendezvousOrder } from "../../shared/rendezvous_hash.ts";
-import type {
-  EngineProfile,
-  ModelServing,
-} from "../../version/routing_config.ts";
-
-/** How soon a server can serve in a group of a model. */
-export type Readiness = "warm" | "staged" | "empty";
-
-/** Server as the planner sees it. */
-export interface PlannedServer {
-  readonly id: string;
-  readonly domain: string;
-  readonly zone: string;
-  readonly stagedModels: readonly string[];
-  /** Model of the server's last group since its start. */
-  readonly lastModel?: string;
-  /** Whether it may join another group now: it lives, stays, and its last group takes no requests any more. */
-  readonly isFree: boolean;
-  /** Whether it loads weights now. */
-  readonly isLoading: boolean;
-}
-
-/** Everything that the plan depends on. */
-export interface FleetState {
-  readonly engine: EngineProfile;
-  readonly servers: readonly PlannedServer[];
-  /** Models that an earlier plan assigned to domains. */
-  readonly assignments: ReadonlyMap<string, string>;
-  /** Whether callers have sent requests. */
-  readonly hasTraffic: boolean;
-}
+import type { ModelServing } from "../../version/routing_config.ts";
+import { assignDomains } from "./domain_models.ts";
+import {
+  collectDomains,
+  type FleetState,
+  type PlannedServer,
+  type Readiness,
+} from "./fleet_state.ts";
 
 /** Group to form. */
 export interface GroupFormation {
@@ -91,98 +67,6 @@
   };
 }
 
-/**
- * Assigns a model to each fabric domain, so that the part of the domains that each model gets comes close to its expected share. Domains are counted rather than servers, since the servers of a new fleet register one after another.
- *
- * @param state - Servers as they are.
- */
-export function assignDomains(
-  state: FleetState,
-): ReadonlyMap<string, ModelServing> {
-  const domains = collectDomains(state.servers);
-  const total = domains.size;
-  const assigned = new Map<string, number>();
-  const byDomain = new Map<string, ModelServing>();
-  const assign = (domain: string, model: ModelServing) => {
-    byDomain.set(domain, model);
-    assigned.set(model.name, (assigned.get(model.name) ?? 0) + 1);
-  };
-  const getDeficit = (model: ModelServing) =>
-    model.expectedShare * total - (assigned.get(model.name) ?? 0);
-  const order = listDomainsByZone(domains);
-  // Domains that have a model come first, so that the others fill what is missing.
-  for (const domain of order) {
-    const current = state.assignments.get(domain) ??
-      getCurrentModel(state, domain);
-    const model = listFittingModels(state, domains.get(domain)!)
-      .find(({ name }) => name === current);
-    if (model !== undefined) {
-      assign(domain, model);
-    }
-  }
-  for (const domain of order.filter((name) => !byDomain.has(name))) {
-    const candidates = listFittingModels(state, domains.get(domain)!);
-    assign(
-      domain,
-      candidates.reduce((a, b) => getDeficit(b) > getDeficit(a) ? b : a),
-    );
-  }
-  return byDomain;
-}
-
-/** Lists the models of which a domain can hold a group. A new fleet registers bit by bit, so there the size of a domain says nothing. */
-function listFittingModels(
-  state: FleetState,
-  servers: readonly PlannedServer[],
-): readonly ModelServing[] {
-  const { models } = state.engine;
-  const fitting = models.filter(({ groupSize }) => groupSize <= servers.length);
-  return state.hasTraffic && fitting.length > 0 ? fitting : models;
-}
-
-/** Orders the domains so that consecutive ones lie in different zones; the domains that serve already come first. */
-function listDomainsByZone(
-  domains: ReadonlyMap<string, readonly PlannedServer[]>,
-): string[] {
-  const byZone = new Map<string, string[]>();
-  for (const domain of getRendezvousOrder("domains", [...domains.keys()])) {
-    const zone = domains.get(domain)![0].zone;
-    byZone.set(zone, [...(byZone.get(zone) ?? []), domain]);
-  }
-  const lists = [...byZone].sort(([a], [b]) => a < b ? -1 : 1)
-    .map(([, list]) => list);
-  const order: string[] = [];
-  for (let i = 0; order.length < domains.size; i++) {
-    lists.forEach((list) => list[i] !== undefined && order.push(list[i]));
-  }
-  return order;
-}
-
-/** Gets the model that most servers of a domain hold, so that the assignment stays as it is. */
-function getCurrentModel(
-  state: FleetState,
-  domain: string,
-): string | undefined {
-  const counts = new Map<string, number>();
-  for (const server of state.servers) {
-    const model = server.lastModel ?? server.stagedModels[0];
-    if (server.domain === domain && model !== undefined) {
-      counts.set(model, (counts.get(model) ?? 0) + 1);
-    }
-  }
-  return [...counts].sort(([, a], [, b]) => b - a)[0]?.[0];
-}
-
-function collectDomains(
-  servers: readonly PlannedServer[],
-): Map<string, PlannedServer[]> {
-  const domains = new Map<string, PlannedServer[]>();
-  for (const server of servers) {
-    domains.set(server.domain, [...(domains.get(server.domain) ?? []), server]);
-  }
-  return domains;
-}
-
 function planDomain(domain: {
   domain: string;
   model: ModelServing;
--- a/src/process/fleet/replica_task.ts
+++ b/src/process/fleet/replica_task.ts
@@ -6,6 +6,7 @@
 } from "../../version/routing_config.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
 import type { BackendServer } from "./backend_server.ts";
+import type { PlannedServer } from "./fleet_state.ts";
 import type { GroupLoads } from "./group_loads.ts";
 import { getMembershipKey, type GroupTable } from "./group_table.ts";
 import {
@@ -19,7 +20,6 @@
   type FleetPlan,
   type GroupFormation,
   planFleet,
-  type PlannedServer,
   type ServerPreparation,
 } from "./replica_planner.ts";
 
@@ -118,10 +118,29 @@
       assignments: this.#assignments.get(service.name) ?? new Map(),
       hasTraffic: this.#options.loads.hasTraffic(),
     });
-    this.#assignments.set(service.name, plan.assignments);
+    this.#recordAssignments(service.name, plan.assignments);
     this.#applyPlan(service, plan);
   }
 
+  #recordAssignments(
+    service: string,
+    assignments: ReadonlyMap<string, string>,
+  ): void {
+    const before = this.#assignments.get(service);
+    for (const [domain, model] of assignments) {
+      if (before?.get(domain) !== model) {
+        this.#options.logger.write("info", "domain-assigned", {
+          service,
+          domain,
+          model,
+          before: before?.get(domain),
+          term: this.#term,
+        });
+      }
+    }
+    this.#assignments.set(service, assignments);
+  }
+
   /** Gets whether all fabric domains of a fleet without any loaded model are known. */
   #isSettled(servers: readonly BackendServer[]): boolean {
     const domains = new Set(servers.map(({ domain }) => domain)).size;
