Let daemons forget a replaced one

A daemon that never heard the replaced one took its address from each notice of a peer anew, found it silent at once, logged the loss, and passed the address on; so it was never forgotten, and the list grows with every replacement. Change: an address that is known already changes nothing, and only peers that were heard recently are passed on. Tests: three daemons and a replaced one; both failed before.

--- a/src/process/fleet/peer_board.ts
+++ b/src/process/fleet/peer_board.ts
@@ -27,19 +27,20 @@
     this.#logger = options.logger;
   }
 
-  /** Takes the address of a peer that another source named. */
+  /** Takes the address of a peer that another source named. What is known of a peer at this address stays. */
   addPeer(name: string, address: string): void {
     const known = this.#peers.get(name);
-    if (name === this.#ownName || known?.heardAtMs !== undefined) {
-      return;
+    const isNews = known === undefined ||
+      (known.heardAtMs === undefined && known.address !== address);
+    if (name !== this.#ownName && isNews) {
+      this.#peers.set(name, {
+        address,
+        heardAtMs: undefined,
+        knownAtMs: performance.now(),
+        notice: undefined,
+        isLost: false,
+      });
     }
-    this.#peers.set(name, {
-      address,
-      heardAtMs: undefined,
-      knownAtMs: known?.knownAtMs ?? performance.now(),
-      notice: undefined,
-      isLost: false,
-    });
   }
 
   /** Takes a notice that a peer sent itself. */
@@ -66,11 +67,19 @@
     notice.peers.forEach(([name, address]) => this.addPeer(name, address));
   }
 
-  /** Lists names and addresses of all peers. */
+  /** Lists names and addresses of all peers, the lost ones included. */
   listAddresses(): [name: string, address: string][] {
     return [...this.#peers].map(([name, { address }]) => [name, address]);
   }
 
+  /** Lists names and addresses of the peers that were heard recently. Only these are passed on: the daemons would otherwise remind each other of a replaced one for ever. */
+  listHeardAddresses(): [name: string, address: string][] {
+    this.#checkSilence();
+    return [...this.#peers].flatMap(([name, { address, heardAtMs, isLost }]) =>
+      heardAtMs === undefined || isLost ? [] : [[name, address]]
+    );
+  }
+
   /** Lists the last notices of the peers that were heard recently. */
   listNotices(): PeerNotice[] {
     this.#checkSilence();
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -343,7 +343,7 @@
       waiting: this.#context.admission.waiting,
       lostGroups: this.#groups.listLost(),
       crashes: this.#crashes.listRecent(),
-      peers: this.#board.listAddresses(),
+      peers: this.#board.listHeardAddresses(),
     };
   }
 
