Count the requests of other daemons on a group that turns cold

Cause: a group's first home gave out the load that a cold engine bears as if the engine were empty. Requests that other daemons had sent on their shares while the group was warm still ran there; with one slot, the first request of the first home crashed the engine. A trace of the test of the cold bound shows it: entry-3 holds a request begun 155 ms before the first home learned of the cold state, entry-1, the first home, begins its own 141 ms after it, and the engine fails with two. Change: the first home subtracts what the engine reports beyond its own requests and loans, from each observation anew. Test: the ramp with a request of another daemon, which failed before.

--- a/src/process/admission/cold_ramp.ts
+++ b/src/process/admission/cold_ramp.ts
@@ -16,6 +16,8 @@
   readonly model: ModelConfig;
   /** Whether this daemon is the group's first home, which counts the finished requests. */
   readonly isFirstHome: boolean;
+  /** Requests that this daemon accounts for: its own that began before the observation, and what it has lent. */
+  readonly accountedRequests: number;
 }
 
 interface RampState {
@@ -27,6 +29,10 @@
   usualIntervalMs: number | undefined;
   cold: boolean;
   finished: number;
+  /** Time of the newest observation, in milliseconds of `performance.now()`. */
+  observedAtMs: number;
+  /** Requests that the engine holds beyond those that the first home accounts for: other daemons sent them on their shares before the group turned cold. */
+  foreignRequests: number;
 }
 
 /** Tracks which groups are cold, and the load that a cold group bears. */
@@ -45,15 +51,19 @@
     const state = this.#groups.get(health.groupId);
     if (state === undefined) {
       const cold = health.state !== "ready";
-      this.#groups.set(health.groupId, createState(health, cold));
+      this.#groups.set(health.groupId, createState(health, cold, observation));
       return;
     }
     const restarted = state.bootId !== health.bootId ||
       state.generation !== health.generation;
     if (restarted) {
-      this.#groups.set(health.groupId, createState(health, true));
+      this.#groups.set(health.groupId, createState(health, true, observation));
       return;
     }
+    if (health.observedAtMs !== state.observedAtMs) {
+      state.observedAtMs = health.observedAtMs;
+      state.foreignRequests = countForeign(health, observation);
+    }
     const slow = isSlow(state, health);
     if (!state.cold && (health.state !== "ready" || slow)) {
       state.cold = true;
@@ -105,7 +115,7 @@
   }
 
   /**
-   * Gets the requests that a group bears at once.
+   * Gets the requests that a group bears at once; on a cold group, without those that others still run there.
    *
    * @param groupId - Group.
    * @param model - Model of the group.
@@ -118,15 +128,23 @@
     const room = Math.max(0, model.slotsPerGroup - model.coldSlots);
     const linear = Math.floor(room * finished / model.warmAfterRequests);
     const steps = Math.floor(finished / FINISHED_PER_SLOT);
-    return Math.min(
+    const slots = Math.min(
       model.slotsPerGroup,
       model.coldSlots + Math.min(linear, steps),
     );
+    const foreign = this.#groups.get(groupId)?.foreignRequests ?? 0;
+    return Math.max(0, slots - foreign);
   }
 }
 
-function createState(health: ReceivedGroupHealth, cold: boolean): RampState {
+function createState(
+  health: ReceivedGroupHealth,
+  cold: boolean,
+  observation: RampObservation,
+): RampState {
   return {
+    observedAtMs: health.observedAtMs,
+    foreignRequests: countForeign(health, observation),
     bootId: health.bootId,
     generation: health.generation,
     usualIntervalMs: undefined,
@@ -137,6 +155,13 @@
   };
 }
 
+function countForeign(
+  { runningRequests }: ReceivedGroupHealth,
+  { isFirstHome, accountedRequests }: RampObservation,
+): number {
+  return isFirstHome ? Math.max(0, runningRequests - accountedRequests) : 0;
+}
+
 function isWarmedUp(
   state: RampState,
   health: ReceivedGroupHealth,
--- a/src/process/admission/cold_ramp_test.ts
+++ b/src/process/admission/cold_ramp_test.ts
@@ -38,7 +38,11 @@
 }
 
 describe("ColdRamp", () => {
-  const observation = { model: MODEL, isFirstHome: true };
+  const observation = {
+    model: MODEL,
+    isFirstHome: true,
+    accountedRequests: 0,
+  };
 
   // Guards against full load on an engine that has just restarted or lost its warm state (I3).
   it.each([
@@ -69,4 +73,28 @@
     ramp.observe(createHealth(), observation);
     expect(ramp.getSlots("group-1", MODEL)).toBe(16);
   });
+
+  // Guards against a first home that fills a cold group beside the requests that other daemons sent while it was warm.
+  it.each<[string, number, number, boolean, number]>([
+    ["a request of another daemon", 1, 0, true, 0],
+    ["a request of its own", 1, 1, true, 1],
+    ["a request of its own and of another daemon", 2, 1, true, 0],
+    ["a request, on a daemon that is not the first home", 1, 0, false, 1],
+  ])(
+    "takes %s into account",
+    (_name, runningRequests, accountedRequests, isFirstHome, slots) => {
+      const ramp = new ColdRamp();
+      ramp.observe(createHealth(), observation);
+      ramp.observe(
+        createHealth({ state: "cold", runningRequests, observedAtMs: 100 }),
+        { model: MODEL, isFirstHome, accountedRequests },
+      );
+      expect(ramp.getSlots("group-1", MODEL)).toBe(slots);
+      ramp.observe(
+        createHealth({ state: "cold", observedAtMs: 200 }),
+        observation,
+      );
+      expect(ramp.getSlots("group-1", MODEL)).toBe(1);
+    },
+  );
 });
--- a/src/process/admission/loan_office_test.ts
+++ b/src/process/admission/loan_office_test.ts
@@ -67,7 +67,7 @@
       runningRequests: 0,
       heldTokens: 0,
       maxTokens: 800,
-    }, { model: MODEL, isFirstHome: true });
+    }, { model: MODEL, isFirstHome: true, accountedRequests: 0 });
     const office = new LoanOffice({
       startId: "start-1",
       ledger,
--- a/src/process/admission/shared_admission.ts
+++ b/src/process/admission/shared_admission.ts
@@ -12,7 +12,7 @@
   GrantOutcome,
 } from "../admission.ts";
 import type { GroupDirectory, ServingGroup } from "../group_directory.ts";
-import type { GroupHealthTable } from "../group_health.ts";
+import type { GroupHealthTable, ReceivedGroupHealth } from "../group_health.ts";
 import type { VmTable } from "../vm_table.ts";
 import type { Capacity } from "./capacity.ts";
 import { ColdRamp } from "./cold_ramp.ts";
@@ -86,6 +86,8 @@
 export class SharedAdmission implements Admission, CapacityLender {
   readonly ledger = new SlotLedger();
   readonly ramp = new ColdRamp();
+  /** Starts of the requests that this daemon runs, by group. */
+  readonly #startsByGroup = new Map<string, Set<{ readonly atMs: number }>>();
   readonly broker: LoanBroker;
   readonly #options: SharedAdmissionOptions;
   readonly #calculator: ShareCalculator;
@@ -517,6 +519,9 @@
   ): Grant {
     const { group, leaderAddress } = serving;
     const startedAtMs = performance.now();
+    const start = { atMs: startedAtMs };
+    const starts = this.#startsByGroup.get(group.groupId) ?? new Set();
+    this.#startsByGroup.set(group.groupId, starts.add(start));
     let released = false;
     return {
       group,
@@ -524,6 +529,7 @@
       release: (outcome: GrantOutcome) => {
         if (!released) {
           released = true;
+          starts.delete(start);
           this.ledger.release(group.groupId, cost);
           this.#changeInFlight(request.account.name, -1);
           this.#recordOutcome(serving, request, { outcome, startedAtMs });
@@ -636,11 +642,24 @@
   #observeHealth(groupId: string, model: ModelConfig): void {
     const health = this.#options.healthTable.getHealth(groupId);
     if (health !== undefined) {
-      const isFirstHome = this.#keeper.isFirstHome(groupId);
-      this.ramp.observe(health, { model, isFirstHome });
+      this.ramp.observe(health, {
+        model,
+        isFirstHome: this.#keeper.isFirstHome(groupId),
+        accountedRequests: this.#countStartedBefore(groupId, health) +
+          this.ledger.getLent(groupId).slots,
+      });
     }
   }
 
+  /** A request that began after the status was asked for may not be part of it. */
+  #countStartedBefore(
+    groupId: string,
+    { observedAtMs }: ReceivedGroupHealth,
+  ): number {
+    const started = [...this.#startsByGroup.get(groupId) ?? []];
+    return started.filter(({ atMs }) => atMs <= observedAtMs).length;
+  }
+
   #refuseExpired(): void {
     const now = performance.now();
     for (const queue of this.#queues.values()) {
