Refuse requests late in a planned stop, and count runs of lost groups as attempts

Change: 4.5 s into a stop new requests are refused as not run, and the connection closes. A run counts as an attempt unless its head is gone from the list or has restarted. Tests: ModelStream over groups that are lost one after another and RoutedReceiver late in a stop; both failed before.

--- a/src/process/routing_context.ts
+++ b/src/process/routing_context.ts
@@ -37,4 +37,6 @@
   getRepeatBudget(service: string): RepeatBudget;
   /** Gets whether a planned stop has begun. */
   isLeaving(): boolean;
+  /** Gets whether a planned stop has gone so far that new requests are refused. */
+  isClosing(): boolean;
 }
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -44,7 +44,7 @@
 const STOP_POLL_MS = 50;
 /** Time in which the balancer learns that the daemon is not ready, in milliseconds. */
 const BALANCER_LAG_MS = 2_500;
-/** Time after which a stopping daemon takes no connection any more, in milliseconds. The balancer goes on sending callers while most daemons of a zone are away. */
+/** Time after which a stopping daemon takes no connection and no request any more, in milliseconds: what it took before has as long again, which is several times a usual answer. The balancer goes on sending callers while most daemons of a zone are away. */
 const LISTEN_IN_STOP_MS = 4_500;
 
 /** Options of a routing daemon. */
@@ -77,6 +77,7 @@
   readonly #budgets = new Map<string, RepeatBudget>();
   #routes: RouteTable | undefined;
   #isLeaving = false;
+  #isClosing = false;
 
   constructor(options: RoutingDaemonOptions) {
     this.#options = options;
@@ -139,6 +140,7 @@
       getExcludedZones: () => this.#excludedZones.getZones(),
       getRepeatBudget: (service) => this.#getRepeatBudget(service),
       isLeaving: () => this.#isLeaving,
+      isClosing: () => this.#isClosing,
     };
     this.#receiver = new RoutedReceiver(this.#context);
     this.#caller = new HttpServer(platform.createIngress(this.#receiver));
@@ -234,10 +236,11 @@
     logger.write("info", "stop-started", {});
     const released = this.#lease.release();
     await delay(BALANCER_LAG_MS);
-    let isListening = true;
     while (performance.now() < endMs && this.#receiver.inFlight > 0) {
-      if (isListening && performance.now() - startedAtMs > LISTEN_IN_STOP_MS) {
-        isListening = false;
+      if (
+        !this.#isClosing && performance.now() - startedAtMs > LISTEN_IN_STOP_MS
+      ) {
+        this.#isClosing = true;
         this.#caller.stopListening();
       }
       await delay(STOP_POLL_MS);
--- a/src/request/routed/model_stream.ts
+++ b/src/request/routed/model_stream.ts
@@ -262,7 +262,7 @@
     const { context, request, route } = this.#scope;
     if (ended.outcome === "failed") {
       this.#verdict = combineVerdicts(this.#verdict, ended.error.verdict);
-      this.#runs += ended.error.verdict === "not-run" || ended.isGroupLost
+      this.#runs += ended.error.verdict === "not-run" || this.#hasEnded(grant)
         ? 0
         : 1;
       if (ended.error.kind === "reset" && !ended.isGroupLost) {
@@ -299,6 +299,12 @@
     }
   }
 
+  /** A run on a server that is gone is none of the attempts that the route limits. A group that lost another member than its head counts: the head has run the request. */
+  #hasEnded({ group: { head } }: GroupGrant): boolean {
+    const known = this.#scope.context.directory.findServer(head.id);
+    return known?.startedAtMs !== head.startedAtMs;
+  }
+
   /** Throws when the request may not be sent once more. */
   #checkRepeat(ended: EndedAttempt): void {
     const { context, request, route, service, deadlineAtMs } = this.#scope;
--- /dev/null
+++ b/src/request/routed/model_stream_test.ts
@@ -0,0 +1,112 @@
+import { Buffer } from "node:buffer";
+import { describe, expect, it } from "vitest";
+import { BackendError } from "../../connection/backend_transport.ts";
+import type { RoutingContext } from "../../process/routing_context.ts";
+import type { BackendServer } from "../../process/fleet/backend_server.ts";
+import type { ReplicaGroup } from "../../process/fleet/group_table.ts";
+import { StreamAttempts } from "../../process/fleet/stream_attempts.ts";
+import { NullLogger } from "../../shared/logger.ts";
+import type {
+  EngineProfile,
+  Route,
+  RoutedService,
+} from "../../version/routing_config.ts";
+import { ModelStream } from "./model_stream.ts";
+import type { RequestScope } from "./request_scope.ts";
+import type { AnswerWriter } from "./routed_request.ts";
+
+const MAX_ATTEMPTS = 2;
+
+describe("ModelStream", () => {
+  describe("run", () => {
+    /** Lets every group be lost while it runs the request, and gets the heads that it was sent to. */
+    async function doTest(isHeadGone: boolean): Promise<string[]> {
+      const sent: string[] = [];
+      const attempts = new StreamAttempts();
+      const createGroup = (number: number) => ({
+        key: `g${number}/1`,
+        name: `g${number}`,
+        generation: 1,
+        head: { id: `s${number}`, startedAtMs: 1 } as BackendServer,
+        members: [],
+      } as unknown as ReplicaGroup);
+      const groups = [1, 2, 3, 4].map(createGroup);
+      const context = {
+        logger: new NullLogger(),
+        metrics: { record: () => {}, count: () => {} },
+        attempts,
+        crashes: { isRefused: () => false, recordCrash: () => {} },
+        guard: { checkGroup: () => Promise.resolve() },
+        directory: {
+          findServer: (id: string) =>
+            isHeadGone ? undefined : { id, startedAtMs: 1 },
+        },
+        admission: {
+          acquire: () => {
+            const group = groups.shift();
+            return group === undefined
+              ? Promise.reject(new Error("No group is left"))
+              : Promise.resolve({ group, release: () => {} });
+          },
+        },
+        getRepeatBudget: () => ({ tryAcquire: () => true }),
+        transport: {
+          send: ({ serverId }: { serverId: string }) => {
+            sent.push(serverId);
+            const [[key]] = attempts.listByGroup();
+            attempts.abandonGroup(key, "a member is silent");
+            return Promise.reject(
+              new BackendError("The attempt was ended", {
+                kind: "aborted",
+                verdict: "may-have-run",
+              }),
+            );
+          },
+        },
+      } as unknown as RoutingContext;
+      const scope: RequestScope = {
+        context,
+        request: {
+          requestId: "r1",
+          method: "POST",
+          host: "h",
+          path: "/",
+          headers: [],
+          body: Buffer.alloc(0),
+          receivedAtMs: performance.now(),
+          signal: new AbortController().signal,
+        },
+        writer: { hasStarted: () => false } as AnswerWriter,
+        route: {
+          name: "route",
+          maxAttempts: MAX_ATTEMPTS,
+          isResumable: true,
+          latencyObjectiveMs: 100,
+        } as Route,
+        service: { name: "models" } as RoutedService,
+        priority: 0,
+        deadlineAtMs: performance.now() + 10_000,
+      };
+      const stream = new ModelStream(scope, {
+        engine: { models: [], slots: 1 } as unknown as EngineProfile,
+        demand: {
+          model: "m",
+          promptTokens: 1,
+          maxOutputTokens: 1,
+          promptParts: [],
+        },
+      });
+      await expect(stream.run()).rejects.toThrow();
+      return sent;
+    }
+
+    // Guards against a request that runs on more servers than its route allows since group after group loses a member.
+    it("counts a run whose group lost another member than its head", async () => {
+      expect(await doTest(false)).toEqual(["s1", "s2"]);
+    });
+
+    it("does not count a run on a head that is gone", async () => {
+      expect(await doTest(true)).toEqual(["s1", "s2", "s3", "s4"]);
+    });
+  });
+});
--- a/src/request/routed/routed_receiver.ts
+++ b/src/request/routed/routed_receiver.ts
@@ -76,6 +76,15 @@
 
   async #dispatch(request: RoutedRequest, writer: AnswerWriter): Promise<void> {
     const { metrics } = this.#context;
+    if (this.#context.isClosing()) {
+      // Connections that were kept alive still bring requests, which would be cut at the end of the stop.
+      throw new RequestError("The daemon is about to end", {
+        code: "shutting-down",
+        verdict: "not-run",
+        status: 503,
+        retryAfterMs: 0,
+      });
+    }
     const scope = this.#createScope(request, writer);
     this.#context.getRepeatBudget(scope.service.name).recordRequest();
     const { engine } = scope.service;
--- /dev/null
+++ b/src/request/routed/routed_receiver_test.ts
@@ -0,0 +1,46 @@
+import { Buffer } from "node:buffer";
+import { describe, expect, it } from "vitest";
+import { Metrics } from "../../process/metrics.ts";
+import type { RoutingContext } from "../../process/routing_context.ts";
+import { NullLogger } from "../../shared/logger.ts";
+import { RoutedReceiver } from "./routed_receiver.ts";
+import type { AnswerWriter } from "./routed_request.ts";
+
+describe("RoutedReceiver", () => {
+  describe("receive", () => {
+    function doTest(isClosing: boolean): Promise<void> {
+      const receiver = new RoutedReceiver({
+        logger: new NullLogger(),
+        metrics: new Metrics(),
+        isClosing: () => isClosing,
+        isLeaving: () => isClosing,
+        getRoutes: () => undefined,
+      } as unknown as RoutingContext);
+      return receiver.receive({
+        requestId: "r1",
+        method: "GET",
+        host: "h",
+        path: "/",
+        headers: [],
+        body: Buffer.alloc(0),
+        receivedAtMs: performance.now(),
+        signal: new AbortController().signal,
+      }, { hasStarted: () => false } as AnswerWriter);
+    }
+
+    // Guards against a request that a kept connection brings late in a planned stop and that is cut at its end.
+    it("refuses a request as not run when a planned stop nears its end", async () => {
+      await expect(doTest(true)).rejects.toMatchObject({
+        code: "shutting-down",
+        status: 503,
+        verdict: "not-run",
+      });
+    });
+
+    it("refuses a request before the first configuration", async () => {
+      await expect(doTest(false)).rejects.toMatchObject({
+        code: "stale-configuration",
+      });
+    });
+  });
+});
