--- /dev/null
+++ b/src/process/fleet/member_orders_test.ts
@@ -0,0 +1,99 @@
+import { Left, Right } from "purify-ts";
+import { describe, expect, it } from "vitest";
+import type {
+  GroupOrderClient,
+  GroupOrderOutcome,
+} from "../../connection/group_order_client.ts";
+import { NullLogger } from "../../shared/logger.ts";
+import { BackendDirectory } from "./backend_directory.ts";
+import type { BackendReport, BackendServer } from "./backend_server.ts";
+import { MemberOrders } from "./member_orders.ts";
+import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
+
+const REPORT: BackendReport = {
+  startedAtMs: 1,
+  membership: { groupName: "g1", generation: 1, rank: 0, state: "ready" },
+  loadedModels: ["m"],
+  isBusy: false,
+  runningRequests: 0,
+  waitingRequests: 0,
+  heldTokens: 0,
+  slowness: 1,
+};
+const SERVER: BackendServer = {
+  id: "s1",
+  startedAtMs: 1,
+  entryVersion: 1,
+  service: "models",
+  address: "127.0.0.1:1",
+  zone: "z",
+  slots: 1,
+  isDraining: false,
+  coldUntilMs: 0,
+  stagedModels: [],
+  loadedModels: [],
+};
+
+describe("MemberOrders", () => {
+  describe("joinGroup", () => {
+    async function doTest(
+      outcome: GroupOrderOutcome,
+      isAlive: boolean,
+    ): Promise<{ joined: boolean; asked: number }> {
+      const directory = new BackendDirectory({ logger: new NullLogger() });
+      directory.applyChange({
+        changed: new Map([["s1", SERVER]]),
+        removed: [],
+        revision: 1,
+        changeRevision: 1,
+        outageMs: 0,
+      });
+      let asked = 0;
+      let isOrdered = false;
+      const orders = new MemberOrders({
+        directory,
+        orders: {
+          sendOrder: () => {
+            isOrdered = true;
+            return Promise.resolve(outcome);
+          },
+          getReport: () => {
+            asked++;
+            const { membership, ...spare } = REPORT;
+            return Promise.resolve(
+              isOrdered && !isAlive
+                ? Left(new Error("The server did not answer in time"))
+                : Right(isOrdered ? { ...spare, membership } : spare),
+            );
+          },
+        } as unknown as GroupOrderClient,
+        lease: {
+          getTerm: () => 1,
+          drop: () => {},
+        } as unknown as PlannerLeaseHolder,
+        logger: new NullLogger(),
+      });
+      const joined = await orders.joinGroup(SERVER, {
+        groupName: "g1",
+        generation: 1,
+        model: "m",
+        members: ["s1"],
+      }, { timeoutMs: 500 });
+      return { joined, asked };
+    }
+
+    // Guards against status requests that tell nothing new: each one is priced, and a dead server costs its whole time-out.
+    it("asks a server once more after an order without an answer", async () => {
+      expect(await doTest("unknown", false))
+        .toEqual({ joined: false, asked: 2 });
+    });
+
+    it("follows an order without an answer that was taken", async () => {
+      expect(await doTest("unknown", true)).toEqual({ joined: true, asked: 2 });
+    });
+
+    it("asks for the state after a refused order", async () => {
+      expect(await doTest("unfit", true)).toEqual({ joined: false, asked: 2 });
+    });
+  });
+});
