Let one piece of code serve what stood several times on the platform path

- Open and close of a group share the sending and the wait.
- The group table and the replica task collect members by one function.
- The release of the planner's lease uses the lease's own write.
- The swap of models looks at domains that have not begun only, of which there are none in a running fleet; it looked at all pairs every 50 ms.
- A setting and an option of calls that nothing set or read are gone.
No change of behaviour.

--- a/src/connection/backend_transport.ts
+++ b/src/connection/backend_transport.ts
@@ -12,6 +12,23 @@
   readonly address: string;
 }
 
+/**
+ * Splits an address into host and port; the brackets of an IPv6 number are left out.
+ *
+ * @param address - IP number and port.
+ * @example
+ * ```ts
+ * parseAddress("10.0.0.7:8080"); // { host: "10.0.0.7", port: 8080 }
+ * ```
+ */
+export function parseAddress(address: string): { host: string; port: number } {
+  const position = address.lastIndexOf(":");
+  return {
+    host: address.slice(0, position).replace(/^\[|\]$/g, ""),
+    port: Number(address.slice(position + 1)),
+  };
+}
+
 /** One attempt of a request at a backend server. */
 export interface BackendCall {
   readonly requestId: string;
@@ -29,8 +46,6 @@
   readonly resumeAfter?: number;
   /** Whether the attempt uses a connection of its own, so that no earlier answer and no idle timeout can touch it. */
   readonly ownConnection: boolean;
-  /** Urgency at the engine from 0, the most urgent, to 9. */
-  readonly priority?: number;
   /** Ends the attempt and closes its connection. */
   readonly signal: AbortSignal;
 }
--- a/src/connection/engine_stream.ts
+++ b/src/connection/engine_stream.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { type Agent, type IncomingMessage, request } from "node:http";
 import { getErrorMessage } from "../shared/errors.ts";
+import { parseAddress } from "./backend_transport.ts";
 import { EngineError } from "./engine_client.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -31,10 +32,8 @@
   options: EngineStreamOptions,
 ): Promise<IncomingMessage> {
   return new Promise((resolve, reject) => {
-    const [host, port] = parseAddress(options.address);
     const req = request({
-      host,
-      port,
+      ...parseAddress(options.address),
       method: "POST",
       path: "/v1/chat/completions",
       agent: options.agent,
@@ -98,9 +97,3 @@
 class ConnectTimeoutError extends Error {
   readonly code = "CONNECT_TIMEOUT";
 }
-
-function parseAddress(address: string): [host: string, port: string] {
-  const position = address.lastIndexOf(":");
-  const host = address.slice(0, position).replace(/^\[|\]$/g, "");
-  return [host, address.slice(position + 1)];
-}
--- a/src/connection/service_client.ts
+++ b/src/connection/service_client.ts
@@ -3,6 +3,7 @@
 import { connect, type Socket } from "node:net";
 import got, { type OptionsInit, RequestError, TimeoutError } from "got";
 import { getErrorMessage } from "../shared/errors.ts";
+import { parseAddress } from "./backend_transport.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_ANSWER_BYTES = 4_194_304;
@@ -149,10 +150,8 @@
 
 /** Opens a connection without sending a byte of the call. */
 function openConnection(attempt: ServiceAttempt): Promise<Socket> {
-  const colon = attempt.address.lastIndexOf(":");
   const socket = connect({
-    host: attempt.address.slice(0, colon).replace(/^\[|\]$/g, ""),
-    port: Number(attempt.address.slice(colon + 1)),
+    ...parseAddress(attempt.address),
     noDelay: true,
   });
   return new Promise((resolve, reject) => {
--- a/src/process/fleet/domain_models.ts
+++ b/src/process/fleet/domain_models.ts
@@ -49,27 +49,29 @@
       .sort((a, b) => b.total - a.total || b.deficit - a.deficit);
     byDomain.set(domain, ranked[0].model);
   }
-  const isFree = (domain: string, model: ModelServing) =>
-    !isBegun(domain) &&
+  const canTake = (domain: string, model: ModelServing) =>
     listFittingModels(state, domains.get(domain)).includes(model);
-  replaceUnevenModels(order, byDomain, { isFree, getDeficit });
+  const free = order.filter(({ domain }) => !isBegun(domain));
+  replaceUnevenModels(byDomain, { order, free, canTake, getDeficit });
   return new Map([...byDomain].filter(([domain]) => domains.has(domain)));
 }
 
 /** Swaps the models of domains that have not begun while that brings zones closer to the expected shares; the shares of the whole fleet stay as they are. */
 function replaceUnevenModels(
-  order: readonly ZonedDomain[],
   byDomain: Map<string, ModelServing>,
-  parts: {
-    /** Gets whether a domain can still take a model. */
-    isFree(domain: string, model: ModelServing): boolean;
+  { order, free, canTake, getDeficit }: {
+    order: readonly ZonedDomain[];
+    /** Domains that have not begun. */
+    free: readonly ZonedDomain[];
+    /** Gets whether a domain can hold a group of a model. */
+    canTake(domain: string, model: ModelServing): boolean;
     getDeficit(model: ModelServing, among: readonly ZonedDomain[]): number;
   },
 ): void {
   const getError = (zone: string) => {
     const inZone = order.filter((other) => other.zone === zone);
     return [...new Set(byDomain.values())].reduce(
-      (sum, model) => sum + parts.getDeficit(model, inZone) ** 2,
+      (sum, model) => sum + getDeficit(model, inZone) ** 2,
       0,
     );
   };
@@ -81,10 +83,10 @@
   const canSwap = (a: ZonedDomain, b: ZonedDomain) => {
     const [ofA, ofB] = [byDomain.get(a.domain)!, byDomain.get(b.domain)!];
     return a.zone !== b.zone && ofA !== ofB &&
-      parts.isFree(a.domain, ofB) && parts.isFree(b.domain, ofA);
+      canTake(a.domain, ofB) && canTake(b.domain, ofA);
   };
-  for (const a of order) {
-    for (const b of order) {
+  for (const a of free) {
+    for (const b of free) {
       if (canSwap(a, b)) {
         const before = getError(a.zone) + getError(b.zone);
         swap(a, b);
--- a/src/process/fleet/group_table.ts
+++ b/src/process/fleet/group_table.ts
@@ -114,14 +114,7 @@
   }
 
   #collectMembers(): Map<string, BackendServer[]> {
-    const members = new Map<string, BackendServer[]>();
-    for (const server of this.#directory.listServers()) {
-      const key = getMembershipKey(server);
-      if (key !== undefined) {
-        members.set(key, [...(members.get(key) ?? []), server]);
-      }
-    }
-    return members;
+    return collectMembers(this.#directory.listServers());
   }
 
   #createGroup(
@@ -179,6 +172,20 @@
   }
 }
 
+/** Collects the backend servers that belong to groups, by the keys of the groups. */
+export function collectMembers(
+  servers: readonly BackendServer[],
+): Map<string, BackendServer[]> {
+  const members = new Map<string, BackendServer[]>();
+  for (const server of servers) {
+    const key = getMembershipKey(server);
+    if (key !== undefined) {
+      members.set(key, [...(members.get(key) ?? []), server]);
+    }
+  }
+  return members;
+}
+
 /** Gets the key of the group that a backend server belongs to. */
 export function getMembershipKey(server: BackendServer): string | undefined {
   const { membership } = server;
--- a/src/process/fleet/member_orders.ts
+++ b/src/process/fleet/member_orders.ts
@@ -103,17 +103,12 @@
     bounds: WaitBounds,
   ): Promise<boolean> {
     const { groupName, generation } = group;
-    const outcome = await this.#sendOrder(head, {
-      action: "open",
-      groupName,
-      generation,
-    });
-    return isTaken(outcome) &&
-      await this.#waitFor(
-        head,
-        bounds,
-        (found) => found?.groupName === groupName && found.state === "open",
-      );
+    return await this.#runOrder(
+      head,
+      { action: "open", groupName, generation },
+      bounds,
+      (found) => found?.groupName === groupName && found.state === "open",
+    );
   }
 
   /**
@@ -129,20 +124,14 @@
     bounds: WaitBounds,
   ): Promise<boolean> {
     const { groupName, generation } = group;
-    const outcome = await this.#sendOrder(head, {
-      action: "close",
-      groupName,
-      generation,
-      inFlight: "finish",
-    });
-    return isTaken(outcome) &&
-      await this.#waitFor(
-        head,
-        bounds,
-        (found) =>
-          found?.groupName !== groupName ||
-          (found.state !== "open" && found.state !== "closing"),
-      );
+    return await this.#runOrder(
+      head,
+      { action: "close", groupName, generation, inFlight: "finish" },
+      bounds,
+      (found) =>
+        found?.groupName !== groupName ||
+        (found.state !== "open" && found.state !== "closing"),
+    );
   }
 
   /** Gets the group of a server; in each term it is asked once, since an earlier planner's orders may not show in the list yet. */
@@ -175,6 +164,17 @@
     return false;
   }
 
+  /** Sends an order and, unless it is refused, waits until the server shows its effect. */
+  async #runOrder(
+    server: BackendServer,
+    order: GroupOrder,
+    bounds: WaitBounds,
+    hasState: (membership: GroupMembership | undefined) => boolean,
+  ): Promise<boolean> {
+    const outcome = await this.#sendOrder(server, order);
+    return isTaken(outcome) && await this.#waitFor(server, bounds, hasState);
+  }
+
   async #sendOrder(
     server: BackendServer,
     order: GroupOrder,
--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -64,7 +64,8 @@
   getTerm(): number | undefined {
     this.#checkSuspension();
     if (
-      this.#renewedAtMs === undefined || this.#value === undefined ||
+      this.#isReleased || this.#renewedAtMs === undefined ||
+      this.#value === undefined ||
       performance.now() - this.#renewedAtMs > this.#getHoldMs()
     ) {
       return undefined;
@@ -109,22 +110,15 @@
 
   /** Gives the lease back for good, so that another daemon plans at once while this one stops. */
   async release(): Promise<void> {
-    this.#isReleased = true;
     const term = this.getTerm();
-    this.#renewedAtMs = undefined;
-    if (term === undefined) {
-      return;
+    this.#isReleased = true;
+    if (term !== undefined) {
+      const isWritten = await this.#write({ holder: "", term, renewal: 0 });
+      this.#logger.write("info", "lease-released", {
+        term,
+        outcome: isWritten ? "written" : "not confirmed",
+      });
     }
-    const written = await this.#store.putObject({
-      kind: this.#kind,
-      name: LEASE_NAME,
-      value: { holder: "", term, renewal: 0 } satisfies LeaseValue,
-      expectedVersion: this.#version,
-    });
-    this.#logger.write("info", "lease-released", {
-      term,
-      outcome: written.outcome,
-    });
   }
 
   async #runStep(): Promise<void> {
--- a/src/process/fleet/replica_task.ts
+++ b/src/process/fleet/replica_task.ts
@@ -8,7 +8,11 @@
 import type { BackendServer } from "./backend_server.ts";
 import type { PlannedServer } from "./fleet_state.ts";
 import type { GroupLoads } from "./group_loads.ts";
-import { getMembershipKey, type GroupTable } from "./group_table.ts";
+import {
+  collectMembers,
+  getMembershipKey,
+  type GroupTable,
+} from "./group_table.ts";
 import {
   createSpareName,
   isSpareGroup,
@@ -422,15 +426,8 @@
   service: RoutedService,
   servers: readonly BackendServer[],
 ): Map<string, ReportedGroup> {
-  const members = new Map<string, BackendServer[]>();
-  for (const server of servers) {
-    const key = getMembershipKey(server);
-    if (key !== undefined) {
-      members.set(key, [...(members.get(key) ?? []), server]);
-    }
-  }
   const groups = new Map<string, ReportedGroup>();
-  for (const [key, list] of members) {
+  for (const [key, list] of collectMembers(servers)) {
     const head = list.find(({ membership }) => membership?.rank === 0);
     const size = findModel(service, head?.loadedModels[0] ?? "")?.groupSize;
     groups.set(key, {
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -9,8 +9,6 @@
   /** Name of the entry VM. */
   readonly name: string;
   readonly zone: string;
-  /** IP number of the entry VM. */
-  readonly ip: string;
   readonly caller: ListenerAddress;
   /** Listener that the balancer asks whether the daemon takes callers. */
   readonly ready: ListenerAddress;
--- a/src/request/routed/ended_attempt.ts
+++ b/src/request/routed/ended_attempt.ts
@@ -1,9 +1,8 @@
 import { Buffer } from "node:buffer";
-import type {
-  BackendAnswer,
+import {
+  type BackendAnswer,
   BackendError,
 } from "../../connection/backend_transport.ts";
-import { BackendError as FailedAttempt } from "../../connection/backend_transport.ts";
 
 /** Largest answer that is held as a whole, in bytes. */
 const MAX_ANSWER_BYTES = 4_194_304;
@@ -41,7 +40,7 @@
   for await (const piece of answer.body) {
     bytes += piece.length;
     if (bytes > MAX_ANSWER_BYTES) {
-      throw new FailedAttempt(
+      throw new BackendError(
         `The answer is larger than ${MAX_ANSWER_BYTES} bytes`,
         { kind: "invalid", verdict: answer.verdict },
       );
