--- a/src/shared/log_sink.ts
+++ b/src/shared/log_sink.ts
@@ -41,8 +41,7 @@
 
   writeLine(line: string): void {
     if (!this.#hasRoom(line)) {
-      this.#dropped++;
-      this.#droppedTotal++;
+      this.#recordDropped(1);
       return;
     }
     if (this.#dropped > 0) {
@@ -53,6 +52,11 @@
     this.#writeWaiting();
   }
 
+  #recordDropped(lines: number): void {
+    this.#dropped += lines;
+    this.#droppedTotal += lines;
+  }
+
   #hasRoom(line: string): boolean {
     const nowMs = performance.now();
     if (nowMs - this.#secondStartMs >= SECOND_MS) {
@@ -73,11 +77,14 @@
       return;
     }
     const text = `${this.#waiting.join("\n")}\n`;
-    this.#waiting.length = 0;
+    const lines = this.#waiting.splice(0).length;
     this.#isWriting = true;
     // The bytes count until they are written, since a slow reader keeps them in memory.
-    this.#write(text, () => {
+    this.#write(text, (error) => {
       this.#isWriting = false;
+      if (error !== null) {
+        this.#recordDropped(lines);
+      }
       this.#waitingBytes = this.#waiting.reduce((n, l) => n + l.length, 0);
       this.#writeWaiting();
     });
--- a/src/shared/log_sink_test.ts
+++ b/src/shared/log_sink_test.ts
@@ -41,6 +41,15 @@
       expect(texts.join("")).toContain("event=log-lines-dropped lines=600");
     });
 
+    // Guards against lines that vanish without a trace.
+    it("counts the lines of a write that failed", () => {
+      const sink = new BoundedLogSink({
+        write: (_text, callback) => callback(new Error("The pipe is closed")),
+      });
+      sink.writeLine("event=a");
+      expect(sink.droppedLines).toBe(1);
+    });
+
     it("holds a bounded number of bytes for a reader that has stopped", () => {
       const { sink, texts } = doTest({ isReaderStopped: true });
       const line = "x".repeat(10_000);
