--- /dev/null
+++ b/tests/support/backend_servers.ts
@@ -0,0 +1,36 @@
+import type {
+  BackendReport,
+  BackendServer,
+} from "../../src/process/fleet/backend_server.ts";
+
+/** Report of an idle member of the group `g1`. */
+export const MEMBER_REPORT: BackendReport = {
+  startedAtMs: 1,
+  membership: { groupName: "g1", generation: 1, rank: 0, state: "open" },
+  loadedModels: ["m"],
+  isBusy: false,
+  runningRequests: 0,
+  waitingRequests: 0,
+  heldTokens: 0,
+  slowness: 1,
+};
+
+/** Creates a backend server that is in no group. */
+export function createBackendServer(
+  server: Partial<BackendServer> = {},
+): BackendServer {
+  return {
+    id: "s1",
+    startedAtMs: 1,
+    entryVersion: 1,
+    service: "models",
+    address: "127.0.0.1:1",
+    zone: "z",
+    slots: 1,
+    isDraining: false,
+    coldUntilMs: 0,
+    stagedModels: [],
+    loadedModels: [],
+    ...server,
+  };
+}
