Let hubs exchange notices for the other daemons, so that a fleet of 70 daemons fits

Cause: every daemon exchanged notices with every other one, each 100 to 300 ms, and each of them followed the list of servers in the store.

Ruled out: a longer interval between all pairs, since loads of places would be seconds old; one hub for the fleet, since its loss would leave all daemons without news.

Change: two daemons or more of each zone, those with most processor time, are hubs and exchange with each other; the others exchange with one hub of their zone and change to the next one when it does not answer. Up to 12 daemons all are hubs, as before. A hub tells a member everything but the member's own load, and other hubs its own load with that of its members, so that no request counts twice. Members take the changes of the list of servers from their hub and read the store only when no hub has a list that was confirmed lately. The lease is taken over by hubs first. News of lost groups is passed on at once.

--- a/src/connection/fleet_peer_router.ts
+++ b/src/connection/fleet_peer_router.ts
@@ -81,7 +81,8 @@
 function parseNotice(value: unknown): PeerNotice {
   const notice = value as PeerNotice;
   if (
-    typeof notice?.name !== "string" || typeof notice.address !== "string" ||
+    typeof notice?.sender?.name !== "string" ||
+    typeof notice.sender.address !== "string" ||
     !Array.isArray(notice.loads) || !Array.isArray(notice.lostGroups)
   ) {
     throw new Error("The notice of a peer cannot be read");
--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -10,6 +10,10 @@
 
 /** Time by which an entry of the list can be older than a report, in milliseconds. */
 const ENTRY_LAG_MS = 1_500;
+/** Revision of a removal that no change of the store tells: it follows an outage. */
+const UNDATED = Number.POSITIVE_INFINITY;
+/** Removals that are remembered for peers. */
+const MAX_REMOVALS = 1_000;
 /** Order in which a server passes through the states of one group until it serves. */
 const STATE_ORDER = ["joining", "ready", "open"];
 
@@ -20,6 +24,10 @@
   readonly #missing = new Map<string, NodeJS.Timeout>();
   readonly #reportedAtMs = new Map<string, number>();
   readonly #listeners = new Set<() => void>();
+  /** Revisions at which servers were removed, the oldest first. */
+  readonly #removedAt = new Map<string, number>();
+  /** Revision of the newest removal that is not remembered any more. */
+  #forgottenRevision = 0;
   #isListed = false;
   #revision = 0;
   #changeRevision = 0;
@@ -38,23 +46,45 @@
     return this.#changeRevision;
   }
 
-  /** Gets the list with its revision for a peer. */
-  getNotice(): ServersNotice {
+  /** Gets the revision of the store up to which the list is complete. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /**
+   * Gets the changes of the list for a peer.
+   *
+   * @param sinceRevision - Revision up to which the peer's list is complete; 0 for the whole list.
+   */
+  getNotice(sinceRevision = 0): ServersNotice {
     const nowMs = performance.now();
-    const servers = this.listServers().map(({ coldUntilMs, ...server }) => ({
-      ...server,
-      coldLeftMs: Math.max(0, coldUntilMs - nowMs),
-    }));
-    return { revision: this.#revision, servers };
+    const since = sinceRevision < this.#forgottenRevision ? 0 : sinceRevision;
+    const servers = this.listServers()
+      .filter(({ entryVersion }) => entryVersion > since)
+      .map(({ coldUntilMs, ...server }) => ({
+        ...server,
+        coldLeftMs: Math.max(0, coldUntilMs - nowMs),
+      }));
+    const removed = [...this.#removedAt].flatMap(([id, removedAt]) =>
+      removedAt > since ? [id] : []
+    );
+    return {
+      sinceRevision: since,
+      revision: this.#revision,
+      changeRevision: this.#changeRevision,
+      servers,
+      removed,
+    };
   }
 
   /**
-   * Takes the list of a peer if it is newer than the own one.
+   * Takes the changes that a peer knows if they continue or replace the own list.
    *
-   * @param notice - The peer's list.
+   * @param notice - Changes up to the revision of the peer's list.
    */
   offerNotice(notice: ServersNotice): void {
-    if (notice.revision <= this.#revision) {
+    const { sinceRevision, revision, changeRevision, removed } = notice;
+    if (revision <= this.#revision || sinceRevision > this.#revision) {
       return;
     }
     const nowMs = performance.now();
@@ -62,19 +92,14 @@
     for (const { coldLeftMs, ...server } of notice.servers) {
       changed.set(server.id, { ...server, coldUntilMs: nowMs + coldLeftMs });
     }
-    const removed = this.listServers().map(({ id }) => id)
-      .filter((id) => !changed.has(id));
-    const { revision } = notice;
-    const changeRevision = Math.max(
-      this.#changeRevision,
-      ...notice.servers.map(({ entryVersion }) => entryVersion),
-    );
+    const isWhole = sinceRevision === 0;
     this.applyChange({
       changed,
       removed,
       revision,
       changeRevision,
       outageMs: 0,
+      isWhole,
     });
   }
 
@@ -100,7 +125,7 @@
    * Takes changes of the list. After an outage of the store, entries that lapsed during it are kept for the time in which living servers register again.
    */
   applyChange(change: KindChange<BackendServer>): void {
-    this.#isListed = true;
+    this.#isListed ||= change.changed.size > 0;
     const isOld = change.revision < this.#revision;
     this.#revision = Math.max(this.#revision, change.revision);
     this.#changeRevision = Math.max(
@@ -114,11 +139,15 @@
         : known.entryVersion >= server.entryVersion;
       this.#cancelRemoval(id);
       if (!isKnown) {
+        this.#removedAt.delete(id);
         this.#recordChange(server);
         this.#servers.set(id, this.#mergeReport(server));
       }
     }
-    for (const id of change.removed) {
+    const missing = change.isWhole
+      ? [...this.#servers.keys()].filter((id) => !change.changed.has(id))
+      : [];
+    for (const id of new Set([...change.removed, ...missing])) {
       const writtenAt = this.#servers.get(id)?.entryVersion ?? 0;
       if (writtenAt > change.revision) {
         // The server registered again after the change.
@@ -127,7 +156,7 @@
       if (change.outageMs > LAPSE_OUTAGE_MS) {
         this.#removeLater(id);
       } else {
-        this.#remove(id, "removed");
+        this.#remove(id, "removed", change.revision);
       }
     }
     this.#publishChange();
@@ -199,14 +228,25 @@
     this.#missing.delete(id);
   }
 
-  #remove(id: string, reason: string): void {
+  #remove(id: string, reason: string, revision = UNDATED): void {
     this.#cancelRemoval(id);
     this.#reportedAtMs.delete(id);
     if (this.#servers.delete(id)) {
+      this.#recordRemoval(id, revision);
       this.#logger.write("info", "backend-gone", { server: id, reason });
     }
   }
 
+  /** Removals are remembered for the peers that have not heard of them; those that lack a forgotten one get the whole list. */
+  #recordRemoval(id: string, revision: number): void {
+    this.#removedAt.set(id, revision);
+    if (this.#removedAt.size > MAX_REMOVALS) {
+      const [[oldest]] = this.#removedAt;
+      this.#removedAt.delete(oldest);
+      this.#forgottenRevision = this.#revision;
+    }
+  }
+
   #publishChange(): void {
     this.#listeners.forEach((listener) => listener());
   }
--- a/src/process/fleet/crash_ledger.ts
+++ b/src/process/fleet/crash_ledger.ts
@@ -27,7 +27,6 @@
 
   /** Records a crash that this daemon saw. */
   recordCrash(notice: CrashNotice): void {
-    this.#recent.push({ notice, atMs: performance.now() });
     this.applyNotice(notice);
   }
 
@@ -36,11 +35,15 @@
     this.#crashes.delete(fingerprint);
   }
 
-  /** Takes a crash that a peer told. */
+  /** Takes a crash that a peer told; news is passed on to others. */
   applyNotice({ fingerprint, groupKey }: CrashNotice): void {
     const groups = this.#crashes.get(fingerprint) ?? new Map<string, number>();
     if (!groups.has(groupKey)) {
       groups.set(groupKey, performance.now());
+      this.#recent.push({
+        notice: { fingerprint, groupKey },
+        atMs: performance.now(),
+      });
     }
     this.#crashes.delete(fingerprint);
     this.#crashes.set(fingerprint, groups);
--- /dev/null
+++ b/src/process/fleet/exchange_topology_test.ts
@@ -0,0 +1,67 @@
+import { describe, expect, it } from "vitest";
+import { createDaemon } from "../../../tests/support/daemons.ts";
+import { choosePartners } from "./exchange_topology.ts";
+import type { DaemonDescription } from "./peer_notice.ts";
+
+/** Zones of the daemons. */
+const ZONES = ["z1", "z2", "z3"];
+
+describe("choosePartners", () => {
+  /** Creates daemons spread over the zones; the first two of each zone have most processor time. */
+  function createFleet(size: number): DaemonDescription[] {
+    return Array.from({ length: size }, (_, i) =>
+      createDaemon(`entry-${i}`, {
+        zone: ZONES[i % ZONES.length],
+        processorCores: i < 2 * ZONES.length ? 1.35 : 0.324,
+      }));
+  }
+
+  function doTest(fleet: readonly DaemonDescription[]) {
+    return fleet.map((own) => ({
+      own,
+      ...choosePartners(own, fleet.filter((other) => other !== own)),
+    }));
+  }
+
+  it("lets all daemons of a small fleet exchange with each other", () => {
+    const chosen = doTest(createFleet(7));
+    expect(chosen.every(({ role }) => role === "hub")).toBe(true);
+    expect(chosen.every(({ partners }) => partners.length === 6)).toBe(true);
+  });
+
+  it("makes the daemons with most processor time of each zone the hubs", () => {
+    const hubs = doTest(createFleet(72)).filter(({ role }) => role === "hub");
+    expect(hubs.map(({ own }) => own.name).sort()).toEqual(
+      ["entry-0", "entry-1", "entry-2", "entry-3", "entry-4", "entry-5"],
+    );
+    expect(hubs.every(({ partners }) => partners.length === 5)).toBe(true);
+  });
+
+  it("gives each member the hubs of its zone first, evenly", () => {
+    const members = doTest(createFleet(72)).filter(({ role }) =>
+      role === "member"
+    );
+    const firsts = new Map<string, number>();
+    for (const { own, partners } of members) {
+      expect(partners[0].zone).toBe(own.zone);
+      expect(partners.length).toBe(6);
+      const { name } = partners[0];
+      firsts.set(name, (firsts.get(name) ?? 0) + 1);
+    }
+    expect(Math.max(...firsts.values())).toBeLessThanOrEqual(17);
+    expect(firsts.size).toBe(6);
+  });
+
+  // The design size: 420 daemons in 10 zones.
+  it.each([72, 140, 420])("bounds the partners with %i daemons", (size) => {
+    const chosen = doTest(createFleet(size));
+    const hubs = chosen.filter(({ role }) => role === "hub");
+    const messages = hubs.map(({ own, partners }) =>
+      partners.length +
+      chosen.filter(({ role, partners: [first] }) =>
+        role === "member" && first === own
+      ).length
+    );
+    expect(Math.max(...messages)).toBeLessThanOrEqual(60);
+  });
+});
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -11,12 +11,16 @@
 import type { GroupTable } from "./group_table.ts";
 import { KindWatch } from "./kind_watch.ts";
 import type { PeerBoard } from "./peer_board.ts";
-import type { PeerNotice } from "./peer_notice.ts";
+import type { PeerNotice, PeerRelation } from "./peer_notice.ts";
 
 /** Pauses between two calls of a watch, in milliseconds: a configuration has to be in force soon, while changes of servers come in bunches. The planner's picture of the servers delays groups; the other daemons learn of lost groups from their streams and peers. */
 const CONFIG_GATHER_MS = 50;
 const PLANNER_GATHER_MS = 200;
 const SERVERS_GATHER_MS = 350;
+/** Longest wait of the watch on the servers at a daemon that others rely on, in milliseconds: they look elsewhere when its list is not confirmed. */
+const HUB_WAIT_MS = 1_000;
+/** Age above which the list of a hub counts as out of date, in milliseconds: the wait of its watch and a slow answer. */
+const MAX_HUB_AGE_MS = 2_500;
 /** Time by which a peer may be ahead through the gathering of changes, in milliseconds. */
 const BEHIND_MS = 700;
 
@@ -33,6 +37,10 @@
   readonly logger: Logger;
   /** Gets whether this daemon plans the groups. */
   isPlanner(): boolean;
+  /** Gets whether this daemon reads the list of servers from the store in any case. */
+  isHub(): boolean;
+  /** Tells the partners of news at once. */
+  announce(): void;
   getConfigVersion(): number;
   applyConfig(config: RoutingConfig, source: string): void;
 }
@@ -46,6 +54,8 @@
   readonly #zoneNames = new Set<string>();
   readonly #running = new Set<string>();
   #behindSinceMs: number | undefined;
+  /** Monotonic time at which the store confirmed the list that a hub handed over. */
+  #confirmedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: FleetSyncOptions) {
     this.#options = options;
@@ -68,7 +78,10 @@
       getGatherMs: () => CONFIG_GATHER_MS,
       keepsLastGood: true,
       decode: () => true,
-      onChange: ({ changed, removed, revision }) => {
+      onChange: ({ changed, removed, revision, isWhole }) => {
+        if (isWhole) {
+          this.#zoneNames.clear();
+        }
         [...changed.keys()].forEach((zone) => this.#zoneNames.add(zone));
         removed.forEach((zone) => this.#zoneNames.delete(zone));
         const zones = [...this.#zoneNames];
@@ -81,6 +94,9 @@
       kind: kinds.servers,
       getGatherMs: () =>
         options.isPlanner() ? PLANNER_GATHER_MS : SERVERS_GATHER_MS,
+      getWaitMs: () =>
+        options.board.listMembers().length > 0 ? HUB_WAIT_MS : undefined,
+      isNeeded: () => this.#isReadingServers(),
       keepsLastGood: false,
       decode: ({ name, value, version }) =>
         platform.decodeServer(name, value, version),
@@ -104,42 +120,95 @@
     this.#servers.restart();
   }
 
+  /** Gets whether the list of servers is read from the store rather than taken from a hub. */
+  #isReadingServers(): boolean {
+    const { isHub, isPlanner } = this.#options;
+    const untilMs = this.#confirmedAtMs + MAX_HUB_AGE_MS;
+    return isHub() || isPlanner() || performance.now() > untilMs;
+  }
+
+  /**
+   * Gets what a notice says of the list of servers; a member also gets the changes that it lacks.
+   *
+   * @param partner - Name of the receiver.
+   * @param relation - What this daemon is to the receiver.
+   */
+  getServersNotice(partner: string, relation: PeerRelation): Pick<
+    PeerNotice,
+    "serversRevision" | "serversChangeRevision" | "serversAgeMs" | "servers"
+  > {
+    const { directory, board } = this.#options;
+    const revisionThere = board.getServersRevision(partner);
+    const isBehind = relation === "hub" && directory.isListed &&
+      revisionThere !== undefined && revisionThere < directory.revision;
+    return {
+      serversRevision: directory.revision,
+      serversChangeRevision: directory.changeRevision,
+      serversAgeMs: this.#servers.ageMs,
+      servers: isBehind ? directory.getNotice(revisionThere) : undefined,
+    };
+  }
+
   /** Takes what a peer told. */
   applyNotice(notice: PeerNotice): void {
-    const { board, loads, groups, crashes, excludedZones, directory } =
-      this.#options;
+    const { board, loads, crashes, excludedZones } = this.#options;
+    const { sender } = notice;
     board.applyNotice(notice);
-    loads.applyPeerLoad(notice.name, notice.loads);
-    notice.lostGroups.forEach((key) =>
-      groups.recordLoss(key, `told by ${notice.name}`)
-    );
+    loads.applyPeerLoad(notice);
+    this.#applyLosses(notice);
     notice.crashes.forEach((crash) => crashes.applyNotice(crash));
-    excludedZones.offer(notice.excludedZones, notice.name);
+    excludedZones.offer(notice.excludedZones, sender.name);
+    if (notice.relation === "hub") {
+      this.#applyServers(notice);
+    }
     if (notice.configVersion > this.#options.getConfigVersion()) {
       void this.#requestConfig(notice);
     }
-    if (notice.serversRevision > directory.changeRevision) {
+    const { changeRevision } = this.#options.directory;
+    if (notice.serversChangeRevision > changeRevision) {
       this.#observeLag(notice);
     } else {
       this.#behindSinceMs = undefined;
     }
   }
 
+  /** A hub passes news of a loss on at once, since its members hear from no other daemon. */
+  #applyLosses({ sender, lostGroups }: PeerNotice): void {
+    const { groups, board, announce } = this.#options;
+    const news = lostGroups.filter((key) =>
+      groups.recordLoss(key, `told by ${sender.name}`)
+    );
+    if (news.length > 0 && board.listMembers().length > 0) {
+      announce();
+    }
+  }
+
+  #applyServers({ servers, serversAgeMs }: PeerNotice): void {
+    if (servers !== undefined) {
+      this.#options.directory.offerNotice(servers);
+    }
+    if (serversAgeMs !== undefined) {
+      const confirmedAtMs = performance.now() - serversAgeMs;
+      this.#confirmedAtMs = Math.max(this.#confirmedAtMs, confirmedAtMs);
+    }
+  }
+
   #observeLag(notice: PeerNotice): void {
     this.#behindSinceMs ??= performance.now();
     if (performance.now() - this.#behindSinceMs > BEHIND_MS) {
       this.#behindSinceMs = undefined;
       this.#options.logger.write("info", "list-behind", {
-        peer: notice.name,
+        peer: notice.sender.name,
         revision: this.#options.directory.changeRevision,
-        peerRevision: notice.serversRevision,
+        peerRevision: notice.serversChangeRevision,
       });
       this.restartWatches();
       void this.#requestServers(notice);
     }
   }
 
-  async #requestConfig({ name, address }: PeerNotice): Promise<void> {
+  async #requestConfig({ sender }: PeerNotice): Promise<void> {
+    const { name, address } = sender;
     const { clients, applyConfig } = this.#options;
     await this.#runOnce("config", async () => {
       const config = await clients.getClient(address).getConfig.query();
@@ -149,7 +218,7 @@
     });
   }
 
-  async #requestServers({ address }: PeerNotice): Promise<void> {
+  async #requestServers({ sender: { address } }: PeerNotice): Promise<void> {
     const { clients, directory } = this.#options;
     await this.#runOnce("servers", async () => {
       const notice = await clients.getClient(address).getServers.query();
--- a/src/process/fleet/group_admission_test.ts
+++ b/src/process/fleet/group_admission_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createDaemon } from "../../../tests/support/daemons.ts";
 import { createBackendServer } from "../../../tests/support/backend_servers.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import { BackendDirectory } from "./backend_directory.ts";
@@ -71,6 +72,7 @@
       revision: 1,
       changeRevision: 1,
       outageMs: 0,
+      isWhole: false,
     });
     return { admission, loads, groups };
   }
@@ -92,7 +94,12 @@
   describe("acquire", () => {
     it("spreads requests over the groups, with the loads of the peers", async () => {
       const { admission, loads } = doTest(["g1", "g2"]);
-      loads.applyPeerLoad("peer", [["g1/1", 2]]);
+      loads.applyPeerLoad({
+        sender: createDaemon("peer"),
+        relation: "equal",
+        loads: [["g1/1", 2]],
+        waiting: 0,
+      });
       const grants = [
         await admission.acquire(createDemand()),
         await admission.acquire(createDemand()),
--- a/src/process/fleet/group_table.ts
+++ b/src/process/fleet/group_table.ts
@@ -87,14 +87,16 @@
    *
    * @param key - Group.
    * @param reason - What showed the loss.
+   * @returns Whether the loss is news.
    */
-  recordLoss(key: string, reason: string): void {
+  recordLoss(key: string, reason: string): boolean {
     if (this.#lost.has(key) || !this.#collectMembers().has(key)) {
-      return;
+      return false;
     }
     this.#lost.set(key, reason);
     this.#logger.write("info", "group-lost", { group: key, reason });
     this.refresh();
+    return true;
   }
 
   /** Finds the groups anew from the directory. */
--- a/src/process/fleet/kind_watch.ts
+++ b/src/process/fleet/kind_watch.ts
@@ -12,6 +12,8 @@
 const SHORT_WATCH_WAIT_MS = 1_000;
 /** Pause before a failed call to the store is made again, in milliseconds. */
 const RETRY_PAUSE_MS = 250;
+/** Time after which an unneeded watch is looked at again, in milliseconds. */
+const IDLE_MS = 200;
 
 /** Changes of a kind since the last ones. */
 export interface KindChange<T> {
@@ -23,6 +25,8 @@
   readonly changeRevision: number;
   /** Time for which the store had not answered before, in milliseconds. */
   readonly outageMs: number;
+  /** Whether these are all objects of the kind, so that whatever is missing is gone. */
+  readonly isWhole: boolean;
 }
 
 /** What is watched, and how. */
@@ -32,6 +36,10 @@
   readonly logger: Logger;
   /** Gets the time to gather changes before they are asked for again, in milliseconds. Each call to the store is priced. */
   getGatherMs(): number;
+  /** Gets the longest wait of one watch, in milliseconds; `WATCH_WAIT_MS` when left out. */
+  getWaitMs?(): number | undefined;
+  /** Gets whether the copy is needed; always when left out. */
+  isNeeded?(): boolean;
   /** Whether an object that cannot be decoded keeps its last good value, in place of being removed. */
   readonly keepsLastGood: boolean;
   /**
@@ -58,6 +66,13 @@
     this.#options = options;
   }
 
+  /** Gets the time since the store confirmed the copy, in milliseconds. */
+  get ageMs(): number | undefined {
+    return this.#confirmedAtMs === undefined
+      ? undefined
+      : Math.round(performance.now() - this.#confirmedAtMs);
+  }
+
   /** Ends the wait of the running call and watches anew, since its connection may be dead. */
   restart(): void {
     this.#isRestarted = true;
@@ -71,6 +86,10 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      if (this.#options.isNeeded?.() === false) {
+        await delay(IDLE_MS, signal);
+        continue;
+      }
       const succeeded = this.#revision === undefined
         ? await this.#list()
         : await this.#watch(this.#revision, signal);
@@ -95,7 +114,14 @@
         const present = new Set(objects.map(({ name }) => name));
         const removed = [...this.#names].filter((name) => !present.has(name));
         const changeRevision = Math.max(0, ...objects.map((o) => o.version));
-        this.#accept({ objects, removed, revision, changeRevision, askedAtMs });
+        this.#accept({
+          objects,
+          removed,
+          revision,
+          changeRevision,
+          askedAtMs,
+          isWhole: true,
+        });
         return true;
       },
     });
@@ -110,7 +136,9 @@
     const result = await store.watch({
       kind,
       sinceRevision,
-      timeoutMs: this.#isAnswering ? WATCH_WAIT_MS : SHORT_WATCH_WAIT_MS,
+      timeoutMs: this.#isAnswering
+        ? this.#options.getWaitMs?.() ?? WATCH_WAIT_MS
+        : SHORT_WATCH_WAIT_MS,
       signal: this.#call.signal,
     });
     signal.removeEventListener("abort", onAbort);
@@ -139,6 +167,7 @@
           revision,
           changeRevision: Math.max(0, ...events.map((e) => e.revision)),
           askedAtMs: isWait ? performance.now() : askedAtMs,
+          isWhole: false,
         });
         return true;
       },
@@ -152,6 +181,7 @@
       revision: number;
       changeRevision: number;
       askedAtMs: number;
+      isWhole: boolean;
     },
   ): void {
     const changed = new Map<string, T>();
@@ -168,14 +198,15 @@
     read.removed.forEach((name) => this.#names.delete(name));
     const outageMs = this.#recordAnswer(read.askedAtMs);
     this.#revision = read.revision;
-    if (changed.size > 0 || removed.length > 0) {
-      const { revision, changeRevision } = read;
+    if (changed.size > 0 || removed.length > 0 || read.isWhole) {
+      const { revision, changeRevision, isWhole } = read;
       this.#options.onChange({
         changed,
         removed,
         revision,
         changeRevision,
         outageMs,
+        isWhole,
       });
     }
   }
--- a/src/process/fleet/member_orders_test.ts
+++ b/src/process/fleet/member_orders_test.ts
@@ -33,6 +33,7 @@
         revision: 1,
         changeRevision: 1,
         outageMs: 0,
+        isWhole: false,
       });
       let asked = 0;
       let isOrdered = false;
--- a/src/process/fleet/peer_board_test.ts
+++ b/src/process/fleet/peer_board_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createNotice } from "../../../tests/support/daemons.ts";
 import type { Logger } from "../../shared/logger.ts";
 import { PeerBoard } from "./peer_board.ts";
-import type { PeerNotice } from "./peer_notice.ts";
 
 /** Time between two exchanges with a peer, in milliseconds. */
 const EXCHANGE_MS = 300;
@@ -29,37 +29,24 @@
     };
     const names = ["entry-1", "entry-2", "entry-3"];
     const boards = new Map(names.map((name) => [name, createBoard(name)]));
-    const createNotice = (name: string): PeerNotice => ({
-      name,
-      address: `${name}:1`,
-      isLeaving: false,
-      plannerTerm: undefined,
-      configVersion: 1,
-      excludedZones: { revision: 0, zones: [] },
-      serversRevision: 0,
-      loads: [],
-      waiting: 0,
-      lostGroups: [],
-      crashes: [],
-      peers: boards.get(name)?.listHeardAddresses() ?? [],
-    });
     boards.get("entry-1")!.applyNotice(createNotice("replaced"));
     boards.get("entry-2")!.applyNotice(createNotice("replaced"));
     for (let i = 0; i < seconds * 1_000 / EXCHANGE_MS; i++) {
       for (const from of names) {
         for (const to of names) {
-          boards.get(to)!.applyNotice(createNotice(from));
+          const board = boards.get(from)!;
+          boards.get(to)!.applyNotice(
+            createNotice(from, board.getPeersNotice(to, "equal")),
+          );
         }
       }
       vi.advanceTimersByTime(EXCHANGE_MS);
     }
-    const known = names.flatMap((name) =>
-      boards.get(name)!.listAddresses().map(([peer]) => peer)
-    );
+    const known = names.flatMap((name) => boards.get(name)!.listNames());
     return { losses, isKnown: known.includes("replaced") };
   }
 
-  describe("listHeardAddresses", () => {
+  describe("getPeersNotice", () => {
     // Guards against daemons that remind each other of a replaced one, call it for ever and log its loss with each notice.
     it("lets all daemons forget one that was replaced", () => {
       expect(doTest(130).isKnown).toBe(false);
--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -6,11 +6,18 @@
 import { delay } from "../../shared/delay.ts";
 import { getErrorMessage } from "../../shared/errors.ts";
 import type { Logger } from "../../shared/logger.ts";
+import { choosePartners, type ExchangePartners } from "./exchange_topology.ts";
 import type { PeerBoard } from "./peer_board.ts";
-import type { PeerNotice } from "./peer_notice.ts";
+import type {
+  DaemonDescription,
+  PeerNotice,
+  PeerRelation,
+} from "./peer_notice.ts";
 
-/** Time between two exchanges with each peer, in milliseconds. Each side starts one, so a peer's figures are at most this old. */
+/** Time between two exchanges with each peer, in milliseconds. Each of two hubs starts one, so a peer's figures are at most this old. */
 const EXCHANGE_INTERVAL_MS = 300;
+/** The same for a member, which starts all exchanges with its hub. */
+const MEMBER_INTERVAL_MS = 200;
 /** The same while requests wait anywhere: a place that one daemon frees stands empty until the others know. */
 const LOADED_EXCHANGE_INTERVAL_MS = 100;
 /** Pause before a peer that did not answer is called again, in milliseconds. */
@@ -24,28 +31,37 @@
   readonly store: SnapshotStore;
   /** Kind of the objects by which daemons find each other. */
   readonly kind: string;
-  readonly name: string;
-  readonly address: string;
+  readonly own: DaemonDescription;
   readonly board: PeerBoard;
   readonly clients: FleetPeerClients;
   readonly logger: Logger;
-  createNotice(): PeerNotice;
+  /** Creates the notice for a partner. */
+  createNotice(partner: string, relation: PeerRelation): PeerNotice;
   /** Gets whether requests wait for places at any daemon. */
   isUnderLoad(): boolean;
   /** Takes the notice that a peer answered with. */
   onNotice(notice: PeerNotice): void;
 }
 
-/** Exchanges notices with all other daemons. Each daemon registers in the store once, and hears of later ones from them. */
+/** Exchanges notices with the daemons that the topology names. Each daemon registers in the store once, and hears of later ones from others. */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions;
   readonly #running = new Set<string>();
+  /** Peers that get another notice as soon as the running exchange ends. */
+  readonly #isDueAgain = new Set<string>();
   readonly #notBeforeMs = new Map<string, number>();
+  #role: ExchangePartners["role"] = "hub";
+  #hubName: string | undefined;
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
   }
 
+  /** Gets whether this daemon speaks for others, or exchanges with all. */
+  get isHub(): boolean {
+    return this.#role === "hub";
+  }
+
   /** Registers this daemon and exchanges notices until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     this.#runRegistration(signal).catch((error: unknown) => {
@@ -54,39 +70,89 @@
       });
     });
     while (await delay(this.#getIntervalMs(), signal)) {
-      this.sendAll();
+      this.#sendToPartners();
     }
   }
 
+  /** Sends news at once: to the partners, and to the daemons that this one speaks for. */
+  announce(): void {
+    const { board } = this.#options;
+    const running = new Set(this.#running);
+    const called = this.#sendToPartners();
+    const names = new Set(called.map(({ name }) => name));
+    const members = board.listMembers().filter(({ name }) => !names.has(name));
+    members.forEach((member) => this.#startCall(member, "hub"));
+    // The notice of an exchange that runs already lacks the news.
+    [...called, ...members].filter(({ name }) => running.has(name))
+      .forEach(({ name }) => this.#isDueAgain.add(name));
+  }
+
   #getIntervalMs(): number {
-    return this.#options.isUnderLoad()
-      ? LOADED_EXCHANGE_INTERVAL_MS
-      : EXCHANGE_INTERVAL_MS;
+    if (this.#options.isUnderLoad()) {
+      return LOADED_EXCHANGE_INTERVAL_MS;
+    }
+    return this.isHub ? EXCHANGE_INTERVAL_MS : MEMBER_INTERVAL_MS;
   }
 
-  /** Sends a notice to each peer that has none on the way. */
-  sendAll(): void {
-    const nowMs = performance.now();
-    for (const [name, address] of this.#options.board.listAddresses()) {
-      const isDue = (this.#notBeforeMs.get(name) ?? 0) <= nowMs;
-      if (isDue && !this.#running.has(name)) {
-        void this.#callPeer(name, address);
-      }
+  /** Sends a notice to all partners of a hub, or to the first hub that answers. */
+  #sendToPartners(): readonly DaemonDescription[] {
+    const { own, board } = this.#options;
+    const { role, partners } = choosePartners(own, board.listCandidates());
+    const isDue = ({ name }: DaemonDescription) =>
+      (this.#notBeforeMs.get(name) ?? 0) <= performance.now();
+    const due = partners.filter(isDue);
+    const called = role === "hub" ? due : due.slice(0, 1);
+    this.#recordRole(role, called[0]?.name);
+    called.forEach((partner) =>
+      this.#startCall(partner, role === "hub" ? "equal" : "member")
+    );
+    return called;
+  }
+
+  #recordRole(role: ExchangePartners["role"], first?: string): void {
+    const hubName = role === "member" ? first : undefined;
+    if (role !== this.#role || hubName !== this.#hubName) {
+      this.#role = role;
+      this.#hubName = hubName;
+      this.#options.logger.write("info", "exchange-role", {
+        role,
+        hub: hubName,
+        peers: this.#options.board.countDaemons() - 1,
+      });
+    }
+  }
+
+  #startCall(partner: DaemonDescription, relation: PeerRelation): void {
+    if (!this.#running.has(partner.name)) {
+      void this.#callPeer(partner, relation);
     }
   }
 
-  async #callPeer(name: string, address: string): Promise<void> {
+  async #callPeer(
+    { name, address }: DaemonDescription,
+    relation: PeerRelation,
+  ): Promise<void> {
     const { clients, createNotice, onNotice } = this.#options;
     this.#running.add(name);
     try {
-      const client = clients.getClient(address);
-      onNotice(await client.exchange.mutate(createNotice()));
-      this.#notBeforeMs.delete(name);
-    } catch {
-      // The board logs a peer that stays silent.
+      do {
+        this.#isDueAgain.delete(name);
+        const client = clients.getClient(address);
+        onNotice(await client.exchange.mutate(createNotice(name, relation)));
+        this.#notBeforeMs.delete(name);
+      } while (this.#isDueAgain.has(name));
+    } catch (error) {
+      if (!this.#notBeforeMs.has(name)) {
+        this.#options.logger.write("info", "exchange-failed", {
+          peer: name,
+          relation,
+          message: getErrorMessage(error),
+        });
+      }
       this.#notBeforeMs.set(name, performance.now() + RETRY_PAUSE_MS);
     } finally {
       this.#running.delete(name);
+      this.#isDueAgain.delete(name);
     }
   }
 
@@ -102,35 +168,41 @@
 
   /** Reads the registered daemons, and registers this one unless it is among them at its address. */
   async #listAndRegister(): Promise<boolean> {
-    const { store, kind, name, address, board } = this.#options;
+    const { store, kind, own, board } = this.#options;
     const listed = await store.listObjects(kind);
     const objects = listed.toMaybe().extract();
     if (objects === undefined) {
       return false;
     }
-    const addresses = new Map(
-      objects.map((object) => [object.name, getAddress(object)]),
-    );
-    addresses.forEach((peerAddress, peer) => {
-      if (peerAddress !== undefined) {
-        board.addPeer(peer, peerAddress);
+    const registered = objects.map((object) => ({
+      object,
+      description: getDescription(object),
+    }));
+    registered.forEach(({ description }) => {
+      if (description !== undefined) {
+        board.addPeer(description);
       }
     });
-    if (addresses.get(name) === address) {
+    const found = registered.find(({ object }) => object.name === own.name);
+    if (found?.description?.address === own.address) {
       return true;
     }
+    const { name, ...value } = own;
     const written = await store.putObject({
       kind,
       name,
-      value: { address },
-      expectedVersion: objects.find((object) => object.name === name)
-        ?.version ?? 0,
+      value,
+      expectedVersion: found?.object.version ?? 0,
     });
     return written.outcome === "written";
   }
 }
 
-function getAddress(object: StoredObject): string | undefined {
-  const address = (object.value as { address?: unknown } | null)?.address;
-  return typeof address === "string" ? address : undefined;
+function getDescription(object: StoredObject): DaemonDescription | undefined {
+  const value = object.value as Partial<DaemonDescription> | null;
+  const { address, zone, processorCores } = value ?? {};
+  return typeof address === "string" && typeof zone === "string" &&
+      typeof processorCores === "number"
+    ? { name: object.name, address, zone, processorCores }
+    : undefined;
 }
--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -30,6 +30,7 @@
   readonly #logger: Logger;
   readonly #areOrdersFenced: boolean;
   readonly #isHolderHeard: () => boolean;
+  readonly #getCandidateDelayMs: () => number;
   readonly #onRegained: () => void;
   #isAnswering = true;
   #isReleased = false;
@@ -37,6 +38,8 @@
   #version = 0;
   #changedAtMs = performance.now();
   #renewedAtMs: number | undefined;
+  /** Monotonic time since which no peer tells of a holder. */
+  #unheardSinceMs: number | undefined;
   #clockOffsetMs = getClockOffsetMs();
 
   constructor(options: {
@@ -48,6 +51,8 @@
     areOrdersFenced: boolean;
     /** Gets whether a peer that holds the lease is heard, so that the store need not be asked. */
     isHolderHeard(): boolean;
+    /** Gets the time for which others are left to take a lapsed lease over first, in milliseconds; none when left out. */
+    getCandidateDelayMs?(): number;
     /** Called when the store answers again. */
     onRegained(): void;
   }) {
@@ -57,6 +62,7 @@
     this.#logger = options.logger;
     this.#areOrdersFenced = options.areOrdersFenced;
     this.#isHolderHeard = options.isHolderHeard;
+    this.#getCandidateDelayMs = options.getCandidateDelayMs ?? (() => 0);
     this.#onRegained = options.onRegained;
   }
 
@@ -128,6 +134,12 @@
     }
     if (this.#isHolderHeard()) {
       this.#changedAtMs = performance.now();
+      this.#unheardSinceMs = undefined;
+      return;
+    }
+    this.#unheardSinceMs ??= performance.now();
+    const unheardMs = performance.now() - this.#unheardSinceMs;
+    if (unheardMs < this.#getCandidateDelayMs()) {
       return;
     }
     await this.#read();
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -21,7 +21,13 @@
 import { MemberOrders } from "./fleet/member_orders.ts";
 import { PeerBoard } from "./fleet/peer_board.ts";
 import { PeerExchange } from "./fleet/peer_exchange.ts";
-import type { PeerNotice } from "./fleet/peer_notice.ts";
+import {
+  type DaemonDescription,
+  getOppositeRelation,
+  type PeerNotice,
+  type PeerRelation,
+  type PlannerNotice,
+} from "./fleet/peer_notice.ts";
 import { PlannerLeaseHolder } from "./fleet/planner_lease_holder.ts";
 import { RepeatBudget } from "./fleet/repeat_budget.ts";
 import { ReplicaTask } from "./fleet/replica_task.ts";
@@ -37,6 +43,8 @@
 const DAEMON_KIND = "tarragontally-daemons";
 /** Time in which a peer answers, in milliseconds. */
 const PEER_TIMEOUT_MS = 1_000;
+/** Time for which a daemon that is no hub leaves a lapsed lease to the hubs, in milliseconds: a take-over by one of them takes about as long. */
+const MEMBER_CANDIDATE_DELAY_MS = 5_000;
 /** Daemons among which budgets are split at least, so that a daemon that hears no other one keeps to a share. */
 const MIN_SHARING_DAEMONS = 7;
 /** Part of the grace time of a stop that is left for closing. */
@@ -109,7 +117,7 @@
         this.#routes?.findService(service)?.coldRequestsPerSecond ?? 0,
       minDaemons: MIN_SHARING_DAEMONS,
       ownName: settings.name,
-      listPeerNames: () => this.#board.listAddresses().map(([name]) => name),
+      listPeerNames: () => this.#board.listNames(),
     });
     this.#context = {
       settings,
@@ -131,7 +139,7 @@
         attempts,
         orders: platform.orders,
         logger,
-        announceLoss: () => this.#exchange.sendAll(),
+        announceLoss: () => this.#exchange.announce(),
       }),
       serverLoads: new ServerLoads(),
       coldLimits,
@@ -186,12 +194,16 @@
   /** Answers a peer that exchanges notices. */
   handleNotice(notice: PeerNotice): PeerNotice {
     this.#applyNotice(notice);
-    return this.#createNotice();
+    return this.#createNotice(
+      notice.sender.name,
+      getOppositeRelation(notice.relation),
+    );
   }
 
   #applyNotice(notice: PeerNotice): void {
-    if (notice.plannerTerm !== undefined) {
-      this.#lease.observeTerm(notice.plannerTerm, notice.name);
+    const { planner } = notice;
+    if (planner !== undefined && planner.name !== this.#own.name) {
+      this.#lease.observeTerm(planner.term, planner.name);
     }
     this.#sync.applyNotice(notice);
   }
@@ -267,6 +279,8 @@
       excludedZones: this.#excludedZones,
       board: this.#board,
       isPlanner: () => this.#lease.getTerm() !== undefined,
+      isHub: () => this.#exchange.isHub,
+      announce: () => this.#exchange.announce(),
       getConfigVersion: () => this.#routes?.version ?? 0,
       applyConfig: (config, source) => this.#applyConfig(config, source),
     });
@@ -280,29 +294,27 @@
       name: settings.name,
       logger,
       areOrdersFenced: settings.areOrdersFenced,
-      isHolderHeard: () =>
-        this.#board.listNotices().some(({ plannerTerm }) =>
-          plannerTerm !== undefined
-        ),
+      isHolderHeard: () => this.#board.findPlanner() !== undefined,
+      getCandidateDelayMs: () =>
+        this.#exchange.isHub ? 0 : MEMBER_CANDIDATE_DELAY_MS,
       onRegained: () => this.#sync.restartWatches(),
     });
   }
 
   #createExchange(clients: FleetPeerClients): PeerExchange {
-    const { platform, logger, settings } = this.#options;
+    const { platform, logger } = this.#options;
     return new PeerExchange({
       store: platform.store,
       kind: DAEMON_KIND,
-      name: settings.name,
-      address: this.#peerAddress,
+      own: this.#own,
       board: this.#board,
       clients,
       logger,
-      createNotice: () => this.#createNotice(),
+      createNotice: (partner, relation) =>
+        this.#createNotice(partner, relation),
       onNotice: (notice) => this.#applyNotice(notice),
       isUnderLoad: () =>
-        this.#context.admission.waiting > 0 ||
-        this.#board.listNotices().some(({ waiting }) => waiting > 0),
+        this.#context.admission.waiting > 0 || this.#loads.isPeerWaiting(),
     });
   }
 
@@ -328,28 +340,35 @@
     });
   }
 
-  get #peerAddress(): string {
-    const { host, port } = this.#options.settings.peer;
-    return `${host}:${port}`;
+  get #own(): DaemonDescription {
+    const { name, peer, zone, processorCores } = this.#options.settings;
+    return { name, address: `${peer.host}:${peer.port}`, zone, processorCores };
   }
 
-  #createNotice(): PeerNotice {
+  #createNotice(partner: string, relation: PeerRelation): PeerNotice {
+    const { waiting } = this.#context.admission;
     return {
-      name: this.#options.settings.name,
-      address: this.#peerAddress,
+      sender: this.#own,
+      relation,
       isLeaving: this.#isLeaving,
-      plannerTerm: this.#lease.getTerm(),
+      planner: this.#findPlanner(),
       configVersion: this.#routes?.version ?? 0,
       excludedZones: this.#excludedZones.getNotice(),
-      serversRevision: this.#directory.changeRevision,
-      loads: this.#loads.listOwn(),
-      waiting: this.#context.admission.waiting,
+      ...this.#sync.getServersNotice(partner, relation),
+      ...this.#loads.getLoadFor(partner, relation, waiting),
       lostGroups: this.#groups.listLost(),
       crashes: this.#crashes.listRecent(),
-      peers: this.#board.listHeardAddresses(),
+      ...this.#board.getPeersNotice(partner, relation),
     };
   }
 
+  #findPlanner(): PlannerNotice | undefined {
+    const term = this.#lease.getTerm();
+    return term === undefined
+      ? this.#board.findPlanner()
+      : { name: this.#own.name, term, ageMs: 0 };
+  }
+
   #startTask(
     name: string,
     task: { run(signal: AbortSignal): Promise<void> },
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -9,6 +9,8 @@
   /** Name of the entry VM. */
   readonly name: string;
   readonly zone: string;
+  /** Processor time that the daemon may use, in cores. */
+  readonly processorCores: number;
   readonly caller: ListenerAddress;
   /** Listener that the balancer asks whether the daemon takes callers. */
   readonly ready: ListenerAddress;
--- /dev/null
+++ b/tests/support/daemons.ts
@@ -0,0 +1,40 @@
+import type {
+  DaemonDescription,
+  PeerNotice,
+} from "../../src/process/fleet/peer_notice.ts";
+
+/** Creates the description of a daemon. */
+export function createDaemon(
+  name: string,
+  daemon: Partial<DaemonDescription> = {},
+): DaemonDescription {
+  return {
+    name,
+    address: `${name}:1`,
+    zone: "z",
+    processorCores: 1,
+    ...daemon,
+  };
+}
+
+/** Creates the notice of a daemon that exchanges with all others and has nothing to tell. */
+export function createNotice(
+  name: string,
+  notice: Partial<PeerNotice> = {},
+): PeerNotice {
+  return {
+    sender: createDaemon(name),
+    relation: "equal",
+    isLeaving: false,
+    configVersion: 1,
+    excludedZones: { revision: 0, zones: [] },
+    serversRevision: 0,
+    serversChangeRevision: 0,
+    loads: [],
+    waiting: 0,
+    lostGroups: [],
+    crashes: [],
+    peersHash: 0,
+    ...notice,
+  };
+}
