Count a run on a head whose entry lapsed while it went on running

Cause: a run counted as none of the route's attempts when its head was missing from the list.

Ruled out: the retry budget (not exhausted), the count of declined attempts (none was declined).

Change: a missing head has ended only if the connection to it broke as well; a group that was lost through another member counts. The test "does not count a run on a head that is gone" expected the fault; six cases replace it, one of which fails without the change.

--- a/src/request/routed/ended_attempt.ts
+++ b/src/request/routed/ended_attempt.ts
@@ -22,12 +22,15 @@
     readonly answer: BackendAnswer;
     readonly body: Buffer;
   }
-  | {
-    readonly outcome: "failed";
-    readonly error: BackendError;
-    /** Whether the attempt was ended since its group is lost. */
-    readonly isGroupLost: boolean;
-  };
+  | FailedAttempt;
+
+/** Attempt without a whole answer. */
+export interface FailedAttempt {
+  readonly outcome: "failed";
+  readonly error: BackendError;
+  /** Whether the attempt was ended since its group is lost. */
+  readonly isGroupLost: boolean;
+}
 
 /**
  * Reads the whole body of an answer.
--- a/src/request/routed/model_stream.ts
+++ b/src/request/routed/model_stream.ts
@@ -10,7 +10,11 @@
 import { combineVerdicts, type Verdict } from "../../shared/verdict.ts";
 import type { EngineProfile } from "../../version/routing_config.ts";
 import { type EventFrame, EventFrameReader } from "./event_frames.ts";
-import { type EndedAttempt, readAnswer } from "./ended_attempt.ts";
+import {
+  type EndedAttempt,
+  type FailedAttempt,
+  readAnswer,
+} from "./ended_attempt.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { ModelDemand } from "./routed_request.ts";
 
@@ -262,9 +266,9 @@
     const { context, request, route } = this.#scope;
     if (ended.outcome === "failed") {
       this.#verdict = combineVerdicts(this.#verdict, ended.error.verdict);
-      this.#runs += ended.error.verdict === "not-run" || this.#hasEnded(grant)
-        ? 0
-        : 1;
+      const isCounted = ended.error.verdict !== "not-run" &&
+        !this.#hasHeadEnded(grant, ended);
+      this.#runs += isCounted ? 1 : 0;
       if (ended.error.kind === "reset" && !ended.isGroupLost) {
         context.crashes.recordCrash({
           fingerprint: this.#fingerprint,
@@ -299,10 +303,15 @@
     }
   }
 
-  /** A run on a server that is gone is none of the attempts that the route limits. A group that lost another member than its head counts: the head has run the request. */
-  #hasEnded({ group: { head } }: GroupGrant): boolean {
+  /** A run on a server that has ended is none of the attempts that the route limits. A group that lost another member than its head counts, since the head has run the request; an entry that lapsed alone shows nothing, since a head that is cut off from the store runs on. */
+  #hasHeadEnded(
+    { group: { head } }: GroupGrant,
+    { error, isGroupLost }: FailedAttempt,
+  ): boolean {
     const known = this.#scope.context.directory.findServer(head.id);
-    return known?.startedAtMs !== head.startedAtMs;
+    return known === undefined
+      ? error.kind === "reset" && !isGroupLost
+      : known.startedAtMs !== head.startedAtMs;
   }
 
   /** Throws when the request may not be sent once more. */
--- a/src/request/routed/model_stream_test.ts
+++ b/src/request/routed/model_stream_test.ts
@@ -19,8 +19,13 @@
 
 describe("ModelStream", () => {
   describe("run", () => {
-    /** Lets every group be lost while it runs the request, and gets the heads that it was sent to. */
-    async function doTest(isHeadGone: boolean): Promise<string[]> {
+    /** Lets every attempt fail while it runs, and gets the heads that the request was sent to. */
+    async function doTest(
+      { head, failure }: {
+        head: "listed" | "restarted" | "not listed";
+        failure: "silent member" | "reset";
+      },
+    ): Promise<string[]> {
       const sent: string[] = [];
       const attempts = new StreamAttempts();
       const createGroup = (number: number) => ({
@@ -39,7 +44,9 @@
         guard: { checkGroup: () => Promise.resolve() },
         directory: {
           findServer: (id: string) =>
-            isHeadGone ? undefined : { id, startedAtMs: 1 },
+            head === "not listed"
+              ? undefined
+              : { id, startedAtMs: head === "restarted" ? 2 : 1 },
         },
         admission: {
           acquire: () => {
@@ -53,11 +60,14 @@
         transport: {
           send: ({ serverId }: { serverId: string }) => {
             sent.push(serverId);
-            const [[key]] = attempts.listByGroup();
-            attempts.abandonGroup(key, "a member is silent");
+            const isReset = failure === "reset";
+            if (!isReset) {
+              const [[key]] = attempts.listByGroup();
+              attempts.abandonGroup(key, "a member is silent");
+            }
             return Promise.reject(
-              new BackendError("The attempt was ended", {
-                kind: "aborted",
+              new BackendError("The attempt failed", {
+                kind: isReset ? "reset" : "aborted",
                 verdict: "may-have-run",
               }),
             );
@@ -100,13 +110,27 @@
       return sent;
     }
 
-    // Guards against a request that runs on more servers than its route allows since group after group loses a member.
-    it("counts a run whose group lost another member than its head", async () => {
-      expect(await doTest(false)).toEqual(["s1", "s2"]);
+    // Guards against a request that runs on more servers than its route allows since group after group loses a member. An entry that lapsed is no sign that the head has ended: a head without a path to the store runs on.
+    it.each(
+      [
+        [{ head: "listed", failure: "silent member" }],
+        [{ head: "listed", failure: "reset" }],
+        [{ head: "not listed", failure: "silent member" }],
+      ] as const,
+    )("counts a run: %o", async (options) => {
+      expect(await doTest(options)).toEqual(["s1", "s2"]);
     });
 
-    it("does not count a run on a head that is gone", async () => {
-      expect(await doTest(true)).toEqual(["s1", "s2", "s3", "s4"]);
+    it.each(
+      [
+        [{ head: "restarted", failure: "silent member" }],
+        [{ head: "restarted", failure: "reset" }],
+        [{ head: "not listed", failure: "reset" }],
+      ] as const,
+    )("does not count a run on a head that has ended: %o", async (
+      options,
+    ) => {
+      expect(await doTest(options)).toEqual(["s1", "s2", "s3", "s4"]);
     });
   });
 });
