Let members take configuration and zones from their hub as well

Ruled out: longer waits alone (most calls follow changes, not waits).

Change: a member reads nothing from the store while the list of servers of its hub was confirmed within 2.5 s. The hub's watch on the servers, with its short wait, shows that the store is in reach; when it recovers from a failed call, the watches with longer waits are begun anew. Registered daemons are listed every 60 s in place of 20 s.

Test: fourteen daemons as one zone; members get a configuration in time, also when both hubs stop, and use groups formed later.

--- a/fakes/wire_store.ts
+++ b/fakes/wire_store.ts
@@ -23,6 +23,7 @@
   readonly #kinds = new Map<string, Map<string, WireObject>>();
   readonly #events: WireEvent[] = [];
   readonly #waiting = new Set<() => void>();
+  readonly #watched = new Map<string, number>();
   #revision = 1;
   #historyStart = 0;
   fault: WireStoreFault = "none";
@@ -67,6 +68,11 @@
     return this.#getKind(kind).get(name)?.Spec;
   }
 
+  /** Gets the number of watches of a kind that wait for a change. */
+  countWatches(kind: string): number {
+    return this.#watched.get(kind) ?? 0;
+  }
+
   /** Forgets the history, so that watches have to list again. */
   dropHistory(): void {
     this.#events.length = 0;
@@ -171,7 +177,9 @@
         answerJson(res, 200, { events, At: this.#revision });
         return;
       }
+      this.#watched.set(kind, this.countWatches(kind) + 1);
       await this.#waitForChange(endMs - Date.now());
+      this.#watched.set(kind, this.countWatches(kind) - 1);
     }
   }
 
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -17,7 +17,7 @@
 const CONFIG_GATHER_MS = 50;
 const PLANNER_GATHER_MS = 200;
 const SERVERS_GATHER_MS = 350;
-/** Longest wait of the watch on the servers at a daemon that others rely on, in milliseconds: they look elsewhere when its list is not confirmed. */
+/** Longest wait of the watch on the servers at a daemon that others rely on, in milliseconds: it shows them that the store is in reach, and they read it themselves when it is not. */
 const HUB_WAIT_MS = 1_000;
 /** Age above which the list of a hub counts as out of date, in milliseconds: the wait of its watch and a slow answer. */
 const MAX_HUB_AGE_MS = 2_500;
@@ -37,7 +37,7 @@
   readonly logger: Logger;
   /** Gets whether this daemon plans the groups. */
   isPlanner(): boolean;
-  /** Gets whether this daemon reads the list of servers from the store in any case. */
+  /** Gets whether this daemon reads the store in any case. */
   isHub(): boolean;
   /** Tells the partners of news at once. */
   announce(): void;
@@ -66,6 +66,7 @@
       logger,
       kind: kinds.config,
       getGatherMs: () => CONFIG_GATHER_MS,
+      isNeeded: () => this.#isReadingStore(),
       keepsLastGood: true,
       decode: ({ value }) => platform.decodeConfig(value),
       onChange: ({ changed }) =>
@@ -76,6 +77,7 @@
       logger,
       kind: kinds.excludedZones,
       getGatherMs: () => CONFIG_GATHER_MS,
+      isNeeded: () => this.#isReadingStore(),
       keepsLastGood: true,
       decode: () => true,
       onChange: ({ changed, removed, revision, isWhole }) => {
@@ -96,11 +98,16 @@
         options.isPlanner() ? PLANNER_GATHER_MS : SERVERS_GATHER_MS,
       getWaitMs: () =>
         options.board.listMembers().length > 0 ? HUB_WAIT_MS : undefined,
-      isNeeded: () => this.#isReadingServers(),
+      isNeeded: () => this.#isReadingStore(),
       keepsLastGood: false,
       decode: ({ name, value, version }) =>
         platform.decodeServer(name, value, version),
       onChange: (change) => directory.applyChange(change),
+      onRegained: () => {
+        // The waits of the other watches are longer, and their connections may have died at the same time.
+        this.#config.restart();
+        this.#zones.restart();
+      },
     });
   }
 
@@ -120,8 +127,8 @@
     this.#servers.restart();
   }
 
-  /** Gets whether the list of servers is read from the store rather than taken from a hub. */
-  #isReadingServers(): boolean {
+  /** Gets whether this daemon reads the store itself rather than taking everything from a hub whose list of servers was confirmed lately. */
+  #isReadingStore(): boolean {
     const { isHub, isPlanner } = this.#options;
     const untilMs = this.#confirmedAtMs + MAX_HUB_AGE_MS;
     return isHub() || isPlanner() || performance.now() > untilMs;
--- a/src/process/fleet/kind_watch.ts
+++ b/src/process/fleet/kind_watch.ts
@@ -50,6 +50,8 @@
   decode(object: StoredObject): T;
   /** Takes the changes. */
   onChange(change: KindChange<T>): void;
+  /** Called when the store answers again after a failed call. */
+  onRegained?(): void;
 }
 
 /** Copy of all objects of one kind, kept up to date by a watch. */
@@ -248,6 +250,7 @@
         kind: this.#options.kind,
         outageMs: Math.round(outageMs),
       });
+      this.#options.onRegained?.();
     }
     this.#confirmedAtMs = askedAtMs;
     return outageMs;
--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -24,7 +24,7 @@
 const RETRY_PAUSE_MS = 1_000;
 const REGISTER_RETRY_MS = 1_000;
 /** Time between two listings of the registered daemons, in milliseconds: new ones call the others by themselves. */
-const LIST_INTERVAL_MS = 20_000;
+const LIST_INTERVAL_MS = 60_000;
 
 /** Parts of the exchange. */
 export interface PeerExchangeOptions {
--- /dev/null
+++ b/tests/platform_hubs_test.ts
@@ -0,0 +1,107 @@
+import { afterEach, describe, expect, it } from "vitest";
+import { delay } from "../src/shared/delay.ts";
+import {
+  PlatformDeployment,
+  waitUntil,
+} from "./support/platform_deployment.ts";
+
+/** Daemons of one zone, two of which are hubs. */
+const DAEMONS = 14;
+const HUBS = 2;
+/** Time in which a change has to be in force on every daemon, in milliseconds. */
+const CHANGE_MS = 3_000;
+
+describe("platform hubs", () => {
+  const deployments: PlatformDeployment[] = [];
+
+  afterEach(async () => {
+    for (const deployment of deployments.splice(0)) {
+      await deployment.dispose();
+    }
+  });
+
+  /** Starts daemons and waits until only hubs, and the planner if it is none, read the store. */
+  async function doTest(): Promise<PlatformDeployment> {
+    const deployment = new PlatformDeployment();
+    deployments.push(deployment);
+    await deployment.start({ daemons: DAEMONS, models: 8 });
+    await deployment.waitUntilServing();
+    const { store } = deployment;
+    await waitUntil(() =>
+      store.countWatches("config") <= HUBS + 1 &&
+      store.countWatches("servers") <= HUBS + 1
+    );
+    return deployment;
+  }
+
+  function countInForce(deployment: PlatformDeployment, version: number) {
+    return deployment.events.filter(({ event, fields }) =>
+      event === "config-in-force" && fields.version === version
+    ).length;
+  }
+
+  it(
+    "puts a configuration into force on members that do not read the store",
+    async () => {
+      const deployment = await doTest();
+      deployment.writeConfig({});
+      await waitUntil(() => countInForce(deployment, 2) === DAEMONS, CHANGE_MS);
+      expect(deployment.store.countWatches("config"))
+        .toBeLessThanOrEqual(HUBS + 1);
+    },
+    60_000,
+  );
+
+  it("keeps members up to date when both hubs stop", async () => {
+    const deployment = await doTest();
+    const stopping = deployment.daemons.slice(0, HUBS).map((d) => d.stop());
+    await delay(500);
+    deployment.writeConfig({});
+    deployment.store.putObject("evacuations", "z2", {});
+    await waitUntil(
+      () => countInForce(deployment, 2) >= DAEMONS - HUBS,
+      CHANGE_MS,
+    );
+    await Promise.all(stopping);
+    deployment.writeConfig({});
+    await waitUntil(
+      () => countInForce(deployment, 3) >= DAEMONS - HUBS,
+      CHANGE_MS,
+    );
+    const excluding = deployment.events.filter(({ event }) =>
+      event === "zones-excluded"
+    );
+    expect(excluding.length).toBeGreaterThanOrEqual(DAEMONS - HUBS);
+  }, 60_000);
+
+  it(
+    "lets members serve a group that was formed after they stopped reading the store",
+    async () => {
+      const deployment = await doTest();
+      for (const [id, server] of deployment.fleet) {
+        if (/^m[0246]$/.test(id)) {
+          server.crash();
+          deployment.store.deleteObject("servers", id);
+        }
+      }
+      for (let i = 8; i < 16; i += 2) {
+        const id = `m${i}`;
+        await deployment.addServer({
+          id,
+          service: "models",
+          zone: "z1",
+          domain: "z1-d1",
+        });
+      }
+      deployment.store.putObject("evacuations", "z2", {});
+      const isNew = (id: string) => /^m(8|10|12|14)$/.test(id);
+      for (const caller of deployment.callers) {
+        await waitUntil(async () => {
+          const { isWhole } = await deployment.callModel(caller);
+          return isWhole && isNew(deployment.runs.at(-1)!.serverId);
+        });
+      }
+    },
+    60_000,
+  );
+});
