Send idempotent calls once more that a server failed, and stay in the zone

Groups in other zones counted as only half a request worse, so each daemon used all 46 groups and opened 8,391 connections for 12,000 requests.

Ruled out: recording the server as failing, since every server fails some calls and the few others would be flooded; repeating bookings.

Change: a 5xx answer other than 504 of an idempotent call is followed by one attempt at another server within the attempts of the route and the budget of repeats; the last whole answer is passed on when that fails as well. A group of another zone counts as 1.5 requests worse.

--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -7,8 +7,8 @@
 /** Time after which a group with a cold head is looked at again, in milliseconds. */
 const COLD_RETRY_MS = 100;
 
-/** Requests by which a group in another zone counts as more loaded, since its bytes cross zones. */
-const OTHER_ZONE_HANDICAP = 0.5;
+/** Requests by which a group in another zone counts as more loaded: its bytes cross zones, and fewer groups keep more connections in use. So small a difference in load is not felt in the time of a step. */
+const OTHER_ZONE_HANDICAP = 1.5;
 /** Time that a request is taken to occupy its place before any has ended, in milliseconds. */
 const DEFAULT_DURATION_MS = 1_000;
 /** Weight of the last request in the mean of these times. */
--- a/src/request/routed/ended_attempt.ts
+++ b/src/request/routed/ended_attempt.ts
@@ -17,13 +17,16 @@
  */
 export type EndedAttempt =
   | { readonly outcome: "complete" }
-  | {
-    readonly outcome: "answered" | "declined";
-    readonly answer: BackendAnswer;
-    readonly body: Buffer;
-  }
+  | AnsweredAttempt
   | FailedAttempt;
 
+/** Attempt with a whole answer that was not passed on yet. */
+export interface AnsweredAttempt {
+  readonly outcome: "answered" | "declined";
+  readonly answer: BackendAnswer;
+  readonly body: Buffer;
+}
+
 /** Attempt without a whole answer. */
 export interface FailedAttempt {
   readonly outcome: "failed";
@@ -32,6 +35,16 @@
   readonly isGroupLost: boolean;
 }
 
+/** Lowest status by which a server says that it failed a proper request. */
+const SERVER_FAILURE = 500;
+/** Status of a server whose time for the request has passed. */
+const TIME_PASSED = 504;
+
+/** Gets whether a status says that the server failed a proper request, which another server may answer in time. */
+export function isServerFailure(status: number): boolean {
+  return status >= SERVER_FAILURE && status !== TIME_PASSED;
+}
+
 /**
  * Reads the whole body of an answer.
  *
--- a/src/request/routed/plain_call.ts
+++ b/src/request/routed/plain_call.ts
@@ -3,7 +3,12 @@
 import { RequestError } from "../../shared/errors.ts";
 import type { LogFields } from "../../shared/logger.ts";
 import { combineVerdicts, type Verdict } from "../../shared/verdict.ts";
-import { type EndedAttempt, readAnswer } from "./ended_attempt.ts";
+import {
+  type AnsweredAttempt,
+  type EndedAttempt,
+  isServerFailure,
+  readAnswer,
+} from "./ended_attempt.ts";
 import type { RequestScope } from "./request_scope.ts";
 
 /** Part of the remaining time that one attempt of an idempotent call gets while another one may follow. */
@@ -21,6 +26,8 @@
   #attempts = 0;
   #runs = 0;
   #status: number | undefined;
+  /** Last answer of a server. */
+  #answered: AnsweredAttempt | undefined;
 
   constructor(scope: RequestScope) {
     this.#scope = scope;
@@ -36,7 +43,7 @@
   }
 
   /**
-   * Answers the call. A call that is not idempotent is sent once more only when the server states that it has not run.
+   * Answers the call. A call that is not idempotent is sent once more only when the server states that it has not run; an idempotent one also when a server fails it.
    *
    * @throws {RequestError} When the call is refused or has no whole answer.
    */
@@ -44,22 +51,43 @@
     for (;;) {
       const server = this.#chooseServer();
       if (server === undefined) {
-        throw this.#createFailure("No backend server takes the call");
+        this.#answerFailure(
+          this.#createFailure("No backend server takes the call"),
+        );
+        return;
       }
       this.#tried.add(server.id);
       this.#attempts++;
       const ended = await this.#runAttempt(server);
       this.#recordEnd(server, ended);
       if (ended.outcome === "answered") {
-        const { status, headers } = ended.answer;
-        this.#status = status;
-        this.#scope.writer.answer(status, headers, ended.body);
+        this.#answered = ended;
+        if (!isServerFailure(ended.answer.status)) {
+          this.#answer(ended);
+          return;
+        }
+      }
+      const refusal = this.#findRefusal(ended);
+      if (refusal !== undefined) {
+        this.#answerFailure(refusal);
         return;
       }
-      this.#checkRepeat(ended);
     }
   }
 
+  #answer({ answer: { status, headers }, body }: AnsweredAttempt): void {
+    this.#status = status;
+    this.#scope.writer.answer(status, headers, body);
+  }
+
+  /** Passes on what a server answered, if any did: its own failure tells the caller more than that of this daemon. */
+  #answerFailure(refusal: RequestError): void {
+    if (this.#answered === undefined) {
+      throw refusal;
+    }
+    this.#answer(this.#answered);
+  }
+
   #chooseServer(): BackendServer | undefined {
     const { context, service } = this.#scope;
     const excludedZones = context.getExcludedZones();
@@ -122,13 +150,17 @@
     const { context, request, route } = this.#scope;
     if (ended.outcome === "answered") {
       context.serverLoads.recordSuccess(server.id);
-      return;
+      if (!isServerFailure(ended.answer.status)) {
+        return;
+      }
+      this.#verdict = combineVerdicts(this.#verdict, ended.answer.verdict);
+      this.#runs++;
     }
     if (ended.outcome === "failed") {
       this.#verdict = combineVerdicts(this.#verdict, ended.error.verdict);
       this.#runs += ended.error.verdict === "not-run" ? 0 : 1;
     }
-    if (!request.signal.aborted) {
+    if (!request.signal.aborted && ended.outcome !== "answered") {
       context.serverLoads.recordFailure(server.id);
     }
     context.logger.write("info", "attempt-ended", {
@@ -143,27 +175,29 @@
     });
   }
 
-  #checkRepeat(ended: EndedAttempt): void {
+  /** Gets the refusal with which the call ends, unless it may be sent once more. */
+  #findRefusal(ended: EndedAttempt): RequestError | undefined {
     const { context, request, route, service, deadlineAtMs } = this.#scope;
     if (request.signal.aborted) {
-      throw this.#createFailure("The caller closed the connection");
+      return this.#createFailure("The caller closed the connection");
     }
     if (performance.now() >= deadlineAtMs) {
-      throw this.#createFailure("The time limit of the call has passed", 504);
+      return this.#createFailure("The time limit of the call has passed", 504);
     }
     const mayRepeat = this.#verdict === "not-run" ||
       route.kind === "idempotent";
     if (
-      !mayRepeat || this.#runs >= route.maxAttempts ||
-      this.#attempts > MAX_DECLINED_ATTEMPTS ||
-      !context.getRepeatBudget(service.name).tryAcquire()
+      mayRepeat && this.#runs < route.maxAttempts &&
+      this.#attempts <= MAX_DECLINED_ATTEMPTS &&
+      context.getRepeatBudget(service.name).tryAcquire()
     ) {
-      throw this.#createFailure(
-        ended.outcome === "failed"
-          ? ended.error.message
-          : "The backend servers are full",
-      );
+      return undefined;
     }
+    return this.#createFailure(
+      ended.outcome === "failed"
+        ? ended.error.message
+        : "The backend servers are full",
+    );
   }
 
   #createFailure(message: string, mayHaveRunStatus = 502): RequestError {
