Add a randomised fault soak of the real daemons

The soak starts the built daemons as processes of their own before the stand-ins of the platform's wire, with a loopback proxy on each daemon's link to the store and in front of each server. Actions drawn from a seed overlap: kills, planned stops, pauses, links that delay, fall silent, are cut one way or reset, a store that is silent or busy or forgets its history, servers that crash, leave, take orders late or lose answers, changes of keys, zones out of service. Callers use open connections until the process is gone.

It checks from what callers and servers saw: own whole answer, at most once, a true "not run", no group that was never whole, no server in two groups, removed and added keys in time, no request to leaving servers and zones out of service in time, a planned stop that cuts nothing and ends with exit code 0.

Stand-ins: WireServer records whether all members had been ready, and joins while the group served; settings and configuration of the stand-ins moved from the test support to fakes/wire_settings.ts, so that both use one copy.

--- /dev/null
+++ b/bench/soak/fault_proxy.ts
@@ -0,0 +1,135 @@
+import type { Buffer } from "node:buffer";
+import {
+  type AddressInfo,
+  connect,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { parseAddress } from "../../src/connection/backend_transport.ts";
+
+/**
+ * How a proxy treats its connections.
+ *
+ * - `delay`: each piece arrives later.
+ * - `silence`: nothing arrives in either direction, and nothing is closed.
+ * - `cut-requests`, `cut-answers`: nothing arrives in one direction.
+ * - `reset`: connections are reset, also new ones.
+ */
+export type LinkFault =
+  | "none"
+  | "delay"
+  | "silence"
+  | "cut-requests"
+  | "cut-answers"
+  | "reset";
+
+/** Time by which a delaying link holds each piece back, in milliseconds. */
+const DELAY_MS = 150;
+
+/** Loopback proxy in front of one address, through which a soak harms a link. */
+export class FaultProxy {
+  readonly #server: Server;
+  readonly #pairs = new Set<Link>();
+  #fault: LinkFault = "none";
+
+  constructor(target: string) {
+    this.#server = createServer({ allowHalfOpen: true }, (caller) => {
+      if (this.#fault === "reset") {
+        caller.resetAndDestroy();
+        return;
+      }
+      const link = new Link(caller, parseAddress(target), () => this.#fault);
+      this.#pairs.add(link);
+      caller.on("close", () => this.#pairs.delete(link));
+    });
+  }
+
+  /** Gets the address as `host:port`. */
+  get address(): string {
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  /** Starts listening. */
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
+  }
+
+  /** Sets how the connections are treated from now on. What a harmed link held back then arrives. */
+  setFault(fault: LinkFault): void {
+    this.#fault = fault;
+    for (const link of this.#pairs) {
+      if (fault === "reset") {
+        link.reset();
+      } else {
+        link.release();
+      }
+    }
+  }
+
+  /** Ends all connections and stops listening. */
+  async dispose(): Promise<void> {
+    this.#pairs.forEach((link) => link.reset());
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+}
+
+/** One connection through the proxy. */
+class Link {
+  readonly #caller: Socket;
+  readonly #target: Socket;
+  readonly #getFault: () => LinkFault;
+  readonly #held: { isRequest: boolean; forward: () => void }[] = [];
+
+  constructor(
+    caller: Socket,
+    target: { host: string; port: number },
+    getFault: () => LinkFault,
+  ) {
+    this.#caller = caller;
+    this.#target = connect({ ...target, allowHalfOpen: true });
+    this.#getFault = getFault;
+    this.#watch(caller, this.#target, true);
+    this.#watch(this.#target, caller, false);
+  }
+
+  /** Lets what was held back go, as far as the fault allows. */
+  release(): void {
+    const held = this.#held.splice(0);
+    held.forEach(({ isRequest, forward }) => this.#pass(isRequest, forward));
+  }
+
+  /** Resets both sides. */
+  reset(): void {
+    this.#caller.resetAndDestroy();
+    this.#target.resetAndDestroy();
+  }
+
+  #watch(from: Socket, to: Socket, isRequest: boolean): void {
+    from.on("data", (piece: Buffer) =>
+      this.#pass(isRequest, () => {
+        if (!to.destroyed) {
+          to.write(piece);
+        }
+      }));
+    from.on("end", () => this.#pass(isRequest, () => to.end()));
+    from.on("error", () => to.resetAndDestroy());
+    from.on("close", () => this.#pass(isRequest, () => to.destroy()));
+  }
+
+  #pass(isRequest: boolean, forward: () => void): void {
+    const fault = this.#getFault();
+    const isHeld = fault === "silence" ||
+      fault === (isRequest ? "cut-requests" : "cut-answers") ||
+      this.#held.some((piece) => piece.isRequest === isRequest);
+    if (isHeld) {
+      this.#held.push({ isRequest, forward });
+    } else if (fault === "delay") {
+      setTimeout(forward, DELAY_MS);
+    } else {
+      forward();
+    }
+  }
+}
--- /dev/null
+++ b/bench/soak/promise_checks_test.ts
@@ -0,0 +1,127 @@
+import { describe, expect, it } from "vitest";
+import type { WireRun } from "../../fakes/wire_server.ts";
+import { findViolations } from "./promise_checks.ts";
+import type { SoakCall, SoakRecord } from "./soak_record.ts";
+
+const STREAM = Array.from(
+  { length: 20 },
+  (_, i) => `id: ${i + 1}\ndata: ${i + 1}\n\n`,
+).join("");
+
+describe("findViolations", () => {
+  function createCall(call: Partial<SoakCall> = {}): SoakCall {
+    return {
+      requestId: "r1",
+      kind: "lookup",
+      daemon: 0,
+      key: "key-1",
+      sentAtMs: 10_000,
+      endedAtMs: 10_100,
+      status: 200,
+      isComplete: true,
+      hasGivenUp: false,
+      answeredId: "r1",
+      signature: "s1",
+      body: "done by s1",
+      ...call,
+    };
+  }
+
+  function createRun(run: Partial<WireRun> = {}): WireRun {
+    return {
+      requestId: "r1",
+      serverId: "s1",
+      tenant: "account-1",
+      key: undefined,
+      isWhole: true,
+      hasFormed: true,
+      atMs: 10_010,
+      zone: "z1",
+      ...run,
+    };
+  }
+
+  function doTest(record: Partial<SoakRecord>): string[] {
+    return findViolations({
+      calls: [createCall()],
+      runs: [createRun()],
+      disturbances: [],
+      stops: [],
+      keyChanges: [],
+      exclusions: [],
+      conflictingJoins: 0,
+      ...record,
+    });
+  }
+
+  const cut = createCall({ status: undefined, isComplete: false, body: "" });
+  const stop = { daemon: 0, fromMs: 9_000, untilMs: 12_000, exitCode: 0 };
+  const removed = { atMs: 5_000, added: "key-2", removed: "key-1" };
+  const added = { atMs: 5_000, added: "key-1", removed: undefined };
+
+  it.each<[string, Partial<SoakRecord>]>([
+    ["an answer", {}],
+    ["a whole stream", {
+      calls: [createCall({ kind: "stream", body: STREAM })],
+    }],
+    ["an answer that was cut", { calls: [cut] }],
+    ["a true refusal", { calls: [createCall({ status: 503 })], runs: [] }],
+    ["a lookup that ran twice", { runs: [createRun(), createRun()] }],
+    ["a removed key soon after its removal", {
+      keyChanges: [{ ...removed, atMs: 9_000 }],
+    }],
+    ["a removed key at a disturbed daemon", {
+      keyChanges: [removed],
+      disturbances: [{ part: "daemon-0", fromMs: 7_000, untilMs: 8_000 }],
+    }],
+    ["a call cut beside a planned stop and a crash", {
+      calls: [cut],
+      stops: [stop],
+      disturbances: [{ part: "servers", fromMs: 9_000, untilMs: 9_500 }],
+    }],
+    ["a call that its caller gave up in a planned stop", {
+      calls: [{ ...cut, hasGivenUp: true }],
+      stops: [stop],
+    }],
+  ])("allows %s", (_name, record) => {
+    expect(doTest(record)).toEqual([]);
+  });
+
+  it.each<[string, Partial<SoakRecord>]>([
+    ["the answer of another request", {
+      calls: [createCall({ answeredId: "r2" })],
+    }],
+    ["a partial answer that looks complete", {
+      calls: [createCall({ body: "done" })],
+    }],
+    ["a stream with a missing event", {
+      calls: [createCall({ kind: "stream", body: STREAM.slice(20) })],
+    }],
+    ["a booking that ran twice", {
+      calls: [createCall({ kind: "booking" })],
+      runs: [createRun(), createRun()],
+    }],
+    ["a refusal of what has run", { calls: [createCall({ status: 503 })] }],
+    ["a run in a group that was never whole", {
+      runs: [createRun({ hasFormed: false })],
+    }],
+    ["a server in two groups", { conflictingJoins: 1 }],
+    ["a removed key", { keyChanges: [removed] }],
+    ["a refused key that is in force", {
+      calls: [createCall({ status: 401 })],
+      keyChanges: [added],
+    }],
+    ["a request to a leaving server", {
+      exclusions: [{ serverId: "s1", fromMs: 7_000, untilMs: 20_000 }],
+    }],
+    ["a request to a zone that is out of service", {
+      exclusions: [{ zone: "z1", fromMs: 4_000, untilMs: 20_000 }],
+    }],
+    ["a call that a planned stop cut", { calls: [cut], stops: [stop] }],
+    ["a planned stop that had to be killed", {
+      stops: [{ ...stop, exitCode: null }],
+    }],
+  ])("finds %s", (_name, record) => {
+    expect(doTest(record)).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/bench/soak/soak_callers.ts
@@ -0,0 +1,164 @@
+import { Agent, request } from "node:http";
+import {
+  createWireHeaders,
+  WIRE_MODEL_HEADERS,
+} from "../../fakes/wire_settings.ts";
+import { getHash32 } from "../../src/shared/rendezvous_hash.ts";
+import { delay } from "../../src/shared/delay.ts";
+import { SeededRandom } from "../load/seeded_random.ts";
+import type { SoakDaemon } from "./soak_daemon.ts";
+import type { SoakCall, SoakCallKind } from "./soak_record.ts";
+
+/** Callers that send at the same time. */
+const CALLERS = 10;
+/** Mean pause of a caller between two calls, in milliseconds. */
+const PAUSE_MS = 60;
+/** Calls after which a caller changes to another daemon, as a chance. */
+const CHANGE_CHANCE = 0.1;
+/** Time that callers wait for an answer, in milliseconds. */
+const BUDGETS_MS: Readonly<Record<SoakCallKind, number>> = {
+  stream: 6_000,
+  booking: 2_000,
+  lookup: 2_000,
+};
+const PATHS: Readonly<Record<SoakCallKind, string>> = {
+  stream: "/model/1",
+  booking: "/book/1",
+  lookup: "/look/1",
+};
+
+/** Callers that use a connection to one daemon until it ends. */
+export class SoakCallers {
+  readonly #daemons: readonly SoakDaemon[];
+  readonly #getKey: (random: number) => string;
+  readonly #calls: SoakCall[];
+  readonly #seed: number;
+  readonly #prefix: string;
+
+  constructor(options: {
+    daemons: readonly SoakDaemon[];
+    seed: number;
+    /** Begin of all request ids. */
+    prefix: string;
+    getKey: (random: number) => string;
+    /** Where the calls are recorded. */
+    calls: SoakCall[];
+  }) {
+    this.#daemons = options.daemons;
+    this.#seed = options.seed;
+    this.#prefix = options.prefix;
+    this.#getKey = options.getKey;
+    this.#calls = options.calls;
+  }
+
+  /** Sends calls until the signal aborts and those in flight have ended. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all(
+      Array.from({ length: CALLERS }, (_, i) => this.#runCaller(i, signal)),
+    );
+  }
+
+  async #runCaller(index: number, signal: AbortSignal): Promise<void> {
+    const random = new SeededRandom(
+      getHash32(`caller ${this.#seed} ${index}`),
+    );
+    let agent = createAgent();
+    let daemon = this.#chooseDaemon(random);
+    for (let number = 0; !signal.aborted; number++) {
+      const call = await this.#call(daemon, {
+        agent,
+        requestId: `${this.#prefix}${index}-${number}`,
+        kind: chooseKind(random),
+        key: this.#getKey(random.getFloat()),
+      });
+      this.#calls.push(call);
+      // A new caller would go where the balancer sends it; a kept connection is used until it ends.
+      if (!call.isComplete || random.getFloat() < CHANGE_CHANCE) {
+        agent.destroy();
+        agent = createAgent();
+        daemon = this.#chooseDaemon(random);
+      }
+      await delay(random.getFloat() * 2 * PAUSE_MS, signal);
+    }
+    agent.destroy();
+  }
+
+  #chooseDaemon(random: SeededRandom): number {
+    const indexes = this.#daemons.map((_, index) => index);
+    const ready = indexes.filter((i) => this.#daemons[i].isInRotation);
+    const from = ready.length > 0 ? ready : indexes;
+    return from[random.getInteger(from.length)];
+  }
+
+  #call(daemon: number, call: {
+    agent: Agent;
+    requestId: string;
+    kind: SoakCallKind;
+    key: string;
+  }): Promise<SoakCall> {
+    const { agent, requestId, kind, key } = call;
+    const sentAtMs = Date.now();
+    const budgetMs = BUDGETS_MS[kind];
+    return new Promise((resolve) => {
+      let body = "";
+      let hasGivenUp = false;
+      const settle = (seen: Partial<SoakCall>) => {
+        clearTimeout(timer);
+        resolve({
+          requestId,
+          kind,
+          daemon,
+          key,
+          sentAtMs,
+          endedAtMs: Date.now(),
+          status: undefined,
+          isComplete: false,
+          hasGivenUp,
+          answeredId: undefined,
+          signature: undefined,
+          body,
+          ...seen,
+        });
+      };
+      const sent = request({
+        ...this.#daemons[daemon].caller,
+        agent,
+        method: kind === "lookup" ? "GET" : "POST",
+        path: PATHS[kind],
+        headers: {
+          ...createWireHeaders(requestId, key, budgetMs),
+          ...(kind === "stream" ? WIRE_MODEL_HEADERS : {}),
+        },
+      }, (answer) => {
+        const describe = () => ({
+          status: answer.statusCode,
+          isComplete: answer.complete,
+          answeredId: answer.headers["request-id"] as string | undefined,
+          signature: answer.headers["response-signature"] as string | undefined,
+        });
+        answer.setEncoding("utf8");
+        answer.on("data", (piece: string) => body += piece);
+        answer.on("end", () => settle(describe()));
+        answer.on("error", () => settle(describe()));
+      });
+      const timer = setTimeout(() => {
+        hasGivenUp = true;
+        sent.destroy();
+      }, budgetMs);
+      sent.on("error", () => settle({}));
+      sent.end(kind === "lookup" ? undefined : "body");
+    });
+  }
+}
+
+function createAgent(): Agent {
+  return new Agent({ keepAlive: true, maxSockets: 1 });
+}
+
+function chooseKind(random: SeededRandom): SoakCallKind {
+  return random.getFloat() < 0.5
+    ? "stream"
+    : random.getFloat() < 0.5
+    ? "booking"
+    : "lookup";
+}
--- /dev/null
+++ b/bench/soak/soak_daemon.ts
@@ -0,0 +1,148 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { closeSync, openSync } from "node:fs";
+import { writeFile } from "node:fs/promises";
+import { get } from "node:http";
+import { join } from "node:path";
+import process from "node:process";
+import {
+  createWireSettings,
+  WIRE_SETTINGS_VARIABLE,
+} from "../../fakes/wire_settings.ts";
+import { delay } from "../../src/shared/delay.ts";
+
+/** Loopback networks among which soaks that run at the same time choose by their process ids. */
+const FIRST_NETWORK = 64;
+const NETWORKS = 128;
+const CALLER_PORT = 8_227;
+const READY_PORT = 8_220;
+const PEER_PORT = 7_340;
+/** Time after which a process that ended is started again, in milliseconds. */
+const RESTART_MS = 300;
+/** Time from SIGTERM to SIGKILL, in milliseconds. */
+const GRACE_MS = 8_000;
+const READY_TIMEOUT_MS = 500;
+
+/** Daemon in a process of its own, on a loopback address of its own. It is started again whenever it ends. */
+export class SoakDaemon {
+  readonly name: string;
+  readonly #ip: string;
+  readonly #zone: string;
+  readonly #directory: string;
+  readonly #storeAddress: string;
+  readonly #program: string;
+  #child: ChildProcess | undefined;
+  #isDisposed = false;
+  /** Whether the balancer sends callers here. */
+  isInRotation = false;
+
+  constructor(options: {
+    index: number;
+    zone: string;
+    /** Directory for settings and logs. */
+    directory: string;
+    storeAddress: string;
+    /** Path of the built daemon. */
+    program: string;
+  }) {
+    this.name = `entry-${options.index}`;
+    const network = FIRST_NETWORK + process.pid % NETWORKS;
+    this.#ip = `127.${network}.0.${options.index + 1}`;
+    this.#program = options.program;
+    this.#zone = options.zone;
+    this.#directory = options.directory;
+    this.#storeAddress = options.storeAddress;
+  }
+
+  /** Gets the address for callers. */
+  get caller(): { host: string; port: number } {
+    return { host: this.#ip, port: CALLER_PORT };
+  }
+
+  /** Writes the settings and starts the process. */
+  async start(): Promise<void> {
+    await writeFile(
+      this.#settingsFile,
+      createWireSettings({
+        name: this.name,
+        zone: this.#zone,
+        ip: this.#ip,
+        caller: `${this.#ip}:${CALLER_PORT}`,
+        ready: `${this.#ip}:${READY_PORT}`,
+        peerPort: PEER_PORT,
+        store: this.#storeAddress,
+      }),
+    );
+    this.#startProcess();
+  }
+
+  /** Sends a signal to the running process. */
+  signal(signal: NodeJS.Signals): void {
+    this.#child?.kill(signal);
+  }
+
+  /** Stops the process in a planned way, and gets its exit code; null when it had to be killed. */
+  async stop(): Promise<number | null> {
+    const child = this.#child;
+    if (child === undefined || hasEnded(child)) {
+      return null;
+    }
+    const exited = once(child, "exit");
+    child.kill("SIGTERM");
+    const timer = setTimeout(() => child.kill("SIGKILL"), GRACE_MS);
+    const [code] = await exited;
+    clearTimeout(timer);
+    return code as number | null;
+  }
+
+  /** Asks the process whether it takes callers. */
+  isReady(): Promise<boolean> {
+    const url = `http://${this.#ip}:${READY_PORT}/v1/ready`;
+    return new Promise((resolve) => {
+      const sent = get(url, { agent: false, timeout: READY_TIMEOUT_MS });
+      sent.on("response", (answer) => {
+        answer.resume();
+        resolve(answer.statusCode === 200);
+      });
+      sent.on("timeout", () => sent.destroy());
+      sent.on("error", () => resolve(false));
+    });
+  }
+
+  /** Kills the process for good. */
+  async dispose(): Promise<void> {
+    this.#isDisposed = true;
+    const child = this.#child;
+    if (child !== undefined && !hasEnded(child)) {
+      const exited = once(child, "exit");
+      child.kill("SIGKILL");
+      await exited;
+    }
+  }
+
+  get #settingsFile(): string {
+    return join(this.#directory, `${this.name}.json`);
+  }
+
+  #startProcess(): void {
+    const log = openSync(join(this.#directory, `${this.name}.log`), "a");
+    const child = spawn(process.execPath, [this.#program], {
+      env: { ...process.env, [WIRE_SETTINGS_VARIABLE]: this.#settingsFile },
+      stdio: ["ignore", log, log],
+    });
+    closeSync(log);
+    this.#child = child;
+    child.once("exit", () => void this.#restart());
+  }
+
+  async #restart(): Promise<void> {
+    await delay(RESTART_MS);
+    if (!this.#isDisposed) {
+      this.#startProcess();
+    }
+  }
+}
+
+function hasEnded(child: ChildProcess): boolean {
+  return child.exitCode !== null || child.signalCode !== null;
+}
--- /dev/null
+++ b/bench/soak/soak_main.ts
@@ -0,0 +1,55 @@
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { SoakRunner } from "./soak_runner.ts";
+
+await runMain();
+
+async function runMain(): Promise<void> {
+  const options = yargs(hideBin(process.argv))
+    .usage("$0 [options]", "Runs seeds of randomised faults against daemons")
+    .option("first", {
+      type: "number",
+      default: Date.now() % 1_000_000,
+      describe: "First seed; a fresh one when left out",
+    })
+    .option("seeds", { type: "number", default: 5, describe: "Seeds to run" })
+    .option("daemons", { type: "number", default: 5, describe: "Daemons" })
+    .option("servers", {
+      type: "number",
+      default: 8,
+      describe: "Model servers",
+    })
+    .option("seconds", {
+      type: "number",
+      default: 20,
+      describe: "Load of each seed in seconds",
+    })
+    .option("directory", {
+      type: "string",
+      default: "target/soak",
+      describe: "Where logs of failed seeds are kept",
+    })
+    .strict()
+    .parseSync();
+  const { daemons, servers, directory } = options;
+  const durationMs = options.seconds * 1_000;
+  const size = { daemons, servers, durationMs };
+  const program = fileURLToPath(
+    new URL("../../platform/main.js", import.meta.url),
+  );
+  const runner = new SoakRunner({ size, directory, program });
+  let failed = 0;
+  for (let i = 0; i < options.seeds; i++) {
+    const result = await runner.run(options.first + i);
+    const { seed, violations, calls, served, steps } = result;
+    failed += violations.length > 0 ? 1 : 0;
+    process.stdout.write(
+      `seed ${seed}: ${steps.length} actions, ${calls} calls, ${served} served, ${violations.length} broken promises\n`,
+    );
+    violations.forEach((text) => process.stdout.write(`  ${text}\n`));
+  }
+  process.stdout.write(`${options.seeds - failed} passed, ${failed} failed\n`);
+  process.exitCode = failed === 0 ? 0 : 1;
+}
--- /dev/null
+++ b/bench/soak/soak_plan.ts
@@ -0,0 +1,116 @@
+import { getHash32 } from "../../src/shared/rendezvous_hash.ts";
+import { SeededRandom } from "../load/seeded_random.ts";
+import type { LinkFault } from "./fault_proxy.ts";
+
+/** Faults and planned changes that a soak causes. */
+export type SoakAction =
+  | { readonly kind: "kill"; readonly daemon: number }
+  | { readonly kind: "stop"; readonly daemon: number }
+  | { readonly kind: "pause"; readonly daemon: number; readonly forMs: number }
+  | {
+    readonly kind: "store-link";
+    readonly daemon: number;
+    readonly fault: LinkFault;
+    readonly forMs: number;
+  }
+  | {
+    readonly kind: "server-link";
+    readonly server: number;
+    readonly fault: LinkFault;
+    readonly forMs: number;
+  }
+  | {
+    readonly kind: "store";
+    readonly fault: "silent" | "busy";
+    readonly forMs: number;
+  }
+  | { readonly kind: "drop-history" }
+  | { readonly kind: "crash-server"; readonly server: number }
+  | { readonly kind: "drain-server"; readonly server: number }
+  | { readonly kind: "late-orders"; readonly server: number }
+  | { readonly kind: "lose-answers"; readonly server: number }
+  | { readonly kind: "change-keys" }
+  | { readonly kind: "exclude-zone"; readonly forMs: number };
+
+/** Action at its time. */
+export type SoakStep = SoakAction & {
+  /** Time from the start of the load, in milliseconds. */
+  readonly atMs: number;
+};
+
+/** Size of a soak. */
+export interface SoakSize {
+  readonly daemons: number;
+  readonly servers: number;
+  readonly durationMs: number;
+}
+
+/** Mean time between two actions, in milliseconds: several overlap. */
+const MEAN_PAUSE_MS = 900;
+const LINK_FAULTS: readonly LinkFault[] = [
+  "delay",
+  "silence",
+  "cut-requests",
+  "cut-answers",
+  "reset",
+];
+const MIN_FAULT_MS = 300;
+const MAX_FAULT_MS = 4_000;
+/** Time for which a zone is out of service at least, in milliseconds: the bound on requests to it has to pass. */
+const EXCLUSION_MS = 5_500;
+/** Part at the end of a soak without new actions, in milliseconds, in which calls in flight end. */
+const QUIET_END_MS = 2_000;
+
+/**
+ * Creates the actions of a seed.
+ *
+ * @param seed - Seed.
+ * @param size - Size of the soak.
+ * @example
+ * ```ts
+ * const steps = createPlan(7, { daemons: 5, servers: 8, durationMs: 20_000 });
+ * ```
+ */
+export function createPlan(seed: number, size: SoakSize): SoakStep[] {
+  const random = new SeededRandom(getHash32(`soak ${seed}`));
+  const steps: SoakStep[] = [];
+  let atMs = 0;
+  for (;;) {
+    atMs += Math.round(random.getArrivalGapMs(1_000 / MEAN_PAUSE_MS));
+    if (atMs > size.durationMs - QUIET_END_MS) {
+      return steps;
+    }
+    steps.push({ ...createAction(random, size), atMs });
+  }
+}
+
+function createAction(random: SeededRandom, size: SoakSize): SoakAction {
+  const daemon = random.getInteger(size.daemons);
+  const server = random.getInteger(size.servers);
+  const fault = LINK_FAULTS[random.getInteger(LINK_FAULTS.length)];
+  const forMs = MIN_FAULT_MS + random.getInteger(MAX_FAULT_MS - MIN_FAULT_MS);
+  const actions: readonly SoakAction[] = [
+    { kind: "kill", daemon },
+    { kind: "stop", daemon },
+    { kind: "stop", daemon },
+    { kind: "pause", daemon, forMs },
+    { kind: "store-link", daemon, fault, forMs },
+    { kind: "store-link", daemon, fault, forMs },
+    { kind: "server-link", server, fault, forMs },
+    {
+      kind: "store",
+      fault: random.getFloat() < 0.5 ? "silent" : "busy",
+      forMs,
+    },
+    { kind: "drop-history" },
+    { kind: "crash-server", server },
+    { kind: "crash-server", server },
+    { kind: "drain-server", server },
+    { kind: "late-orders", server },
+    { kind: "lose-answers", server },
+    { kind: "change-keys" },
+    { kind: "change-keys" },
+    { kind: "exclude-zone", forMs: forMs + EXCLUSION_MS },
+  ];
+  return actions[random.getInteger(actions.length)];
+}
--- /dev/null
+++ b/bench/soak/soak_plan_test.ts
@@ -0,0 +1,21 @@
+import { describe, expect, it } from "vitest";
+import { createPlan } from "./soak_plan.ts";
+
+describe("createPlan", () => {
+  const size = { daemons: 5, servers: 8, durationMs: 20_000 };
+
+  it("gives the same actions for the same seed, and others for another", () => {
+    expect(createPlan(7, size)).toEqual(createPlan(7, size));
+    expect(createPlan(7, size)).not.toEqual(createPlan(8, size));
+  });
+
+  it("causes every kind of action within fifty seeds", () => {
+    const kinds = new Set<string>();
+    for (let seed = 1; seed <= 50; seed++) {
+      const steps = createPlan(seed, size);
+      expect(steps.length).toBeGreaterThan(3);
+      steps.forEach(({ kind }) => kinds.add(kind));
+    }
+    expect(kinds.size).toBe(13);
+  });
+});
--- /dev/null
+++ b/bench/soak/soak_runner.ts
@@ -0,0 +1,258 @@
+import { setMaxListeners } from "node:events";
+import { mkdir, rm, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { delay } from "../../src/shared/delay.ts";
+import { findViolations } from "./promise_checks.ts";
+import { SoakCallers } from "./soak_callers.ts";
+import { SoakFleet } from "./soak_fleet.ts";
+import { createPlan, type SoakSize, type SoakStep } from "./soak_plan.ts";
+import type { DisturbedPart, SoakRecord } from "./soak_record.ts";
+
+/** Time that daemons and groups have to serve after the start, in milliseconds. */
+const SERVING_TIMEOUT_MS = 30_000;
+const POLL_MS = 200;
+/** Time after a kill or an exit in which a daemon starts anew, in milliseconds. */
+const START_MS = 3_000;
+/** Time after the loss of a server in which its group is replaced, in milliseconds. */
+const REGROUP_MS = 6_000;
+const EXCLUDED_ZONE = "z2";
+
+/** Result of one seed. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly violations: readonly string[];
+  readonly calls: number;
+  readonly served: number;
+  readonly steps: readonly SoakStep[];
+}
+
+/** Runs the real programs as processes of their own, harms them from outside and checks what callers and backend servers see. */
+export class SoakRunner {
+  readonly #size: SoakSize;
+  readonly #directory: string;
+  readonly #program: string;
+
+  /**
+   * @param options - Size of the soak, the directory that keeps logs of failed seeds, and the path of the built daemon.
+   */
+  constructor(
+    options: { size: SoakSize; directory: string; program: string },
+  ) {
+    this.#size = options.size;
+    this.#program = options.program;
+    this.#directory = options.directory;
+  }
+
+  /**
+   * Runs the faults of a seed.
+   *
+   * @param seed - Seed.
+   * @throws When the deployment does not serve before the faults begin.
+   */
+  async run(seed: number): Promise<SoakResult> {
+    const directory = join(this.#directory, `seed-${seed}`);
+    await rm(directory, { recursive: true, force: true });
+    await mkdir(directory, { recursive: true });
+    const record = createRecord();
+    const fleet = new SoakFleet(record);
+    const steps = createPlan(seed, this.#size);
+    const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
+    try {
+      const { daemons, servers } = this.#size;
+      await fleet.start({
+        daemons,
+        servers,
+        directory,
+        program: this.#program,
+      });
+      const balancing = fleet.runBalancer(controller.signal);
+      await this.#waitUntilServing(fleet, seed);
+      const callers = new SoakCallers({
+        daemons: fleet.daemons,
+        seed,
+        prefix: "call-",
+        getKey: (random) => fleet.getKey(random),
+        calls: record.calls,
+      }).run(controller.signal);
+      const startMs = performance.now();
+      const actions = steps.map(async (step) => {
+        await delay(step.atMs);
+        await this.#runStep(fleet, record, step);
+      });
+      await delay(this.#size.durationMs - (performance.now() - startMs));
+      controller.abort();
+      await Promise.all([callers, balancing, ...actions]);
+    } finally {
+      await fleet.dispose();
+    }
+    const violations = findViolations(record);
+    await this.#keepOrRemove(directory, { violations, steps, record });
+    return {
+      seed,
+      violations,
+      steps,
+      calls: record.calls.length,
+      served: record.calls.filter(({ status }) => status === 200).length,
+    };
+  }
+
+  async #keepOrRemove(
+    directory: string,
+    seen: { violations: readonly string[]; steps: unknown; record: SoakRecord },
+  ): Promise<void> {
+    if (seen.violations.length === 0) {
+      await rm(directory, { recursive: true, force: true });
+      return;
+    }
+    await writeFile(
+      join(directory, "record.json"),
+      JSON.stringify(seen, null, 1),
+    );
+  }
+
+  /** Waits until the callers have had an answer of each kind. */
+  async #waitUntilServing(fleet: SoakFleet, seed: number): Promise<void> {
+    const endMs = performance.now() + SERVING_TIMEOUT_MS;
+    for (let round = 0;; round++) {
+      const controller = new AbortController();
+      const probes = createRecord();
+      const probing = new SoakCallers({
+        daemons: fleet.daemons,
+        seed,
+        prefix: `probe-${round}-`,
+        getKey: () => "key-1",
+        calls: probes.calls,
+      }).run(controller.signal);
+      await delay(POLL_MS);
+      controller.abort();
+      await probing;
+      const isServing = ["stream", "booking", "lookup"].every((kind) =>
+        probes.calls.some((c) => c.kind === kind && c.status === 200)
+      );
+      if (isServing && fleet.daemons.every((d) => d.isInRotation)) {
+        return;
+      }
+      if (performance.now() > endMs) {
+        throw new Error(`Seed ${seed}: the deployment does not serve`);
+      }
+    }
+  }
+
+  async #runStep(
+    fleet: SoakFleet,
+    record: SoakRecord,
+    step: SoakStep,
+  ): Promise<void> {
+    const { servers: modelServers } = this.#size;
+    switch (step.kind) {
+      case "kill":
+        disturb(record, `daemon-${step.daemon}`, START_MS);
+        fleet.daemons[step.daemon].signal("SIGKILL");
+        return;
+      case "stop":
+        await stopDaemon(fleet, record, step.daemon);
+        return;
+      case "pause":
+        disturb(record, `daemon-${step.daemon}`, step.forMs);
+        fleet.daemons[step.daemon].signal("SIGSTOP");
+        await delay(step.forMs);
+        fleet.daemons[step.daemon].signal("SIGCONT");
+        return;
+      case "store-link":
+        disturb(record, `daemon-${step.daemon}`, step.forMs);
+        fleet.storeLinks[step.daemon].setFault(step.fault);
+        await delay(step.forMs);
+        fleet.storeLinks[step.daemon].setFault("none");
+        return;
+      case "server-link": {
+        disturb(record, "servers", step.forMs + REGROUP_MS);
+        const { proxy } = fleet.servers[step.server];
+        proxy.setFault(step.fault);
+        await delay(step.forMs);
+        proxy.setFault("none");
+        return;
+      }
+      case "store":
+        disturb(record, "store", step.forMs);
+        fleet.store.fault = step.fault;
+        await delay(step.forMs);
+        fleet.store.fault = "none";
+        return;
+      case "drop-history":
+        disturb(record, "store", 0);
+        fleet.store.dropHistory();
+        return;
+      case "crash-server":
+        disturb(record, "servers", REGROUP_MS);
+        await fleet.crashServer(step.server, modelServers);
+        return;
+      case "drain-server":
+        await fleet.drainServer(step.server, modelServers);
+        disturb(record, "servers", REGROUP_MS);
+        return;
+      case "late-orders":
+        fleet.servers[step.server].server.lateOrders++;
+        return;
+      case "lose-answers":
+        disturb(record, "servers", 0);
+        fleet.servers[step.server].server.lostAnswers++;
+        return;
+      case "change-keys":
+        fleet.changeKeys();
+        return;
+      case "exclude-zone":
+        await fleet.excludeZone(EXCLUDED_ZONE, step.forMs);
+        return;
+    }
+  }
+}
+
+async function stopDaemon(
+  fleet: SoakFleet,
+  record: SoakRecord,
+  daemon: number,
+): Promise<void> {
+  const stop = {
+    daemon,
+    fromMs: Date.now(),
+    untilMs: Number.POSITIVE_INFINITY,
+    exitCode: undefined as number | null | undefined,
+  };
+  const isStopping = record.stops.some((other) =>
+    other.daemon === daemon && other.untilMs > stop.fromMs
+  );
+  if (isStopping) {
+    return;
+  }
+  record.stops.push(stop);
+  stop.exitCode = await fleet.daemons[daemon].stop();
+  stop.untilMs = Date.now();
+  record.disturbances.push({
+    part: `daemon-${daemon}`,
+    // The process that stopped is judged as undisturbed until its end.
+    fromMs: stop.untilMs + 1,
+    untilMs: stop.untilMs + START_MS,
+  });
+}
+
+function disturb(
+  record: SoakRecord,
+  part: DisturbedPart,
+  forMs: number,
+): void {
+  const fromMs = Date.now();
+  record.disturbances.push({ part, fromMs, untilMs: fromMs + forMs });
+}
+
+function createRecord(): SoakRecord {
+  return {
+    calls: [],
+    runs: [],
+    disturbances: [],
+    stops: [],
+    keyChanges: [],
+    exclusions: [],
+    conflictingJoins: 0,
+  };
+}
--- a/fakes/wire_server.ts
+++ b/fakes/wire_server.ts
@@ -30,6 +30,11 @@
   readonly key: string | undefined;
   /** Whether all members of the group were alive and in it when the run began. */
   readonly isWhole: boolean;
+  /** Whether all members of the group had been ready in it when the run began. */
+  readonly hasFormed: boolean;
+  /** Wall-clock time of the begin, in milliseconds. */
+  readonly atMs: number;
+  readonly zone: string;
 }
 
 /** Where and as what a server registers. */
@@ -46,6 +51,8 @@
   readonly events?: number;
   /** Time between two events, in milliseconds. */
   readonly eventMs?: number;
+  /** Gets the address under which the server registers, from that of its listener. */
+  getPublicAddress?(address: string): string;
 }
 
 /** Stand-in of one of the platform's servers: a member of model groups, or a plain service. */
@@ -55,8 +62,12 @@
   readonly #bornMs = Date.now();
   #group: WireGroup | undefined;
   #lastModel: string | undefined;
+  readonly #readyIn = new Set<string>();
   #fence = 0;
+  /** Joins of another group that were taken while the head of the server's group was open or closing. */
+  conflictingJoins = 0;
   #state: "ready" | "draining" = "ready";
+  #hasLeft = false;
   /** Whether the server has stopped without a trace. */
   isDark = false;
   /** Orders that get no answer and are carried out later. */
@@ -75,8 +86,18 @@
 
   /** Starts listening and registers. */
   async start(): Promise<void> {
+    await this.listen();
+    this.publishEntry();
+  }
+
+  /** Gets the address of the listener as `host:port`. */
+  get address(): string {
+    return this.#listener.address;
+  }
+
+  /** Starts listening without an entry in the list. */
+  async listen(): Promise<void> {
     await this.#listener.listen();
-    this.#publishEntry();
   }
 
   /** Stops without a trace: its entry stays for a while, and nothing is answered. */
@@ -87,19 +108,30 @@
   /** Reports that the server is about to leave. */
   drain(): void {
     this.#state = "draining";
-    this.#publishEntry();
+    this.publishEntry();
   }
 
   /** Stops listening. */
   async dispose(): Promise<void> {
+    this.#hasLeft = true;
     await this.#listener.close();
   }
 
-  #publishEntry(): void {
-    const { store, id, service, zone } = this.#options;
+  /** Gets whether the server was ready in a group at any time. */
+  wasReadyIn(groupName: string): boolean {
+    return this.#readyIn.has(groupName);
+  }
+
+  /** Writes the entry in the list. */
+  publishEntry(): void {
+    const { store, id, service, zone, getPublicAddress } = this.#options;
+    if (this.isDark || this.#hasLeft) {
+      return;
+    }
+    const { address } = this.#listener;
     store.putObject("servers", id, {
       Service: service,
-      Address: this.#listener.address,
+      Address: getPublicAddress?.(address) ?? address,
       Zone: zone,
       Version: "v1",
       Slots: 4,
@@ -177,7 +209,7 @@
       this.#change(group, "open", FORM_MS);
       return 202;
     }
-    this.#publishEntry();
+    this.publishEntry();
     return 200;
   }
 
@@ -185,6 +217,7 @@
     if (order.epoch < (this.#group?.epoch ?? 0)) {
       return 412;
     }
+    this.conflictingJoins += this.#isServing() ? 1 : 0;
     const group: WireGroup = {
       Name: order.group,
       epoch: order.epoch,
@@ -193,17 +226,27 @@
       State: "joining",
     };
     this.#group = group;
-    this.#publishEntry();
+    this.publishEntry();
     this.#lastModel = order.Model;
     this.#change(group, "ready", JOIN_MS);
     return 202;
   }
 
+  /** Gets whether the head of this server's group takes requests. */
+  #isServing(): boolean {
+    const head = this.#options.fleet.get(this.#group?.members[0] ?? "");
+    const state = head?.group?.Name === this.#group?.Name && !head?.isDark
+      ? head?.group?.State
+      : undefined;
+    return state === "open" || state === "closing";
+  }
+
   #change(group: WireGroup, state: WireGroup["State"], afterMs: number): void {
     setTimeout(() => {
       if (this.#group === group) {
         group.State = state;
-        this.#publishEntry();
+        this.#readyIn.add(group.Name);
+        this.publishEntry();
       }
     }, afterMs).unref();
   }
@@ -212,7 +255,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    const { id, runs, domain } = this.#options;
+    const { id, runs, domain, zone, fleet } = this.#options;
     const requestId = String(req.headers["request-id"]);
     await readJson(req).catch(() => undefined);
     if (req.headers["expect-instance"] !== id) {
@@ -231,6 +274,11 @@
       tenant: req.headers.tenant as string | undefined,
       key: req.headers.credential as string | undefined,
       isWhole: this.#isWhole(),
+      hasFormed: this.#group?.members.every((member) =>
+        fleet.get(member)?.wasReadyIn(this.#group!.Name)
+      ) ?? domain === undefined,
+      atMs: Date.now(),
+      zone,
     });
     const headers = { "request-id": requestId, "response-signature": id };
     if (this.lostAnswers > 0) {
--- /dev/null
+++ b/fakes/wire_settings.ts
@@ -0,0 +1,111 @@
+/** Addresses of one daemon on the platform. */
+export interface WireDaemonAddresses {
+  readonly name: string;
+  readonly zone: string;
+  readonly ip: string;
+  readonly caller: string;
+  readonly ready: string;
+  readonly peerPort: number;
+  readonly store: string;
+}
+
+/** Creates the settings file that the platform writes for a daemon. */
+export function createWireSettings(daemon: WireDaemonAddresses): string {
+  return JSON.stringify({
+    NodeName: daemon.name,
+    Ip: daemon.ip,
+    Zone: daemon.zone,
+    Listen: { Front: daemon.caller, Ready: daemon.ready },
+    InternalPorts: [daemon.peerPort, daemon.peerPort],
+    Limits: { CpuShare: 1, CpuCores: 1, MemoryMb: 350 },
+    Bounds: { FenceChecked: true, RetrySlack: 100 },
+    PlatformApi: { Address: daemon.store },
+  });
+}
+
+/** Creates a configuration with one model, one plain service and one client account. */
+export function createWireConfig(version: number) {
+  const route = { Hostname: "app.example", TimeoutMs: 6_000, Priority: 1 };
+  return {
+    Version: version,
+    Routes: [
+      {
+        ...route,
+        Name: "model",
+        PathPrefix: "/model/",
+        Kind: "streaming",
+        Service: "models",
+        MaxAttempts: 2,
+        Resumable: true,
+        TargetLatencyMs: 300,
+        GapTargetMs: 300,
+      },
+      {
+        ...route,
+        Name: "book",
+        PathPrefix: "/book/",
+        Kind: "non_idempotent",
+        Service: "app",
+        MaxAttempts: 1,
+      },
+      {
+        ...route,
+        Name: "look",
+        PathPrefix: "/look/",
+        Kind: "idempotent",
+        Service: "app",
+        MaxAttempts: 2,
+      },
+    ],
+    Services: [
+      {
+        Name: "models",
+        HealthPath: "/health",
+        Engine: {
+          Slots: 4,
+          FormMs: 50,
+          step_ms: 5,
+          read_per_s: 45_000,
+          LoadsPerS: 20,
+          loads_at_once: 20,
+          Models: [{
+            Name: "m",
+            size: 2,
+            Share: 1,
+            pace: 1,
+            LoadS: 0.1,
+            WarmS: 0.1,
+          }],
+        },
+      },
+      { Name: "app", HealthPath: "/health" },
+    ],
+    Limits: {
+      MaxHeaderBytes: 16_384,
+      MaxBodyBytes: 4_096,
+      HeaderTimeoutMs: 3_000,
+      IdleTimeoutMs: 15_000,
+    },
+    Tenants: [{ Name: "account-1", ApiKeys: ["key-1"], Priority: 1 }],
+  };
+}
+
+/** Headers of a request of a client. */
+export function createWireHeaders(
+  requestId: string,
+  key: string,
+  budgetMs: number,
+): Record<string, string> {
+  return {
+    Host: "app.example",
+    "Request-Id": requestId,
+    Credential: key,
+    "Deadline-Ms": String(budgetMs),
+  };
+}
+
+/** Headers that a request to a model has besides. */
+export const WIRE_MODEL_HEADERS = { Model: "m", "Token-Usage": "10,20" };
+
+/** Variable of the environment that names the settings file. */
+export const WIRE_SETTINGS_VARIABLE = "TARRAGONTALLY_BOOT";
--- a/tests/support/platform_deployment.ts
+++ b/tests/support/platform_deployment.ts
@@ -3,6 +3,12 @@
 import { createServer } from "node:net";
 import { createPlatformAdapter } from "../../platform/adapter.ts";
 import { parseSettings } from "../../platform/settings.ts";
+import {
+  createWireConfig,
+  createWireHeaders,
+  createWireSettings,
+  WIRE_MODEL_HEADERS,
+} from "../../fakes/wire_settings.ts";
 import { type WireRun, WireServer } from "../../fakes/wire_server.ts";
 import { WireStore } from "../../fakes/wire_store.ts";
 import { Metrics } from "../../src/process/metrics.ts";
@@ -73,15 +79,14 @@
   /** Starts a daemon with the platform's settings. */
   async startDaemon(name: string): Promise<void> {
     const [front, ready, peer, metrics] = await findFreePorts(4);
-    const settings = parseSettings(JSON.stringify({
-      NodeName: name,
-      Ip: "127.0.0.1",
-      Zone: "z1",
-      Listen: { Front: `127.0.0.1:${front}`, Ready: `127.0.0.1:${ready}` },
-      InternalPorts: [peer, peer],
-      Limits: { CpuShare: 1, CpuCores: 1, MemoryMb: 350 },
-      Bounds: { FenceChecked: true, RetrySlack: 100 },
-      PlatformApi: { Address: this.store.address },
+    const settings = parseSettings(createWireSettings({
+      name,
+      zone: "z1",
+      ip: "127.0.0.1",
+      caller: `127.0.0.1:${front}`,
+      ready: `127.0.0.1:${ready}`,
+      peerPort: peer,
+      store: this.store.address,
     }));
     const daemonMetrics = new Metrics();
     const daemon = new RoutingDaemon({
@@ -102,7 +107,7 @@
   /** Writes the next version of the configuration. */
   writeConfig(change: Record<string, unknown>): void {
     this.store.putObject("config", "main", {
-      ...createConfig(this.#version++),
+      ...createWireConfig(this.#version++),
       ...change,
     });
   }
@@ -119,7 +124,7 @@
     return this.call(caller, {
       method: "POST",
       path: "/model/1",
-      headers: { Model: "m", "Token-Usage": "10,20", "Deadline-Ms": "6000" },
+      headers: { ...WIRE_MODEL_HEADERS, "Deadline-Ms": "6000" },
     });
   }
 
@@ -139,10 +144,7 @@
         path: sent.path,
         agent: false,
         headers: {
-          Host: "app.example",
-          "Request-Id": `r${++this.#requests}`,
-          Credential: "key-1",
-          "Deadline-Ms": "2000",
+          ...createWireHeaders(`r${++this.#requests}`, "key-1", 2_000),
           ...sent.headers,
         },
       }, (res) => {
@@ -213,69 +215,3 @@
   );
   return ports;
 }
-
-function createConfig(version: number) {
-  const route = { Hostname: "app.example", TimeoutMs: 6_000, Priority: 1 };
-  return {
-    Version: version,
-    Routes: [
-      {
-        ...route,
-        Name: "model",
-        PathPrefix: "/model/",
-        Kind: "streaming",
-        Service: "models",
-        MaxAttempts: 2,
-        Resumable: true,
-        TargetLatencyMs: 300,
-        GapTargetMs: 300,
-      },
-      {
-        ...route,
-        Name: "book",
-        PathPrefix: "/book/",
-        Kind: "non_idempotent",
-        Service: "app",
-        MaxAttempts: 1,
-      },
-      {
-        ...route,
-        Name: "look",
-        PathPrefix: "/look/",
-        Kind: "idempotent",
-        Service: "app",
-        MaxAttempts: 2,
-      },
-    ],
-    Services: [
-      {
-        Name: "models",
-        HealthPath: "/health",
-        Engine: {
-          Slots: 4,
-          FormMs: 50,
-          step_ms: 5,
-          read_per_s: 45_000,
-          LoadsPerS: 20,
-          loads_at_once: 20,
-          Models: [{
-            Name: "m",
-            size: 2,
-            Share: 1,
-            pace: 1,
-            LoadS: 0.1,
-            WarmS: 0.1,
-          }],
-        },
-      },
-      { Name: "app", HealthPath: "/health" },
-    ],
-    Limits: {
-      MaxHeaderBytes: 16_384,
-      MaxBodyBytes: 4_096,
-      HeaderTimeoutMs: 3_000,
-      IdleTimeoutMs: 15_000,
-    },
-    Tenants: [{ Name: "account-1", ApiKeys: ["key-1"], Priority: 1 }],
-  };
-}
