Move the messages between daemons and the type of a backend server out of the process folder

src/connection/fleet_peer_router.ts and group_order_client.ts took their types from src/process, which imports them. The types stand with the connections and in src/shared now, so nothing of the platform path in src/connection imports src/process any more. No behaviour changes.

--- a/src/connection/fleet_peer_router.ts
+++ b/src/connection/fleet_peer_router.ts
@@ -1,10 +1,7 @@
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import type { RequestListener } from "node:http";
-import type {
-  PeerNotice,
-  PeerResponder,
-} from "../process/fleet/peer_notice.ts";
+import type { PeerNotice, PeerResponder } from "./peer_notice.ts";
 import { createPeerLinkOptions } from "./peer_clients.ts";
 import { PeerHttp } from "./peer_http.ts";
 import { peerTrpc } from "./peer_trpc.ts";
--- a/src/connection/group_order_client.ts
+++ b/src/connection/group_order_client.ts
@@ -1,5 +1,5 @@
 import type { Either } from "purify-ts";
-import type { BackendReport } from "../process/fleet/backend_server.ts";
+import type { BackendReport } from "../shared/backend_server.ts";
 import type { BackendTarget } from "./backend_transport.ts";
 
 /** Order to one member of a group. */
--- a/src/process/fleet/peer_notice.ts
+++ b/src/connection/peer_notice.ts
@@ -1,6 +1,12 @@
-import type { RoutingConfig } from "../../version/routing_config.ts";
-import type { BackendServer } from "./backend_server.ts";
-import type { CrashNotice } from "./crash_ledger.ts";
+import type { RoutingConfig } from "../version/routing_config.ts";
+import type { BackendServer } from "../shared/backend_server.ts";
+
+/** Crash of a group while it ran a request. */
+export interface CrashNotice {
+  /** Text that is the same for every repeat of the request. */
+  readonly fingerprint: string;
+  readonly groupKey: string;
+}
 
 /** Zones that take no requests, as of a revision of the store. */
 export interface ExcludedZonesNotice {
--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -1,7 +1,10 @@
 import type { Logger } from "../../shared/logger.ts";
-import type { BackendReport, BackendServer } from "./backend_server.ts";
+import type {
+  BackendReport,
+  BackendServer,
+} from "../../shared/backend_server.ts";
 import type { KindChange } from "./kind_watch.ts";
-import type { ServersNotice } from "./peer_notice.ts";
+import type { ServersNotice } from "../../connection/peer_notice.ts";
 
 /** Time after an outage of the store in which entries that lapsed during it come back, in milliseconds. */
 const REAPPEAR_MS = 2_000;
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -2,7 +2,7 @@
 import { createBackendServer } from "../../../tests/support/backend_servers.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import { BackendDirectory } from "./backend_directory.ts";
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 
 describe("BackendDirectory", () => {
   function createServer(entryVersion: number): BackendServer {
--- a/src/process/fleet/cold_limits.ts
+++ b/src/process/fleet/cold_limits.ts
@@ -1,5 +1,5 @@
 import { getRendezvousOrder } from "../../shared/rendezvous_hash.ts";
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 
 /** Window in which the requests to a cold server are counted, in milliseconds. */
 const WINDOW_MS = 1_000;
--- a/src/process/fleet/cold_limits_test.ts
+++ b/src/process/fleet/cold_limits_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { createBackendServer } from "../../../tests/support/backend_servers.ts";
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 import { ColdLimits } from "./cold_limits.ts";
 
 const RATE = 10;
--- a/src/process/fleet/crash_ledger.ts
+++ b/src/process/fleet/crash_ledger.ts
@@ -1,3 +1,5 @@
+import type { CrashNotice } from "../../connection/peer_notice.ts";
+
 /** Lost groups after which a request counts as their cause. Two coincide with ordinary losses too often where servers fail every few seconds. */
 const MAX_CRASHES = 3;
 /** Time for which a crash counts, in milliseconds: callers repeat such a request within it. */
@@ -7,12 +9,6 @@
 /** Requests that are remembered; the oldest are forgotten first. */
 const MAX_REQUESTS = 2_000;
 
-/** Crash of a group while it ran a request. */
-export interface CrashNotice {
-  readonly fingerprint: string;
-  readonly groupKey: string;
-}
-
 /** Counts the groups that crashed while they ran a request, over all daemons, and finds the requests that crash whatever runs them. */
 export class CrashLedger {
   readonly #crashes = new Map<string, Map<string, number>>();
--- a/src/process/fleet/exchange_topology.ts
+++ b/src/process/fleet/exchange_topology.ts
@@ -1,5 +1,5 @@
 import { getRendezvousOrder } from "../../shared/rendezvous_hash.ts";
-import type { DaemonDescription } from "./peer_notice.ts";
+import type { DaemonDescription } from "../../connection/peer_notice.ts";
 
 /** Daemons up to which all exchange notices with all. */
 const MESH_SIZE = 12;
--- a/src/process/fleet/exchange_topology_test.ts
+++ b/src/process/fleet/exchange_topology_test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { createDaemon } from "../../../tests/support/daemons.ts";
 import { choosePartners } from "./exchange_topology.ts";
-import type { DaemonDescription } from "./peer_notice.ts";
+import type { DaemonDescription } from "../../connection/peer_notice.ts";
 
 /** Zones of the daemons. */
 const ZONES = ["z1", "z2", "z3"];
--- a/src/process/fleet/excluded_zones.ts
+++ b/src/process/fleet/excluded_zones.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "../../shared/logger.ts";
-import type { ExcludedZonesNotice } from "./peer_notice.ts";
+import type { ExcludedZonesNotice } from "../../connection/peer_notice.ts";
 
 /** Zones that take no requests, as of the newest revision that the store or a peer told. */
 export class ExcludedZones {
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -4,14 +4,14 @@
 import type { RoutingConfig } from "../../version/routing_config.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 import type { CrashLedger } from "./crash_ledger.ts";
 import type { ExcludedZones } from "./excluded_zones.ts";
 import type { GroupLoads } from "./group_loads.ts";
 import type { GroupTable } from "./group_table.ts";
 import { KindWatch } from "./kind_watch.ts";
 import type { PeerBoard } from "./peer_board.ts";
-import type { PeerNotice, PeerRelation } from "./peer_notice.ts";
+import type { PeerNotice, PeerRelation } from "../../connection/peer_notice.ts";
 
 /** Pauses between two calls of a watch, in milliseconds: a configuration has to be in force soon, while changes of servers come in bunches. The planner's picture of the servers delays groups; the other daemons learn of lost groups from their streams and peers. */
 const CONFIG_GATHER_MS = 50;
--- a/src/process/fleet/group_admission_test.ts
+++ b/src/process/fleet/group_admission_test.ts
@@ -3,7 +3,7 @@
 import { createBackendServer } from "../../../tests/support/backend_servers.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import { BackendDirectory } from "./backend_directory.ts";
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 import { ColdLimits } from "./cold_limits.ts";
 import { GroupAdmission, type GroupDemand } from "./group_admission.ts";
 import { GroupLoads } from "./group_loads.ts";
--- a/src/process/fleet/group_guard.ts
+++ b/src/process/fleet/group_guard.ts
@@ -3,7 +3,10 @@
 import type { BackendTarget } from "../../connection/backend_transport.ts";
 import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
-import type { BackendReport, BackendServer } from "./backend_server.ts";
+import type {
+  BackendReport,
+  BackendServer,
+} from "../../shared/backend_server.ts";
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
 import type { StreamAttempt, StreamAttempts } from "./stream_attempts.ts";
 
--- a/src/process/fleet/group_guard_test.ts
+++ b/src/process/fleet/group_guard_test.ts
@@ -3,7 +3,10 @@
 import type { GroupOrderClient } from "../../connection/group_order_client.ts";
 import { MEMBER_REPORT } from "../../../tests/support/backend_servers.ts";
 import { NullLogger } from "../../shared/logger.ts";
-import type { BackendReport, BackendServer } from "./backend_server.ts";
+import type {
+  BackendReport,
+  BackendServer,
+} from "../../shared/backend_server.ts";
 import { GroupGuard } from "./group_guard.ts";
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
 import { StreamAttempts } from "./stream_attempts.ts";
--- a/src/process/fleet/group_loads.ts
+++ b/src/process/fleet/group_loads.ts
@@ -1,4 +1,4 @@
-import type { PeerNotice, PeerRelation } from "./peer_notice.ts";
+import type { PeerNotice, PeerRelation } from "../../connection/peer_notice.ts";
 
 /** Time after which the load that a peer stated counts no more, in milliseconds. */
 const PEER_LOAD_EXPIRY_MS = 2_000;
--- a/src/process/fleet/group_loads_test.ts
+++ b/src/process/fleet/group_loads_test.ts
@@ -1,7 +1,10 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { createNotice } from "../../../tests/support/daemons.ts";
 import { GroupLoads } from "./group_loads.ts";
-import { getOppositeRelation, type PeerRelation } from "./peer_notice.ts";
+import {
+  getOppositeRelation,
+  type PeerRelation,
+} from "../../connection/peer_notice.ts";
 
 describe("GroupLoads", () => {
   beforeEach(() => {
--- a/src/process/fleet/group_table.ts
+++ b/src/process/fleet/group_table.ts
@@ -1,7 +1,7 @@
 import type { Logger } from "../../shared/logger.ts";
 import type { ModelServing } from "../../version/routing_config.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 
 /** Replica of a model on several backend servers. */
 export interface ReplicaGroup {
--- a/src/process/fleet/member_orders.ts
+++ b/src/process/fleet/member_orders.ts
@@ -7,7 +7,10 @@
 import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
-import type { BackendServer, GroupMembership } from "./backend_server.ts";
+import type {
+  BackendServer,
+  GroupMembership,
+} from "../../shared/backend_server.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
 
 /** Time in which a living server answers, in milliseconds. */
--- a/src/process/fleet/member_orders_test.ts
+++ b/src/process/fleet/member_orders_test.ts
@@ -10,7 +10,7 @@
 } from "../../../tests/support/backend_servers.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import { BackendDirectory } from "./backend_directory.ts";
-import type { BackendReport } from "./backend_server.ts";
+import type { BackendReport } from "../../shared/backend_server.ts";
 import { MemberOrders } from "./member_orders.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
 
--- a/src/process/fleet/peer_board.ts
+++ b/src/process/fleet/peer_board.ts
@@ -5,7 +5,7 @@
   PeerNotice,
   PeerRelation,
   PlannerNotice,
-} from "./peer_notice.ts";
+} from "../../connection/peer_notice.ts";
 
 /** Silence of a peer after which it counts as lost, in milliseconds. */
 const PEER_SILENCE_MS = 2_000;
--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -12,7 +12,7 @@
   DaemonDescription,
   PeerNotice,
   PeerRelation,
-} from "./peer_notice.ts";
+} from "../../connection/peer_notice.ts";
 
 /** Time between two exchanges with each peer, in milliseconds. Each of two hubs starts one, so a peer's figures are at most this old. */
 const EXCHANGE_INTERVAL_MS = 300;
--- a/src/process/fleet/replica_task.ts
+++ b/src/process/fleet/replica_task.ts
@@ -5,7 +5,7 @@
   RoutedService,
 } from "../../version/routing_config.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 import type { PlannedServer } from "./fleet_state.ts";
 import type { GroupLoads } from "./group_loads.ts";
 import {
--- a/src/process/fleet/server_loads.ts
+++ b/src/process/fleet/server_loads.ts
@@ -1,4 +1,4 @@
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 
 /** Time for which a server that failed a request is used only when no other one is left, in milliseconds. */
 const FAILURE_MEMORY_MS = 2_000;
--- a/src/process/fleet/survivor_check.ts
+++ b/src/process/fleet/survivor_check.ts
@@ -1,4 +1,4 @@
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 import type { MemberOrders } from "./member_orders.ts";
 
 /** Time after which a member that did not answer is asked again, in milliseconds. */
--- a/src/process/platform_adapter.ts
+++ b/src/process/platform_adapter.ts
@@ -4,7 +4,7 @@
 import type { SnapshotStore } from "../connection/object_store.ts";
 import type { RequestReceiver } from "../request/routed/request_receiver.ts";
 import type { RoutingConfig } from "../version/routing_config.ts";
-import type { BackendServer } from "./fleet/backend_server.ts";
+import type { BackendServer } from "../shared/backend_server.ts";
 
 /** Everything that a routing daemon needs of the platform that it runs on. */
 export interface PlatformAdapter {
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -27,7 +27,7 @@
   type PeerNotice,
   type PeerRelation,
   type PlannerNotice,
-} from "./fleet/peer_notice.ts";
+} from "../connection/peer_notice.ts";
 import { PlannerLeaseHolder } from "./fleet/planner_lease_holder.ts";
 import { RepeatBudget } from "./fleet/repeat_budget.ts";
 import { ReplicaTask } from "./fleet/replica_task.ts";
--- a/src/request/routed/model_stream_test.ts
+++ b/src/request/routed/model_stream_test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from "vitest";
 import { BackendError } from "../../connection/backend_transport.ts";
 import type { RoutingContext } from "../../process/routing_context.ts";
-import type { BackendServer } from "../../process/fleet/backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 import type { ReplicaGroup } from "../../process/fleet/group_table.ts";
 import { StreamAttempts } from "../../process/fleet/stream_attempts.ts";
 import { NullLogger } from "../../shared/logger.ts";
--- a/src/request/routed/plain_call.ts
+++ b/src/request/routed/plain_call.ts
@@ -1,5 +1,5 @@
 import { BackendError } from "../../connection/backend_transport.ts";
-import type { BackendServer } from "../../process/fleet/backend_server.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
 import { RequestError } from "../../shared/errors.ts";
 import type { LogFields } from "../../shared/logger.ts";
 import { combineVerdicts, type Verdict } from "../../shared/verdict.ts";
--- a/tests/support/backend_servers.ts
+++ b/tests/support/backend_servers.ts
@@ -1,7 +1,7 @@
 import type {
   BackendReport,
   BackendServer,
-} from "../../src/process/fleet/backend_server.ts";
+} from "../../src/shared/backend_server.ts";
 
 /** Report of an idle member of the group `g1`. */
 export const MEMBER_REPORT: BackendReport = {
--- a/tests/support/daemons.ts
+++ b/tests/support/daemons.ts
@@ -1,7 +1,7 @@
 import type {
   DaemonDescription,
   PeerNotice,
-} from "../../src/process/fleet/peer_notice.ts";
+} from "../../src/connection/peer_notice.ts";
 
 /** Creates the description of a daemon. */
 export function createDaemon(
