--- a/bench/soak/soak_fleet.ts
+++ b/bench/soak/soak_fleet.ts
@@ -1,5 +1,8 @@
 import { WireServer } from "../../fakes/wire_server.ts";
-import { createWireConfig } from "../../fakes/wire_settings.ts";
+import {
+  createWireConfig,
+  WIRE_EXCLUSION_KIND,
+} from "../../fakes/wire_settings.ts";
 import { WireStore } from "../../fakes/wire_store.ts";
 import { delay } from "../../src/shared/delay.ts";
 import { FaultProxy } from "./fault_proxy.ts";
@@ -9,8 +12,6 @@
 /** Plain servers of the deployment. */
 const PLAIN_SERVERS = 2;
 const ZONES = ["z1", "z2"];
-/** Kind of the objects that take zones out of service. */
-const EXCLUSION_KIND = "evacuations";
 /** Time for which the entry of a crashed server stays in the list, in milliseconds. */
 const ENTRY_LIFE_MS = 2_000;
 /** Time that a leaving server goes on serving, in milliseconds: longer than it may get requests. */
@@ -154,7 +155,7 @@
 
   /** Takes a zone out of service for a while. */
   async excludeZone(zone: string, forMs: number): Promise<void> {
-    if (this.store.getObject(EXCLUSION_KIND, zone) !== undefined) {
+    if (this.store.getObject(WIRE_EXCLUSION_KIND, zone) !== undefined) {
       return;
     }
     const exclusion = {
@@ -162,11 +163,11 @@
       fromMs: Date.now(),
       untilMs: Number.POSITIVE_INFINITY,
     };
-    this.store.putObject(EXCLUSION_KIND, zone, {});
+    this.store.putObject(WIRE_EXCLUSION_KIND, zone, {});
     this.#record.exclusions.push(exclusion);
     await delay(forMs);
     exclusion.untilMs = Date.now();
-    this.store.deleteObject(EXCLUSION_KIND, zone);
+    this.store.deleteObject(WIRE_EXCLUSION_KIND, zone);
   }
 
   /** Asks the daemons whether they take callers until the signal aborts. */
@@ -196,10 +197,7 @@
   }
 
   #writeConfig(): void {
-    const config = createWireConfig(this.#version++);
-    this.store.putObject("config", "main", {
-      ...config,
-      Tenants: [{ ...config.Tenants[0], ApiKeys: [...this.#keys] }],
-    });
+    const config = createWireConfig(this.#version++, [...this.#keys]);
+    this.store.putObject("config", "main", config);
   }
 }
--- a/fakes/wire_settings.ts
+++ b/fakes/wire_settings.ts
@@ -23,8 +23,14 @@
   });
 }
 
-/** Creates a configuration with one model, one plain service and one client account. */
-export function createWireConfig(version: number) {
+/** Kind of the objects that take zones out of service. */
+export const WIRE_EXCLUSION_KIND = "evacuations";
+
+/** Creates a configuration with one model, one plain service and one client account with the keys. */
+export function createWireConfig(
+  version: number,
+  keys: readonly string[] = ["key-1"],
+) {
   const route = { Hostname: "app.example", TimeoutMs: 6_000, Priority: 1 };
   return {
     Version: version,
@@ -86,7 +92,7 @@
       HeaderTimeoutMs: 3_000,
       IdleTimeoutMs: 15_000,
     },
-    Tenants: [{ Name: "account-1", ApiKeys: ["key-1"], Priority: 1 }],
+    Tenants: [{ Name: "account-1", ApiKeys: keys, Priority: 1 }],
   };
 }
 
