--- a/bench/soak/fault_proxy.ts
+++ b/bench/soak/fault_proxy.ts
@@ -62,7 +62,7 @@
     this.#fault = fault;
     for (const link of this.#pairs) {
       if (fault === "reset") {
-        link.reset();
+        link.abort();
       } else {
         link.release();
       }
@@ -71,7 +71,7 @@
 
   /** Ends all connections and stops listening. */
   async dispose(): Promise<void> {
-    this.#pairs.forEach((link) => link.reset());
+    this.#pairs.forEach((link) => link.abort());
     await new Promise((resolve) => this.#server.close(resolve));
   }
 }
@@ -98,28 +98,28 @@
   /** Lets what was held back go, as far as the fault allows. */
   release(): void {
     const held = this.#held.splice(0);
-    held.forEach(({ isRequest, forward }) => this.#pass(isRequest, forward));
+    held.forEach(({ isRequest, forward }) => this.#forward(isRequest, forward));
   }
 
   /** Resets both sides. */
-  reset(): void {
+  abort(): void {
     this.#caller.resetAndDestroy();
     this.#target.resetAndDestroy();
   }
 
   #watch(from: Socket, to: Socket, isRequest: boolean): void {
     from.on("data", (piece: Buffer) =>
-      this.#pass(isRequest, () => {
+      this.#forward(isRequest, () => {
         if (!to.destroyed) {
           to.write(piece);
         }
       }));
-    from.on("end", () => this.#pass(isRequest, () => to.end()));
+    from.on("end", () => this.#forward(isRequest, () => to.end()));
     from.on("error", () => to.resetAndDestroy());
-    from.on("close", () => this.#pass(isRequest, () => to.destroy()));
+    from.on("close", () => this.#forward(isRequest, () => to.destroy()));
   }
 
-  #pass(isRequest: boolean, forward: () => void): void {
+  #forward(isRequest: boolean, forward: () => void): void {
     const fault = this.#getFault();
     const isHeld = fault === "silence" ||
       fault === (isRequest ? "cut-requests" : "cut-answers") ||
--- a/bench/soak/soak_fleet.ts
+++ b/bench/soak/soak_fleet.ts
@@ -154,7 +154,7 @@
   }
 
   /** Takes a zone out of service for a while. */
-  async excludeZone(zone: string, forMs: number): Promise<void> {
+  async dropZone(zone: string, forMs: number): Promise<void> {
     if (this.store.getObject(WIRE_EXCLUSION_KIND, zone) !== undefined) {
       return;
     }
--- a/bench/soak/soak_runner.ts
+++ b/bench/soak/soak_runner.ts
@@ -147,26 +147,26 @@
     const { servers: modelServers } = this.#size;
     switch (step.kind) {
       case "kill":
-        disturb(record, `daemon-${step.daemon}`, START_MS);
+        recordDisturbance(record, `daemon-${step.daemon}`, START_MS);
         fleet.daemons[step.daemon].signal("SIGKILL");
         return;
       case "stop":
         await stopDaemon(fleet, record, step.daemon);
         return;
       case "pause":
-        disturb(record, `daemon-${step.daemon}`, step.forMs);
+        recordDisturbance(record, `daemon-${step.daemon}`, step.forMs);
         fleet.daemons[step.daemon].signal("SIGSTOP");
         await delay(step.forMs);
         fleet.daemons[step.daemon].signal("SIGCONT");
         return;
       case "store-link":
-        disturb(record, `daemon-${step.daemon}`, step.forMs);
+        recordDisturbance(record, `daemon-${step.daemon}`, step.forMs);
         fleet.storeLinks[step.daemon].setFault(step.fault);
         await delay(step.forMs);
         fleet.storeLinks[step.daemon].setFault("none");
         return;
       case "server-link": {
-        disturb(record, "servers", step.forMs + REGROUP_MS);
+        recordDisturbance(record, "servers", step.forMs + REGROUP_MS);
         const { proxy } = fleet.servers[step.server];
         proxy.setFault(step.fault);
         await delay(step.forMs);
@@ -174,35 +174,35 @@
         return;
       }
       case "store":
-        disturb(record, "store", step.forMs);
+        recordDisturbance(record, "store", step.forMs);
         fleet.store.fault = step.fault;
         await delay(step.forMs);
         fleet.store.fault = "none";
         return;
       case "drop-history":
-        disturb(record, "store", 0);
+        recordDisturbance(record, "store", 0);
         fleet.store.dropHistory();
         return;
       case "crash-server":
-        disturb(record, "servers", REGROUP_MS);
+        recordDisturbance(record, "servers", REGROUP_MS);
         await fleet.crashServer(step.server, modelServers);
         return;
       case "drain-server":
         await fleet.drainServer(step.server, modelServers);
-        disturb(record, "servers", REGROUP_MS);
+        recordDisturbance(record, "servers", REGROUP_MS);
         return;
       case "late-orders":
         fleet.servers[step.server].server.lateOrders++;
         return;
       case "lose-answers":
-        disturb(record, "servers", 0);
+        recordDisturbance(record, "servers", 0);
         fleet.servers[step.server].server.lostAnswers++;
         return;
       case "change-keys":
         fleet.changeKeys();
         return;
       case "exclude-zone":
-        await fleet.excludeZone(EXCLUDED_ZONE, step.forMs);
+        await fleet.dropZone(EXCLUDED_ZONE, step.forMs);
         return;
     }
   }
@@ -236,7 +236,7 @@
   });
 }
 
-function disturb(
+function recordDisturbance(
   record: SoakRecord,
   part: DisturbedPart,
   forMs: number,
--- a/fakes/wire_server.ts
+++ b/fakes/wire_server.ts
@@ -118,7 +118,7 @@
   }
 
   /** Gets whether the server was ready in a group at any time. */
-  wasReadyIn(groupName: string): boolean {
+  hasBeenReadyIn(groupName: string): boolean {
     return this.#readyIn.has(groupName);
   }
 
@@ -275,7 +275,7 @@
       key: req.headers.credential as string | undefined,
       isWhole: this.#isWhole(),
       hasFormed: this.#group?.members.every((member) =>
-        fleet.get(member)?.wasReadyIn(this.#group!.Name)
+        fleet.get(member)?.hasBeenReadyIn(this.#group!.Name)
       ) ?? domain === undefined,
       atMs: Date.now(),
       zone,
--- a/src/process/fleet/group_loads.ts
+++ b/src/process/fleet/group_loads.ts
@@ -57,8 +57,8 @@
 
   /** Gets the part of all requests in flight that other daemons sent, from 0 to 1. */
   getPeersShare(): number {
-    const own = sumLoads(this.#own);
-    const peers = sumLoads(this.#getPeerTotals());
+    const own = countRequests(this.#own);
+    const peers = countRequests(this.#getPeerTotals());
     return peers / Math.max(1, own + peers);
   }
 
@@ -140,6 +140,6 @@
   }
 }
 
-function sumLoads(loads: ReadonlyMap<string, number>): number {
+function countRequests(loads: ReadonlyMap<string, number>): number {
   return [...loads.values()].reduce((sum, requests) => sum + requests, 0);
 }
