--- a/bench/soak/fault_proxy.ts
+++ b/bench/soak/fault_proxy.ts
@@ -98,7 +98,9 @@
   /** Lets what was held back go, as far as the fault allows. */
   release(): void {
     const held = this.#held.splice(0);
-    held.forEach(({ isRequest, forward }) => this.#forward(isRequest, forward));
+    held.forEach(({ isRequest, forward }) =>
+      this.#dispatch(isRequest, forward)
+    );
   }
 
   /** Resets both sides. */
@@ -109,17 +111,17 @@
 
   #watch(from: Socket, to: Socket, isRequest: boolean): void {
     from.on("data", (piece: Buffer) =>
-      this.#forward(isRequest, () => {
+      this.#dispatch(isRequest, () => {
         if (!to.destroyed) {
           to.write(piece);
         }
       }));
-    from.on("end", () => this.#forward(isRequest, () => to.end()));
+    from.on("end", () => this.#dispatch(isRequest, () => to.end()));
     from.on("error", () => to.resetAndDestroy());
-    from.on("close", () => this.#forward(isRequest, () => to.destroy()));
+    from.on("close", () => this.#dispatch(isRequest, () => to.destroy()));
   }
 
-  #forward(isRequest: boolean, forward: () => void): void {
+  #dispatch(isRequest: boolean, forward: () => void): void {
     const fault = this.#getFault();
     const isHeld = fault === "silence" ||
       fault === (isRequest ? "cut-requests" : "cut-answers") ||
