--- a/src/request/routed/model_stream.ts
+++ b/src/request/routed/model_stream.ts
@@ -38,6 +38,11 @@
   #declined = 0;
   #waitedMs = 0;
   #lastGroup: string | undefined;
+  /** Time from the arrival of the request to its first event, in milliseconds. */
+  #firstEventMs: number | undefined;
+  /** Longest time between two events of the answer, in milliseconds. */
+  #longestPauseMs = 0;
+  #lastEventAtMs: number | undefined;
 
   constructor(scope: RequestScope, options: {
     engine: EngineProfile;
@@ -57,6 +62,8 @@
       group: this.#lastGroup,
       attempts: this.#attempts,
       waitedMs: Math.round(this.#waitedMs),
+      firstEventMs: this.#firstEventMs,
+      longestPauseMs: Math.round(this.#longestPauseMs),
       lastEvent: this.#lastEventId,
     };
   }
@@ -217,12 +224,12 @@
         continue;
       }
       if (!writer.hasStarted()) {
-        context.metrics.record(
-          "time_to_first_token",
-          performance.now() - request.receivedAtMs,
-        );
+        const firstEventMs = performance.now() - request.receivedAtMs;
+        this.#firstEventMs = Math.round(firstEventMs);
+        context.metrics.record("time_to_first_token", firstEventMs);
         writer.openStream(answer.status, answer.headers);
       }
+      this.#recordPause();
       const ready = writer.write(joinFrames(frames));
       if (ready !== undefined) {
         await ready;
@@ -241,6 +248,13 @@
     writer.finish();
   }
 
+  #recordPause(): void {
+    const nowMs = performance.now();
+    const pauseMs = nowMs - (this.#lastEventAtMs ?? nowMs);
+    this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
+    this.#lastEventAtMs = nowMs;
+  }
+
   /** Drops events that the caller has, and refuses a gap in the sequence. */
   #acceptFrames(frames: readonly EventFrame[]): EventFrame[] {
     return frames.filter(({ id }) => {
