Leave a silent server out of the next formation, and the others in it

Ruled out: asking every spare before it is used (a probe for each order, for a case that is rare).

Change: after a failed formation its members are asked; silent ones are left out for 4 s, the others are free at once.

Test: platform_path_test > forms a group without a spare server that went silent; it did not hold within 8 s before.

--- a/src/process/fleet/replica_task.ts
+++ b/src/process/fleet/replica_task.ts
@@ -36,6 +36,8 @@
 const GENERATIONS_PER_TERM = 100_000;
 /** Time after which a server whose order failed is ordered again, in milliseconds. */
 const FAILURE_PAUSE_MS = 1_000;
+/** The same for one that did not answer, in milliseconds: several heartbeats, after which the list has dropped a dead server. */
+const SILENCE_PAUSE_MS = 4_000;
 /** Time for which a group has to lack a member before the others are used elsewhere, in milliseconds: entries of the list arrive in bunches. */
 const INCOMPLETE_MS = 250;
 
@@ -363,6 +365,9 @@
           getOpenBounds(service),
         ),
     );
+    if (!isOpen) {
+      await this.#sortOutSilent(members);
+    }
     logger.write("info", "group-formed", {
       group: `${group.groupName}/${generation}`,
       model: model.name,
@@ -373,6 +378,24 @@
     });
   }
 
+  /** When members of a failed formation are silent, they are left out until the list has dropped them, and the others are free for the next one at once. */
+  async #sortOutSilent(members: readonly BackendServer[]): Promise<void> {
+    const areAlive = await Promise.all(
+      members.map((member) => this.#options.orders.observeServer(member)),
+    );
+    if (areAlive.every(Boolean)) {
+      return;
+    }
+    const untilMs = performance.now() + SILENCE_PAUSE_MS;
+    members.forEach(({ id }, index) => {
+      if (areAlive[index]) {
+        this.#pausedUntilMs.delete(id);
+      } else {
+        this.#pausedUntilMs.set(id, untilMs);
+      }
+    });
+  }
+
   async #joinAll(
     model: ModelServing,
     members: readonly BackendServer[],
--- a/tests/platform_path_test.ts
+++ b/tests/platform_path_test.ts
@@ -82,6 +82,33 @@
     expect(new Set(survivors.map((s) => s.group!.rank)).size).toBe(2);
   });
 
+  // Guards against a planner that chooses the same dead server again and again while others wait beside it.
+  it("forms a group without a spare server that went silent", async () => {
+    const deployment = await doTest();
+    const { fleet, store } = deployment;
+    const spare = await deployment.addServer({
+      id: "a0",
+      service: "models",
+      zone: "z1",
+      domain: "z1-d0",
+    });
+    await waitUntil(() => spare.group?.State === "ready");
+    spare.crash();
+    const inZone = [...fleet].filter(([id]) => /^m[0246]$/.test(id));
+    for (const [id, head] of inZone.filter(([, s]) => s.group?.rank === 0)) {
+      head.crash();
+      store.deleteObject("servers", id);
+    }
+    const survivors = inZone.filter(([, s]) => !s.isDark).map(([, s]) => s);
+    await waitUntil(
+      () =>
+        survivors.every((s) =>
+          s.group?.Name === survivors[0].group?.Name && s.group !== undefined
+        ) && survivors.some((s) => s.group?.State === "open"),
+      8_000,
+    );
+  });
+
   it("never sends a booking again whose answer was lost", async () => {
     const deployment = await doTest();
     const { fleet, runs } = deployment;
