--- a/src/request/routed/model_stream_test.ts
+++ b/src/request/routed/model_stream_test.ts
@@ -1,19 +1,12 @@
-import { Buffer } from "node:buffer";
 import { describe, expect, it } from "vitest";
+import { createRequestScope } from "../../../tests/support/routed_requests.ts";
 import { BackendError } from "../../connection/backend_transport.ts";
-import type { RoutingContext } from "../../process/routing_context.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
 import type { ReplicaGroup } from "../../process/fleet/group_table.ts";
 import { StreamAttempts } from "../../process/fleet/stream_attempts.ts";
 import { NullLogger } from "../../shared/logger.ts";
-import type {
-  EngineProfile,
-  Route,
-  RoutedService,
-} from "../../version/routing_config.ts";
+import type { EngineProfile } from "../../version/routing_config.ts";
 import { ModelStream } from "./model_stream.ts";
-import type { RequestScope } from "./request_scope.ts";
-import type { AnswerWriter } from "./routed_request.ts";
 
 const MAX_ATTEMPTS = 2;
 
@@ -73,30 +66,15 @@
             );
           },
         },
-      } as unknown as RoutingContext;
-      const scope: RequestScope = {
+      };
+      const scope = createRequestScope({
         context,
-        request: {
-          requestId: "r1",
-          method: "POST",
-          host: "h",
-          path: "/",
-          headers: [],
-          body: Buffer.alloc(0),
-          receivedAtMs: performance.now(),
-          signal: new AbortController().signal,
-        },
-        writer: { hasStarted: () => false } as AnswerWriter,
         route: {
-          name: "route",
           maxAttempts: MAX_ATTEMPTS,
           isResumable: true,
           latencyObjectiveMs: 100,
-        } as Route,
-        service: { name: "models" } as RoutedService,
-        priority: 0,
-        deadlineAtMs: performance.now() + 10_000,
-      };
+        },
+      });
       const stream = new ModelStream(scope, {
         engine: { models: [], slots: 1 } as unknown as EngineProfile,
         demand: {
--- a/src/request/routed/plain_call_test.ts
+++ b/src/request/routed/plain_call_test.ts
@@ -1,19 +1,13 @@
 import { Buffer } from "node:buffer";
 import { describe, expect, it } from "vitest";
 import { createBackendServer } from "../../../tests/support/backend_servers.ts";
+import { createRequestScope } from "../../../tests/support/routed_requests.ts";
 import { BackendError } from "../../connection/backend_transport.ts";
 import { ServerLoads } from "../../process/fleet/server_loads.ts";
-import type { RoutingContext } from "../../process/routing_context.ts";
 import { RequestError } from "../../shared/errors.ts";
 import { NullLogger } from "../../shared/logger.ts";
-import type {
-  Route,
-  RoutedService,
-  RouteKind,
-} from "../../version/routing_config.ts";
+import type { RouteKind } from "../../version/routing_config.ts";
 import { PlainCall } from "./plain_call.ts";
-import type { RequestScope } from "./request_scope.ts";
-import type { AnswerWriter } from "./routed_request.ts";
 
 const MAX_ATTEMPTS = 2;
 
@@ -58,29 +52,16 @@
               });
           },
         },
-      } as unknown as RoutingContext;
-      const scope: RequestScope = {
+      };
+      const scope = createRequestScope({
         context,
-        request: {
-          requestId: "r1",
-          method: "GET",
-          host: "h",
-          path: "/",
-          headers: [],
-          body: Buffer.alloc(0),
-          receivedAtMs: performance.now(),
-          signal: new AbortController().signal,
-        },
+        route: { kind, maxAttempts: MAX_ATTEMPTS },
         writer: {
-          answer: (given: number) => {
+          answer: (given) => {
             status = given;
           },
-        } as unknown as AnswerWriter,
-        route: { name: "route", kind, maxAttempts: MAX_ATTEMPTS } as Route,
-        service: { name: "app" } as RoutedService,
-        priority: 0,
-        deadlineAtMs: performance.now() + 1_000,
-      };
+        },
+      });
       try {
         await new PlainCall(scope).run();
       } catch (error) {
--- a/src/request/routed/routed_receiver_test.ts
+++ b/src/request/routed/routed_receiver_test.ts
@@ -1,5 +1,5 @@
-import { Buffer } from "node:buffer";
 import { describe, expect, it } from "vitest";
+import { createRoutedRequest } from "../../../tests/support/routed_requests.ts";
 import { Metrics } from "../../process/metrics.ts";
 import type { RoutingContext } from "../../process/routing_context.ts";
 import { NullLogger } from "../../shared/logger.ts";
@@ -16,16 +16,10 @@
         isLeaving: () => isClosing,
         getRoutes: () => undefined,
       } as unknown as RoutingContext);
-      return receiver.receive({
-        requestId: "r1",
-        method: "GET",
-        host: "h",
-        path: "/",
-        headers: [],
-        body: Buffer.alloc(0),
-        receivedAtMs: performance.now(),
-        signal: new AbortController().signal,
-      }, { hasStarted: () => false } as AnswerWriter);
+      return receiver.receive(
+        createRoutedRequest(),
+        { hasStarted: () => false } as AnswerWriter,
+      );
     }
 
     // Guards against a request that a kept connection brings late in a planned stop and that is cut at its end.
--- /dev/null
+++ b/tests/support/routed_requests.ts
@@ -0,0 +1,47 @@
+import { Buffer } from "node:buffer";
+import type { RoutingContext } from "../../src/process/routing_context.ts";
+import type { RequestScope } from "../../src/request/routed/request_scope.ts";
+import type {
+  AnswerWriter,
+  RoutedRequest,
+} from "../../src/request/routed/routed_request.ts";
+import type { Route, RoutedService } from "../../src/version/routing_config.ts";
+
+/** Time that a request has, in milliseconds. */
+const BUDGET_MS = 10_000;
+
+/** Creates a request without a body. */
+export function createRoutedRequest(
+  request: Partial<RoutedRequest> = {},
+): RoutedRequest {
+  return {
+    requestId: "r1",
+    method: "GET",
+    host: "h",
+    path: "/",
+    headers: [],
+    body: Buffer.alloc(0),
+    receivedAtMs: performance.now(),
+    signal: new AbortController().signal,
+    ...request,
+  };
+}
+
+/** Creates the scope of a request to one route with the parts of a daemon that a test needs. */
+export function createRequestScope(
+  scope: {
+    context: unknown;
+    route: Partial<Route>;
+    writer?: Partial<AnswerWriter>;
+  },
+): RequestScope {
+  return {
+    context: scope.context as RoutingContext,
+    request: createRoutedRequest(),
+    writer: { hasStarted: () => false, ...scope.writer } as AnswerWriter,
+    route: { name: "route", ...scope.route } as Route,
+    service: { name: "service" } as RoutedService,
+    priority: 0,
+    deadlineAtMs: performance.now() + BUDGET_MS,
+  };
+}
