Let the soak harm plain servers, and judge planned stops more often

Cause: two faults planted in a scratch copy were not found: bookings sent again after a lost answer, and a daemon that exits at once on SIGTERM. The plan chose among the model servers only, so no booking ever lost its answer; and a planned stop was not judged when any server had been disturbed in the seconds before, which is nearly always so.

Change: plain servers are harmed as well; a call that a stop cut is judged unless servers of its own service were disturbed while it ran.

--- a/bench/soak/promise_checks.ts
+++ b/bench/soak/promise_checks.ts
@@ -135,9 +135,7 @@
   return record.stops.flatMap((stop) => {
     const found: string[] = [];
     const { daemon, fromMs, untilMs, exitCode } = stop;
-    const isDisturbed = !isCalmFor(record, daemon, fromMs, untilMs) ||
-      isDisturbedIn(record, "servers", fromMs, untilMs);
-    if (isDisturbed) {
+    if (!isCalmFor(record, daemon, fromMs, untilMs)) {
       return found;
     }
     if (exitCode !== 0) {
@@ -148,7 +146,12 @@
         !call.hasGivenUp && call.endedAtMs >= fromMs &&
         call.sentAtMs <= untilMs &&
         (runsById.get(call.requestId)?.length ?? 0) > 0;
-      if (isCut) {
+      const servers = call.kind === "stream"
+        ? "model-servers"
+        : "plain-servers";
+      if (
+        isCut && !isDisturbedIn(record, servers, call.sentAtMs, call.endedAtMs)
+      ) {
         found.push(`${call.requestId} was cut by a planned stop`);
       }
     }
--- a/bench/soak/promise_checks_test.ts
+++ b/bench/soak/promise_checks_test.ts
@@ -77,7 +77,9 @@
     ["a call cut beside a planned stop and a crash", {
       calls: [cut],
       stops: [stop],
-      disturbances: [{ part: "servers", fromMs: 9_000, untilMs: 9_500 }],
+      disturbances: [
+        { part: "plain-servers", fromMs: 9_000, untilMs: 9_500 },
+      ],
     }],
     ["a call that its caller gave up in a planned stop", {
       calls: [{ ...cut, hasGivenUp: true }],
@@ -118,6 +120,13 @@
       exclusions: [{ zone: "z1", fromMs: 4_000, untilMs: 20_000 }],
     }],
     ["a call that a planned stop cut", { calls: [cut], stops: [stop] }],
+    ["a lookup that a planned stop cut beside a crash of a model server", {
+      calls: [cut],
+      stops: [stop],
+      disturbances: [
+        { part: "model-servers", fromMs: 9_000, untilMs: 9_500 },
+      ],
+    }],
     ["a planned stop that had to be killed", {
       stops: [{ ...stop, exitCode: null }],
     }],
--- a/bench/soak/soak_fleet.ts
+++ b/bench/soak/soak_fleet.ts
@@ -7,10 +7,9 @@
 import { delay } from "../../src/shared/delay.ts";
 import { FaultProxy } from "./fault_proxy.ts";
 import { SoakDaemon } from "./soak_daemon.ts";
+import { PLAIN_SERVERS } from "./soak_plan.ts";
 import type { SoakRecord } from "./soak_record.ts";
 
-/** Plain servers of the deployment. */
-const PLAIN_SERVERS = 2;
 const ZONES = ["z1", "z2"];
 /** Time for which the entry of a crashed server stays in the list, in milliseconds. */
 const ENTRY_LIFE_MS = 2_000;
--- a/bench/soak/soak_plan.ts
+++ b/bench/soak/soak_plan.ts
@@ -41,10 +41,13 @@
 /** Size of a soak. */
 export interface SoakSize {
   readonly daemons: number;
+  /** Model servers. */
   readonly servers: number;
   readonly durationMs: number;
 }
 
+/** Servers of the plain service, whose places follow those of the model servers. */
+export const PLAIN_SERVERS = 2;
 /** Mean time between two actions, in milliseconds: several overlap. */
 const MEAN_PAUSE_MS = 900;
 const LINK_FAULTS: readonly LinkFault[] = [
@@ -86,7 +89,7 @@
 
 function createAction(random: SeededRandom, size: SoakSize): SoakAction {
   const daemon = random.getInteger(size.daemons);
-  const server = random.getInteger(size.servers);
+  const server = random.getInteger(size.servers + PLAIN_SERVERS);
   const fault = LINK_FAULTS[random.getInteger(LINK_FAULTS.length)];
   const forMs = MIN_FAULT_MS + random.getInteger(MAX_FAULT_MS - MIN_FAULT_MS);
   const actions: readonly SoakAction[] = [
--- a/bench/soak/soak_record.ts
+++ b/bench/soak/soak_record.ts
@@ -25,7 +25,11 @@
 }
 
 /** What a disturbance touched. */
-export type DisturbedPart = `daemon-${number}` | "store" | "servers";
+export type DisturbedPart =
+  | `daemon-${number}`
+  | "store"
+  | "model-servers"
+  | "plain-servers";
 
 /** Time in which a part was disturbed, or a process came and went. */
 export interface Disturbance {
--- a/bench/soak/soak_runner.ts
+++ b/bench/soak/soak_runner.ts
@@ -145,6 +145,8 @@
     step: SoakStep,
   ): Promise<void> {
     const { servers: modelServers } = this.#size;
+    const getPart = (place: number) =>
+      place < modelServers ? "model-servers" : "plain-servers";
     switch (step.kind) {
       case "kill":
         recordDisturbance(record, `daemon-${step.daemon}`, START_MS);
@@ -166,7 +168,11 @@
         fleet.storeLinks[step.daemon].setFault("none");
         return;
       case "server-link": {
-        recordDisturbance(record, "servers", step.forMs + REGROUP_MS);
+        recordDisturbance(
+          record,
+          getPart(step.server),
+          step.forMs + REGROUP_MS,
+        );
         const { proxy } = fleet.servers[step.server];
         proxy.setFault(step.fault);
         await delay(step.forMs);
@@ -184,18 +190,18 @@
         fleet.store.dropHistory();
         return;
       case "crash-server":
-        recordDisturbance(record, "servers", REGROUP_MS);
+        recordDisturbance(record, getPart(step.server), REGROUP_MS);
         await fleet.crashServer(step.server, modelServers);
         return;
       case "drain-server":
         await fleet.drainServer(step.server, modelServers);
-        recordDisturbance(record, "servers", REGROUP_MS);
+        recordDisturbance(record, getPart(step.server), REGROUP_MS);
         return;
       case "late-orders":
         fleet.servers[step.server].server.lateOrders++;
         return;
       case "lose-answers":
-        recordDisturbance(record, "servers", 0);
+        recordDisturbance(record, getPart(step.server), 0);
         fleet.servers[step.server].server.lostAnswers++;
         return;
       case "change-keys":
