Exchange at the earlier intervals again, and wake seldom without the lease

Change: 200 ms for members and 300 ms for hubs (150 and 200 while requests wait anywhere; 100 for both before). A daemon that does not plan looks at the lease every 250 ms in place of 50.

--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -14,14 +14,19 @@
   PeerRelation,
 } from "../../connection/peer_notice.ts";
 
-/** Time between two exchanges with each peer, in milliseconds. Each of two hubs starts one, so a peer's figures are at most this old. */
-const EXCHANGE_INTERVAL_MS = 300;
-/** The same for a hub that speaks for others, since news passes two more exchanges. */
-const HUB_INTERVAL_MS = 150;
-/** The same for a member, which starts all exchanges with its hub. */
-const MEMBER_INTERVAL_MS = 100;
-/** The same while requests wait anywhere: a place that one daemon frees stands empty until the others know. */
-const LOADED_EXCHANGE_INTERVAL_MS = 100;
+/** Times between two exchanges with each partner, in milliseconds. */
+interface ExchangeIntervals {
+  readonly usual: number;
+  /** While requests wait anywhere: a place that one daemon frees stands empty until the others know. */
+  readonly loaded: number;
+}
+
+/** Between all daemons of a small fleet. Each of two starts one, so a peer's figures are at most this old. */
+const MESH_INTERVALS: ExchangeIntervals = { usual: 300, loaded: 100 };
+/** Between hubs that speak for others. Every exchange costs all hubs processor time, and in a large fleet some request waits nearly always. */
+const HUB_INTERVALS: ExchangeIntervals = { usual: 300, loaded: 200 };
+/** Between a member and its hub; the member starts all of them. */
+const MEMBER_INTERVALS: ExchangeIntervals = { usual: 200, loaded: 150 };
 /** Pause before a peer that did not answer is called again, in milliseconds. */
 const RETRY_PAUSE_MS = 1_000;
 const REGISTER_RETRY_MS = 1_000;
@@ -66,10 +71,11 @@
 
   /** Gets the mean age of what other daemons told, in milliseconds: on the way to a member news waits for three exchanges, and both of two hubs start one. */
   getStalenessMs(): number {
-    const betweenHubsMs = this.#getIntervalMs() / 4;
+    const { isUnderLoad } = this.#options;
+    const kind = isUnderLoad() ? "loaded" : "usual";
     return this.isHub && !this.#hasMembers()
-      ? betweenHubsMs
-      : betweenHubsMs + MEMBER_INTERVAL_MS;
+      ? MESH_INTERVALS[kind] / 4
+      : HUB_INTERVALS[kind] / 4 + MEMBER_INTERVALS[kind];
   }
 
   /** Registers this daemon and exchanges notices until the signal aborts. */
@@ -98,13 +104,15 @@
   }
 
   #getIntervalMs(): number {
-    if (this.#options.isUnderLoad()) {
-      return LOADED_EXCHANGE_INTERVAL_MS;
-    }
+    const { usual, loaded } = this.#getIntervals();
+    return this.#options.isUnderLoad() ? loaded : usual;
+  }
+
+  #getIntervals(): ExchangeIntervals {
     if (!this.isHub) {
-      return MEMBER_INTERVAL_MS;
+      return MEMBER_INTERVALS;
     }
-    return this.#hasMembers() ? HUB_INTERVAL_MS : EXCHANGE_INTERVAL_MS;
+    return this.#hasMembers() ? HUB_INTERVALS : MESH_INTERVALS;
   }
 
   #hasMembers(): boolean {
--- a/src/process/fleet/replica_task.ts
+++ b/src/process/fleet/replica_task.ts
@@ -28,6 +28,8 @@
 } from "./replica_planner.ts";
 
 const PLAN_INTERVAL_MS = 50;
+/** Time between two looks at the lease while another daemon holds it, in milliseconds. */
+const IDLE_INTERVAL_MS = 250;
 /** Time beyond the usual one after which an order in progress is given up, in milliseconds. */
 const ORDER_SLACK_MS = 2_000;
 /** Longest time that a closing group takes to end its requests, in milliseconds. */
@@ -89,8 +91,10 @@
 
   /** Plans until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    while (await delay(PLAN_INTERVAL_MS, signal)) {
+    let intervalMs = IDLE_INTERVAL_MS;
+    while (await delay(intervalMs, signal)) {
       const term = this.#options.lease.getTerm();
+      intervalMs = term === undefined ? IDLE_INTERVAL_MS : PLAN_INTERVAL_MS;
       if (term === undefined || !this.#options.directory.isListed) {
         continue;
       }
