--- a/src/process/fleet/group_choice_test.ts
+++ b/src/process/fleet/group_choice_test.ts
@@ -58,7 +58,7 @@
     return loads.indexOf(Math.min(...loads));
   };
 
-  // Load pattern: 71 daemons with 300 requests a second before 40 groups of 14 places. Choosing the least loaded group made nearly half of the requests wait at an engine while half of the places were free.
+  // Load pattern: 71 daemons with 300 requests a second before 40 groups of 14 places. Choosing the least loaded group lets requests wait at an engine while half of the places are free.
   it("spreads the requests of many daemons between two exchanges", () => {
     const pattern = { daemons: 71, groups: 40, requestsPerSecond: 300 };
     expect(doTest({ ...pattern, choose: chooseLeastLoaded }))
--- a/src/process/fleet/peer_board.ts
+++ b/src/process/fleet/peer_board.ts
@@ -24,7 +24,7 @@
 interface Partner {
   readonly notice: PeerNotice;
   readonly heardAtMs: number;
-  /** Daemons that the partner speaks for. */
+  /** Daemons that the partner hears. */
   readonly peers: readonly DaemonDescription[];
   readonly peersHash: number | undefined;
 }
@@ -36,7 +36,7 @@
   readonly heardAtMs: number;
 }
 
-/** Other daemons: those that exchange notices with this one, and those that they speak for. */
+/** Other daemons: those that exchange notices with this one, and those that these hear. */
 export class PeerBoard {
   readonly #ownName: string;
   readonly #logger: Logger;
