Load only the histogram of hdr-histogram-js in daemons

Cause: the index of the library loads its log writer, whose number formats are created at import and load the ICU data. Change: the histogram's factory is imported instead.

--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -1,4 +1,8 @@
-import { build, type Histogram } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+// The index of the library also loads its log writer, whose number formats take a tenth of the start of a daemon.
+import { constructorFromBucketSize } from "hdr-histogram-js/dist/JsHistogramFactory.js";
+
+const Int32Histogram = constructorFromBucketSize(32);
 
 const HIGHEST_TRACKABLE_MICROSECONDS = 600_000_000;
 const SIGNIFICANT_DIGITS = 2;
@@ -129,13 +133,12 @@
   #getHistogram(name: DurationName): Histogram {
     let histogram = this.#histograms.get(name);
     if (histogram === undefined) {
-      histogram = build({
-        bitBucketSize: 32,
-        autoResize: true,
-        lowestDiscernibleValue: 1,
-        highestTrackableValue: HIGHEST_TRACKABLE_MICROSECONDS,
-        numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-      });
+      histogram = new Int32Histogram(
+        1,
+        HIGHEST_TRACKABLE_MICROSECONDS,
+        SIGNIFICANT_DIGITS,
+      );
+      histogram.autoResize = true;
       this.#histograms.set(name, histogram);
     }
     return histogram;
