--- a/bench/soak/soak_daemon.ts
+++ b/bench/soak/soak_daemon.ts
@@ -31,6 +31,7 @@
   readonly #directory: string;
   readonly #storeAddress: string;
   readonly #program: string;
+  readonly #nodeOptions: readonly string[];
   #child: ChildProcess | undefined;
   #isDisposed = false;
   /** Whether the balancer sends new connections to this daemon. */
@@ -44,7 +45,10 @@
     storeAddress: string;
     /** Path of the built daemon. */
     program: string;
+    /** Options of Node.js for the process. */
+    nodeOptions?: readonly string[];
   }) {
+    this.#nodeOptions = options.nodeOptions ?? [];
     this.name = `entry-${options.index}`;
     const networkOctet = FIRST_NETWORK_OCTET + process.pid % NETWORK_COUNT;
     this.#ip = `127.${networkOctet}.0.${options.index + 1}`;
@@ -59,6 +63,17 @@
     return { host: this.#ip, port: CALLER_PORT };
   }
 
+  /** Gets the id of the running process. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
+  /** Stops the process gracefully and prevents a restart. */
+  async stopForever(): Promise<void> {
+    this.#isDisposed = true;
+    await this.stop();
+  }
+
   /** Writes the settings and starts the process. */
   async start(): Promise<void> {
     await writeFile(
@@ -133,10 +148,14 @@
 
   #startProcess(): void {
     const logFile = openSync(join(this.#directory, `${this.name}.log`), "a");
-    const child = spawn(process.execPath, [this.#program], {
-      env: { ...process.env, [SETTINGS_VARIABLE]: this.#settingsFile },
-      stdio: ["ignore", logFile, logFile],
-    });
+    const child = spawn(
+      process.execPath,
+      [...this.#nodeOptions, this.#program],
+      {
+        env: { ...process.env, [SETTINGS_VARIABLE]: this.#settingsFile },
+        stdio: ["ignore", logFile, logFile],
+      },
+    );
     closeSync(logFile);
     this.#child = child;
     child.once("exit", () => void this.#restart());
--- a/src/connection/peer_notice.ts
+++ b/src/connection/peer_notice.ts
@@ -50,39 +50,6 @@
   readonly ageMs: number;
 }
 
-/** Periodic message between two daemons. It describes the sender and, if the sender is a hub, its members. */
-export interface PeerNotice {
-  readonly sender: DaemonDescription;
-  readonly relation: PeerRelation;
-  readonly isLeaving: boolean;
-  readonly planner?: PlannerNotice;
-  /** Version of the sender's configuration in force, or 0 when it has none. */
-  readonly configVersion: number;
-  readonly excludedZones: ExcludedZonesNotice;
-  /** Revision of the store up to which the sender's list of backend servers is complete. */
-  readonly serversRevision: number;
-  /** Revision of the last change of the sender's list of backend servers. */
-  readonly serversChangeRevision: number;
-  /** Changes of the list of backend servers that the receiver lacks. Only a hub sends them, to its members. */
-  readonly servers?: BackendServerChanges;
-  /** Time since the store last confirmed the sender's list of backend servers, in milliseconds; undefined before the first confirmation. */
-  readonly serversAgeMs?: number;
-  /** Number of requests in flight in each group, from the sender and its members. A hub's notice to a member also includes the requests of the other hubs and members. */
-  readonly loads: readonly (readonly [group: string, requests: number])[];
-  /** Number of requests that wait for a slot at the daemons that `loads` covers. */
-  readonly waiting: number;
-  /** Keys of the groups that the sender knows to be lost. */
-  readonly lostGroups: readonly string[];
-  /** Recent crashes of groups while they ran a request. */
-  readonly crashes: readonly CrashNotice[];
-  /** Hash of the sender's list of known daemons. */
-  readonly peersHash: number;
-  /** List of the daemons that the sender knows; omitted when the receiver already has it. */
-  readonly peers?: readonly DaemonDescription[];
-  /** Hash of the last list of daemons that the sender received from the receiver. */
-  readonly seenPeersHash?: number;
-}
-
 /** Backend server as one daemon sends it to another. The end of the cold time is sent as a remaining time because the daemons' monotonic clocks differ. */
 export type SerializedBackendServer = Omit<BackendServer, "coldUntilMs"> & {
   /** Remaining time for which the server is cold, in milliseconds. */
@@ -103,12 +70,51 @@
   readonly removed: readonly string[];
 }
 
-/** Handles the messages of the other daemons. */
-export interface PeerMessageHandler {
-  /** Applies the notice of a peer and returns the notice of this daemon. */
-  handleNotice(notice: PeerNotice): PeerNotice;
-  /** Gets the configuration in force, or undefined when there is none. */
-  getConfig(): RoutingConfig | undefined;
-  /** Gets the complete list of backend servers. */
-  getServers(): BackendServerChanges;
+/** First message of each side of a link. */
+export interface PeerHello {
+  readonly sender: DaemonDescription;
+  readonly relation: PeerRelation;
 }
+
+/**
+ * Message on a link between two daemons. It describes the sender and, if the sender is a hub, its members. The first notice on a link is complete; a later one contains only the fields that have changed, since a link delivers messages in order.
+ */
+export interface PeerNotice {
+  /** Consecutive number of the notices with loads that a member sends to its hub. */
+  readonly number?: number;
+  /** Number of the member's last notice that the loads of the hub's notice include. */
+  readonly acknowledged?: number;
+  /** Whether the notice contains the complete state, so that what it omits no longer exists. */
+  readonly isComplete?: boolean;
+  /** Whether a planned stop of the sender has begun. */
+  readonly isLeaving?: boolean;
+  readonly planner?: PlannerNotice;
+  /** Version of the sender's configuration in force. */
+  readonly configVersion?: number;
+  readonly excludedZones?: ExcludedZonesNotice;
+  /** Revision of the store up to which the sender's list of backend servers is complete. */
+  readonly serversRevision?: number;
+  /** Revision of the last change of the sender's list of backend servers. */
+  readonly serversChangeRevision?: number;
+  /** Time since the store last confirmed the sender's list of backend servers, in milliseconds; omitted before the first confirmation. */
+  readonly serversAgeMs?: number;
+  /** Number of requests in flight in each group whose number has changed; 0 removes the group. */
+  readonly loads?: readonly (readonly [group: string, requests: number])[];
+  /** Keys of the groups that the sender newly knows to be lost. */
+  readonly lostGroups?: readonly string[];
+  /** New crashes of groups while they ran a request. */
+  readonly crashes?: readonly CrashNotice[];
+  /** Daemons that the sender newly knows. */
+  readonly peers?: readonly DaemonDescription[];
+  /** Names of the daemons that the sender no longer knows. */
+  readonly removedPeers?: readonly string[];
+  /** Configuration in force, when the receiver has requested it or is a member with an older one. */
+  readonly config?: RoutingConfig;
+  /** Changes of the list of backend servers that the receiver lacks. */
+  readonly servers?: BackendServerChanges;
+  /** Data that the sender asks the receiver for. */
+  readonly request?: PeerDataRequest;
+}
+
+/** Data that a daemon requests from a peer that has newer data. */
+export type PeerDataRequest = "config" | "servers";
--- a/src/process/fleet/exchange_topology.ts
+++ b/src/process/fleet/exchange_topology.ts
@@ -17,6 +17,8 @@
   readonly role: "hub" | "member";
   /** For a hub, all its partners; for a member, the hubs in the order in which it tries them. */
   readonly partners: readonly DaemonDescription[];
+  /** For a hub, the names of the hubs of its zone that come before it; the first hub of a zone reads the store for the others. */
+  readonly precedingHubs: readonly string[];
 }
 
 /**
@@ -33,19 +35,26 @@
   self: DaemonDescription,
   others: readonly DaemonDescription[],
 ): ExchangePartners {
-  if (others.length < MAX_MESH_DAEMONS) {
-    return { role: "hub", partners: others };
-  }
-  const hubs = chooseHubs([...others, self]);
-  const otherHubs = hubs.filter(({ name }) => name !== self.name);
-  if (otherHubs.length < hubs.length) {
-    return { role: "hub", partners: otherHubs };
+  const hubs = others.length < MAX_MESH_DAEMONS
+    ? [...others, self].sort(compareHubFitness)
+    : chooseHubs([...others, self]);
+  const ownIndex = hubs.findIndex(({ name }) => name === self.name);
+  if (ownIndex >= 0) {
+    const precedingHubs = hubs.slice(0, ownIndex).filter(({ zone }) =>
+      zone === self.zone
+    ).map(({ name }) => name);
+    return {
+      role: "hub",
+      partners: hubs.filter((_, index) => index !== ownIndex),
+      precedingHubs,
+    };
   }
   const hubsByName = new Map(hubs.map((hub) => [hub.name, hub]));
   const hubsByPreference = getRendezvousOrder(self.name, [...hubsByName.keys()])
     .map((name) => hubsByName.get(name)!);
   return {
     role: "member",
+    precedingHubs: [],
     partners: [
       ...hubsByPreference.filter(({ zone }) => zone === self.zone),
       ...hubsByPreference.filter(({ zone }) => zone !== self.zone),
@@ -59,10 +68,12 @@
 ): DaemonDescription[] {
   const daemonsByZone = new Map<string, DaemonDescription[]>();
   for (const daemon of daemons) {
-    daemonsByZone.set(daemon.zone, [
-      ...(daemonsByZone.get(daemon.zone) ?? []),
-      daemon,
-    ]);
+    const zoneDaemons = daemonsByZone.get(daemon.zone);
+    if (zoneDaemons === undefined) {
+      daemonsByZone.set(daemon.zone, [daemon]);
+    } else {
+      zoneDaemons.push(daemon);
+    }
   }
   return [...daemonsByZone.values()].flatMap((zoneDaemons) => {
     const count = Math.max(
--- a/src/process/fleet/excluded_zones.ts
+++ b/src/process/fleet/excluded_zones.ts
@@ -31,17 +31,18 @@
    *
    * @param notice - All excluded zones as of a revision.
    * @param source - Sender of the notice, for the log.
+   * @returns Whether the set of excluded zones has changed.
    */
-  applyNotice(notice: ExcludedZonesNotice, source: string): void {
+  applyNotice(notice: ExcludedZonesNotice, source: string): boolean {
     if (notice.revision <= this.#revision) {
-      return;
+      return false;
     }
     this.#revision = notice.revision;
     const zones = new Set(notice.zones);
     const isUnchanged = zones.size === this.#zones.size &&
       notice.zones.every((zone) => this.#zones.has(zone));
     if (isUnchanged) {
-      return;
+      return false;
     }
     this.#zones = zones;
     this.#logger.write("info", "zones-excluded", {
@@ -50,5 +51,6 @@
       source,
     });
     this.#onChange(zones);
+    return true;
   }
 }
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -1,5 +1,3 @@
-import type { FleetPeerClients } from "../../connection/fleet_peer_router.ts";
-import { getErrorMessage } from "../../shared/errors.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type { RoutingConfig } from "../../version/routing_config.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
@@ -10,8 +8,13 @@
 import type { GroupLoads } from "./group_loads.ts";
 import type { GroupTable } from "./group_table.ts";
 import { ObjectWatcher } from "./object_watcher.ts";
-import type { PeerTable } from "./peer_table.ts";
-import type { PeerNotice, PeerRelation } from "../../connection/peer_notice.ts";
+import type { Partner, PeerTable } from "./peer_table.ts";
+import type {
+  DaemonDescription,
+  PeerDataRequest,
+  PeerNotice,
+  PeerRelation,
+} from "../../connection/peer_notice.ts";
 
 /** Delay between two calls of the watches on the configuration and the excluded zones, in milliseconds. It is short because a new configuration has to take effect soon. */
 const CONFIG_BATCH_DELAY_MS = 50;
@@ -19,12 +22,24 @@
 const PLANNER_BATCH_DELAY_MS = 200;
 /** Delay between two calls of the watch on the servers at the other daemons, in milliseconds. It may be longer, since they detect lost groups by their streams and the notices of peers. */
 const SERVERS_BATCH_DELAY_MS = 350;
-/** Timeout of one watch call on the servers at a hub with members, in milliseconds. Each response confirms the list that the members receive from the hub; without a recent confirmation they read the store themselves. */
-const HUB_WATCH_TIMEOUT_MS = 1_000;
-/** Age of a hub's list, counted from its last confirmation by the store, above which a member reads the store itself, in milliseconds. It covers the timeout of the hub's watch and a slow response. */
-const MAX_HUB_LIST_AGE_MS = 2_500;
+/** Share of the drain notice after which a list of servers that the store has not confirmed counts as old. The rest remains for reading the list. */
+const MAX_LIST_AGE_SHARE = 0.55;
+/** Share of the maximum age of the list after which a watch on the servers returns without changes, so that its response confirms the list in time. */
+const WATCH_TIMEOUT_SHARE = 0.3;
+/** Share of the maximum age of the list after which the first hub of a zone reads the store, before the other daemons do. */
+const FIRST_HUB_AGE_SHARE = 0.75;
+/** Multiple of the maximum age of the list after which a member with a hub reads the store. A hub that is cut off from the store takes the list from other hubs, so that its members have to read the store only when it is away for all hubs. */
+const MEMBER_AGE_FACTOR = 2;
+/** Time after the start for which a daemon waits for the data of a peer before it reads the store itself, in milliseconds. */
+const JOIN_TIMEOUT_MS = 700;
+/** Delay before a failed call to the store is retried, in milliseconds, at the first hub of a zone and the planner. */
+const READER_RETRY_MS = 250;
+/** Delay before a failed call to the store is retried, in milliseconds, at the other daemons. Without the longer delay, a large fleet would flood a store that is overloaded. */
+const OTHER_RETRY_MS = 1_500;
 /** Time for which a peer's list of servers may be newer before this daemon restarts its watches, in milliseconds. A shorter lag is normal, since changes are batched. */
 const LAG_TOLERANCE_MS = 700;
+/** Time after which data that a peer did not send is requested again, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 1_000;
 
 /** Components that the synchronisation reads and updates. */
 export interface FleetSyncOptions {
@@ -35,18 +50,34 @@
   readonly crashes: CrashCounter;
   readonly excludedZones: ExcludedZones;
   readonly peerTable: PeerTable;
-  readonly clients: FleetPeerClients;
   readonly logger: Logger;
+  /** Zone of this daemon. */
+  readonly zone: string;
+  /** Time within which every daemon has to know that a server drains, in milliseconds. */
+  readonly drainNoticeMs: number;
   /** Gets whether this daemon is the planner of the groups. */
   isPlanner(): boolean;
-  /** Gets whether this daemon is a hub, which always reads the store. */
   isHub(): boolean;
-  /** Sends a notice to the partners at once. */
+  /** Gets whether this daemon is the first hub of its zone, which reads the store for the others. */
+  isFirstHub(): boolean;
+  /** Gets whether no other daemon is known, once the registered daemons have been read. */
+  isAlone(): boolean;
+  /** Sends the changes of the state to the partners at once. */
   announce(): void;
-  getConfigVersion(): number;
+  /** Sends the changes of the state to the partners soon. */
+  scheduleNotices(): void;
+  /** Sends a notice to one partner. */
+  sendNotice(partner: string, notice: PeerNotice): void;
+  getConfig(): RoutingConfig | undefined;
   applyConfig(config: RoutingConfig, source: string): void;
 }
 
+/** Versions of the data that this daemon has sent to a partner. */
+interface SentVersions {
+  configVersion: number;
+  serversRevision: number;
+}
+
 /** Keeps the configuration, the excluded zones and the list of backend servers of this daemon up to date, from the store and from peers that have newer data. */
 export class FleetSync {
   readonly #options: FleetSyncOptions;
@@ -54,20 +85,26 @@
   readonly #zonesWatch: ObjectWatcher<true>;
   readonly #serversWatch: ObjectWatcher<BackendServer>;
   readonly #excludedZoneNames = new Set<string>();
-  readonly #pendingFetches = new Set<string>();
+  /** Monotonic time of the last request for each kind of data, in milliseconds. */
+  readonly #requestedAtMs = new Map<PeerDataRequest, number>();
+  readonly #sentVersions = new Map<string, SentVersions>();
+  readonly #createdAtMs = performance.now();
+  /** Monotonic time at which the store last confirmed the list of servers to a partner, in milliseconds. */
+  #partnersConfirmedAtMs = Number.NEGATIVE_INFINITY;
   #laggingSinceMs: number | undefined;
-  /** Monotonic time at which the store last confirmed the list of servers of this daemon's hub, in milliseconds. */
-  #hubConfirmedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: FleetSyncOptions) {
     this.#options = options;
     const { platform, logger, directory } = options;
     const { store, kinds } = platform;
+    const getRetryDelayMs = () =>
+      this.#isReader() ? READER_RETRY_MS : OTHER_RETRY_MS;
     this.#configWatch = new ObjectWatcher<RoutingConfig>({
       store,
       logger,
       kind: kinds.config,
       getBatchDelayMs: () => CONFIG_BATCH_DELAY_MS,
+      getRetryDelayMs,
       isNeeded: () => this.#isReadingStore(),
       keepsLastValid: true,
       decode: ({ value }) => platform.decodeConfig(value),
@@ -79,6 +116,7 @@
       logger,
       kind: kinds.excludedZones,
       getBatchDelayMs: () => CONFIG_BATCH_DELAY_MS,
+      getRetryDelayMs,
       isNeeded: () => this.#isReadingStore(),
       keepsLastValid: true,
       decode: () => true,
@@ -91,7 +129,7 @@
         );
         removed.forEach((zone) => this.#excludedZoneNames.delete(zone));
         const zones = [...this.#excludedZoneNames];
-        options.excludedZones.applyNotice({ revision, zones }, "store");
+        this.#applyExcludedZones({ revision, zones }, "store");
       },
     });
     this.#serversWatch = new ObjectWatcher<BackendServer>({
@@ -100,15 +138,14 @@
       kind: kinds.servers,
       getBatchDelayMs: () =>
         options.isPlanner() ? PLANNER_BATCH_DELAY_MS : SERVERS_BATCH_DELAY_MS,
-      getWatchTimeoutMs: () =>
-        options.peerTable.listMembers().length > 0
-          ? HUB_WATCH_TIMEOUT_MS
-          : undefined,
+      getRetryDelayMs,
+      getWatchTimeoutMs: () => this.#maxListAgeMs * WATCH_TIMEOUT_SHARE,
       isNeeded: () => this.#isReadingStore(),
       keepsLastValid: false,
       decode: ({ name, value, version }) =>
         platform.decodeServer(name, value, version),
       onChange: (change) => directory.applyChange(change),
+      onConfirm: () => options.scheduleNotices(),
       onStoreRecovered: () => {
         // The connections of the other watches may have been lost in the same outage; without a restart, this would be noticed only after their longer timeouts.
         this.#configWatch.restart();
@@ -133,130 +170,231 @@
     this.#serversWatch.restart();
   }
 
-  /** Gets whether this daemon reads the store itself. A member that is not the planner receives all data from its hub as long as the store has recently confirmed the hub's list of servers. */
+  get #maxListAgeMs(): number {
+    return this.#options.drainNoticeMs * MAX_LIST_AGE_SHARE;
+  }
+
+  /** Gets whether other daemons depend on this daemon's reading of the store. */
+  #isReader(): boolean {
+    return this.#options.isPlanner() || this.#options.isFirstHub();
+  }
+
+  /** Gets whether this daemon reads the store itself: the planner does always, the others when no partner has confirmed their list of servers recently. */
   #isReadingStore(): boolean {
-    const { isHub, isPlanner } = this.#options;
-    const untilMs = this.#hubConfirmedAtMs + MAX_HUB_LIST_AGE_MS;
-    return isHub() || isPlanner() || performance.now() > untilMs;
+    if (this.#options.isPlanner()) {
+      return true;
+    }
+    const isJoining = performance.now() - this.#createdAtMs < JOIN_TIMEOUT_MS;
+    if (isJoining && !this.#options.isAlone()) {
+      return false;
+    }
+    return this.#getListAgeMs() > this.#getMaxListAgeMs();
+  }
+
+  #getMaxListAgeMs(): number {
+    const { isFirstHub, isHub, peerTable } = this.#options;
+    if (isFirstHub()) {
+      return this.#maxListAgeMs * FIRST_HUB_AGE_SHARE;
+    }
+    const hasHub = !isHub() &&
+      peerTable.listPartners().some(({ relation }) => relation === "hub");
+    return this.#maxListAgeMs * (hasHub ? MEMBER_AGE_FACTOR : 1);
+  }
+
+  /** Gets the time since the store last confirmed the list of servers, to this daemon or to a partner, in milliseconds. */
+  #getListAgeMs(): number {
+    const ownAgeMs = this.#serversWatch.ageMs ?? Number.POSITIVE_INFINITY;
+    return Math.min(ownAgeMs, performance.now() - this.#partnersConfirmedAtMs);
+  }
+
+  /** Records the time at which the store confirmed the list of a partner whose list is not newer than that of this daemon. */
+  #recordConfirmation(partnerName: string): void {
+    const partner = this.#options.peerTable.findPartner(partnerName);
+    if (partner !== undefined && this.#hasConfirmedList(partner)) {
+      this.#partnersConfirmedAtMs = Math.max(
+        this.#partnersConfirmedAtMs,
+        partner.serversConfirmedAtMs,
+      );
+    }
+  }
+
+  #hasConfirmedList({ relation, serversRevision }: Partner): boolean {
+    return relation !== "member" && serversRevision !== undefined &&
+      serversRevision <= this.#options.directory.revision;
   }
 
   /**
-   * Gets the fields of a notice that describe the list of servers. A notice to a member also contains the changes that the member lacks.
+   * Gets the age of the list of servers for notices. Hubs tell each other only what the store told them directly, so that two daemons do not confirm each other's old list; members get the age that counts at their hub.
    *
-   * @param partner - Name of the receiver.
-   * @param relation - Role of this daemon towards the receiver.
+   * @param relation - Role of this daemon towards the receivers.
    */
-  getServersNotice(partner: string, relation: PeerRelation): Pick<
-    PeerNotice,
-    "serversRevision" | "serversChangeRevision" | "serversAgeMs" | "servers"
-  > {
+  getReportedListAgeMs(relation: PeerRelation): number | undefined {
+    if (relation !== "hub") {
+      return this.#serversWatch.ageMs;
+    }
+    const ageMs = this.#getListAgeMs();
+    return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+  }
+
+  /** Creates a notice with the data that a partner lacks, if this daemon is its source: its hub, the planner, or the first hub of the zone while it reads the store. */
+  createDataNotice(partnerName: string): PeerNotice | undefined {
     const { directory, peerTable } = this.#options;
-    const partnerRevision = peerTable.getServersRevision(partner);
-    const isBehind = relation === "hub" && directory.isPopulated &&
-      partnerRevision !== undefined && partnerRevision < directory.revision;
-    return {
-      serversRevision: directory.revision,
-      serversChangeRevision: directory.changeRevision,
-      serversAgeMs: this.#serversWatch.ageMs,
-      servers: isBehind ? directory.getNotice(partnerRevision) : undefined,
-    };
+    const partner = peerTable.findPartner(partnerName);
+    if (partner?.serversRevision === undefined || !this.#isSource(partner)) {
+      return undefined;
+    }
+    const sent = this.#getSentVersions(partnerName);
+    const sinceRevision = Math.max(
+      partner.serversRevision,
+      sent.serversRevision,
+    );
+    const isBehind = sinceRevision < directory.changeRevision ||
+      (sinceRevision === 0 && directory.revision > 0);
+    const servers = isBehind ? directory.getNotice(sinceRevision) : undefined;
+    const config = this.#findNewerConfig(partner, sent);
+    if (servers === undefined && config === undefined) {
+      return undefined;
+    }
+    sent.serversRevision = servers?.revision ?? sent.serversRevision;
+    sent.configVersion = config?.version ?? sent.configVersion;
+    return { servers, config };
+  }
+
+  #isSource({ relation, description }: Partner): boolean {
+    if (relation !== "equal") {
+      return relation === "member";
+    }
+    const { isFirstHub, isPlanner, zone } = this.#options;
+    return isPlanner() ||
+      (description.zone === zone && isFirstHub() && this.#isReadingStore());
   }
 
-  /** Applies the notice of a peer, and requests the data that this daemon lacks. */
-  applyNotice(notice: PeerNotice): void {
-    const { peerTable, loads, crashes, excludedZones } = this.#options;
-    const { sender } = notice;
-    peerTable.applyNotice(notice);
-    loads.applyPeerLoad(notice);
-    this.#applyLosses(notice);
-    notice.crashes.forEach((crash) => crashes.applyNotice(crash));
-    excludedZones.applyNotice(notice.excludedZones, sender.name);
-    if (notice.relation === "hub") {
-      this.#applyServers(notice);
+  #findNewerConfig(
+    partner: Partner,
+    sent: SentVersions,
+  ): RoutingConfig | undefined {
+    const config = this.#options.getConfig();
+    const knownVersion = Math.max(partner.configVersion, sent.configVersion);
+    return config !== undefined && config.version > knownVersion
+      ? config
+      : undefined;
+  }
+
+  #getSentVersions(partnerName: string): SentVersions {
+    const sent = this.#sentVersions.get(partnerName) ??
+      { configVersion: 0, serversRevision: 0 };
+    this.#sentVersions.set(partnerName, sent);
+    return sent;
+  }
+
+  /** Forgets what a partner was sent, since its link has closed. */
+  removePartner(partnerName: string): void {
+    this.#sentVersions.delete(partnerName);
+    this.#options.loads.removePeer(partnerName);
+  }
+
+  /** Applies the notice of a partner, and requests the data that this daemon lacks. */
+  applyNotice(
+    { name }: DaemonDescription,
+    relation: PeerRelation,
+    notice: PeerNotice,
+  ): void {
+    const { loads, crashes, directory } = this.#options;
+    loads.applyPeerLoad(name, relation, notice);
+    this.#applyLosses(name, notice.lostGroups ?? []);
+    notice.crashes?.forEach((crash) => crashes.applyNotice(crash));
+    if (notice.excludedZones !== undefined) {
+      this.#applyExcludedZones(notice.excludedZones, name);
     }
-    if (notice.configVersion > this.#options.getConfigVersion()) {
-      void this.#requestConfig(notice);
+    if (notice.servers !== undefined) {
+      directory.offerNotice(notice.servers);
     }
-    const { changeRevision } = this.#options.directory;
-    if (notice.serversChangeRevision > changeRevision) {
-      this.#checkLag(notice);
-    } else {
-      this.#laggingSinceMs = undefined;
+    if (relation !== "member" && notice.serversRevision !== undefined) {
+      // The members of this daemon wait for the confirmation of their list.
+      this.#options.scheduleNotices();
+    }
+    if (notice.config !== undefined) {
+      this.#options.applyConfig(notice.config, name);
+    }
+    if (notice.request !== undefined) {
+      this.#answerRequest(name, notice.request);
+    }
+    this.#recordConfirmation(name);
+    this.#checkConfig(name, relation, notice);
+    if (notice.serversChangeRevision !== undefined) {
+      this.#checkLag(name, notice.serversChangeRevision);
+    }
+  }
+
+  #applyExcludedZones(
+    notice: { revision: number; zones: readonly string[] },
+    source: string,
+  ): void {
+    if (this.#options.excludedZones.applyNotice(notice, source)) {
+      this.#options.announce();
     }
   }
 
-  /** Records the lost groups that a peer reported. A hub with members announces new losses at once, since its members receive notices from no other daemon. */
-  #applyLosses({ sender, lostGroups }: PeerNotice): void {
-    const { groups, peerTable, announce } = this.#options;
+  /** Records the lost groups that a peer reported, and relays new losses at once. */
+  #applyLosses(name: string, lostGroups: readonly string[]): void {
+    const { groups, announce } = this.#options;
     const newLosses = lostGroups.filter((key) =>
-      groups.recordLoss(key, `reported by ${sender.name}`)
+      groups.recordLoss(key, `reported by ${name}`)
     );
-    if (newLosses.length > 0 && peerTable.listMembers().length > 0) {
+    if (newLosses.length > 0) {
       announce();
     }
   }
 
-  #applyServers({ servers, serversAgeMs }: PeerNotice): void {
-    if (servers !== undefined) {
-      this.#options.directory.offerNotice(servers);
-    }
-    if (serversAgeMs !== undefined) {
-      const confirmedAtMs = performance.now() - serversAgeMs;
-      this.#hubConfirmedAtMs = Math.max(this.#hubConfirmedAtMs, confirmedAtMs);
+  /** Requests the configuration of a partner that has a newer one. A hub sends its members a new configuration right after the notice of its version. */
+  #checkConfig(
+    name: string,
+    relation: PeerRelation,
+    notice: PeerNotice,
+  ): void {
+    const { peerTable, getConfig } = this.#options;
+    const partnerVersion = peerTable.findPartner(name)?.configVersion ?? 0;
+    const isOnItsWay = relation === "hub" && notice.configVersion !== undefined;
+    if (partnerVersion > (getConfig()?.version ?? 0) && !isOnItsWay) {
+      this.#requestData(name, "config");
     }
   }
 
-  #checkLag(notice: PeerNotice): void {
+  #checkLag(name: string, changeRevision: number): void {
+    const { directory, logger } = this.#options;
+    if (changeRevision <= directory.changeRevision) {
+      this.#laggingSinceMs = undefined;
+      return;
+    }
     this.#laggingSinceMs ??= performance.now();
     if (performance.now() - this.#laggingSinceMs > LAG_TOLERANCE_MS) {
       this.#laggingSinceMs = undefined;
-      this.#options.logger.write("info", "list-behind", {
-        peer: notice.sender.name,
-        revision: this.#options.directory.changeRevision,
-        peerRevision: notice.serversChangeRevision,
+      logger.write("info", "list-behind", {
+        peer: name,
+        revision: directory.changeRevision,
+        peerRevision: changeRevision,
       });
       this.restartWatches();
-      void this.#requestServers(notice);
+      this.#requestData(name, "servers");
     }
   }
 
-  async #requestConfig({ sender }: PeerNotice): Promise<void> {
-    const { name, address } = sender;
-    const { clients, applyConfig } = this.#options;
-    await this.#runSingleFlight("config", async () => {
-      const config = await clients.getClient(address).getConfig.query();
-      if (config !== null) {
-        applyConfig(config, name);
-      }
-    });
-  }
-
-  async #requestServers({ sender: { address } }: PeerNotice): Promise<void> {
-    const { clients, directory } = this.#options;
-    await this.#runSingleFlight("servers", async () => {
-      const notice = await clients.getClient(address).getServers.query();
-      directory.offerNotice(notice);
-    });
+  #requestData(name: string, data: PeerDataRequest): void {
+    const requestedAtMs = this.#requestedAtMs.get(data) ??
+      Number.NEGATIVE_INFINITY;
+    if (performance.now() - requestedAtMs > REQUEST_TIMEOUT_MS) {
+      this.#requestedAtMs.set(data, performance.now());
+      this.#options.sendNotice(name, { request: data });
+    }
   }
 
-  /** Runs a fetch unless one of the same name is pending, and logs its failure. */
-  async #runSingleFlight(
-    fetchName: string,
-    fetch: () => Promise<void>,
-  ): Promise<void> {
-    if (this.#pendingFetches.has(fetchName)) {
-      return;
-    }
-    this.#pendingFetches.add(fetchName);
-    try {
-      await fetch();
-    } catch (error) {
-      this.#options.logger.write("warn", "peer-fetch-failed", {
-        what: fetchName,
-        message: getErrorMessage(error),
-      });
-    } finally {
-      this.#pendingFetches.delete(fetchName);
+  #answerRequest(name: string, data: PeerDataRequest): void {
+    const { directory, peerTable, sendNotice, getConfig } = this.#options;
+    if (data === "config") {
+      sendNotice(name, { config: getConfig() });
+    } else {
+      const revision = peerTable.findPartner(name)?.serversRevision;
+      sendNotice(name, { servers: directory.getNotice(revision) });
     }
   }
 }
--- a/src/process/fleet/group_admission_test.ts
+++ b/src/process/fleet/group_admission_test.ts
@@ -1,5 +1,4 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { createDaemonDescription } from "../../../tests/support/daemons.ts";
 import { createBackendServer } from "../../../tests/support/backend_servers.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import { BackendDirectory } from "./backend_directory.ts";
@@ -100,12 +99,7 @@
   describe("acquire", () => {
     it("distributes requests by load, including the load that peers reported", async () => {
       const { admission, loads } = doTest(["g1", "g2"]);
-      loads.applyPeerLoad({
-        sender: createDaemonDescription("peer"),
-        relation: "equal",
-        loads: [["g1/1", 2]],
-        waiting: 0,
-      });
+      loads.applyPeerLoad("peer", "equal", { loads: [["g1/1", 2]] });
       const grants = [
         await admission.acquire(createRequest()),
         await admission.acquire(createRequest()),
--- /dev/null
+++ b/src/process/fleet/notice_composer.ts
@@ -0,0 +1,189 @@
+import type {
+  CrashNotice,
+  DaemonDescription,
+  ExcludedZonesNotice,
+  PeerNotice,
+  PlannerNotice,
+} from "../../connection/peer_notice.ts";
+
+/** Time by which the confirmation of the list of servers has to be newer for a notice, in milliseconds. */
+const MIN_CONFIRMATION_STEP_MS = 200;
+
+/** State of a daemon that its notices describe. */
+export interface NoticeState {
+  readonly isLeaving: boolean;
+  readonly planner: PlannerNotice | undefined;
+  /** Version of the configuration in force; 0 without one. */
+  readonly configVersion: number;
+  readonly excludedZones: ExcludedZonesNotice;
+  readonly serversRevision: number;
+  readonly serversChangeRevision: number;
+  readonly serversAgeMs: number | undefined;
+  readonly loads: ReadonlyMap<string, number>;
+  readonly lostGroups: readonly string[];
+  /** Crashes of the last moments. */
+  readonly crashes: readonly CrashNotice[];
+  readonly peers: ReadonlyMap<string, DaemonDescription>;
+}
+
+/** Composes the notices for links to which a daemon sends the same state. Remembers what it has sent, so that a notice contains changes only. */
+export class NoticeComposer {
+  #state: NoticeState | undefined;
+  #crashKeys: ReadonlySet<string> = new Set();
+  /** Monotonic time at which the store confirmed the list of servers, as of the last notice that told it, in milliseconds. */
+  #confirmedAtMs = Number.NEGATIVE_INFINITY;
+
+  /** Gets the loads that the notices have described so far. */
+  get sentLoads(): ReadonlyMap<string, number> {
+    return this.#state?.loads ?? new Map();
+  }
+
+  /**
+   * Creates a notice with the changes since the last one.
+   *
+   * @param state - Current state. The composer keeps it, so its collections must not be changed afterwards.
+   * @param options - With `isPeriodic`, the notice is composed also without changes, and contains the ages that the receiver needs to notice silence.
+   * @returns The notice, or undefined when nothing has changed.
+   * @example
+   * ```ts
+   * const notice = composer.createChangeNotice(state, { isPeriodic: false });
+   * ```
+   */
+  createChangeNotice(
+    state: NoticeState,
+    options: { isPeriodic: boolean },
+  ): PeerNotice | undefined {
+    const previous = this.#state;
+    const notice: Mutable<PeerNotice> = {};
+    if (options.isPeriodic || isNewPlanner(previous?.planner, state.planner)) {
+      notice.planner = state.planner;
+    }
+    if (
+      options.isPeriodic || this.#isNewlyConfirmed(state) ||
+      previous?.serversRevision !== state.serversRevision
+    ) {
+      this.#confirmedAtMs = getConfirmedAtMs(state);
+      notice.serversRevision = state.serversRevision;
+      notice.serversChangeRevision = state.serversChangeRevision;
+      notice.serversAgeMs = state.serversAgeMs;
+    }
+    if (previous?.isLeaving !== state.isLeaving) {
+      notice.isLeaving = state.isLeaving;
+    }
+    if (previous?.configVersion !== state.configVersion) {
+      notice.configVersion = state.configVersion;
+    }
+    if (previous?.excludedZones.revision !== state.excludedZones.revision) {
+      notice.excludedZones = state.excludedZones;
+    }
+    const loads = listChangedLoads(previous?.loads, state.loads);
+    if (loads.length > 0) {
+      notice.loads = loads;
+    }
+    const lostGroups = listAdded(previous?.lostGroups, state.lostGroups);
+    if (lostGroups.length > 0) {
+      notice.lostGroups = lostGroups;
+    }
+    const crashes = this.#takeNewCrashes(state.crashes);
+    if (crashes.length > 0) {
+      notice.crashes = crashes;
+    }
+    addPeerChanges(notice, previous?.peers, state.peers);
+    this.#state = state;
+    const isEmpty = Object.keys(notice).length === 0;
+    return isEmpty && !options.isPeriodic ? undefined : notice;
+  }
+
+  /** Creates the notice that brings a new receiver to the state that the earlier notices described; undefined before the first one. */
+  createCompleteNotice(): PeerNotice | undefined {
+    if (this.#state === undefined) {
+      return undefined;
+    }
+    const { loads, peers, ...state } = this.#state;
+    return {
+      ...state,
+      isComplete: true,
+      loads: [...loads],
+      peers: [...peers.values()],
+    };
+  }
+
+  #isNewlyConfirmed(state: NoticeState): boolean {
+    return getConfirmedAtMs(state) - this.#confirmedAtMs >=
+      MIN_CONFIRMATION_STEP_MS;
+  }
+
+  #takeNewCrashes(crashes: readonly CrashNotice[]): CrashNotice[] {
+    const previousKeys = this.#crashKeys;
+    this.#crashKeys = new Set(crashes.map(getCrashKey));
+    return crashes.filter((crash) => !previousKeys.has(getCrashKey(crash)));
+  }
+}
+
+type Mutable<T> = { -readonly [K in keyof T]: T[K] };
+
+function isNewPlanner(
+  previous: PlannerNotice | undefined,
+  planner: PlannerNotice | undefined,
+): boolean {
+  return previous?.name !== planner?.name || previous?.term !== planner?.term;
+}
+
+function listChangedLoads(
+  previous: ReadonlyMap<string, number> = new Map(),
+  loads: ReadonlyMap<string, number>,
+): [key: string, requests: number][] {
+  const changes: [string, number][] = [];
+  for (const [key, requests] of loads) {
+    if (previous.get(key) !== requests) {
+      changes.push([key, requests]);
+    }
+  }
+  for (const key of previous.keys()) {
+    if (!loads.has(key)) {
+      changes.push([key, 0]);
+    }
+  }
+  return changes;
+}
+
+function listAdded(
+  previous: readonly string[] = [],
+  current: readonly string[],
+): string[] {
+  if (current.length === 0) {
+    return [];
+  }
+  const previousKeys = new Set(previous);
+  return current.filter((key) => !previousKeys.has(key));
+}
+
+function addPeerChanges(
+  notice: Mutable<PeerNotice>,
+  previous: ReadonlyMap<string, DaemonDescription> = new Map(),
+  peers: ReadonlyMap<string, DaemonDescription>,
+): void {
+  if (previous === peers) {
+    return;
+  }
+  const added = [...peers.values()].filter(({ name, address }) =>
+    previous.get(name)?.address !== address
+  );
+  const removed = [...previous.keys()].filter((name) => !peers.has(name));
+  if (added.length > 0) {
+    notice.peers = added;
+  }
+  if (removed.length > 0) {
+    notice.removedPeers = removed;
+  }
+}
+
+function getConfirmedAtMs({ serversAgeMs }: NoticeState): number {
+  return serversAgeMs === undefined
+    ? Number.NEGATIVE_INFINITY
+    : performance.now() - serversAgeMs;
+}
+
+function getCrashKey({ fingerprint, groupKey }: CrashNotice): string {
+  return `${fingerprint} ${groupKey}`;
+}
--- /dev/null
+++ b/src/process/fleet/notice_composer_test.ts
@@ -0,0 +1,125 @@
+import { describe, expect, it } from "vitest";
+import { createDaemonDescription } from "../../../tests/support/daemons.ts";
+import { NoticeComposer, type NoticeState } from "./notice_composer.ts";
+
+describe("NoticeComposer", () => {
+  function createState(state: Partial<NoticeState> = {}): NoticeState {
+    return {
+      isLeaving: false,
+      planner: undefined,
+      configVersion: 1,
+      excludedZones: { revision: 1, zones: [] },
+      serversRevision: 1,
+      serversChangeRevision: 1,
+      serversAgeMs: 0,
+      loads: new Map(),
+      lostGroups: [],
+      crashes: [],
+      peers: new Map(),
+      ...state,
+    };
+  }
+
+  function doTest(before: Partial<NoticeState>, after: Partial<NoticeState>) {
+    const composer = new NoticeComposer();
+    composer.createChangeNotice(createState(before), { isPeriodic: false });
+    return composer.createChangeNotice(createState(after), {
+      isPeriodic: false,
+    });
+  }
+
+  describe("createChangeNotice", () => {
+    it("composes no notice when nothing has changed", () => {
+      expect(doTest({}, {})).toBeUndefined();
+    });
+
+    it("contains the loads that have changed, and a zero for those that are gone", () => {
+      expect(doTest(
+        { loads: new Map([["g1", 1], ["g2", 2], ["g3", 3]]) },
+        { loads: new Map([["g1", 1], ["g2", 4]]) },
+      )).toEqual({ loads: [["g2", 4], ["g3", 0]] });
+    });
+
+    it("contains each lost group and each crash once", () => {
+      const crashes = [{ fingerprint: "f1", groupKey: "g1" }];
+      expect(doTest({ lostGroups: ["g1"], crashes }, {
+        lostGroups: ["g1", "g2"],
+        crashes: [...crashes, { fingerprint: "f1", groupKey: "g2" }],
+      })).toEqual({
+        lostGroups: ["g2"],
+        crashes: [{ fingerprint: "f1", groupKey: "g2" }],
+      });
+    });
+
+    it("contains new and removed peers, and those with another address", () => {
+      const [a, b, c] = ["a", "b", "c"].map((name) =>
+        createDaemonDescription(name)
+      );
+      const movedB = { ...b, address: "b:2" };
+      expect(doTest(
+        { peers: new Map([["a", a], ["b", b]]) },
+        { peers: new Map([["b", movedB], ["c", c]]) },
+      )).toEqual({ peers: [movedB, c], removedPeers: ["a"] });
+    });
+
+    it("contains the changed versions", () => {
+      expect(doTest({}, {
+        configVersion: 2,
+        excludedZones: { revision: 4, zones: ["z1"] },
+        serversRevision: 9,
+        serversChangeRevision: 8,
+        isLeaving: true,
+      })).toEqual({
+        configVersion: 2,
+        excludedZones: { revision: 4, zones: ["z1"] },
+        serversRevision: 9,
+        serversChangeRevision: 8,
+        serversAgeMs: 0,
+        isLeaving: true,
+      });
+    });
+
+    it("contains the ages in a periodic notice", () => {
+      const composer = new NoticeComposer();
+      const planner = { name: "entry-1", term: 1, ageMs: 0 };
+      composer.createChangeNotice(createState({ planner }), {
+        isPeriodic: false,
+      });
+      const state = createState({
+        planner: { ...planner, ageMs: 400 },
+        serversAgeMs: 400,
+      });
+      expect(composer.createChangeNotice(state, { isPeriodic: false }))
+        .toBeUndefined();
+      expect(composer.createChangeNotice(state, { isPeriodic: true })).toEqual({
+        planner: { ...planner, ageMs: 400 },
+        serversRevision: 1,
+        serversChangeRevision: 1,
+        serversAgeMs: 400,
+      });
+    });
+  });
+
+  describe("createCompleteNotice", () => {
+    it("describes the state that the notices so far have led to", () => {
+      const composer = new NoticeComposer();
+      expect(composer.createCompleteNotice()).toBeUndefined();
+      const peer = createDaemonDescription("a");
+      composer.createChangeNotice(
+        createState({
+          loads: new Map([["g1", 1]]),
+          lostGroups: ["g2"],
+          peers: new Map([["a", peer]]),
+        }),
+        { isPeriodic: false },
+      );
+      expect(composer.createCompleteNotice()).toMatchObject({
+        isComplete: true,
+        configVersion: 1,
+        loads: [["g1", 1]],
+        lostGroups: ["g2"],
+        peers: [peer],
+      });
+    });
+  });
+});
--- a/src/process/fleet/object_watcher.ts
+++ b/src/process/fleet/object_watcher.ts
@@ -10,8 +10,6 @@
 const WATCH_TIMEOUT_MS = 10_000;
 /** Time limit of a watch call after a failed call, in milliseconds. It is shorter so that the end of an outage is noticed soon. */
 const OUTAGE_WATCH_TIMEOUT_MS = 1_000;
-/** Delay before a failed call to the store is retried, in milliseconds. */
-const RETRY_DELAY_MS = 250;
 /** Interval between checks whether a watch is needed again, in milliseconds. */
 const IDLE_CHECK_INTERVAL_MS = 200;
 
@@ -36,6 +34,8 @@
   readonly logger: Logger;
   /** Gets the delay before the next watch call, in milliseconds. Changes that occur meanwhile are read in one batch, as each call to the store has a cost. */
   getBatchDelayMs(): number;
+  /** Gets the delay before a failed call to the store is retried, in milliseconds. */
+  getRetryDelayMs(): number;
   /** Gets the time limit of one watch call, in milliseconds; defaults to `WATCH_TIMEOUT_MS`. */
   getWatchTimeoutMs?(): number | undefined;
   /** Gets whether the objects have to be watched; defaults to always. */
@@ -50,6 +50,8 @@
   decode(object: StoredObject): T;
   /** Called with each set of changes. */
   onChange(change: ObjectChanges<T>): void;
+  /** Called after each response that confirms the reported objects. */
+  onConfirm?(): void;
   /** Called when the store responds again after a failed call. */
   onStoreRecovered?(): void;
 }
@@ -102,7 +104,9 @@
         continue;
       }
       await delay(
-        isSuccess ? this.#options.getBatchDelayMs() : RETRY_DELAY_MS,
+        isSuccess
+          ? this.#options.getBatchDelayMs()
+          : this.#options.getRetryDelayMs(),
         signal,
       );
     }
@@ -218,6 +222,7 @@
         isSnapshot,
       });
     }
+    this.#options.onConfirm?.();
   }
 
   #decode(object: StoredObject): T | undefined {
--- a/src/process/fleet/peer_table.ts
+++ b/src/process/fleet/peer_table.ts
@@ -1,34 +1,45 @@
-import { getHash32 } from "../../shared/rendezvous_hash.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type {
   DaemonDescription,
+  PeerHello,
   PeerNotice,
   PeerRelation,
   PlannerNotice,
 } from "../../connection/peer_notice.ts";
 
-/** Time since the last notice from or about a peer after which the peer is considered lost, in milliseconds. */
+/** Time since a peer was last linked, named by a partner or listed by the store after which it is considered lost, in milliseconds. */
 const PEER_TIMEOUT_MS = 2_000;
-/** Time since the last notice from or about a peer after which its entry is removed, in milliseconds. A replaced VM gets another name, so the entry of the old name has to expire. */
+/** Time since a peer was last linked or named after which its entry is removed, in milliseconds. A replaced VM gets another name, so the entry of the old name has to expire. */
 const PEER_RETENTION_MS = 60_000;
+/** Age of the planner's last confirmation after which it counts as missing, in milliseconds. */
+const PLANNER_TIMEOUT_MS = 2_000;
 
-/** Daemon whose description the store or a notice contained. */
+/** Daemon whose description the store or a peer contained. */
 interface KnownPeer {
   readonly description: DaemonDescription;
-  /** Monotonic time of the last notice from or about the daemon, or of its first listing in the store, in milliseconds. */
-  readonly lastSeenAtMs: number;
-  readonly isLost: boolean;
+  /** Monotonic time at which the daemon was last linked or named, in milliseconds. */
+  lastSeenAtMs: number;
+  isLost: boolean;
 }
 
-/** Daemon that exchanges notices directly with this one. */
-interface Partner {
-  readonly notice: PeerNotice;
-  readonly lastNoticeAtMs: number;
-  /** Daemons in the last peer list that the partner sent. */
-  readonly peers: readonly DaemonDescription[];
-  readonly peersHash: number | undefined;
+/** Daemon that is linked with this one. */
+interface LinkedPartner {
+  readonly description: DaemonDescription;
+  /** Role of the partner towards this daemon. */
+  readonly relation: PeerRelation;
+  isLeaving: boolean;
+  configVersion: number;
+  /** Revision of the partner's list of backend servers; undefined before its first notice. */
+  serversRevision: number | undefined;
+  /** Monotonic time at which the store last confirmed the partner's list of servers, in milliseconds. */
+  serversConfirmedAtMs: number;
+  /** Daemons that the partner names, by name. */
+  peers: ReadonlyMap<string, DaemonDescription>;
 }
 
+/** Daemon that is linked with this one, as the table last heard of it. */
+export type Partner = Readonly<LinkedPartner>;
+
 /** Planner that this daemon last learned of. */
 interface KnownPlanner {
   readonly name: string;
@@ -37,12 +48,17 @@
   readonly confirmedAtMs: number;
 }
 
-/** Table of the other daemons: the partners, which exchange notices directly with this one, and the daemons that partners or the store list. */
+/** Table of the other daemons: the partners, which are linked with this one, and the daemons that partners or the store name. */
 export class PeerTable {
   readonly #ownName: string;
   readonly #logger: Logger;
   readonly #knownPeers = new Map<string, KnownPeer>();
-  readonly #partners = new Map<string, Partner>();
+  readonly #partners = new Map<string, LinkedPartner>();
+  /** Cached results of `getReport`, until the partners or the daemons that they name change. */
+  readonly #reports = new Map<
+    PeerRelation,
+    ReadonlyMap<string, DaemonDescription>
+  >();
   #planner: KnownPlanner | undefined;
 
   constructor(options: { ownName: string; logger: Logger }) {
@@ -50,57 +66,93 @@
     this.#logger = options.logger;
   }
 
-  /** Adds a daemon that the store lists, unless it is a partner or already known at this address. */
+  /** Adds a daemon that the store lists, unless it is already known at this address. */
   addPeer(description: DaemonDescription): void {
     const { name, address } = description;
-    const knownPeer = this.#knownPeers.get(name);
-    const isNew = knownPeer?.description.address !== address &&
-      !this.#partners.has(name);
-    if (name !== this.#ownName && isNew) {
+    if (
+      name !== this.#ownName &&
+      this.#knownPeers.get(name)?.description.address !== address
+    ) {
       this.#recordSeen(description, performance.now());
     }
   }
 
-  /** Records a notice of a partner, with the peers and the planner in it. */
-  applyNotice(notice: PeerNotice): void {
-    const { sender, planner, relation } = notice;
-    if (sender.name === this.#ownName) {
-      return;
-    }
+  /** Adds a partner whose link has opened. */
+  addPartner({ sender, relation }: PeerHello): void {
     const nowMs = performance.now();
-    this.#sweepSilentPeers();
-    const previousPartner = this.#partners.get(sender.name);
     const knownPeer = this.#knownPeers.get(sender.name);
-    if (previousPartner === undefined) {
-      this.#logger.write("info", "peer-heard", {
-        peer: sender.name,
-        relation,
-        silentMs: knownPeer === undefined
-          ? undefined
-          : Math.round(nowMs - knownPeer.lastSeenAtMs),
-      });
-    }
-    const peers = notice.peers ?? previousPartner?.peers ?? [];
+    this.#logger.write("info", "peer-linked", {
+      peer: sender.name,
+      relation,
+      silentMs: knownPeer?.isLost
+        ? Math.round(nowMs - knownPeer.lastSeenAtMs)
+        : undefined,
+    });
+    this.#reports.clear();
     this.#partners.set(sender.name, {
-      notice,
-      lastNoticeAtMs: nowMs,
-      peers,
-      peersHash: notice.peers === undefined
-        ? previousPartner?.peersHash
-        : notice.peersHash,
+      description: sender,
+      relation,
+      isLeaving: false,
+      configVersion: 0,
+      serversRevision: undefined,
+      serversConfirmedAtMs: Number.NEGATIVE_INFINITY,
+      peers: new Map(),
     });
     this.#recordSeen(sender, nowMs);
-    peers.forEach((peer) => this.#recordSeen(peer, nowMs));
-    if (planner !== undefined) {
-      this.#observePlanner(planner, nowMs);
+  }
+
+  /** Removes a partner whose link has closed. */
+  removePartner(name: string): void {
+    const nowMs = performance.now();
+    const partner = this.#partners.get(name);
+    this.#partners.delete(name);
+    this.#reports.clear();
+    if (partner !== undefined) {
+      // The peers that the partner named were known up to now.
+      partner.peers.forEach((peer) => this.#recordSeen(peer, nowMs));
+      this.#recordSeen(partner.description, nowMs);
     }
   }
 
-  /** Lists the daemons that are neither lost nor leaving, including new ones that have not responded yet. */
+  /** Records the peers, the planner and the versions in a notice of a partner. */
+  applyNotice(name: string, notice: PeerNotice): void {
+    const partner = this.#partners.get(name);
+    if (partner === undefined) {
+      return;
+    }
+    const nowMs = performance.now();
+    partner.isLeaving = notice.isLeaving ?? partner.isLeaving;
+    partner.configVersion = notice.configVersion ?? partner.configVersion;
+    partner.serversRevision = notice.serversRevision ?? partner.serversRevision;
+    if (notice.serversAgeMs !== undefined) {
+      partner.serversConfirmedAtMs = nowMs - notice.serversAgeMs;
+    }
+    partner.peers = this.#mergePeers(partner.peers, notice, nowMs);
+    if (notice.planner !== undefined) {
+      this.#observePlanner(notice.planner, nowMs);
+    }
+  }
+
+  /** Finds a partner by its name. */
+  findPartner(name: string): Partner | undefined {
+    return this.#partners.get(name);
+  }
+
+  /** Lists the daemons that are linked with this one. */
+  listPartners(): Partner[] {
+    return [...this.#partners.values()];
+  }
+
+  /** Gets whether this daemon is the hub of a member. */
+  hasMembers(): boolean {
+    return this.listPartners().some(({ relation }) => relation === "member");
+  }
+
+  /** Lists the daemons that are neither lost nor leaving, including new ones that are not linked yet. */
   listLivePeers(): DaemonDescription[] {
     this.#sweepSilentPeers();
     return [...this.#knownPeers].flatMap(([name, { description, isLost }]) =>
-      isLost || this.#partners.get(name)?.notice.isLeaving ? [] : [description]
+      isLost || this.#partners.get(name)?.isLeaving ? [] : [description]
     );
   }
 
@@ -109,57 +161,26 @@
     return [...this.#knownPeers.keys()];
   }
 
-  /** Lists the last notice of each partner that has not timed out. */
-  listPartnerNotices(): PeerNotice[] {
-    this.#sweepSilentPeers();
-    return [...this.#partners.values()].map(({ notice }) => notice);
-  }
-
-  /** Lists the members of this daemon, which use it as their hub. */
-  listMembers(): DaemonDescription[] {
-    return this.listPartnerNotices()
-      .filter(({ relation }) => relation === "member")
-      .map(({ sender }) => sender);
-  }
-
   /**
-   * Gets the fields of a notice that describe other daemons: the partners of this daemon and, in a notice to a member, also the peers that these partners named. Peers are not relayed any further; otherwise the daemons would keep a replaced daemon in each other's tables indefinitely. The list is left out when the receiver already has it.
+   * Gets the daemons that a notice names: the partners of this daemon and, in a notice to members, also the peers that these partners name. Peers are not relayed any further; otherwise the daemons would keep a replaced daemon in each other's tables indefinitely.
    *
-   * @param partner - Name of the receiver.
-   * @param relation - Role of this daemon towards the receiver.
+   * @param relation - Role of this daemon towards the receivers.
    */
-  getPeersNotice(
-    partner: string,
-    relation: PeerRelation,
-  ): Pick<PeerNotice, "peers" | "peersHash" | "seenPeersHash"> {
+  getReport(relation: PeerRelation): ReadonlyMap<string, DaemonDescription> {
+    const cachedReport = this.#reports.get(relation);
+    if (cachedReport !== undefined) {
+      return cachedReport;
+    }
     const peers = new Map<string, DaemonDescription>();
-    this.#sweepSilentPeers();
-    for (const { notice, peers: relayedPeers } of this.#partners.values()) {
-      peers.set(notice.sender.name, notice.sender);
+    for (const { description, peers: namedPeers } of this.#partners.values()) {
+      peers.set(description.name, description);
       if (relation === "hub") {
-        relayedPeers.forEach((peer) => peers.set(peer.name, peer));
+        namedPeers.forEach((peer) => peers.set(peer.name, peer));
       }
     }
-    peers.delete(partner);
     peers.delete(this.#ownName);
-    const sortedPeers = [...peers.values()].sort((a, b) =>
-      a.name < b.name ? -1 : 1
-    );
-    const names = sortedPeers.map(({ name, address }) => `${name}@${address}`);
-    const peersHash = getHash32(names.join());
-    const knownPartner = this.#partners.get(partner);
-    return {
-      peersHash,
-      peers: knownPartner?.notice.seenPeersHash === peersHash
-        ? undefined
-        : sortedPeers,
-      seenPeersHash: knownPartner?.peersHash,
-    };
-  }
-
-  /** Gets the revision of a partner's list of backend servers; undefined without a recent notice. */
-  getServersRevision(partner: string): number | undefined {
-    return this.#partners.get(partner)?.notice.serversRevision;
+    this.#reports.set(relation, peers);
+    return peers;
   }
 
   /** Finds the planner; undefined when it has not been confirmed recently. */
@@ -169,18 +190,37 @@
     }
     const { name, term, confirmedAtMs } = this.#planner;
     const ageMs = Math.round(performance.now() - confirmedAtMs);
-    return ageMs > PEER_TIMEOUT_MS ? undefined : { name, term, ageMs };
+    return ageMs > PLANNER_TIMEOUT_MS ? undefined : { name, term, ageMs };
   }
 
-  /** Counts the live daemons: this one, its partners, and the peers that these named. */
+  /** Counts the live daemons: this one, its partners, and the peers that these name. */
   countLiveDaemons(): number {
-    const names = new Set([this.#ownName]);
-    this.#sweepSilentPeers();
-    for (const { notice, peers } of this.#partners.values()) {
-      names.add(notice.sender.name);
-      peers.forEach(({ name }) => names.add(name));
+    return this.getReport("hub").size + 1;
+  }
+
+  #mergePeers(
+    peers: ReadonlyMap<string, DaemonDescription>,
+    notice: PeerNotice,
+    nowMs: number,
+  ): ReadonlyMap<string, DaemonDescription> {
+    const { isComplete, peers: added = [], removedPeers = [] } = notice;
+    if (!isComplete && added.length === 0 && removedPeers.length === 0) {
+      return peers;
     }
-    return names.size;
+    this.#reports.clear();
+    const merged = new Map(isComplete ? [] : peers);
+    added.forEach((peer) => {
+      merged.set(peer.name, peer);
+      this.#recordSeen(peer, nowMs);
+    });
+    for (const name of removedPeers) {
+      const peer = merged.get(name);
+      if (peer !== undefined) {
+        this.#recordSeen(peer, nowMs);
+        merged.delete(name);
+      }
+    }
+    return merged;
   }
 
   #recordSeen(description: DaemonDescription, nowMs: number): void {
@@ -208,22 +248,21 @@
     }
   }
 
-  /** Removes partners and peers that have timed out, and marks silent peers as lost. */
+  /** Marks the peers as lost that are neither linked nor named any more, and removes those that have been lost for long. */
   #sweepSilentPeers(): void {
     const nowMs = performance.now();
-    for (const [name, { lastNoticeAtMs }] of this.#partners) {
-      if (nowMs - lastNoticeAtMs > PEER_TIMEOUT_MS) {
-        this.#partners.delete(name);
+    for (const { description, peers } of this.#partners.values()) {
+      this.#touch(description.name, nowMs);
+      for (const name of peers.keys()) {
+        this.#touch(name, nowMs);
       }
     }
-    for (
-      const [name, { description, lastSeenAtMs, isLost }] of this.#knownPeers
-    ) {
-      const silentMs = nowMs - lastSeenAtMs;
+    for (const [name, peer] of this.#knownPeers) {
+      const silentMs = nowMs - peer.lastSeenAtMs;
       if (silentMs > PEER_RETENTION_MS) {
         this.#knownPeers.delete(name);
-      } else if (silentMs > PEER_TIMEOUT_MS && !isLost) {
-        this.#knownPeers.set(name, { description, lastSeenAtMs, isLost: true });
+      } else if (silentMs > PEER_TIMEOUT_MS && !peer.isLost) {
+        peer.isLost = true;
         this.#logger.write("info", "peer-lost", {
           peer: name,
           silentMs: Math.round(silentMs),
@@ -231,4 +270,12 @@
       }
     }
   }
+
+  #touch(name: string, nowMs: number): void {
+    const peer = this.#knownPeers.get(name);
+    if (peer !== undefined) {
+      peer.lastSeenAtMs = nowMs;
+      peer.isLost = false;
+    }
+  }
 }
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -1,7 +1,4 @@
-import {
-  createFleetPeerApp,
-  FleetPeerClients,
-} from "../connection/fleet_peer_router.ts";
+import { WebSocketLinkTransport } from "../connection/peer_link.ts";
 import { HttpServer } from "../connection/http_server.ts";
 import { RoutedRequestHandler } from "../request/routed/routed_request_handler.ts";
 import { delay } from "../shared/delay.ts";
@@ -21,13 +18,13 @@
 import { MemberOrderExecutor } from "./fleet/member_order_executor.ts";
 import { PeerTable } from "./fleet/peer_table.ts";
 import { PeerExchange } from "./fleet/peer_exchange.ts";
-import {
-  type DaemonDescription,
-  getOppositeRelation,
-  type PeerNotice,
-  type PeerRelation,
-  type PlannerNotice,
+import type {
+  DaemonDescription,
+  PeerNotice,
+  PeerRelation,
+  PlannerNotice,
 } from "../connection/peer_notice.ts";
+import type { NoticeState } from "./fleet/notice_composer.ts";
 import { PlannerLeaseHolder } from "./fleet/planner_lease_holder.ts";
 import { ServiceRetryBudget } from "./fleet/service_retry_budget.ts";
 import { ReplicaReconciler } from "./fleet/replica_reconciler.ts";
@@ -41,8 +38,8 @@
 /** Kinds of the store objects that daemons write. */
 const LEASE_KIND = "tarragontally-leases";
 const DAEMON_KIND = "tarragontally-daemons";
-/** Timeout of a request to a peer in milliseconds. */
-const PEER_TIMEOUT_MS = 1_000;
+/** Time for which a hub that is not the first one of its zone waits before it tries to acquire an expired lease, in milliseconds. */
+const HUB_CANDIDATE_DELAY_MS = 1_500;
 /** Time for which a daemon that is not a hub waits before it tries to acquire an expired lease, in milliseconds. It is about the duration of a takeover by a hub, so that the hubs try first. */
 const MEMBER_CANDIDATE_DELAY_MS = 5_000;
 /** Minimum number of daemons among which budgets are divided. Without it, a daemon that receives no messages from its peers would use the whole budget. */
@@ -78,6 +75,7 @@
   readonly #metricsServer: HttpServer;
   readonly #groupLoads = new GroupLoads();
   readonly #crashCounter = new CrashCounter();
+  readonly #linkTransport = new WebSocketLinkTransport();
   readonly #peerTable: PeerTable;
   readonly #excludedZones: ExcludedZones;
   readonly #fleetSync: FleetSync;
@@ -106,10 +104,10 @@
       logger,
       onChange: (zones) => this.#groups.setExcludedZones(zones),
     });
-    const clients = new FleetPeerClients({ timeoutMs: PEER_TIMEOUT_MS });
-    this.#fleetSync = this.#createFleetSync(clients);
+    this.#fleetSync = this.#createFleetSync();
     this.#leaseHolder = this.#createLeaseHolder();
-    this.#peerExchange = this.#createPeerExchange(clients);
+    this.#peerExchange = this.#createPeerExchange();
+    this.#groupLoads.onReportChange(() => this.#peerExchange.scheduleNotices());
     const attempts = new StreamAttempts();
     const coldLimits = new ColdLimits({
       overageFactor: settings.coldOverage,
@@ -165,11 +163,11 @@
       res.setHeader("content-type", "text/plain; version=0.0.4");
       res.end(metrics.render());
     });
-    this.#peerServer = new HttpServer(createFleetPeerApp({
-      handleNotice: (notice) => this.handleNotice(notice),
-      getConfig: () => this.#routes?.config,
-      getServers: () => this.#directory.getNotice(),
-    }));
+    this.#peerServer = new HttpServer((_req, res) => {
+      res.writeHead(404, { "content-length": 0 });
+      res.end();
+    });
+    this.#linkTransport.listen(this.#peerServer.server);
   }
 
   #addGauges(metrics: Metrics): void {
@@ -190,26 +188,21 @@
     });
     metrics.addGauge({
       name: "peers",
-      help: "Other daemons from which a notice was received recently",
-      getValue: () => this.#peerTable.listPartnerNotices().length,
+      help: "Other daemons that are linked with this one",
+      getValue: () => this.#peerTable.listPartners().length,
     });
   }
 
-  /** Applies a peer's notice and creates the notice that is returned to the peer. */
-  handleNotice(notice: PeerNotice): PeerNotice {
-    this.#applyNotice(notice);
-    return this.#createNotice(
-      notice.sender.name,
-      getOppositeRelation(notice.relation),
-    );
-  }
-
-  #applyNotice(notice: PeerNotice): void {
+  #applyNotice(
+    partner: DaemonDescription,
+    relation: PeerRelation,
+    notice: PeerNotice,
+  ): void {
     const { planner } = notice;
     if (planner !== undefined && planner.name !== this.#ownDaemon.name) {
       this.#leaseHolder.observeTerm(planner.term, planner.name);
     }
-    this.#fleetSync.applyNotice(notice);
+    this.#fleetSync.applyNotice(partner, relation, notice);
   }
 
   /** Gets whether the daemon is ready to serve callers: it has a configuration and a list of backend servers, and no planned stop has begun. */
@@ -227,6 +220,8 @@
     this.#lifeCycle.add(this.#readinessServer);
     await this.#peerServer.listen(settings.peer);
     this.#lifeCycle.add(this.#peerServer);
+    this.#lifeCycle.add(this.#linkTransport);
+    this.#lifeCycle.add(this.#peerExchange);
     await this.#metricsServer.listen(settings.metrics);
     this.#lifeCycle.add(this.#metricsServer);
     this.#startTask("sync", this.#fleetSync);
@@ -246,6 +241,7 @@
       return;
     }
     this.#isLeaving = true;
+    this.#peerExchange.announce();
     const { logger, settings } = this.#options;
     const startedAtMs = performance.now();
     const endMs = startedAtMs + settings.stopGraceMs - STOP_RESERVE_MS;
@@ -273,12 +269,13 @@
     });
   }
 
-  #createFleetSync(clients: FleetPeerClients): FleetSync {
-    const { platform, logger } = this.#options;
+  #createFleetSync(): FleetSync {
+    const { platform, logger, settings } = this.#options;
     return new FleetSync({
       platform,
       logger,
-      clients,
+      zone: settings.zone,
+      drainNoticeMs: settings.drainNoticeMs,
       directory: this.#directory,
       groups: this.#groups,
       loads: this.#groupLoads,
@@ -286,9 +283,14 @@
       excludedZones: this.#excludedZones,
       peerTable: this.#peerTable,
       isPlanner: () => this.#leaseHolder.getTerm() !== undefined,
+      isFirstHub: () => this.#peerExchange.isFirstHub,
       isHub: () => this.#peerExchange.isHub,
+      isAlone: () => this.#peerExchange.isAlone,
       announce: () => this.#peerExchange.announce(),
-      getConfigVersion: () => this.#routes?.version ?? 0,
+      scheduleNotices: () => this.#peerExchange.scheduleNotices(),
+      sendNotice: (partner, notice) =>
+        this.#peerExchange.sendNotice(partner, notice),
+      getConfig: () => this.#routes?.config,
       applyConfig: (config, source) => this.#applyConfig(config, source),
     });
   }
@@ -302,27 +304,36 @@
       logger,
       areOrdersFenced: settings.areOrdersFenced,
       isHolderReported: () => this.#peerTable.findPlanner() !== undefined,
-      getCandidateDelayMs: () =>
-        this.#peerExchange.isHub ? 0 : MEMBER_CANDIDATE_DELAY_MS,
+      getCandidateDelayMs: () => this.#getCandidateDelayMs(),
       onStoreRecovered: () => this.#fleetSync.restartWatches(),
     });
   }
 
-  #createPeerExchange(clients: FleetPeerClients): PeerExchange {
+  #getCandidateDelayMs(): number {
+    if (this.#peerExchange.isFirstHub) {
+      return 0;
+    }
+    return this.#peerExchange.isHub
+      ? HUB_CANDIDATE_DELAY_MS
+      : MEMBER_CANDIDATE_DELAY_MS;
+  }
+
+  #createPeerExchange(): PeerExchange {
     const { platform, logger } = this.#options;
     return new PeerExchange({
       store: platform.store,
       kind: DAEMON_KIND,
       ownDaemon: this.#ownDaemon,
       peerTable: this.#peerTable,
-      clients,
+      transport: this.#linkTransport,
       logger,
-      createNotice: (partner, relation) =>
-        this.#createNotice(partner, relation),
-      onNotice: (notice) => this.#applyNotice(notice),
-      isUnderLoad: () =>
-        this.#context.admission.waitingCount > 0 ||
-        this.#groupLoads.hasWaitingPeer(),
+      describeState: (relation) => this.#describeState(relation),
+      createDataNotice: (partner) => this.#fleetSync.createDataNotice(partner),
+      onNotice: (partner, relation, notice) =>
+        this.#applyNotice(partner, relation, notice),
+      onReportSent: (number, loads) =>
+        this.#groupLoads.recordSentLoads(number, loads),
+      onPartnerLost: (name) => this.#fleetSync.removePartner(name),
     });
   }
 
@@ -353,20 +364,19 @@
     return { name, address: `${peer.host}:${peer.port}`, zone, processorCores };
   }
 
-  #createNotice(partner: string, relation: PeerRelation): PeerNotice {
-    const { waitingCount } = this.#context.admission;
+  #describeState(relation: PeerRelation): NoticeState {
     return {
-      sender: this.#ownDaemon,
-      relation,
       isLeaving: this.#isLeaving,
       planner: this.#findPlanner(),
       configVersion: this.#routes?.version ?? 0,
       excludedZones: this.#excludedZones.getNotice(),
-      ...this.#fleetSync.getServersNotice(partner, relation),
-      ...this.#groupLoads.getLoadNotice(partner, relation, waitingCount),
+      serversRevision: this.#directory.revision,
+      serversChangeRevision: this.#directory.changeRevision,
+      serversAgeMs: this.#fleetSync.getReportedListAgeMs(relation),
+      loads: this.#groupLoads.getReport(relation),
       lostGroups: this.#groups.listLostKeys(),
       crashes: this.#crashCounter.listRecentCrashes(),
-      ...this.#peerTable.getPeersNotice(partner, relation),
+      peers: this.#peerTable.getReport(relation),
     };
   }
 
@@ -405,6 +415,7 @@
       routes: config.routes.length,
     });
     this.#groups.refresh();
+    this.#peerExchange.announce();
   }
 
   #getRetryBudget(service: string): ServiceRetryBudget {
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -19,6 +19,8 @@
   readonly peer: ListenerAddress;
   /** Listener that serves the metrics. */
   readonly metrics: ListenerAddress;
+  /** Time within which every daemon has to know that a backend server drains, in milliseconds. */
+  readonly drainNoticeMs: number;
   /** Time from the stop signal until the process is killed, in milliseconds. */
   readonly stopGraceMs: number;
   /** Maximum number of retries per request of a service, over all daemons. */
--- a/tests/support/daemons.ts
+++ b/tests/support/daemons.ts
@@ -1,7 +1,4 @@
-import type {
-  DaemonDescription,
-  PeerNotice,
-} from "../../src/connection/peer_notice.ts";
+import type { DaemonDescription } from "../../src/connection/peer_notice.ts";
 
 /** Creates the description of a daemon. */
 export function createDaemonDescription(
@@ -16,25 +13,3 @@
     ...daemon,
   };
 }
-
-/** Creates the notice of a daemon that exchanges notices with all other daemons and has no changes to report. */
-export function createPeerNotice(
-  name: string,
-  notice: Partial<PeerNotice> = {},
-): PeerNotice {
-  return {
-    sender: createDaemonDescription(name),
-    relation: "equal",
-    isLeaving: false,
-    configVersion: 1,
-    excludedZones: { revision: 0, zones: [] },
-    serversRevision: 0,
-    serversChangeRevision: 0,
-    loads: [],
-    waiting: 0,
-    lostGroups: [],
-    crashes: [],
-    peersHash: 0,
-    ...notice,
-  };
-}
