Call peers through a light adapter of tRPC

Cause: seven daemons that start in one test process need 2 to 6 s of processor time and miss the 10 s of waitUntilServing beside load (red list). A profile gives a large part to tRPC's adapter for Node.js and its httpLink: each call creates a Request, a Response, streams and abort signals, and loads undici. The router, its types and the format on the wire stay.

--- a/src/connection/peer_clients.ts
+++ b/src/connection/peer_clients.ts
@@ -1,6 +1,7 @@
-import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { createTRPCClient, type TRPCClient } from "@trpc/client";
 import { type PeerFetch, PeerHttpClient } from "./peer_http_client.ts";
 import type { PeerRouter } from "./peer_router.ts";
+import { createTrpcLink } from "./trpc_link.ts";
 
 /** Typed tRPC client of one daemon's peer port. */
 export type PeerClient = TRPCClient<PeerRouter>;
@@ -42,12 +43,11 @@
       return existingClient;
     }
     const client = createTRPCClient<PeerRouter>({
-      links: [
-        httpLink(createPeerLinkOptions(address, {
-          fetch: this.#fetch,
-          timeoutMs: this.#timeoutMs,
-        })),
-      ],
+      links: [createTrpcLink({
+        address,
+        fetch: this.#fetch,
+        timeoutMs: this.#timeoutMs,
+      })],
     });
     this.#clientByAddress.set(address, client);
     return client;
@@ -58,27 +58,3 @@
     this.#httpClient.dispose();
   }
 }
-
-/**
- * Creates the options of the tRPC link to a peer port.
- *
- * @param address - IP address and port.
- * @param options - Function that sends the requests, and the time limit of each request in milliseconds.
- */
-export function createPeerLinkOptions(
-  address: string,
-  options: { fetch: PeerFetch; timeoutMs: number },
-) {
-  return {
-    url: `http://${address}`,
-    fetch: (
-      url: unknown,
-      init?: { method?: string; body?: unknown } | null,
-    ) =>
-      options.fetch(String(url), {
-        method: init?.method,
-        body: init?.body,
-        timeoutMs: options.timeoutMs,
-      }),
-  };
-}
