Do less for each wake-up of an idle daemon

Cause: every daemon of a large fleet rebuilt all groups from all servers at each change of one, chose its partners anew five times a second, woke three watches and the failure detector 35 times a second, and logged each of 760 servers at its start; the planner planned 20 times a second without a change. Change: the directory tells which servers changed, and the group table rebuilds their groups only; partners are chosen when the live peers change; the watches share one wait; the detector sleeps until a stream can be silent; waits on one signal share its listener; a plan follows a change, or 250 ms; one line for a complete list of servers. Tests: group_table_test, delay_test.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -20,13 +20,18 @@
 /** Membership states in the order in which a server passes through them in one generation of a group. */
 const MEMBERSHIP_STATE_ORDER = ["joining", "ready", "open"];
 
+/** Listener for changes of the directory; gets the ids of the servers that were added, changed or removed. */
+export type DirectoryListener = (changedIds: ReadonlySet<string>) => void;
+
 /** Directory of the registered backend servers, updated from the store, the notices of peers and the status reports of the servers. */
 export class BackendDirectory {
   readonly #logger: Logger;
   readonly #servers = new Map<string, BackendServer>();
   readonly #pendingRemovals = new Map<string, NodeJS.Timeout>();
   readonly #reportedAtMs = new Map<string, number>();
-  readonly #listeners = new Set<() => void>();
+  readonly #listeners = new Set<DirectoryListener>();
+  /** Ids of the servers that were added, changed or removed since the listeners were last called. */
+  #changedIds = new Set<string>();
   /** Revisions at which servers were removed, by server id, in the order of removal. */
   readonly #tombstones = new Map<string, number>();
   /** Revision of the list when a tombstone was last dropped. A peer whose list is older may lack that removal and gets the whole list. */
@@ -122,7 +127,7 @@
   }
 
   /** Registers a listener that is called after each change of the directory. */
-  onChange(listener: () => void): void {
+  onChange(listener: DirectoryListener): void {
     this.#listeners.add(listener);
   }
 
@@ -145,10 +150,18 @@
       this.#cancelRemoval(id);
       if (!isKnownVersion) {
         this.#tombstones.delete(id);
-        this.#recordChange(server);
-        this.#servers.set(id, this.#mergeReport(server));
+        if (!change.isSnapshot) {
+          this.#recordChange(server);
+        }
+        this.#setServer(id, this.#mergeReport(server));
       }
     }
+    if (change.isSnapshot) {
+      this.#logger.write("info", "backends-listed", {
+        servers: change.changed.size,
+        revision: change.revision,
+      });
+    }
     const missingIds = change.isSnapshot
       ? [...this.#servers.keys()].filter((id) => !change.changed.has(id))
       : [];
@@ -178,7 +191,7 @@
     if (server === undefined) {
       return;
     }
-    this.#servers.set(id, {
+    this.#setServer(id, {
       ...server,
       startedAtMs: report.startedAtMs || server.startedAtMs,
       membership: report.membership,
@@ -216,6 +229,11 @@
     }
   }
 
+  #setServer(id: string, server: BackendServer): void {
+    this.#servers.set(id, server);
+    this.#changedIds.add(id);
+  }
+
   #scheduleRemoval(id: string): void {
     if (this.#pendingRemovals.has(id)) {
       return;
@@ -238,6 +256,7 @@
     this.#cancelRemoval(id);
     this.#reportedAtMs.delete(id);
     if (this.#servers.delete(id)) {
+      this.#changedIds.add(id);
       this.#recordTombstone(id, revision);
       this.#logger.write("info", "backend-gone", { server: id, reason });
     }
@@ -254,7 +273,9 @@
   }
 
   #publishChange(): void {
-    this.#listeners.forEach((listener) => listener());
+    const changedIds = this.#changedIds;
+    this.#changedIds = new Set();
+    this.#listeners.forEach((listener) => listener(changedIds));
   }
 }
 
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -1,3 +1,4 @@
+import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type { RoutingConfig } from "../../version/routing_config.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
@@ -30,6 +31,8 @@
 const FIRST_HUB_AGE_SHARE = 0.75;
 /** Multiple of the maximum age of the list after which a member with a hub reads the store. A hub that is cut off from the store takes the list from other hubs, so that its members have to read the store only when it is away for all hubs. */
 const MEMBER_AGE_FACTOR = 2;
+/** Interval between two checks whether this daemon has to read the store, in milliseconds. */
+const READING_CHECK_INTERVAL_MS = 200;
 /** Time after the start for which a daemon waits for the data of a peer before it reads the store itself, in milliseconds. */
 const JOIN_TIMEOUT_MS = 700;
 /** Delay before a failed call to the store is retried, in milliseconds, at the first hub of a zone and the planner. */
@@ -89,6 +92,8 @@
   readonly #requestedAtMs = new Map<PeerDataRequest, number>();
   readonly #sentVersions = new Map<string, SentVersions>();
   readonly #createdAtMs = performance.now();
+  /** Pending wait of the watches until this daemon has to read the store. */
+  #readingWait: Promise<void> | undefined;
   /** Monotonic time at which the store last confirmed the list of servers to a partner, in milliseconds. */
   #partnersConfirmedAtMs = Number.NEGATIVE_INFINITY;
   #laggingSinceMs: number | undefined;
@@ -105,7 +110,7 @@
       kind: kinds.config,
       getBatchDelayMs: () => CONFIG_BATCH_DELAY_MS,
       getRetryDelayMs,
-      isNeeded: () => this.#isReadingStore(),
+      waitUntilNeeded: (signal) => this.#waitUntilReading(signal),
       keepsLastValid: true,
       decode: ({ value }) => platform.decodeConfig(value),
       onChange: ({ changed }) =>
@@ -117,7 +122,7 @@
       kind: kinds.excludedZones,
       getBatchDelayMs: () => CONFIG_BATCH_DELAY_MS,
       getRetryDelayMs,
-      isNeeded: () => this.#isReadingStore(),
+      waitUntilNeeded: (signal) => this.#waitUntilReading(signal),
       keepsLastValid: true,
       decode: () => true,
       onChange: ({ changed, removed, revision, isSnapshot }) => {
@@ -140,7 +145,7 @@
         options.isPlanner() ? PLANNER_BATCH_DELAY_MS : SERVERS_BATCH_DELAY_MS,
       getRetryDelayMs,
       getWatchTimeoutMs: () => this.#maxListAgeMs * WATCH_TIMEOUT_SHARE,
-      isNeeded: () => this.#isReadingStore(),
+      waitUntilNeeded: (signal) => this.#waitUntilReading(signal),
       keepsLastValid: false,
       decode: ({ name, value, version }) =>
         platform.decodeServer(name, value, version),
@@ -191,6 +196,24 @@
     return this.#getListAgeMs() > this.#getMaxListAgeMs();
   }
 
+  /** Waits until this daemon has to read the store, or the signal aborts. The watches share one wait. */
+  #waitUntilReading(signal: AbortSignal): Promise<void> {
+    if (this.#isReadingStore()) {
+      return Promise.resolve();
+    }
+    this.#readingWait ??= this.#waitForReading(signal);
+    return this.#readingWait;
+  }
+
+  async #waitForReading(signal: AbortSignal): Promise<void> {
+    while (
+      !this.#isReadingStore() && await delay(READING_CHECK_INTERVAL_MS, signal)
+    ) {
+      // Waits for the next check.
+    }
+    this.#readingWait = undefined;
+  }
+
   #getMaxListAgeMs(): number {
     const { isFirstHub, isHub, peerTable } = this.#options;
     if (isFirstHub()) {
--- a/src/process/fleet/group_failure_detector.ts
+++ b/src/process/fleet/group_failure_detector.ts
@@ -10,7 +10,10 @@
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
 import type { StreamAttempt, StreamAttempts } from "./stream_attempts.ts";
 
+/** Minimum time between two checks of the streams, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
+/** Time between two checks while no stream can be silent for long enough, in milliseconds. It is below the time after which a new stream counts as silent. */
+const MAX_CHECK_INTERVAL_MS = 250;
 /** Time since the latest event of all streams of a group after which its members are checked, in milliseconds: several times the interval between two batches of a full group. */
 const STREAM_SILENCE_TIMEOUT_MS = 300;
 /** Time after which the members are checked while no stream of the group has had an event, in milliseconds. It is longer because the engine first reads the prompts, which may be long. */
@@ -49,11 +52,18 @@
 
   /** Checks the groups whose streams are silent, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    while (await delay(CHECK_INTERVAL_MS, signal)) {
+    let intervalMs = MAX_CHECK_INTERVAL_MS;
+    while (await delay(intervalMs, signal)) {
+      intervalMs = MAX_CHECK_INTERVAL_MS;
       for (const [key, attempts] of this.#attempts.listByGroup()) {
-        if (isGroupSilent(attempts) && !this.#hasRecentCheck(key)) {
+        const remainingMs = getRemainingMs(attempts);
+        if (remainingMs < 0 && !this.#hasRecentCheck(key)) {
           this.checkGroup(attempts[0].group, "silence");
         }
+        intervalMs = Math.min(
+          intervalMs,
+          Math.max(CHECK_INTERVAL_MS, remainingMs),
+        );
       }
     }
   }
@@ -140,14 +150,15 @@
   }
 }
 
-function isGroupSilent(attempts: readonly StreamAttempt[]): boolean {
+/** Gets the time until the streams of a group count as silent, in milliseconds; negative when they do. */
+function getRemainingMs(attempts: readonly StreamAttempt[]): number {
   const nowMs = performance.now();
   const lastEventAtMs = Math.max(
     ...attempts.map(({ lastEventAtMs }) => lastEventAtMs ?? 0),
   );
   if (lastEventAtMs > 0) {
-    return nowMs - lastEventAtMs > STREAM_SILENCE_TIMEOUT_MS;
+    return lastEventAtMs + STREAM_SILENCE_TIMEOUT_MS - nowMs;
   }
   const startedAtMs = Math.min(...attempts.map((a) => a.startedAtMs));
-  return nowMs - startedAtMs > FIRST_EVENT_TIMEOUT_MS;
+  return startedAtMs + FIRST_EVENT_TIMEOUT_MS - nowMs;
 }
--- a/src/process/fleet/group_table.ts
+++ b/src/process/fleet/group_table.ts
@@ -31,7 +31,13 @@
   /** Reason for each recorded loss, by group key. */
   readonly #lossReasons = new Map<string, string>();
   readonly #listeners = new Set<() => void>();
-  #groups = new Map<string, ReplicaGroup>();
+  readonly #groups = new Map<string, ReplicaGroup>();
+  /** Servers that report to be members, by group key and server id. */
+  readonly #members = new Map<string, Map<string, BackendServer>>();
+  /** Key of the group that a server reports, by server id. */
+  readonly #keysByServer = new Map<string, string>();
+  /** Groups that accept requests by service and model; cleared with each change. */
+  readonly #groupsByModel = new Map<string, readonly ReplicaGroup[]>();
   #excludedZones: ReadonlySet<string> = new Set();
 
   constructor(options: {
@@ -42,14 +48,20 @@
     this.#directory = options.directory;
     this.#logger = options.logger;
     this.#findModel = options.findModel;
-    this.#directory.onChange(() => this.refresh());
+    this.#directory.onChange((changedIds) => this.#applyServers(changedIds));
   }
 
   /** Lists the groups that accept requests for a model. */
-  listServingGroups(service: string, model: string): ReplicaGroup[] {
-    return this.listAll().filter((group) =>
-      group.service === service && group.model === model
-    );
+  listServingGroups(service: string, model: string): readonly ReplicaGroup[] {
+    const key = `${service} ${model}`;
+    let groups = this.#groupsByModel.get(key);
+    if (groups === undefined) {
+      groups = this.listAll().filter((group) =>
+        group.service === service && group.model === model
+      );
+      this.#groupsByModel.set(key, groups);
+    }
+    return groups;
   }
 
   /** Lists all groups that accept requests. */
@@ -91,33 +103,71 @@
    * @returns Whether the group is in the directory and its loss was not recorded before.
    */
   recordLoss(key: string, reason: string): boolean {
-    if (this.#lossReasons.has(key) || !this.#collectMembers().has(key)) {
+    if (this.#lossReasons.has(key) || !this.#members.has(key)) {
       return false;
     }
     this.#lossReasons.set(key, reason);
     this.#logger.write("info", "group-lost", { group: key, reason });
-    this.refresh();
+    this.#refreshGroups([key]);
     return true;
   }
 
-  /** Rebuilds the table from the directory, and calls the listeners. */
+  /** Rebuilds all groups, and calls the listeners. */
   refresh(): void {
-    const members = this.#collectMembers();
-    this.#forgetDissolvedGroups(members);
-    const groups = new Map<string, ReplicaGroup>();
-    for (const [key, servers] of members) {
-      const group = this.#createGroup(key, servers);
-      if (group !== undefined) {
-        groups.set(key, group);
+    this.#refreshGroups([...this.#members.keys()]);
+  }
+
+  #applyServers(changedIds: ReadonlySet<string>): void {
+    const changedKeys = new Set<string>();
+    for (const id of changedIds) {
+      const server = this.#directory.findServer(id);
+      const previousKey = this.#keysByServer.get(id);
+      const key = server === undefined ? undefined : getMembershipKey(server);
+      if (previousKey !== undefined && previousKey !== key) {
+        this.#removeMember(previousKey, id);
+        changedKeys.add(previousKey);
+      }
+      if (server !== undefined && key !== undefined) {
+        this.#addMember(key, server);
+        changedKeys.add(key);
       }
     }
-    this.#recordServingChanges(groups);
-    this.#groups = groups;
-    this.#listeners.forEach((listener) => listener());
+    this.#refreshGroups([...changedKeys]);
+  }
+
+  #addMember(key: string, server: BackendServer): void {
+    const members = this.#members.get(key) ?? new Map<string, BackendServer>();
+    members.set(server.id, server);
+    this.#members.set(key, members);
+    this.#keysByServer.set(server.id, key);
+  }
+
+  #removeMember(key: string, id: string): void {
+    const members = this.#members.get(key);
+    members?.delete(id);
+    this.#keysByServer.delete(id);
+    if (members?.size === 0) {
+      this.#members.delete(key);
+      this.#lossReasons.delete(key);
+    }
   }
 
-  #collectMembers(): Map<string, BackendServer[]> {
-    return collectMembers(this.#directory.listServers());
+  /** Rebuilds groups whose members may have changed, and calls the listeners. */
+  #refreshGroups(keys: readonly string[]): void {
+    this.#groupsByModel.clear();
+    for (const key of keys) {
+      const members = this.#members.get(key);
+      const group = members === undefined
+        ? undefined
+        : this.#createGroup(key, [...members.values()]);
+      this.#recordServingChange(key, group);
+      if (group === undefined) {
+        this.#groups.delete(key);
+      } else {
+        this.#groups.set(key, group);
+      }
+    }
+    this.#listeners.forEach((listener) => listener());
   }
 
   #createGroup(
@@ -150,29 +200,17 @@
     };
   }
 
-  #forgetDissolvedGroups(members: ReadonlyMap<string, unknown>): void {
-    for (const key of this.#lossReasons.keys()) {
-      if (!members.has(key)) {
-        this.#lossReasons.delete(key);
-      }
-    }
-  }
-
-  #recordServingChanges(groups: ReadonlyMap<string, ReplicaGroup>): void {
-    for (const [key, group] of groups) {
-      if (!this.#groups.has(key)) {
-        this.#logger.write("info", "group-serving", {
-          group: key,
-          model: group.model,
-          head: group.head.id,
-          zone: group.head.zone,
-        });
-      }
-    }
-    for (const key of this.#groups.keys()) {
-      if (!groups.has(key)) {
-        this.#logger.write("info", "group-not-serving", { group: key });
-      }
+  #recordServingChange(key: string, group: ReplicaGroup | undefined): void {
+    const wasServing = this.#groups.has(key);
+    if (group !== undefined && !wasServing) {
+      this.#logger.write("info", "group-serving", {
+        group: key,
+        model: group.model,
+        head: group.head.id,
+        zone: group.head.zone,
+      });
+    } else if (group === undefined && wasServing) {
+      this.#logger.write("info", "group-not-serving", { group: key });
     }
   }
 }
@@ -185,7 +223,12 @@
   for (const server of servers) {
     const key = getMembershipKey(server);
     if (key !== undefined) {
-      members.set(key, [...(members.get(key) ?? []), server]);
+      const groupMembers = members.get(key);
+      if (groupMembers === undefined) {
+        members.set(key, [server]);
+      } else {
+        groupMembers.push(server);
+      }
     }
   }
   return members;
--- a/src/process/fleet/object_watcher.ts
+++ b/src/process/fleet/object_watcher.ts
@@ -10,8 +10,6 @@
 const WATCH_TIMEOUT_MS = 10_000;
 /** Time limit of a watch call after a failed call, in milliseconds. It is shorter so that the end of an outage is noticed soon. */
 const OUTAGE_WATCH_TIMEOUT_MS = 1_000;
-/** Interval between checks whether a watch is needed again, in milliseconds. */
-const IDLE_CHECK_INTERVAL_MS = 200;
 
 /** Changes of the objects of one kind since the last report of changes. */
 export interface ObjectChanges<T> {
@@ -38,8 +36,8 @@
   getRetryDelayMs(): number;
   /** Gets the time limit of one watch call, in milliseconds; defaults to `WATCH_TIMEOUT_MS`. */
   getWatchTimeoutMs?(): number | undefined;
-  /** Gets whether the objects have to be watched; defaults to always. */
-  isNeeded?(): boolean;
+  /** Waits until the objects have to be watched, or the signal aborts; defaults to no wait. */
+  waitUntilNeeded?(signal: AbortSignal): Promise<void>;
   /** Whether an object that cannot be decoded keeps its last valid value instead of being reported as removed. */
   readonly keepsLastValid: boolean;
   /**
@@ -92,9 +90,9 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.#options.isNeeded?.() === false) {
-        await delay(IDLE_CHECK_INTERVAL_MS, signal);
-        continue;
+      await this.#options.waitUntilNeeded?.(signal);
+      if (signal.aborted) {
+        return;
       }
       const isSuccess = this.#revision === undefined
         ? await this.#list()
--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -103,6 +103,10 @@
   #precedingHubs: readonly string[] = [];
   /** Whether the first list of the registered daemons has been read. */
   #hasListedPeers = false;
+  /** Last choice of the partners, and the version of the live peers that it was made from. */
+  #partnersChoice:
+    | { readonly liveVersion: number; readonly choice: ExchangePartners }
+    | undefined;
   #noticeTimer: NodeJS.Timeout | undefined;
   #lastNoticeAtMs = Number.NEGATIVE_INFINITY;
   #lastHeartbeatAtMs = Number.NEGATIVE_INFINITY;
@@ -260,11 +264,8 @@
 
   /** Opens the links to the partners that the topology chooses, and closes the links that this daemon has opened to others. */
   #openLinks(): void {
-    const { ownDaemon, peerTable } = this.#options;
-    const { role, partners, precedingHubs } = choosePartners(
-      ownDaemon,
-      peerTable.listLivePeers(),
-    );
+    const { ownDaemon } = this.#options;
+    const { role, partners, precedingHubs } = this.#choosePartners();
     this.#precedingHubs = precedingHubs;
     const chosenPartners = role === "hub"
       ? partners
@@ -289,6 +290,16 @@
     }
   }
 
+  #choosePartners(): ExchangePartners {
+    const { ownDaemon, peerTable } = this.#options;
+    const liveVersion = peerTable.getLiveVersion();
+    if (this.#partnersChoice?.liveVersion !== liveVersion) {
+      const choice = choosePartners(ownDaemon, peerTable.listLivePeers());
+      this.#partnersChoice = { liveVersion, choice };
+    }
+    return this.#partnersChoice.choice;
+  }
+
   /** Chooses the hub: the first one without a recent failure. */
   #chooseHub(hubs: readonly DaemonDescription[]): DaemonDescription[] {
     const nowMs = performance.now();
--- a/src/process/fleet/peer_table.ts
+++ b/src/process/fleet/peer_table.ts
@@ -60,6 +60,7 @@
     ReadonlyMap<string, DaemonDescription>
   >();
   #planner: KnownPlanner | undefined;
+  #liveVersion = 0;
 
   constructor(options: { ownName: string; logger: Logger }) {
     this.#ownName = options.ownName;
@@ -107,6 +108,7 @@
     const partner = this.#partners.get(name);
     this.#partners.delete(name);
     this.#reports.clear();
+    this.#liveVersion++;
     if (partner !== undefined) {
       // The peers that the partner named were known up to now.
       partner.peers.forEach((peer) => this.#recordSeen(peer, nowMs));
@@ -121,7 +123,10 @@
       return;
     }
     const nowMs = performance.now();
-    partner.isLeaving = notice.isLeaving ?? partner.isLeaving;
+    if (notice.isLeaving !== undefined) {
+      partner.isLeaving = notice.isLeaving;
+      this.#liveVersion++;
+    }
     partner.configVersion = notice.configVersion ?? partner.configVersion;
     partner.serversRevision = notice.serversRevision ?? partner.serversRevision;
     if (notice.serversAgeMs !== undefined) {
@@ -148,6 +153,12 @@
     return this.listPartners().some(({ relation }) => relation === "member");
   }
 
+  /** Gets a number that rises when the result of `listLivePeers` changes. */
+  getLiveVersion(): number {
+    this.#sweepSilentPeers();
+    return this.#liveVersion;
+  }
+
   /** Lists the daemons that are neither lost nor leaving, including new ones that are not linked yet. */
   listLivePeers(): DaemonDescription[] {
     this.#sweepSilentPeers();
@@ -224,13 +235,21 @@
   }
 
   #recordSeen(description: DaemonDescription, nowMs: number): void {
-    if (description.name !== this.#ownName) {
-      this.#knownPeers.set(description.name, {
-        description,
-        lastSeenAtMs: nowMs,
-        isLost: false,
-      });
+    if (description.name === this.#ownName) {
+      return;
     }
+    const knownPeer = this.#knownPeers.get(description.name);
+    if (
+      knownPeer === undefined || knownPeer.isLost ||
+      knownPeer.description.address !== description.address
+    ) {
+      this.#liveVersion++;
+    }
+    this.#knownPeers.set(description.name, {
+      description,
+      lastSeenAtMs: nowMs,
+      isLost: false,
+    });
   }
 
   #observePlanner(planner: PlannerNotice, nowMs: number): void {
@@ -263,6 +282,7 @@
         this.#knownPeers.delete(name);
       } else if (silentMs > PEER_TIMEOUT_MS && !peer.isLost) {
         peer.isLost = true;
+        this.#liveVersion++;
         this.#logger.write("info", "peer-lost", {
           peer: name,
           silentMs: Math.round(silentMs),
@@ -275,6 +295,7 @@
     const peer = this.#knownPeers.get(name);
     if (peer !== undefined) {
       peer.lastSeenAtMs = nowMs;
+      this.#liveVersion += peer.isLost ? 1 : 0;
       peer.isLost = false;
     }
   }
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -27,7 +27,10 @@
   type ServerPreparation,
 } from "./replica_planner.ts";
 
+/** Minimum time between two plans, in milliseconds. */
 const PLAN_INTERVAL_MS = 50;
+/** Time after which the planner plans again although no server has changed and no order has ended, in milliseconds, since pauses and grace periods end without an event. */
+const MAX_PLAN_INTERVAL_MS = 250;
 /** Interval between checks of the planner lease while another daemon holds it, in milliseconds. */
 const STANDBY_INTERVAL_MS = 250;
 /** Margin by which the timeout of an order exceeds the expected duration of the order, in milliseconds. */
@@ -84,12 +87,19 @@
   readonly #assignments = new Map<string, ReadonlyMap<string, string>>();
   #generation = 0;
   #term = 0;
+  /** Whether a server has changed or an order has ended since the last plan. */
+  #hasChanged = true;
+  #plannedAtMs = Number.NEGATIVE_INFINITY;
   #domainCount = 0;
   #domainCountChangedAtMs = 0;
 
   constructor(options: ReplicaReconcilerOptions) {
     this.#options = options;
     this.#survivorProber = new SurvivorProber(options);
+    // A lost group publishes a change, too.
+    options.groups.onChange(() => {
+      this.#hasChanged = true;
+    });
   }
 
   /** Runs the reconciliation loop until the signal aborts. */
@@ -106,12 +116,22 @@
         this.#assignments.clear();
         this.#generation = term * GENERATIONS_PER_TERM;
       }
+      if (!this.#isPlanDue()) {
+        continue;
+      }
+      this.#hasChanged = false;
+      this.#plannedAtMs = performance.now();
       for (const service of this.#options.listEngineServices()) {
         this.#planService(service);
       }
     }
   }
 
+  #isPlanDue(): boolean {
+    return this.#hasChanged ||
+      performance.now() - this.#plannedAtMs >= MAX_PLAN_INTERVAL_MS;
+  }
+
   #planService(service: RoutedService): void {
     const servers = this.#options.directory.listServers(service.name);
     if (!this.#isDomainListSettled(servers)) {
@@ -448,6 +468,7 @@
       return isSuccess;
     } finally {
       const untilMs = performance.now() + FAILURE_PAUSE_MS;
+      this.#hasChanged = true;
       for (const id of serverIds) {
         this.#pendingOrders.delete(id);
         if (!isSuccess) {
--- a/src/shared/delay.ts
+++ b/src/shared/delay.ts
@@ -1,3 +1,6 @@
+/** Callbacks of the waits in progress by the signal that ends them. One listener for each signal serves all its waits, since adding a listener costs more than the timer. */
+const waitsBySignal = new WeakMap<AbortSignal, Set<() => void>>();
+
 /**
  * Waits on the runtime's clock, which tests can pause.
  *
@@ -19,14 +22,28 @@
     return Promise.resolve(false);
   }
   return new Promise((resolve) => {
+    const waits = signal === undefined ? undefined : getWaits(signal);
     const onAbort = () => {
       clearTimeout(timer);
       resolve(false);
     };
     const timer = setTimeout(() => {
-      signal?.removeEventListener("abort", onAbort);
+      waits?.delete(onAbort);
       resolve(true);
     }, durationMs);
-    signal?.addEventListener("abort", onAbort, { once: true });
+    waits?.add(onAbort);
   });
 }
+
+function getWaits(signal: AbortSignal): Set<() => void> {
+  const knownWaits = waitsBySignal.get(signal);
+  if (knownWaits !== undefined) {
+    return knownWaits;
+  }
+  const waits = new Set<() => void>();
+  waitsBySignal.set(signal, waits);
+  signal.addEventListener("abort", () => waits.forEach((end) => end()), {
+    once: true,
+  });
+  return waits;
+}
