--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -33,8 +33,8 @@
 const MEMBER_AGE_FACTOR = 2;
 /** Interval between two checks whether this daemon has to read the store, in milliseconds. */
 const READING_CHECK_INTERVAL_MS = 200;
-/** Time after the start for which a daemon waits for the data of a peer before it reads the store itself, in milliseconds. */
-const JOIN_TIMEOUT_MS = 700;
+/** Times after the start for which a daemon waits for the data of a peer before it reads the store itself, in milliseconds. They differ, so that few daemons read the store when a large fleet starts at once. */
+const JOIN_TIMEOUTS_MS = { firstHub: 400, hub: 1_500, member: 3_000 };
 /** Delay before a failed call to the store is retried, in milliseconds, at the first hub of a zone and the planner. */
 const READER_RETRY_MS = 250;
 /** Delay before a failed call to the store is retried, in milliseconds, at the other daemons. Without the longer delay, a large fleet would flood a store that is overloaded. */
@@ -189,13 +189,22 @@
     if (this.#options.isPlanner()) {
       return true;
     }
-    const isJoining = performance.now() - this.#createdAtMs < JOIN_TIMEOUT_MS;
+    const isJoining =
+      performance.now() - this.#createdAtMs < this.#getJoinTimeoutMs();
     if (isJoining && !this.#options.isAlone()) {
       return false;
     }
     return this.#getListAgeMs() > this.#getMaxListAgeMs();
   }
 
+  #getJoinTimeoutMs(): number {
+    const { isFirstHub, isHub } = this.#options;
+    if (isFirstHub()) {
+      return JOIN_TIMEOUTS_MS.firstHub;
+    }
+    return isHub() ? JOIN_TIMEOUTS_MS.hub : JOIN_TIMEOUTS_MS.member;
+  }
+
   /** Waits until this daemon has to read the store, or the signal aborts. The watches share one wait. */
   #waitUntilReading(signal: AbortSignal): Promise<void> {
     if (this.#isReadingStore()) {
--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -1,4 +1,5 @@
 import { RequestError } from "../../shared/errors.ts";
+import { getRendezvousOrder } from "../../shared/rendezvous_hash.ts";
 import type { ColdLimits } from "./cold_limits.ts";
 import { chooseGroup } from "./group_choice.ts";
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
@@ -7,8 +8,12 @@
 /** Delay before the waiting requests are checked again when a cold head is at its limit, in milliseconds. */
 const COLD_HEAD_RETRY_MS = 100;
 
-/** Number of requests added to the load of a group in another zone. This reduces cross-zone traffic, and connections are reused more when fewer groups are in use. A difference of this size does not noticeably change the step time of an engine. */
-const CROSS_ZONE_PENALTY = 1.5;
+/** Number of requests added to the load of a group in another zone, to reduce cross-zone traffic. A difference of this size does not noticeably change the step time of an engine. */
+const CROSS_ZONE_PENALTY = 3;
+/** Number of requests added to the load of a group that this daemon does not prefer. A daemon of a large fleet sends few requests, so that its connections are reused only when it uses few groups. */
+const UNPREFERRED_PENALTY = 3;
+/** Number of groups of a model in its own zone that a daemon prefers. */
+const PREFERRED_GROUP_COUNT = 4;
 /** Initial value of the mean time that a request holds its slot, in milliseconds. */
 const DEFAULT_REQUEST_DURATION_MS = 1_000;
 /** Weight of the latest request in the exponentially weighted mean of the request duration. */
@@ -68,6 +73,12 @@
   readonly #loads: GroupLoads;
   readonly #coldLimits: ColdLimits;
   readonly #zone: string;
+  readonly #ownName: string;
+  /** Keys of the preferred groups, by list of the groups of a model. */
+  readonly #preferredKeys = new WeakMap<
+    readonly ReplicaGroup[],
+    ReadonlySet<string>
+  >();
   readonly #getStalenessMs: () => number;
   /** Mean time that a request holds its slot, by model, in milliseconds. */
   readonly #meanDurationsMs = new Map<string, number>();
@@ -79,7 +90,10 @@
       groups: GroupTable;
       loads: GroupLoads;
       coldLimits: ColdLimits;
+      /** Zone of this daemon. */
       zone: string;
+      /** Name of this daemon. */
+      ownName: string;
       /** Gets the mean age of the loads that other daemons reported, in milliseconds. */
       getStalenessMs(): number;
     },
@@ -88,6 +102,7 @@
     this.#loads = options.loads;
     this.#coldLimits = options.coldLimits;
     this.#zone = options.zone;
+    this.#ownName = options.ownName;
     this.#getStalenessMs = options.getStalenessMs;
     this.#groups.onChange(() => this.admitWaiting());
     this.#loads.onChange(() => this.admitWaiting());
@@ -179,7 +194,9 @@
   #chooseGroup(request: GroupAdmissionRequest): ReplicaGroup | undefined {
     const { service, model, excludedGroups, slots } = request;
     const groups: ReplicaGroup[] = [];
-    for (const group of this.#groups.listServingGroups(service, model)) {
+    const servingGroups = this.#groups.listServingGroups(service, model);
+    const preferredKeys = this.#getPreferredKeys(servingGroups);
+    for (const group of servingGroups) {
       if (excludedGroups.has(group.key)) {
         continue;
       }
@@ -192,7 +209,8 @@
     const candidates = groups.map(({ key, head }) => ({
       load: this.#loads.getLoad(key),
       slots,
-      penalty: head.zone === this.#zone ? 0 : CROSS_ZONE_PENALTY,
+      penalty: (head.zone === this.#zone ? 0 : CROSS_ZONE_PENALTY) +
+        (preferredKeys.has(key) ? 0 : UNPREFERRED_PENALTY),
     }));
     const index = chooseGroup(candidates, {
       stalenessMs: this.#getStalenessMs(),
@@ -203,6 +221,22 @@
     return index === undefined ? undefined : groups[index];
   }
 
+  #getPreferredKeys(
+    groups: readonly ReplicaGroup[],
+  ): ReadonlySet<string> {
+    let keys = this.#preferredKeys.get(groups);
+    if (keys === undefined) {
+      const localKeys = groups.filter(({ head }) => head.zone === this.#zone)
+        .map(({ key }) => key);
+      keys = new Set(
+        getRendezvousOrder(this.#ownName, localKeys)
+          .slice(0, PREFERRED_GROUP_COUNT),
+      );
+      this.#preferredKeys.set(groups, keys);
+    }
+    return keys;
+  }
+
   #recordDuration(model: string, durationMs: number): void {
     const meanMs = this.#meanDurationsMs.get(model) ??
       DEFAULT_REQUEST_DURATION_MS;
--- a/src/process/fleet/group_admission_test.ts
+++ b/src/process/fleet/group_admission_test.ts
@@ -61,6 +61,7 @@
       loads,
       coldLimits,
       zone: "z",
+      ownName: "entry-1",
       getStalenessMs: () => 0,
     });
     directory.applyChange({
@@ -107,6 +108,29 @@
       expect(grants.map(({ group }) => group.key)).toEqual(["g2/1", "g2/1"]);
     });
 
+    // Guards against daemons of a large fleet that use every group: each connection is then idle for so long that the server closes it.
+    it("uses few groups while these have no more requests than the others", async () => {
+      const heads = Array.from({ length: 20 }, (_, i) => `g${i}`);
+      const { admission } = doTest(heads);
+      const keys = new Set<string>();
+      for (let i = 0; i < 100; i++) {
+        const grant = await admission.acquire(createRequest());
+        keys.add(grant.group.key);
+        grant.release();
+      }
+      expect(keys.size).toBeLessThanOrEqual(4);
+    });
+
+    it("uses all groups once the preferred ones are full", async () => {
+      const heads = Array.from({ length: 20 }, (_, i) => `g${i}`);
+      const { admission } = doTest(heads);
+      const keys = new Set<string>();
+      for (let i = 0; i < 20 * SLOTS; i++) {
+        keys.add((await admission.acquire(createRequest())).group.key);
+      }
+      expect(keys.size).toBe(20);
+    });
+
     it("grants a released slot to a waiting request", async () => {
       const { admission } = doTest(["g1"]);
       const grants = await Promise.all([
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -131,6 +131,7 @@
         loads: this.#groupLoads,
         coldLimits,
         zone: settings.zone,
+        ownName: settings.name,
         getStalenessMs: () => this.#peerExchange.getStalenessMs(),
       }),
       attempts,
