Log the prompt parts of failed attempts and the number of recorded crashes

Cause: the log lines of a request that crashes group after group name neither what the crashed requests have in common nor how many crashes a daemon counts, so three hypotheses of docs/incidents/poison-prompt-part.md look alike. Change: attempt-ended names up to six prompt parts; crash-recorded gives fingerprint and count.

--- a/src/process/fleet/crash_counter.ts
+++ b/src/process/fleet/crash_counter.ts
@@ -17,9 +17,14 @@
 
   /** Gets whether a request is to be refused because it crashed `CRASH_THRESHOLD` groups. */
   isRefused(fingerprint: string): boolean {
+    return this.countCrashes(fingerprint) >= CRASH_THRESHOLD;
+  }
+
+  /** Gets the number of groups that recently crashed while running a request. */
+  countCrashes(fingerprint: string): number {
     const oldestMs = performance.now() - CRASH_WINDOW_MS;
     const times = [...this.#crashes.get(fingerprint)?.values() ?? []];
-    return times.filter((atMs) => atMs >= oldestMs).length >= CRASH_THRESHOLD;
+    return times.filter((atMs) => atMs >= oldestMs).length;
   }
 
   /** Records a crash that this daemon observed. */
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -301,6 +301,12 @@
           fingerprint: this.#fingerprint,
           groupKey: grant.group.key,
         });
+        context.logger.write("info", "crash-recorded", {
+          requestId: request.requestId,
+          group: grant.group.key,
+          fingerprint: this.#fingerprint,
+          crashes: context.crashes.countCrashes(this.#fingerprint),
+        });
       }
     } else if (result.outcome === "declined") {
       this.#declinedCount++;
@@ -320,6 +326,7 @@
         message: result.outcome === "failed" ? result.error.message : undefined,
         verdict: this.#verdict,
         lastEvent: this.#lastEventId,
+        promptParts: formatPromptParts(this.#modelRequest),
       });
     }
     const isGroupSuspect = result.outcome === "declined" ||
@@ -400,6 +407,15 @@
     .slice(0, 16);
 }
 
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 6;
+
+function formatPromptParts({ promptParts }: ModelRequest): string | undefined {
+  return promptParts.length === 0
+    ? undefined
+    : promptParts.slice(0, MAX_LOGGED_PARTS).map(({ id }) => id).join(",");
+}
+
 function joinEvents(events: readonly ServerSentEvent[]): Buffer {
   return events.length === 1
     ? events[0].bytes
--- a/src/request/routed/model_stream_forwarder_test.ts
+++ b/src/request/routed/model_stream_forwarder_test.ts
@@ -33,7 +33,11 @@
         logger: new NullLogger(),
         metrics: { record: () => {}, count: () => {} },
         attempts,
-        crashes: { isRefused: () => false, recordCrash: () => {} },
+        crashes: {
+          isRefused: () => false,
+          recordCrash: () => {},
+          countCrashes: () => 0,
+        },
         groupFailureDetector: { checkGroup: () => Promise.resolve() },
         directory: {
           findServer: (id: string) =>
