--- a/bench/soak/guarantee_checks_test.ts
+++ b/bench/soak/guarantee_checks_test.ts
@@ -35,6 +35,7 @@
       key: undefined,
       isWhole: true,
       hasFormed: true,
+      promptParts: [],
       atMs: 10_010,
       zone: "z1",
       ...run,
--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { delay } from "../src/shared/delay.ts";
 import { HttpListener } from "./http_listener.ts";
 import {
   type FakeObjectStore,
@@ -8,6 +9,8 @@
 
 const JOIN_DELAY_MS = 50;
 const OPEN_DELAY_MS = 50;
+/** Time for which a server that a request has crashed is down, in milliseconds. */
+const RESTART_MS = 500;
 
 interface ServerGroup {
   readonly Name: string;
@@ -36,6 +39,8 @@
   readonly isWhole: boolean;
   /** Whether all members of the server's group had reached the state `ready` in it before the execution began; true for a plain service. */
   readonly hasFormed: boolean;
+  /** Parts of the request's prompt. */
+  readonly promptParts: readonly string[];
   /** Wall-clock time at which the execution began, in milliseconds. */
   readonly atMs: number;
   readonly zone: string;
@@ -63,7 +68,7 @@
 export class FakeBackendServer {
   readonly #options: FakeBackendServerOptions;
   readonly #listener = new HttpListener((req, res) => this.#handle(req, res));
-  readonly #startedAtMs = Date.now();
+  #startedAtMs = Date.now();
   #group: ServerGroup | undefined;
   #lastModel: string | undefined;
   readonly #readyGroupNames = new Set<string>();
@@ -74,6 +79,10 @@
   #isDisposed = false;
   /** Whether the server has crashed; a crashed server does not respond. */
   hasCrashed = false;
+  /** Part of a prompt that crashes the server when it begins to respond; the server restarts with an empty memory. */
+  crashingPart: string | undefined;
+  /** Number of crashes caused by `crashingPart`. */
+  requestCrashes = 0;
   /** Number of upcoming orders that get no response and are applied after a delay. */
   ordersToDelay = 0;
   /** Number of upcoming requests that are executed but whose connection is reset instead of a response. */
@@ -288,6 +297,7 @@
       ) ?? domain === undefined,
       atMs: Date.now(),
       zone,
+      promptParts: listPromptParts(req),
     });
     const headers = { "request-id": requestId, "response-signature": id };
     if (this.responsesToLose > 0) {
@@ -306,10 +316,18 @@
   #streamEvents(res: ServerResponse, lastEventId: number): void {
     const { eventCount = 20, eventMs = 20 } = this.#options;
     let id = lastEventId;
+    const isCrashing = listPromptParts(res.req).some((part) =>
+      part === this.crashingPart
+    );
     const timer = setInterval(() => {
       if (this.hasCrashed || !this.#isGroupComplete()) {
         return;
       }
+      if (isCrashing) {
+        clearInterval(timer);
+        void this.#crashAndRestart();
+        return;
+      }
       id++;
       res.write(`id: ${id}\ndata: ${id}\n\n`);
       if (id >= eventCount) {
@@ -320,6 +338,25 @@
     res.on("close", () => clearInterval(timer));
   }
 
+  /** Closes all connections, stops listening, and starts again at the same address as a process without a group. */
+  async #crashAndRestart(): Promise<void> {
+    if (this.hasCrashed) {
+      return;
+    }
+    this.requestCrashes++;
+    this.hasCrashed = true;
+    const port = Number(this.address.split(":")[1]);
+    await this.#listener.close();
+    await delay(RESTART_MS);
+    if (!this.#isDisposed) {
+      this.#group = undefined;
+      this.#startedAtMs = Date.now();
+      await this.#listener.listen(port);
+      this.hasCrashed = false;
+      this.publishEntry();
+    }
+  }
+
   #isGroupComplete(): boolean {
     const group = this.#group;
     return group === undefined || group.members.every((id) => {
@@ -329,3 +366,8 @@
     });
   }
 }
+
+function listPromptParts(req: IncomingMessage): string[] {
+  return String(req.headers["prompt-prefix"] ?? "").split(",")
+    .map((part) => part.split(":")[0]);
+}
--- /dev/null
+++ b/tests/poison_prompt_part_test.ts
@@ -0,0 +1,105 @@
+import { afterEach, describe, expect, it } from "vitest";
+import {
+  type CallerResponse,
+  PlatformDeployment,
+  waitUntil,
+} from "./support/platform_deployment.ts";
+
+const POISON_PART = "deadbeef";
+/** Part that the poison requests have in common with requests that run without a failure. */
+const COMMON_PART = "5ca1ab1e";
+/** Number of requests with the poison part; each has a path and a last part of its own. */
+const POISON_REQUESTS = 12;
+/** Number of servers that the poison part may crash before its requests are refused everywhere. */
+const MAX_CRASHES = 5;
+/** Number of requests with the poison part that may reach a server after `MAX_CRASHES`. */
+const MAX_LATE_REQUESTS = 3;
+
+describe("a prompt part that crashes servers", () => {
+  const deployments: PlatformDeployment[] = [];
+
+  afterEach(async () => {
+    for (const deployment of deployments.splice(0)) {
+      await deployment.dispose();
+    }
+  });
+
+  async function startDeployment(daemons: number): Promise<PlatformDeployment> {
+    const deployment = new PlatformDeployment();
+    deployments.push(deployment);
+    await deployment.start({ daemons, models: 24 });
+    await deployment.waitUntilServing();
+    deployment.fleet.forEach((server) => server.crashingPart = POISON_PART);
+    return deployment;
+  }
+
+  function callWithParts(
+    deployment: PlatformDeployment,
+    number: number,
+    parts: readonly string[],
+  ): Promise<CallerResponse> {
+    const { callerAddresses } = deployment;
+    return deployment.callModel(
+      callerAddresses[number % callerAddresses.length],
+      {
+        "Prompt-Prefix": [...parts, `a${number}`].map((id) => `${id}:40`)
+          .join(","),
+      },
+    );
+  }
+
+  function countCrashes({ fleet }: PlatformDeployment): number {
+    return [...fleet.values()].reduce((sum, s) => sum + s.requestCrashes, 0);
+  }
+
+  function countPoisonRuns({ runs }: PlatformDeployment): number {
+    return runs.filter(({ promptParts }) => promptParts.includes(POISON_PART))
+      .length;
+  }
+
+  /** Sends requests with the poison part in turn with requests that share their other parts, and returns the responses to the latter. */
+  async function sendMixedRequests(
+    deployment: PlatformDeployment,
+  ): Promise<CallerResponse[]> {
+    const responses: CallerResponse[] = [];
+    for (let i = 0; i < POISON_REQUESTS; i++) {
+      await callWithParts(deployment, i, [COMMON_PART, POISON_PART]);
+      responses.push(await callWithParts(deployment, i, [COMMON_PART]));
+    }
+    return responses;
+  }
+
+  it(
+    "stops reaching servers although no two of its requests are alike",
+    async () => {
+      const deployment = await startDeployment(3);
+      const responses = await sendMixedRequests(deployment);
+      expect(countCrashes(deployment)).toBeLessThanOrEqual(MAX_CRASHES);
+      expect(countPoisonRuns(deployment))
+        .toBeLessThanOrEqual(MAX_CRASHES + MAX_LATE_REQUESTS);
+      expect(responses.filter(({ isWhole }) => !isWhole)).toEqual([]);
+    },
+    60_000,
+  );
+
+  it("stays refused by a daemon that starts later", async () => {
+    const deployment = await startDeployment(2);
+    await sendMixedRequests(deployment);
+    await deployment.startDaemon("entry-late");
+    const lateAddress = deployment.callerAddresses.at(-1)!;
+    await waitUntil(async () =>
+      (await deployment.callModel(lateAddress)).isWhole
+    );
+    const runsBefore = countPoisonRuns(deployment);
+    for (let i = 0; i < POISON_REQUESTS; i++) {
+      await deployment.callModel(lateAddress, {
+        "Prompt-Prefix": `${COMMON_PART}:40,${POISON_PART}:99,b${i}:7`,
+      });
+    }
+    expect(countPoisonRuns(deployment)).toBe(runsBefore);
+    const response = await deployment.callModel(lateAddress, {
+      "Prompt-Prefix": `${COMMON_PART}:40,c1:7`,
+    });
+    expect(response.isWhole).toBe(true);
+  }, 60_000);
+});
--- a/tests/support/platform_deployment.ts
+++ b/tests/support/platform_deployment.ts
@@ -131,12 +131,20 @@
     }
   }
 
-  /** Sends a model request. */
-  callModel(callerAddress = this.callerAddresses[0]): Promise<CallerResponse> {
+  /**
+   * Sends a model request.
+   *
+   * @param callerAddress - Daemon that receives the request.
+   * @param headers - Further headers.
+   */
+  callModel(
+    callerAddress = this.callerAddresses[0],
+    headers: Record<string, string> = {},
+  ): Promise<CallerResponse> {
     return this.call(callerAddress, {
       method: "POST",
       path: "/model/1",
-      headers: { ...MODEL_HEADERS, "Deadline-Ms": "6000" },
+      headers: { ...MODEL_HEADERS, "Deadline-Ms": "6000", ...headers },
     });
   }
 
