List the daemons again after the own registration

Daemons that start together list before any of them has registered, so none knows the others for a minute, and there are no notices of loads, losses, crashes and configuration between them. Change: a daemon lists once more right after it has registered. Of two daemons the one that registers later sees the other, and opens the link. Class: read before write where two processes have to see each other.

--- a/fakes/fake_object_store.ts
+++ b/fakes/fake_object_store.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { delay } from "../src/shared/delay.ts";
 import { HttpListener } from "./http_listener.ts";
 
 /** Object in the format of the platform's store. */
@@ -27,6 +28,8 @@
   #revision = 1;
   #historyStart = 0;
   fault: FakeStoreFault = "none";
+  /** Time before a write takes effect, in milliseconds. */
+  writeDelayMs = 0;
 
   /** Returns the address as `host:port`. */
   get address(): string {
@@ -122,6 +125,9 @@
     const [kind, name] = url.pathname.split("/").slice(3)
       .map(decodeURIComponent);
     if (req.method !== "GET") {
+      if (this.writeDelayMs > 0) {
+        await delay(this.writeDelayMs);
+      }
       this.#applyChange(res, { method: req.method!, kind, name, url, body });
     } else if (url.searchParams.has("Watch")) {
       await this.#watch(res, kind, url);
--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -458,7 +458,7 @@
 
   async #runRegistration(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const isRegistered = await this.#listAndRegister();
+      const isRegistered = await this.#registerAndList();
       this.#openLinks();
       await delay(
         isRegistered ? LIST_INTERVAL_MS : REGISTER_RETRY_MS,
@@ -467,13 +467,22 @@
     }
   }
 
-  /** Reads the registered daemons, and registers this one unless it is already registered with its current address. Returns whether this daemon is registered. */
-  async #listAndRegister(): Promise<boolean> {
+  /** Registers this daemon and reads the registered daemons. Returns whether both succeeded. */
+  async #registerAndList(): Promise<boolean> {
+    const registration = await this.#listAndRegister();
+    // Daemons that start at the same time may all list before any of them has registered. A list that follows the own registration contains every daemon that did not see it.
+    return registration === "written"
+      ? await this.#listAndRegister() === "listed"
+      : registration === "listed";
+  }
+
+  /** Reads the registered daemons, and registers this one unless it is already registered with its current address. */
+  async #listAndRegister(): Promise<"listed" | "written" | "failed"> {
     const { store, kind, ownDaemon, peerTable } = this.#options;
     const listResult = await store.listObjects(kind);
     const objects = listResult.toMaybe().extract();
     if (objects === undefined) {
-      return false;
+      return "failed";
     }
     const registrations = objects.map((object) => ({
       object,
@@ -489,7 +498,7 @@
       object.name === ownDaemon.name
     );
     if (ownRegistration?.description?.address === ownDaemon.address) {
-      return true;
+      return "listed";
     }
     const { name, ...value } = ownDaemon;
     const putResult = await store.putObject({
@@ -498,7 +507,7 @@
       value,
       expectedVersion: ownRegistration?.object.version ?? 0,
     });
-    return putResult.outcome === "written";
+    return putResult.outcome === "written" ? "written" : "failed";
   }
 }
 
