--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -458,7 +458,7 @@
 
   async #runRegistration(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const isRegistered = await this.#registerAndList();
+      const isRegistered = await this.#syncRegistration();
       this.#openLinks();
       await delay(
         isRegistered ? LIST_INTERVAL_MS : REGISTER_RETRY_MS,
@@ -468,7 +468,7 @@
   }
 
   /** Registers this daemon and reads the registered daemons. Returns whether both succeeded. */
-  async #registerAndList(): Promise<boolean> {
+  async #syncRegistration(): Promise<boolean> {
     const registration = await this.#listAndRegister();
     // Daemons that start at the same time may all list before any of them has registered. A list that follows the own registration contains every daemon that did not see it.
     return registration === "written"
@@ -552,6 +552,8 @@
   "loads",
   "lostGroups",
   "crashes",
+  "partCrashes",
+  "partSuccesses",
   "peers",
   "removedPeers",
 ] as const;
