Refuse requests with a prompt part that crashes servers

Cause: crashes were counted by the hash of the whole request. Requests that share the crashing part but nothing else never reached three crashes. Class: a quarantine keyed by the identity of a request in place of what its requests have in common. Change: PromptPartQuarantine counts crashes by prompt part. A request without an event on a head whose end a status request confirms is a suspect; an event clears its parts. Crashes and successes go to peers in notices, all of them to a new link. Where several parts explain the same crashes, only requests with all of them are refused. Waiting requests are checked again before they are sent; a retry waits for the check of the head.

--- a/src/connection/peer_notice.ts
+++ b/src/connection/peer_notice.ts
@@ -8,6 +8,26 @@
   readonly groupKey: string;
 }
 
+/** Report that the head of a group crashed while it ran a request that had no event yet. */
+export interface PartCrashNotice {
+  readonly groupKey: string;
+  /** Parts of the request's prompt that other requests may have in common with it. */
+  readonly parts: readonly string[];
+  /** Time since the crash, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** Whether a success preceded or followed a crash. */
+export type PartSuccessTime = "before" | "after";
+
+/** Report that a request with a suspected part of a crash got an event. */
+export interface PartSuccessNotice {
+  /** Key of the group that crashed. */
+  readonly groupKey: string;
+  readonly part: string;
+  readonly time: PartSuccessTime;
+}
+
 /** Availability zones that are excluded from serving requests, as of a revision of the store. */
 export interface ExcludedZonesNotice {
   readonly revision: number;
@@ -104,6 +124,10 @@
   readonly lostGroups?: readonly string[];
   /** New crashes of groups while they ran a request. */
   readonly crashes?: readonly CrashNotice[];
+  /** Requests that may have caused a crash. */
+  readonly partCrashes?: readonly PartCrashNotice[];
+  /** Successes of requests with suspected parts. */
+  readonly partSuccesses?: readonly PartSuccessNotice[];
   /** Daemons that the sender newly knows. */
   readonly peers?: readonly DaemonDescription[];
   /** Names of the daemons that the sender no longer knows. */
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -10,6 +10,7 @@
 import type { GroupTable } from "./group_table.ts";
 import { ObjectWatcher } from "./object_watcher.ts";
 import type { Partner, PeerTable } from "./peer_table.ts";
+import type { PromptPartQuarantine } from "./prompt_part_quarantine.ts";
 import type {
   DaemonDescription,
   PeerDataRequest,
@@ -51,6 +52,7 @@
   readonly groups: GroupTable;
   readonly loads: GroupLoads;
   readonly crashes: CrashCounter;
+  readonly promptParts: PromptPartQuarantine;
   readonly excludedZones: ExcludedZones;
   readonly peerTable: PeerTable;
   readonly logger: Logger;
@@ -331,10 +333,14 @@
     relation: PeerRelation,
     notice: PeerNotice,
   ): void {
-    const { loads, crashes, directory } = this.#options;
+    const { loads, crashes, directory, promptParts } = this.#options;
     loads.applyPeerLoad(name, relation, notice);
     this.#applyLosses(name, notice.lostGroups ?? []);
     notice.crashes?.forEach((crash) => crashes.applyNotice(crash));
+    notice.partCrashes?.forEach((crash) => promptParts.applyCrash(crash));
+    notice.partSuccesses?.forEach((success) =>
+      promptParts.applySuccess(success)
+    );
     if (notice.excludedZones !== undefined) {
       this.#applyExcludedZones(notice.excludedZones, name);
     }
--- a/src/process/fleet/group_failure_detector.ts
+++ b/src/process/fleet/group_failure_detector.ts
@@ -25,6 +25,14 @@
 /** Minimum time between two checks of a group whose streams are silent, in milliseconds. */
 const RECHECK_INTERVAL_MS = 1_000;
 
+/** Evidence that a member does not serve its group. */
+interface MemberFault {
+  readonly memberId: string;
+  readonly message: string;
+  /** Whether the process of the member has ended or does not respond. */
+  readonly hasEnded: boolean;
+}
+
 /** Detects groups that have lost a member. Silent streams trigger a check of the members, long before the list of servers or the engine shows the loss. */
 export class GroupFailureDetector {
   readonly #groups: GroupTable;
@@ -73,13 +81,15 @@
    *
    * @param group - Group to check.
    * @param cause - Reason for the check, for the log.
+   * @returns Whether the process of the head has ended or does not respond.
    */
-  async checkGroup(group: ReplicaGroup, cause: string): Promise<void> {
+  async checkGroup(group: ReplicaGroup, cause: string): Promise<boolean> {
     this.#lastCheckAtMs.set(group.key, performance.now());
     const faults = await Promise.all(
       group.members.map((member) => this.#findFault(group, member)),
     );
-    const fault = faults.find((memberFault) => memberFault !== undefined);
+    const fault = faults.find((memberFault) => memberFault !== undefined)
+      ?.message;
     this.#logger.write("info", "group-checked", {
       group: group.key,
       cause,
@@ -90,24 +100,36 @@
       this.#attempts.abandonGroup(group.key, fault);
       this.#announceLoss();
     }
+    return faults.some((memberFault) =>
+      memberFault?.memberId === group.head.id && memberFault.hasEnded
+    );
   }
 
   async #findFault(
     group: ReplicaGroup,
     member: BackendServer,
-  ): Promise<string | undefined> {
+  ): Promise<MemberFault | undefined> {
+    const createFault = (text: string, hasEnded: boolean) => ({
+      memberId: member.id,
+      message: text,
+      hasEnded,
+    });
     const target = { serverId: member.id, address: member.address };
     const result = await this.#getReport(target);
     return result.caseOf({
-      Left: (error) => `member ${member.id}: ${error.message}`,
+      Left: (error) =>
+        createFault(`member ${member.id}: ${error.message}`, true),
       Right: ({ membership }) => {
         const isMember = membership?.groupName === group.name &&
           membership.generation === group.generation;
         if (!isMember) {
-          return `member ${member.id} does not belong to the group`;
+          return createFault(
+            `member ${member.id} does not belong to the group`,
+            true,
+          );
         }
         return member.id === group.head.id && membership.state !== "open"
-          ? `head ${member.id} is ${membership.state}`
+          ? createFault(`head ${member.id} is ${membership.state}`, false)
           : undefined;
       },
     });
--- a/src/process/fleet/notice_composer.ts
+++ b/src/process/fleet/notice_composer.ts
@@ -2,9 +2,12 @@
   CrashNotice,
   DaemonDescription,
   ExcludedZonesNotice,
+  PartCrashNotice,
+  PartSuccessNotice,
   PeerNotice,
   PlannerNotice,
 } from "../../connection/peer_notice.ts";
+import type { PartCrash, PromptPartReport } from "./prompt_part_quarantine.ts";
 
 /** Time by which the confirmation of the list of servers has to be newer for a notice, in milliseconds. */
 const MIN_CONFIRMATION_STEP_MS = 200;
@@ -23,6 +26,7 @@
   readonly lostGroups: readonly string[];
   /** Crashes of the last moments. */
   readonly crashes: readonly CrashNotice[];
+  readonly promptParts: PromptPartReport;
   readonly peers: ReadonlyMap<string, DaemonDescription>;
 }
 
@@ -88,6 +92,7 @@
     if (crashes.length > 0) {
       notice.crashes = crashes;
     }
+    addPromptPartChanges(notice, previous?.promptParts, state.promptParts);
     addPeerChanges(notice, previous?.peers, state.peers);
     this.#state = state;
     const isEmpty = Object.keys(notice).length === 0;
@@ -99,12 +104,14 @@
     if (this.#state === undefined) {
       return undefined;
     }
-    const { loads, peers, ...state } = this.#state;
+    const { loads, peers, promptParts, ...state } = this.#state;
     return {
       ...state,
       isComplete: true,
       loads: [...loads],
       peers: [...peers.values()],
+      partCrashes: promptParts.crashes.map(convertPartCrash),
+      partSuccesses: promptParts.successes,
     };
   }
 
@@ -158,6 +165,36 @@
   return current.filter((key) => !previousKeys.has(key));
 }
 
+function addPromptPartChanges(
+  notice: Mutable<PeerNotice>,
+  previous: PromptPartReport = { crashes: [], successes: [] },
+  current: PromptPartReport,
+): void {
+  if (previous === current) {
+    return;
+  }
+  const crashKeys = new Set(previous.crashes.map(getPartCrashKey));
+  const crashes = current.crashes.filter((crash) =>
+    !crashKeys.has(getPartCrashKey(crash))
+  );
+  const successKeys = new Set(previous.successes.map(getPartSuccessKey));
+  const successes = current.successes.filter((success) =>
+    !successKeys.has(getPartSuccessKey(success))
+  );
+  if (crashes.length > 0) {
+    notice.partCrashes = crashes.map(convertPartCrash);
+  }
+  if (successes.length > 0) {
+    notice.partSuccesses = successes;
+  }
+}
+
+function convertPartCrash(
+  { groupKey, parts, atMs }: PartCrash,
+): PartCrashNotice {
+  return { groupKey, parts, ageMs: Math.round(performance.now() - atMs) };
+}
+
 function addPeerChanges(
   notice: Mutable<PeerNotice>,
   previous: ReadonlyMap<string, DaemonDescription> = new Map(),
@@ -187,3 +224,13 @@
 function getCrashKey({ fingerprint, groupKey }: CrashNotice): string {
   return `${fingerprint} ${groupKey}`;
 }
+
+function getPartCrashKey({ groupKey, parts }: PartCrash): string {
+  return `${groupKey} ${parts.join(",")}`;
+}
+
+function getPartSuccessKey(
+  { groupKey, part, time }: PartSuccessNotice,
+): string {
+  return `${groupKey} ${part} ${time}`;
+}
--- a/src/process/fleet/notice_composer_test.ts
+++ b/src/process/fleet/notice_composer_test.ts
@@ -15,6 +15,7 @@
       loads: new Map(),
       lostGroups: [],
       crashes: [],
+      promptParts: { crashes: [], successes: [] },
       peers: new Map(),
       ...state,
     };
@@ -51,6 +52,39 @@
       });
     });
 
+    it("contains each suspected request and each success once, and all of them for a new receiver", () => {
+      const createReport = (count: number) => ({
+        crashes: Array.from({ length: count }, (_, i) => ({
+          groupKey: `g${i}`,
+          parts: ["p"],
+          atMs: performance.now(),
+        })),
+        successes: Array.from({ length: count }, (_, i) => ({
+          groupKey: `g${i}`,
+          part: "p",
+          time: "after" as const,
+        })),
+      });
+      const composer = new NoticeComposer();
+      const options = { isPeriodic: false };
+      composer.createChangeNotice(
+        createState({ promptParts: createReport(1) }),
+        options,
+      );
+      expect(
+        composer.createChangeNotice(
+          createState({ promptParts: createReport(2) }),
+          options,
+        ),
+      ).toMatchObject({
+        partCrashes: [{ groupKey: "g1", parts: ["p"] }],
+        partSuccesses: [{ groupKey: "g1", part: "p", time: "after" }],
+      });
+      const complete = composer.createCompleteNotice();
+      expect(complete?.partCrashes).toHaveLength(2);
+      expect(complete?.partSuccesses).toHaveLength(2);
+    });
+
     it("contains new and removed peers, and those with another address", () => {
       const [a, b, c] = ["a", "b", "c"].map((name) =>
         createDaemonDescription(name)
--- /dev/null
+++ b/src/process/fleet/prompt_part_quarantine_test.ts
@@ -0,0 +1,192 @@
+import fc from "fast-check";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { NullLogger } from "../../shared/logger.ts";
+import { PromptPartQuarantine } from "./prompt_part_quarantine.ts";
+
+describe("PromptPartQuarantine", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function createQuarantine(onChange = () => {}): PromptPartQuarantine {
+    return new PromptPartQuarantine({ logger: new NullLogger(), onChange });
+  }
+
+  /** Records one crash of a group for each list of parts, one second apart. */
+  function recordCrashes(
+    quarantine: PromptPartQuarantine,
+    suspects: readonly (readonly string[])[],
+  ): void {
+    suspects.forEach((parts, i) => {
+      vi.advanceTimersByTime(1_000);
+      quarantine.recordCrash(`g${i}/1`, parts);
+    });
+  }
+
+  /** Sends the report of one daemon to another. */
+  function sendReport(from: PromptPartQuarantine, to: PromptPartQuarantine) {
+    const { crashes, successes } = from.getReport();
+    crashes.forEach(({ groupKey, parts, atMs }) =>
+      to.applyCrash({ groupKey, parts, ageMs: performance.now() - atMs })
+    );
+    successes.forEach((success) => to.applySuccess(success));
+  }
+
+  describe("findRefusedPart", () => {
+    it.each([
+      [[["a", "p"], ["b", "p"]], undefined],
+      [[["a", "p"], ["b", "p"], ["c", "p"]], "p"],
+      [[["a"], ["b"], ["c"]], undefined],
+    ])(
+      "after crashes with %j returns %j for a new request",
+      (crashes, part) => {
+        const quarantine = createQuarantine();
+        recordCrashes(quarantine, crashes);
+        expect(quarantine.findRefusedPart(["d", "p"])).toBe(part);
+        expect(quarantine.findRefusedPart(["d"])).toBeUndefined();
+      },
+    );
+
+    it("counts several suspects of one crash once", () => {
+      const quarantine = createQuarantine();
+      ["a", "b", "c", "d"].forEach((part) =>
+        quarantine.recordCrash("g1/1", [part, "p"])
+      );
+      expect(quarantine.findRefusedPart(["e", "p"])).toBeUndefined();
+    });
+
+    it("allows a part whose requests get events", () => {
+      const quarantine = createQuarantine();
+      recordCrashes(quarantine, [["p"], ["p"]]);
+      quarantine.recordSuccess(["p"]);
+      recordCrashes(quarantine, [["p"], ["p"]]);
+      expect(quarantine.findRefusedPart(["p"])).toBeUndefined();
+    });
+
+    it("refuses only the part that no request has run with when another part is in all crashed requests", () => {
+      const quarantine = createQuarantine();
+      quarantine.recordSuccess(["common"]);
+      recordCrashes(quarantine, Array(3).fill(["common", "p"]));
+      expect(quarantine.findRefusedPart(["other", "p"])).toBe("p");
+      expect(quarantine.findRefusedPart(["common"])).toBeUndefined();
+    });
+
+    it("refuses only the combination of parts that always crash together until one of them gets an event", () => {
+      const quarantine = createQuarantine();
+      recordCrashes(quarantine, Array(3).fill(["common", "p"]));
+      expect(quarantine.findRefusedPart(["common", "p"])).toBeDefined();
+      expect(quarantine.findRefusedPart(["common"])).toBeUndefined();
+      expect(quarantine.findRefusedPart(["p"])).toBeUndefined();
+      quarantine.recordSuccess(["common"]);
+      expect(quarantine.findRefusedPart(["p"])).toBe("p");
+      expect(quarantine.findRefusedPart(["common"])).toBeUndefined();
+    });
+
+    it("allows a common part when many groups crash at the same moment", () => {
+      const quarantine = createQuarantine();
+      quarantine.recordSuccess(["common"]);
+      for (let i = 0; i < 10; i++) {
+        quarantine.recordCrash(`g${i}/1`, ["common", `a${i}`]);
+      }
+      expect(quarantine.findRefusedPart(["common"])).toBeUndefined();
+      vi.advanceTimersByTime(200);
+      quarantine.recordSuccess(["common"]);
+      vi.advanceTimersByTime(1_000);
+      expect(quarantine.findRefusedPart(["common"])).toBeUndefined();
+    });
+
+    it("refuses a part with which requests ran before it began to crash servers", () => {
+      const quarantine = createQuarantine();
+      quarantine.recordSuccess(["p"]);
+      recordCrashes(quarantine, Array(5).fill(["p"]));
+      expect(quarantine.findRefusedPart(["p"])).toBe("p");
+    });
+
+    it("allows a refused part after ten minutes", () => {
+      const quarantine = createQuarantine();
+      recordCrashes(quarantine, Array(3).fill(["p"]));
+      vi.advanceTimersByTime(597_000);
+      expect(quarantine.findRefusedPart(["p"])).toBe("p");
+      vi.advanceTimersByTime(4_000);
+      expect(quarantine.findRefusedPart(["p"])).toBeUndefined();
+    });
+
+    // A part with an event after each crash that it was suspected of never counts, whatever else crashes.
+    it("never refuses a part that gets an event after each crash", () => {
+      fc.assert(fc.property(
+        fc.array(
+          fc.array(fc.constantFrom("a", "b", "c", "d"), { maxLength: 3 }),
+          {
+            maxLength: 40,
+          },
+        ),
+        (suspects) => {
+          const quarantine = createQuarantine();
+          suspects.forEach((parts, i) => {
+            quarantine.recordCrash(`g${i}/1`, ["sound", ...parts]);
+            vi.advanceTimersByTime(10);
+            quarantine.recordSuccess(["sound"]);
+          });
+          expect(quarantine.findRefusedPart(["sound"])).toBeUndefined();
+        },
+      ));
+    });
+  });
+
+  describe("getReport", () => {
+    it("tells a daemon that starts later which parts to refuse", () => {
+      const quarantine = createQuarantine();
+      quarantine.recordSuccess(["common"]);
+      recordCrashes(quarantine, Array(3).fill(["common", "p"]));
+      const newQuarantine = createQuarantine();
+      sendReport(quarantine, newQuarantine);
+      expect(newQuarantine.findRefusedPart(["common", "p"])).toBe("p");
+      expect(newQuarantine.findRefusedPart(["common"])).toBeUndefined();
+    });
+
+    it("counts crashes that three daemons observed, and successes that a fourth one observed", () => {
+      const observers = ["g1/1", "g2/1", "g3/1"].map((groupKey) => {
+        const observer = createQuarantine();
+        observer.recordCrash(groupKey, ["common", "p"]);
+        return observer;
+      });
+      const fourth = createQuarantine();
+      observers.forEach((observer) => sendReport(observer, fourth));
+      vi.advanceTimersByTime(10);
+      fourth.recordSuccess(["common"]);
+      const [first] = observers;
+      sendReport(fourth, first);
+      expect(first.findRefusedPart(["p"])).toBe("p");
+      expect(first.findRefusedPart(["common"])).toBeUndefined();
+    });
+
+    it("reports a crash and a success only while they are new", async () => {
+      const onChange = vi.fn();
+      const quarantine = createQuarantine(onChange);
+      const crash = { groupKey: "g1/1", parts: ["p"], ageMs: 0 };
+      const success = { groupKey: "g1/1", part: "p", time: "after" } as const;
+      for (let i = 0; i < 3; i++) {
+        quarantine.applyCrash(crash);
+        quarantine.applySuccess(success);
+        await Promise.resolve();
+      }
+      expect(onChange).toHaveBeenCalledTimes(1);
+      expect(quarantine.getReport()).toMatchObject({
+        crashes: [{ groupKey: "g1/1", parts: ["p"] }],
+        successes: [success],
+      });
+    });
+
+    it("keeps a bounded number of crashes and suspects", () => {
+      const quarantine = createQuarantine();
+      for (let i = 0; i < 2_000; i++) {
+        quarantine.recordCrash(`g${i}/1`, ["p"]);
+        quarantine.recordCrash("g/1", [`a${i}`]);
+      }
+      expect(quarantine.getReport().crashes.length).toBeLessThanOrEqual(520);
+    });
+  });
+});
--- a/src/process/routing_context.ts
+++ b/src/process/routing_context.ts
@@ -8,6 +8,7 @@
 import type { GroupAdmission } from "./fleet/group_admission.ts";
 import type { GroupFailureDetector } from "./fleet/group_failure_detector.ts";
 import type { GroupTable } from "./fleet/group_table.ts";
+import type { PromptPartQuarantine } from "./fleet/prompt_part_quarantine.ts";
 import type { ServiceRetryBudget } from "./fleet/service_retry_budget.ts";
 import type { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { ServerLoads } from "./fleet/server_loads.ts";
@@ -29,6 +30,7 @@
   readonly serverLoads: ServerLoads;
   readonly coldLimits: ColdLimits;
   readonly crashes: CrashCounter;
+  readonly promptParts: PromptPartQuarantine;
   /** Gets the route table of the configuration in force; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
   /** Gets the zones whose backend servers receive no requests. */
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -25,6 +25,7 @@
   PlannerNotice,
 } from "../connection/peer_notice.ts";
 import type { NoticeState } from "./fleet/notice_composer.ts";
+import { PromptPartQuarantine } from "./fleet/prompt_part_quarantine.ts";
 import { PlannerLeaseHolder } from "./fleet/planner_lease_holder.ts";
 import { ServiceRetryBudget } from "./fleet/service_retry_budget.ts";
 import { ReplicaReconciler } from "./fleet/replica_reconciler.ts";
@@ -75,6 +76,7 @@
   readonly #metricsServer: HttpServer;
   readonly #groupLoads = new GroupLoads();
   readonly #crashCounter = new CrashCounter();
+  readonly #promptParts: PromptPartQuarantine;
   readonly #linkTransport = new WebSocketLinkTransport();
   readonly #peerTable: PeerTable;
   readonly #excludedZones: ExcludedZones;
@@ -104,6 +106,10 @@
       logger,
       onChange: (zones) => this.#groups.setExcludedZones(zones),
     });
+    this.#promptParts = new PromptPartQuarantine({
+      logger,
+      onChange: () => this.#peerExchange.announce(),
+    });
     this.#fleetSync = this.#createFleetSync();
     this.#leaseHolder = this.#createLeaseHolder();
     this.#peerExchange = this.#createPeerExchange();
@@ -145,6 +151,7 @@
       serverLoads: new ServerLoads(),
       coldLimits,
       crashes: this.#crashCounter,
+      promptParts: this.#promptParts,
       getRoutes: () => this.#routes,
       getExcludedZones: () => this.#excludedZones.getZones(),
       getRetryBudget: (service) => this.#getRetryBudget(service),
@@ -281,6 +288,7 @@
       groups: this.#groups,
       loads: this.#groupLoads,
       crashes: this.#crashCounter,
+      promptParts: this.#promptParts,
       excludedZones: this.#excludedZones,
       peerTable: this.#peerTable,
       isPlanner: () => this.#leaseHolder.getTerm() !== undefined,
@@ -377,6 +385,7 @@
       loads: this.#groupLoads.getReport(relation),
       lostGroups: this.#groups.listLostKeys(),
       crashes: this.#crashCounter.listRecentCrashes(),
+      promptParts: this.#promptParts.getReport(),
       peers: this.#peerTable.getReport(relation),
     };
   }
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -34,6 +34,10 @@
   readonly #modelRequest: ModelRequest;
   readonly #excludedGroupKeys = new Set<string>();
   readonly #fingerprint: string;
+  /** Parts of the prompt that other requests may have in common with this one; the last part belongs to this request. */
+  readonly #sharedParts: readonly string[];
+  /** Whether the current attempt has received an event. */
+  #hasAttemptEvents = false;
   /** Id of the last event that the caller has received. */
   #lastEventId: number | undefined;
   #verdict: Verdict = "not-run";
@@ -58,6 +62,9 @@
     this.#modelRequest = options.modelRequest;
     this.#lastEventId = scope.request.resumeAfter;
     this.#fingerprint = getFingerprint(scope);
+    this.#sharedParts = options.modelRequest.promptParts.slice(0, -1).map((
+      { id },
+    ) => id);
   }
 
   /** Returns the log fields of the completed request. */
@@ -85,7 +92,7 @@
       this.#attemptCount++;
       this.#lastGroupKey = grant.group.key;
       const result = await this.#runAttempt(grant);
-      this.#recordResult(grant, result);
+      await this.#recordResult(grant, result);
       if (result.outcome === "complete") {
         this.#scope.context.crashes.recordSuccess(this.#fingerprint);
         return;
@@ -102,15 +109,31 @@
 
   /** Refuses a request that is suspected of crashing the groups that run it. */
   #checkCrashLimit(): void {
-    if (this.#scope.context.crashes.isRefused(this.#fingerprint)) {
+    const { crashes, promptParts } = this.#scope.context;
+    const refusedPart = promptParts.findRefusedPart(this.#sharedParts);
+    if (refusedPart !== undefined || crashes.isRefused(this.#fingerprint)) {
       throw new RequestError(
-        "The request is refused because several replica groups crashed while running it",
+        refusedPart === undefined
+          ? "The request is refused because several replica groups crashed while running it"
+          : `The request is refused because several replica groups crashed while running requests with the prompt part "${refusedPart}"`,
         { code: "quarantined", verdict: this.#verdict, status: 503 },
       );
     }
   }
 
   async #acquireGrant(): Promise<GroupGrant> {
+    const grant = await this.#waitForGrant();
+    try {
+      // The crashes that condemn the request may have happened while it waited.
+      this.#checkCrashLimit();
+    } catch (error) {
+      grant.release();
+      throw error;
+    }
+    return grant;
+  }
+
+  async #waitForGrant(): Promise<GroupGrant> {
     const { context, request, service, priority, deadlineAtMs, route } =
       this.#scope;
     const nowMs = performance.now();
@@ -155,6 +178,7 @@
 
   async #runAttempt(grant: GroupGrant): Promise<AttemptResult> {
     const { context, request } = this.#scope;
+    this.#hasAttemptEvents = false;
     const controller = new AbortController();
     const abortAttempt = () => controller.abort();
     request.signal.addEventListener("abort", abortAttempt, { once: true });
@@ -228,8 +252,13 @@
     const { writer, context, request } = this.#scope;
     const parser = new ServerSentEventParser();
     for await (const chunk of response.body) {
-      const events = this.#acceptEvents(parser.push(chunk));
+      const receivedEvents = parser.push(chunk);
+      const events = this.#acceptEvents(receivedEvents);
       attempt.lastEventAtMs = performance.now();
+      if (receivedEvents.length > 0 && !this.#hasAttemptEvents) {
+        this.#hasAttemptEvents = true;
+        context.promptParts.recordSuccess(this.#sharedParts);
+      }
       if (events.length === 0) {
         continue;
       }
@@ -289,7 +318,10 @@
     });
   }
 
-  #recordResult(grant: GroupGrant, result: AttemptResult): void {
+  async #recordResult(
+    grant: GroupGrant,
+    result: AttemptResult,
+  ): Promise<void> {
     const { context, request, route } = this.#scope;
     if (result.outcome === "failed") {
       this.#verdict = combineVerdicts(this.#verdict, result.error.verdict);
@@ -333,10 +365,22 @@
       (result.outcome === "failed" && !result.isGroupLost &&
         result.error.kind !== "aborted");
     if (isGroupSuspect) {
-      void context.groupFailureDetector.checkGroup(grant.group, result.outcome);
+      const check = context.groupFailureDetector.checkGroup(
+        grant.group,
+        result.outcome,
+      );
+      if (this.#isCrashSuspect(result) && await check) {
+        context.promptParts.recordCrash(grant.group.key, this.#sharedParts);
+      }
     }
   }
 
+  /** Gets whether the request may have crashed its server: the connection was reset before the first event. */
+  #isCrashSuspect(result: AttemptResult): boolean {
+    return result.outcome === "failed" && result.error.kind === "reset" &&
+      !this.#hasAttemptEvents && this.#sharedParts.length > 0;
+  }
+
   /**
    * Gets whether the process of the group's head has ended, in which case the failed attempt does not count towards the route's limit.
    *
--- a/src/request/routed/model_stream_forwarder_test.ts
+++ b/src/request/routed/model_stream_forwarder_test.ts
@@ -38,7 +38,8 @@
           recordCrash: () => {},
           countCrashes: () => 0,
         },
-        groupFailureDetector: { checkGroup: () => Promise.resolve() },
+        promptParts: { findRefusedPart: () => undefined },
+        groupFailureDetector: { checkGroup: () => Promise.resolve(false) },
         directory: {
           findServer: (id: string) =>
             head === "not listed"
