Refuse a quarantined request with 502 after it may have run

Cause: a request that was quarantined between its attempts was refused with 503, which promises that it has not run, although a group had crashed while running it. Change: 503 only with the verdict not-run, 502 otherwise. Evidence: the new case of model_stream_forwarder_test failed before (503).

--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -116,7 +116,11 @@
         refusedPart === undefined
           ? "The request is refused because several replica groups crashed while running it"
           : `The request is refused because several replica groups crashed while running requests with the prompt part "${refusedPart}"`,
-        { code: "quarantined", verdict: this.#verdict, status: 503 },
+        {
+          code: "quarantined",
+          verdict: this.#verdict,
+          status: this.#verdict === "not-run" ? 503 : 502,
+        },
       );
     }
   }
--- a/src/request/routed/model_stream_forwarder_test.ts
+++ b/src/request/routed/model_stream_forwarder_test.ts
@@ -12,13 +12,15 @@
 
 describe("ModelStreamForwarder", () => {
   describe("run", () => {
-    /** Fails every attempt while it runs and returns the group heads that received the request. */
+    /** Fails every attempt while it runs and returns the group heads that received the request, and the error. */
     async function doTest(
-      { head, failure }: {
+      { head, failure, maxCrashes = Number.POSITIVE_INFINITY }: {
         head: "listed" | "restarted" | "not listed";
         failure: "silent member" | "reset";
+        /** Number of crashes after which the request is refused. */
+        maxCrashes?: number;
       },
-    ): Promise<string[]> {
+    ): Promise<{ headIds: string[]; error: unknown }> {
       const headIds: string[] = [];
       const attempts = new StreamAttempts();
       const createGroup = (number: number) => ({
@@ -34,7 +36,7 @@
         metrics: { record: () => {}, count: () => {} },
         attempts,
         crashes: {
-          isRefused: () => false,
+          isRefused: () => headIds.length >= maxCrashes,
           recordCrash: () => {},
           countCrashes: () => 0,
         },
@@ -89,8 +91,8 @@
           promptParts: [],
         },
       });
-      await expect(stream.run()).rejects.toThrow();
-      return headIds;
+      const error = await stream.run().catch((e: unknown) => e);
+      return { headIds, error };
     }
 
     // Guards against a request that runs more often than its route allows because one group after another loses a member. An expired directory entry does not show that the head has ended: a head that cannot reach the store keeps running.
@@ -101,7 +103,9 @@
         [{ head: "not listed", failure: "silent member" }],
       ] as const,
     )("counts an attempt on a head that may still run: %o", async (options) => {
-      expect(await doTest(options)).toEqual(["s1", "s2"]);
+      const { headIds, error } = await doTest(options);
+      expect(headIds).toEqual(["s1", "s2"]);
+      expect(error).toBeInstanceOf(Error);
     });
 
     it.each(
@@ -113,7 +117,25 @@
     )("does not count an attempt on a head that has ended: %o", async (
       options,
     ) => {
-      expect(await doTest(options)).toEqual(["s1", "s2", "s3", "s4"]);
+      const { headIds, error } = await doTest(options);
+      expect(headIds).toEqual(["s1", "s2", "s3", "s4"]);
+      expect(error).toBeInstanceOf(Error);
     });
+
+    // Guards against a status that promises that the request has not run, after a group crashed while running it.
+    it.each([
+      [0, { status: 503, verdict: "not-run" }],
+      [1, { status: 502, verdict: "may-have-run" }],
+    ])(
+      "refuses a request after %i crashes of its own with %j",
+      async (maxCrashes, expected) => {
+        const { error } = await doTest({
+          head: "listed",
+          failure: "reset",
+          maxCrashes,
+        });
+        expect(error).toMatchObject({ code: "quarantined", ...expected });
+      },
+    );
   });
 });
