--- a/tests/quarantine_test.ts
+++ b/tests/quarantine_test.ts
@@ -59,6 +59,22 @@
     });
   });
 
+  // Guards against a message that crashes one group after another because no two of the conversations with it are alike.
+  it(
+    "lets a message that many conversations share crash at most five groups",
+    async () => {
+      for (let i = 0; i < 8; i++) {
+        await deployment.requestChat(
+          deployment.daemons[i % deployment.daemons.length],
+          `tokens=40 question ${i}`,
+          { systemMessage: MARKER },
+        );
+      }
+      expect(countCrashes()).toBeLessThanOrEqual(5);
+    },
+    60_000,
+  );
+
   // Guards against requests that are refused or interrupted because they ran on the same group as a crash request.
   it("completes the other requests of a crashed group", async () => {
     const contents = [1, 2, 3, 4, 5, 6].map((i) => `tokens=60 innocent ${i}`);
--- a/tests/support/test_deployment.ts
+++ b/tests/support/test_deployment.ts
@@ -164,14 +164,24 @@
   async requestChat(
     daemon: Daemon,
     content: string,
-    options: { headers?: Record<string, string>; stream?: boolean } = {},
+    options: {
+      headers?: Record<string, string>;
+      stream?: boolean;
+      systemMessage?: string;
+    } = {},
   ): Promise<Response<string>> {
+    const { systemMessage } = options;
     return await got.post(
       `http://${daemon.callerAddress}/v1/chat/completions`,
       {
         json: {
           model: TEST_MODEL,
-          messages: [{ role: "user", content }],
+          messages: [
+            ...(systemMessage === undefined
+              ? []
+              : [{ role: "system", content: systemMessage }]),
+            { role: "user", content },
+          ],
           stream: options.stream ?? false,
         },
         headers: {
