Log the request rate that servers state in their responses

Change: the transport decodes the header (unlimited, a rate, or unknown for a value that is not a decimal number or a 421, which another server may have sent); server-limit is logged when a statement changes. Nothing acts on it.

--- a/src/connection/backend_transport.ts
+++ b/src/connection/backend_transport.ts
@@ -50,6 +50,15 @@
   readonly signal: AbortSignal;
 }
 
+/**
+ * Request rate that a server states in a response, for the requests of all daemons together.
+ *
+ * - A number: requests per second.
+ * - `unlimited`: the response states no limit.
+ * - `unknown`: the statement cannot be decoded, or the response may come from another server.
+ */
+export type RequestLimit = number | "unlimited" | "unknown";
+
 /** Response of a backend server. */
 export interface BackendResponse {
   readonly status: number;
@@ -59,6 +68,7 @@
   readonly verdict: Verdict;
   /** Id of the backend server whose failure made the responding server refuse the request, if the response names it. */
   readonly failedServerId?: string;
+  readonly requestLimit: RequestLimit;
   /** Length of the body in bytes, if the response has a `content-length` header. */
   readonly contentLength?: number;
   /**
--- a/src/process/routing_context.ts
+++ b/src/process/routing_context.ts
@@ -10,6 +10,7 @@
 import type { GroupTable } from "./fleet/group_table.ts";
 import type { PromptPartQuarantine } from "./fleet/prompt_part_quarantine.ts";
 import type { ServiceRetryBudget } from "./fleet/service_retry_budget.ts";
+import type { ServerLimits } from "./fleet/server_limits.ts";
 import type { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { ServerLoads } from "./fleet/server_loads.ts";
 import type { Metrics } from "./metrics.ts";
@@ -29,6 +30,7 @@
   readonly groupFailureDetector: GroupFailureDetector;
   readonly serverLoads: ServerLoads;
   readonly coldLimits: ColdLimits;
+  readonly serverLimits: ServerLimits;
   readonly crashes: CrashCounter;
   readonly promptParts: PromptPartQuarantine;
   /** Gets the route table of the configuration in force; undefined before the first configuration. */
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -29,6 +29,7 @@
 import { PlannerLeaseHolder } from "./fleet/planner_lease_holder.ts";
 import { ServiceRetryBudget } from "./fleet/service_retry_budget.ts";
 import { ReplicaReconciler } from "./fleet/replica_reconciler.ts";
+import { ServerLimits } from "./fleet/server_limits.ts";
 import { ServerLoads } from "./fleet/server_loads.ts";
 import { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { Metrics } from "./metrics.ts";
@@ -77,6 +78,7 @@
   readonly #groupLoads = new GroupLoads();
   readonly #crashCounter = new CrashCounter();
   readonly #promptParts: PromptPartQuarantine;
+  readonly #serverLimits: ServerLimits;
   readonly #linkTransport = new WebSocketLinkTransport();
   readonly #peerTable: PeerTable;
   readonly #excludedZones: ExcludedZones;
@@ -110,6 +112,7 @@
       logger,
       onChange: () => this.#peerExchange.announce(),
     });
+    this.#serverLimits = new ServerLimits({ logger });
     this.#fleetSync = this.#createFleetSync();
     this.#leaseHolder = this.#createLeaseHolder();
     this.#peerExchange = this.#createPeerExchange();
@@ -150,6 +153,7 @@
       }),
       serverLoads: new ServerLoads(),
       coldLimits,
+      serverLimits: this.#serverLimits,
       crashes: this.#crashCounter,
       promptParts: this.#promptParts,
       getRoutes: () => this.#routes,
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -234,6 +234,7 @@
         signal,
       },
     );
+    context.serverLimits.recordResponse(head, response.requestLimit);
     if (response.verdict === "not-run") {
       const body = await readResponseBody(response);
       return { outcome: "declined", response, body };
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -106,7 +106,7 @@
 
   async #runAttempt(server: BackendServer): Promise<AttemptResult> {
     const { context, request, account, route } = this.#scope;
-    const { coldLimits, serverLoads, transport } = context;
+    const { coldLimits, serverLimits, serverLoads, transport } = context;
     const remainingMs = this.#scope.deadlineAtMs - performance.now();
     const isLastAttempt = route.kind !== "idempotent" ||
       this.#countedAttemptCount + 1 >= route.maxAttempts;
@@ -135,6 +135,7 @@
           signal: controller.signal,
         },
       );
+      serverLimits.recordResponse(server, response.requestLimit);
       const body = await readResponseBody(response);
       const outcome = response.verdict === "not-run" ? "declined" : "answered";
       return { outcome, response, body };
--- a/src/request/routed/service_request_forwarder_test.ts
+++ b/src/request/routed/service_request_forwarder_test.ts
@@ -27,6 +27,7 @@
         createBackendServer({ id: `s${i}` })
       );
       const context = {
+        serverLimits: { recordResponse: () => {} },
         logger: new NullLogger(),
         settings: { zone: "z" },
         serverLoads: new ServerLoads(),
