--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -83,6 +83,8 @@
   crashingPart: string | undefined;
   /** Number of crashes caused by `crashingPart`. */
   requestCrashes = 0;
+  /** Number of requests per second that the server states in its responses. */
+  requestLimit: number | undefined;
   /** Number of upcoming orders that get no response and are applied after a delay. */
   ordersToDelay = 0;
   /** Number of upcoming requests that are executed but whose connection is reset instead of a response. */
@@ -299,7 +301,12 @@
       zone,
       promptParts: listPromptParts(req),
     });
-    const headers = { "request-id": requestId, "response-signature": id };
+    const headers = {
+      "request-id": requestId,
+      "response-signature": id,
+      ...(this.requestLimit !== undefined &&
+        { "server-limit": String(this.requestLimit) }),
+    };
     if (this.responsesToLose > 0) {
       this.responsesToLose--;
       req.socket.resetAndDestroy();
