Keep the requests of all daemons within the limit that a server states

Cause: nothing acted on what a server says of itself in its answers. Groups and servers were chosen by load alone. Class: a statement in an answer that ends with the answer instead of governing the next requests. Change: ServerLimits keeps the statement by server and process, and divides the rate among the daemons, those of the server's zone first; each has an allowance of at most one request, and at most floor(rate) + 4 daemons send, so that any 4 s hold less than the rule allows without a message for a request. Statements go to peers, since a daemon that may not send gets no answer. They end when an answer states no limit, after 15 s without one, or with the process. Group admission and plain calls ask it before each attempt, retries too; a refused plain call is told when the limit allows the next one.

--- a/src/connection/peer_notice.ts
+++ b/src/connection/peer_notice.ts
@@ -28,6 +28,17 @@
   readonly time: PartSuccessTime;
 }
 
+/** Request rate that a backend server stated in a response. */
+export interface ServerLimitNotice {
+  readonly serverId: string;
+  /** Wall-clock time of the start of the server's process, in milliseconds. */
+  readonly startedAtMs: number;
+  /** Requests per second, or null when the server no longer states a limit. */
+  readonly limit: number | null;
+  /** Time since the response, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** Availability zones that are excluded from serving requests, as of a revision of the store. */
 export interface ExcludedZonesNotice {
   readonly revision: number;
@@ -128,6 +139,8 @@
   readonly partCrashes?: readonly PartCrashNotice[];
   /** Successes of requests with suspected parts. */
   readonly partSuccesses?: readonly PartSuccessNotice[];
+  /** Request rates that servers state, when they are new or have to be confirmed. */
+  readonly serverLimits?: readonly ServerLimitNotice[];
   /** Daemons that the sender newly knows. */
   readonly peers?: readonly DaemonDescription[];
   /** Names of the daemons that the sender no longer knows. */
--- a/src/process/fleet/cold_limits.ts
+++ b/src/process/fleet/cold_limits.ts
@@ -1,4 +1,5 @@
 import { getRendezvousOrder } from "../../shared/rendezvous_hash.ts";
+import type { SendLimit } from "./send_limit.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
 
 /** Length of the sliding window over which requests to a cold server are counted, in milliseconds. */
@@ -20,7 +21,7 @@
 }
 
 /** Limits the rate of requests that this daemon sends to cold servers. The limit of a server is divided evenly among all daemons, so that the sum of their requests stays within it without messages between them. When the limit is below the number of daemons, rendezvous hashing chooses the daemons that may send one request each. */
-export class ColdLimits {
+export class ColdLimits implements SendLimit {
   readonly #options: ColdLimitsOptions;
   readonly #sentAtMs = new Map<string, number[]>();
 
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -11,6 +11,7 @@
 import { ObjectWatcher } from "./object_watcher.ts";
 import type { Partner, PeerTable } from "./peer_table.ts";
 import type { PromptPartQuarantine } from "./prompt_part_quarantine.ts";
+import type { ServerLimits } from "./server_limits.ts";
 import type {
   DaemonDescription,
   PeerDataRequest,
@@ -53,6 +54,7 @@
   readonly loads: GroupLoads;
   readonly crashes: CrashCounter;
   readonly promptParts: PromptPartQuarantine;
+  readonly serverLimits: ServerLimits;
   readonly excludedZones: ExcludedZones;
   readonly peerTable: PeerTable;
   readonly logger: Logger;
@@ -333,7 +335,8 @@
     relation: PeerRelation,
     notice: PeerNotice,
   ): void {
-    const { loads, crashes, directory, promptParts } = this.#options;
+    const { loads, crashes, directory, promptParts, serverLimits } =
+      this.#options;
     loads.applyPeerLoad(name, relation, notice);
     this.#applyLosses(name, notice.lostGroups ?? []);
     notice.crashes?.forEach((crash) => crashes.applyNotice(crash));
@@ -341,6 +344,9 @@
     notice.partSuccesses?.forEach((success) =>
       promptParts.applySuccess(success)
     );
+    notice.serverLimits?.forEach((limit) =>
+      serverLimits.applyNotice(limit, relation)
+    );
     if (notice.excludedZones !== undefined) {
       this.#applyExcludedZones(notice.excludedZones, name);
     }
--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -1,12 +1,12 @@
 import { RequestError } from "../../shared/errors.ts";
 import { getRendezvousOrder } from "../../shared/rendezvous_hash.ts";
-import type { ColdLimits } from "./cold_limits.ts";
 import { chooseGroup } from "./group_choice.ts";
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
 import type { GroupLoads } from "./group_loads.ts";
+import type { SendLimit } from "./send_limit.ts";
 
-/** Delay before the waiting requests are checked again when a cold head is at its limit, in milliseconds. */
-const COLD_HEAD_RETRY_MS = 100;
+/** Delay before the waiting requests are checked again when a head is at a limit of its request rate, in milliseconds. */
+const SEND_LIMIT_RETRY_MS = 100;
 
 /** Number of requests added to the load of a group in another zone, to reduce cross-zone traffic. A difference of this size does not noticeably change the step time of an engine. */
 const CROSS_ZONE_PENALTY = 3;
@@ -71,7 +71,7 @@
 export class GroupAdmission {
   readonly #groups: GroupTable;
   readonly #loads: GroupLoads;
-  readonly #coldLimits: ColdLimits;
+  readonly #sendLimits: readonly SendLimit[];
   readonly #zone: string;
   readonly #ownName: string;
   /** Keys of the preferred groups, by list of the groups of a model. */
@@ -83,13 +83,14 @@
   /** Mean time that a request holds its slot, by model, in milliseconds. */
   readonly #meanDurationsMs = new Map<string, number>();
   readonly #waiters: Waiter[] = [];
-  #coldRetryTimer: NodeJS.Timeout | undefined;
+  #retryTimer: NodeJS.Timeout | undefined;
 
   constructor(
     options: {
       groups: GroupTable;
       loads: GroupLoads;
-      coldLimits: ColdLimits;
+      /** Limits on the requests to a group's head. */
+      sendLimits: readonly SendLimit[];
       /** Zone of this daemon. */
       zone: string;
       /** Name of this daemon. */
@@ -100,7 +101,7 @@
   ) {
     this.#groups = options.groups;
     this.#loads = options.loads;
-    this.#coldLimits = options.coldLimits;
+    this.#sendLimits = options.sendLimits;
     this.#zone = options.zone;
     this.#ownName = options.ownName;
     this.#getStalenessMs = options.getStalenessMs;
@@ -165,7 +166,7 @@
       return undefined;
     }
     this.#loads.addRequest(group.key);
-    this.#coldLimits.recordRequest(group.head);
+    this.#sendLimits.forEach((limit) => limit.recordRequest(group.head));
     const grantedAtMs = performance.now();
     let isReleased = false;
     return {
@@ -183,12 +184,12 @@
     };
   }
 
-  /** Schedules another admission attempt, since no event signals that a cold head accepts requests again. */
+  /** Schedules another admission attempt, since no event signals that a head accepts requests again. */
   #scheduleRetry(): void {
-    this.#coldRetryTimer ??= setTimeout(() => {
-      this.#coldRetryTimer = undefined;
+    this.#retryTimer ??= setTimeout(() => {
+      this.#retryTimer = undefined;
       this.admitWaiting();
-    }, COLD_HEAD_RETRY_MS).unref();
+    }, SEND_LIMIT_RETRY_MS).unref();
   }
 
   #chooseGroup(request: GroupAdmissionRequest): ReplicaGroup | undefined {
@@ -200,7 +201,7 @@
       if (excludedGroups.has(group.key)) {
         continue;
       }
-      if (this.#coldLimits.isBelowLimit(group.head)) {
+      if (this.#sendLimits.every((limit) => limit.isBelowLimit(group.head))) {
         groups.push(group);
       } else {
         this.#scheduleRetry();
--- a/src/process/fleet/notice_composer.ts
+++ b/src/process/fleet/notice_composer.ts
@@ -6,11 +6,15 @@
   PartSuccessNotice,
   PeerNotice,
   PlannerNotice,
+  ServerLimitNotice,
 } from "../../connection/peer_notice.ts";
+import type { ServerLimitReport } from "./server_limits.ts";
 import type { PartCrash, PromptPartReport } from "./prompt_part_quarantine.ts";
 
 /** Time by which the confirmation of the list of servers has to be newer for a notice, in milliseconds. */
 const MIN_CONFIRMATION_STEP_MS = 200;
+/** Time by which a server's statement has to be newer for a notice when its limit is the same, in milliseconds. */
+const MIN_LIMIT_STEP_MS = 3_000;
 
 /** State of a daemon that its notices describe. */
 export interface NoticeState {
@@ -27,6 +31,7 @@
   /** Crashes of the last moments. */
   readonly crashes: readonly CrashNotice[];
   readonly promptParts: PromptPartReport;
+  readonly serverLimits: readonly ServerLimitReport[];
   readonly peers: ReadonlyMap<string, DaemonDescription>;
 }
 
@@ -34,6 +39,8 @@
 export class NoticeComposer {
   #state: NoticeState | undefined;
   #crashKeys: ReadonlySet<string> = new Set();
+  /** Statements of servers as of the last notice that described each of them. */
+  #sentLimits: ReadonlyMap<string, ServerLimitReport> = new Map();
   /** Monotonic time at which the store confirmed the list of servers, as of the last notice that told it, in milliseconds. */
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -92,6 +99,10 @@
     if (crashes.length > 0) {
       notice.crashes = crashes;
     }
+    const serverLimits = this.#takeNewLimits(state.serverLimits);
+    if (serverLimits.length > 0) {
+      notice.serverLimits = serverLimits;
+    }
     addPromptPartChanges(notice, previous?.promptParts, state.promptParts);
     addPeerChanges(notice, previous?.peers, state.peers);
     this.#state = state;
@@ -104,7 +115,7 @@
     if (this.#state === undefined) {
       return undefined;
     }
-    const { loads, peers, promptParts, ...state } = this.#state;
+    const { loads, peers, promptParts, serverLimits, ...state } = this.#state;
     return {
       ...state,
       isComplete: true,
@@ -112,6 +123,7 @@
       peers: [...peers.values()],
       partCrashes: promptParts.crashes.map(convertPartCrash),
       partSuccesses: promptParts.successes,
+      serverLimits: serverLimits.map(convertServerLimit),
     };
   }
 
@@ -120,6 +132,28 @@
       MIN_CONFIRMATION_STEP_MS;
   }
 
+  #takeNewLimits(limits: readonly ServerLimitReport[]): ServerLimitNotice[] {
+    if (limits.length === 0 && this.#sentLimits.size === 0) {
+      return [];
+    }
+    const previousLimits = this.#sentLimits;
+    const newLimits = limits.filter((current) => {
+      const previous = previousLimits.get(current.serverId);
+      return previous?.limit !== current.limit ||
+        previous.startedAtMs !== current.startedAtMs ||
+        current.atMs - previous.atMs >= MIN_LIMIT_STEP_MS;
+    });
+    this.#sentLimits = new Map(
+      limits.map((limit) => [
+        limit.serverId,
+        newLimits.includes(limit)
+          ? limit
+          : previousLimits.get(limit.serverId) ?? limit,
+      ]),
+    );
+    return newLimits.map(convertServerLimit);
+  }
+
   #takeNewCrashes(crashes: readonly CrashNotice[]): CrashNotice[] {
     const previousKeys = this.#crashKeys;
     this.#crashKeys = new Set(crashes.map(getCrashKey));
@@ -195,6 +229,12 @@
   return { groupKey, parts, ageMs: Math.round(performance.now() - atMs) };
 }
 
+function convertServerLimit(
+  { atMs, ...statement }: ServerLimitReport,
+): ServerLimitNotice {
+  return { ...statement, ageMs: Math.round(performance.now() - atMs) };
+}
+
 function addPeerChanges(
   notice: Mutable<PeerNotice>,
   previous: ReadonlyMap<string, DaemonDescription> = new Map(),
--- a/src/process/fleet/notice_composer_test.ts
+++ b/src/process/fleet/notice_composer_test.ts
@@ -16,6 +16,7 @@
       lostGroups: [],
       crashes: [],
       promptParts: { crashes: [], successes: [] },
+      serverLimits: [],
       peers: new Map(),
       ...state,
     };
@@ -85,6 +86,25 @@
       expect(complete?.partSuccesses).toHaveLength(2);
     });
 
+    it("contains the statement of a server when it is new, has changed or has to be confirmed", () => {
+      const createLimits = (limit: number, atMs: number) => [
+        { serverId: "s1", startedAtMs: 1, limit, atMs },
+      ];
+      const composer = new NoticeComposer();
+      const compose = (limit: number, atMs: number) =>
+        composer.createChangeNotice(
+          createState({ serverLimits: createLimits(limit, atMs) }),
+          { isPeriodic: false },
+        )?.serverLimits?.length ?? 0;
+      expect([
+        compose(2, 1_000),
+        compose(2, 1_500),
+        compose(3, 1_600),
+        compose(3, 4_000),
+        compose(3, 4_700),
+      ]).toEqual([1, 0, 1, 0, 1]);
+    });
+
     it("contains new and removed peers, and those with another address", () => {
       const [a, b, c] = ["a", "b", "c"].map((name) =>
         createDaemonDescription(name)
--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -554,6 +554,7 @@
   "crashes",
   "partCrashes",
   "partSuccesses",
+  "serverLimits",
   "peers",
   "removedPeers",
 ] as const;
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -112,7 +112,14 @@
       logger,
       onChange: () => this.#peerExchange.announce(),
     });
-    this.#serverLimits = new ServerLimits({ logger });
+    this.#serverLimits = new ServerLimits({
+      logger,
+      minDaemons: MIN_SHARING_DAEMONS,
+      ownDaemon: this.#ownDaemon,
+      listPeers: () => this.#peerTable.listLivePeers(),
+      getPeersVersion: () => this.#peerTable.getLiveVersion(),
+      onChange: () => this.#peerExchange.scheduleNotices(),
+    });
     this.#fleetSync = this.#createFleetSync();
     this.#leaseHolder = this.#createLeaseHolder();
     this.#peerExchange = this.#createPeerExchange();
@@ -138,7 +145,7 @@
       admission: new GroupAdmission({
         groups: this.#groups,
         loads: this.#groupLoads,
-        coldLimits,
+        sendLimits: [coldLimits, this.#serverLimits],
         zone: settings.zone,
         ownName: settings.name,
         getStalenessMs: () => this.#peerExchange.getStalenessMs(),
@@ -193,6 +200,11 @@
       help: "Requests that wait for a slot in a group",
       getValue: () => this.#context.admission.waitingCount,
     });
+    metrics.addGauge({
+      name: "limited_servers",
+      help: "Backend servers that state a limit of their request rate",
+      getValue: () => this.#serverLimits.limitedCount,
+    });
     metrics.addGauge({
       name: "config_version",
       help: "Version of the configuration in force",
@@ -293,6 +305,7 @@
       loads: this.#groupLoads,
       crashes: this.#crashCounter,
       promptParts: this.#promptParts,
+      serverLimits: this.#serverLimits,
       excludedZones: this.#excludedZones,
       peerTable: this.#peerTable,
       isPlanner: () => this.#leaseHolder.getTerm() !== undefined,
@@ -390,6 +403,7 @@
       lostGroups: this.#groups.listLostKeys(),
       crashes: this.#crashCounter.listRecentCrashes(),
       promptParts: this.#promptParts.getReport(),
+      serverLimits: this.#serverLimits.getReport(relation),
       peers: this.#peerTable.getReport(relation),
     };
   }
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -26,6 +26,8 @@
   #attemptCount = 0;
   /** Number of attempts that ran or may have run, which the route limits. */
   #countedAttemptCount = 0;
+  /** Shortest time until the limit of a server allows another request, in milliseconds; infinite when no server is at its limit. */
+  #limitWaitMs = Number.POSITIVE_INFINITY;
   #responseStatus: number | undefined;
   /** Last response of a server that ran the request. */
   #lastResponse: AttemptResponse | undefined;
@@ -50,6 +52,7 @@
    */
   async run(): Promise<void> {
     for (;;) {
+      this.#limitWaitMs = Number.POSITIVE_INFINITY;
       const server = this.#chooseServer();
       if (server === undefined) {
         this.#sendLastResponseOrThrow(
@@ -100,7 +103,11 @@
     const candidates = servers.filter((server) =>
       !this.#triedServerIds.has(server.id) &&
       context.coldLimits.isBelowLimit(server)
-    );
+    ).filter((server) => {
+      const waitMs = context.serverLimits.getWaitMs(server);
+      this.#limitWaitMs = Math.min(this.#limitWaitMs, waitMs);
+      return waitMs === 0;
+    });
     return context.serverLoads.chooseServer(candidates, context.settings.zone);
   }
 
@@ -119,6 +126,7 @@
     );
     const removeLoad = serverLoads.addRequest(server.id);
     coldLimits.recordRequest(server);
+    serverLimits.recordRequest(server);
     try {
       const response = await transport.send(
         { serverId: server.id, address: server.address },
@@ -205,13 +213,19 @@
     );
   }
 
+  #getRetryAfterMs(): number {
+    return Number.isFinite(this.#limitWaitMs)
+      ? Math.max(RETRY_AFTER_MS, Math.ceil(this.#limitWaitMs))
+      : RETRY_AFTER_MS;
+  }
+
   #createError(message: string, statusIfMayHaveRun = 502): RequestError {
     const isNotRun = this.#verdict === "not-run";
     return new RequestError(message, {
       code: isNotRun ? "no-capacity" : "backend-failed",
       verdict: this.#verdict,
       status: isNotRun ? 503 : statusIfMayHaveRun,
-      retryAfterMs: isNotRun ? RETRY_AFTER_MS : undefined,
+      retryAfterMs: isNotRun ? this.#getRetryAfterMs() : undefined,
     });
   }
 }
