Break off a stream when the group that was to continue it answers with an error

Reported by other operators: a stream had begun and broke off, and the next server answered with an error; clients found its text in their stream, or an end that looks complete. Here: neither, but the stream never ended. The answer was dropped since the response had started, and the connection stayed open until the client left. Cause: an answer was the end of a request, also after the response to the caller had started. Class: an outcome that is valid for the first attempt only. Change: after the start such an answer counts as a failed attempt: another group is tried within the limit of the route, then the connection is closed. Evidence: the new case of platform_path_test failed before (no end after 30 s), and passes now in less than 2 s with a part of the stream that is not whole.

--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -83,6 +83,8 @@
   crashingPart: string | undefined;
   /** Number of crashes caused by `crashingPart`. */
   requestCrashes = 0;
+  /** Number of upcoming requests that are answered with the status 500 and a body. */
+  requestsToFail = 0;
   /** Number of requests per second that the server states in its responses. */
   requestLimit: number | undefined;
   /** Number of upcoming orders that get no response and are applied after a delay. */
@@ -307,7 +309,11 @@
       ...(this.requestLimit !== undefined &&
         { "server-limit": String(this.requestLimit) }),
     };
-    if (this.responsesToLose > 0) {
+    if (this.requestsToFail > 0) {
+      this.requestsToFail--;
+      res.writeHead(500, headers);
+      res.end("internal error");
+    } else if (this.responsesToLose > 0) {
       this.responsesToLose--;
       req.socket.resetAndDestroy();
     } else if (domain === undefined) {
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -97,7 +97,8 @@
         this.#scope.context.crashes.recordSuccess(this.#fingerprint);
         return;
       }
-      if (result.outcome === "answered") {
+      // The answer of another group cannot follow a stream that has started.
+      if (result.outcome === "answered" && !this.#scope.writer.hasStarted()) {
         const { status, headers } = result.response;
         this.#scope.writer.sendResponse(status, headers, result.body);
         return;
@@ -347,6 +348,9 @@
       }
     } else if (result.outcome === "declined") {
       this.#declinedCount++;
+    } else if (result.outcome === "answered") {
+      this.#verdict = combineVerdicts(this.#verdict, result.response.verdict);
+      this.#countedAttemptCount++;
     }
     if (result.outcome !== "complete") {
       context.logger.write("info", "attempt-ended", {
@@ -424,11 +428,7 @@
       !isRetryable || isLimitReached ||
       !context.getRetryBudget(service.name).tryAcquire()
     ) {
-      throw this.#createError(
-        result.outcome === "failed"
-          ? result.error.message
-          : "All replica groups that were tried declined the request",
-      );
+      throw this.#createError(describeFailure(result));
     }
     context.metrics.count("resumes");
   }
@@ -471,6 +471,15 @@
     : Buffer.concat(events.map(({ bytes }) => bytes));
 }
 
+function describeFailure(result: AttemptResult): string {
+  if (result.outcome === "failed") {
+    return result.error.message;
+  }
+  return result.outcome === "answered"
+    ? `The replica group that was to continue the stream answered with status ${result.response.status}`
+    : "All replica groups that were tried declined the request";
+}
+
 function convertError(
   error: unknown,
   lossReason: string | undefined,
--- a/tests/platform_path_test.ts
+++ b/tests/platform_path_test.ts
@@ -63,6 +63,27 @@
     expect(lostGroupEvents.length).toBeGreaterThan(0);
   });
 
+  // Guards against a stream that never ends, or ends with the text of an error, because the group that was to continue it answers with an error.
+  it("breaks off a stream that no group can continue", async () => {
+    const deployment = await startDeployment({ eventMs: 60 });
+    const { runs, fleet } = deployment;
+    const pendingResponse = deployment.callModel();
+    const runsBefore = runs.length;
+    await waitUntil(() => runs.length > runsBefore);
+    await delay(300);
+    const headId = runs.at(-1)!.serverId;
+    fleet.forEach((server) => server.requestsToFail = 1);
+    fleet.get(headId)!.crash();
+    const endedAtMs = pendingResponse.then(() => performance.now());
+    const crashedAtMs = performance.now();
+    const response = await pendingResponse;
+    expect(await endedAtMs - crashedAtMs).toBeLessThan(2_000);
+    expect(response.status).toBe(200);
+    expect(response.isWhole).toBe(false);
+    expect(response.body).not.toBe("");
+    expect(EXPECTED_STREAM.startsWith(response.body)).toBe(true);
+  });
+
   it("forms one group from the remaining servers of two lost groups", async () => {
     const deployment = await startDeployment();
     const { fleet, store } = deployment;
