--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -281,12 +281,12 @@
     const requestId = String(req.headers["request-id"]);
     await readJson(req).catch(() => undefined);
     if (req.headers["expect-instance"] !== id) {
-      res.writeHead(421, { "instance-id": id });
+      res.writeHead(421, { "instance-id": id, "request-id": requestId });
       res.end();
       return;
     }
     if (domain !== undefined && this.#group?.State !== "open") {
-      res.writeHead(503, { "not-executed": "1" });
+      res.writeHead(503, { "not-executed": "1", "request-id": requestId });
       res.end();
       return;
     }
