Limit the size of an event of a stream

Cause: the parser of streams kept all bytes since the last blank line, and searched all of them again with each chunk. A server that sends a body without an end filled the memory of the daemon until the request's deadline. Change: an event of more than 256 KiB fails the attempt as invalid. Evidence: the new test of server_sent_events_test failed before (6.5 MB kept).

--- a/src/request/routed/server_sent_events.ts
+++ b/src/request/routed/server_sent_events.ts
@@ -1,6 +1,9 @@
 import { Buffer } from "node:buffer";
+import { BackendError } from "../../connection/backend_transport.ts";
 
 const LINE_FEED = 0x0a;
+/** Maximum size of an event, in bytes. */
+const MAX_EVENT_BYTES = 262_144;
 const EVENT_ID_PATTERN = /^id: ?(\d+)\r?$/m;
 
 /** Complete server-sent event of a streamed response. */
@@ -24,6 +27,7 @@
    * Parses a chunk and returns the events that it completes.
    *
    * @param chunk - Next bytes of the response.
+   * @throws {BackendError} When an event is larger than `MAX_EVENT_BYTES`.
    */
   push(chunk: Buffer): ServerSentEvent[] {
     const bytes = this.#remainder.length === 0
@@ -40,6 +44,12 @@
       start = end;
     }
     this.#remainder = bytes.subarray(start);
+    if (this.#remainder.length > MAX_EVENT_BYTES) {
+      throw new BackendError(
+        `An event of the stream is larger than ${MAX_EVENT_BYTES} bytes`,
+        { kind: "invalid", verdict: "may-have-run" },
+      );
+    }
     return events;
   }
 }
--- a/src/request/routed/server_sent_events_test.ts
+++ b/src/request/routed/server_sent_events_test.ts
@@ -38,5 +38,17 @@
       const { events } = doTest([Buffer.from("data: x\n\n")]);
       expect(events.map(({ id }) => id)).toEqual([undefined]);
     });
+
+    // Guards against a daemon whose memory is filled by a body without an end.
+    it("refuses an event that is larger than the limit", () => {
+      const parser = new ServerSentEventParser();
+      const chunk = Buffer.alloc(65_536, "x");
+      const push = () => {
+        for (let i = 0; i < 100; i++) {
+          parser.push(chunk);
+        }
+      };
+      expect(push).toThrow("An event of the stream is larger than");
+    });
   });
 });
