Forget a server some time after it no longer states a limit

Cause: each further answer without a limit renewed the end of the statement, so that it was sent to peers every 3 s for as long as the server answered. Change: an answer without a limit changes only a statement with one; the end is dropped after 15 s. Evidence: the new case of server_limits_test failed before.

--- a/src/process/fleet/server_limits.ts
+++ b/src/process/fleet/server_limits.ts
@@ -124,7 +124,8 @@
   recordResponse(server: BackendServer, limit: RequestLimit): void {
     if (
       limit === "unknown" ||
-      (limit === "unlimited" && !this.#statements.has(server.id))
+      (limit === "unlimited" &&
+        this.#statements.get(server.id)?.limit === undefined)
     ) {
       return;
     }
--- a/src/process/fleet/server_limits_test.ts
+++ b/src/process/fleet/server_limits_test.ts
@@ -183,6 +183,17 @@
       },
     );
 
+    // Guards against statements that peers receive for as long as the server answers, although it states no limit any more.
+    it("forgets a server some time after its statement has ended", () => {
+      const [limits] = createFleet({ daemons: 7 });
+      limits.recordResponse(server, 2);
+      for (let i = 0; i < 20; i++) {
+        limits.recordResponse(server, "unlimited");
+        vi.advanceTimersByTime(1_000);
+      }
+      expect(limits.getReport("equal")).toEqual([]);
+    });
+
     it("tells of a change once", () => {
       const onChange = vi.fn();
       const [limits] = createFleet({ daemons: 7, onChange });
