Shorten the ids of prompt parts that daemons store and log

Cause: callers choose the ids, up to the size of the request's head; each daemon keeps up to 5,000 of them and logs six with each failed attempt. Change: 128 characters of an id count. Evidence: the new case of model_stream_forwarder_test failed on the code before (16,000 characters).

--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -62,9 +62,8 @@
     this.#modelRequest = options.modelRequest;
     this.#lastEventId = scope.request.resumeAfter;
     this.#fingerprint = getFingerprint(scope);
-    this.#sharedParts = options.modelRequest.promptParts.slice(0, -1).map((
-      { id },
-    ) => id);
+    this.#sharedParts = options.modelRequest.promptParts.slice(0, -1)
+      .map(({ id }) => id.slice(0, MAX_PART_ID_LENGTH));
   }
 
   /** Returns the log fields of the completed request. */
@@ -456,13 +455,16 @@
     .slice(0, 16);
 }
 
+/** Maximum length of the id of a prompt part, in characters. */
+const MAX_PART_ID_LENGTH = 128;
 /** Maximum number of prompt parts in a log line. */
 const MAX_LOGGED_PARTS = 6;
 
 function formatPromptParts({ promptParts }: ModelRequest): string | undefined {
   return promptParts.length === 0
     ? undefined
-    : promptParts.slice(0, MAX_LOGGED_PARTS).map(({ id }) => id).join(",");
+    : promptParts.slice(0, MAX_LOGGED_PARTS)
+      .map(({ id }) => id.slice(0, MAX_PART_ID_LENGTH)).join(",");
 }
 
 function joinEvents(events: readonly ServerSentEvent[]): Buffer {
--- a/src/request/routed/model_stream_forwarder_test.ts
+++ b/src/request/routed/model_stream_forwarder_test.ts
@@ -14,13 +14,22 @@
   describe("run", () => {
     /** Fails every attempt while it runs and returns the group heads that received the request, and the error. */
     async function doTest(
-      { head, failure, maxCrashes = Number.POSITIVE_INFINITY }: {
+      {
+        head,
+        failure,
+        maxCrashes = Number.POSITIVE_INFINITY,
+        promptParts = [],
+      }: {
         head: "listed" | "restarted" | "not listed";
         failure: "silent member" | "reset";
         /** Number of crashes after which the request is refused. */
         maxCrashes?: number;
+        promptParts?: readonly string[];
       },
-    ): Promise<{ headIds: string[]; error: unknown }> {
+    ): Promise<
+      { headIds: string[]; error: unknown; checkedParts: readonly string[] }
+    > {
+      let checkedParts: readonly string[] = [];
       const headIds: string[] = [];
       const attempts = new StreamAttempts();
       const createGroup = (number: number) => ({
@@ -40,7 +49,11 @@
           recordCrash: () => {},
           countCrashes: () => 0,
         },
-        promptParts: { findRefusedPart: () => undefined },
+        promptParts: {
+          findRefusedPart: (parts: readonly string[]) => {
+            checkedParts = parts;
+          },
+        },
         groupFailureDetector: { checkGroup: () => Promise.resolve(false) },
         directory: {
           findServer: (id: string) =>
@@ -88,11 +101,11 @@
           model: "m",
           promptTokens: 1,
           maxOutputTokens: 1,
-          promptParts: [],
+          promptParts: promptParts.map((id) => ({ id, tokens: 1 })),
         },
       });
       const error = await stream.run().catch((e: unknown) => e);
-      return { headIds, error };
+      return { headIds, error, checkedParts };
     }
 
     // Guards against a request that runs more often than its route allows because one group after another loses a member. An expired directory entry does not show that the head has ended: a head that cannot reach the store keeps running.
@@ -122,6 +135,16 @@
       expect(error).toBeInstanceOf(Error);
     });
 
+    // Guards against ids that fill the memory of all daemons, which store them.
+    it("shortens the ids of prompt parts, and leaves out the last part", async () => {
+      const { checkedParts } = await doTest({
+        head: "listed",
+        failure: "silent member",
+        promptParts: ["x".repeat(16_000), "p", "last"],
+      });
+      expect(checkedParts).toEqual(["x".repeat(128), "p"]);
+    });
+
     // Guards against a status that promises that the request has not run, after a group crashed while running it.
     it.each([
       [0, { status: 503, verdict: "not-run" }],
