--- a/src/process/fleet/prompt_part_quarantine.ts
+++ b/src/process/fleet/prompt_part_quarantine.ts
@@ -296,7 +296,7 @@
   );
 }
 
-/** Lists the parts that are as likely a cause as the candidate: all suspects with the candidate contain them, and no success speaks for them only. */
+/** Lists the parts that are as likely a cause as the candidate: all suspects with the candidate contain them, and they did not succeed before unless the candidate did too. */
 function listCompanions(
   { part, crashes, isKnown }: Candidate,
   candidates: readonly Candidate[],
--- a/src/process/fleet/prompt_part_quarantine_test.ts
+++ b/src/process/fleet/prompt_part_quarantine_test.ts
@@ -126,11 +126,11 @@
         (suspects) => {
           const quarantine = createQuarantine();
           suspects.forEach((parts, i) => {
-            quarantine.recordCrash(`g${i}/1`, ["sound", ...parts]);
+            quarantine.recordCrash(`g${i}/1`, ["harmless", ...parts]);
             vi.advanceTimersByTime(10);
-            quarantine.recordSuccess(["sound"]);
+            quarantine.recordSuccess(["harmless"]);
           });
-          expect(quarantine.findRefusedPart(["sound"])).toBeUndefined();
+          expect(quarantine.findRefusedPart(["harmless"])).toBeUndefined();
         },
       ));
     });
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -26,6 +26,10 @@
 const MS_PER_SECOND = 1_000;
 /** Maximum number of retries after a group declined the request without running it. Declined attempts are cheap, and a closing group declines requests until this daemon learns of its state. */
 const MAX_DECLINED_ATTEMPTS = 4;
+/** Maximum length of the id of a prompt part, in characters. */
+const MAX_PART_ID_LENGTH = 128;
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 6;
 
 /** Forwards one request to the replica groups of a model and streams the response to the caller, resuming on another group after a failure. */
 export class ModelStreamForwarder {
@@ -128,7 +132,7 @@
   async #acquireGrant(): Promise<GroupGrant> {
     const grant = await this.#waitForGrant();
     try {
-      // The crashes that condemn the request may have happened while it waited.
+      // The crashes for which the request is refused may have happened while it waited.
       this.#checkCrashLimit();
     } catch (error) {
       grant.release();
@@ -455,11 +459,6 @@
     .slice(0, 16);
 }
 
-/** Maximum length of the id of a prompt part, in characters. */
-const MAX_PART_ID_LENGTH = 128;
-/** Maximum number of prompt parts in a log line. */
-const MAX_LOGGED_PARTS = 6;
-
 function formatPromptParts({ promptParts }: ModelRequest): string | undefined {
   return promptParts.length === 0
     ? undefined
