List new entries of a notice, and start streams of a test, in one place

The notices compared keys in three places, the test of the platform's path started a stream in two. No behaviour and no assertion changes.

--- a/src/process/fleet/notice_composer.ts
+++ b/src/process/fleet/notice_composer.ts
@@ -192,11 +192,20 @@
   previous: readonly string[] = [],
   current: readonly string[],
 ): string[] {
+  return listNew(previous, current, (key) => key);
+}
+
+/** Lists the entries whose key the previous ones do not have. */
+function listNew<T>(
+  previous: readonly T[],
+  current: readonly T[],
+  getKey: (entry: T) => string,
+): T[] {
   if (current.length === 0) {
     return [];
   }
-  const previousKeys = new Set(previous);
-  return current.filter((key) => !previousKeys.has(key));
+  const previousKeys = new Set(previous.map(getKey));
+  return current.filter((entry) => !previousKeys.has(getKey(entry)));
 }
 
 function addPromptPartChanges(
@@ -207,13 +216,11 @@
   if (previous === current) {
     return;
   }
-  const crashKeys = new Set(previous.crashes.map(getPartCrashKey));
-  const crashes = current.crashes.filter((crash) =>
-    !crashKeys.has(getPartCrashKey(crash))
-  );
-  const successKeys = new Set(previous.successes.map(getPartSuccessKey));
-  const successes = current.successes.filter((success) =>
-    !successKeys.has(getPartSuccessKey(success))
+  const crashes = listNew(previous.crashes, current.crashes, getPartCrashKey);
+  const successes = listNew(
+    previous.successes,
+    current.successes,
+    getPartSuccessKey,
   );
   if (crashes.length > 0) {
     notice.partCrashes = crashes.map(convertPartCrash);
--- a/tests/platform_path_test.ts
+++ b/tests/platform_path_test.ts
@@ -19,6 +19,16 @@
     }
   });
 
+  /** Sends a model request, and returns its response and its run after some events have been sent. */
+  async function startStream(deployment: PlatformDeployment) {
+    const { runs } = deployment;
+    const runsBefore = runs.length;
+    const pendingResponse = deployment.callModel();
+    await waitUntil(() => runs.length > runsBefore);
+    await delay(300);
+    return { pendingResponse, headId: runs.at(-1)!.serverId };
+  }
+
   async function startDeployment(
     options: { daemons?: number; models?: number; eventMs?: number } = {},
   ): Promise<PlatformDeployment> {
@@ -44,14 +54,10 @@
 
   it("continues a stream on another group without a missing or repeated event when a member crashes", async () => {
     const deployment = await startDeployment({ eventMs: 60 });
-    const { runs, fleet } = deployment;
-    const pendingResponse = deployment.callModel();
-    const runsBefore = runs.length;
-    await waitUntil(() => runs.length > runsBefore);
-    await delay(300);
-    const head = fleet.get(runs[runs.length - 1].serverId)!;
-    const otherMember = head.group!.members.find((id) =>
-      id !== runs.at(-1)!.serverId
+    const { fleet } = deployment;
+    const { pendingResponse, headId } = await startStream(deployment);
+    const otherMember = fleet.get(headId)!.group!.members.find((id) =>
+      id !== headId
     );
     fleet.get(otherMember!)!.crash();
     const response = await pendingResponse;
@@ -66,12 +72,8 @@
   // Guards against a stream that never ends, or ends with the text of an error, because the group that was to continue it answers with an error.
   it("breaks off a stream that no group can continue", async () => {
     const deployment = await startDeployment({ eventMs: 60 });
-    const { runs, fleet } = deployment;
-    const pendingResponse = deployment.callModel();
-    const runsBefore = runs.length;
-    await waitUntil(() => runs.length > runsBefore);
-    await delay(300);
-    const headId = runs.at(-1)!.serverId;
+    const { fleet } = deployment;
+    const { pendingResponse, headId } = await startStream(deployment);
     fleet.forEach((server) => server.requestsToFail = 1);
     fleet.get(headId)!.crash();
     const endedAtMs = pendingResponse.then(() => performance.now());
