Log each request that a planned stop of a routing daemon cuts

The line daemon-stopped told how many requests were cut, but not which, so the hypotheses of docs/incidents/planned-stop-late-request.md could not be told apart. request-cut-by-stop now gives the id, the arrival after SIGTERM, the age, the time left until the deadline, and whether the request was sent and its response begun.

--- a/src/process/graceful_stop.ts
+++ b/src/process/graceful_stop.ts
@@ -2,6 +2,10 @@
 import { getErrorMessage } from "../shared/errors.ts";
 import type { Logger } from "../shared/logger.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
+import {
+  type AbortableRequest,
+  InFlightRequests,
+} from "./in_flight_requests.ts";
 
 /** Time for which the stop waits for aborted requests to end, in milliseconds. */
 const ABORT_GRACE_MS = 1_000;
@@ -22,10 +26,8 @@
 }
 
 /** Request in flight, which a planned stop waits for. */
-export interface InFlightRequest {
+export interface InFlightRequest extends AbortableRequest {
   readonly requestId: string;
-  /** Aborts the request when the time limit of the stop has passed. */
-  abort(): void;
 }
 
 /** Phases of a planned stop: `leaving` reports the daemon as not ready but accepts requests, `closing` refuses new requests and waits for those in flight. */
@@ -36,11 +38,10 @@
   readonly #settings: Pick<DaemonSettings, "balancerLagMs" | "stopTimeoutMs">;
   readonly #logger: Logger;
   readonly #hooks: StopHook[] = [];
-  readonly #requests = new Set<InFlightRequest>();
+  readonly #requests = new InFlightRequests<InFlightRequest>();
   readonly #backgroundWork = new Set<Promise<unknown>>();
   #phase: StopPhase = "serving";
   #stopPromise: Promise<void> | undefined;
-  #onIdle: (() => void) | undefined;
 
   constructor(
     settings: Pick<DaemonSettings, "balancerLagMs" | "stopTimeoutMs">,
@@ -86,13 +87,7 @@
    * @returns Function to call when the request has ended.
    */
   addRequest(request: InFlightRequest): () => void {
-    this.#requests.add(request);
-    return () => {
-      this.#requests.delete(request);
-      if (this.#requests.size === 0) {
-        this.#onIdle?.();
-      }
-    };
+    return this.#requests.add(request);
   }
 
   /**
@@ -125,7 +120,7 @@
     this.#phase = "closing";
     closeListener();
     this.#runHooks("drain").catch(() => {});
-    await this.#waitUntilIdle(this.#settings.stopTimeoutMs);
+    await this.#requests.waitUntilIdle(this.#settings.stopTimeoutMs);
     await this.#abortRequests();
     await waitAtMost([...this.#backgroundWork], BACKGROUND_TIMEOUT_MS);
     await this.#runHooks("release");
@@ -133,27 +128,15 @@
     this.#phase = "stopped";
   }
 
-  async #waitUntilIdle(timeoutMs: number): Promise<void> {
-    if (this.#requests.size === 0) {
-      return;
-    }
-    const idlePromise = new Promise<void>((resolve) => this.#onIdle = resolve);
-    await waitAtMost([idlePromise], timeoutMs);
-    this.#onIdle = undefined;
-  }
-
   async #abortRequests(): Promise<void> {
-    if (this.#requests.size === 0) {
-      return;
-    }
-    for (const request of [...this.#requests]) {
+    for (const request of this.#requests.list()) {
       this.#logger.write("warn", "request-cut-by-stop", {
         requestId: request.requestId,
         stopTimeoutMs: this.#settings.stopTimeoutMs,
       });
       request.abort();
     }
-    await this.#waitUntilIdle(ABORT_GRACE_MS);
+    await this.#requests.waitUntilIdle(ABORT_GRACE_MS);
   }
 
   async #runHooks(step: "drain" | "release"): Promise<void> {
--- a/src/process/routing_context.ts
+++ b/src/process/routing_context.ts
@@ -14,6 +14,7 @@
 import type { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { ServerLoads } from "./fleet/server_loads.ts";
 import type { Metrics } from "./metrics.ts";
+import type { PlannedStop } from "./planned_stop.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
 
 /** Components of a routing daemon that its request handlers share. */
@@ -33,14 +34,11 @@
   readonly serverLimits: ServerLimits;
   readonly crashes: CrashCounter;
   readonly promptParts: PromptPartQuarantine;
+  readonly plannedStop: PlannedStop;
   /** Gets the route table of the configuration in force; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
   /** Gets the zones whose backend servers receive no requests. */
   getExcludedZones(): ReadonlySet<string>;
   /** Gets the budget for retries of requests to a service. */
   getRetryBudget(service: string): ServiceRetryBudget;
-  /** Gets whether a planned stop has begun; new requests are accepted until `isClosing`. */
-  isLeaving(): boolean;
-  /** Gets whether a planned stop has reached the phase in which new requests are refused. */
-  isClosing(): boolean;
 }
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -1,7 +1,6 @@
 import { WebSocketLinkTransport } from "../connection/peer_link.ts";
 import { HttpServer } from "../connection/http_server.ts";
 import { RoutedRequestHandler } from "../request/routed/routed_request_handler.ts";
-import { delay } from "../shared/delay.ts";
 import { LifeCycleManager } from "../shared/life_cycle_manager.ts";
 import type { Logger } from "../shared/logger.ts";
 import { RouteTable } from "../version/route_table.ts";
@@ -33,6 +32,7 @@
 import { ServerLoads } from "./fleet/server_loads.ts";
 import { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { Metrics } from "./metrics.ts";
+import { PlannedStop } from "./planned_stop.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
 import type { RoutingContext } from "./routing_context.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
@@ -46,15 +46,6 @@
 const MEMBER_CANDIDATE_DELAY_MS = 5_000;
 /** Minimum number of daemons among which budgets are divided. Without it, a daemon that receives no messages from its peers would use the whole budget. */
 const MIN_SHARING_DAEMONS = 7;
-/** Part of the stop's grace period that is reserved for closing the listeners and their connections, in milliseconds. */
-const STOP_RESERVE_MS = 700;
-/** Interval at which a planned stop checks for requests in flight, in milliseconds. */
-const STOP_POLL_MS = 50;
-/** Time until the load balancer has noticed that the daemon is not ready, in milliseconds. */
-const BALANCER_LAG_MS = 2_500;
-/** Time after the start of a planned stop for which the daemon still accepts connections and requests, in milliseconds. The load balancer keeps sending callers to this daemon while most daemons of the zone are unavailable. A request that is accepted in this time has about the same time left to complete, which is several times the usual response time. */
-const LISTEN_DURING_STOP_MS = 4_500;
-
 /** Options of a routing daemon. */
 export interface RoutingDaemonOptions {
   readonly settings: RoutingSettings;
@@ -85,15 +76,19 @@
   readonly #fleetSync: FleetSync;
   readonly #leaseHolder: PlannerLeaseHolder;
   readonly #peerExchange: PeerExchange;
+  readonly #plannedStop: PlannedStop;
   readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
   #routes: RouteTable | undefined;
-  #isLeaving = false;
-  #isClosing = false;
+  #stopPromise: Promise<void> | undefined;
 
   constructor(options: RoutingDaemonOptions) {
     this.#options = options;
     const { logger, platform, settings, metrics } = options;
     this.#addGauges(metrics);
+    this.#plannedStop = new PlannedStop({
+      graceMs: settings.stopGraceMs,
+      logger,
+    });
     this.#directory = new BackendDirectory({ logger });
     this.#groups = new GroupTable({
       directory: this.#directory,
@@ -166,8 +161,7 @@
       getRoutes: () => this.#routes,
       getExcludedZones: () => this.#excludedZones.getZones(),
       getRetryBudget: (service) => this.#getRetryBudget(service),
-      isLeaving: () => this.#isLeaving,
-      isClosing: () => this.#isClosing,
+      plannedStop: this.#plannedStop,
     };
     this.#requestHandler = new RoutedRequestHandler(this.#context);
     this.#callerServer = new HttpServer(
@@ -231,7 +225,7 @@
 
   /** Gets whether the daemon is ready to serve callers: it has a configuration and a list of backend servers, and no planned stop has begun. */
   isReady(): boolean {
-    return !this.#isLeaving && this.#routes !== undefined &&
+    return !this.#plannedStop.isLeaving && this.#routes !== undefined &&
       this.#directory.isPopulated;
   }
 
@@ -260,37 +254,22 @@
   }
 
   /** Stops gracefully: reports not ready, so that the load balancer stops sending callers, and waits until the requests in flight have ended or the grace period is over. */
-  async stop(): Promise<void> {
-    if (this.#isLeaving) {
-      return;
-    }
-    this.#isLeaving = true;
+  stop(): Promise<void> {
+    this.#stopPromise ??= this.#stopOnce();
+    return this.#stopPromise;
+  }
+
+  async #stopOnce(): Promise<void> {
+    const stopRun = this.#plannedStop.run(() =>
+      this.#callerServer.stopListening()
+    );
     this.#peerExchange.announce();
-    const { logger, settings } = this.#options;
-    const startedAtMs = performance.now();
-    const endMs = startedAtMs + settings.stopGraceMs - STOP_RESERVE_MS;
-    logger.write("info", "stop-started", {});
     const leaseRelease = this.#leaseHolder.release();
-    await delay(BALANCER_LAG_MS);
-    while (
-      performance.now() < endMs && this.#requestHandler.inFlightCount > 0
-    ) {
-      if (
-        !this.#isClosing &&
-        performance.now() - startedAtMs > LISTEN_DURING_STOP_MS
-      ) {
-        this.#isClosing = true;
-        this.#callerServer.stopListening();
-      }
-      await delay(STOP_POLL_MS);
-    }
-    const abortedCount = this.#requestHandler.inFlightCount;
+    await stopRun;
+    const endFields = this.#plannedStop.describeEnd();
     await leaseRelease;
     await this.#lifeCycle.dispose();
-    logger.write("info", "daemon-stopped", {
-      cut: abortedCount,
-      tookMs: Math.round(performance.now() - startedAtMs),
-    });
+    this.#options.logger.write("info", "daemon-stopped", endFields);
   }
 
   #createFleetSync(): FleetSync {
@@ -392,7 +371,7 @@
 
   #describeState(relation: PeerRelation): NoticeState {
     return {
-      isLeaving: this.#isLeaving,
+      isLeaving: this.#plannedStop.isLeaving,
       planner: this.#findPlanner(),
       configVersion: this.#routes?.version ?? 0,
       excludedZones: this.#excludedZones.getNotice(),
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -18,6 +18,7 @@
   type AttemptResult,
   readResponseBody,
 } from "./attempt_result.ts";
+import type { RequestForwarder } from "./request_forwarder.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { ModelRequest } from "./routed_request.ts";
 
@@ -32,7 +33,7 @@
 const MAX_LOGGED_PARTS = 6;
 
 /** Forwards one request to the replica groups of a model and streams the response to the caller, resuming on another group after a failure. */
-export class ModelStreamForwarder {
+export class ModelStreamForwarder implements RequestForwarder {
   readonly #scope: RequestScope;
   readonly #engine: EngineProfile;
   readonly #modelRequest: ModelRequest;
@@ -70,6 +71,10 @@
       .map(({ id }) => id.slice(0, MAX_PART_ID_LENGTH));
   }
 
+  get hasBeenSent(): boolean {
+    return this.#attemptCount > 0;
+  }
+
   /** Returns the log fields of the completed request. */
   getLogFields(): LogFields {
     return {
--- a/src/request/routed/routed_request_handler.ts
+++ b/src/request/routed/routed_request_handler.ts
@@ -1,5 +1,4 @@
 import type { RoutingContext } from "../../process/routing_context.ts";
-import type { LogFields } from "../../shared/logger.ts";
 import { RequestError } from "../../shared/errors.ts";
 import { chooseTarget, type RouteTable } from "../../version/route_table.ts";
 import type {
@@ -10,6 +9,7 @@
 } from "../../version/routing_config.ts";
 import { ModelStreamForwarder } from "./model_stream_forwarder.ts";
 import { ServiceRequestForwarder } from "./service_request_forwarder.ts";
+import type { RequestForwarder } from "./request_forwarder.ts";
 import type { RequestHandler } from "./request_handler.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { ResponseWriter, RoutedRequest } from "./routed_request.ts";
@@ -28,29 +28,22 @@
 /** Handles the requests of all routes by forwarding them to backend servers. */
 export class RoutedRequestHandler implements RequestHandler {
   readonly #context: RoutingContext;
-  #inFlightCount = 0;
 
   constructor(context: RoutingContext) {
     this.#context = context;
   }
 
-  /** Number of requests in flight. */
-  get inFlightCount(): number {
-    return this.#inFlightCount;
-  }
-
   getLimits(): IngressLimits {
     return this.#context.getRoutes()?.limits ?? DEFAULT_INGRESS_LIMITS;
   }
 
   isLeaving(): boolean {
-    return this.#context.isLeaving();
+    return this.#context.plannedStop.isLeaving;
   }
 
   async handle(request: RoutedRequest, writer: ResponseWriter): Promise<void> {
     const startedAtMs = performance.now();
     const { logger, metrics } = this.#context;
-    this.#inFlightCount++;
     try {
       await this.#dispatch(request, writer);
     } catch (error) {
@@ -69,7 +62,6 @@
       }
       throw error;
     } finally {
-      this.#inFlightCount--;
       metrics.record("service_duration", performance.now() - startedAtMs);
     }
   }
@@ -79,7 +71,7 @@
     writer: ResponseWriter,
   ): Promise<void> {
     const { metrics } = this.#context;
-    if (this.#context.isClosing()) {
+    if (this.#context.plannedStop.isClosing) {
       // Requests still arrive over keep-alive connections; a request accepted now would be interrupted at the end of the shutdown.
       throw new RequestError(
         "The daemon is shutting down; send the request to another daemon",
@@ -109,10 +101,22 @@
 
   async #runForwarder(
     scope: RequestScope,
-    forwarder: { run(): Promise<void>; getLogFields(): LogFields },
+    forwarder: RequestForwarder,
   ): Promise<void> {
-    await forwarder.run();
-    const { request, route, account } = scope;
+    const { request, writer, route, account, deadlineAtMs } = scope;
+    const removeRequest = this.#context.plannedStop.addRequest({
+      requestId: request.requestId,
+      receivedAtMs: request.receivedAtMs,
+      deadlineAtMs,
+      hasBeenSent: () => forwarder.hasBeenSent,
+      hasStarted: () => writer.hasStarted(),
+      abort: () => {},
+    });
+    try {
+      await forwarder.run();
+    } finally {
+      removeRequest();
+    }
     this.#context.logger.write("info", "request-answered", {
       requestId: request.requestId,
       route: route.name,
--- a/src/request/routed/routed_request_handler_test.ts
+++ b/src/request/routed/routed_request_handler_test.ts
@@ -12,8 +12,7 @@
       const handler = new RoutedRequestHandler({
         logger: new NullLogger(),
         metrics: new Metrics(),
-        isClosing: () => isClosing,
-        isLeaving: () => isClosing,
+        plannedStop: { isClosing, isLeaving: isClosing },
         getRoutes: () => undefined,
       } as unknown as RoutingContext);
       return handler.handle(
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -9,6 +9,7 @@
   isRetryableServerError,
   readResponseBody,
 } from "./attempt_result.ts";
+import type { RequestForwarder } from "./request_forwarder.ts";
 import type { RequestScope } from "./request_scope.ts";
 
 /** Share of the remaining time that an attempt of an idempotent request gets while another attempt may follow. */
@@ -19,7 +20,7 @@
 const RETRY_AFTER_MS = 200;
 
 /** Forwards one request whose response is not streamed, with retries on other backend servers, and sends the buffered response to the caller. */
-export class ServiceRequestForwarder {
+export class ServiceRequestForwarder implements RequestForwarder {
   readonly #scope: RequestScope;
   readonly #triedServerIds = new Set<string>();
   #verdict: Verdict = "not-run";
@@ -36,6 +37,10 @@
     this.#scope = scope;
   }
 
+  get hasBeenSent(): boolean {
+    return this.#attemptCount > 0;
+  }
+
   /** Returns the log fields of the completed request. */
   getLogFields(): LogFields {
     return {
