--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -11,6 +11,8 @@
 const OPEN_DELAY_MS = 50;
 /** Time for which a server that a request has crashed is down, in milliseconds. */
 const RESTART_MS = 500;
+/** Default time between two events of a stream, in milliseconds. */
+const DEFAULT_EVENT_MS = 20;
 
 interface ServerGroup {
   readonly Name: string;
@@ -87,6 +89,10 @@
   requestsToFail = 0;
   /** Number of requests per second that the server states in its responses. */
   requestLimit: number | undefined;
+  /** Time between two events of a stream, in milliseconds. */
+  eventMs: number;
+  /** Time that a plain service takes for a response, in milliseconds. */
+  responseMs = 0;
   /** Number of upcoming orders that get no response and are applied after a delay. */
   ordersToDelay = 0;
   /** Number of upcoming requests that are executed but whose connection is reset instead of a response. */
@@ -94,6 +100,7 @@
 
   constructor(options: FakeBackendServerOptions) {
     this.#options = options;
+    this.eventMs = options.eventMs ?? DEFAULT_EVENT_MS;
     options.fleet.set(options.id, this);
   }
 
@@ -317,6 +324,7 @@
       this.responsesToLose--;
       req.socket.resetAndDestroy();
     } else if (domain === undefined) {
+      await delay(this.responseMs);
       res.writeHead(200, headers);
       res.end(`done by ${id}`);
     } else {
@@ -327,7 +335,7 @@
 
   /** Sends the events after `lastEventId`; pauses while a member of the group is missing. */
   #streamEvents(res: ServerResponse, lastEventId: number): void {
-    const { eventCount = 20, eventMs = 20 } = this.#options;
+    const { eventCount = 20 } = this.#options;
     let id = lastEventId;
     const isCrashing = listPromptParts(res.req).some((part) =>
       part === this.crashingPart
@@ -347,7 +355,7 @@
         clearInterval(timer);
         res.end();
       }
-    }, eventMs);
+    }, this.eventMs);
     res.on("close", () => clearInterval(timer));
   }
 
