Accept late in a planned stop only requests that end before it

Callers saw: a stream, and in another operator's report a booking, that a daemon accepted more than 3 s after SIGTERM was cut at the end of the grace period, with no answer or in the middle of it. Cause: until 4.5 s after SIGTERM the daemon accepted every request, on the assumption that 2.8 s are several times the usual response time. The deadline of the request was not looked at. Change: once the load balancer has had time to notice the stop, a request is accepted, and one that waits is sent, only if its deadline lies before the end of the stop; otherwise it gets 503, not run, and its caller turns to another daemon at once. A deadline bounds each request, so none that is accepted then can be cut. Requests still in flight at the end get an answer, 502 (may have run) or 503 (not run), where their connections were closed without one.

--- a/src/process/planned_stop.ts
+++ b/src/process/planned_stop.ts
@@ -1,5 +1,7 @@
 import { delay } from "../shared/delay.ts";
+import { RequestError } from "../shared/errors.ts";
 import type { Logger } from "../shared/logger.ts";
+import type { Verdict } from "../shared/verdict.ts";
 import {
   type AbortableRequest,
   InFlightRequests,
@@ -9,8 +11,12 @@
 const STOP_RESERVE_MS = 700;
 /** Time until the load balancer has noticed that the daemon is not ready, in milliseconds. */
 const BALANCER_LAG_MS = 2_500;
-/** Time after the start of a planned stop for which the daemon still accepts connections and requests, in milliseconds. The load balancer keeps sending callers to this daemon while most daemons of the zone are unavailable. A request that is accepted in this time has about the same time left to complete, which is several times the usual response time. */
+/** Time after the start of a planned stop for which the daemon still accepts connections, in milliseconds. The load balancer keeps sending callers to this daemon while most daemons of the zone are unavailable. */
 const LISTEN_DURING_STOP_MS = 4_500;
+/** Time from the deadline of a request until its response has been sent, in milliseconds. */
+const RESPONSE_MARGIN_MS = 100;
+/** Time for which the stop waits for aborted requests to end, in milliseconds. */
+const ABORT_TIMEOUT_MS = 200;
 
 /** Routed request in flight, as seen by a planned stop. */
 export interface RoutedInFlightRequest extends AbortableRequest {
@@ -25,16 +31,25 @@
   hasStarted(): boolean;
 }
 
-/** Phases of the planned stop of a routing daemon: `leaving` reports the daemon as not ready but accepts requests, `closing` refuses new requests and waits for those in flight. */
-export type PlannedStopPhase = "serving" | "leaving" | "closing";
+/**
+ * Phase of the planned stop of a routing daemon.
+ *
+ * - `serving`: no stop has begun.
+ * - `leaving`: the daemon reports that it is not ready, and accepts requests until the load balancer has noticed.
+ * - `finishing`: the daemon accepts only requests whose deadline lies before the end of the stop.
+ * - `closing`: the daemon refuses new requests and waits for those in flight.
+ */
+export type PlannedStopPhase = "serving" | "leaving" | "finishing" | "closing";
 
-/** Runs the planned stop of a routing daemon, which lets requests in flight complete within the grace period. */
+/** Runs the planned stop of a routing daemon, which lets requests in flight complete within the grace period, and refuses those that may not. */
 export class PlannedStop {
   readonly #graceMs: number;
   readonly #logger: Logger;
   readonly #requests = new InFlightRequests<RoutedInFlightRequest>();
   #phase: PlannedStopPhase = "serving";
   #startedAtMs = 0;
+  #endAtMs = Number.POSITIVE_INFINITY;
+  #cutCount = 0;
 
   /**
    * @param options.graceMs - Time from the signal to stop until the process is killed, in milliseconds.
@@ -49,9 +64,27 @@
     return this.#phase !== "serving";
   }
 
-  /** Gets whether the stop has reached the phase in which new requests are refused. */
-  get isClosing(): boolean {
-    return this.#phase === "closing";
+  /**
+   * Checks that the daemon still accepts requests.
+   *
+   * @throws {RequestError} When the daemon refuses all requests.
+   */
+  checkOpen(): void {
+    if (this.#phase === "closing") {
+      throw createStopError("not-run");
+    }
+  }
+
+  /**
+   * Checks that a request that has not run may be sent to a backend server, so that the end of the stop does not cut it.
+   *
+   * @param deadlineAtMs - Monotonic deadline of its response, in milliseconds.
+   * @throws {RequestError} When the request may outlast the stop.
+   */
+  checkDeadline(deadlineAtMs: number): void {
+    if (this.#mayOutlastStop(deadlineAtMs)) {
+      throw createStopError("not-run");
+    }
   }
 
   /**
@@ -71,29 +104,57 @@
    */
   async run(stopListening: () => void): Promise<void> {
     this.#startedAtMs = performance.now();
+    this.#endAtMs = this.#startedAtMs + this.#graceMs - STOP_RESERVE_MS;
     this.#phase = "leaving";
-    const endAtMs = this.#startedAtMs + this.#graceMs - STOP_RESERVE_MS;
     this.#logger.write("info", "stop-started", {
       requests: this.#requests.size,
     });
     await delay(BALANCER_LAG_MS);
+    this.#phase = "finishing";
+    this.#refuseWaitingRequests();
     await this.#waitUntilIdle(this.#startedAtMs + LISTEN_DURING_STOP_MS);
     if (this.#requests.size > 0) {
       this.#phase = "closing";
       stopListening();
-      await this.#waitUntilIdle(endAtMs);
+      await this.#waitUntilIdle(this.#endAtMs);
+      await this.#abortRequests();
     }
-    this.#requests.list().forEach((request) => this.#recordCut(request));
   }
 
   /** Gets the fields of the log line that reports the end of the daemon. */
   describeEnd(): { cut: number; tookMs: number } {
     return {
-      cut: this.#requests.size,
+      cut: this.#cutCount,
       tookMs: Math.round(performance.now() - this.#startedAtMs),
     };
   }
 
+  #mayOutlastStop(deadlineAtMs: number): boolean {
+    const isAccepting = this.#phase === "serving" || this.#phase === "leaving";
+    return !isAccepting && deadlineAtMs + RESPONSE_MARGIN_MS > this.#endAtMs;
+  }
+
+  /** Refuses the requests that wait to be sent and may outlast the stop, so that their callers can turn to another daemon at once. */
+  #refuseWaitingRequests(): void {
+    for (const request of this.#requests.list()) {
+      if (
+        !request.hasBeenSent() && this.#mayOutlastStop(request.deadlineAtMs)
+      ) {
+        request.abort();
+      }
+    }
+  }
+
+  async #abortRequests(): Promise<void> {
+    const requests = this.#requests.list();
+    this.#cutCount = requests.length;
+    for (const request of requests) {
+      this.#recordCut(request);
+      request.abort();
+    }
+    await this.#requests.waitUntilIdle(ABORT_TIMEOUT_MS);
+  }
+
   async #waitUntilIdle(endAtMs: number): Promise<void> {
     await this.#requests.waitUntilIdle(endAtMs - performance.now());
   }
@@ -111,3 +172,27 @@
     });
   }
 }
+
+/**
+ * Creates the error of a request that a planned stop refuses or aborts.
+ *
+ * @param verdict - Whether a backend server may have run the request.
+ * @example
+ * ```ts
+ * createStopError("not-run").status; // 503
+ * ```
+ */
+export function createStopError(verdict: Verdict): RequestError {
+  const isNotRun = verdict === "not-run";
+  return new RequestError(
+    isNotRun
+      ? "The daemon is shutting down; send the request to another daemon"
+      : "The daemon shut down before the request finished",
+    {
+      code: "shutting-down",
+      verdict,
+      status: isNotRun ? 503 : 502,
+      retryAfterMs: isNotRun ? 0 : undefined,
+    },
+  );
+}
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -134,11 +134,20 @@
     }
   }
 
+  /** Refuses a request that has not run and may outlast a planned stop of this daemon. */
+  #checkStop(): void {
+    const { context, writer, deadlineAtMs } = this.#scope;
+    if (this.#verdict === "not-run" && !writer.hasStarted()) {
+      context.plannedStop.checkDeadline(deadlineAtMs);
+    }
+  }
+
   async #acquireGrant(): Promise<GroupGrant> {
     const grant = await this.#waitForGrant();
     try {
-      // The crashes for which the request is refused may have happened while it waited.
+      // The crashes for which the request is refused may have happened while it waited, and a planned stop may have begun.
       this.#checkCrashLimit();
+      this.#checkStop();
     } catch (error) {
       grant.release();
       throw error;
--- a/src/request/routed/routed_request_handler.ts
+++ b/src/request/routed/routed_request_handler.ts
@@ -1,3 +1,4 @@
+import { createStopError } from "../../process/planned_stop.ts";
 import type { RoutingContext } from "../../process/routing_context.ts";
 import { RequestError } from "../../shared/errors.ts";
 import { chooseTarget, type RouteTable } from "../../version/route_table.ts";
@@ -70,50 +71,59 @@
     request: RoutedRequest,
     writer: ResponseWriter,
   ): Promise<void> {
-    const { metrics } = this.#context;
-    if (this.#context.plannedStop.isClosing) {
-      // Requests still arrive over keep-alive connections; a request accepted now would be interrupted at the end of the shutdown.
-      throw new RequestError(
-        "The daemon is shutting down; send the request to another daemon",
-        {
-          code: "shutting-down",
-          verdict: "not-run",
-          status: 503,
-          retryAfterMs: 0,
-        },
-      );
-    }
-    const scope = this.#createScope(request, writer);
+    const { metrics, plannedStop } = this.#context;
+    plannedStop.checkOpen();
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    const scope = this.#createScope(
+      { ...request, signal: controller.signal },
+      writer,
+    );
+    plannedStop.checkDeadline(scope.deadlineAtMs);
     this.#context.getRetryBudget(scope.service.name).recordRequest();
     const { engine } = scope.service;
-    if (engine !== undefined && request.modelRequest !== undefined) {
-      metrics.count("chat_requests");
-      const { modelRequest } = request;
-      await this.#runForwarder(
-        scope,
-        new ModelStreamForwarder(scope, { engine, modelRequest }),
-      );
-    } else {
-      metrics.count("service_requests");
-      await this.#runForwarder(scope, new ServiceRequestForwarder(scope));
+    const { modelRequest } = request;
+    const isModelRequest = engine !== undefined && modelRequest !== undefined;
+    metrics.count(isModelRequest ? "chat_requests" : "service_requests");
+    const forwarder = isModelRequest
+      ? new ModelStreamForwarder(scope, { engine, modelRequest })
+      : new ServiceRequestForwarder(scope);
+    request.signal.addEventListener("abort", abort, { once: true });
+    if (request.signal.aborted) {
+      abort();
+    }
+    try {
+      await this.#runForwarder(scope, forwarder, abort);
+    } finally {
+      request.signal.removeEventListener("abort", abort);
     }
   }
 
+  /** Runs the forwarder until the response is complete or a planned stop aborts the request. */
   async #runForwarder(
     scope: RequestScope,
     forwarder: RequestForwarder,
+    abort: () => void,
   ): Promise<void> {
     const { request, writer, route, account, deadlineAtMs } = scope;
+    let isAbortedByStop = false;
     const removeRequest = this.#context.plannedStop.addRequest({
       requestId: request.requestId,
       receivedAtMs: request.receivedAtMs,
       deadlineAtMs,
       hasBeenSent: () => forwarder.hasBeenSent,
       hasStarted: () => writer.hasStarted(),
-      abort: () => {},
+      abort: () => {
+        isAbortedByStop = true;
+        abort();
+      },
     });
     try {
       await forwarder.run();
+    } catch (error) {
+      throw isAbortedByStop && error instanceof RequestError
+        ? createStopError(error.verdict)
+        : error;
     } finally {
       removeRequest();
     }
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -65,6 +65,9 @@
         );
         return;
       }
+      if (this.#verdict === "not-run") {
+        this.#scope.context.plannedStop.checkDeadline(this.#scope.deadlineAtMs);
+      }
       this.#triedServerIds.add(server.id);
       this.#attemptCount++;
       const result = await this.#runAttempt(server);
