Refuse requests as soon as a planned stop ends

A request that arrived between the end of the wait for requests in flight and the disposal of the listeners was sent to a server and cut. The stop now enters its closing phase in any case, so that such a request gets 503, not run.

--- a/src/process/planned_stop.ts
+++ b/src/process/planned_stop.ts
@@ -113,8 +113,9 @@
     this.#phase = "finishing";
     this.#refuseWaitingRequests();
     await this.#waitUntilIdle(this.#startedAtMs + LISTEN_DURING_STOP_MS);
+    // Also without a request in flight: one that arrives before the listeners are disposed would be cut.
+    this.#phase = "closing";
     if (this.#requests.size > 0) {
-      this.#phase = "closing";
       stopListening();
       await this.#waitUntilIdle(this.#endAtMs);
       await this.#abortRequests();
