Wait in a planned stop until responses have been sent

The stop counts a request as in flight until its response has been handed to the operating system or its connection has closed, so that a slow caller gets the rest within the grace period.

--- a/src/request/routed/routed_request.ts
+++ b/src/request/routed/routed_request.ts
@@ -62,4 +62,6 @@
   abort(): void;
   /** Gets whether the status and headers of the response were sent. */
   hasStarted(): boolean;
+  /** Registers a callback that runs once no part of the response waits to be sent, because the response has been sent or its connection has closed. */
+  onSent(callback: () => void): void;
 }
--- a/src/request/routed/routed_request_handler.ts
+++ b/src/request/routed/routed_request_handler.ts
@@ -121,12 +121,12 @@
     try {
       await forwarder.run();
     } catch (error) {
+      removeRequest();
       throw isAbortedByStop && error instanceof RequestError
         ? createStopError(error.verdict)
         : error;
-    } finally {
-      removeRequest();
     }
+    writer.onSent(removeRequest);
     this.#context.logger.write("info", "request-answered", {
       requestId: request.requestId,
       route: route.name,
