Add a failing test of a request whose body arrives when an idle daemon ends

A request counts as in flight only once its body has been read. Seen: the first half of the body was sent 2.3 s after SIGTERM, the rest at 2.8 s; the daemon ended between them and the connection closed without an answer (no status, in place of 200 or 503).

--- a/tests/planned_stop_review_test.ts
+++ b/tests/planned_stop_review_test.ts
@@ -122,4 +122,29 @@
     backend.close();
     expect(receivedBytes).toBe(LARGE_RESPONSE_BYTES);
   });
+
+  // Guards against a connection that closes without an answer while the daemon reads the body of its request.
+  it("answers a request whose body arrives when an idle daemon ends", async () => {
+    await startDeployment();
+    const stopPromise = deployment.daemons[0].stop();
+    await delay(IDLE_END_MS - 200);
+    const req = openRequest({
+      method: "POST",
+      path: "/book/1",
+      headers: { "content-length": "4" },
+    });
+    const statusPromise = new Promise<number | undefined>((resolve) => {
+      req.on("response", (res) => {
+        res.resume();
+        resolve(res.statusCode);
+      });
+      req.on("error", () => resolve(undefined));
+    });
+    req.write("bo");
+    await delay(500);
+    req.end("dy");
+    const status = await statusPromise;
+    await stopPromise;
+    expect([200, 503]).toContain(status);
+  });
 });
