Add a failing test of a declined request that waits in a planned stop

The stop takes a request that a group declined for one that runs, since it has been sent, and lets it wait for a group to which it could no longer be sent. Seen: refused 1.8 s after its arrival at 2.2 s after SIGTERM (0.3 of its deadline of 6 s), in place of 0.3 s.

--- a/tests/planned_stop_review_test.ts
+++ b/tests/planned_stop_review_test.ts
@@ -147,4 +147,30 @@
     await stopPromise;
     expect([200, 503]).toContain(status);
   });
+
+  // Guards against a request that is held although it can no longer be sent: it was declined, waits for another group and may outlast the stop.
+  it("refuses a declined request that waits when the load balancer has noticed the stop", async () => {
+    await startDeployment();
+    const stopPromise = deployment.daemons[0].stop();
+    await delay(IDLE_END_MS - 300);
+    for (const server of deployment.fleet.values()) {
+      // Keeps the planner from opening a group again.
+      server.ordersToDelay = 100;
+      if (server.group !== undefined) {
+        server.group.State = "ready";
+      }
+    }
+    const sentAtMs = performance.now();
+    const response = await deployment.callModel();
+    const tookMs = performance.now() - sentAtMs;
+    await stopPromise;
+    const attempts = deployment.events.filter(({ event }) =>
+      event === "attempt-ended"
+    );
+    expect(new Set(attempts.map(({ fields }) => fields.outcome))).toEqual(
+      new Set(["declined"]),
+    );
+    expect(response.status).toBe(503);
+    expect(tookMs).toBeLessThan(800);
+  });
 });
