Refuse declined requests that wait when the load balancer has noticed a stop

A request that a group declined counts as not sent again, so that the stop refuses it together with the other requests that wait.

--- a/src/process/planned_stop.ts
+++ b/src/process/planned_stop.ts
@@ -25,7 +25,7 @@
   readonly receivedAtMs: number;
   /** Monotonic deadline of the response, in milliseconds. */
   readonly deadlineAtMs: number;
-  /** Gets whether the request has been sent to a backend server. */
+  /** Gets whether the request has been sent to a backend server that may still run it or may have run it. */
   hasBeenSent(): boolean;
   /** Gets whether the caller has received a part of the response. */
   hasStarted(): boolean;
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -41,6 +41,7 @@
   readonly #fingerprint: string;
   /** Parts of the prompt that other requests may have in common with this one; the last part belongs to this request. */
   readonly #sharedParts: readonly string[];
+  #isAttemptRunning = false;
   /** Whether the current attempt has received an event. */
   #hasAttemptEvents = false;
   /** Id of the last event that the caller has received. */
@@ -72,7 +73,7 @@
   }
 
   get hasBeenSent(): boolean {
-    return this.#attemptCount > 0;
+    return this.#isAttemptRunning || this.#verdict !== "not-run";
   }
 
   /** Returns the log fields of the completed request. */
@@ -99,8 +100,10 @@
       const grant = await this.#acquireGrant();
       this.#attemptCount++;
       this.#lastGroupKey = grant.group.key;
+      this.#isAttemptRunning = true;
       const result = await this.#runAttempt(grant);
       await this.#recordResult(grant, result);
+      this.#isAttemptRunning = false;
       if (result.outcome === "complete") {
         this.#scope.context.crashes.recordSuccess(this.#fingerprint);
         return;
--- a/src/request/routed/request_forwarder.ts
+++ b/src/request/routed/request_forwarder.ts
@@ -2,7 +2,7 @@
 
 /** Forwards one request to backend servers. */
 export interface RequestForwarder {
-  /** Whether the request has been sent to a backend server. */
+  /** Whether the request has been sent to a backend server that may still run it or may have run it; `false` again once the server has declined it. */
   readonly hasBeenSent: boolean;
   /**
    * Forwards the request until its response is complete.
