--- a/src/process/planned_stop.ts
+++ b/src/process/planned_stop.ts
@@ -25,7 +25,7 @@
   readonly receivedAtMs: number;
   /** Monotonic deadline of the response, in milliseconds. */
   readonly deadlineAtMs: number;
-  /** Gets whether the request has been sent to a backend server. */
+  /** Gets whether the request has been sent to a backend server that may still run it or may have run it. */
   hasBeenSent(): boolean;
   /** Gets whether the caller has received a part of the response. */
   hasStarted(): boolean;
@@ -109,12 +109,15 @@
     this.#logger.write("info", "stop-started", {
       requests: this.#requests.size,
     });
-    await delay(BALANCER_LAG_MS);
+    await delay(this.#limitToStop(BALANCER_LAG_MS));
     this.#phase = "finishing";
     this.#refuseWaitingRequests();
-    await this.#waitUntilIdle(this.#startedAtMs + LISTEN_DURING_STOP_MS);
+    await this.#waitUntilIdle(
+      this.#startedAtMs + this.#limitToStop(LISTEN_DURING_STOP_MS),
+    );
+    // Also without a request in flight: one that arrives before the listeners are disposed would be cut.
+    this.#phase = "closing";
     if (this.#requests.size > 0) {
-      this.#phase = "closing";
       stopListening();
       await this.#waitUntilIdle(this.#endAtMs);
       await this.#abortRequests();
@@ -129,6 +132,11 @@
     };
   }
 
+  /** Limits a time after the start of the stop, so that a short grace period leaves time to abort the requests in flight. */
+  #limitToStop(durationMs: number): number {
+    return Math.max(0, Math.min(durationMs, this.#endAtMs - this.#startedAtMs));
+  }
+
   #mayOutlastStop(deadlineAtMs: number): boolean {
     const isAccepting = this.#phase === "serving" || this.#phase === "leaving";
     return !isAccepting && deadlineAtMs + RESPONSE_MARGIN_MS > this.#endAtMs;
