Wait in a planned stop for requests whose bodies are still arriving

A request counted as in flight only once its body had arrived, so a daemon without other requests ended while it was read, and the connection closed without an answer. The ingress now registers it with its head. 'answers a request whose body arrives when an idle daemon ends' failed before (no status) and passes. The time for aborted requests to end exceeds that of a check of their group, for which they may wait.

--- a/src/process/planned_stop.ts
+++ b/src/process/planned_stop.ts
@@ -15,8 +15,8 @@
 const LISTEN_DURING_STOP_MS = 4_500;
 /** Time from the deadline of a request until its response has been sent, in milliseconds. */
 const RESPONSE_MARGIN_MS = 100;
-/** Time for which the stop waits for aborted requests to end, in milliseconds. */
-const ABORT_TIMEOUT_MS = 200;
+/** Time for which the stop waits for aborted requests to end, in milliseconds. It exceeds the time for which a failed attempt waits for the check of its group. */
+const ABORT_TIMEOUT_MS = 400;
 
 /** Routed request in flight, as seen by a planned stop. */
 export interface RoutedInFlightRequest extends AbortableRequest {
@@ -46,6 +46,8 @@
   readonly #graceMs: number;
   readonly #logger: Logger;
   readonly #requests = new InFlightRequests<RoutedInFlightRequest>();
+  /** Requests whose bodies have not arrived in full. */
+  readonly #incomingRequests = new InFlightRequests<AbortableRequest>();
   #phase: PlannedStopPhase = "serving";
   #startedAtMs = 0;
   #endAtMs = Number.POSITIVE_INFINITY;
@@ -97,6 +99,16 @@
     return this.#requests.add(request);
   }
 
+  /**
+   * Registers a request whose body has not arrived in full. The stop waits for it, so that it can be refused.
+   *
+   * @returns Function to call when the body has arrived and the request is registered as in flight, or the request has ended.
+   */
+  addIncomingRequest(): () => void {
+    // The connection of a request that has not been read needs no answer when the stop ends.
+    return this.#incomingRequests.add({ abort: () => {} });
+  }
+
   /**
    * Runs the stop until no request is in flight or the grace period is over.
    *
@@ -117,7 +129,7 @@
     );
     // Also without a request in flight: one that arrives before the listeners are disposed would be cut.
     this.#phase = "closing";
-    if (this.#requests.size > 0) {
+    if (this.#hasRequests()) {
       stopListening();
       await this.#waitUntilIdle(this.#endAtMs);
       await this.#abortRequests();
@@ -163,8 +175,15 @@
     await this.#requests.waitUntilIdle(ABORT_TIMEOUT_MS);
   }
 
+  #hasRequests(): boolean {
+    return this.#requests.size > 0 || this.#incomingRequests.size > 0;
+  }
+
   async #waitUntilIdle(endAtMs: number): Promise<void> {
-    await this.#requests.waitUntilIdle(endAtMs - performance.now());
+    while (this.#hasRequests() && performance.now() < endAtMs) {
+      await this.#incomingRequests.waitUntilIdle(endAtMs - performance.now());
+      await this.#requests.waitUntilIdle(endAtMs - performance.now());
+    }
   }
 
   #recordCut(request: RoutedInFlightRequest): void {
--- a/src/request/routed/routed_request_handler.ts
+++ b/src/request/routed/routed_request_handler.ts
@@ -38,6 +38,10 @@
     return this.#context.getRoutes()?.limits ?? DEFAULT_INGRESS_LIMITS;
   }
 
+  addIncomingRequest(): () => void {
+    return this.#context.plannedStop.addIncomingRequest();
+  }
+
   isLeaving(): boolean {
     return this.#context.plannedStop.isLeaving;
   }
