Use the rest of a list when one object has no usable metadata

What callers saw: once another writer had left one object without a name or with a revision that is not a number, a daemon that started never got a list of servers (it refused all requests), and a running one no longer learned of servers that joined, drained or left.

The watcher takes that for an outage of the store and repeats the same call with the same answer for ever.

One without a name is left out and counted in one log line an answer (objects-left-out).

--- a/fakes/fake_object_store.ts
+++ b/fakes/fake_object_store.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { delay } from "../src/shared/delay.ts";
 import { HttpListener } from "./http_listener.ts";
@@ -25,6 +26,8 @@
   readonly #events: PlatformEvent[] = [];
   readonly #wakeCallbacks = new Set<() => void>();
   readonly #watchCounts = new Map<string, number>();
+  /** Bytes of the objects that are not returned as their JSON. */
+  readonly #encodedObjects = new WeakMap<PlatformObject, Buffer>();
   #revision = 1;
   #historyStart = 0;
   fault: FakeStoreFault = "none";
@@ -56,6 +59,25 @@
     this.#recordEvent(kind, object, false);
   }
 
+  /**
+   * Writes an object that the store returns as the given bytes, as it may return an object of an odd writer.
+   *
+   * @param kind - Kind of the object.
+   * @param name - Name of the object.
+   * @param encode - Encodes the object with its revision.
+   */
+  putEncodedObject(
+    kind: string,
+    name: string,
+    encode: (revision: number) => string | Buffer,
+  ): void {
+    const Revision = ++this.#revision;
+    const object = { Metadata: { Name: name, Revision }, Spec: null };
+    this.#encodedObjects.set(object, Buffer.from(encode(Revision)));
+    this.#getKind(kind).set(name, object);
+    this.#recordEvent(kind, object, false);
+  }
+
   /** Removes an object. */
   deleteObject(kind: string, name: string): void {
     const object = this.#getKind(kind).get(name);
@@ -132,8 +154,13 @@
     } else if (url.searchParams.has("Watch")) {
       await this.#watch(res, kind, url);
     } else if (name === undefined) {
-      const Items = [...this.#getKind(kind).values()];
-      sendJson(res, 200, { Items, More: false, At: this.#revision });
+      const items = [...this.#getKind(kind).values()].map((object) =>
+        this.#encodeObject(object)
+      );
+      sendBytes(
+        res,
+        encodeList("Items", items, { More: false, At: this.#revision }),
+      );
     } else {
       const object = this.#getKind(kind).get(name);
       sendJson(res, object === undefined ? 404 : 200, object ?? {});
@@ -180,7 +207,17 @@
         event.kind === kind && event.revision > since
       );
       if (events.length > 0 || Date.now() >= endMs || res.destroyed) {
-        sendJson(res, 200, { events, At: this.#revision });
+        const encodedEvents = events.map(({ Deleted, Object: object }) =>
+          Buffer.concat([
+            Buffer.from(`{"Deleted":${Deleted},"Object":`),
+            this.#encodeObject(object),
+            Buffer.from("}"),
+          ])
+        );
+        sendBytes(
+          res,
+          encodeList("events", encodedEvents, { At: this.#revision }),
+        );
         return;
       }
       this.#watchCounts.set(kind, this.countWatches(kind) + 1);
@@ -189,6 +226,11 @@
     }
   }
 
+  #encodeObject(object: PlatformObject): Buffer {
+    return this.#encodedObjects.get(object) ??
+      Buffer.from(JSON.stringify(object));
+  }
+
   #waitForChange(timeoutMs: number): Promise<void> {
     return new Promise((resolve) => {
       const wake = () => {
@@ -212,6 +254,27 @@
   res.end(JSON.stringify(body));
 }
 
+/** Encodes an object that has a list of encoded elements and other fields. */
+function encodeList(
+  name: string,
+  elements: readonly Buffer[],
+  fields: Readonly<Record<string, unknown>>,
+): Buffer {
+  const separatedElements = elements.flatMap((element, index) =>
+    index === 0 ? [element] : [Buffer.from(","), element]
+  );
+  return Buffer.concat([
+    Buffer.from(`{"${name}":[`),
+    ...separatedElements,
+    Buffer.from(`],${JSON.stringify(fields).slice(1)}`),
+  ]);
+}
+
+function sendBytes(res: ServerResponse, body: Buffer): void {
+  res.writeHead(200, { "content-type": "application/json" });
+  res.end(body);
+}
+
 /** Reads the JSON body of a request; returns undefined when the body is empty. */
 export async function readJson(req: IncomingMessage): Promise<unknown> {
   let text = "";
--- a/src/connection/object_store.ts
+++ b/src/connection/object_store.ts
@@ -41,6 +41,8 @@
   readonly events: readonly WatchEvent[];
   /** Whether events were skipped, so that all objects of the kind have to be listed again. */
   readonly reset: boolean;
+  /** Number of events left out because not even the name of their object can be decoded; defaults to 0. */
+  readonly undecodedCount?: number;
 }
 
 /** Client of the platform's object API. */
@@ -71,6 +73,8 @@
   /** Revision from which a watch continues. */
   readonly revision: number;
   readonly objects: readonly StoredObject[];
+  /** Number of objects left out because not even their name can be decoded; defaults to 0. */
+  readonly undecodedCount?: number;
 }
 
 /** Client of an object API that lists the objects of a kind together with the revision of the list. */
--- a/src/process/fleet/object_watcher.ts
+++ b/src/process/fleet/object_watcher.ts
@@ -116,7 +116,8 @@
     const result = await store.listSnapshot(kind);
     return result.caseOf({
       Left: (error) => this.#recordFailure(error),
-      Right: ({ revision, objects }) => {
+      Right: ({ revision, objects, undecodedCount }) => {
+        this.#recordUndecoded(undecodedCount);
         const presentNames = new Set(objects.map(({ name }) => name));
         const removed = [...this.#names].filter((name) =>
           !presentNames.has(name)
@@ -155,7 +156,8 @@
     }
     return result.caseOf({
       Left: (error) => this.#recordFailure(error),
-      Right: ({ revision, events, reset }) => {
+      Right: ({ revision, events, reset, undecodedCount }) => {
+        this.#recordUndecoded(undecodedCount);
         if (reset) {
           logger.write("info", "watch-history-lost", { kind, sinceRevision });
           this.#revision = undefined;
@@ -238,6 +240,13 @@
     }
   }
 
+  #recordUndecoded(count = 0): void {
+    if (count > 0) {
+      const { logger, kind } = this.#options;
+      logger.write("warn", "objects-left-out", { kind, count });
+    }
+  }
+
   #recordFailure(error: Error): boolean {
     if (this.#isStoreReachable) {
       this.#isStoreReachable = false;
