--- a/fakes/fake_object_store.ts
+++ b/fakes/fake_object_store.ts
@@ -163,7 +163,11 @@
       );
     } else {
       const object = this.#getKind(kind).get(name);
-      sendJson(res, object === undefined ? 404 : 200, object ?? {});
+      if (object === undefined) {
+        sendJson(res, 404, {});
+      } else {
+        sendBytes(res, this.#encodeObject(object));
+      }
     }
   }
 
