Send on only the known fields of a registered daemon

What callers saw: nothing so far; the links between the daemons failed and were opened again while a registration had a further, deeply nested field, and what the daemons tell each other (lost groups, loads, versions of the configuration) waited for that.

Cause: a registration was checked for the types of four fields and then kept and sent to the peers with all others. JSON.parse of Node.js takes any nesting, JSON.stringify throws a RangeError at some thousand levels. Where it throws decides what follows: while a link is opened or a message is read, the link closes; in the timer of a notice it would end the process. A port out of range, 1e308 cores or a line break in the zone passed the check as well and made such an entry a hub to be linked with.

Evidence: odd_registration_test > does not keep a daemon from linking with the registered one, failed before: "peer-link-failed … Maximum call stack size exceeded", then "peer-message-invalid … Maximum call stack size exceeded"; does not keep two daemons from linking: a port out of range, a number of cores that is too large, a name with a line break: "expected [ …(12) ] to not deep equally contain ObjectContaining {"peer": "entry-00"}". The end of the process was not seen.

Why the fix works: registrations and the descriptions in messages of peers pass one decoder that creates a new description of the four fields with checked lengths and ranges, so that nothing else of them can be sent on.

--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -10,6 +10,7 @@
 import { getErrorMessage } from "../../shared/errors.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type { Disposable } from "../../shared/life_cycle_manager.ts";
+import { decodeDescription } from "./daemon_description.ts";
 import { choosePartners, type ExchangePartners } from "./exchange_topology.ts";
 import { NoticeComposer, type NoticeState } from "./notice_composer.ts";
 import type { PeerTable } from "./peer_table.ts";
@@ -486,7 +487,7 @@
     }
     const registrations = objects.map((object) => ({
       object,
-      description: decodeDescription(object),
+      description: decodeRegistration(object),
     }));
     registrations.forEach(({ description }) => {
       if (description !== undefined) {
@@ -517,20 +518,10 @@
   return `{"${name}":${value}${separator}${text.slice(1)}`;
 }
 
-function decodeDescription(
-  object: StoredObject,
+function decodeRegistration(
+  { name, value }: StoredObject,
 ): DaemonDescription | undefined {
-  const value = object.value as Partial<DaemonDescription> | null;
-  const description = { ...value, name: object.name };
-  return isDescription(description) ? description : undefined;
-}
-
-function isDescription(value: unknown): value is DaemonDescription {
-  const { name, address, zone, processorCores } = (value ?? {}) as Partial<
-    DaemonDescription
-  >;
-  return typeof name === "string" && typeof address === "string" &&
-    typeof zone === "string" && typeof processorCores === "number";
+  return decodeDescription({ ...(value as object | null), name });
 }
 
 const RELATIONS: ReadonlySet<unknown> = new Set<PeerRelation>([
@@ -540,8 +531,9 @@
 ]);
 
 function parseHello(text: string): PeerHello {
-  const { sender, relation } = JSON.parse(text) as PeerHello;
-  if (!isDescription(sender) || !RELATIONS.has(relation)) {
+  const { sender: value, relation } = JSON.parse(text) as PeerHello;
+  const sender = decodeDescription(value);
+  if (sender === undefined || !RELATIONS.has(relation)) {
     throw new Error("The first message of the link does not name its sender");
   }
   return { sender, relation };
@@ -570,8 +562,15 @@
       throw new Error(`The field "${field}" of the notice is not a list`);
     }
   }
-  if (notice.peers?.every(isDescription) === false) {
+  return notice.peers === undefined
+    ? notice
+    : { ...notice, peers: notice.peers.map(decodeDescriptionOrThrow) };
+}
+
+function decodeDescriptionOrThrow(value: unknown): DaemonDescription {
+  const description = decodeDescription(value);
+  if (description === undefined) {
     throw new Error("The notice contains an invalid daemon description");
   }
-  return notice;
+  return description;
 }
