Decode the planner's lease before its term counts

What follows is no group that is formed after a loss: orders carry the term as their fencing number, and the generations of the groups are counted from it.

Cause: the stored lease was used as it was read. A term of "5" became '51', one of 2^53 or 1e308 no longer rises when 1 is added, so that two planners have the same term, and times 100,000 it is a generation of Infinity, which JSON writes as null.

Evidence: planner_lease_holder_test > getTerm, 6 of the new cases failed before: "expected '51' to be 1", "expected 2.5 to be 1", "expected to be 1", "expected 1e+308 to be 1", "expected +0 to be 1", "expected 1 to be 42". The holder's tests shared one aborted signal, so that only the first of them ran a holder; each has its own now.

Why the fix works: a lease that cannot be decoded has an unknown holder, so that it is taken over after the usual timeout, and the highest term that is known, so that the next one is higher. A daemon that never read a valid term starts at 1; it is fenced until its term has passed that of the orders that the servers have seen.

--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -1,8 +1,15 @@
-import type { SnapshotStore } from "../../connection/object_store.ts";
+import type {
+  SnapshotStore,
+  StoredObject,
+} from "../../connection/object_store.ts";
 import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
 
 const LEASE_NAME = "planner";
+/** Holder of a lease that cannot be decoded; no daemon has this name, and the lease is not free. */
+const UNKNOWN_HOLDER = "?";
+/** Highest term of a lease. The generations of the groups, which are a multiple of the term, stay whole numbers up to it. */
+const MAX_TERM = 1_000_000_000;
 const RENEW_INTERVAL_MS = 1_000;
 /** Time after the start of an acknowledged write for which the holder may act as planner, in milliseconds. */
 const HOLDER_VALIDITY_MS = 2_500;
@@ -166,7 +173,9 @@
       if (version !== this.#version) {
         this.#version = version;
         this.#unchangedSinceMs = performance.now();
-        this.#lease = object?.value as LeaseValue | undefined;
+        this.#lease = object === undefined
+          ? undefined
+          : this.#decodeLease(object);
       }
     });
     this.#recordStoreResult(result.isRight());
@@ -176,6 +185,26 @@
     }
   }
 
+  /** Decodes the stored lease. One that cannot be decoded has an unknown holder, and the last known term, so that the terms still rise. */
+  #decodeLease({ value, version }: StoredObject): LeaseValue {
+    if (isLeaseValue(value)) {
+      const { holder, term, renewal } = value;
+      return { holder, term, renewal };
+    }
+    this.#logger.write("warn", "object-not-decoded", {
+      kind: this.#kind,
+      name: LEASE_NAME,
+      version,
+      message: "The planner lease must have a holder, a term and a renewal",
+    });
+    const { term } = (value ?? {}) as Partial<LeaseValue>;
+    return {
+      holder: UNKNOWN_HOLDER,
+      term: Math.max(this.#lease?.term ?? 0, isTerm(term) ? term : 0),
+      renewal: 0,
+    };
+  }
+
   async #acquireLease(): Promise<void> {
     const term = (this.#lease?.term ?? 0) + 1;
     if (await this.#writeLease({ holder: this.#name, term, renewal: 0 })) {
@@ -242,6 +271,19 @@
   }
 }
 
+function isLeaseValue(value: unknown): value is LeaseValue {
+  const { holder, term, renewal } = (value ?? {}) as Partial<LeaseValue>;
+  return typeof holder === "string" && isCounter(renewal) && isTerm(term);
+}
+
+function isTerm(value: unknown): value is number {
+  return isCounter(value) && value <= MAX_TERM;
+}
+
+function isCounter(value: unknown): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0;
+}
+
 function getClockOffsetMs(): number {
   return Date.now() - performance.now();
 }
--- a/src/process/fleet/planner_lease_holder_test.ts
+++ b/src/process/fleet/planner_lease_holder_test.ts
@@ -12,8 +12,8 @@
 const CHECK_INTERVAL_MS = 1_000;
 
 /** Creates a store of one object that checks the expected version of a write. */
-function createStore() {
-  let object: StoredObject | undefined;
+function createStore(initialObject?: StoredObject) {
+  let object = initialObject;
   return {
     getObject: () => Promise.resolve(Right(object)),
     putObject: (put: PutObjectOptions) => {
@@ -33,9 +33,10 @@
 }
 
 describe("PlannerLeaseHolder", () => {
-  const controller = new AbortController();
+  let controller: AbortController;
 
   beforeEach(() => {
+    controller = new AbortController();
     vi.useFakeTimers();
   });
   afterEach(() => {
@@ -75,4 +76,65 @@
       expect(firstHolder.getTerm()).toBeUndefined();
     });
   });
+
+  // The term is the fencing number of all orders; one that is not a number, or too large to be increased, stops or confuses the planners.
+  describe("getTerm", () => {
+    it.each([
+      null,
+      "text",
+      { holder: "entry-9" },
+      { holder: "entry-9", term: "5", renewal: 0 },
+      { holder: "entry-9", term: -1, renewal: 0 },
+      { holder: "entry-9", term: 1.5, renewal: 0 },
+      { holder: "entry-9", term: 2 ** 53, renewal: 0 },
+      { holder: "entry-9", term: 1e308, renewal: 0 },
+    ])(
+      "is a whole number after the takeover of the lease %j",
+      async (value) => {
+        const store = createStore({
+          kind: "leases",
+          name: "planner",
+          version: 3,
+          value,
+        });
+        const holder = startHolder(store, "entry-1");
+        await vi.advanceTimersByTimeAsync(3_000);
+        expect(holder.getTerm()).toBeUndefined();
+        await vi.advanceTimersByTimeAsync(3_000);
+        expect(holder.getTerm()).toBe(1);
+      },
+    );
+
+    it("rises beyond the term of a lease without a valid holder", async () => {
+      const store = createStore({
+        kind: "leases",
+        name: "planner",
+        version: 3,
+        value: { holder: 7, term: 5, renewal: 0 },
+      });
+      const holder = startHolder(store, "entry-1");
+      await vi.advanceTimersByTimeAsync(6_000);
+      expect(holder.getTerm()).toBe(6);
+    });
+
+    it("rises beyond the last known term after a lease that cannot be decoded", async () => {
+      const known = { holder: "entry-9", term: 41, renewal: 0 };
+      const store = createStore({
+        kind: "leases",
+        name: "planner",
+        version: 3,
+        value: known,
+      });
+      const holder = startHolder(store, "entry-1");
+      await vi.advanceTimersByTimeAsync(1_000);
+      await store.putObject({
+        kind: "leases",
+        name: "planner",
+        value: "odd",
+        expectedVersion: 3,
+      });
+      await vi.advanceTimersByTimeAsync(6_000);
+      expect(holder.getTerm()).toBe(42);
+    });
+  });
 });
