Log an entry that cannot be decoded once for each cause

What operators saw: a line of the log for each change of an odd entry at each daemon that reads the store; an entry of a server changes up to once in an interval of its heartbeats.

Cause: the watcher logged each decoding that failed, with the whole name.

Evidence: object_watcher_test > logs an object that cannot be decoded once for each cause, failed before: "expected [ [ 'object-not-decoded', 1 ], …(4) ] to deeply equal [ [ 'object-not-decoded', 1 ], …(2) ]". The three other tests of this new file passed before: an entry that can no longer be decoded is removed and the others hold, and a configuration keeps its last valid value.

Why the fix works: the watcher keeps the last message for each name until the object is decoded or removed, and logs only a message that differs, with at most 256 characters of the name.

--- a/src/process/fleet/object_watcher.ts
+++ b/src/process/fleet/object_watcher.ts
@@ -11,6 +11,9 @@
 /** Time limit of a watch call after a failed call, in milliseconds. It is shorter so that the end of an outage is noticed soon. */
 const OUTAGE_WATCH_TIMEOUT_MS = 1_000;
 
+/** Maximum length of the name of an object in a log line. */
+const MAX_LOGGED_NAME_LENGTH = 256;
+
 /** Changes of the objects of one kind since the last report of changes. */
 export interface ObjectChanges<T> {
   readonly changed: ReadonlyMap<string, T>;
@@ -59,6 +62,8 @@
   readonly #options: ObjectWatcherOptions<T>;
   /** Names of the objects that exist in the store. */
   readonly #names = new Set<string>();
+  /** Messages of the objects that cannot be decoded, by name. A writer may change such an object often; only a change of the message is logged. */
+  readonly #decodeFailures = new Map<string, string>();
   #revision: number | undefined;
   /** Monotonic time up to which the store has confirmed the reported objects. */
   #confirmedAtMs: number | undefined;
@@ -208,7 +213,10 @@
         removed.push(object.name);
       }
     }
-    update.removed.forEach((name) => this.#names.delete(name));
+    for (const name of update.removed) {
+      this.#names.delete(name);
+      this.#decodeFailures.delete(name);
+    }
     const outageMs = this.#recordSuccess(update.requestedAtMs);
     this.#revision = update.revision;
     if (changed.size > 0 || removed.length > 0 || update.isSnapshot) {
@@ -226,20 +234,31 @@
   }
 
   #decode(object: StoredObject): T | undefined {
-    const { logger, kind } = this.#options;
     try {
-      return this.#options.decode(object);
+      const value = this.#options.decode(object);
+      this.#decodeFailures.delete(object.name);
+      return value;
     } catch (error) {
-      logger.write("warn", "object-not-decoded", {
-        kind,
-        name: object.name,
-        version: object.version,
-        message: getErrorMessage(error),
-      });
+      this.#recordDecodeFailure(object, getErrorMessage(error));
       return undefined;
     }
   }
 
+  #recordDecodeFailure(
+    { name, version }: StoredObject,
+    message: string,
+  ): void {
+    if (this.#decodeFailures.get(name) !== message) {
+      this.#decodeFailures.set(name, message);
+      this.#options.logger.write("warn", "object-not-decoded", {
+        kind: this.#options.kind,
+        name: name.slice(0, MAX_LOGGED_NAME_LENGTH),
+        version,
+        message,
+      });
+    }
+  }
+
   #recordUndecoded(count = 0): void {
     if (count > 0) {
       const { logger, kind } = this.#options;
--- /dev/null
+++ b/src/process/fleet/object_watcher_test.ts
@@ -0,0 +1,125 @@
+import { Right } from "purify-ts";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type {
+  SnapshotStore,
+  StoredObject,
+  WatchEvent,
+} from "../../connection/object_store.ts";
+import type { LogFields } from "../../shared/logger.ts";
+import { ObjectWatcher } from "./object_watcher.ts";
+
+const BATCH_DELAY_MS = 10;
+
+describe("ObjectWatcher", () => {
+  let controller: AbortController;
+  let lines: { event: string; fields: LogFields }[];
+  let values: Map<string, number>;
+
+  beforeEach(() => {
+    controller = new AbortController();
+    lines = [];
+    values = new Map();
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    controller.abort();
+    vi.useRealTimers();
+  });
+
+  function createObject(name: string, value: unknown, version: number) {
+    return { kind: "servers", name, version, value };
+  }
+
+  function createEvent(object: StoredObject): WatchEvent {
+    return { name: object.name, revision: object.version, object };
+  }
+
+  /** Runs a watcher whose store lists the objects and then reports one event with each watch call. */
+  async function runWatcher(options: {
+    objects: readonly StoredObject[];
+    events: readonly WatchEvent[];
+    undecodedCount?: number;
+    keepsLastValid?: boolean;
+  }): Promise<void> {
+    const { objects, undecodedCount } = options;
+    const events = [...options.events];
+    const store = {
+      listSnapshot: () =>
+        Promise.resolve(Right({ revision: 5, objects, undecodedCount })),
+      watch: () => {
+        const next = events.shift();
+        return next === undefined
+          ? new Promise(() => {})
+          : Promise.resolve(Right({
+            revision: next.revision,
+            events: [next],
+            reset: false,
+          }));
+      },
+    } as unknown as SnapshotStore;
+    const watcher = new ObjectWatcher<number>({
+      store,
+      kind: "servers",
+      logger: {
+        write: (_, event, fields = {}) => lines.push({ event, fields }),
+      },
+      getBatchDelayMs: () => BATCH_DELAY_MS,
+      getRetryDelayMs: () => BATCH_DELAY_MS,
+      keepsLastValid: options.keepsLastValid ?? false,
+      decode: ({ value }) => {
+        if (typeof value !== "number") {
+          throw new Error(`The value "${value}" must be a number`);
+        }
+        return value;
+      },
+      onChange: ({ changed, removed }) => {
+        changed.forEach((value, name) => values.set(name, value));
+        removed.forEach((name) => values.delete(name));
+      },
+    });
+    void watcher.run(controller.signal);
+    await vi.advanceTimersByTimeAsync(BATCH_DELAY_MS * (events.length + 2));
+  }
+
+  describe("run", () => {
+    it("removes an object that can no longer be decoded, and holds the others", async () => {
+      await runWatcher({
+        objects: [createObject("a", 1, 1), createObject("b", 2, 2)],
+        events: [createEvent(createObject("a", "odd", 6))],
+      });
+      expect([...values]).toEqual([["b", 2]]);
+    });
+
+    it("keeps the last valid value of an object if it is to", async () => {
+      await runWatcher({
+        objects: [createObject("a", 1, 1)],
+        events: [createEvent(createObject("a", undefined, 6))],
+        keepsLastValid: true,
+      });
+      expect([...values]).toEqual([["a", 1]]);
+    });
+
+    // A writer that changes an odd object with each heartbeat filled the log.
+    it("logs an object that cannot be decoded once for each cause", async () => {
+      await runWatcher({
+        objects: [createObject("a", "odd", 1)],
+        events: [
+          createEvent(createObject("a", "odd", 6)),
+          createEvent(createObject("a", "odd", 7)),
+          createEvent(createObject("a", "odder", 8)),
+          createEvent(createObject("a", 1, 9)),
+          createEvent(createObject("a", "odder", 10)),
+        ],
+      });
+      expect(lines.map(({ event, fields }) => [event, fields.version]))
+        .toEqual([1, 8, 10].map((version) => ["object-not-decoded", version]));
+    });
+
+    it("logs the number of objects that were left out", async () => {
+      await runWatcher({ objects: [], events: [], undecodedCount: 2 });
+      expect(lines).toEqual([
+        { event: "objects-left-out", fields: { kind: "servers", count: 2 } },
+      ]);
+    });
+  });
+});
