Let the fake store be restored from a copy

Each response states the store's generation, as the platform's store does. After applyCopy the revisions go back and are given out again, waiting watches are cut off, and a watch from a revision that the store doesn't have gets 410. The fake servers number their reports.

--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -77,6 +77,7 @@
   conflictingJoins = 0;
   #state: "ready" | "draining" = "ready";
   #isDisposed = false;
+  #sequence = 0;
   /** Whether the server has crashed; a crashed server does not respond. */
   hasCrashed = false;
   /** Part of a prompt that crashes the server when it begins to respond; the server restarts with an empty memory. */
@@ -154,6 +155,7 @@
       Slots: 4,
       State: this.#state,
       ColdLeftMs: 0,
+      Sequence: ++this.#sequence,
       ...this.#describeState(),
     });
   }
@@ -364,6 +366,7 @@
     if (!this.#isDisposed) {
       this.#group = undefined;
       this.#startedAtMs = Date.now();
+      this.#sequence = 0;
       await this.#listener.listen(port);
       this.hasCrashed = false;
       this.publishEntry();
--- a/fakes/fake_object_store.ts
+++ b/fakes/fake_object_store.ts
@@ -15,10 +15,16 @@
   readonly Object: PlatformObject;
 }
 
+/** State of the store at an earlier moment, from which it can be restored. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly kinds: ReadonlyMap<string, ReadonlyMap<string, PlatformObject>>;
+}
+
 /** Fault of the store: with `silent` it does not respond to requests, with `busy` it refuses them with status 503. */
 export type FakeStoreFault = "none" | "silent" | "busy";
 
-/** Fake of the platform's object store, with revisions, conditional writes and watches. It can simulate outages and the loss of its event history. */
+/** Fake of the platform's object store, with revisions, conditional writes and watches. It can simulate outages, the loss of its event history and a restore from a copy. */
 export class FakeObjectStore {
   readonly #listener = new HttpListener((req, res) => this.#handle(req, res));
   readonly #kinds = new Map<string, Map<string, PlatformObject>>();
@@ -27,6 +33,8 @@
   readonly #watchCounts = new Map<string, number>();
   #revision = 1;
   #historyStart = 0;
+  /** Number of the store's lifetime between two restores, which all responses contain; undefined for a store that does not send it. */
+  era: number | undefined = 1;
   fault: FakeStoreFault = "none";
   /** Time before a write takes effect, in milliseconds. */
   writeDelayMs = 0;
@@ -83,6 +91,30 @@
     this.#wakeWatches();
   }
 
+  /** Copies the objects and the revision. */
+  createCopy(): StoreCopy {
+    const kinds = new Map(
+      [...this.#kinds].map(([kind, objects]) => [kind, new Map(objects)]),
+    );
+    return { revision: this.#revision, kinds };
+  }
+
+  /** Restores the store from a copy: changes since then are lost, their revisions are given out again, and waiting watches are cut off. */
+  applyCopy(copy: StoreCopy): void {
+    this.#kinds.clear();
+    copy.kinds.forEach((objects, kind) =>
+      this.#kinds.set(kind, new Map(objects))
+    );
+    this.#events.splice(
+      0,
+      this.#events.length,
+      ...this.#events.filter(({ revision }) => revision <= copy.revision),
+    );
+    this.#revision = copy.revision;
+    this.era = (this.era ?? 0) + 1;
+    this.#wakeWatches();
+  }
+
   #getKind(kind: string): Map<string, PlatformObject> {
     const objects = this.#kinds.get(kind) ?? new Map<string, PlatformObject>();
     this.#kinds.set(kind, objects);
@@ -108,7 +140,7 @@
       return;
     }
     if (this.fault === "busy") {
-      sendJson(res, 503, {});
+      this.#answer(res, 503, {});
       return;
     }
     readJson(req).then((body) => this.#handleRequest(req, res, body)).catch(
@@ -133,10 +165,10 @@
       await this.#watch(res, kind, url);
     } else if (name === undefined) {
       const Items = [...this.#getKind(kind).values()];
-      sendJson(res, 200, { Items, More: false, At: this.#revision });
+      this.#answer(res, 200, { Items, More: false, At: this.#revision });
     } else {
       const object = this.#getKind(kind).get(name);
-      sendJson(res, object === undefined ? 404 : 200, object ?? {});
+      this.#answer(res, object === undefined ? 404 : 200, object ?? {});
     }
   }
 
@@ -156,31 +188,36 @@
       ? current !== undefined
       : revision != null && current?.Metadata.Revision !== Number(revision);
     if (isConflict) {
-      sendJson(res, 409, current ?? {});
+      this.#answer(res, 409, current ?? {});
       return;
     }
     if (change.method === "DELETE") {
       this.deleteObject(change.kind, name);
-      sendJson(res, 200, {});
+      this.#answer(res, 200, {});
       return;
     }
     this.putObject(change.kind, name, object!.Spec);
-    sendJson(res, 200, this.#getKind(change.kind).get(name));
+    this.#answer(res, 200, this.#getKind(change.kind).get(name));
   }
 
   async #watch(res: ServerResponse, kind: string, url: URL): Promise<void> {
     const since = Number(url.searchParams.get("Watch"));
+    const { era } = this;
     const endMs = Date.now() + Number(url.searchParams.get("WaitMs"));
     for (;;) {
-      if (since < this.#historyStart) {
-        sendJson(res, 410, {});
+      if (this.era !== era) {
+        res.destroy();
+        return;
+      }
+      if (since < this.#historyStart || since > this.#revision) {
+        this.#answer(res, 410, {});
         return;
       }
       const events = this.#events.filter((event) =>
         event.kind === kind && event.revision > since
       );
       if (events.length > 0 || Date.now() >= endMs || res.destroyed) {
-        sendJson(res, 200, { events, At: this.#revision });
+        this.#answer(res, 200, { events, At: this.#revision });
         return;
       }
       this.#watchCounts.set(kind, this.countWatches(kind) + 1);
@@ -189,6 +226,13 @@
     }
   }
 
+  #answer(res: ServerResponse, status: number, body: unknown): void {
+    if (this.era !== undefined) {
+      res.setHeader("store-era", this.era);
+    }
+    sendJson(res, status, body);
+  }
+
   #waitForChange(timeoutMs: number): Promise<void> {
     return new Promise((resolve) => {
       const wake = () => {
