Order versions by the generation of the store

After the store came back from a copy, daemons ignored what was written until the revision had passed the last one of before: exclusions of zones, drains and removals of servers, and the notices of peers about them. Callers' requests went on to zones and servers that were out of service.

Cause: revisions were compared as if they only rose, but a restore sets them back and gives them out again. A watch that went on from such a revision missed what lay between the copy and it, and a conditional write could replace what was written after the restore.

The adapter combines the generation that each answer states with the revision into one number that only rises, so each comparison in the product and between daemons is right as it stands.

--- a/src/connection/object_store.ts
+++ b/src/connection/object_store.ts
@@ -1,10 +1,54 @@
 import type { Either } from "purify-ts";
 
+/** Number of revisions in the range of versions of one generation of the store. */
+const REVISIONS_PER_GENERATION = 2 ** 40;
+/** Highest generation whose versions are safe integers. */
+const MAX_GENERATION = 2 ** 13 - 1;
+
+/** Parts of a version. */
+export interface StoreVersion {
+  /** Number of the store's generation, which rises each time that the store is restored from a copy. */
+  readonly generation: number;
+  /** Revision within the generation. A restore sets the revisions back to those of the copy. */
+  readonly revision: number;
+}
+
+/**
+ * Creates a version. Versions are ordered by their generation first, so that a version that is given out after a restore is higher than all earlier ones.
+ *
+ * @throws {RangeError} When a part is not in the range of versions.
+ * @example
+ * ```ts
+ * createVersion({ generation: 2, revision: 7 }) > createVersion({ generation: 1, revision: 350 });
+ * ```
+ */
+export function createVersion({ generation, revision }: StoreVersion): number {
+  if (
+    !Number.isInteger(generation) || generation < 0 ||
+    generation > MAX_GENERATION || revision >= REVISIONS_PER_GENERATION
+  ) {
+    throw new RangeError(
+      `The revision ${revision} of the store's generation ${generation} is out of range`,
+    );
+  }
+  return generation * REVISIONS_PER_GENERATION + revision;
+}
+
+/** Gets the generation of the store that gave out a version. */
+export function getGeneration(version: number): number {
+  return Math.floor(version / REVISIONS_PER_GENERATION);
+}
+
+/** Gets the revision of a version within its generation. */
+export function getRevision(version: number): number {
+  return version % REVISIONS_PER_GENERATION;
+}
+
 /** Object in the platform's store. */
 export interface StoredObject {
   readonly kind: string;
   readonly name: string;
-  /** Version of the object, which increases with each write. */
+  /** Version of the object, which increases with each write and with each restore of the store (see `createVersion`). */
   readonly version: number;
   readonly value: unknown;
 }
