Keep the newer state of servers whose entries a restore set back

After a restore of the store the entries of servers show a state of some seconds ago until the servers write again: a drained server counted as ready, a server that had left was used again, one that had registered since was dropped at once when the outage was shorter than a second, members of a group that had formed since counted as free, and cold times began anew.

An entry's report has a number of the server's own, so an entry that is older than the known one is recognised and not used for 5 s, in which the server writes a newer one. Missing entries get the grace period that they have after an outage; another list within it does not end it. A peer whose list is of an earlier generation gets the whole list, since it may know servers that the sender never had.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -1,3 +1,4 @@
+import { getGeneration } from "../../connection/object_store.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type {
   BackendReport,
@@ -6,8 +7,10 @@
 import type { ObjectChanges } from "./object_watcher.ts";
 import type { BackendServerChanges } from "../../connection/peer_notice.ts";
 
-/** Time after a store outage within which live servers whose entries expired during the outage register again, in milliseconds. */
+/** Time after a store outage or a restore of the store within which live servers whose entries are missing register again, in milliseconds. */
 const REREGISTER_GRACE_MS = 2_000;
+/** Time after a restore of the store for which an entry that is older than a known one is not used, in milliseconds. Live servers replace it within this time, and the store removes the entries of others. */
+const OUTDATED_ENTRY_GRACE_MS = 5_000;
 /** Duration of a store outage above which entries of live servers may have expired because they could not be renewed, in milliseconds. */
 const MIN_EXPIRY_OUTAGE_MS = 1_000;
 
@@ -23,6 +26,13 @@
 /** Listener for changes of the directory; gets the ids of the servers that were added, changed or removed. */
 export type DirectoryListener = (changedIds: ReadonlySet<string>) => void;
 
+/** Removal of a server that is kept to be sent to peers. */
+interface Tombstone {
+  readonly revision: number;
+  /** Last entry of the server. */
+  readonly entry: BackendServer;
+}
+
 /** Directory of the registered backend servers, updated from the store, the notices of peers and the status reports of the servers. */
 export class BackendDirectory {
   readonly #logger: Logger;
@@ -32,8 +42,11 @@
   readonly #listeners = new Set<DirectoryListener>();
   /** Ids of the servers that were added, changed or removed since the listeners were last called. */
   #changedIds = new Set<string>();
-  /** Revisions at which servers were removed, by server id, in the order of removal. */
-  readonly #tombstones = new Map<string, number>();
+  /** Removals by server id, in the order of removal. */
+  readonly #tombstones = new Map<string, Tombstone>();
+  /** Entries of a restored store that are older than the known ones, by server id. */
+  readonly #outdatedEntries = new Map<string, BackendServer>();
+  #outdatedEntriesTimer: NodeJS.Timeout | undefined;
   /** Revision of the list when a tombstone was last dropped. A peer whose list is older may lack that removal and gets the whole list. */
   #droppedTombstoneRevision = 0;
   #isPopulated = false;
@@ -62,21 +75,21 @@
   /**
    * Gets the changes of the list to send to a peer.
    *
-   * @param sinceRevision - Revision up to which the peer's list is complete; 0 for the whole list.
+   * @param sinceRevision - Revision up to which the peer's list is complete; 0 for the whole list. A peer whose list is from before a restore of the store gets the whole list, too, as its list may contain servers that this one never had.
    */
   getNotice(sinceRevision = 0): BackendServerChanges {
     const nowMs = performance.now();
-    const startRevision = sinceRevision < this.#droppedTombstoneRevision
-      ? 0
-      : sinceRevision;
+    const needsWholeList = sinceRevision < this.#droppedTombstoneRevision ||
+      getGeneration(sinceRevision) < getGeneration(this.#revision);
+    const startRevision = needsWholeList ? 0 : sinceRevision;
     const servers = this.listServers()
       .filter(({ entryVersion }) => entryVersion > startRevision)
       .map(({ coldUntilMs, ...server }) => ({
         ...server,
         coldLeftMs: Math.max(0, coldUntilMs - nowMs),
       }));
-    const removed = [...this.#tombstones].flatMap(([id, removalRevision]) =>
-      removalRevision > startRevision ? [id] : []
+    const removed = [...this.#tombstones].flatMap(([id, { revision }]) =>
+      revision > startRevision ? [id] : []
     );
     return {
       sinceRevision: startRevision,
@@ -132,11 +145,13 @@
   }
 
   /**
-   * Applies changes of the list. After a store outage, entries that have expired are kept for a grace period in which live servers register again.
+   * Applies changes of the list. After a store outage or a restore of the store, missing entries are kept for a grace period in which live servers register again. An entry that the restore has set back replaces the known one only if the server does not write a newer one.
    */
   applyChange(change: ObjectChanges<BackendServer>): void {
     this.#isPopulated ||= change.changed.size > 0;
     const isStaleChange = change.revision < this.#revision;
+    const isRestored = this.#revision > 0 &&
+      getGeneration(change.revision) > getGeneration(this.#revision);
     this.#revision = Math.max(this.#revision, change.revision);
     this.#changeRevision = Math.max(
       this.#changeRevision,
@@ -148,7 +163,16 @@
         ? isStaleChange
         : knownServer.entryVersion >= server.entryVersion;
       this.#cancelRemoval(id);
-      if (!isKnownVersion) {
+      if (isKnownVersion) {
+        continue;
+      }
+      if (isRestored && this.#isOutdated(server)) {
+        this.#delayEntry(server);
+      } else if (isRestored && isSameReport(server, knownServer)) {
+        const { entryVersion } = server;
+        this.#setServer(id, { ...knownServer, entryVersion });
+      } else {
+        this.#outdatedEntries.delete(id);
         this.#tombstones.delete(id);
         if (!change.isSnapshot) {
           this.#recordChange(server);
@@ -163,7 +187,9 @@
       });
     }
     const missingIds = change.isSnapshot
-      ? [...this.#servers.keys()].filter((id) => !change.changed.has(id))
+      ? [...this.#servers.keys()].filter((id) =>
+        !change.changed.has(id) && !this.#pendingRemovals.has(id)
+      )
       : [];
     for (const id of new Set([...change.removed, ...missingIds])) {
       const entryVersion = this.#servers.get(id)?.entryVersion ?? 0;
@@ -171,7 +197,8 @@
         // The server registered again after this removal.
         continue;
       }
-      if (change.outageMs > MIN_EXPIRY_OUTAGE_MS) {
+      this.#outdatedEntries.delete(id);
+      if (change.outageMs > MIN_EXPIRY_OUTAGE_MS || isRestored) {
         this.#scheduleRemoval(id);
       } else {
         this.#remove(id, "removed", change.revision);
@@ -217,6 +244,40 @@
     return { ...entry, membership, loadedModels };
   }
 
+  /** Gets whether an entry of a restored store is older than the last known entry of the server. */
+  #isOutdated(entry: BackendServer): boolean {
+    const knownServer = this.#servers.get(entry.id);
+    const removedServer = this.#tombstones.get(entry.id)?.entry;
+    return knownServer === undefined
+      ? removedServer !== undefined && compareReports(entry, removedServer) <= 0
+      : compareReports(entry, knownServer) < 0;
+  }
+
+  /** Keeps the known state of a server, or its removal, until the server has had time to write a newer entry. */
+  #delayEntry(entry: BackendServer): void {
+    const knownServer = this.#servers.get(entry.id);
+    if (knownServer !== undefined) {
+      const { entryVersion } = entry;
+      this.#setServer(entry.id, { ...knownServer, entryVersion });
+    }
+    this.#outdatedEntries.set(entry.id, entry);
+    this.#outdatedEntriesTimer ??= setTimeout(
+      () => this.#applyOutdatedEntries(),
+      OUTDATED_ENTRY_GRACE_MS,
+    ).unref();
+  }
+
+  #applyOutdatedEntries(): void {
+    this.#outdatedEntriesTimer = undefined;
+    for (const [id, entry] of this.#outdatedEntries) {
+      this.#tombstones.delete(id);
+      this.#recordChange(entry);
+      this.#setServer(id, this.#mergeReport(entry));
+    }
+    this.#outdatedEntries.clear();
+    this.#publishChange();
+  }
+
   #recordChange(server: BackendServer): void {
     const knownServer = this.#servers.get(server.id);
     if (knownServer?.isDraining !== server.isDraining) {
@@ -255,16 +316,18 @@
   #remove(id: string, reason: string, revision = UNKNOWN_REVISION): void {
     this.#cancelRemoval(id);
     this.#reportedAtMs.delete(id);
-    if (this.#servers.delete(id)) {
+    const entry = this.#servers.get(id);
+    if (entry !== undefined) {
+      this.#servers.delete(id);
       this.#changedIds.add(id);
-      this.#recordTombstone(id, revision);
+      this.#recordTombstone({ revision, entry });
       this.#logger.write("info", "backend-gone", { server: id, reason });
     }
   }
 
   /** Records a removal for the peers that have not received it yet, and drops the oldest tombstone when there are more than `MAX_TOMBSTONES`. */
-  #recordTombstone(id: string, revision: number): void {
-    this.#tombstones.set(id, revision);
+  #recordTombstone(tombstone: Tombstone): void {
+    this.#tombstones.set(tombstone.entry.id, tombstone);
     if (this.#tombstones.size > MAX_TOMBSTONES) {
       const [[oldestId]] = this.#tombstones;
       this.#tombstones.delete(oldestId);
@@ -279,6 +342,20 @@
   }
 }
 
+/** Compares the times of the reports that two entries of a server contain. */
+function compareReports(a: BackendServer, b: BackendServer): number {
+  return a.startedAtMs - b.startedAtMs || a.reportNumber - b.reportNumber;
+}
+
+/** Gets whether an entry contains the same report as the known one, whose remaining cold time counts from its first arrival. */
+function isSameReport(
+  entry: BackendServer,
+  knownServer: BackendServer | undefined,
+): knownServer is BackendServer {
+  return knownServer !== undefined && entry.reportNumber > 0 &&
+    compareReports(entry, knownServer) === 0;
+}
+
 /** Gets whether an entry contains an earlier membership state than the known server has. */
 function isEarlierState(
   entry: BackendServer,
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -1,5 +1,6 @@
-import { describe, expect, it, vi } from "vitest";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { createBackendServer } from "../../../tests/support/backend_servers.ts";
+import { createVersion } from "../../connection/object_store.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import { BackendDirectory } from "./backend_directory.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
@@ -115,4 +116,170 @@
       vi.useRealTimers();
     });
   });
+
+  describe("a restore of the store", () => {
+    beforeEach(() => {
+      vi.useFakeTimers();
+    });
+    afterEach(() => {
+      vi.useRealTimers();
+    });
+
+    interface Change {
+      readonly generation: number;
+      readonly revision: number;
+      readonly servers?: readonly Partial<BackendServer>[];
+      readonly removed?: readonly string[];
+    }
+
+    /** Creates a directory that knows the server `s1` and its second report of before the restore. */
+    function createDirectory(
+      server: Partial<BackendServer> = {},
+    ): BackendDirectory {
+      const directory = new BackendDirectory({ logger: new NullLogger() });
+      applySnapshot(directory, {
+        generation: 1,
+        revision: 20,
+        servers: [{ reportNumber: 2, ...server }],
+      });
+      return directory;
+    }
+
+    function apply(
+      directory: BackendDirectory,
+      { generation, servers = [], removed = [], ...change }: Change,
+      isSnapshot = false,
+    ): void {
+      const revision = createVersion({ generation, ...change });
+      directory.applyChange({
+        changed: new Map(
+          servers.map((server) => [
+            server.id ?? "s1",
+            createBackendServer({ entryVersion: revision, ...server }),
+          ]),
+        ),
+        removed,
+        revision,
+        changeRevision: revision,
+        outageMs: 0,
+        isSnapshot,
+      });
+    }
+
+    function applySnapshot(directory: BackendDirectory, change: Change): void {
+      apply(directory, change, true);
+    }
+
+    // Guards against requests to a server whose drain is written at a revision that the store has given out before.
+    it("applies a drain at a lower revision", () => {
+      const directory = createDirectory();
+      applySnapshot(directory, {
+        generation: 2,
+        revision: 10,
+        servers: [{ reportNumber: 1 }],
+      });
+      apply(directory, {
+        generation: 2,
+        revision: 11,
+        servers: [{ reportNumber: 3, isDraining: true }],
+      });
+      expect(directory.findServer("s1")!.isDraining).toBe(true);
+      vi.advanceTimersByTime(10_000);
+      expect(directory.findServer("s1")!.isDraining).toBe(true);
+    });
+
+    // Guards against requests to a server whose removal is written at a revision that the store has given out before.
+    it("applies a removal at a lower revision", () => {
+      const directory = createDirectory();
+      applySnapshot(directory, {
+        generation: 2,
+        revision: 10,
+        servers: [{ reportNumber: 1 }],
+      });
+      apply(directory, { generation: 2, revision: 11, removed: ["s1"] });
+      expect(directory.findServer("s1")).toBeUndefined();
+      vi.advanceTimersByTime(10_000);
+      expect(directory.findServer("s1")).toBeUndefined();
+    });
+
+    // Guards against requests to a draining server, and against a group that is taken apart, because the entry is some seconds old.
+    it("keeps the newer state of a server whose entry was set back", () => {
+      const directory = createDirectory({ isDraining: true });
+      const snapshot = {
+        generation: 2,
+        revision: 10,
+        servers: [{ reportNumber: 1 }],
+      };
+      applySnapshot(directory, snapshot);
+      vi.advanceTimersByTime(4_000);
+      expect(directory.findServer("s1")!.isDraining).toBe(true);
+      vi.advanceTimersByTime(2_000);
+      expect(directory.findServer("s1")!.isDraining).toBe(false);
+    });
+
+    // Guards against requests to a server that has left in the seconds that a restored store has lost.
+    it("does not add a removed server again whose entry has come back", () => {
+      const directory = createDirectory();
+      apply(directory, { generation: 1, revision: 21, removed: ["s1"] });
+      applySnapshot(directory, {
+        generation: 2,
+        revision: 10,
+        servers: [{ reportNumber: 2 }],
+      });
+      vi.advanceTimersByTime(4_000);
+      expect(directory.findServer("s1")).toBeUndefined();
+      apply(directory, {
+        generation: 2,
+        revision: 11,
+        servers: [{ reportNumber: 3 }],
+      });
+      expect(directory.findServer("s1")).toBeDefined();
+    });
+
+    // Guards against lost groups because a server that registered in the lost seconds is missing until it registers again.
+    it("keeps a missing server until it has had time to register again", () => {
+      const directory = createDirectory();
+      applySnapshot(directory, { generation: 2, revision: 10 });
+      vi.advanceTimersByTime(1_500);
+      expect(directory.findServer("s1")).toBeDefined();
+      // Another list within the grace period must not end it.
+      applySnapshot(directory, { generation: 2, revision: 11 });
+      expect(directory.findServer("s1")).toBeDefined();
+      vi.advanceTimersByTime(1_000);
+      expect(directory.findServer("s1")).toBeUndefined();
+    });
+
+    // Guards against warm servers that get cold limits again because the list was read again.
+    it("does not prolong the cold time of a server with the same report", () => {
+      const directory = createDirectory({ coldUntilMs: 5_000 });
+      applySnapshot(directory, {
+        generation: 2,
+        revision: 10,
+        servers: [{ reportNumber: 2, coldUntilMs: 9_000 }],
+      });
+      expect(directory.findServer("s1")!.coldUntilMs).toBe(5_000);
+    });
+
+    // Guards against a peer that still has the list of before the restore and brings it back, or does not take the new one.
+    it("orders the lists of peers by generation", () => {
+      const [ahead, behind] = [createDirectory(), createDirectory()];
+      apply(behind, {
+        generation: 1,
+        revision: 25,
+        servers: [{ id: "s2", reportNumber: 1 }],
+      });
+      applySnapshot(ahead, {
+        generation: 2,
+        revision: 10,
+        servers: [{ reportNumber: 3, isDraining: true }],
+      });
+      ahead.offerNotice(behind.getNotice());
+      expect(ahead.findServer("s1")!.isDraining).toBe(true);
+      expect(ahead.findServer("s2")).toBeUndefined();
+      behind.offerNotice(ahead.getNotice(behind.revision));
+      expect(behind.findServer("s1")!.isDraining).toBe(true);
+      vi.advanceTimersByTime(2_500);
+      expect(behind.findServer("s2")).toBeUndefined();
+    });
+  });
 });
--- a/src/shared/backend_server.ts
+++ b/src/shared/backend_server.ts
@@ -24,6 +24,8 @@
   readonly startedAtMs: number;
   /** Version of the server's entry in the list, which increases with each change. */
   readonly entryVersion: number;
+  /** Number of the server's report that the entry contains, which increases from the start of its process; 0 when unknown. */
+  readonly reportNumber: number;
   readonly service: string;
   /** IP address and port. */
   readonly address: string;
--- a/tests/store_restore_test.ts
+++ b/tests/store_restore_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { createPlatformConfig } from "../fakes/platform_documents.ts";
 import { FakeObjectStore } from "../fakes/fake_object_store.ts";
+import { delay } from "../src/shared/delay.ts";
 import {
   PlatformDeployment,
   waitUntil,
@@ -136,6 +137,29 @@
     expect(hasZone(peer, "z1")).toBe(true);
     expect(isDraining(peer)).toBe(true);
   });
+
+  // Guards against an exclusion, a drain and a configuration that lapse until they are written again.
+  it("keeps what was changed in the lost seconds until it is written again", async () => {
+    const reader = await startReader();
+    const copy = store.createCopy();
+    store.putObject("config", "main", createPlatformConfig(2));
+    store.putObject("evacuations", "z1", {});
+    putServer({ Sequence: 2, State: "draining" });
+    await waitForChange(() =>
+      hasZone(reader, "z1") && !!isDraining(reader) &&
+      reader.config!.version === 2
+    );
+    store.applyCopy(copy);
+    await waitForChange(() => reader.restores > 0);
+    await delay(500);
+    expect(hasZone(reader, "z1")).toBe(true);
+    expect(isDraining(reader)).toBe(true);
+    expect(reader.config!.version).toBe(2);
+    expect(reader.restores).toBe(1);
+    expect(
+      reader.events.filter(({ event }) => event === "store-restored"),
+    ).toHaveLength(1);
+  });
 });
 
 describe("daemons after a restore of the store", () => {
--- a/tests/support/backend_servers.ts
+++ b/tests/support/backend_servers.ts
@@ -23,6 +23,7 @@
     id: "s1",
     startedAtMs: 1,
     entryVersion: 1,
+    reportNumber: 0,
     service: "models",
     address: "127.0.0.1:1",
     zone: "z",
