Give out later planner terms after a restore of the store

A term that the planner's lease got in the seconds that the store lost was given out again, so two daemons could plan with the same fencing number and the same group generations, and servers took the orders of both. Where orders are not fenced, a lease from the copy that was free or named the daemon was taken at once although the holder of the lost lease still planned.

Terms now begin anew, and higher, in each generation of the store, and never below one that the daemon has heard of. A lease that was acquired before the restore is taken over like any lease that has just changed. The holder itself goes on in a new term at once, as the others wait until its lease has ended. The holder's term no longer follows the lease that was last read.

--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -1,4 +1,7 @@
-import type { SnapshotStore } from "../../connection/object_store.ts";
+import {
+  getGeneration,
+  type SnapshotStore,
+} from "../../connection/object_store.ts";
 import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
 
@@ -13,6 +16,8 @@
 const CHECK_INTERVAL_MS = 1_000;
 /** Drift between the wall clock and the monotonic clock above which the process is assumed to have been suspended, in milliseconds. */
 const SUSPENSION_THRESHOLD_MS = 500;
+/** Number of terms reserved for each generation of the store. A restore of the store from a copy loses the last terms, so the terms of each generation have to exceed all that earlier ones may have given out. */
+const TERMS_PER_STORE_GENERATION = 100_000;
 
 /** Stored value of the lease object. */
 interface LeaseValue {
@@ -34,7 +39,12 @@
   readonly #onStoreRecovered: () => void;
   #isStoreReachable = true;
   #isReleased = false;
+  /** Lease in the store at the last read or write. */
   #lease: LeaseValue | undefined;
+  /** Lease that this daemon last held. */
+  #ownLease: LeaseValue | undefined;
+  /** Highest term that this daemon has read, held or heard of. */
+  #highestTerm = 0;
   /** Version of the lease object at the last read or write. */
   #version = 0;
   /** Monotonic time at which the takeover timeout started: the last time that the lease changed, a peer reported a holder, or a read failed. */
@@ -74,12 +84,12 @@
     this.#checkSuspension();
     if (
       this.#isReleased || this.#renewedAtMs === undefined ||
-      this.#lease === undefined ||
+      this.#ownLease === undefined ||
       performance.now() - this.#renewedAtMs > this.#getValidityMs()
     ) {
       return undefined;
     }
-    return this.#lease.term;
+    return this.#ownLease.term;
   }
 
   #getValidityMs(): number {
@@ -93,7 +103,7 @@
     if (this.#renewedAtMs !== undefined) {
       this.#renewedAtMs = undefined;
       this.#logger.write("info", "lease-dropped", {
-        term: this.#lease?.term,
+        term: this.#ownLease?.term,
         reason,
       });
     }
@@ -101,7 +111,10 @@
 
   /** Drops the lease of this daemon when a peer plans in a later term. */
   observeTerm(term: number, holder: string): void {
-    if (this.#renewedAtMs !== undefined && term > (this.#lease?.term ?? 0)) {
+    this.#highestTerm = Math.max(this.#highestTerm, term);
+    if (
+      this.#renewedAtMs !== undefined && term > (this.#ownLease?.term ?? 0)
+    ) {
       this.drop(`${holder} plans in term ${term}`);
     }
   }
@@ -150,15 +163,32 @@
       return;
     }
     await this.#readLease();
-    const isOwnLease = this.#lease?.holder === this.#name;
-    const isLeaseFree = (this.#version === 0 && this.#isStoreReachable) ||
-      this.#lease?.holder === "" ||
+    const isLapsed =
       performance.now() - this.#unchangedSinceMs > TAKEOVER_TIMEOUT_MS;
-    if (isLeaseFree || isOwnLease) {
+    if (isLapsed || this.#isLeaseFree()) {
       await this.#acquireLease();
     }
   }
 
+  /** Gets whether this daemon may acquire the lease at once. It may not after a restore of the store, which may have lost the lease of a daemon that still acts as planner. */
+  #isLeaseFree(): boolean {
+    if (this.#version === 0) {
+      return this.#isStoreReachable && this.#highestTerm === 0;
+    }
+    return !this.#isLeaseOutdated() &&
+      (this.#lease?.holder === "" || this.#lease?.holder === this.#name);
+  }
+
+  /** Gets whether the lease was last acquired before the store was restored from a copy. */
+  #isLeaseOutdated(): boolean {
+    return (this.#lease?.term ?? 0) < this.#getFirstTerm();
+  }
+
+  /** Gets the first term of the store's generation. */
+  #getFirstTerm(): number {
+    return getGeneration(this.#version) * TERMS_PER_STORE_GENERATION;
+  }
+
   async #readLease(): Promise<void> {
     const result = await this.#store.getObject(this.#kind, LEASE_NAME);
     result.ifRight((object) => {
@@ -167,6 +197,7 @@
         this.#version = version;
         this.#unchangedSinceMs = performance.now();
         this.#lease = object?.value as LeaseValue | undefined;
+        this.#recordTerm();
       }
     });
     this.#recordStoreResult(result.isRight());
@@ -177,14 +208,27 @@
   }
 
   async #acquireLease(): Promise<void> {
-    const term = (this.#lease?.term ?? 0) + 1;
-    if (await this.#writeLease({ holder: this.#name, term, renewal: 0 })) {
+    const isNew = this.#version === 0;
+    const term = this.#createTerm();
+    const lease = { holder: this.#name, term, renewal: 0 };
+    if (await this.#writeLease(lease)) {
       this.#logger.write("info", "lease-acquired", { term });
+    } else if (isNew && this.#lease === lease) {
+      // The response to the creation has shown the generation of the store.
+      await this.#acquireLease();
     }
   }
 
+  #createTerm(): number {
+    return Math.max(this.#highestTerm + 1, this.#getFirstTerm());
+  }
+
+  #recordTerm(): void {
+    this.#highestTerm = Math.max(this.#highestTerm, this.#lease?.term ?? 0);
+  }
+
   async #keepLease(): Promise<void> {
-    const lease = this.#lease!;
+    const lease = this.#ownLease!;
     await this.#writeLease({ ...lease, renewal: lease.renewal + 1 });
   }
 
@@ -200,18 +244,40 @@
     if (writeResult.outcome === "written") {
       this.#version = writeResult.version;
       this.#lease = value;
-      this.#renewedAtMs = startedAtMs;
       this.#unchangedSinceMs = performance.now();
-      return true;
+      this.#recordTerm();
+      return this.#recordWrite(value, startedAtMs);
     }
     if (writeResult.outcome === "conflict") {
-      this.drop("another daemon has changed the lease in the store");
+      await this.#resolveConflict();
     } else {
       await this.#confirmWrite(value, startedAtMs);
     }
     return false;
   }
 
+  /** Records that the store holds a lease which this daemon has written. Returns whether the lease is valid: after a restore of the store, another daemon may hold a lease that the store has lost in the same term. */
+  #recordWrite(value: LeaseValue, startedAtMs: number): boolean {
+    if (this.#isLeaseOutdated()) {
+      this.drop("the store was restored while the lease was written");
+      return false;
+    }
+    this.#ownLease = value;
+    this.#renewedAtMs = startedAtMs;
+    return true;
+  }
+
+  /** After a conflict, drops the lease unless a restore of the store is the cause. Until its lease expires, this daemon is the only planner then, as the others wait for `TAKEOVER_TIMEOUT_MS`, so it may acquire the lease in a new term at once. */
+  async #resolveConflict(): Promise<void> {
+    await this.#readLease();
+    const isRestored = this.#version === 0 || this.#isLeaseOutdated();
+    if (this.getTerm() !== undefined && this.#isStoreReachable && isRestored) {
+      await this.#acquireLease();
+    } else {
+      this.drop("another daemon has changed the lease in the store");
+    }
+  }
+
   /** Reads the lease to check whether a write without a response took effect. */
   async #confirmWrite(value: LeaseValue, startedAtMs: number): Promise<void> {
     await this.#readLease();
@@ -220,7 +286,7 @@
       storedLease?.holder === value.holder && storedLease.term === value.term &&
       storedLease.renewal === value.renewal
     ) {
-      this.#renewedAtMs = startedAtMs;
+      this.#recordWrite(value, startedAtMs);
     }
   }
 
--- a/src/process/fleet/planner_lease_holder_test.ts
+++ b/src/process/fleet/planner_lease_holder_test.ts
@@ -1,9 +1,12 @@
-import { Right } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type {
-  PutObjectOptions,
-  SnapshotStore,
-  StoredObject,
+import {
+  createVersion,
+  getRevision,
+  type PutObjectOptions,
+  type SnapshotStore,
+  type StoredObject,
+  StoreUnavailableError,
 } from "../../connection/object_store.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import { PlannerLeaseHolder } from "./planner_lease_holder.ts";
@@ -11,31 +14,72 @@
 /** Interval at which another daemon checks the lease, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
 
-/** Creates a store of one object that checks the expected version of a write. */
-function createStore() {
-  let object: StoredObject | undefined;
-  return {
-    getObject: () => Promise.resolve(Right(object)),
-    putObject: (put: PutObjectOptions) => {
-      const version = object?.version ?? 0;
-      if (put.expectedVersion !== version) {
-        return Promise.resolve({ outcome: "conflict" });
-      }
-      object = {
-        kind: put.kind,
-        name: put.name,
-        value: put.value,
-        version: version + 1,
-      };
-      return Promise.resolve({ outcome: "written", version: version + 1 });
-    },
-  } as unknown as SnapshotStore;
+/** Term in a stored lease. */
+interface StoredTerm {
+  readonly term: number;
+}
+
+/** Store of one object that checks the expected version of a write, and that can be restored from a copy. */
+class LeaseStore {
+  /** Names of the daemons whose calls fail. */
+  readonly unreachableFor = new Set<string>();
+  generation = 0;
+  #revision = 0;
+  object: StoredObject | undefined;
+
+  /** Creates the store's client of a daemon. */
+  createClient(daemon: string): SnapshotStore {
+    return {
+      getObject: () =>
+        Promise.resolve(
+          this.unreachableFor.has(daemon)
+            ? Left(new StoreUnavailableError("The store is cut off"))
+            : Right(this.object && this.#getCurrent(this.object)),
+        ),
+      putObject: (put: PutObjectOptions) =>
+        Promise.resolve(
+          this.unreachableFor.has(daemon)
+            ? { outcome: "unknown", message: "The store is cut off" }
+            : this.#put(put),
+        ),
+    } as unknown as SnapshotStore;
+  }
+
+  get term(): number {
+    return (this.object?.value as StoredTerm | undefined)?.term ?? 0;
+  }
+
+  /** Replaces the object by an earlier one. */
+  applyCopy(object: StoredObject | undefined): void {
+    this.generation++;
+    this.object = object;
+  }
+
+  /** Gets an object with the version that the store states in its current generation. */
+  #getCurrent(object: StoredObject): StoredObject {
+    const { generation } = this;
+    const revision = getRevision(object.version);
+    return { ...object, version: createVersion({ generation, revision }) };
+  }
+
+  #put({ kind, name, value, expectedVersion }: PutObjectOptions) {
+    const current = this.object && this.#getCurrent(this.object);
+    if (expectedVersion !== (current?.version ?? 0)) {
+      return { outcome: "conflict" };
+    }
+    const { generation } = this;
+    const revision = ++this.#revision;
+    const version = createVersion({ generation, revision });
+    this.object = { kind, name, value, version };
+    return { outcome: "written", version };
+  }
 }
 
 describe("PlannerLeaseHolder", () => {
-  const controller = new AbortController();
+  let controller: AbortController;
 
   beforeEach(() => {
+    controller = new AbortController();
     vi.useFakeTimers();
   });
   afterEach(() => {
@@ -43,13 +87,17 @@
     vi.useRealTimers();
   });
 
-  function startHolder(store: SnapshotStore, name: string) {
+  function startHolder(
+    store: LeaseStore,
+    name: string,
+    options: { areOrdersFenced: boolean } = { areOrdersFenced: true },
+  ) {
     const holder = new PlannerLeaseHolder({
-      store,
+      store: store.createClient(name),
       kind: "leases",
       name,
       logger: new NullLogger(),
-      areOrdersFenced: true,
+      ...options,
       isHolderReported: () => false,
       onStoreRecovered: () => {},
     });
@@ -60,7 +108,7 @@
   describe("release", () => {
     // Guards against several seconds without a planner after each planned stop, when the lease is left to expire.
     it("lets another daemon take over within one check interval, in a later term", async () => {
-      const store = createStore();
+      const store = new LeaseStore();
       const firstHolder = startHolder(store, "entry-1");
       await vi.advanceTimersByTimeAsync(0);
       expect(firstHolder.getTerm()).toBe(1);
@@ -75,4 +123,91 @@
       expect(firstHolder.getTerm()).toBeUndefined();
     });
   });
+
+  describe("a restore of the store", () => {
+    /** Starts a holder, and another one that takes over after the first one is cut off from the store. Returns the lease of before the takeover. */
+    async function startTakeover(
+      store: LeaseStore,
+      options?: { areOrdersFenced: boolean },
+    ) {
+      const firstHolder = startHolder(store, "entry-1", options);
+      await vi.advanceTimersByTimeAsync(1_500);
+      const copy = store.object;
+      store.unreachableFor.add("entry-1");
+      const secondHolder = startHolder(store, "entry-2", options);
+      await vi.advanceTimersByTimeAsync(5_500);
+      expect(secondHolder.getTerm()).toBeDefined();
+      return { firstHolder, secondHolder, copy };
+    }
+
+    // Guards against two planners with the same fencing token and the same group generations, since the store has lost the last term.
+    it("does not give out a lost term again", async () => {
+      const store = new LeaseStore();
+      const { firstHolder, secondHolder, copy } = await startTakeover(store);
+      const lostTerm = secondHolder.getTerm()!;
+      store.unreachableFor.add("entry-2");
+      store.applyCopy(copy);
+      store.unreachableFor.delete("entry-1");
+      await vi.advanceTimersByTimeAsync(6_000);
+      expect(firstHolder.getTerm()).toBeGreaterThan(lostTerm);
+    });
+
+    // Guards against two planners at a time where servers don't refuse orders of an earlier term: the restored lease shows an earlier holder, or none.
+    for (const state of ["held by the daemon", "released"]) {
+      it(`waits until a lost lease has expired when the restored lease is ${state}`, async () => {
+        const store = new LeaseStore();
+        const { firstHolder, secondHolder, copy } = await startTakeover(store, {
+          areOrdersFenced: false,
+        });
+        const holder = state === "released" ? "" : "entry-1";
+        store.unreachableFor.add("entry-2");
+        store.applyCopy({
+          ...copy!,
+          value: { ...copy!.value as StoredTerm, holder },
+        });
+        store.unreachableFor.delete("entry-1");
+        let overlapMs = 0;
+        for (let i = 0; i < 100; i++) {
+          await vi.advanceTimersByTimeAsync(100);
+          const areBothHolders = firstHolder.getTerm() !== undefined &&
+            secondHolder.getTerm() !== undefined;
+          overlapMs += areBothHolders ? 100 : 0;
+        }
+        expect(firstHolder.getTerm()).toBeDefined();
+        expect(overlapMs).toBe(0);
+      });
+    }
+
+    const copies = [
+      { name: "an earlier renewal", hasLease: true },
+      { name: "no lease", hasLease: false },
+    ];
+    for (const { name, hasLease } of copies) {
+      // Guards against a second without a planner after each restore although the holder has stayed the same.
+      it(`lets the holder go on in a later term when the copy has ${name}`, async () => {
+        const store = new LeaseStore();
+        const holder = startHolder(store, "entry-1");
+        await vi.advanceTimersByTimeAsync(1_500);
+        const copy = hasLease ? store.object : undefined;
+        await vi.advanceTimersByTimeAsync(3_000);
+        const term = holder.getTerm()!;
+        store.applyCopy(copy);
+        await vi.advanceTimersByTimeAsync(CHECK_INTERVAL_MS);
+        expect(holder.getTerm()).toBeGreaterThan(term);
+        expect(store.term).toBe(holder.getTerm());
+      });
+    }
+
+    // Guards against a first term that a lease of an earlier generation may have had, when the generation is not known before the first write.
+    it("uses a term of the store's generation for the first lease", async () => {
+      const store = new LeaseStore();
+      store.generation = 3;
+      const holder = startHolder(store, "entry-1");
+      await vi.advanceTimersByTimeAsync(0);
+      const term = holder.getTerm()!;
+      store.applyCopy(undefined);
+      await vi.advanceTimersByTimeAsync(CHECK_INTERVAL_MS);
+      expect(holder.getTerm()).toBeGreaterThan(term + 1_000);
+    });
+  });
 });
