Take an own lease of before a restore at once where orders are fenced

It waited for a holder whose lease the store might have lost.

Where servers refuse orders of an earlier term, the later term makes such a holder harmless, so there is no need to wait. Without fencing the wait stays.

planner_lease_holder_test.ts 'lets a holder that was cut off acquire its lease again at once' failed before.

--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -170,12 +170,12 @@
     }
   }
 
-  /** Gets whether this daemon may acquire the lease at once. It may not after a restore of the store, which may have lost the lease of a daemon that still acts as planner. */
+  /** Gets whether this daemon may acquire the lease at once. After a restore of the store, which may have lost the lease of a daemon that still acts as planner, it may do so only if backend servers refuse the orders of that daemon's earlier term. */
   #isLeaseFree(): boolean {
     if (this.#version === 0) {
       return this.#isStoreReachable && this.#highestTerm === 0;
     }
-    return !this.#isLeaseOutdated() &&
+    return (this.#areOrdersFenced || !this.#isLeaseOutdated()) &&
       (this.#lease?.holder === "" || this.#lease?.holder === this.#name);
   }
 
--- a/src/process/fleet/planner_lease_holder_test.ts
+++ b/src/process/fleet/planner_lease_holder_test.ts
@@ -178,6 +178,21 @@
       });
     }
 
+    // Guards against seconds without a planner where servers refuse orders of an earlier term: the holder was cut off from the store during the restore.
+    it("lets a holder that was cut off acquire its lease again at once", async () => {
+      const store = new LeaseStore();
+      const holder = startHolder(store, "entry-1");
+      await vi.advanceTimersByTimeAsync(1_500);
+      const term = holder.getTerm()!;
+      store.unreachableFor.add("entry-1");
+      const copy = store.object;
+      await vi.advanceTimersByTimeAsync(5_000);
+      store.applyCopy(copy);
+      store.unreachableFor.delete("entry-1");
+      await vi.advanceTimersByTimeAsync(2 * CHECK_INTERVAL_MS);
+      expect(holder.getTerm()).toBeGreaterThan(term + 1_000);
+    });
+
     const copies = [
       { name: "an earlier renewal", hasLease: true },
       { name: "no lease", hasLease: false },
