Count confirmations of the list within a generation of the store only

A daemon does not read the store while a partner confirms a list that is not newer than its own. A partner that still had the list of before a restore, or a daemon of a build without generations in a rolling upgrade, always counted as such: its revision is lower. The daemon then read nothing and missed drains and exclusions for as long as the partner confirmed.

A confirmation now counts only if both lists are of one generation.

tests/store_restore_test.ts 'does not take the confirmation of a partner that has not noticed it' failed before: age 0 instead of none.

--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -287,9 +287,12 @@
     }
   }
 
+  /** Gets whether the store's confirmation of a partner's list holds for the list of this daemon, too. A list of another generation of the store says nothing about this one. */
   #hasConfirmedList({ relation, serversRevision }: Partner): boolean {
+    const { revision } = this.#options.directory;
     return relation !== "member" && serversRevision !== undefined &&
-      serversRevision <= this.#options.directory.revision;
+      serversRevision <= revision &&
+      getGeneration(serversRevision) === getGeneration(revision);
   }
 
   /**
--- a/tests/store_restore_test.ts
+++ b/tests/store_restore_test.ts
@@ -1,6 +1,10 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { createPlatformConfig } from "../fakes/platform_documents.ts";
 import { FakeObjectStore } from "../fakes/fake_object_store.ts";
+import {
+  createVersion,
+  getGeneration,
+} from "../src/connection/object_store.ts";
 import { delay } from "../src/shared/delay.ts";
 import {
   PlatformDeployment,
@@ -138,6 +142,28 @@
     expect(isDraining(peer)).toBe(true);
   });
 
+  // Guards against a daemon that does not read the store, and so misses drains, because a partner confirms the list of before the restore.
+  it("does not take the confirmation of a partner that has not noticed it", async () => {
+    const reader = await startReader();
+    const peer = await startReader({ isReadingStore: false });
+    await applyOlderCopy(reader);
+    await waitForChange(() => getGeneration(reader.directory.revision) === 2);
+    const getPeerAgeMs = () => peer.sync.getReportedListAgeMs("hub");
+    const { revision } = reader.directory;
+    reader.sendNotice(peer);
+    const earlierRevision = createVersion({ generation: 1, revision: 100 });
+    peer.receiveNotice("entry-9", {
+      serversRevision: earlierRevision,
+      serversAgeMs: 0,
+    });
+    expect(getPeerAgeMs()).toBeUndefined();
+    peer.receiveNotice("entry-9", {
+      serversRevision: revision,
+      serversAgeMs: 0,
+    });
+    expect(getPeerAgeMs()).toBe(0);
+  });
+
   // Guards against an exclusion, a drain and a configuration that lapse until they are written again.
   it("keeps what was changed in the lost seconds until it is written again", async () => {
     const reader = await startReader();
--- a/tests/support/store_reader.ts
+++ b/tests/support/store_reader.ts
@@ -26,6 +26,7 @@
   readonly directory: BackendDirectory;
   readonly excludedZones: ExcludedZones;
   readonly sync: FleetSync;
+  readonly #peerTable: PeerTable;
   config: RoutingConfig | undefined;
   /** Number of restores of the store that were noticed. */
   restores = 0;
@@ -70,6 +71,7 @@
       logger,
       onChange: (zones) => groups.setExcludedZones(zones),
     });
+    this.#peerTable = new PeerTable({ ownName: name, logger });
     this.sync = new FleetSync({
       platform: this.#platform,
       directory: this.directory,
@@ -86,7 +88,7 @@
         onChange: () => {},
       }),
       excludedZones: this.excludedZones,
-      peerTable: new PeerTable({ ownName: name, logger }),
+      peerTable: this.#peerTable,
       logger,
       zone: ZONE,
       drainNoticeMs: settings.daemon.drainNoticeMs,
@@ -119,18 +121,27 @@
       servers: this.directory.getNotice(receiver.directory.revision),
       config: this.config,
     };
-    receiver.sync.applyNotice(
-      {
-        name: this.name,
-        address: "127.0.0.1:1",
-        zone: ZONE,
-        processorCores: 1,
-      },
-      "equal",
+    receiver.receiveNotice(
+      this.name,
       JSON.parse(JSON.stringify(notice)) as PeerNotice,
     );
   }
 
+  /** Receives a notice of a linked daemon. */
+  receiveNotice(name: string, notice: PeerNotice): void {
+    const sender = {
+      name,
+      address: "127.0.0.1:1",
+      zone: ZONE,
+      processorCores: 1,
+    };
+    if (this.#peerTable.findPartner(name) === undefined) {
+      this.#peerTable.addPartner({ sender, relation: "equal" });
+    }
+    this.#peerTable.applyNotice(name, notice);
+    this.sync.applyNotice(sender, "equal", notice);
+  }
+
   /** Stops reading. */
   dispose(): void {
     this.#controller.abort();
