Compare restored entries of servers also when a peer's list came first

After a restore of the store a daemon that got the list of a peer before its own took the next list for an ordinary one. A server that had left in the lost seconds, and whose entry the store had again, was added and got requests. The peer's list lacks it, since the peer holds the entry back.

backend_directory_test.ts 'does not add a removed server again when the list of a peer came first' failed before.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -47,6 +47,8 @@
   /** Entries of a restored store that are older than the known ones, by server id. */
   readonly #outdatedEntries = new Map<string, BackendServer>();
   #outdatedEntriesTimer: NodeJS.Timeout | undefined;
+  /** Monotonic time at which a restore of the store was last noticed, in milliseconds. */
+  #restoredAtMs = Number.NEGATIVE_INFINITY;
   /** Revision of the list when a tombstone was last dropped. A peer whose list is older may lack that removal and gets the whole list. */
   #droppedTombstoneRevision = 0;
   #isPopulated = false;
@@ -152,6 +154,12 @@
     const isStaleChange = change.revision < this.#revision;
     const isRestored = this.#revision > 0 &&
       getGeneration(change.revision) > getGeneration(this.#revision);
+    if (isRestored) {
+      this.#restoredAtMs = performance.now();
+    }
+    // The first list after a restore may come from a peer; that of the store follows.
+    const mayBeOutdated = change.isSnapshot &&
+      performance.now() - this.#restoredAtMs < OUTDATED_ENTRY_GRACE_MS;
     this.#revision = Math.max(this.#revision, change.revision);
     this.#changeRevision = Math.max(
       this.#changeRevision,
@@ -166,9 +174,9 @@
       if (isKnownVersion) {
         continue;
       }
-      if (isRestored && this.#isOutdated(server)) {
+      if (mayBeOutdated && this.#isOutdated(server)) {
         this.#delayEntry(server);
-      } else if (isRestored && isSameReport(server, knownServer)) {
+      } else if (mayBeOutdated && isSameReport(server, knownServer)) {
         const { entryVersion } = server;
         this.#setServer(id, { ...knownServer, entryVersion });
       } else {
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -236,6 +236,20 @@
       expect(directory.findServer("s1")).toBeDefined();
     });
 
+    // Guards against the same where a peer has sent its list, without the server, before the list of the store arrives.
+    it("does not add a removed server again when the list of a peer came first", () => {
+      const directory = createDirectory();
+      apply(directory, { generation: 1, revision: 21, removed: ["s1"] });
+      applySnapshot(directory, { generation: 2, revision: 10 });
+      applySnapshot(directory, {
+        generation: 2,
+        revision: 11,
+        servers: [{ reportNumber: 2 }],
+      });
+      vi.advanceTimersByTime(4_000);
+      expect(directory.findServer("s1")).toBeUndefined();
+    });
+
     // Guards against lost groups because a server that registered in the lost seconds is missing until it registers again.
     it("keeps a missing server until it has had time to register again", () => {
       const directory = createDirectory();
