--- a/fakes/fake_object_store.ts
+++ b/fakes/fake_object_store.ts
@@ -16,10 +16,16 @@
   readonly Object: PlatformObject;
 }
 
+/** State of the store at an earlier moment, from which it can be restored. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly kinds: ReadonlyMap<string, ReadonlyMap<string, PlatformObject>>;
+}
+
 /** Fault of the store: with `silent` it does not respond to requests, with `busy` it refuses them with status 503. */
 export type FakeStoreFault = "none" | "silent" | "busy";
 
-/** Fake of the platform's object store, with revisions, conditional writes and watches. It can simulate outages and the loss of its event history. */
+/** Fake of the platform's object store, with revisions, conditional writes and watches. It can simulate outages, the loss of its event history and a restore from a copy. */
 export class FakeObjectStore {
   readonly #listener = new HttpListener((req, res) => this.#handle(req, res));
   readonly #kinds = new Map<string, Map<string, PlatformObject>>();
@@ -30,6 +36,8 @@
   readonly #encodedObjects = new WeakMap<PlatformObject, Buffer>();
   #revision = 1;
   #historyStart = 0;
+  /** Number of the store's lifetime between two restores, which all responses contain; undefined for a store that does not send it. */
+  era: number | undefined = 1;
   fault: FakeStoreFault = "none";
   /** Time before a write takes effect, in milliseconds. */
   writeDelayMs = 0;
@@ -105,6 +113,30 @@
     this.#wakeWatches();
   }
 
+  /** Copies the objects and the revision. */
+  createCopy(): StoreCopy {
+    const kinds = new Map(
+      [...this.#kinds].map(([kind, objects]) => [kind, new Map(objects)]),
+    );
+    return { revision: this.#revision, kinds };
+  }
+
+  /** Restores the store from a copy: changes since then are lost, their revisions are given out again, and waiting watches are cut off. */
+  applyCopy(copy: StoreCopy): void {
+    this.#kinds.clear();
+    copy.kinds.forEach((objects, kind) =>
+      this.#kinds.set(kind, new Map(objects))
+    );
+    this.#events.splice(
+      0,
+      this.#events.length,
+      ...this.#events.filter(({ revision }) => revision <= copy.revision),
+    );
+    this.#revision = copy.revision;
+    this.era = (this.era ?? 0) + 1;
+    this.#wakeWatches();
+  }
+
   #getKind(kind: string): Map<string, PlatformObject> {
     const objects = this.#kinds.get(kind) ?? new Map<string, PlatformObject>();
     this.#kinds.set(kind, objects);
@@ -130,7 +162,7 @@
       return;
     }
     if (this.fault === "busy") {
-      sendJson(res, 503, {});
+      this.#answer(res, 503, {});
       return;
     }
     readJson(req).then((body) => this.#handleRequest(req, res, body)).catch(
@@ -157,16 +189,16 @@
       const items = [...this.#getKind(kind).values()].map((object) =>
         this.#encodeObject(object)
       );
-      sendBytes(
+      this.#sendBytes(
         res,
         encodeList("Items", items, { More: false, At: this.#revision }),
       );
     } else {
       const object = this.#getKind(kind).get(name);
       if (object === undefined) {
-        sendJson(res, 404, {});
+        this.#answer(res, 404, {});
       } else {
-        sendBytes(res, this.#encodeObject(object));
+        this.#sendBytes(res, this.#encodeObject(object));
       }
     }
   }
@@ -187,24 +219,29 @@
       ? current !== undefined
       : revision != null && current?.Metadata.Revision !== Number(revision);
     if (isConflict) {
-      sendJson(res, 409, current ?? {});
+      this.#answer(res, 409, current ?? {});
       return;
     }
     if (change.method === "DELETE") {
       this.deleteObject(change.kind, name);
-      sendJson(res, 200, {});
+      this.#answer(res, 200, {});
       return;
     }
     this.putObject(change.kind, name, object!.Spec);
-    sendJson(res, 200, this.#getKind(change.kind).get(name));
+    this.#answer(res, 200, this.#getKind(change.kind).get(name));
   }
 
   async #watch(res: ServerResponse, kind: string, url: URL): Promise<void> {
     const since = Number(url.searchParams.get("Watch"));
+    const { era } = this;
     const endMs = Date.now() + Number(url.searchParams.get("WaitMs"));
     for (;;) {
-      if (since < this.#historyStart) {
-        sendJson(res, 410, {});
+      if (this.era !== era) {
+        res.destroy();
+        return;
+      }
+      if (since < this.#historyStart || since > this.#revision) {
+        this.#answer(res, 410, {});
         return;
       }
       const events = this.#events.filter((event) =>
@@ -218,7 +255,7 @@
             Buffer.from("}"),
           ])
         );
-        sendBytes(
+        this.#sendBytes(
           res,
           encodeList("events", encodedEvents, { At: this.#revision }),
         );
@@ -235,6 +272,22 @@
       Buffer.from(JSON.stringify(object));
   }
 
+  #answer(res: ServerResponse, status: number, body: unknown): void {
+    this.#setEra(res);
+    sendJson(res, status, body);
+  }
+
+  #sendBytes(res: ServerResponse, bytes: Buffer): void {
+    this.#setEra(res);
+    sendBytes(res, bytes);
+  }
+
+  #setEra(res: ServerResponse): void {
+    if (this.era !== undefined) {
+      res.setHeader("store-era", this.era);
+    }
+  }
+
   #waitForChange(timeoutMs: number): Promise<void> {
     return new Promise((resolve) => {
       const wake = () => {
