Decode what a server states of itself in its answers: leaving, and a pause

Nothing read Server-Leaving or a server's own Retry-After. Both become typed fields of the response.

--- a/src/connection/backend_transport.ts
+++ b/src/connection/backend_transport.ts
@@ -59,6 +59,15 @@
  */
 export type RequestLimit = number | "unlimited" | "unknown";
 
+/**
+ * Time in which a server that refused a request wants no further one from this daemon.
+ *
+ * - A number: milliseconds.
+ * - `none`: the response is no refusal, or states no time.
+ * - `invalid`: the statement cannot be decoded.
+ */
+export type PauseStatement = number | "none" | "invalid";
+
 /** Response of a backend server. */
 export interface BackendResponse {
   readonly status: number;
@@ -69,6 +78,9 @@
   /** Id of the backend server whose failure made the responding server refuse the request, if the response names it. */
   readonly failedServerId?: string;
   readonly requestLimit: RequestLimit;
+  /** Whether the response states that the backend server is about to stop. */
+  readonly isServerLeaving: boolean;
+  readonly pause: PauseStatement;
   /** Length of the body in bytes, if the response has a `content-length` header. */
   readonly contentLength?: number;
   /**
