Send a server nothing once it says that it leaves, or for as long as it asks

Cause: answers of servers were read for the request that they end.

One table keeps both statements for the process of a server, from the head of the answer on, and every choice of a server asks it: plain calls, model requests, retries, resumes, requests that wait for a slot. Requests that no server takes in time are refused at once, with the earliest end of the pauses and a random part as Retry-After. Ruled out: using the drain notice time or the two requests that the rule leaves, since a leaving server soon refuses.

--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -87,6 +87,12 @@
   requestsToFail = 0;
   /** Number of requests per second that the server states in its responses. */
   requestLimit: number | undefined;
+  /** Whether the server states in its responses that it is about to stop. */
+  isLeaving = false;
+  /** `Retry-After` with which the server refuses all requests; undefined when it accepts them. */
+  retryAfter: string | undefined;
+  /** Wall-clock times at which the server refused a request with `retryAfter`, in milliseconds. */
+  readonly refusedAtMs: number[] = [];
   /** Number of upcoming orders that get no response and are applied after a delay. */
   ordersToDelay = 0;
   /** Number of upcoming requests that are executed but whose connection is reset instead of a response. */
@@ -281,13 +287,17 @@
     const requestId = String(req.headers["request-id"]);
     await readJson(req).catch(() => undefined);
     if (req.headers["expect-instance"] !== id) {
-      res.writeHead(421, { "instance-id": id, "request-id": requestId });
+      res.writeHead(421, {
+        ...this.#describeLeaving(),
+        "instance-id": id,
+        "request-id": requestId,
+      });
       res.end();
       return;
     }
-    if (domain !== undefined && this.#group?.State !== "open") {
-      res.writeHead(503, { "not-executed": "1", "request-id": requestId });
-      res.end();
+    const isClosed = domain !== undefined && this.#group?.State !== "open";
+    if (isClosed || this.retryAfter !== undefined) {
+      this.#refuse(res, requestId);
       return;
     }
     runs.push({
@@ -304,6 +314,7 @@
       promptParts: listPromptParts(req),
     });
     const headers = {
+      ...this.#describeLeaving(),
       "request-id": requestId,
       "response-signature": id,
       ...(this.requestLimit !== undefined &&
@@ -325,6 +336,24 @@
     }
   }
 
+  #describeLeaving(): Record<string, string> {
+    return this.isLeaving ? { "server-leaving": "1" } : {};
+  }
+
+  #refuse(res: ServerResponse, requestId: string): void {
+    const headers: Record<string, string> = {
+      ...this.#describeLeaving(),
+      "not-executed": "1",
+      "request-id": requestId,
+    };
+    if (this.retryAfter !== undefined) {
+      this.refusedAtMs.push(Date.now());
+      headers["retry-after"] = this.retryAfter;
+    }
+    res.writeHead(503, headers);
+    res.end();
+  }
+
   /** Sends the events after `lastEventId`; pauses while a member of the group is missing. */
   #streamEvents(res: ServerResponse, lastEventId: number): void {
     const { eventCount = 20, eventMs = 20 } = this.#options;
@@ -338,7 +367,8 @@
       }
       if (isCrashing) {
         clearInterval(timer);
-        void this.#crashAndRestart();
+        this.requestCrashes++;
+        void this.restart();
         return;
       }
       id++;
@@ -352,17 +382,14 @@
   }
 
   /** Closes all connections, stops listening, and starts again at the same address as a process without a group. */
-  async #crashAndRestart(): Promise<void> {
-    if (this.hasCrashed) {
-      return;
-    }
-    this.requestCrashes++;
+  async restart(): Promise<void> {
     this.hasCrashed = true;
     const port = Number(this.address.split(":")[1]);
     await this.#listener.close();
     await delay(RESTART_MS);
     if (!this.#isDisposed) {
       this.#group = undefined;
+      this.isLeaving = false;
       this.#startedAtMs = Date.now();
       await this.#listener.listen(port);
       this.hasCrashed = false;
--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -3,7 +3,8 @@
 import { chooseGroup } from "./group_choice.ts";
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
 import type { GroupLoads } from "./group_loads.ts";
-import type { SendLimit } from "./send_limit.ts";
+import { getJitteredMs } from "../../shared/backoff.ts";
+import type { SendLimit, TimedSendLimit } from "./send_limit.ts";
 
 /** Delay before the waiting requests are checked again when a head is at a limit of its request rate, in milliseconds. */
 const SEND_LIMIT_RETRY_MS = 100;
@@ -72,6 +73,7 @@
   readonly #groups: GroupTable;
   readonly #loads: GroupLoads;
   readonly #sendLimits: readonly SendLimit[];
+  readonly #statements: TimedSendLimit;
   readonly #zone: string;
   readonly #ownName: string;
   /** Keys of the preferred groups, by list of the groups of a model. */
@@ -91,6 +93,8 @@
       loads: GroupLoads;
       /** Limits on the requests to a group's head. */
       sendLimits: readonly SendLimit[];
+      /** What the heads state of themselves. */
+      statements: TimedSendLimit;
       /** Zone of this daemon. */
       zone: string;
       /** Name of this daemon. */
@@ -101,12 +105,14 @@
   ) {
     this.#groups = options.groups;
     this.#loads = options.loads;
-    this.#sendLimits = options.sendLimits;
+    this.#statements = options.statements;
+    this.#sendLimits = [...options.sendLimits, options.statements];
     this.#zone = options.zone;
     this.#ownName = options.ownName;
     this.#getStalenessMs = options.getStalenessMs;
     this.#groups.onChange(() => this.admitWaiting());
     this.#loads.onChange(() => this.admitWaiting());
+    this.#statements.onChange(() => this.admitWaiting());
   }
 
   /** Gets the number of requests that wait for a slot. */
@@ -117,32 +123,62 @@
   /**
    * Acquires a slot of a group, and waits for one if none is free.
    *
-   * @throws {RequestError} When no slot is granted before `waitDeadlineMs` or the signal aborts.
+   * @throws {RequestError} When no slot is granted before `waitDeadlineMs` or the signal aborts; at once when the heads state that they take no request until then.
    */
   async acquire(request: GroupAdmissionRequest): Promise<GroupGrant> {
     const grant = this.#tryGrant(request) ?? await this.#wait(request);
     if (grant === undefined) {
-      throw createCapacityError(request);
+      throw createCapacityError(request, this.#getRetryAfterMs(request));
     }
     return grant;
   }
 
-  /** Grants free slots to waiting requests. */
+  /** Grants free slots to waiting requests, and ends the wait of those that no head takes in time. */
   admitWaiting(): void {
     if (this.#waiters.length === 0) {
       return;
     }
     for (const waiter of sortWaiters(this.#waiters, performance.now())) {
       const grant = this.#tryGrant(waiter.request);
-      if (grant !== undefined) {
+      if (grant !== undefined || this.#isWaitUseless(waiter.request)) {
         waiter.settle(grant);
       }
     }
   }
 
+  /** Gets whether the heads of all groups that could serve a request leave, or pause until the request may no longer wait. Without any group a request waits, since one may form. */
+  #isWaitUseless(
+    { service, model, excludedGroups, waitDeadlineMs }: GroupAdmissionRequest,
+  ): boolean {
+    const remainingMs = waitDeadlineMs - performance.now();
+    let isAnyHeadLate = false;
+    for (const group of this.#groups.listServingGroups(service, model)) {
+      const waitMs = this.#statements.getWaitMs(group.head);
+      if (waitMs > 0 && waitMs >= remainingMs) {
+        isAnyHeadLate = true;
+      } else if (!excludedGroups.has(group.key)) {
+        return false;
+      }
+    }
+    return isAnyHeadLate;
+  }
+
+  /** Gets the time after which the caller of a refused request should retry, in milliseconds: when the first head takes requests again, or about the duration of one response. */
+  #getRetryAfterMs({ service, model }: GroupAdmissionRequest): number {
+    const waitsMs = this.#groups.listServingGroups(service, model).map((
+      { head },
+    ) => this.#statements.getWaitMs(head));
+    const waitMs = Math.min(...waitsMs);
+    return waitMs > 0 && Number.isFinite(waitMs)
+      ? getJitteredMs(waitMs)
+      : RETRY_AFTER_MS;
+  }
+
   #wait(request: GroupAdmissionRequest): Promise<GroupGrant | undefined> {
     const waitMs = request.waitDeadlineMs - performance.now();
-    if (waitMs <= 0 || request.signal.aborted) {
+    if (
+      waitMs <= 0 || request.signal.aborted || this.#isWaitUseless(request)
+    ) {
       return Promise.resolve(undefined);
     }
     return new Promise((resolve) => {
@@ -251,14 +287,17 @@
 /** Delay after which the caller of a refused request should retry, in milliseconds: about the duration of one response. */
 const RETRY_AFTER_MS = 500;
 
-function createCapacityError(request: GroupAdmissionRequest): RequestError {
+function createCapacityError(
+  request: GroupAdmissionRequest,
+  retryAfterMs: number,
+): RequestError {
   return new RequestError(
     `No group of the model "${request.model}" has a free slot`,
     {
       code: "no-capacity",
       verdict: "not-run",
       status: 503,
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs,
     },
   );
 }
--- a/src/process/fleet/group_admission_test.ts
+++ b/src/process/fleet/group_admission_test.ts
@@ -10,8 +10,10 @@
 } from "./group_admission.ts";
 import { GroupLoads } from "./group_loads.ts";
 import { GroupTable } from "./group_table.ts";
+import { ServerStatements } from "./server_statements.ts";
 
 const SLOTS = 2;
+const LEAVING = { isServerLeaving: true, pause: "none" } as const;
 /** Requests per second that a cold head may receive. */
 const COLD_RATE = 1;
 
@@ -56,10 +58,12 @@
       ownName: "entry-1",
       listPeerNames: () => [],
     });
+    const statements = new ServerStatements({ directory, logger });
     const admission = new GroupAdmission({
       groups,
       loads,
       sendLimits: [coldLimits],
+      statements,
       zone: "z",
       ownName: "entry-1",
       getStalenessMs: () => 0,
@@ -78,7 +82,11 @@
       outageMs: 0,
       isSnapshot: false,
     });
-    return { admission, loads, groups };
+    return { admission, loads, groups, statements };
+  }
+
+  function createPause(pause: number) {
+    return { isServerLeaving: false, pause };
   }
 
   function createRequest(
@@ -165,6 +173,57 @@
       expect((await secondGrant).group.key).toBe("g1/1");
     });
 
+    // Guards against a leaving or pausing head whose group still gets requests.
+    it("sends no request to a group whose head leaves or pauses", async () => {
+      const { admission, groups, statements } = doTest(["g1", "g2", "g3"]);
+      const [first, second] = groups.listAll();
+      statements.recordResponse(first.head, LEAVING);
+      statements.recordResponse(second.head, createPause(1_000));
+      const grants = [
+        await admission.acquire(createRequest()),
+        await admission.acquire(createRequest()),
+      ];
+      expect(grants.map(({ group }) => group.key)).toEqual(["g3/1", "g3/1"]);
+    });
+
+    // Guards against a request that waits in vain although no head takes it before its deadline.
+    it("refuses at once with the earliest end of the pauses", async () => {
+      const { admission, groups, statements } = doTest(["g1", "g2", "g3"]);
+      const pauses = [LEAVING, createPause(8_000), createPause(4_000)];
+      groups.listAll().forEach(({ head }, i) =>
+        statements.recordResponse(head, pauses[i])
+      );
+      const error = await admission.acquire(createRequest()).catch((e) => e);
+      expect(error).toMatchObject({ status: 503, verdict: "not-run" });
+      expect(error.retryAfterMs).toBeGreaterThanOrEqual(4_000);
+      expect(error.retryAfterMs).toBeLessThanOrEqual(6_000);
+    });
+
+    // Guards against a request that goes on waiting when the last head that could serve it leaves.
+    it("ends the wait when the last head leaves", async () => {
+      const { admission, groups, statements } = doTest(["g1"]);
+      await admission.acquire(createRequest());
+      await admission.acquire(createRequest());
+      const rejection = expect(admission.acquire(createRequest())).rejects
+        .toMatchObject({ status: 503, verdict: "not-run" });
+      statements.recordResponse(groups.listAll()[0].head, LEAVING);
+      await rejection;
+      expect(admission.waitingCount).toBe(0);
+    });
+
+    // Guards against a service that is starved because its heads pause by turns.
+    it("grants a waiting request to the head whose pause ends first", async () => {
+      const { admission, groups, statements } = doTest(["g1", "g2"]);
+      const [first, second] = groups.listAll();
+      statements.recordResponse(first.head, createPause(300));
+      statements.recordResponse(second.head, createPause(900));
+      const grant = admission.acquire(createRequest());
+      await vi.advanceTimersByTimeAsync(200);
+      expect(admission.waitingCount).toBe(1);
+      await vi.advanceTimersByTimeAsync(200);
+      expect((await grant).group.key).toBe(first.key);
+    });
+
     it("does not choose an excluded group", async () => {
       const { admission } = doTest(["g1", "g2"]);
       const excludedGroups = new Set(["g1/1"]);
--- a/src/process/fleet/send_limit.ts
+++ b/src/process/fleet/send_limit.ts
@@ -7,3 +7,11 @@
   /** Records a request that is sent to a server. */
   recordRequest(server: BackendServer): void;
 }
+
+/** Limit whose end is known, so that a request that cannot be sent before its deadline need not wait. */
+export interface TimedSendLimit extends SendLimit {
+  /** Gets the time until a server may get a request from this daemon, in milliseconds; 0 when it may get one now, infinite when its process gets none any more. */
+  getWaitMs(server: BackendServer): number;
+  /** Registers a listener that is called when a time is added. */
+  onChange(listener: () => void): void;
+}
--- a/src/process/routing_context.ts
+++ b/src/process/routing_context.ts
@@ -12,6 +12,7 @@
 import type { ServiceRetryBudget } from "./fleet/service_retry_budget.ts";
 import type { ServerLimits } from "./fleet/server_limits.ts";
 import type { StreamAttempts } from "./fleet/stream_attempts.ts";
+import type { ServerStatements } from "./fleet/server_statements.ts";
 import type { ServerLoads } from "./fleet/server_loads.ts";
 import type { Metrics } from "./metrics.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
@@ -31,6 +32,7 @@
   readonly serverLoads: ServerLoads;
   readonly coldLimits: ColdLimits;
   readonly serverLimits: ServerLimits;
+  readonly serverStatements: ServerStatements;
   readonly crashes: CrashCounter;
   readonly promptParts: PromptPartQuarantine;
   /** Gets the route table of the configuration in force; undefined before the first configuration. */
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -30,6 +30,7 @@
 import { ServiceRetryBudget } from "./fleet/service_retry_budget.ts";
 import { ReplicaReconciler } from "./fleet/replica_reconciler.ts";
 import { ServerLimits } from "./fleet/server_limits.ts";
+import { ServerStatements } from "./fleet/server_statements.ts";
 import { ServerLoads } from "./fleet/server_loads.ts";
 import { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { Metrics } from "./metrics.ts";
@@ -79,6 +80,7 @@
   readonly #crashCounter = new CrashCounter();
   readonly #promptParts: PromptPartQuarantine;
   readonly #serverLimits: ServerLimits;
+  readonly #serverStatements: ServerStatements;
   readonly #linkTransport = new WebSocketLinkTransport();
   readonly #peerTable: PeerTable;
   readonly #excludedZones: ExcludedZones;
@@ -103,6 +105,10 @@
           name === model
         ),
     });
+    this.#serverStatements = new ServerStatements({
+      directory: this.#directory,
+      logger,
+    });
     this.#peerTable = new PeerTable({ ownName: settings.name, logger });
     this.#excludedZones = new ExcludedZones({
       logger,
@@ -146,6 +152,7 @@
         groups: this.#groups,
         loads: this.#groupLoads,
         sendLimits: [coldLimits, this.#serverLimits],
+        statements: this.#serverStatements,
         zone: settings.zone,
         ownName: settings.name,
         getStalenessMs: () => this.#peerExchange.getStalenessMs(),
@@ -161,6 +168,7 @@
       serverLoads: new ServerLoads(),
       coldLimits,
       serverLimits: this.#serverLimits,
+      serverStatements: this.#serverStatements,
       crashes: this.#crashCounter,
       promptParts: this.#promptParts,
       getRoutes: () => this.#routes,
@@ -205,6 +213,16 @@
       help: "Backend servers that state a limit of their request rate",
       getValue: () => this.#serverLimits.limitedCount,
     });
+    metrics.addGauge({
+      name: "leaving_servers",
+      help: "Backend servers that state that they are about to stop",
+      getValue: () => this.#serverStatements.leavingCount,
+    });
+    metrics.addGauge({
+      name: "paused_servers",
+      help: "Backend servers that want no request from this daemon for a time",
+      getValue: () => this.#serverStatements.pausedCount,
+    });
     metrics.addGauge({
       name: "config_version",
       help: "Version of the configuration in force",
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -239,6 +239,7 @@
       },
     );
     context.serverLimits.recordResponse(head, response.requestLimit);
+    context.serverStatements.recordResponse(head, response);
     if (response.verdict === "not-run") {
       const body = await readResponseBody(response);
       return { outcome: "declined", response, body };
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -1,5 +1,6 @@
 import { BackendError } from "../../connection/backend_transport.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
+import { getJitteredMs } from "../../shared/backoff.ts";
 import { RequestError } from "../../shared/errors.ts";
 import type { LogFields } from "../../shared/logger.ts";
 import { combineVerdicts, type Verdict } from "../../shared/verdict.ts";
@@ -26,8 +27,6 @@
   #attemptCount = 0;
   /** Number of attempts that ran or may have run, which the route limits. */
   #countedAttemptCount = 0;
-  /** Shortest time until the limit of a server allows another request, in milliseconds; infinite when no server is at its limit. */
-  #limitWaitMs = Number.POSITIVE_INFINITY;
   #responseStatus: number | undefined;
   /** Last response of a server that ran the request. */
   #lastResponse: AttemptResponse | undefined;
@@ -52,7 +51,6 @@
    */
   async run(): Promise<void> {
     for (;;) {
-      this.#limitWaitMs = Number.POSITIVE_INFINITY;
       const server = this.#chooseServer();
       if (server === undefined) {
         this.#sendLastResponseOrThrow(
@@ -95,25 +93,42 @@
   }
 
   #chooseServer(): BackendServer | undefined {
-    const { context, service } = this.#scope;
-    const excludedZones = context.getExcludedZones();
-    const servers = context.directory.listServers(service.name).filter((
-      server,
-    ) => !server.isDraining && !excludedZones.has(server.zone));
-    const candidates = servers.filter((server) =>
+    const { context } = this.#scope;
+    const candidates = this.#listServers().filter((server) =>
       !this.#triedServerIds.has(server.id) &&
-      context.coldLimits.isBelowLimit(server)
-    ).filter((server) => {
-      const waitMs = context.serverLimits.getWaitMs(server);
-      this.#limitWaitMs = Math.min(this.#limitWaitMs, waitMs);
-      return waitMs === 0;
-    });
+      context.coldLimits.isBelowLimit(server) &&
+      this.#getWaitMs(server) === 0
+    );
     return context.serverLoads.chooseServer(candidates, context.settings.zone);
   }
 
+  /** Lists the servers of the service that are not draining. */
+  #listServers(): BackendServer[] {
+    const { context, service } = this.#scope;
+    const excludedZones = context.getExcludedZones();
+    return context.directory.listServers(service.name).filter((server) =>
+      !server.isDraining && !excludedZones.has(server.zone)
+    );
+  }
+
+  /** Gets the time until a server may get a request, as far as its answers tell, in milliseconds. */
+  #getWaitMs(server: BackendServer): number {
+    const { serverLimits, serverStatements } = this.#scope.context;
+    return Math.max(
+      serverLimits.getWaitMs(server),
+      serverStatements.getWaitMs(server),
+    );
+  }
+
   async #runAttempt(server: BackendServer): Promise<AttemptResult> {
     const { context, request, account, route } = this.#scope;
-    const { coldLimits, serverLimits, serverLoads, transport } = context;
+    const {
+      coldLimits,
+      serverLimits,
+      serverLoads,
+      serverStatements,
+      transport,
+    } = context;
     const remainingMs = this.#scope.deadlineAtMs - performance.now();
     const isLastAttempt = route.kind !== "idempotent" ||
       this.#countedAttemptCount + 1 >= route.maxAttempts;
@@ -144,6 +159,7 @@
         },
       );
       serverLimits.recordResponse(server, response.requestLimit);
+      serverStatements.recordResponse(server, response);
       const body = await readResponseBody(response);
       const outcome = response.verdict === "not-run" ? "declined" : "answered";
       return { outcome, response, body };
@@ -213,9 +229,14 @@
     );
   }
 
+  /** Gets the time after which the caller should retry, in milliseconds: when the first server takes requests again. */
   #getRetryAfterMs(): number {
-    return Number.isFinite(this.#limitWaitMs)
-      ? Math.max(RETRY_AFTER_MS, Math.ceil(this.#limitWaitMs))
+    const waitsMs = this.#listServers().map((server) =>
+      this.#getWaitMs(server)
+    );
+    const waitMs = Math.min(...waitsMs);
+    return waitMs > 0 && Number.isFinite(waitMs)
+      ? getJitteredMs(Math.max(RETRY_AFTER_MS, waitMs))
       : RETRY_AFTER_MS;
   }
 
--- a/src/request/routed/service_request_forwarder_test.ts
+++ b/src/request/routed/service_request_forwarder_test.ts
@@ -32,6 +32,7 @@
           recordRequest: () => {},
           getWaitMs: () => 0,
         },
+        serverStatements: { recordResponse: () => {}, getWaitMs: () => 0 },
         logger: new NullLogger(),
         settings: { zone: "z" },
         serverLoads: new ServerLoads(),
--- a/src/shared/backoff_test.ts
+++ b/src/shared/backoff_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { getBackoffMs } from "./backoff.ts";
+import { getBackoffMs, getJitteredMs } from "./backoff.ts";
 
 describe("getBackoffMs", () => {
   // Guards against waits that grow beyond the maximum after many retries.
@@ -10,3 +10,13 @@
     }
   });
 });
+
+describe("getJitteredMs", () => {
+  // Guards against callers that are asked to return before the time, or all at once.
+  it("adds a random part of up to half of the time", () => {
+    const times = Array.from({ length: 200 }, () => getJitteredMs(1_000));
+    expect(Math.min(...times)).toBeGreaterThanOrEqual(1_000);
+    expect(Math.max(...times)).toBeLessThanOrEqual(1_500);
+    expect(new Set(times).size).toBeGreaterThan(50);
+  });
+});
