Send a declined model request again to a head whose stated pause has ended

Cause: a group that declined a request was excluded for the rest of it. Where all heads had asked for a short pause, the request waited in vain for another group and was refused. The pause itself now keeps the request away.

tests/server_statements_test.ts, 'sends a declined request again when the first pause of the heads ends', fails before.

--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -106,7 +106,9 @@
         this.#scope.writer.sendResponse(status, headers, result.body);
         return;
       }
-      this.#excludedGroupKeys.add(grant.group.key);
+      if (!isPausing(result)) {
+        this.#excludedGroupKeys.add(grant.group.key);
+      }
       this.#checkRetryAllowed(result);
     }
   }
@@ -473,6 +475,12 @@
     : Buffer.concat(events.map(({ bytes }) => bytes));
 }
 
+/** Gets whether a head refused the request for a stated time, after which the request may be sent to it again. */
+function isPausing(result: AttemptResult): boolean {
+  return result.outcome === "declined" &&
+    typeof result.response.pause === "number" && result.response.pause > 0;
+}
+
 function describeFailure(result: AttemptResult): string {
   if (result.outcome === "failed") {
     return result.error.message;
--- a/tests/server_statements_test.ts
+++ b/tests/server_statements_test.ts
@@ -201,6 +201,23 @@
       30_000,
     );
 
+    // Guards against a request that waits in vain for a group other than the one that has declined it.
+    it(
+      "sends a declined request again when the first pause of the heads ends",
+      async () => {
+        const deployment = await startDeployment();
+        const heads = listHeadIds(deployment).map((id) =>
+          getServer(deployment, id)
+        );
+        heads.forEach((head) => head.retryAfter = "0.4");
+        const response = deployment.callModel();
+        await waitUntil(() => heads.every((h) => h.refusedAtMs.length > 0));
+        heads.forEach((head) => head.retryAfter = undefined);
+        expect((await response).isWhole).toBe(true);
+      },
+      30_000,
+    );
+
     // Guards against a model request that waits although no head takes it in time.
     it(
       "refuses a model request at once while all heads pause for longer than it may wait",
