Report leaving servers to the other daemons

Cause: each daemon learned only from its own answers that a server leaves, and sent it one request more.

The notices carry id and start of the process; a report of an earlier process is ignored. A pause isn't shared, since it concerns one daemon.

tests/server_statements_test.ts, 'reaches the other daemons', fails before.

--- a/src/connection/peer_notice.ts
+++ b/src/connection/peer_notice.ts
@@ -39,6 +39,13 @@
   readonly ageMs: number;
 }
 
+/** Process of a backend server that has stated that it is about to stop. */
+export interface LeavingServerNotice {
+  readonly serverId: string;
+  /** Wall-clock time of the start of the server's process, in milliseconds. */
+  readonly startedAtMs: number;
+}
+
 /** Availability zones that are excluded from serving requests, as of a revision of the store. */
 export interface ExcludedZonesNotice {
   readonly revision: number;
@@ -141,6 +148,8 @@
   readonly partSuccesses?: readonly PartSuccessNotice[];
   /** Request rates that servers state, when they are new or have to be confirmed. */
   readonly serverLimits?: readonly ServerLimitNotice[];
+  /** Servers that newly state that they are about to stop. */
+  readonly leavingServers?: readonly LeavingServerNotice[];
   /** Daemons that the sender newly knows. */
   readonly peers?: readonly DaemonDescription[];
   /** Names of the daemons that the sender no longer knows. */
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -12,6 +12,7 @@
 import type { Partner, PeerTable } from "./peer_table.ts";
 import type { PromptPartQuarantine } from "./prompt_part_quarantine.ts";
 import type { ServerLimits } from "./server_limits.ts";
+import type { ServerStatements } from "./server_statements.ts";
 import type {
   DaemonDescription,
   PeerDataRequest,
@@ -55,6 +56,7 @@
   readonly crashes: CrashCounter;
   readonly promptParts: PromptPartQuarantine;
   readonly serverLimits: ServerLimits;
+  readonly serverStatements: ServerStatements;
   readonly excludedZones: ExcludedZones;
   readonly peerTable: PeerTable;
   readonly logger: Logger;
@@ -335,8 +337,14 @@
     relation: PeerRelation,
     notice: PeerNotice,
   ): void {
-    const { loads, crashes, directory, promptParts, serverLimits } =
-      this.#options;
+    const {
+      loads,
+      crashes,
+      directory,
+      promptParts,
+      serverLimits,
+      serverStatements,
+    } = this.#options;
     loads.applyPeerLoad(name, relation, notice);
     this.#applyLosses(name, notice.lostGroups ?? []);
     notice.crashes?.forEach((crash) => crashes.applyNotice(crash));
@@ -347,6 +355,9 @@
     notice.serverLimits?.forEach((limit) =>
       serverLimits.applyNotice(limit, relation)
     );
+    notice.leavingServers?.forEach((server) =>
+      serverStatements.applyNotice(server, relation)
+    );
     if (notice.excludedZones !== undefined) {
       this.#applyExcludedZones(notice.excludedZones, name);
     }
--- a/src/process/fleet/notice_composer.ts
+++ b/src/process/fleet/notice_composer.ts
@@ -2,6 +2,7 @@
   CrashNotice,
   DaemonDescription,
   ExcludedZonesNotice,
+  LeavingServerNotice,
   PartCrashNotice,
   PartSuccessNotice,
   PeerNotice,
@@ -32,6 +33,7 @@
   readonly crashes: readonly CrashNotice[];
   readonly promptParts: PromptPartReport;
   readonly serverLimits: readonly ServerLimitReport[];
+  readonly leavingServers: readonly LeavingServerNotice[];
   readonly peers: ReadonlyMap<string, DaemonDescription>;
 }
 
@@ -103,6 +105,14 @@
     if (serverLimits.length > 0) {
       notice.serverLimits = serverLimits;
     }
+    const leavingServers = listNew(
+      previous?.leavingServers ?? [],
+      state.leavingServers,
+      getLeavingKey,
+    );
+    if (leavingServers.length > 0) {
+      notice.leavingServers = leavingServers;
+    }
     addPromptPartChanges(notice, previous?.promptParts, state.promptParts);
     addPeerChanges(notice, previous?.peers, state.peers);
     this.#state = state;
@@ -272,6 +282,12 @@
   return `${fingerprint} ${groupKey}`;
 }
 
+function getLeavingKey(
+  { serverId, startedAtMs }: LeavingServerNotice,
+): string {
+  return `${serverId} ${startedAtMs}`;
+}
+
 function getPartCrashKey({ groupKey, parts }: PartCrash): string {
   return `${groupKey} ${parts.join(",")}`;
 }
--- a/src/process/fleet/notice_composer_test.ts
+++ b/src/process/fleet/notice_composer_test.ts
@@ -17,6 +17,7 @@
       crashes: [],
       promptParts: { crashes: [], successes: [] },
       serverLimits: [],
+      leavingServers: [],
       peers: new Map(),
       ...state,
     };
@@ -105,6 +106,26 @@
       ]).toEqual([1, 0, 1, 0, 1]);
     });
 
+    // Guards against a new process of a leaving server that is taken for the reported one, and against repeated notices.
+    it("contains each process of a leaving server once, and all of them for a new receiver", () => {
+      const first = { serverId: "s1", startedAtMs: 1 };
+      const second = { serverId: "s1", startedAtMs: 2 };
+      const composer = new NoticeComposer();
+      const compose = (leavingServers: NoticeState["leavingServers"]) =>
+        composer.createChangeNotice(createState({ leavingServers }), {
+          isPeriodic: false,
+        })?.leavingServers;
+      expect([
+        compose([first]),
+        compose([first]),
+        compose([first, second]),
+      ]).toEqual([[first], undefined, [second]]);
+      expect(composer.createCompleteNotice()?.leavingServers).toEqual([
+        first,
+        second,
+      ]);
+    });
+
     it("contains new and removed peers, and those with another address", () => {
       const [a, b, c] = ["a", "b", "c"].map((name) =>
         createDaemonDescription(name)
--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -555,6 +555,7 @@
   "partCrashes",
   "partSuccesses",
   "serverLimits",
+  "leavingServers",
   "peers",
   "removedPeers",
 ] as const;
--- a/src/process/fleet/server_statements.ts
+++ b/src/process/fleet/server_statements.ts
@@ -2,6 +2,10 @@
   BackendResponse,
   PauseStatement,
 } from "../../connection/backend_transport.ts";
+import type {
+  LeavingServerNotice,
+  PeerRelation,
+} from "../../connection/peer_notice.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
@@ -16,11 +20,15 @@
 /** Minimum time between two log lines on pauses that cannot be used, in milliseconds. */
 const INVALID_LOG_INTERVAL_MS = 10_000;
 
+type Origin = "own" | "member" | "other";
+
 /** What a process of a server has stated. */
 interface Statement {
   /** Start of the server's process; a later process with the same id inherits nothing. */
   readonly startedAtMs: number;
   readonly isLeaving: boolean;
+  /** Whether this daemon, one of its members, or another daemon was the first to get the statement that the server leaves. */
+  readonly origin: Origin;
   /** Monotonic time until which the server wants no request from this daemon, in milliseconds. */
   readonly pausedUntilMs: number;
   /** Monotonic time since which the server is missing in the directory, in milliseconds. */
@@ -102,14 +110,54 @@
   ): void {
     const pauseMs = this.#getUsablePauseMs(server, pause);
     if (isServerLeaving || pauseMs > 0) {
-      this.#applyStatement(server, isServerLeaving, pauseMs);
+      this.#applyStatement(server, {
+        isLeaving: isServerLeaving,
+        pauseMs,
+        origin: "own",
+      });
     }
   }
 
+  /**
+   * Applies the statement of a server that leaves, which a peer reported.
+   *
+   * @param notice - Process of the server.
+   * @param relation - Role of the peer towards this daemon.
+   */
+  applyNotice(
+    { serverId, startedAtMs }: LeavingServerNotice,
+    relation: PeerRelation,
+  ): void {
+    this.#applyStatement({ id: serverId, startedAtMs }, {
+      isLeaving: true,
+      pauseMs: 0,
+      origin: relation === "member" ? "member" : "other",
+    });
+  }
+
+  /**
+   * Gets the servers that leave, for notices. Hubs do not return to each other what another hub reported. A server that is missing in the directory is left out, so that no report of a process that has ended circulates.
+   *
+   * @param relation - Role of this daemon towards the receivers.
+   */
+  getReport(relation: PeerRelation): LeavingServerNotice[] {
+    return [...this.#statements].flatMap(
+      ([serverId, { startedAtMs, isLeaving, origin, missingSinceMs }]) => {
+        const isReported = isLeaving && missingSinceMs === undefined &&
+          (relation === "hub" || origin === "own" ||
+            (relation === "equal" && origin === "member"));
+        return isReported ? [{ serverId, startedAtMs }] : [];
+      },
+    );
+  }
+
   #applyStatement(
-    { id, startedAtMs }: BackendServer,
-    isLeaving: boolean,
-    pauseMs: number,
+    { id, startedAtMs }: Pick<BackendServer, "id" | "startedAtMs">,
+    { isLeaving, pauseMs, origin }: {
+      isLeaving: boolean;
+      pauseMs: number;
+      origin: Origin;
+    },
   ): void {
     const listedServer = this.#directory.findServer(id);
     const latest = this.#statements.get(id);
@@ -125,6 +173,7 @@
     const statement: Statement = {
       startedAtMs,
       isLeaving: isLeaving || known?.isLeaving === true,
+      origin: known?.isLeaving === true ? known.origin : origin,
       pausedUntilMs: Math.max(nowMs + pauseMs, known?.pausedUntilMs ?? 0),
       missingSinceMs: listedServer === undefined
         ? known?.missingSinceMs ?? nowMs
@@ -133,7 +182,10 @@
     this.#statements.set(id, statement);
     const isNewlyLeaving = isLeaving && known?.isLeaving !== true;
     if (isNewlyLeaving) {
-      this.#logger.write("info", "server-leaving", { server: id });
+      this.#logger.write("info", "server-leaving", {
+        server: id,
+        origin,
+      });
     }
     const isNewPause = pauseMs > 0 &&
       statement.pausedUntilMs !== known?.pausedUntilMs;
--- a/src/process/fleet/server_statements_test.ts
+++ b/src/process/fleet/server_statements_test.ts
@@ -156,6 +156,60 @@
     });
   });
 
+  describe("applyNotice", () => {
+    // Guards against a server that leaves and still gets requests from daemons that have had no answer of it.
+    it("keeps requests from a server that a peer reported", () => {
+      const { statements } = createTable();
+      statements.applyNotice({ serverId: "s1", startedAtMs: 10 }, "equal");
+      expect(statements.getWaitMs(server)).toBe(Number.POSITIVE_INFINITY);
+    });
+
+    // Guards against a peer that reports an earlier process of a server.
+    it("ignores a report of an earlier process", () => {
+      const { statements, applyServers } = createTable();
+      applyServers([laterProcess]);
+      statements.applyNotice({ serverId: "s1", startedAtMs: 10 }, "equal");
+      expect(statements.isBelowLimit(laterProcess)).toBe(true);
+      expect(statements.getReport("equal")).toEqual([]);
+    });
+  });
+
+  describe("getReport", () => {
+    const notice = { serverId: "s1", startedAtMs: 10 };
+
+    // Guards against reports that circulate between hubs, or that never reach members.
+    it.each(
+      [
+        ["own", ["member", "equal", "hub"]],
+        ["member", ["equal", "hub"]],
+        ["equal", ["hub"]],
+        ["hub", ["hub"]],
+      ] as const,
+    )("passes on a statement from %s as %j", (source, relations) => {
+      const { statements } = createTable();
+      if (source === "own") {
+        statements.recordResponse(server, LEAVING);
+      } else {
+        statements.applyNotice(notice, source);
+      }
+      const reporting = (["member", "equal", "hub"] as const).filter((r) =>
+        statements.getReport(r).length > 0
+      );
+      expect(reporting).toEqual(relations);
+    });
+
+    // Guards against daemons that remind each other of a process that has ended, and against a pause that another daemon obeys.
+    it("contains neither servers that are missing in the directory nor pauses", () => {
+      const { statements, applyServers } = createTable();
+      statements.recordResponse(server, createPause(1_000));
+      expect(statements.getReport("hub")).toEqual([]);
+      statements.recordResponse(server, LEAVING);
+      expect(statements.getReport("hub")).toEqual([notice]);
+      applyServers([], ["s1"]);
+      expect(statements.getReport("hub")).toEqual([]);
+    });
+  });
+
   describe("recordResponse", () => {
     // Guards against a log that a faulty server fills.
     it("changes nothing for invalid pauses, and logs them once in a while", () => {
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -129,6 +129,7 @@
     this.#fleetSync = this.#createFleetSync();
     this.#leaseHolder = this.#createLeaseHolder();
     this.#peerExchange = this.#createPeerExchange();
+    this.#serverStatements.onChange(() => this.#peerExchange.scheduleNotices());
     this.#groupLoads.onReportChange(() => this.#peerExchange.scheduleNotices());
     const attempts = new StreamAttempts();
     const coldLimits = new ColdLimits({
@@ -324,6 +325,7 @@
       crashes: this.#crashCounter,
       promptParts: this.#promptParts,
       serverLimits: this.#serverLimits,
+      serverStatements: this.#serverStatements,
       excludedZones: this.#excludedZones,
       peerTable: this.#peerTable,
       isPlanner: () => this.#leaseHolder.getTerm() !== undefined,
@@ -422,6 +424,7 @@
       crashes: this.#crashCounter.listRecentCrashes(),
       promptParts: this.#promptParts.getReport(),
       serverLimits: this.#serverLimits.getReport(relation),
+      leavingServers: this.#serverStatements.getReport(relation),
       peers: this.#peerTable.getReport(relation),
     };
   }
--- a/tests/server_statements_test.ts
+++ b/tests/server_statements_test.ts
@@ -161,6 +161,21 @@
       30_000,
     );
 
+    // Guards against daemons that each send a request to a leaving server before they know of it.
+    it("reaches the other daemons", async () => {
+      const deployment = await startDeployment(3);
+      const [headId] = listHeadIds(deployment);
+      getServer(deployment, headId).isLeaving = true;
+      const responses = [deployment.callModel()];
+      await delay(EVENT_MS + 2 * SPREAD_MS);
+      const spreadAtMs = Date.now();
+      for (const address of deployment.callerAddresses) {
+        responses.push(deployment.callModel(address));
+      }
+      await Promise.all(responses);
+      expect(countRuns(deployment, headId, spreadAtMs)).toBe(0);
+    }, 30_000);
+
     // Guards against a statement that outlives the process that made it.
     it("does not bind a new process of the same server", async () => {
       const deployment = await startDeployment();
