Ask callers of a model to return when the first head takes requests again

Cause: a request that its heads had declined and that ended for want of retry budget or attempts was refused with a fixed Retry-After of 500 ms, also while all heads had asked for a longer pause.

model_stream_forwarder_test.ts, 'refuses a request without retry budget with the time until a head takes it', fails before.

--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -128,11 +128,31 @@
   async acquire(request: GroupAdmissionRequest): Promise<GroupGrant> {
     const grant = this.#tryGrant(request) ?? await this.#wait(request);
     if (grant === undefined) {
-      throw createCapacityError(request, this.#getRetryAfterMs(request));
+      throw createCapacityError(request, this.getRetryAfterMs(request));
     }
     return grant;
   }
 
+  /**
+   * Gets the time after which the caller of a refused request should retry, in milliseconds: when the first head takes requests again, with a random part added, or about the duration of one response.
+   *
+   * @example
+   * ```ts
+   * admission.getRetryAfterMs({ service: "models", model: "m" });
+   * ```
+   */
+  getRetryAfterMs(
+    { service, model }: Pick<GroupAdmissionRequest, "service" | "model">,
+  ): number {
+    const waitsMs = this.#groups.listServingGroups(service, model).map((
+      { head },
+    ) => this.#statements.getWaitMs(head));
+    const waitMs = Math.min(...waitsMs);
+    return waitMs > 0 && Number.isFinite(waitMs)
+      ? getJitteredMs(waitMs)
+      : RETRY_AFTER_MS;
+  }
+
   /** Grants free slots to waiting requests, and ends the wait of those that no head takes in time. */
   admitWaiting(): void {
     if (this.#waiters.length === 0) {
@@ -163,17 +183,6 @@
     return isAnyHeadLate;
   }
 
-  /** Gets the time after which the caller of a refused request should retry, in milliseconds: when the first head takes requests again, or about the duration of one response. */
-  #getRetryAfterMs({ service, model }: GroupAdmissionRequest): number {
-    const waitsMs = this.#groups.listServingGroups(service, model).map((
-      { head },
-    ) => this.#statements.getWaitMs(head));
-    const waitMs = Math.min(...waitsMs);
-    return waitMs > 0 && Number.isFinite(waitMs)
-      ? getJitteredMs(waitMs)
-      : RETRY_AFTER_MS;
-  }
-
   #wait(request: GroupAdmissionRequest): Promise<GroupGrant | undefined> {
     const waitMs = request.waitDeadlineMs - performance.now();
     if (
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -440,19 +440,22 @@
   }
 
   #createError(message: string, statusIfMayHaveRun = 502): RequestError {
+    const { context, service } = this.#scope;
     const isNotRun = this.#verdict === "not-run";
     return new RequestError(message, {
       code: isNotRun ? "no-capacity" : "backend-failed",
       verdict: this.#verdict,
       status: isNotRun ? 503 : statusIfMayHaveRun,
-      retryAfterMs: isNotRun ? RETRY_AFTER_MS : undefined,
+      retryAfterMs: isNotRun
+        ? context.admission.getRetryAfterMs({
+          service: service.name,
+          model: this.#modelRequest.model,
+        })
+        : undefined,
     });
   }
 }
 
-/** Time after which callers are asked to retry a request that has not run, in milliseconds. In this time a replica group can be formed again. */
-const RETRY_AFTER_MS = 500;
-
 /** Returns a hash that identifies the request and stays the same when its caller retries it. */
 function getFingerprint({ request, account }: RequestScope): string {
   return createHash("sha256")
--- a/src/request/routed/model_stream_forwarder_test.ts
+++ b/src/request/routed/model_stream_forwarder_test.ts
@@ -108,6 +108,55 @@
       return { headIds, error, checkedParts };
     }
 
+    // Guards against a caller that is asked to return before any head takes a request.
+    it("refuses a request without retry budget with the time until a head takes it", async () => {
+      const response = {
+        status: 503,
+        verdict: "not-run",
+        requestLimit: "unlimited",
+        isServerLeaving: false,
+        pause: 4_000,
+        body: [],
+      };
+      const scope = createRequestScope({
+        context: {
+          logger: new NullLogger(),
+          metrics: { record: () => {} },
+          attempts: new StreamAttempts(),
+          crashes: { isRefused: () => false },
+          promptParts: { findRefusedPart: () => undefined },
+          groupFailureDetector: { checkGroup: () => Promise.resolve(false) },
+          serverLimits: { recordResponse: () => {} },
+          serverStatements: { recordResponse: () => {} },
+          admission: {
+            acquire: () =>
+              Promise.resolve({
+                group: { key: "g1/1", head: { id: "s1" } },
+                release: () => {},
+              }),
+            getRetryAfterMs: () => 4_321,
+          },
+          getRetryBudget: () => ({ tryAcquire: () => false }),
+          transport: { send: () => Promise.resolve(response) },
+        },
+        route: { maxAttempts: MAX_ATTEMPTS },
+      });
+      const stream = new ModelStreamForwarder(scope, {
+        engine: { models: [], slots: 1 } as unknown as EngineProfile,
+        modelRequest: {
+          model: "m",
+          promptTokens: 1,
+          maxOutputTokens: 1,
+          promptParts: [],
+        },
+      });
+      await expect(stream.run()).rejects.toMatchObject({
+        status: 503,
+        verdict: "not-run",
+        retryAfterMs: 4_321,
+      });
+    });
+
     // Guards against a request that runs more often than its route allows because one group after another loses a member. An expired directory entry does not show that the head has ended: a head that cannot reach the store keeps running.
     it.each(
       [
