Let a stream that has begun wait for a new group when all heads leave

Cause: the refusal at once of requests that no head takes in time also ended streams between two groups, which used to wait for a group that forms.

group_admission_test.ts, 'lets a request whose response has begun wait for a new group when the last head leaves', fails before.

--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -28,6 +28,8 @@
   readonly priority: number;
   /** Keys of groups that must not receive the request, because an earlier attempt there has failed. */
   readonly excludedGroups: ReadonlySet<string>;
+  /** Whether the caller has received a part of the response. Such a request waits also when no present head takes it, since a group may form before its stream has to be broken off. */
+  readonly hasStarted: boolean;
   /** Maximum number of concurrent requests in a group. */
   readonly slots: number;
   /** Monotonic time by which a slot must be granted for the first event to meet the latency objective, in milliseconds. */
@@ -168,8 +170,13 @@
 
   /** Gets whether the heads of all groups that could serve a request leave, or pause until the request may no longer wait. Without any group a request waits, since one may form. */
   #isWaitUseless(
-    { service, model, excludedGroups, waitDeadlineMs }: GroupAdmissionRequest,
+    request: GroupAdmissionRequest,
   ): boolean {
+    const { service, model, excludedGroups, waitDeadlineMs, hasStarted } =
+      request;
+    if (hasStarted) {
+      return false;
+    }
     const remainingMs = waitDeadlineMs - performance.now();
     let isAnyHeadLate = false;
     for (const group of this.#groups.listServingGroups(service, model)) {
--- a/src/process/fleet/group_admission_test.ts
+++ b/src/process/fleet/group_admission_test.ts
@@ -82,7 +82,16 @@
       outageMs: 0,
       isSnapshot: false,
     });
-    return { admission, loads, groups, statements };
+    const addHead = (id: string) =>
+      directory.applyChange({
+        changed: new Map([[id, { ...createHead(id), entryVersion: 2 }]]),
+        removed: [],
+        revision: 2,
+        changeRevision: 2,
+        outageMs: 0,
+        isSnapshot: false,
+      });
+    return { admission, loads, groups, statements, addHead };
   }
 
   function createPause(pause: number) {
@@ -97,6 +106,7 @@
       model: "m",
       priority: 0,
       excludedGroups: new Set(),
+      hasStarted: false,
       slots: SLOTS,
       latencyDeadlineMs: performance.now() + 200,
       waitDeadlineMs: performance.now() + 1_000,
@@ -211,6 +221,16 @@
       expect(admission.waitingCount).toBe(0);
     });
 
+    // Guards against a stream that is broken off although a group forms before its deadline.
+    it("lets a request whose response has begun wait for a new group when the last head leaves", async () => {
+      const { admission, groups, statements, addHead } = doTest(["g1"]);
+      statements.recordResponse(groups.listAll()[0].head, LEAVING);
+      const grant = admission.acquire(createRequest({ hasStarted: true }));
+      expect(admission.waitingCount).toBe(1);
+      addHead("g2");
+      expect((await grant).group.key).toBe("g2/1");
+    });
+
     // Guards against a service that is starved because its heads pause by turns.
     it("grants a waiting request to the head whose pause ends first", async () => {
       const { admission, groups, statements } = doTest(["g1", "g2"]);
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -156,6 +156,7 @@
         model: this.#modelRequest.model,
         priority: hasStarted ? 0 : priority,
         excludedGroups: this.#excludedGroupKeys,
+        hasStarted,
         slots: this.#engine.slots,
         latencyDeadlineMs: request.receivedAtMs + route.latencyObjectiveMs -
           this.#getExpectedFirstEventMs(),
