--- a/src/request/routed/service_request_forwarder_test.ts
+++ b/src/request/routed/service_request_forwarder_test.ts
@@ -112,6 +112,66 @@
       },
     );
 
+    // Guards against a statement that counts only in some kinds of response, or only when the body arrives.
+    it.each([
+      ["a success", 200, "ran", false],
+      ["a server error", 500, "ran", false],
+      ["a refusal", 503, "not-run", false],
+      ["a misdirected request", 421, "not-run", false],
+      ["a response that is cut", 200, "ran", true],
+    ])(
+      "records what a server states in %s",
+      async (_name, status, verdict, isCut) => {
+        const servers = [createBackendServer({ id: "s0" })];
+        const recorded: unknown[] = [];
+        const response = {
+          status,
+          headers: [],
+          verdict,
+          isServerLeaving: true,
+          pause: "none",
+          body: {
+            [Symbol.asyncIterator]: () => ({
+              next: () =>
+                isCut
+                  ? Promise.reject(
+                    new BackendError("The connection was reset", {
+                      kind: "reset",
+                      verdict: "may-have-run",
+                    }),
+                  )
+                  : Promise.resolve({ done: true }),
+            }),
+          },
+        };
+        const scope = createRequestScope({
+          context: {
+            serverLimits: {
+              recordResponse: () => {},
+              recordRequest: () => {},
+              getWaitMs: () => 0,
+            },
+            serverStatements: {
+              recordResponse: (...args: unknown[]) => recorded.push(args),
+              getWaitMs: () => 0,
+            },
+            logger: new NullLogger(),
+            settings: { zone: "z" },
+            serverLoads: new ServerLoads(),
+            coldLimits: { isBelowLimit: () => true, recordRequest: () => {} },
+            directory: { listServers: () => servers },
+            getExcludedZones: () => new Set(),
+            getRetryBudget: () => ({ tryAcquire: () => false }),
+            transport: { send: () => Promise.resolve(response) },
+          },
+          route: { kind: "idempotent", maxAttempts: MAX_ATTEMPTS },
+          writer: { sendResponse: () => {} },
+        });
+        await new ServiceRequestForwarder(scope).run().catch(() => {});
+        expect(recorded).toEqual([[servers[0], response]]);
+      },
+    );
+
     it("forwards a server error when the retry budget is exhausted", async () => {
       const outcomes = [500, 200];
       const hasBudget = false;
