--- a/tests/server_statements_test.ts
+++ b/tests/server_statements_test.ts
@@ -18,6 +18,9 @@
 /** Time in which an answer of a server reaches its daemon, and a notice the other daemons, in milliseconds. */
 const SPREAD_MS = 200;
 const EVENT_MS = 60;
+/** Time for which each of two servers accepts calls in turn, before both refuse for as long, in milliseconds. */
+const TURN_MS = 400;
+const MAX_CALLER_ATTEMPTS = 6;
 /** Time from a refused request to the answer, above which it counts as having waited, in milliseconds. */
 const AT_ONCE_MS = 300;
 
@@ -176,6 +179,30 @@
       expect(countRuns(deployment, headId, spreadAtMs)).toBe(0);
     }, 30_000);
 
+    // Guards against a statement that takes effect, or reaches the other daemons, only through the store.
+    it("counts while the store is silent", async () => {
+      const deployment = await startDeployment(2);
+      const [headId] = listHeadIds(deployment);
+      deployment.store.fault = "silent";
+      const leavingIds = ["p0", headId];
+      leavingIds.forEach((id) => getServer(deployment, id).isLeaving = true);
+      await sendLoad(500, () => callService(deployment));
+      const model = deployment.callModel();
+      await delay(EVENT_MS + 2 * SPREAD_MS);
+      const statedAtMs = Date.now();
+      const responses: Promise<CallerResponse>[] = [model];
+      for (const address of deployment.callerAddresses) {
+        responses.push(deployment.callModel(address));
+        responses.push(
+          deployment.call(address, { method: "GET", path: "/look/1" }),
+        );
+      }
+      expect((await Promise.all(responses)).every(({ isWhole }) => isWhole))
+        .toBe(true);
+      expect(leavingIds.map((id) => countRuns(deployment, id, statedAtMs)))
+        .toEqual([0, 0]);
+    }, 30_000);
+
     // Guards against a statement that outlives the process that made it.
     it("does not bind a new process of the same server", async () => {
       const deployment = await startDeployment();
@@ -282,6 +309,36 @@
       30_000,
     );
 
+    // Guards against callers that are never served, or sent back too often, while the servers of their service pause by turns.
+    it(
+      "serves all calls whose callers return when they are told to",
+      async () => {
+        const deployment = await startDeployment();
+        const servers = ["p0", "p1"].map((id) => getServer(deployment, id));
+        const startedAtMs = performance.now();
+        const timer = setInterval(() => {
+          const turn = Math.floor((performance.now() - startedAtMs) / TURN_MS);
+          servers.forEach((server, i) =>
+            server.retryAfter = turn % 3 === i ? undefined : "0.3"
+          );
+        }, 10);
+        const attempts: number[] = [];
+        await sendLoad(2_000, async () => {
+          for (let attempt = 1;; attempt++) {
+            const response = await callService(deployment);
+            if (response.status === 200 || attempt > MAX_CALLER_ATTEMPTS) {
+              attempts.push(attempt);
+              return response;
+            }
+            await delay(Number(response.headers["retry-after"]) * 1_000);
+          }
+        });
+        clearInterval(timer);
+        expect(Math.max(...attempts)).toBeLessThanOrEqual(MAX_CALLER_ATTEMPTS);
+      },
+      30_000,
+    );
+
     // Guards against a server that stays unused after its pause.
     it(
       "sends requests to a server again once its pause has ended",
