--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -13,6 +13,7 @@
 import type { Partner, PeerTable } from "./peer_table.ts";
 import type { PromptPartQuarantine } from "./prompt_part_quarantine.ts";
 import type { ServerLimits } from "./server_limits.ts";
+import type { ServerStatements } from "./server_statements.ts";
 import type {
   DaemonDescription,
   PeerDataRequest,
@@ -56,6 +57,7 @@
   readonly crashes: CrashCounter;
   readonly promptParts: PromptPartQuarantine;
   readonly serverLimits: ServerLimits;
+  readonly serverStatements: ServerStatements;
   readonly excludedZones: ExcludedZones;
   readonly peerTable: PeerTable;
   readonly logger: Logger;
@@ -371,8 +373,14 @@
     relation: PeerRelation,
     notice: PeerNotice,
   ): void {
-    const { loads, crashes, directory, promptParts, serverLimits } =
-      this.#options;
+    const {
+      loads,
+      crashes,
+      directory,
+      promptParts,
+      serverLimits,
+      serverStatements,
+    } = this.#options;
     loads.applyPeerLoad(name, relation, notice);
     this.#applyLosses(name, notice.lostGroups ?? []);
     notice.crashes?.forEach((crash) => crashes.applyNotice(crash));
@@ -391,6 +399,9 @@
       ),
       name,
     );
+    notice.leavingServers?.forEach((server) =>
+      serverStatements.applyNotice(server, relation)
+    );
     if (notice.excludedZones !== undefined) {
       this.#applyExcludedZones(notice.excludedZones, name);
     }
--- a/src/process/planned_stop.ts
+++ b/src/process/planned_stop.ts
@@ -84,7 +84,7 @@
    * @throws {RequestError} When the request may outlast the stop.
    */
   checkDeadline(deadlineAtMs: number): void {
-    if (this.#mayOutlastStop(deadlineAtMs)) {
+    if (!this.#isInTime(deadlineAtMs)) {
       throw createStopError("not-run");
     }
   }
@@ -149,16 +149,17 @@
     return Math.max(0, Math.min(durationMs, this.#endAtMs - this.#startedAtMs));
   }
 
-  #mayOutlastStop(deadlineAtMs: number): boolean {
-    const isAccepting = this.#phase === "serving" || this.#phase === "leaving";
-    return !isAccepting && deadlineAtMs + RESPONSE_MARGIN_MS > this.#endAtMs;
+  /** Gets whether a request may be sent: the load balancer has not noticed the stop yet, or the deadline lies before its end. */
+  #isInTime(deadlineAtMs: number): boolean {
+    return this.#phase === "serving" || this.#phase === "leaving" ||
+      deadlineAtMs + RESPONSE_MARGIN_MS <= this.#endAtMs;
   }
 
   /** Refuses the requests that wait to be sent and may outlast the stop, so that their callers can turn to another daemon at once. */
   #refuseWaitingRequests(): void {
     for (const request of this.#requests.list()) {
       if (
-        !request.hasBeenSent() && this.#mayOutlastStop(request.deadlineAtMs)
+        !request.hasBeenSent() && !this.#isInTime(request.deadlineAtMs)
       ) {
         request.abort();
       }
--- a/src/process/routing_context.ts
+++ b/src/process/routing_context.ts
@@ -12,6 +12,7 @@
 import type { ServiceRetryBudget } from "./fleet/service_retry_budget.ts";
 import type { ServerLimits } from "./fleet/server_limits.ts";
 import type { StreamAttempts } from "./fleet/stream_attempts.ts";
+import type { ServerStatements } from "./fleet/server_statements.ts";
 import type { ServerLoads } from "./fleet/server_loads.ts";
 import type { Metrics } from "./metrics.ts";
 import type { PlannedStop } from "./planned_stop.ts";
@@ -32,6 +33,7 @@
   readonly serverLoads: ServerLoads;
   readonly coldLimits: ColdLimits;
   readonly serverLimits: ServerLimits;
+  readonly serverStatements: ServerStatements;
   readonly crashes: CrashCounter;
   readonly promptParts: PromptPartQuarantine;
   readonly plannedStop: PlannedStop;
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -29,6 +29,7 @@
 import { ServiceRetryBudget } from "./fleet/service_retry_budget.ts";
 import { ReplicaReconciler } from "./fleet/replica_reconciler.ts";
 import { ServerLimits } from "./fleet/server_limits.ts";
+import { ServerStatements } from "./fleet/server_statements.ts";
 import { ServerLoads } from "./fleet/server_loads.ts";
 import { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { Metrics } from "./metrics.ts";
@@ -70,6 +71,7 @@
   readonly #crashCounter = new CrashCounter();
   readonly #promptParts: PromptPartQuarantine;
   readonly #serverLimits: ServerLimits;
+  readonly #serverStatements: ServerStatements;
   readonly #linkTransport = new WebSocketLinkTransport();
   readonly #peerTable: PeerTable;
   readonly #excludedZones: ExcludedZones;
@@ -98,6 +100,10 @@
           name === model
         ),
     });
+    this.#serverStatements = new ServerStatements({
+      directory: this.#directory,
+      logger,
+    });
     this.#peerTable = new PeerTable({ ownName: settings.name, logger });
     this.#excludedZones = new ExcludedZones({
       logger,
@@ -118,6 +124,7 @@
     this.#fleetSync = this.#createFleetSync();
     this.#leaseHolder = this.#createLeaseHolder();
     this.#peerExchange = this.#createPeerExchange();
+    this.#serverStatements.onChange(() => this.#peerExchange.scheduleNotices());
     this.#groupLoads.onReportChange(() => this.#peerExchange.scheduleNotices());
     const attempts = new StreamAttempts();
     const coldLimits = new ColdLimits({
@@ -141,6 +148,7 @@
         groups: this.#groups,
         loads: this.#groupLoads,
         sendLimits: [coldLimits, this.#serverLimits],
+        statements: this.#serverStatements,
         zone: settings.zone,
         ownName: settings.name,
         getStalenessMs: () => this.#peerExchange.getStalenessMs(),
@@ -156,6 +164,7 @@
       serverLoads: new ServerLoads(),
       coldLimits,
       serverLimits: this.#serverLimits,
+      serverStatements: this.#serverStatements,
       crashes: this.#crashCounter,
       promptParts: this.#promptParts,
       getRoutes: () => this.#routes,
@@ -199,6 +208,16 @@
       help: "Backend servers that state a limit of their request rate",
       getValue: () => this.#serverLimits.limitedCount,
     });
+    metrics.addGauge({
+      name: "leaving_servers",
+      help: "Backend servers that state that they are about to stop",
+      getValue: () => this.#serverStatements.leavingCount,
+    });
+    metrics.addGauge({
+      name: "paused_servers",
+      help: "Backend servers that want no request from this daemon for a time",
+      getValue: () => this.#serverStatements.pausedCount,
+    });
     metrics.addGauge({
       name: "config_version",
       help: "Version of the configuration in force",
@@ -291,6 +310,7 @@
       crashes: this.#crashCounter,
       promptParts: this.#promptParts,
       serverLimits: this.#serverLimits,
+      serverStatements: this.#serverStatements,
       excludedZones: this.#excludedZones,
       peerTable: this.#peerTable,
       isPlanner: () => this.#leaseHolder.getTerm() !== undefined,
@@ -390,6 +410,7 @@
       crashes: this.#crashCounter.listRecentCrashes(),
       promptParts: this.#promptParts.getReport(),
       serverLimits: this.#serverLimits.getReport(relation),
+      leavingServers: this.#serverStatements.getReport(relation),
       peers: this.#peerTable.getReport(relation),
     };
   }
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -114,7 +114,9 @@
         this.#scope.writer.sendResponse(status, headers, result.body);
         return;
       }
-      this.#excludedGroupKeys.add(grant.group.key);
+      if (!isPausing(result)) {
+        this.#excludedGroupKeys.add(grant.group.key);
+      }
       this.#checkRetryAllowed(result);
     }
   }
@@ -171,6 +173,7 @@
         model: this.#modelRequest.model,
         priority: hasStarted ? 0 : priority,
         excludedGroups: this.#excludedGroupKeys,
+        hasStarted,
         slots: this.#engine.slots,
         latencyDeadlineMs: request.receivedAtMs + route.latencyObjectiveMs -
           this.#getExpectedFirstEventMs(),
@@ -256,6 +259,7 @@
       },
     );
     context.serverLimits.recordResponse(head, response.requestLimit);
+    context.serverStatements.recordResponse(head, response);
     if (response.verdict === "not-run") {
       const body = await readResponseBody(response);
       return { outcome: "declined", response, body };
@@ -454,19 +458,22 @@
   }
 
   #createError(message: string, statusIfMayHaveRun = 502): RequestError {
+    const { context, service } = this.#scope;
     const isNotRun = this.#verdict === "not-run";
     return new RequestError(message, {
       code: isNotRun ? "no-capacity" : "backend-failed",
       verdict: this.#verdict,
       status: isNotRun ? 503 : statusIfMayHaveRun,
-      retryAfterMs: isNotRun ? RETRY_AFTER_MS : undefined,
+      retryAfterMs: isNotRun
+        ? context.admission.getRetryAfterMs({
+          service: service.name,
+          model: this.#modelRequest.model,
+        })
+        : undefined,
     });
   }
 }
 
-/** Time after which callers are asked to retry a request that has not run, in milliseconds. In this time a replica group can be formed again. */
-const RETRY_AFTER_MS = 500;
-
 /** Returns a hash that identifies the request and stays the same when its caller retries it. */
 function getFingerprint({ request, account }: RequestScope): string {
   return createHash("sha256")
@@ -489,6 +496,12 @@
     : Buffer.concat(events.map(({ bytes }) => bytes));
 }
 
+/** Gets whether a head refused the request for a stated time, after which the request may be sent to it again. */
+function isPausing(result: AttemptResult): boolean {
+  return result.outcome === "declined" &&
+    typeof result.response.pause === "number" && result.response.pause > 0;
+}
+
 function describeFailure(result: AttemptResult): string {
   if (result.outcome === "failed") {
     return result.error.message;
--- a/tests/planned_stop_deadline_test.ts
+++ b/tests/planned_stop_deadline_test.ts
@@ -24,7 +24,7 @@
     }
   }
 
-  function book(deadlineMs: number) {
+  function callBooking(deadlineMs: number) {
     return deployment.call(deployment.callerAddresses[0], {
       method: "GET",
       path: "/book/1",
@@ -39,11 +39,11 @@
     const runsBefore = runs.length;
     const stopPromise = daemons[0].stop();
     // Keeps the stop going until the late requests arrive.
-    const earlyResponse = book(SLOW_RESPONSE_MS);
+    const earlyResponse = callBooking(SLOW_RESPONSE_MS);
     await delay(LATE_IN_STOP_MS);
     const lateResponses = await Promise.all([
       deployment.callModel(),
-      book(SLOW_RESPONSE_MS),
+      callBooking(SLOW_RESPONSE_MS),
     ]);
     await Promise.all([stopPromise, earlyResponse]);
     expect(lateResponses.map(({ status }) => status)).toEqual([503, 503]);
@@ -56,7 +56,7 @@
     const [daemon] = deployment.daemons;
     const stopPromise = daemon.stop();
     await delay(2_000);
-    const response = await book(SLOW_RESPONSE_MS);
+    const response = await callBooking(SLOW_RESPONSE_MS);
     await stopPromise;
     expect(response.status).toBe(502);
     expect(JSON.parse(response.body)).toMatchObject({
--- a/tests/support/store_reader.ts
+++ b/tests/support/store_reader.ts
@@ -12,6 +12,7 @@
 import { PeerTable } from "../../src/process/fleet/peer_table.ts";
 import { PromptPartQuarantine } from "../../src/process/fleet/prompt_part_quarantine.ts";
 import { ServerLimits } from "../../src/process/fleet/server_limits.ts";
+import { ServerStatements } from "../../src/process/fleet/server_statements.ts";
 import { Metrics } from "../../src/process/metrics.ts";
 import type { PlatformAdapter } from "../../src/process/platform_adapter.ts";
 import type { LogFields } from "../../src/shared/logger.ts";
@@ -87,6 +88,10 @@
         getPeersVersion: () => 0,
         onChange: () => {},
       }),
+      serverStatements: new ServerStatements({
+        directory: this.directory,
+        logger,
+      }),
       excludedZones: this.excludedZones,
       peerTable: this.#peerTable,
       logger,
