Drop a restored entry once a later list has the known report

An entry that a restore had set back replaced the known one after 5 s although a list in between, from a peer or the store, had the known report again: only an entry with a later report ended its wait.

backend_directory_test.ts 'drops an entry that was set back when a later list has the known report' failed before.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -174,13 +174,13 @@
       if (isKnownVersion) {
         continue;
       }
+      this.#outdatedEntries.delete(id);
       if (mayBeOutdated && this.#isOutdated(server)) {
         this.#delayEntry(server);
       } else if (mayBeOutdated && isSameReport(server, knownServer)) {
         const { entryVersion } = server;
         this.#setServer(id, { ...knownServer, entryVersion });
       } else {
-        this.#outdatedEntries.delete(id);
         this.#tombstones.delete(id);
         if (!change.isSnapshot) {
           this.#recordChange(server);
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -217,6 +217,20 @@
       expect(directory.findServer("s1")!.isDraining).toBe(false);
     });
 
+    // Guards against an older entry that replaces the known one after the grace period although a later list has confirmed the known one.
+    it("drops an entry that was set back when a later list has the known report", () => {
+      const directory = createDirectory({ isDraining: true });
+      for (const reportNumber of [1, 2]) {
+        applySnapshot(directory, {
+          generation: 2,
+          revision: 10 + reportNumber,
+          servers: [{ reportNumber, isDraining: reportNumber === 2 }],
+        });
+      }
+      vi.advanceTimersByTime(10_000);
+      expect(directory.findServer("s1")!.isDraining).toBe(true);
+    });
+
     // Guards against requests to a server that has left in the seconds that a restored store has lost.
     it("does not add a removed server again whose entry has come back", () => {
       const directory = createDirectory();
