Use the first entry of a server whose start a status report has told

For 5 s after a restore of the store, an entry with a lower report number than the known one counts as older. A status report changes the start time of the known server, but left the number of the earlier process, so the entry of the new process was put off, and its cold time and its state with it.

Before the change, the test saw the cold time 0 instead of 9000. The number now starts at 0 with the new process.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -226,9 +226,14 @@
     if (server === undefined) {
       return;
     }
+    const startedAtMs = report.startedAtMs || server.startedAtMs;
     this.#setServer(id, {
       ...server,
-      startedAtMs: report.startedAtMs || server.startedAtMs,
+      startedAtMs,
+      // The number of the last entry does not count for another process.
+      reportNumber: startedAtMs === server.startedAtMs
+        ? server.reportNumber
+        : 0,
       membership: report.membership,
       loadedModels: report.loadedModels,
       stagedModels: report.stagedModels ?? server.stagedModels,
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -274,6 +274,26 @@
       expect(directory.findServer("s1")!.coldUntilMs).toBe(5_000);
     });
 
+    // Guards against too many requests to a cold server that has started again: a status report tells its start before its entry does, and the number of its last report is that of the earlier process.
+    it("uses the first entry of a server whose start a status report has told", () => {
+      const directory = createDirectory({ startedAtMs: 1, reportNumber: 50 });
+      directory.applyReport("s1", {
+        startedAtMs: 2,
+        loadedModels: [],
+        isBusy: false,
+        runningRequests: 0,
+        waitingRequests: 0,
+        heldTokens: 0,
+        slowness: 1,
+      });
+      applySnapshot(directory, {
+        generation: 2,
+        revision: 10,
+        servers: [{ startedAtMs: 2, reportNumber: 3, coldUntilMs: 9_000 }],
+      });
+      expect(directory.findServer("s1")!.coldUntilMs).toBe(9_000);
+    });
+
     // Guards against a peer that still has the list of before the restore and brings it back, or does not take the new one.
     it("orders the lists of peers by generation", () => {
       const [ahead, behind] = [createDirectory(), createDirectory()];
