Drop a put-off entry that a later list of the store lacks

An entry of a restored store that is older than the known removal is added after 5 s. When a list within this time lacks the entry, the server was added nevertheless and stayed, as no event reports its removal again: only the servers in use were compared with the list.

Before the change, the test found the server after 10 s.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -194,8 +194,9 @@
         revision: change.revision,
       });
     }
+    const knownIds = [...this.#servers.keys(), ...this.#outdatedEntries.keys()];
     const missingIds = change.isSnapshot
-      ? [...this.#servers.keys()].filter((id) =>
+      ? knownIds.filter((id) =>
         !change.changed.has(id) && !this.#pendingRemovals.has(id)
       )
       : [];
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -294,6 +294,20 @@
       expect(directory.findServer("s1")!.coldUntilMs).toBe(9_000);
     });
 
+    // Guards against a server that is added although the store no longer lists it: its removal was part of a list, and no event reports it.
+    it("does not add a removed server when a later list lacks its entry", () => {
+      const directory = createDirectory();
+      apply(directory, { generation: 1, revision: 21, removed: ["s1"] });
+      applySnapshot(directory, {
+        generation: 2,
+        revision: 10,
+        servers: [{ reportNumber: 2 }],
+      });
+      applySnapshot(directory, { generation: 2, revision: 11 });
+      vi.advanceTimersByTime(10_000);
+      expect(directory.findServer("s1")).toBeUndefined();
+    });
+
     // Guards against a peer that still has the list of before the restore and brings it back, or does not take the new one.
     it("orders the lists of peers by generation", () => {
       const [ahead, behind] = [createDirectory(), createDirectory()];
