Give servers the whole time to write again after a second restore

The time for which older entries are put off ran from the first restore, so a draining server got requests again up to 5 s too early after a second one.

Before the change, the test saw the draining server as ready 4 s after the second restore.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -275,7 +275,9 @@
       this.#setServer(entry.id, { ...knownServer, entryVersion });
     }
     this.#outdatedEntries.set(entry.id, entry);
-    this.#outdatedEntriesTimer ??= setTimeout(
+    // A further restore starts the time again.
+    clearTimeout(this.#outdatedEntriesTimer);
+    this.#outdatedEntriesTimer = setTimeout(
       () => this.#applyOutdatedEntries(),
       OUTDATED_ENTRY_GRACE_MS,
     ).unref();
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -308,6 +308,22 @@
       expect(directory.findServer("s1")).toBeUndefined();
     });
 
+    // Guards against requests to a draining server after two restores in quick succession.
+    it("keeps the newer state of a server for the whole time after a second restore", () => {
+      const directory = createDirectory({ isDraining: true });
+      for (const generation of [2, 3]) {
+        applySnapshot(directory, {
+          generation,
+          revision: 10,
+          servers: [{ reportNumber: 1 }],
+        });
+        vi.advanceTimersByTime(4_000);
+      }
+      expect(directory.findServer("s1")!.isDraining).toBe(true);
+      vi.advanceTimersByTime(2_000);
+      expect(directory.findServer("s1")!.isDraining).toBe(false);
+    });
+
     // Guards against a peer that still has the list of before the restore and brings it back, or does not take the new one.
     it("orders the lists of peers by generation", () => {
       const [ahead, behind] = [createDirectory(), createDirectory()];
