Wait for a lost lease at a daemon that starts after a restore

A daemon that finds no lease creates one at once, and once more when the response shows that the store has been restored. The store may have lost the lease of a daemon that still plans; where servers don't refuse orders of an earlier term, both planned until the other one's next renewal.

It now waits for the takeover timeout, as for any lease of before a restore.

--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -168,13 +168,16 @@
       return;
     }
     await this.#readLease();
-    const isLapsed =
-      performance.now() - this.#unchangedSinceMs > TAKEOVER_TIMEOUT_MS;
-    if (isLapsed || this.#isLeaseFree()) {
+    if (this.#isLapsed() || this.#isLeaseFree()) {
       await this.#acquireLease();
     }
   }
 
+  /** Gets whether the lease has not been renewed for so long that its holder no longer acts as planner. */
+  #isLapsed(): boolean {
+    return performance.now() - this.#unchangedSinceMs > TAKEOVER_TIMEOUT_MS;
+  }
+
   /** Gets whether this daemon may acquire the lease at once. After a restore of the store, which may have lost the lease of a daemon that still acts as planner, it may do so only if backend servers refuse the orders of that daemon's earlier term. */
   #isLeaseFree(): boolean {
     if (this.#version === 0) {
@@ -236,11 +239,14 @@
 
   async #acquireLease(): Promise<void> {
     const isNew = this.#version === 0;
+    // A restored store may have lost the lease of a daemon that still plans.
+    const isOnlyPlanner = this.#areOrdersFenced || this.#isLapsed() ||
+      this.getTerm() !== undefined;
     const term = this.#createTerm();
     const lease = { holder: this.#name, term, renewal: 0 };
     if (await this.#writeLease(lease)) {
       this.#logger.write("info", "lease-acquired", { term });
-    } else if (isNew && this.#lease === lease) {
+    } else if (isNew && isOnlyPlanner && this.#lease === lease) {
       // The response to the creation has shown the generation of the store.
       await this.#acquireLease();
     }
--- a/src/process/fleet/planner_lease_holder_test.ts
+++ b/src/process/fleet/planner_lease_holder_test.ts
@@ -244,6 +244,19 @@
       expect(holder.getTerm()).toBeGreaterThan(term + 1_000);
     });
 
+    // Guards against two planners at a time where servers don't refuse orders of an earlier term: a daemon that has just started finds no lease.
+    it("keeps a daemon that starts after it from planning beside the holder of a lost lease", async () => {
+      const store = new LeaseStore();
+      const options = { areOrdersFenced: false };
+      const firstHolder = startHolder(store, "entry-1", options);
+      await vi.advanceTimersByTimeAsync(1_500);
+      store.applyCopy(undefined);
+      const secondHolder = startHolder(store, "entry-2", options);
+      await vi.advanceTimersByTimeAsync(100);
+      expect(firstHolder.getTerm()).toBeDefined();
+      expect(secondHolder.getTerm()).toBeUndefined();
+    });
+
     const copies = [
       { name: "an earlier renewal", hasLease: true },
       { name: "no lease", hasLease: false },
