Renew the lease in a new term when a read has shown the restore

The planner dropped its lease if the read after a renewal without a response was the first call that the restored store answered: the next renewal met the expected version, but in a term of before the restore. Where servers don't refuse orders of an earlier term, nobody planned for the takeover timeout after that.

Before the change, the test saw no term 1 s after the restore. The holder now takes a new term at once, as after a conflict: until its lease ends, no other daemon acts.

--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -261,6 +261,11 @@
   }
 
   async #keepLease(): Promise<void> {
+    if (this.#isLeaseOutdated()) {
+      // The read after a write without a response has shown a restore of the store.
+      await this.#acquireLease();
+      return;
+    }
     const lease = this.#ownLease!;
     await this.#writeLease({ ...lease, renewal: lease.renewal + 1 });
   }
--- a/src/process/fleet/planner_lease_holder_test.ts
+++ b/src/process/fleet/planner_lease_holder_test.ts
@@ -23,6 +23,8 @@
 class LeaseStore {
   /** Names of the daemons whose calls fail. */
   readonly unreachableFor = new Set<string>();
+  /** Called once instead of the next write, which gets no response and takes no effect. */
+  beforeLostWrite: (() => void) | undefined;
   generation = 0;
   #revision = 0;
   object: StoredObject | undefined;
@@ -63,6 +65,12 @@
   }
 
   #put({ kind, name, value, expectedVersion }: PutObjectOptions) {
+    const { beforeLostWrite } = this;
+    if (beforeLostWrite !== undefined) {
+      this.beforeLostWrite = undefined;
+      beforeLostWrite();
+      return { outcome: "unknown", message: "The response was lost" };
+    }
     const current = this.object && this.#getCurrent(this.object);
     if (expectedVersion !== (current?.version ?? 0)) {
       return { outcome: "conflict" };
@@ -257,6 +265,19 @@
       expect(secondHolder.getTerm()).toBeUndefined();
     });
 
+    // Guards against seconds without a planner after an outage: the last renewal gets no response, and the read after it is the first call that the restored store answers.
+    it("lets the holder go on when a renewal without a response came before it", async () => {
+      const store = new LeaseStore();
+      const holder = startHolder(store, "entry-1", { areOrdersFenced: false });
+      await vi.advanceTimersByTimeAsync(1_500);
+      const term = holder.getTerm()!;
+      store.beforeLostWrite = () => store.applyCopy(store.object);
+      await vi.advanceTimersByTimeAsync(CHECK_INTERVAL_MS);
+      expect(store.generation).toBe(1);
+      await vi.advanceTimersByTimeAsync(CHECK_INTERVAL_MS);
+      expect(holder.getTerm()).toBeGreaterThan(term + 1_000);
+    });
+
     const copies = [
       { name: "an earlier renewal", hasLease: true },
       { name: "no lease", hasLease: false },
