Tell receivers of the list which servers are missing after an outage

A server whose entry is missing after an outage or a restore of the store is kept for 2 s, in which it may register again. Its removal after that has no revision, so a receiver that had got the list meanwhile kept the server until the list changed again: requests went to a server that had left, and a confirmed list kept the receiver from reading the store itself.

Notices now name the missing servers, and the receiver removes them after the same time unless they register again.

--- a/src/connection/peer_notice.ts
+++ b/src/connection/peer_notice.ts
@@ -106,6 +106,8 @@
   readonly servers: readonly SerializedBackendServer[];
   /** Ids of the servers that were removed. */
   readonly removed: readonly string[];
+  /** Ids of the servers that were missing after an outage or a restore of the store and may register again; defaults to none. */
+  readonly missing?: readonly string[];
 }
 
 /** First message of each side of a link. */
--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -99,6 +99,7 @@
       changeRevision: this.#changeRevision,
       servers,
       removed,
+      missing: [...this.#pendingRemovals.keys()],
     };
   }
 
@@ -126,6 +127,7 @@
       outageMs: 0,
       isSnapshot,
     });
+    notice.missing?.forEach((id) => this.#scheduleRemoval(id));
   }
 
   /** Finds a backend server by its id. */
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -115,6 +115,29 @@
       expect(listIds(member)).toEqual(["s2"]);
       vi.useRealTimers();
     });
+
+    // Guards against requests to a server that has left during an outage: a receiver that does not read the store learns of it only with the next change of the list.
+    it("includes the servers that are missing after an outage, which the receiver keeps as long as the sender", () => {
+      vi.useFakeTimers();
+      const [hub, member] = [createDirectory(), createDirectory()];
+      change(hub, { revision: 10, changed: ["s1", "s2", "s3"] });
+      member.offerNotice(hub.getNotice());
+      change(hub, {
+        revision: 20,
+        changed: ["s2"],
+        removed: ["s1", "s3"],
+        outageMs: 5_000,
+      });
+      member.offerNotice(hub.getNotice(member.revision));
+      vi.advanceTimersByTime(1_500);
+      expect(listIds(member)).toEqual(["s1", "s2", "s3"]);
+      change(hub, { revision: 21, changed: ["s3"] });
+      member.offerNotice(hub.getNotice(member.revision));
+      vi.advanceTimersByTime(1_000);
+      expect(listIds(hub)).toEqual(["s2", "s3"]);
+      expect(listIds(member)).toEqual(["s2", "s3"]);
+      vi.useRealTimers();
+    });
   });
 
   describe("a restore of the store", () => {
@@ -324,6 +347,20 @@
       expect(directory.findServer("s1")!.isDraining).toBe(false);
     });
 
+    // Guards against a server that the restored store lacks, and that a peer keeps until the list changes again.
+    it("removes a server that is not registered again at a peer that got the list meanwhile", () => {
+      const [ahead, behind] = [createDirectory(), createDirectory()];
+      applySnapshot(ahead, {
+        generation: 2,
+        revision: 10,
+        servers: [{ id: "s2", reportNumber: 1 }],
+      });
+      behind.offerNotice(ahead.getNotice(behind.revision));
+      vi.advanceTimersByTime(10_000);
+      expect(ahead.findServer("s1")).toBeUndefined();
+      expect(behind.findServer("s1")).toBeUndefined();
+    });
+
     // Guards against a peer that still has the list of before the restore and brings it back, or does not take the new one.
     it("orders the lists of peers by generation", () => {
       const [ahead, behind] = [createDirectory(), createDirectory()];
