--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -99,6 +99,7 @@
       changeRevision: this.#changeRevision,
       servers,
       removed,
+      missing: [...this.#pendingRemovals.keys()],
     };
   }
 
@@ -126,6 +127,7 @@
       outageMs: 0,
       isSnapshot,
     });
+    notice.missing?.forEach((id) => this.#scheduleRemoval(id));
   }
 
   /** Finds a backend server by its id. */
@@ -194,8 +196,9 @@
         revision: change.revision,
       });
     }
+    const knownIds = [...this.#servers.keys(), ...this.#outdatedEntries.keys()];
     const missingIds = change.isSnapshot
-      ? [...this.#servers.keys()].filter((id) =>
+      ? knownIds.filter((id) =>
         !change.changed.has(id) && !this.#pendingRemovals.has(id)
       )
       : [];
@@ -226,9 +229,14 @@
     if (server === undefined) {
       return;
     }
+    const startedAtMs = report.startedAtMs || server.startedAtMs;
     this.#setServer(id, {
       ...server,
-      startedAtMs: report.startedAtMs || server.startedAtMs,
+      startedAtMs,
+      // The number of the last entry does not count for another process.
+      reportNumber: startedAtMs === server.startedAtMs
+        ? server.reportNumber
+        : 0,
       membership: report.membership,
       loadedModels: report.loadedModels,
       stagedModels: report.stagedModels ?? server.stagedModels,
@@ -269,7 +277,9 @@
       this.#setServer(entry.id, { ...knownServer, entryVersion });
     }
     this.#outdatedEntries.set(entry.id, entry);
-    this.#outdatedEntriesTimer ??= setTimeout(
+    // A further restore starts the time again.
+    clearTimeout(this.#outdatedEntriesTimer);
+    this.#outdatedEntriesTimer = setTimeout(
       () => this.#applyOutdatedEntries(),
       OUTDATED_ENTRY_GRACE_MS,
     ).unref();
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -115,6 +115,29 @@
       expect(listIds(member)).toEqual(["s2"]);
       vi.useRealTimers();
     });
+
+    // Guards against requests to a server that has left during an outage: a receiver that does not read the store learns of it only with the next change of the list.
+    it("includes the servers that are missing after an outage, which the receiver keeps as long as the sender", () => {
+      vi.useFakeTimers();
+      const [hub, member] = [createDirectory(), createDirectory()];
+      change(hub, { revision: 10, changed: ["s1", "s2", "s3"] });
+      member.offerNotice(hub.getNotice());
+      change(hub, {
+        revision: 20,
+        changed: ["s2"],
+        removed: ["s1", "s3"],
+        outageMs: 5_000,
+      });
+      member.offerNotice(hub.getNotice(member.revision));
+      vi.advanceTimersByTime(1_500);
+      expect(listIds(member)).toEqual(["s1", "s2", "s3"]);
+      change(hub, { revision: 21, changed: ["s3"] });
+      member.offerNotice(hub.getNotice(member.revision));
+      vi.advanceTimersByTime(1_000);
+      expect(listIds(hub)).toEqual(["s2", "s3"]);
+      expect(listIds(member)).toEqual(["s2", "s3"]);
+      vi.useRealTimers();
+    });
   });
 
   describe("a restore of the store", () => {
@@ -288,6 +311,70 @@
       expect(directory.findServer("s1")!.coldUntilMs).toBe(5_000);
     });
 
+    // Guards against too many requests to a cold server that has started again: a status report tells its start before its entry does, and the number of its last report is that of the earlier process.
+    it("uses the first entry of a server whose start a status report has told", () => {
+      const directory = createDirectory({ startedAtMs: 1, reportNumber: 50 });
+      directory.applyReport("s1", {
+        startedAtMs: 2,
+        loadedModels: [],
+        isBusy: false,
+        runningRequests: 0,
+        waitingRequests: 0,
+        heldTokens: 0,
+        slowness: 1,
+      });
+      applySnapshot(directory, {
+        generation: 2,
+        revision: 10,
+        servers: [{ startedAtMs: 2, reportNumber: 3, coldUntilMs: 9_000 }],
+      });
+      expect(directory.findServer("s1")!.coldUntilMs).toBe(9_000);
+    });
+
+    // Guards against a server that is added although the store no longer lists it: its removal was part of a list, and no event reports it.
+    it("does not add a removed server when a later list lacks its entry", () => {
+      const directory = createDirectory();
+      apply(directory, { generation: 1, revision: 21, removed: ["s1"] });
+      applySnapshot(directory, {
+        generation: 2,
+        revision: 10,
+        servers: [{ reportNumber: 2 }],
+      });
+      applySnapshot(directory, { generation: 2, revision: 11 });
+      vi.advanceTimersByTime(10_000);
+      expect(directory.findServer("s1")).toBeUndefined();
+    });
+
+    // Guards against requests to a draining server after two restores in quick succession.
+    it("keeps the newer state of a server for the whole time after a second restore", () => {
+      const directory = createDirectory({ isDraining: true });
+      for (const generation of [2, 3]) {
+        applySnapshot(directory, {
+          generation,
+          revision: 10,
+          servers: [{ reportNumber: 1 }],
+        });
+        vi.advanceTimersByTime(4_000);
+      }
+      expect(directory.findServer("s1")!.isDraining).toBe(true);
+      vi.advanceTimersByTime(2_000);
+      expect(directory.findServer("s1")!.isDraining).toBe(false);
+    });
+
+    // Guards against a server that the restored store lacks, and that a peer keeps until the list changes again.
+    it("removes a server that is not registered again at a peer that got the list meanwhile", () => {
+      const [ahead, behind] = [createDirectory(), createDirectory()];
+      applySnapshot(ahead, {
+        generation: 2,
+        revision: 10,
+        servers: [{ id: "s2", reportNumber: 1 }],
+      });
+      behind.offerNotice(ahead.getNotice(behind.revision));
+      vi.advanceTimersByTime(10_000);
+      expect(ahead.findServer("s1")).toBeUndefined();
+      expect(behind.findServer("s1")).toBeUndefined();
+    });
+
     // Guards against a peer that still has the list of before the restore and brings it back, or does not take the new one.
     it("orders the lists of peers by generation", () => {
       const [ahead, behind] = [createDirectory(), createDirectory()];
