--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -167,7 +167,25 @@
       this.#changeRevision,
       change.changeRevision,
     );
-    for (const [id, server] of change.changed) {
+    this.#applyEntries(change, { isStaleChange, mayBeOutdated });
+    if (change.isSnapshot) {
+      this.#logger.write("info", "backends-listed", {
+        servers: change.changed.size,
+        revision: change.revision,
+      });
+    }
+    this.#applyRemovals(change, isRestored);
+    this.#publishChange();
+  }
+
+  #applyEntries(
+    { changed, isSnapshot }: ObjectChanges<BackendServer>,
+    { isStaleChange, mayBeOutdated }: {
+      isStaleChange: boolean;
+      mayBeOutdated: boolean;
+    },
+  ): void {
+    for (const [id, server] of changed) {
       const knownServer = this.#servers.get(id);
       const isKnownVersion = knownServer === undefined
         ? isStaleChange
@@ -184,23 +202,20 @@
         this.#setServer(id, { ...knownServer, entryVersion });
       } else {
         this.#tombstones.delete(id);
-        if (!change.isSnapshot) {
+        if (!isSnapshot) {
           this.#recordChange(server);
         }
         this.#setServer(id, this.#mergeReport(server));
       }
     }
-    if (change.isSnapshot) {
-      this.#logger.write("info", "backends-listed", {
-        servers: change.changed.size,
-        revision: change.revision,
-      });
-    }
-    const knownIds = [...this.#servers.keys(), ...this.#outdatedEntries.keys()];
+  }
+
+  #applyRemovals(
+    change: ObjectChanges<BackendServer>,
+    isRestored: boolean,
+  ): void {
     const missingIds = change.isSnapshot
-      ? knownIds.filter((id) =>
-        !change.changed.has(id) && !this.#pendingRemovals.has(id)
-      )
+      ? this.#listMissingIds(change.changed)
       : [];
     for (const id of new Set([...change.removed, ...missingIds])) {
       const entryVersion = this.#servers.get(id)?.entryVersion ?? 0;
@@ -215,7 +230,13 @@
         this.#remove(id, "removed", change.revision);
       }
     }
-    this.#publishChange();
+  }
+
+  /** Lists the servers that a snapshot does not contain and whose removal is not pending yet. */
+  #listMissingIds(snapshot: ReadonlyMap<string, BackendServer>): string[] {
+    return [...this.#servers.keys(), ...this.#outdatedEntries.keys()].filter((
+      id,
+    ) => !snapshot.has(id) && !this.#pendingRemovals.has(id));
   }
 
   /**
