--- a/review/lib/run.mjs
+++ b/review/lib/run.mjs
@@ -140,11 +140,12 @@
   }
 
   /** Planned restart: SIGTERM, SIGKILL after `GraceS`, then a new process with the same settings. */
-  async restart() {
+  async restart({ onTerm = () => {} } = {}) {
     const child = this.#child;
     const exit = new Promise((done) => child.once("exit", done));
     this.#run.record("sigterm", this.name);
     child.kill("SIGTERM");
+    onTerm();
     const timer = setTimeout(() => child.kill("SIGKILL"), BOUNDS.GraceS * 1000);
     await exit;
     clearTimeout(timer);
--- a/review/lib/servers.mjs
+++ b/review/lib/servers.mjs
@@ -23,7 +23,7 @@
     this.reset();
     this.http = createServer((req, res) => {
       res.on("error", () => {});
-      this.handle(req, res).catch(() => res.destroy());
+      Promise.resolve(this.silence).then(() => this.handle(req, res)).catch(() => res.destroy());
     });
     this.http.keepAliveTimeout = 15_000;
     this.http.on("connection", (socket) => {
@@ -45,7 +45,7 @@
   }
 
   publish() {
-    if (this.#isDown || this.isOver) return;
+    if (this.#isDown || this.isOver || this.silence !== undefined) return;
     this.store.put("servers", this.id, {
       Service: this.service, Address: this.address, Zone: this.zone, Version: "v1", Slots: this.slots,
       State: "ready", ColdLeftMs: 0, Sequence: ++this.#sequence, born: this.born, ...this.describe(),
@@ -71,6 +71,15 @@
     return this.#isDown;
   }
 
+  /** The process does nothing for a while, and then goes on where it was. */
+  fallSilent(ms) {
+    this.run.record("server-silent", `${this.id} for ${ms} ms`);
+    this.silence = delay(ms).then(() => {
+      this.silence = undefined;
+      this.run.record("server-goes-on", this.id);
+    });
+  }
+
   close() {
     this.isOver = true;
     clearInterval(this.#heartbeat);
@@ -191,6 +200,8 @@
     for (let id = Number(req.headers["last-event-id"] ?? 0) + 1; id <= count; id++) {
       if (this.id !== life || this.isDown || res.destroyed) return;
       if (this.behaviour.onEvent?.(this, req, res, id)) return;
+      await this.silence;
+      if (res.destroyed) return;
       res.write(`id: ${id}\ndata: token ${id}\n\n`);
       await delay(this.behaviour.eventMs ?? 20);
     }
