--- a/review/lib/run.mjs
+++ b/review/lib/run.mjs
@@ -49,7 +49,10 @@
       this.finish(2);
     }, MAX_RUN_MS).unref();
     for (const signal of ["SIGTERM", "SIGINT"]) process.on(signal, () => this.finish(2));
+    // Also when the run ends by an error of its own.
+    process.on("exit", () => this.#killChildren());
     process.on("uncaughtException", (error) => {
+      this.#killChildren();
       this.record("error", error.stack);
       this.finish(2);
     });
@@ -73,7 +76,7 @@
 
   /** Ends all processes of the run, and exits: 0 rule held, 1 rule broken, 2 not run. */
   finish(code) {
-    for (const child of this.#children) child.kill("SIGKILL");
+    this.#killChildren();
     for (const close of this.#closers) close();
     rmSync(this.temporary, { recursive: true, force: true });
     this.record("exit", String(code));
@@ -81,6 +84,10 @@
     process.exit(code);
   }
 
+  #killChildren() {
+    for (const child of this.#children) child.kill("SIGKILL");
+  }
+
   /** Starts a daemon with the command of the deploy file on a loopback address of its own, and waits until it is ready. */
   async startDaemon({ name, zone, ip, storeAddress }) {
     const daemon = new Daemon(this, { name, zone, ip, storeAddress, children: this.#children });
