--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,8 +1,8 @@
 // Three orders of the planner get no answer and are carried out late. One server leaves an open group for another.
-import { config, KEY, modelService, route } from "../lib/config.mjs";
-import { BOUNDS, chooseNetwork, delay, HAS_TROUBLE, Run, sendRequest, waitUntil } from "../lib/run.mjs";
-import { ModelServer } from "../lib/servers.mjs";
-import { Store } from "../lib/store.mjs";
+import { config, KEY, modelService, route } from "../config.mjs";
+import { BOUNDS, chooseNetwork, delay, HAS_TROUBLE, Run, sendRequest, waitUntil } from "../run.mjs";
+import { ModelServer } from "../servers.mjs";
+import { Store } from "../store.mjs";
 
 const ZONES = ["kyushu-a", "kyushu-b", "kyushu-c"];
 const DAEMONS = 3;
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,9 +1,9 @@
 // One open watch channel to the store goes silent; later the operator writes a new configuration.
-import { config, KEY, plainService, route, SECOND_KEY } from "../lib/config.mjs";
-import { StoreProxy } from "../lib/proxy.mjs";
-import { BOUNDS, chooseNetwork, delay, HAS_TROUBLE, Run, sendRequest, waitUntil } from "../lib/run.mjs";
-import { PlainServer } from "../lib/servers.mjs";
-import { Store } from "../lib/store.mjs";
+import { config, KEY, plainService, route, SECOND_KEY } from "../config.mjs";
+import { StoreProxy } from "../proxy.mjs";
+import { BOUNDS, chooseNetwork, delay, HAS_TROUBLE, Run, sendRequest, waitUntil } from "../run.mjs";
+import { PlainServer } from "../servers.mjs";
+import { Store } from "../store.mjs";
 
 const ZONES = ["kyushu-a", "kyushu-b", "kyushu-c"];
 const DAEMONS = 3;
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,8 +1,8 @@
 // A server spoils some of its answers: it sends bytes that are not a response. The requests concerned are never answered.
-import { config, KEY, plainService, route } from "../lib/config.mjs";
-import { BOUNDS, chooseNetwork, delay, HAS_TROUBLE, Run, sendRequest, waitUntil } from "../lib/run.mjs";
-import { PlainServer } from "../lib/servers.mjs";
-import { Store } from "../lib/store.mjs";
+import { config, KEY, plainService, route } from "../config.mjs";
+import { BOUNDS, chooseNetwork, delay, HAS_TROUBLE, Run, sendRequest, waitUntil } from "../run.mjs";
+import { PlainServer } from "../servers.mjs";
+import { Store } from "../store.mjs";
 
 const ZONES = ["kyushu-a", "kyushu-b", "kyushu-c"];
 const DAEMONS = 2;
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,8 +1,8 @@
 // One request of a plain service crashes each server that begins to run it, and comes again and again.
-import { config, KEY, plainService, route } from "../lib/config.mjs";
-import { BOUNDS, chooseNetwork, delay, HAS_TROUBLE, Run, sendRequest, waitUntil } from "../lib/run.mjs";
-import { PlainServer } from "../lib/servers.mjs";
-import { Store } from "../lib/store.mjs";
+import { config, KEY, plainService, route } from "../config.mjs";
+import { BOUNDS, chooseNetwork, delay, HAS_TROUBLE, Run, sendRequest, waitUntil } from "../run.mjs";
+import { PlainServer } from "../servers.mjs";
+import { Store } from "../store.mjs";
 
 const ZONES = ["kyushu-a", "kyushu-b", "kyushu-c"];
 const DAEMONS = 3;
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # The stand-ins are plain JavaScript without dependencies: there is nothing to compile, only to check.
 cd "$(dirname "$0")" || exit 1
-for file in lib/*.mjs [1-9]/*.mjs; do
+for file in *.mjs [1-5]/*.mjs; do
   node --check "$file" || exit 1
 done
--- a/review/lib/run.mjs
+++ b/review/run.mjs
@@ -7,7 +7,7 @@
 import { dirname, join, resolve } from "node:path";
 import { fileURLToPath } from "node:url";
 
-export const REPOSITORY = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
+export const REPOSITORY = resolve(dirname(fileURLToPath(import.meta.url)), "..");
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 /** Bounds of the small deployment hbw-tally, as its settings file states them. */
 export const BOUNDS = {
