Move a stream from a silent group only once another group responds

What callers saw: streams were cut in mid-answer although no server had a fault (LOST). Cause: the silence of a member aborted the attempt at once, or after 1.3 s at the latest, and only then was another place sought. Without retry budget, attempts left, a free slot or a group that accepts, the stream was cut, while its own server would have gone on.

Change: StreamMove acquires the slot and the retry, and sends the request to the other group, while the current attempt goes on; the attempt ends when the other group has begun to respond. An event of the silent group cancels the move. Silence, also beyond the bound after which the planner may replace the group, and the word of another daemon end no stream any more; only the own evidence that a member has ended does. Slot, retry and attempt limits are counted as before.

A head that is closing no longer counts as lost: one declined request ended all streams that the group was to complete. It gets no requests for a second.

--- a/src/process/fleet/group_failure_detector.ts
+++ b/src/process/fleet/group_failure_detector.ts
@@ -40,11 +40,16 @@
 /** Delay of the event loop above which a missing response does not count, in milliseconds. A status request takes several turns of the loop. */
 const MAX_LOOP_DELAY_MS = 60;
 
-/** Evidence that a member does not serve its group. */
+/** Evidence that a member does not serve its group: `closing` for a head that takes no new request and completes those in flight. */
+type MemberEvidence = GroupEvidence | "closing";
+
+/** Severity of the evidence; the fault with the highest one decides. */
+const EVIDENCE_ORDER: readonly MemberEvidence[] = ["closing", "silent", "lost"];
+
 interface MemberFault {
   readonly memberId: string;
   readonly message: string;
-  readonly evidence: GroupEvidence;
+  readonly evidence: MemberEvidence;
   /** Time of silence from which the group is lost, in milliseconds. */
   readonly silenceLossMs: number;
   /** Whether the process of the member has ended or does not respond. */
@@ -54,7 +59,7 @@
 /**
  * Detects groups that have lost a member. Silent streams trigger a check of the members, long before the list of servers or the engine shows the loss.
  *
- * A member whose process has ended, or that is not in the group, is a loss. A member that is only silent makes the group suspected: it gets no requests, its streams go on elsewhere where that is possible, and it is checked again until the member responds or has been silent for `SILENCE_LOSS_MS`.
+ * A member whose process has ended, or that is not in the group, is a loss. A member that is only silent makes the group suspected: it gets no requests, its streams go on elsewhere where that is possible, and it is checked again until the member responds or has been silent for `SILENCE_LOSS_MS`. Silence alone ends no stream: one that no other group takes goes on where it is.
  */
 export class GroupFailureDetector {
   readonly #groups: GroupTable;
@@ -93,6 +98,7 @@
     while (await delay(intervalMs, signal)) {
       intervalMs = this.#checkSilentGroups();
       this.#groups.removeExpiredSuspicions();
+      this.#moveFromLostGroups();
       for (const [key, attempts] of this.#attempts.listByGroup()) {
         const remainingMs = getRemainingMs(attempts);
         if (
@@ -132,8 +138,7 @@
       group.members.map((member) => this.#findFault(group, member)),
     )).filter((fault) => fault !== undefined);
     const loopDelayMs = meter.stop();
-    const fault = faults.find(({ evidence }) => evidence === "lost") ??
-      faults[0];
+    const fault = findGravest(faults);
     const isObserverSlow = loopDelayMs > MAX_LOOP_DELAY_MS;
     this.#logger.write("info", "group-checked", {
       group: group.key,
@@ -147,7 +152,9 @@
       this.#silences.delete(group.key);
       this.#groups.removeSuspicion(group.key);
     } else if (fault.evidence === "lost") {
-      this.#recordLoss(group, fault.message);
+      this.#recordLoss(group, fault.message, "lost");
+    } else if (fault.evidence === "closing") {
+      this.#groups.recordSuspicion(group.key, fault.message);
     } else if (!isObserverSlow) {
       this.#recordSilence(group, fault, startedAtMs);
     }
@@ -157,10 +164,14 @@
     );
   }
 
-  #recordLoss(group: ReplicaGroup, reason: string): void {
+  #recordLoss(
+    group: ReplicaGroup,
+    reason: string,
+    evidence: GroupEvidence,
+  ): void {
     this.#silences.delete(group.key);
     this.#groups.recordLoss(group.key, reason);
-    this.#attempts.abandonGroup(group.key, reason, "lost");
+    this.#attempts.abandonGroup(group.key, reason, evidence);
     this.#announceLoss();
   }
 
@@ -172,7 +183,7 @@
     const silence = this.#silences.get(group.key) ??
       { group, sinceMs: checkedAtMs };
     if (performance.now() - silence.sinceMs >= silenceLossMs) {
-      this.#recordLoss(group, reason);
+      this.#recordLoss(group, reason, "silent");
       return;
     }
     this.#silences.set(group.key, silence);
@@ -230,9 +241,16 @@
             true,
           );
         }
-        return member.id === group.head.id && membership.state !== "open"
-          ? createFault(`head ${member.id} is ${membership.state}`, false)
-          : undefined;
+        if (member.id !== group.head.id || membership.state === "open") {
+          return undefined;
+        }
+        const fault = createFault(
+          `head ${member.id} is ${membership.state}`,
+          false,
+        );
+        return membership.state === "closing"
+          ? { ...fault, evidence: "closing" as const }
+          : fault;
       },
     });
   }
@@ -261,16 +279,22 @@
     });
   }
 
+  #moveFromLostGroups(): void {
+    for (const [key] of this.#attempts.listByGroup()) {
+      if (this.#groups.isLost(key)) {
+        this.#attempts.abandonGroup(key, "the group is lost", "silent");
+      }
+    }
+  }
+
   #hasRecentCheck(key: string): boolean {
     const atMs = this.#lastCheckAtMs.get(key);
     return atMs !== undefined && performance.now() - atMs < RECHECK_INTERVAL_MS;
   }
 
-  /** Ends the attempts at lost groups, including losses that this detector did not find, and drops outdated check times. */
+  /** Moves the attempts at lost groups to other ones, and drops outdated check times. An attempt that can't be moved goes on, since a loss may rest on silence alone or on the word of another daemon. */
   #abandonLostGroups(): void {
-    for (const key of this.#groups.listLostKeys()) {
-      this.#attempts.abandonGroup(key, "the group is lost", "lost");
-    }
+    this.#moveFromLostGroups();
     for (const key of this.#lastCheckAtMs.keys()) {
       if (!this.#hasRecentCheck(key)) {
         this.#lastCheckAtMs.delete(key);
@@ -279,6 +303,12 @@
   }
 }
 
+function findGravest(faults: readonly MemberFault[]): MemberFault | undefined {
+  return [...faults].sort((a, b) =>
+    EVIDENCE_ORDER.indexOf(b.evidence) - EVIDENCE_ORDER.indexOf(a.evidence)
+  )[0];
+}
+
 /** Gets the time until the streams of a group count as silent, in milliseconds; negative when they do. */
 function getRemainingMs(attempts: readonly StreamAttempt[]): number {
   const nowMs = performance.now();
--- a/src/process/fleet/stream_attempts.ts
+++ b/src/process/fleet/stream_attempts.ts
@@ -3,7 +3,7 @@
 /**
  * Evidence against a group.
  *
- * - `silent`: a member has not responded for a moment; it may go on.
+ * - `silent`: a member does not respond, or another daemon reports the loss of the group; it may go on.
  * - `lost`: the group has lost a member.
  */
 export type GroupEvidence = "silent" | "lost";
@@ -14,7 +14,7 @@
   readonly startedAtMs: number;
   /** Monotonic time of the last event of the stream, in milliseconds; undefined before the first event. */
   lastEventAtMs: number | undefined;
-  /** Aborts the attempt. On the evidence `silent`, an attempt that no other one can follow goes on. */
+  /** Aborts the attempt. On the evidence `silent`, it goes on until another group has begun to respond. */
   abandon(reason: string, evidence: GroupEvidence): void;
 }
 
--- /dev/null
+++ b/src/request/routed/group_attempt.ts
@@ -0,0 +1,81 @@
+import type { GroupGrant } from "../../process/fleet/group_admission.ts";
+import type { ReplicaGroup } from "../../process/fleet/group_table.ts";
+import type {
+  GroupEvidence,
+  StreamAttempt,
+} from "../../process/fleet/stream_attempts.ts";
+import type { RequestScope } from "./request_scope.ts";
+
+/** Attempt of one request at a replica group. It holds a slot of the group, and ends with the request's deadline or when the caller leaves. */
+export class GroupAttempt implements StreamAttempt {
+  readonly startedAtMs = performance.now();
+  lastEventAtMs: number | undefined;
+  /** Whether the group has sent an event. */
+  hasEvents = false;
+  readonly #grant: GroupGrant;
+  readonly #controller = new AbortController();
+  readonly #onSilence: (reason: string) => void;
+  readonly #removeListeners: () => void;
+  #lossReason: string | undefined;
+
+  /**
+   * @param scope - Request of the attempt.
+   * @param options.grant - Slot of the group; released when the attempt is disposed.
+   * @param options.onSilence - Called, also repeatedly, while the group does not respond.
+   */
+  constructor(scope: RequestScope, options: {
+    grant: GroupGrant;
+    onSilence(reason: string): void;
+  }) {
+    const { context, request, deadlineAtMs } = scope;
+    this.#grant = options.grant;
+    this.#onSilence = options.onSilence;
+    const abort = () => this.#controller.abort();
+    request.signal.addEventListener("abort", abort, { once: true });
+    const timer = setTimeout(
+      abort,
+      Math.max(0, deadlineAtMs - performance.now()),
+    );
+    const removeAttempt = context.attempts.add(this);
+    this.#removeListeners = () => {
+      clearTimeout(timer);
+      removeAttempt();
+      request.signal.removeEventListener("abort", abort);
+    };
+  }
+
+  get group(): ReplicaGroup {
+    return this.#grant.group;
+  }
+
+  /** Gets the signal that aborts the attempt. */
+  get signal(): AbortSignal {
+    return this.#controller.signal;
+  }
+
+  /** Gets the reason why the attempt was ended before its response; undefined while it was not. */
+  get lossReason(): string | undefined {
+    return this.#lossReason;
+  }
+
+  abandon(reason: string, evidence: GroupEvidence): void {
+    if (evidence === "lost") {
+      this.abort(reason);
+    } else {
+      this.#onSilence(reason);
+    }
+  }
+
+  /** Ends the attempt because its group is lost or another group continues the response. */
+  abort(reason: string): void {
+    this.#lossReason ??= reason;
+    this.#controller.abort();
+  }
+
+  /** Releases the slot, and ends the attempt if it is still running. */
+  dispose(): void {
+    this.#removeListeners();
+    this.#controller.abort();
+    this.#grant.release();
+  }
+}
--- /dev/null
+++ b/src/request/routed/stream_move_test.ts
@@ -0,0 +1,325 @@
+import { Buffer } from "node:buffer";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createRequestScope } from "../../../tests/support/routed_requests.ts";
+import {
+  type BackendCall,
+  BackendError,
+  type BackendResponse,
+  type BackendTarget,
+} from "../../connection/backend_transport.ts";
+import type { ReplicaGroup } from "../../process/fleet/group_table.ts";
+import { StreamAttempts } from "../../process/fleet/stream_attempts.ts";
+import { RequestError } from "../../shared/errors.ts";
+import { NullLogger } from "../../shared/logger.ts";
+import type { EngineProfile } from "../../version/routing_config.ts";
+import { ModelStreamForwarder } from "./model_stream_forwarder.ts";
+
+const SILENCE = "a member is silent";
+const NO_CAPACITY = new RequestError("No group has a free slot", {
+  code: "no-capacity",
+  verdict: "not-run",
+  status: 503,
+});
+
+/** Group whose responses a test controls. */
+class TestGroup {
+  readonly group: ReplicaGroup;
+  /** Calls in the order in which the group received them. */
+  readonly calls: BackendCall[] = [];
+  isReleased = false;
+  readonly #chunks: (Buffer | "end" | Error)[] = [];
+  #onChunk = () => {};
+  #onResponse = (_: BackendResponse | Error) => {};
+
+  constructor(name: string) {
+    this.group = {
+      key: `${name}/1`,
+      name,
+      generation: 1,
+      head: { id: name, address: "127.0.0.1:1", startedAtMs: 1 },
+      members: [],
+    } as unknown as ReplicaGroup;
+  }
+
+  get isAborted(): boolean {
+    return this.calls[0].signal.aborted;
+  }
+
+  receive(call: BackendCall): Promise<BackendResponse> {
+    this.calls.push(call);
+    call.signal.addEventListener("abort", () => this.abort("aborted"));
+    return new Promise((resolve, reject) => {
+      this.#onResponse = (response) =>
+        response instanceof Error ? reject(response) : resolve(response);
+    });
+  }
+
+  /** Responds with a status; a stream follows the status 200. */
+  answer(status = 200): void {
+    this.#onResponse({
+      status,
+      headers: [],
+      verdict: status === 503 ? "not-run" : "ran",
+      requestLimit: "unlimited",
+      isServerLeaving: false,
+      pause: "none",
+      body: status === 200 ? this.#readChunks() : createEmptyBody(),
+    });
+  }
+
+  stream(...ids: number[]): void {
+    for (const id of ids) {
+      this.#pushChunk(Buffer.from(`id: ${id}\ndata: ${id}\n\n`));
+    }
+  }
+
+  finish(): void {
+    this.#pushChunk("end");
+  }
+
+  abort(kind: "aborted" | "reset"): void {
+    const error = new BackendError(`The attempt was ${kind}`, {
+      kind,
+      verdict: "may-have-run",
+    });
+    this.#onResponse(error);
+    this.#pushChunk(error);
+  }
+
+  #pushChunk(chunk: Buffer | "end" | Error): void {
+    this.#chunks.push(chunk);
+    this.#onChunk();
+  }
+
+  async *#readChunks(): AsyncGenerator<Buffer> {
+    for (;;) {
+      const chunk = this.#chunks.shift();
+      if (chunk === undefined) {
+        await new Promise<void>((resolve) => this.#onChunk = resolve);
+      } else if (chunk instanceof Error) {
+        throw chunk;
+      } else if (chunk === "end") {
+        return;
+      } else {
+        yield chunk;
+      }
+    }
+  }
+}
+
+async function* createEmptyBody(): AsyncGenerator<Buffer> {}
+
+/** Streaming request whose first group has sent two events and is silent. */
+class SilentStream {
+  readonly groups = [new TestGroup("s1"), new TestGroup("s2")];
+  readonly attempts = new StreamAttempts();
+  text = "";
+  isFinished = false;
+  retryPermits = 1;
+  /** Whether the second group has a free slot. */
+  hasFreeSlot = true;
+  acquireSignal: AbortSignal | undefined;
+  result: Promise<unknown> = Promise.resolve();
+
+  async start(): Promise<void> {
+    const freeGroups = [...this.groups];
+    let hasStarted = false;
+    const scope = createRequestScope({
+      context: {
+        logger: new NullLogger(),
+        metrics: { record: () => {}, count: () => {} },
+        attempts: this.attempts,
+        crashes: {
+          isRefused: () => false,
+          recordCrash: () => {},
+          countCrashes: () => 0,
+          recordSuccess: () => {},
+        },
+        promptParts: {
+          findRefusedPart: () => undefined,
+          recordSuccess: () => {},
+        },
+        serverLimits: { recordResponse: () => {} },
+        serverStatements: { recordResponse: () => {} },
+        groupFailureDetector: { checkGroup: () => Promise.resolve(false) },
+        directory: { findServer: (id: string) => ({ id, startedAtMs: 1 }) },
+        admission: {
+          acquire: ({ signal }: { signal: AbortSignal }) => {
+            const isFirst = freeGroups.length === this.groups.length;
+            if (isFirst || this.hasFreeSlot) {
+              const testGroup = freeGroups.shift()!;
+              return Promise.resolve({
+                group: testGroup.group,
+                release: () => testGroup.isReleased = true,
+              });
+            }
+            this.acquireSignal = signal;
+            return new Promise((_, reject) =>
+              signal.addEventListener("abort", () => reject(NO_CAPACITY))
+            );
+          },
+        },
+        getRetryBudget: () => ({
+          tryAcquire: () => this.retryPermits-- > 0,
+        }),
+        transport: {
+          send: ({ serverId }: BackendTarget, call: BackendCall) =>
+            this.groups.find(({ group }) => group.head.id === serverId)!
+              .receive(call),
+        },
+      },
+      route: { maxAttempts: 2, isResumable: true, latencyObjectiveMs: 100 },
+      writer: {
+        hasStarted: () => hasStarted,
+        openStream: () => hasStarted = true,
+        write: (chunk) => {
+          this.text += chunk;
+          return undefined;
+        },
+        finish: () => this.isFinished = true,
+      },
+    });
+    const forwarder = new ModelStreamForwarder(scope, {
+      engine: { models: [], slots: 1 } as unknown as EngineProfile,
+      modelRequest: {
+        model: "m",
+        promptTokens: 1,
+        maxOutputTokens: 1,
+        promptParts: [],
+      },
+    });
+    this.result = forwarder.run().catch((error: unknown) => error);
+    await runTasks();
+    this.groups[0].answer();
+    this.groups[0].stream(1, 2);
+    await runTasks();
+  }
+
+  /** Reports the silence of the first group. */
+  async reportSilence(): Promise<void> {
+    this.attempts.abandonGroup("s1/1", SILENCE, "silent");
+    await runTasks();
+  }
+
+  listEventIds(): number[] {
+    return [...this.text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+  }
+}
+
+/** Lets all tasks run that wait for no timer. */
+async function runTasks(): Promise<void> {
+  await vi.advanceTimersByTimeAsync(0);
+}
+
+describe("StreamMove", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  /** Starts a stream whose first group falls silent. */
+  async function startStream(
+    options: Partial<Pick<SilentStream, "retryPermits" | "hasFreeSlot">> = {},
+  ) {
+    const stream = Object.assign(new SilentStream(), options);
+    await stream.start();
+    await stream.reportSilence();
+    const [silentGroup, otherGroup] = stream.groups;
+    return { stream, silentGroup, otherGroup };
+  }
+
+  /** Lets the silent group go on, and expects the whole response. */
+  async function checkWholeResponse(stream: SilentStream): Promise<void> {
+    const [silentGroup] = stream.groups;
+    silentGroup.stream(3, 4);
+    silentGroup.finish();
+    await runTasks();
+    expect(await stream.result).toBeUndefined();
+    expect(stream.isFinished).toBe(true);
+    expect(stream.listEventIds()).toEqual([1, 2, 3, 4]);
+    expect(silentGroup.isReleased).toBe(true);
+  }
+
+  it("continues the stream at another group once that group responds", async () => {
+    const { stream, silentGroup, otherGroup } = await startStream();
+    expect(otherGroup.calls[0].resumeAfter).toBe(2);
+    expect(silentGroup.isAborted).toBe(false);
+    otherGroup.answer();
+    await runTasks();
+    expect(silentGroup.isAborted).toBe(true);
+    expect(silentGroup.isReleased).toBe(true);
+    otherGroup.stream(3, 4);
+    otherGroup.finish();
+    await runTasks();
+    expect(await stream.result).toBeUndefined();
+    expect(stream.listEventIds()).toEqual([1, 2, 3, 4]);
+    expect(otherGroup.isReleased).toBe(true);
+  });
+
+  // Guards against a stream that is cut because its retries are used up, although its silent server goes on.
+  it("lets the silent group go on without a retry budget", async () => {
+    const { stream, otherGroup } = await startStream({ retryPermits: 0 });
+    expect(otherGroup.calls).toHaveLength(0);
+    expect(otherGroup.isReleased).toBe(true);
+    await checkWholeResponse(stream);
+  });
+
+  // Guards against a stream that waits for another group until its deadline, although its silent server goes on.
+  it("lets the silent group go on while no other group has a free slot", async () => {
+    const { stream } = await startStream({ hasFreeSlot: false });
+    await checkWholeResponse(stream);
+    expect(stream.acquireSignal?.aborted).toBe(true);
+  });
+
+  // Guards against a stream that is cut because the groups that were to continue it are closing or full.
+  it("lets the silent group go on when the other group declines", async () => {
+    const { stream, otherGroup } = await startStream();
+    otherGroup.answer(503);
+    await runTasks();
+    expect(otherGroup.isReleased).toBe(true);
+    await checkWholeResponse(stream);
+  });
+
+  it("lets the silent group go on when the other group fails", async () => {
+    const { stream, otherGroup } = await startStream();
+    otherGroup.abort("reset");
+    await runTasks();
+    expect(otherGroup.isReleased).toBe(true);
+    await checkWholeResponse(stream);
+  });
+
+  it("is cancelled when the silent group goes on first", async () => {
+    const { stream, silentGroup, otherGroup } = await startStream();
+    silentGroup.stream(3);
+    await runTasks();
+    expect(otherGroup.isAborted).toBe(true);
+    expect(otherGroup.isReleased).toBe(true);
+    silentGroup.stream(4);
+    silentGroup.finish();
+    await runTasks();
+    expect(await stream.result).toBeUndefined();
+    expect(stream.listEventIds()).toEqual([1, 2, 3, 4]);
+  });
+
+  it("continues the stream when the silent group fails before the other one responds", async () => {
+    const { stream, silentGroup, otherGroup } = await startStream();
+    silentGroup.abort("reset");
+    await runTasks();
+    otherGroup.answer();
+    otherGroup.stream(3, 4);
+    otherGroup.finish();
+    await runTasks();
+    expect(await stream.result).toBeUndefined();
+    expect(stream.listEventIds()).toEqual([1, 2, 3, 4]);
+  });
+
+  it("sends the request to one other group for repeated reports of the silence", async () => {
+    const { stream, otherGroup } = await startStream();
+    await stream.reportSilence();
+    await stream.reportSilence();
+    expect(otherGroup.calls).toHaveLength(1);
+    await checkWholeResponse(stream);
+  });
+});
