Ignore relayed reports of silence after the members have responded

What callers saw: refusals for want of a free slot for a second after a silent server had gone on. Cause: a daemon that clears a suspicion takes it over again from a peer that learned it earlier and relays it late.

GroupTable keeps when all members of a group have responded to this daemon, and recordReportedSuspicion ignores reports within the period for which a suspicion holds; an older report describes the time before. Before, the report counted at once: the new case of group_table_test describes that order of events and has no counterpart in the earlier interface.

--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -463,7 +463,7 @@
   #applySuspicions(name: string, suspectedGroups: readonly string[]): void {
     const { groups, announce } = this.#options;
     const newSuspicions = suspectedGroups.filter((key) =>
-      groups.recordSuspicion(key, `reported by ${name}`)
+      groups.recordReportedSuspicion(key, name)
     );
     if (newSuspicions.length > 0) {
       announce();
--- a/src/process/fleet/group_failure_detector.ts
+++ b/src/process/fleet/group_failure_detector.ts
@@ -150,7 +150,7 @@
     });
     if (fault === undefined) {
       this.#silences.delete(group.key);
-      this.#groups.removeSuspicion(group.key);
+      this.#groups.confirmGroup(group.key);
     } else if (fault.evidence === "lost") {
       this.#recordLoss(group, fault.message, "lost");
     } else if (fault.evidence === "closing") {
--- a/src/process/fleet/group_failure_detector_test.ts
+++ b/src/process/fleet/group_failure_detector_test.ts
@@ -57,7 +57,7 @@
       const detector = new GroupFailureDetector({
         groups: {
           onChange: () => {},
-          removeSuspicion: () => {},
+          confirmGroup: () => {},
           recordLoss: (key: string) => lostKeys.push(key),
           recordSuspicion: () => records.push("suspected"),
         } as unknown as GroupTable,
@@ -123,7 +123,7 @@
           listLostKeys: () => [],
           recordLoss: () => records.push("lost"),
           recordSuspicion: () => records.push("suspected"),
-          removeSuspicion: () => records.push("responds"),
+          confirmGroup: () => records.push("responds"),
           removeExpiredSuspicions: () => {},
         } as unknown as GroupTable,
         attempts,
--- a/src/process/fleet/group_table.ts
+++ b/src/process/fleet/group_table.ts
@@ -35,6 +35,8 @@
   readonly #lossReasons = new Map<string, string>();
   /** Monotonic time until which a group with a silent member gets no requests, in milliseconds, by group key. */
   readonly #suspectedUntilMs = new Map<string, number>();
+  /** Monotonic time at which all members of a group last responded to this daemon, in milliseconds, by group key. */
+  readonly #confirmedAtMs = new Map<string, number>();
   readonly #listeners = new Set<() => void>();
   readonly #groups = new Map<string, ReplicaGroup>();
   /** Servers that report to be members, by group key and server id. */
@@ -143,8 +145,29 @@
     return isNew;
   }
 
-  /** Lets a group get requests again after its members have responded. */
-  removeSuspicion(key: string): void {
+  /**
+   * Records that another daemon suspects a group, unless the members of the group have responded to this daemon since the suspicion may have begun: a report that was relayed would suspect a group anew that serves again.
+   *
+   * @returns Whether the group is in the directory and was not suspected before.
+   */
+  recordReportedSuspicion(key: string, source: string): boolean {
+    const confirmedAtMs = this.#confirmedAtMs.get(key) ??
+      Number.NEGATIVE_INFINITY;
+    const isOutdated = performance.now() - confirmedAtMs < SUSPICION_PERIOD_MS;
+    return !isOutdated &&
+      this.recordSuspicion(key, `reported by ${source}`);
+  }
+
+  /** Records that all members of a group have responded, which lets the group get requests again. */
+  confirmGroup(key: string): void {
+    if (this.#members.has(key)) {
+      this.#confirmedAtMs.set(key, performance.now());
+    }
+    this.#removeSuspicion(key);
+  }
+
+  /** Lets a suspected group get requests again. */
+  #removeSuspicion(key: string): void {
     if (this.#suspectedUntilMs.delete(key)) {
       this.#refreshGroups([key]);
     }
@@ -155,7 +178,7 @@
     const nowMs = performance.now();
     for (const [key, untilMs] of this.#suspectedUntilMs) {
       if (untilMs <= nowMs) {
-        this.removeSuspicion(key);
+        this.#removeSuspicion(key);
       }
     }
   }
@@ -198,6 +221,7 @@
       this.#members.delete(key);
       this.#lossReasons.delete(key);
       this.#suspectedUntilMs.delete(key);
+      this.#confirmedAtMs.delete(key);
     }
   }
 
--- a/src/process/fleet/group_table_test.ts
+++ b/src/process/fleet/group_table_test.ts
@@ -66,7 +66,7 @@
     expect(table.recordSuspicion("g1/1", "silent")).toBe(true);
     expect(table.recordSuspicion("g1/1", "silent")).toBe(false);
     expect(listKeys()).toEqual([]);
-    table.removeSuspicion("g1/1");
+    table.confirmGroup("g1/1");
     expect(listKeys()).toEqual(["g1/1"]);
     table.recordSuspicion("g1/1", "reported by a peer");
     vi.advanceTimersByTime(900);
@@ -78,6 +78,24 @@
     vi.useRealTimers();
   });
 
+  // Guards against a group that gets no requests for another second after its server has gone on, since a peer's report arrives late.
+  it("ignores a peer's suspicion that arrives after the members have responded", () => {
+    vi.useFakeTimers();
+    const { table, change, listKeys } = doTest();
+    change([createMember("g1", 0), createMember("g1", 1)]);
+    expect(table.recordReportedSuspicion("g1/1", "peer")).toBe(true);
+    expect(listKeys()).toEqual([]);
+    table.confirmGroup("g1/1");
+    expect(listKeys()).toEqual(["g1/1"]);
+    vi.advanceTimersByTime(900);
+    expect(table.recordReportedSuspicion("g1/1", "peer")).toBe(false);
+    expect(listKeys()).toEqual(["g1/1"]);
+    vi.advanceTimersByTime(200);
+    expect(table.recordReportedSuspicion("g1/1", "peer")).toBe(true);
+    expect(listKeys()).toEqual([]);
+    vi.useRealTimers();
+  });
+
   it("stops serving a group when a member is removed, drains or joins another group", () => {
     const { change, listKeys } = doTest();
     const groups = ["g1", "g2", "g3", "g4"];
