Keep the current attempt when a move fails for an unexpected reason

A rejected move that nobody awaits would end the process, since Node.js raises unhandled rejections as uncaught exceptions. Found by reading; no run showed it. An unexpected error of a move is logged (stream-move-failed), the slot is released, and the attempt at the silent group goes on.

--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -159,48 +159,60 @@
   ): Promise<RespondingAttempt | undefined> {
     let movedAttempt: RespondingAttempt | undefined;
     try {
-      movedAttempt = await this.#openMovedAttempt(move, currentAttempt, reason);
-      return movedAttempt;
-    } finally {
-      if (movedAttempt === undefined && this.#move === move) {
-        this.#move = undefined;
+      const grant = await this.#waitForMoveGrant(move, currentAttempt);
+      if (grant !== undefined) {
+        move.recordSent();
+        movedAttempt = await this.#openMovedAttempt(move, grant);
       }
+    } catch (error) {
+      // The current attempt goes on.
+      this.#scope.context.logger.write("error", "stream-move-failed", {
+        requestId: this.#scope.request.requestId,
+        message: error instanceof Error ? error.stack : String(error),
+      });
+    }
+    if (movedAttempt === undefined) {
+      this.#move = this.#move === move ? undefined : this.#move;
+      return undefined;
     }
+    currentAttempt.abort(reason);
+    this.#recordMove(currentAttempt, movedAttempt.attempt, reason);
+    return movedAttempt;
   }
 
-  /** Sends the request to another group, and ends the current attempt once that group has begun to respond. */
+  /** Sends the request of a move to another group; returns the attempt if the group responds before the move is cancelled. */
   async #openMovedAttempt(
     move: StreamMove,
-    currentAttempt: GroupAttempt,
-    reason: string,
+    grant: GroupGrant,
   ): Promise<RespondingAttempt | undefined> {
-    const grant = await this.#waitForMoveGrant(move, currentAttempt);
-    if (grant === undefined) {
-      return undefined;
-    }
-    move.recordSent();
+    const { signal } = move;
     const attempt = this.#createAttempt(grant);
-    move.signal.addEventListener("abort", () => attempt.dispose(), {
-      once: true,
-    });
-    const result = await this.#sendMove(attempt);
-    if (!("outcome" in result) && !move.signal.aborted) {
+    const dispose = () => attempt.dispose();
+    signal.addEventListener("abort", dispose, { once: true });
+    let hasResponded = false;
+    try {
+      const result = await this.#sendMove(attempt);
+      hasResponded = !("outcome" in result) && !signal.aborted;
+      if ("outcome" in result) {
+        attempt.dispose();
+        await this.#recordResult(attempt, result);
+        if (!isPausing(result)) {
+          this.#excludedGroupKeys.add(attempt.group.key);
+        }
+        return undefined;
+      }
+      // A group that responds after the silent one has gone on may have run the request, too.
+      if (!hasResponded) {
+        this.#countedAttemptCount++;
+        return undefined;
+      }
       move.recordTaken();
-      currentAttempt.abort(reason);
-      this.#recordMove(currentAttempt, attempt, reason);
       return { attempt, response: result };
-    }
-    attempt.dispose();
-    if ("outcome" in result) {
-      await this.#recordResult(attempt, result);
-      if (!isPausing(result)) {
-        this.#excludedGroupKeys.add(attempt.group.key);
+    } finally {
+      if (!hasResponded) {
+        attempt.dispose();
       }
-    } else {
-      // The group has begun to respond after the silent one did.
-      this.#countedAttemptCount++;
     }
-    return undefined;
   }
 
   /** Waits for a slot of another group until the current attempt goes on; undefined if there is none or the retry budget is exhausted. */
