--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -98,6 +98,14 @@
    * @throws {RequestError} When the request is refused or cannot be completed.
    */
   async run(): Promise<void> {
+    try {
+      await this.#runAttempts();
+    } finally {
+      this.#move?.cancel();
+    }
+  }
+
+  async #runAttempts(): Promise<void> {
     let movedAttempt: RespondingAttempt | undefined;
     for (;;) {
       const attempt = movedAttempt?.attempt ?? await this.#startAttempt();
--- a/src/request/routed/stream_move_test.ts
+++ b/src/request/routed/stream_move_test.ts
@@ -86,6 +86,16 @@
     this.#pushChunk(error);
   }
 
+  /** Fails a request that has no response with an error that says nothing about the server. */
+  abortRequest(error: Error): void {
+    this.#onResponse(error);
+  }
+
+  /** Ends the stream with an error that says nothing about the server. */
+  abortStream(error: Error): void {
+    this.#pushChunk(error);
+  }
+
   #pushChunk(chunk: Buffer | "end" | Error): void {
     this.#chunks.push(chunk);
     this.#onChunk();
@@ -322,4 +332,23 @@
     expect(otherGroup.calls).toHaveLength(1);
     await checkWholeResponse(stream);
   });
+
+  // Guards against an unhandled rejection, which ends the process with all of its requests.
+  it("lets the silent group go on when the move fails unexpectedly", async () => {
+    const { stream, otherGroup } = await startStream();
+    otherGroup.abortRequest(new TypeError("unexpected"));
+    await runTasks();
+    expect(otherGroup.isReleased).toBe(true);
+    await checkWholeResponse(stream);
+  });
+
+  // Guards against a request to another group that goes on after the stream has failed unexpectedly.
+  it("is cancelled when the stream fails unexpectedly", async () => {
+    const { stream, silentGroup, otherGroup } = await startStream();
+    silentGroup.abortStream(new TypeError("unexpected"));
+    await runTasks();
+    expect(await stream.result).toBeInstanceOf(TypeError);
+    expect(otherGroup.isAborted).toBe(true);
+    expect(otherGroup.isReleased).toBe(true);
+  });
 });
