Keep an idle connection for the limit that its caller was told

Callers saw: after a configuration that changes the idle limit, a connection that they may still use was closed. A connection that was idle when the limit was raised was closed after the old limit. One whose response began under a longer limit and ended under a shorter one was closed after the shorter, though its "Keep-Alive" header states the longer.

Cause: the limit was assigned to keepAliveTimeout of the Node.js server, which reads it at the arrival of a request for the header and at the end of the response for the timer, and not for connections that are idle.

Evidence: npx vitest run src/connection/http_server_test.ts, with the handler of "timeout" taken out: "raised meanwhile" and "the limit in its last response" fail, the connection is closed when it is checked 3.2 s after a response at a limit of 4 s; 2 failed, 2 passed. With it, 4 passed.

Why it works: when a timer expires, the connection stays open for the larger of the limit at its last request and the one in force.

--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -1,6 +1,7 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import { type AddressInfo, Server as TcpServer, type Socket } from "node:net";
 import { handleClientError } from "./client_error_handler.ts";
+import { IdleTimeout } from "./idle_timeout.ts";
 
 /** Time for which an idle keep-alive connection stays open, in milliseconds. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
@@ -21,9 +22,18 @@
   readonly maxConnections?: number;
 }
 
+/** Limits of a listener that may change while it listens. */
+export interface ConnectionLimits {
+  /** Time in which the headers of a request have to arrive, in milliseconds. */
+  readonly headerTimeoutMs: number;
+  /** Time for which a caller may use an idle connection again, in milliseconds. */
+  readonly idleTimeoutMs: number;
+}
+
 /** HTTP server of one listener of the daemon. */
 export class HttpServer {
   readonly #server: Server;
+  readonly #idleTimeout = new IdleTimeout();
   #address = "";
 
   constructor(listener: RequestListener, options: HttpServerOptions = {}) {
@@ -34,12 +44,24 @@
       requestTimeout: requestTimeoutMs,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
       maxHeaderSize: MAX_HEADER_BYTES,
-    }, listener);
+    }, (req, res) => {
+      this.#idleTimeout.recordRequest(
+        req.socket,
+        this.#server.keepAliveTimeout,
+      );
+      listener(req, res);
+    });
     // By default, Node.js silently drops headers above a certain number. A limit on the number is not needed because the size of the headers is limited.
     this.#server.maxHeadersCount = 0;
     if (options.maxConnections !== undefined) {
       this.#server.maxConnections = options.maxConnections;
     }
+    // Node.js sets the timer of a connection only while no request is in flight on it.
+    this.#server.on(
+      "timeout",
+      (socket) =>
+        this.#idleTimeout.handleTimeout(socket, this.#server.keepAliveTimeout),
+    );
     this.#server.on(
       "clientError",
       (error, socket) => handleClientError(error, socket as Socket),
@@ -56,6 +78,12 @@
     return this.#server;
   }
 
+  /** Puts limits into force for the open connections and the later ones. */
+  setLimits(limits: ConnectionLimits): void {
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+  }
+
   /**
    * Starts listening.
    *
--- /dev/null
+++ b/src/connection/http_server_test.ts
@@ -0,0 +1,100 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { RawCaller } from "../../tests/support/raw_caller.ts";
+import { delay } from "../shared/delay.ts";
+import { HttpServer } from "./http_server.ts";
+
+/** Time by which Node.js keeps an idle connection longer than its limit, in milliseconds. */
+const NODE_BUFFER_MS = 1_000;
+const SHORT_IDLE_MS = 300;
+const LONG_IDLE_MS = 4_000;
+const HEADER_TIMEOUT_MS = 700;
+
+const GET = "GET / HTTP/1.1\r\nhost: test\r\n\r\n";
+
+describe("HttpServer", () => {
+  let server: HttpServer;
+  let handleRequest: (req: IncomingMessage, res: ServerResponse) => void;
+  const callers: RawCaller[] = [];
+
+  beforeEach(async () => {
+    handleRequest = (_req, res) => {
+      res.end("answer");
+    };
+    server = new HttpServer((req, res) => handleRequest(req, res));
+    server.setLimits({
+      headerTimeoutMs: HEADER_TIMEOUT_MS,
+      idleTimeoutMs: SHORT_IDLE_MS,
+    });
+    await server.listen({ host: "127.0.0.1", port: 0 });
+  });
+  afterEach(async () => {
+    callers.splice(0).forEach((caller) => caller.dispose());
+    await server.dispose();
+  });
+
+  async function openCaller(): Promise<RawCaller> {
+    const caller = await RawCaller.open(server.address);
+    callers.push(caller);
+    return caller;
+  }
+
+  /** Sends a request on an open connection, and checks that it is answered. */
+  async function checkAnswered(caller: RawCaller): Promise<void> {
+    caller.takeReceived();
+    caller.write(GET);
+    await caller.waitFor("answer", 2_000);
+  }
+
+  function setIdleTimeout(idleTimeoutMs: number): void {
+    server.setLimits({ headerTimeoutMs: HEADER_TIMEOUT_MS, idleTimeoutMs });
+  }
+
+  // A caller that counts on the new limit lost its connection, and with it the request that it had just sent.
+  it("keeps an idle connection for a limit that is raised meanwhile", async () => {
+    const caller = await openCaller();
+    await checkAnswered(caller);
+    setIdleTimeout(LONG_IDLE_MS);
+    await delay(LONG_IDLE_MS * 0.8);
+    expect(caller.isClosed).toBe(false);
+    await checkAnswered(caller);
+  });
+
+  it("closes an idle connection after a limit that is raised meanwhile", async () => {
+    const caller = await openCaller();
+    await checkAnswered(caller);
+    setIdleTimeout(2 * NODE_BUFFER_MS);
+    await delay(3.5 * NODE_BUFFER_MS);
+    expect(caller.isClosed).toBe(true);
+  });
+
+  it("keeps an idle connection for a limit that is lowered meanwhile", async () => {
+    setIdleTimeout(LONG_IDLE_MS);
+    const caller = await openCaller();
+    await checkAnswered(caller);
+    setIdleTimeout(SHORT_IDLE_MS);
+    await delay(LONG_IDLE_MS * 0.8);
+    await checkAnswered(caller);
+  });
+
+  // The head of a response states the limit in force when its request arrived.
+  it("keeps a connection for the limit in its last response", async () => {
+    setIdleTimeout(LONG_IDLE_MS);
+    handleRequest = (_req, res) => {
+      res.writeHead(200);
+      res.write("start");
+      setTimeout(() => res.end("answer"), 200);
+    };
+    const caller = await openCaller();
+    caller.write(GET);
+    await caller.waitFor("start");
+    setIdleTimeout(SHORT_IDLE_MS);
+    await caller.waitFor("answer");
+    expect(caller.received).toContain(
+      `Keep-Alive: timeout=${LONG_IDLE_MS / 1_000}`,
+    );
+    await delay(LONG_IDLE_MS * 0.8);
+    expect(caller.isClosed).toBe(false);
+    await checkAnswered(caller);
+  });
+});
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -444,8 +444,7 @@
       return;
     }
     this.#routes = new RouteTable(config);
-    this.#callerServer.server.keepAliveTimeout = config.limits.idleTimeoutMs;
-    this.#callerServer.server.headersTimeout = config.limits.headerTimeoutMs;
+    this.#callerServer.setLimits(config.limits);
     this.#options.metrics.count("config_changes");
     this.#options.logger.write("info", "config-in-force", {
       version: config.version,
