Read what has arrived before an idle connection is closed

Callers saw: a connection that was closed or reset although their request had arrived before the idle limit and its margin had passed.

Cause: timers run before sockets are read. After a pause of the event loop the timer of an idle connection expired first, and the connection was destroyed with a request in its receive buffer.

Evidence: npx vitest run src/connection/http_server_test.ts -t "event loop", which writes a request and blocks the event loop beyond the limit, failed with "The condition did not hold within 2000 ms", and passes now.

Why it works: the connection is closed after the next poll for input, unless that has read something from it.

--- a/src/connection/http_server_test.ts
+++ b/src/connection/http_server_test.ts
@@ -97,4 +97,20 @@
     expect(caller.isClosed).toBe(false);
     await checkAnswered(caller);
   });
+
+  // Timers run before sockets are read, so that a late event loop closed connections with a request in their receive buffers.
+  it("answers a request that arrives in time while the event loop is late", async () => {
+    const caller = await openCaller();
+    await checkAnswered(caller);
+    caller.takeReceived();
+    // The kernel receives the request at once; the server reads it after the idle timer has expired.
+    caller.write(GET);
+    blockEventLoop(SHORT_IDLE_MS + NODE_BUFFER_MS + 200);
+    await caller.waitFor("answer", 2_000);
+    expect(caller.errorCode).toBeUndefined();
+  });
 });
+
+function blockEventLoop(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+}
--- a/src/connection/idle_timeout.ts
+++ b/src/connection/idle_timeout.ts
@@ -44,6 +44,12 @@
       socket.setTimeout(allowedMs - idleMs);
       return;
     }
-    socket.destroy();
+    // Timers run before sockets are read. At a late event loop, a request may have arrived that is read only now.
+    const { bytesRead } = socket;
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) {
+        socket.destroy();
+      }
+    });
   }
 }
