Do not handle a request that was refused because it arrived too slowly

Callers saw: 408 for a request whose headers or body did not arrive in time, and the request ran all the same when its rest arrived within the second until the connection was closed. 408 promises that a request never runs. If it was passed on, its own response was lost.

Cause: after the error response the input was still passed to the HTTP parser, which completed the request.

Evidence: npx vitest run src/connection/http_server_test.ts, before: "does not handle a request after its refusal" had [ '/late' ] and "does not complete the body of a request after its refusal" had [ 'body rest' ] in place of []. Both pass now.

Why it works: adding a listener for "data" makes Node.js detach the parser from the connection, and its own listener is removed, so that the rest is dropped.

--- a/src/connection/client_error_handler.ts
+++ b/src/connection/client_error_handler.ts
@@ -24,6 +24,7 @@
     socket.destroy();
     return;
   }
+  dropInput(socket);
   const failure = convertClientError(error);
   const requestId = randomUUID();
   const body = JSON.stringify(createErrorBody(failure, requestId));
@@ -37,10 +38,17 @@
     body,
   ].join("\r\n"));
   // Closing a connection with unread input causes a reset, which can make the caller lose the response.
-  socket.resume();
   setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS).unref();
 }
 
+/** Stops passing input to the HTTP parser. Otherwise, a refused request would be handled if its rest arrived before the connection is closed. */
+function dropInput(socket: Socket): void {
+  socket.removeAllListeners("data");
+  // Node.js detaches the parser when a listener is added.
+  socket.on("data", () => {});
+  socket.resume();
+}
+
 /** Gets whether a response has already started on the connection. A second response would corrupt it. */
 function hasStartedResponse(socket: Socket): boolean {
   const response = (socket as Socket & { _httpMessage?: ServerResponse })
--- a/src/connection/http_server_test.ts
+++ b/src/connection/http_server_test.ts
@@ -9,19 +9,31 @@
 const SHORT_IDLE_MS = 300;
 const LONG_IDLE_MS = 4_000;
 const HEADER_TIMEOUT_MS = 700;
+/** Time after which a request whose headers are incomplete has been refused, in milliseconds. */
+const REFUSAL_MS = HEADER_TIMEOUT_MS + 1_000;
+
+/** Time in which a complete request has to arrive, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 1_500;
+/** Time after which a request whose body is incomplete has been refused, in milliseconds. */
+const BODY_REFUSAL_MS = REQUEST_TIMEOUT_MS + 1_000;
 
 const GET = "GET / HTTP/1.1\r\nhost: test\r\n\r\n";
 
 describe("HttpServer", () => {
   let server: HttpServer;
   let handleRequest: (req: IncomingMessage, res: ServerResponse) => void;
+  const paths: (string | undefined)[] = [];
   const callers: RawCaller[] = [];
 
   beforeEach(async () => {
+    paths.splice(0);
     handleRequest = (_req, res) => {
       res.end("answer");
     };
-    server = new HttpServer((req, res) => handleRequest(req, res));
+    server = new HttpServer((req, res) => {
+      paths.push(req.url);
+      handleRequest(req, res);
+    }, { requestTimeoutMs: REQUEST_TIMEOUT_MS });
     server.setLimits({
       headerTimeoutMs: HEADER_TIMEOUT_MS,
       idleTimeoutMs: SHORT_IDLE_MS,
@@ -109,6 +121,37 @@
     await caller.waitFor("answer", 2_000);
     expect(caller.errorCode).toBeUndefined();
   });
+
+  // A request that was refused with 408 ran when its rest arrived before the connection was closed.
+  it("does not handle a request after its refusal", async () => {
+    const caller = await openCaller();
+    caller.write("GET /late HTTP/1.1\r\n");
+    await caller.waitFor(" 408 ", REFUSAL_MS + 2_000);
+    caller.write("host: test\r\n\r\n");
+    await delay(300);
+    expect(paths).toEqual([]);
+  });
+
+  it("does not complete the body of a request after its refusal", async () => {
+    const bodies: string[] = [];
+    handleRequest = (req, res) => {
+      let body = "";
+      req.on("data", (chunk) => body += String(chunk));
+      req.on("error", () => {});
+      req.on("end", () => {
+        bodies.push(body);
+        res.end("answer");
+      });
+    };
+    const caller = await openCaller();
+    caller.write(
+      "POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 9\r\n\r\nbody",
+    );
+    await caller.waitFor(" 408 ", BODY_REFUSAL_MS + 2_000);
+    caller.write(" rest");
+    await delay(300);
+    expect(bodies).toEqual([]);
+  });
 });
 
 function blockEventLoop(durationMs: number): void {
