--- a/src/connection/http_server_test.ts
+++ b/src/connection/http_server_test.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { RawCaller } from "../../tests/support/raw_caller.ts";
+import { waitUntil } from "../../tests/support/platform_deployment.ts";
 import { delay } from "../shared/delay.ts";
 import { HttpServer } from "./http_server.ts";
 
@@ -117,7 +118,7 @@
     caller.takeReceived();
     // The kernel receives the request at once; the server reads it after the idle timer has expired.
     caller.write(GET);
-    blockEventLoop(SHORT_IDLE_MS + NODE_BUFFER_MS + 200);
+    pauseEventLoop(SHORT_IDLE_MS + NODE_BUFFER_MS + 200);
     await caller.waitFor("answer", 2_000);
     expect(caller.errorCode).toBeUndefined();
   });
@@ -132,6 +133,33 @@
     expect(paths).toEqual([]);
   });
 
+  // A caller whose request is in flight read the 400 as its answer, and the answer of the request was lost.
+  it("answers a complete request in flight when invalid bytes follow it", async () => {
+    handleRequest = (_req, res) => {
+      setTimeout(() => res.end("answer"), 300);
+    };
+    const caller = await openCaller();
+    caller.write(GET);
+    await waitUntil(() => paths.length > 0);
+    caller.write("no request\r\n\r\n");
+    await caller.waitFor("answer", 2_000);
+    expect(caller.received).toMatch(/^HTTP\/1\.1 200 /);
+    expect(caller.received).not.toContain(" 400 ");
+    await waitUntil(() => caller.isClosed, 3_000);
+  });
+
+  it("answers a complete request in flight when the next one times out", async () => {
+    handleRequest = (_req, res) => {
+      setTimeout(() => res.end("answer"), REFUSAL_MS + 1_000);
+    };
+    const caller = await openCaller();
+    caller.write(`${GET}GET /next HTTP/1.1\r\n`);
+    await caller.waitFor("answer", REFUSAL_MS + 3_000);
+    expect(caller.received).toMatch(/^HTTP\/1\.1 200 /);
+    expect(caller.received).not.toContain(" 408 ");
+    expect(paths).toEqual(["/"]);
+  });
+
   it("does not complete the body of a request after its refusal", async () => {
     const bodies: string[] = [];
     handleRequest = (req, res) => {
@@ -152,8 +180,34 @@
     await delay(300);
     expect(bodies).toEqual([]);
   });
+
+  it("answers all complete requests before invalid bytes", async () => {
+    handleRequest = (_req, res) => {
+      setTimeout(() => res.end("answer"), 300);
+    };
+    const caller = await openCaller();
+    caller.write(`${GET}${GET}no request\r\n\r\n`);
+    await waitUntil(() => caller.isClosed, 3_000);
+    expect(caller.received.match(/answer/g)).toHaveLength(2);
+    expect(caller.received).not.toContain(" 400 ");
+  });
+
+  it("aborts a request in flight whose caller leaves after invalid bytes", async () => {
+    let isAborted = false;
+    handleRequest = (_req, res) => {
+      res.on("close", () => isAborted = true);
+    };
+    const caller = await openCaller();
+    caller.write(GET);
+    await waitUntil(() => paths.length > 0);
+    caller.write("no request\r\n\r\n");
+    await delay(100);
+    expect(isAborted).toBe(false);
+    caller.close();
+    await waitUntil(() => isAborted, 500);
+  });
 });
 
-function blockEventLoop(durationMs: number): void {
+function pauseEventLoop(durationMs: number): void {
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
 }
--- a/tests/support/raw_caller.ts
+++ b/tests/support/raw_caller.ts
@@ -37,6 +37,11 @@
     this.#socket.write(bytes);
   }
 
+  /** Closes the caller's side of the connection. */
+  close(): void {
+    this.#socket.end();
+  }
+
   /** Waits until the received bytes contain the text. */
   async waitFor(text: string, timeoutMs?: number): Promise<void> {
     await waitUntil(() => this.received.includes(text), timeoutMs);
