Judge prompt parts by responses that last, not by first events

A server that a part crashes may send some events before it crashes. The first event of each such request cleared its parts of all earlier crashes.

- Harmless parts are now cleared later, so a part that requests ran with before is refused only after crashes at three moments, 500 ms apart, and not within 2.5 s of the first one.
Groups that fail together are one moment.
- Of two new parts with the same crashes, the one with fewer suspects is refused, not the one that stands first in the prompt.

--- a/src/connection/peer_notice.ts
+++ b/src/connection/peer_notice.ts
@@ -9,7 +9,7 @@
   readonly groupKey: string;
 }
 
-/** Report that the head of a group crashed while it ran a request that had no event yet. */
+/** Report that the head of a group crashed while it began to respond to a request. */
 export interface PartCrashNotice {
   readonly groupKey: string;
   /** Parts of the request's prompt that other requests may have in common with it. */
@@ -21,7 +21,7 @@
 /** Whether a success preceded or followed a crash. */
 export type PartSuccessTime = "before" | "after";
 
-/** Report that a request with a suspected part of a crash got an event. */
+/** Report that a response with a suspected part of a crash has shown that the part is harmless. */
 export interface PartSuccessNotice {
   /** Key of the group that crashed. */
   readonly groupKey: string;
--- a/src/process/fleet/prompt_part_quarantine.ts
+++ b/src/process/fleet/prompt_part_quarantine.ts
@@ -9,8 +9,12 @@
 const NEW_PART_THRESHOLD = 3;
 /** Number of crashes after which a part is refused that requests ran with before. It is higher because unrelated crashes of many servers hit requests with a common part several times. */
 const KNOWN_PART_THRESHOLD = 5;
-/** Time without a success after which a part that requests ran with before is refused, in milliseconds; long enough for other daemons to report a success. */
-const KNOWN_PART_DELAY_MS = 500;
+/** Time without a success after which a part that requests ran with before is refused, in milliseconds; long enough for a new response to show that the part is harmless, and for another daemon to report it. */
+const KNOWN_PART_DELAY_MS = 2_500;
+/** Number of moments to which the crashes belong after which a part is refused that requests ran with before. Servers that fail together are one moment, however many requests they ran. */
+const KNOWN_PART_MOMENTS = 3;
+/** Time after which a crash belongs to another moment than the one before, in milliseconds. */
+const MOMENT_MS = 500;
 /** Time for which a crash counts, in milliseconds. */
 const CRASH_RETENTION_MS = 600_000;
 /** Number of crashes that are stored. The oldest is evicted first. */
@@ -19,7 +23,7 @@
 const MAX_SUSPECTS_PER_CRASH = 20;
 /** Number of parts of a request that are stored. */
 const MAX_PARTS_PER_SUSPECT = 64;
-/** Number of parts whose last success is stored. The part whose success is the oldest is evicted first. */
+/** Number of parts whose last success is stored. The part whose success was recorded first is evicted first. */
 const MAX_SUCCEEDED_PARTS = 5_000;
 /** Time after which the refused parts are determined again, in milliseconds. */
 const REFUSALS_LIFETIME_MS = 100;
@@ -29,9 +33,9 @@
   readonly groupKey: string;
   /** Monotonic time of the crash, in milliseconds. */
   readonly atMs: number;
-  /** Parts of each request that ran on the group and had no event yet, by their joined ids. */
+  /** Parts of each suspected request that ran on the group, by their joined ids. */
   readonly suspects: Map<string, readonly string[]>;
-  /** Parts with which a request got an event before or after the crash. */
+  /** Parts with which a response began before or after the crash and has shown that they are harmless. */
   readonly successes: Map<string, PartSuccessTime>;
 }
 
@@ -57,7 +61,7 @@
 /**
  * Detects parts of prompts that crash every server that responds to them, although no two of the requests are alike.
  *
- * Requests without an event on a head that crashed are suspects. A part counts a crash when a suspect contains it and no request with it has got an event since, at any daemon. Where several parts explain the same crashes, only requests with all of them are refused until a success tells them apart.
+ * Requests whose response had just begun, or had not, when their head crashed are suspects. A part counts a crash when a suspect contains it and no response with it that began since has shown that it is harmless, at any daemon. Where several parts explain the same crashes, only requests with all of them are refused until a success tells them apart.
  *
  * @example
  * ```ts
@@ -70,7 +74,7 @@
   readonly #onChange: () => void;
   /** Crashes in order of arrival, by group key. */
   readonly #crashes = new Map<string, Crash>();
-  /** Monotonic time of the last success by part, in milliseconds, in order of these times. */
+  /** Monotonic time at which the last harmless response with a part began, in milliseconds, in order of arrival. */
   readonly #lastSuccessAtMs = new Map<string, number>();
   #report: PromptPartReport | undefined;
   #refusals: readonly Refusal[] = [];
@@ -97,7 +101,7 @@
   }
 
   /**
-   * Records that the head of a group crashed while it ran a request without an event.
+   * Records that the head of a group crashed while it began to respond to a request.
    *
    * @param groupKey - Key of the group.
    * @param parts - Parts of the request's prompt that other requests may have in common with it.
@@ -106,15 +110,21 @@
     this.applyCrash({ groupKey, parts, ageMs: 0 });
   }
 
-  /** Records that a request has got an event, which shows that none of its parts crashes servers. */
-  recordSuccess(parts: readonly string[]): void {
-    const nowMs = performance.now();
+  /**
+   * Records a response that has shown that none of the request's parts crashes servers.
+   *
+   * @param parts - Parts of the request's prompt that other requests may have in common with it.
+   * @param beganAtMs - Monotonic time of its first event, in milliseconds. It says nothing about crashes after that time, since a part may begin to crash servers.
+   */
+  recordSuccess(parts: readonly string[], beganAtMs = performance.now()): void {
     for (const part of parts) {
+      const lastAtMs = this.#lastSuccessAtMs.get(part) ?? beganAtMs;
       this.#lastSuccessAtMs.delete(part);
-      this.#lastSuccessAtMs.set(part, nowMs);
-      this.#crashes.forEach(({ groupKey }) =>
-        this.applySuccess({ groupKey, part, time: "after" })
-      );
+      this.#lastSuccessAtMs.set(part, Math.max(lastAtMs, beganAtMs));
+      this.#crashes.forEach(({ groupKey, atMs }) => {
+        const time = beganAtMs >= atMs ? "after" : "before";
+        this.applySuccess({ groupKey, part, time });
+      });
     }
     const [oldestPart] = this.#lastSuccessAtMs.keys();
     if (this.#lastSuccessAtMs.size > MAX_SUCCEEDED_PARTS) {
@@ -240,6 +250,8 @@
   readonly part: string;
   readonly crashes: readonly Crash[];
   readonly isKnown: boolean;
+  /** Number of the suspects of these crashes that contain the part. */
+  readonly suspects: number;
 }
 
 /** Finds the parts to refuse. A crash that one refused part explains does not count for other parts. */
@@ -270,12 +282,26 @@
   if (!isKnown) {
     return crashes.length >= NEW_PART_THRESHOLD;
   }
-  const firstAtMs = Math.min(...crashes.map(({ atMs }) => atMs));
+  const timesMs = crashes.map(({ atMs }) => atMs).sort((a, b) => a - b);
   return crashes.length >= KNOWN_PART_THRESHOLD &&
-    nowMs - firstAtMs >= KNOWN_PART_DELAY_MS;
+    nowMs - timesMs[0] >= KNOWN_PART_DELAY_MS &&
+    countMoments(timesMs) >= KNOWN_PART_MOMENTS;
 }
 
-/** Lists the suspected parts, those with the most crashes first, and of these the parts first that no request has run with. */
+/** Counts the moments to which events with the given ascending times in milliseconds belong. */
+function countMoments(timesMs: readonly number[]): number {
+  let moments = 0;
+  let startMs = Number.NEGATIVE_INFINITY;
+  for (const atMs of timesMs) {
+    if (atMs - startMs >= MOMENT_MS) {
+      moments++;
+      startMs = atMs;
+    }
+  }
+  return moments;
+}
+
+/** Lists the suspected parts, those with the most crashes first, of these the parts first that no request has run with, and of these the parts with the fewest suspects. */
 function listCandidates(crashes: readonly Crash[]): Candidate[] {
   const crashesByPart = new Map<string, Crash[]>();
   for (const crash of crashes) {
@@ -291,8 +317,10 @@
     part,
     crashes: partCrashes,
     isKnown: partCrashes.some(({ successes }) => successes.has(part)),
+    suspects: countSuspects(partCrashes, part),
   })).sort((a, b) =>
-    b.crashes.length - a.crashes.length || Number(a.isKnown) - Number(b.isKnown)
+    b.crashes.length - a.crashes.length ||
+    Number(a.isKnown) - Number(b.isKnown) || a.suspects - b.suspects
   );
 }
 
@@ -311,6 +339,14 @@
   ).map((other) => other.part);
 }
 
+function countSuspects(crashes: readonly Crash[], part: string): number {
+  return crashes.reduce(
+    (sum, { suspects }) =>
+      sum + [...suspects.values()].filter((p) => p.includes(part)).length,
+    0,
+  );
+}
+
 function hasSuspect({ suspects }: Crash, part: string): boolean {
   return [...suspects.values()].some((parts) => parts.includes(part));
 }
