Refuse prompt parts that crash servers after the first piece

Cause: the first event of a stream cleared its parts of all crashes, and a crash after an event was no suspicion.

The forwarder reports to PromptPartEvidence instead, so that a part is cleared by a complete response or a second of events, and a reset before that makes the request a suspect.

Before: vitest run tests/poison_prompt_part_test.ts -t "first piece" fails with "expected 24 to be less than or equal to 5" crashes. After: the four tests of the file pass (one run at a load average of about 6).

--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -90,6 +90,8 @@
   hasCrashed = false;
   /** Part of a prompt that crashes the server when it begins to respond; the server restarts with an empty memory. */
   crashingPart: string | undefined;
+  /** Number of events that a response on `crashingPart` has before the server crashes. */
+  eventsBeforeCrash = 0;
   /** Path of the requests that crash a plain service's server when it runs them. */
   crashingPath: string | undefined;
   /** Wall-clock times of the crashes caused by `crashingPart` or `crashingPath`, in milliseconds. */
@@ -404,6 +406,7 @@
   #streamEvents(res: ServerResponse, lastEventId: number): void {
     const { eventCount = 20 } = this.#options;
     let id = lastEventId;
+    const crashId = lastEventId + this.eventsBeforeCrash;
     const isCrashing = listPromptParts(res.req).some((part) =>
       part === this.crashingPart
     );
@@ -411,7 +414,7 @@
       if (this.hasCrashed || this.#isPaused || !this.#isGroupComplete()) {
         return;
       }
-      if (isCrashing) {
+      if (isCrashing && id >= crashId) {
         clearInterval(timer);
         this.requestCrashesAtMs.push(Date.now());
         void this.restart();
--- a/src/process/fleet/prompt_part_quarantine.ts
+++ b/src/process/fleet/prompt_part_quarantine.ts
@@ -116,7 +116,7 @@
    * @param parts - Parts of the request's prompt that other requests may have in common with it.
    * @param beganAtMs - Monotonic time of its first event, in milliseconds. It says nothing about crashes after that time, since a part may begin to crash servers.
    */
-  recordSuccess(parts: readonly string[], beganAtMs = performance.now()): void {
+  recordSuccess(parts: readonly string[], beganAtMs: number): void {
     for (const part of parts) {
       const lastAtMs = this.#lastSuccessAtMs.get(part) ?? beganAtMs;
       this.#lastSuccessAtMs.delete(part);
--- a/src/request/routed/group_attempt.ts
+++ b/src/request/routed/group_attempt.ts
@@ -10,8 +10,6 @@
 export class GroupAttempt implements StreamAttempt {
   readonly startedAtMs = performance.now();
   lastEventAtMs: number | undefined;
-  /** Whether the group has sent an event. */
-  hasEvents = false;
   readonly #grant: GroupGrant;
   readonly #controller = new AbortController();
   readonly #onSilence: (reason: string) => void;
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -20,6 +20,7 @@
 } from "./attempt_result.ts";
 import { createCrashRefusal, getFingerprint } from "./crash_refusal.ts";
 import { GroupAttempt } from "./group_attempt.ts";
+import { PromptPartEvidence } from "./prompt_part_evidence.ts";
 import type { RequestForwarder } from "./request_forwarder.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { ModelRequest } from "./routed_request.ts";
@@ -44,6 +45,7 @@
   readonly #fingerprint: string;
   /** Parts of the prompt that other requests may have in common with this one; the last part belongs to this request. */
   readonly #sharedParts: readonly string[];
+  readonly #partEvidence: PromptPartEvidence;
   #isAttemptRunning = false;
   /** Move to another group while the group of the current attempt is silent. */
   #move: StreamMove | undefined;
@@ -73,6 +75,10 @@
     this.#fingerprint = getFingerprint(scope);
     this.#sharedParts = options.modelRequest.promptParts.slice(0, -1)
       .map(({ id }) => id.slice(0, MAX_PART_ID_LENGTH));
+    this.#partEvidence = new PromptPartEvidence(
+      scope.context.promptParts,
+      this.#sharedParts,
+    );
   }
 
   get hasBeenSent(): boolean {
@@ -110,6 +116,7 @@
       this.#isAttemptRunning = false;
       if (result.outcome === "complete") {
         this.#scope.context.crashes.recordSuccess(this.#fingerprint);
+        this.#partEvidence.recordCompletion();
         return;
       }
       // The answer of another group cannot follow a stream that has started.
@@ -445,9 +452,8 @@
       const receivedEvents = parser.push(chunk);
       const events = this.#acceptEvents(receivedEvents);
       attempt.lastEventAtMs = performance.now();
-      if (receivedEvents.length > 0 && !attempt.hasEvents) {
-        attempt.hasEvents = true;
-        context.promptParts.recordSuccess(this.#sharedParts);
+      if (receivedEvents.length > 0) {
+        this.#partEvidence.recordEvents(attempt);
       }
       if (events.length === 0) {
         continue;
@@ -564,18 +570,13 @@
         group,
         result.outcome,
       );
-      if (this.#isCrashSuspect(attempt, result) && await check) {
+      const isSuspect = this.#partEvidence.recordFailure(attempt, result);
+      if (isSuspect && await check) {
         context.promptParts.recordCrash(group.key, this.#sharedParts);
       }
     }
   }
 
-  /** Gets whether the request may have crashed its server: the connection was reset before the first event. */
-  #isCrashSuspect(attempt: GroupAttempt, result: AttemptResult): boolean {
-    return result.outcome === "failed" && result.error.kind === "reset" &&
-      !attempt.hasEvents && this.#sharedParts.length > 0;
-  }
-
   /**
    * Gets whether the process of the group's head has ended, in which case the failed attempt does not count towards the route's limit.
    *
--- a/tests/poison_prompt_part_test.ts
+++ b/tests/poison_prompt_part_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, describe, expect, it } from "vitest";
+import { delay } from "../src/shared/delay.ts";
 import {
   type CallerResponse,
   PlatformDeployment,
@@ -15,6 +16,11 @@
 /** Number of requests with the poison part that may reach a server after `MAX_CRASHES`. */
 const MAX_LATE_REQUESTS = 3;
 
+/** Number of requests that run at the same time when their servers fail. */
+const SIMULTANEOUS_REQUESTS = 24;
+/** Time after which daemons that suspect a part refuse its requests, in milliseconds. */
+const JUDGEMENT_MS = 3_000;
+
 describe("a prompt part that crashes servers", () => {
   const deployments: PlatformDeployment[] = [];
 
@@ -95,6 +101,53 @@
     60_000,
   );
 
+  // The first event of such a response cleared the part of all earlier crashes, and a crash after it was no suspicion.
+  it(
+    "stops reaching servers that crash after the first piece of their responses",
+    async () => {
+      const deployment = await startDeployment(3);
+      deployment.fleet.forEach((server) => server.eventsBeforeCrash = 1);
+      const responses = await sendMixedRequests(deployment);
+      expect(countCrashes(deployment)).toBeLessThanOrEqual(MAX_CRASHES);
+      expect(countPoisonRuns(deployment))
+        .toBeLessThanOrEqual(MAX_CRASHES + MAX_LATE_REQUESTS);
+      expect(responses.filter(({ isWhole }) => !isWhole)).toEqual([]);
+    },
+    60_000,
+  );
+
+  // All streams of a part may lose their servers at once, just after they began; nothing else runs that could clear the part.
+  it("is not suspected because its servers failed together", async () => {
+    const deployment = await startDeployment(3);
+    for (const callerAddress of deployment.callerAddresses) {
+      await callDaemon(deployment, callerAddress, [COMMON_PART, "known"]);
+    }
+    const runsBefore = deployment.runs.length;
+    const calls = Array.from(
+      { length: SIMULTANEOUS_REQUESTS },
+      (_, i) => callWithParts(deployment, i, [COMMON_PART]),
+    );
+    await waitUntil(() =>
+      deployment.runs.length >= runsBefore + SIMULTANEOUS_REQUESTS
+    );
+    const headIds = new Set(
+      deployment.runs.slice(runsBefore).map(({ serverId }) => serverId),
+    );
+    expect(headIds.size).toBeGreaterThanOrEqual(MAX_CRASHES);
+    await Promise.all(
+      [...headIds].map((id) => deployment.fleet.get(id)!.restart()),
+    );
+    await Promise.all(calls);
+    await delay(JUDGEMENT_MS);
+    await deployment.waitUntilServing();
+    const responses = await Promise.all(
+      deployment.callerAddresses.map((callerAddress) =>
+        callDaemon(deployment, callerAddress, [COMMON_PART, "next"])
+      ),
+    );
+    expect(responses.map(({ status }) => status)).toEqual([200, 200, 200]);
+  }, 60_000);
+
   it("stays refused by a daemon that starts later", async () => {
     const deployment = await startDeployment(2);
     await sendMixedRequests(deployment);
