End a stream at a silent group once callers no longer wait for it

Callers abandon a stream after two seconds, four latency objectives or eight pause objectives without an event, whichever is longest. From then on, silence ends the attempt; a move in progress goes on.

--- a/src/request/routed/group_attempt.ts
+++ b/src/request/routed/group_attempt.ts
@@ -56,6 +56,11 @@
     return this.#lossReason;
   }
 
+  /** Gets the time since the last event, or since the start of the attempt, in milliseconds. */
+  getSilenceMs(): number {
+    return performance.now() - (this.lastEventAtMs ?? this.startedAtMs);
+  }
+
   abandon(reason: string, evidence: GroupEvidence): void {
     if (evidence === "lost") {
       this.abort(reason);
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -7,7 +7,7 @@
 import { RequestError } from "../../shared/errors.ts";
 import type { LogFields } from "../../shared/logger.ts";
 import { combineVerdicts, type Verdict } from "../../shared/verdict.ts";
-import type { EngineProfile } from "../../version/routing_config.ts";
+import type { EngineProfile, Route } from "../../version/routing_config.ts";
 import {
   type ServerSentEvent,
   ServerSentEventParser,
@@ -29,6 +29,12 @@
 /** Share of the remaining time that a request may wait for a free slot before its response has started. */
 const FIRST_ADMISSION_WAIT_SHARE = 0.3;
 const MS_PER_SECOND = 1_000;
+/** Minimum time after which callers abandon a stream without an event, in milliseconds. */
+const MIN_CALLER_WAIT_MS = 2_000;
+/** Number of latency objectives for which callers wait for an event, if that is longer. */
+const CALLER_WAIT_OBJECTIVES = 4;
+/** Number of pause objectives for which callers wait for an event, if that is longer. */
+const CALLER_WAIT_PAUSES = 8;
 /** Maximum number of retries after a group declined the request without running it. Declined attempts are cheap, and a closing group declines requests until this daemon learns of its state. */
 const MAX_DECLINED_ATTEMPTS = 4;
 /** Maximum length of the id of a prompt part, in characters. */
@@ -151,12 +157,23 @@
     this.#attemptCount++;
     const attempt: GroupAttempt = new GroupAttempt(this.#scope, {
       grant,
-      onSilence: (reason) => this.#startMove(attempt, reason),
+      onSilence: (reason) => this.#handleSilence(attempt, reason),
     });
     return attempt;
   }
 
-  /** Starts to move the stream away from a silent group, if the route permits another attempt. */
+  /** Starts to move the stream away from a silent group, or ends the attempt when callers no longer wait for its next event. */
+  #handleSilence(attempt: GroupAttempt, reason: string): void {
+    const isHopeless = this.#move?.state !== "sent" &&
+      attempt.getSilenceMs() >= getMaxPauseMs(this.#scope.route);
+    if (isHopeless) {
+      attempt.abort(reason);
+    } else {
+      this.#startMove(attempt, reason);
+    }
+  }
+
+  /** Starts to move the stream to another group, if the route permits another attempt. */
   #startMove(attempt: GroupAttempt, reason: string): void {
     const canMove = this.#move === undefined && !attempt.signal.aborted &&
       this.#hasAnotherAttempt() && this.#declinedCount <= MAX_DECLINED_ATTEMPTS;
@@ -674,6 +691,17 @@
   };
 }
 
+/** Gets the time for which callers wait for the next event of a stream, in milliseconds. */
+function getMaxPauseMs(
+  { latencyObjectiveMs, pauseObjectiveMs = 0 }: Route,
+): number {
+  return Math.max(
+    MIN_CALLER_WAIT_MS,
+    latencyObjectiveMs * CALLER_WAIT_OBJECTIVES,
+    pauseObjectiveMs * CALLER_WAIT_PAUSES,
+  );
+}
+
 function formatPromptParts({ promptParts }: ModelRequest): string | undefined {
   return promptParts.length === 0
     ? undefined
