Take a group with a silent member apart only after the head has closed it

What callers saw: a group of sound servers was taken apart while its head was open, since one of them had been silent for longer than the failure detector waits (1.3 s, or 0.7 s if its VM accepts no connection). Cause: for the planner a recorded loss was enough to order the other members to leave the group and to join another one, whatever the loss rested on and whatever the head did (rule TWO; the streams of the head stand still from then on).

Change: the planner confirms a loss with probes of its own, so that the word of another daemon is not enough either. The members are reused at once when one of them is known to have ended (refused or reset connection, another process, another group, no entry in the server list). For silence alone, the head is ordered to close and let its requests finish, and the members are reused once it has confirmed that or is broken. A silent head counts as ended after 2 s without a response to the planner; a probe does not count while the planner's event loop is late. The probes begin with the suspicion of the group.

The fake server closes a group with streams in flight only after they have ended, breaks a group that stands still for 4 s, lets a group run at the pace of a silent member, and counts the times a server leaves a group that still serves.

--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -13,6 +13,10 @@
 const RESTART_MS = 500;
 /** Time until an order that gets no response is applied, in milliseconds. */
 const LATE_ORDER_MS = 1_500;
+/** Time for which a group stands still until its head is broken, in milliseconds. */
+const STALL_MS = 4_000;
+/** Interval at which the head of a group checks whether the group stands still, in milliseconds. */
+const STALL_CHECK_INTERVAL_MS = 100;
 /** Default time between two events of a stream, in milliseconds. */
 const DEFAULT_EVENT_MS = 20;
 
@@ -31,6 +35,7 @@
   readonly epoch: number;
   readonly Model: string;
   readonly Members: readonly string[];
+  readonly CloseMode?: "pending" | "aborted";
   readonly FencingToken?: number;
 }
 
@@ -80,7 +85,11 @@
   #fencingToken = 0;
   /** Number of joins that the server accepted while the head of its current group was still open or closing. */
   conflictingJoins = 0;
+  /** Number of times that the server left its group on an order while the head was still open or closing. */
+  leavesWhileServing = 0;
   #isPaused = false;
+  /** Streams in flight of the group whose head this server is. */
+  readonly #streams = new Set<ServerResponse>();
   /** Requests that arrived while the server was paused. */
   readonly #deferredCalls: (() => void)[] = [];
   #state: "ready" | "draining" = "ready";
@@ -125,6 +134,11 @@
     return this.#group;
   }
 
+  /** Gets whether the server sends nothing at present. */
+  get isPaused(): boolean {
+    return this.#isPaused;
+  }
+
   /** Starts listening and registers the server in the store. */
   async start(): Promise<void> {
     await this.listen();
@@ -262,9 +276,10 @@
       return 409;
     }
     if (order.Operation === "leave") {
+      this.leavesWhileServing += this.#isHeadServing() ? 1 : 0;
       this.#group = undefined;
     } else if (order.Operation === "close") {
-      group.State = "ready";
+      this.#closeGroup(group, order.CloseMode);
     } else if (order.Operation === "open") {
       if (group.State !== "ready") {
         return group.State === "open" ? 200 : 409;
@@ -276,6 +291,48 @@
     return 200;
   }
 
+  /** Closes a group at once, or once its streams have ended when the order lets them finish. */
+  #closeGroup(group: ServerGroup, mode: ServerOrder["CloseMode"]): void {
+    if (group.State !== "open" && group.State !== "closing") {
+      return;
+    }
+    if (mode === "pending" && this.#streams.size > 0) {
+      group.State = "closing";
+      return;
+    }
+    group.State = "ready";
+    this.#streams.forEach((stream) => stream.destroy());
+  }
+
+  #finishClosing(): void {
+    if (this.#group?.State === "closing" && this.#streams.size === 0) {
+      this.#group.State = "ready";
+      this.publishEntry();
+    }
+  }
+
+  /** Breaks the group whose head this server is once it has stood still for `STALL_MS` since a member is gone. */
+  #watchStall(group: ServerGroup): void {
+    let stalledMs = 0;
+    const timer = setInterval(() => {
+      if (this.#group !== group || this.#isDisposed || this.hasCrashed) {
+        clearInterval(timer);
+        return;
+      }
+      const isServing = group.State === "open" || group.State === "closing";
+      stalledMs = isServing && !this.#isGroupComplete()
+        ? stalledMs + STALL_CHECK_INTERVAL_MS
+        : 0;
+      if (stalledMs >= STALL_MS) {
+        clearInterval(timer);
+        group.State = "broken";
+        this.#streams.forEach((stream) => stream.destroy());
+        this.publishEntry();
+      }
+    }, STALL_CHECK_INTERVAL_MS);
+    timer.unref();
+  }
+
   #join(order: ServerOrder): number {
     if (order.epoch < (this.#group?.epoch ?? 0)) {
       return 412;
@@ -292,6 +349,9 @@
     this.publishEntry();
     this.#lastModel = order.Model;
     this.#changeStateAfter(group, "ready", JOIN_DELAY_MS);
+    if (group.rank === 0) {
+      this.#watchStall(group);
+    }
     return 202;
   }
 
@@ -400,7 +460,7 @@
     res.end();
   }
 
-  /** Sends the events after `lastEventId`; pauses while a member of the group is missing. */
+  /** Sends the events after `lastEventId`; pauses while a member of the group is missing or silent. */
   #streamEvents(res: ServerResponse, lastEventId: number): void {
     const { eventCount = 20 } = this.#options;
     let id = lastEventId;
@@ -408,7 +468,9 @@
       part === this.crashingPart
     );
     const timer = setInterval(() => {
-      if (this.hasCrashed || this.#isPaused || !this.#isGroupComplete()) {
+      if (
+        this.hasCrashed || !this.#isGroupComplete() || this.#isGroupPaused()
+      ) {
         return;
       }
       if (isCrashing) {
@@ -424,7 +486,12 @@
         res.end();
       }
     }, this.eventMs);
-    res.on("close", () => clearInterval(timer));
+    this.#streams.add(res);
+    res.on("close", () => {
+      clearInterval(timer);
+      this.#streams.delete(res);
+      this.#finishClosing();
+    });
   }
 
   /** Closes all connections, stops listening, and starts again at the same address as a process without a group. */
@@ -444,6 +511,13 @@
     }
   }
 
+  /** Gets whether this server or another member of its group sends nothing. A group runs at the pace of its slowest member. */
+  #isGroupPaused(): boolean {
+    const { fleet } = this.#options;
+    return this.#isPaused ||
+      this.#group?.members.some((id) => fleet.get(id)?.isPaused) === true;
+  }
+
   #isGroupComplete(): boolean {
     const group = this.#group;
     return group === undefined || group.members.every((id) => {
--- a/src/process/fleet/member_order_executor.ts
+++ b/src/process/fleet/member_order_executor.ts
@@ -1,3 +1,4 @@
+import type { Either } from "purify-ts";
 import type { BackendTarget } from "../../connection/backend_transport.ts";
 import type {
   GroupOrder,
@@ -8,6 +9,7 @@
 import type { Logger } from "../../shared/logger.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
 import type {
+  BackendReport,
   BackendServer,
   GroupMembership,
 } from "../../shared/backend_server.ts";
@@ -269,12 +271,24 @@
    * @returns Whether the server responded.
    */
   async refreshServer(server: BackendServer): Promise<boolean> {
+    return (await this.requestState(server)).isRight();
+  }
+
+  /**
+   * Requests a server's state and applies it to the directory.
+   *
+   * @param server - Current directory entry of the server.
+   * @returns The state, or the reason why there is none.
+   */
+  async requestState(
+    server: BackendServer,
+  ): Promise<Either<Error, BackendReport>> {
     const report = await this.#orders.getReport(
       getTarget(server),
       REPORT_TIMEOUT_MS,
     );
     report.ifRight((state) => this.#directory.applyReport(server.id, state));
-    return report.isRight();
+    return report;
   }
 
   /** Waits until a server has the expected state. Checks the server's entry in the directory often, which causes no request, and requests the state at a growing interval. */
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -100,7 +100,12 @@
 
   constructor(options: ReplicaReconcilerOptions) {
     this.#options = options;
-    this.#survivorProber = new SurvivorProber(options);
+    this.#survivorProber = new SurvivorProber({
+      orders: options.orders,
+      onResult: () => {
+        this.#hasChanged = true;
+      },
+    });
     // A lost group publishes a change, too.
     options.groups.onChange(() => {
       this.#hasChanged = true;
@@ -147,6 +152,7 @@
     this.#recordIncompleteGroups(reportedGroups);
     this.#recordSupersededGroups(service, reportedGroups);
     this.#survivorProber.retainGroups(reportedGroups);
+    this.#checkSuspectedGroups(reportedGroups);
     for (const group of reportedGroups.values()) {
       this.#continueGroup(service, group);
     }
@@ -324,7 +330,7 @@
   /** Gets whether the members of a group can join other groups. */
   #hasReusableMembers(group: ReportedGroup): boolean {
     if (this.#options.groups.isLost(group.key)) {
-      return true;
+      return this.#isLossConfirmed(group);
     }
     const incompleteSinceMs = this.#incompleteSinceMs.get(group.key);
     const isIncomplete = incompleteSinceMs !== undefined &&
@@ -342,6 +348,42 @@
       : isIncomplete || isSuperseded || state === "broken";
   }
 
+  /**
+   * Gets whether the members of a lost group can join other groups: a member is known to have ended, or the head is closed or broken, or has been silent for so long that it counts as ended. A group may be lost although its members are only silent, and a member must not join another group while the head still serves.
+   */
+  #isLossConfirmed({ key, head, members, isComplete }: ReportedGroup): boolean {
+    const states = members.map((member) =>
+      this.#survivorProber.getState(key, member, {
+        isLost: true,
+        mustRepeat: member === head,
+      })
+    );
+    if (!isComplete || head === undefined || states.includes("ended")) {
+      return true;
+    }
+    const headState = states[members.indexOf(head)];
+    const isClosed = head.membership?.state === "ready" ||
+      head.membership?.state === "broken";
+    return headState === "silent" || (headState === "alive" && isClosed);
+  }
+
+  /** Starts to probe the members of the groups that other daemons or this one suspect, so that the time of a silence is known when the group is lost. */
+  #checkSuspectedGroups(
+    reportedGroups: ReadonlyMap<string, ReportedGroup>,
+  ): void {
+    for (const key of this.#options.groups.listSuspectedKeys()) {
+      const group = reportedGroups.get(key);
+      if (group?.head?.membership?.state === "open") {
+        group.members.forEach((member) =>
+          this.#survivorProber.getState(key, member, {
+            isLost: false,
+            mustRepeat: false,
+          })
+        );
+      }
+    }
+  }
+
   /** Gets whether a server may get an order: none is in progress, it is not paused, and its zone is not excluded. */
   #takesOrders(server: BackendServer): boolean {
     const isPaused = (this.#pausedUntilMs.get(server.id) ?? 0) >
@@ -353,9 +395,12 @@
   /** Opens a complete group whose formation has failed although all members are ready now, and closes an open group that has a draining member. */
   #continueGroup(service: RoutedService, group: ReportedGroup): void {
     const { head, members, isComplete, isReady, key } = group;
+    if (this.#options.groups.isLost(key)) {
+      this.#closeLostGroup(group);
+      return;
+    }
     if (
       head === undefined || !isComplete || isSpareGroup(head.membership!) ||
-      this.#options.groups.isLost(key) ||
       !members.every((member) => this.#takesOrders(member))
     ) {
       return;
@@ -368,6 +413,17 @@
     }
   }
 
+  /** Closes a lost group whose head still serves, which lets its requests finish. */
+  #closeLostGroup(group: ReportedGroup): void {
+    const { key, head } = group;
+    const mustClose = head?.membership?.state === "open" &&
+      this.#takesOrders(head) && !this.#isLossConfirmed(group) &&
+      this.#survivorProber.isAlive(key, head);
+    if (mustClose) {
+      this.#startTask("closing", this.#runClosing(head, [head]));
+    }
+  }
+
   async #runClosing(
     head: BackendServer,
     members: readonly BackendServer[],
--- a/src/process/fleet/survivor_prober.ts
+++ b/src/process/fleet/survivor_prober.ts
@@ -1,41 +1,94 @@
+import { ReportTimeoutError } from "../../connection/group_order_client.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
+import { LoopDelayMeter } from "./loop_delay_meter.ts";
 import type { MemberOrderExecutor } from "./member_order_executor.ts";
 
 /** Time after which a member that did not respond is probed again, in milliseconds. */
-const PROBE_RETRY_MS = 1_000;
+const SILENCE_PROBE_INTERVAL_MS = 250;
+/** Time after which the state of a member that responded is requested again, in milliseconds. */
+const ALIVE_PROBE_INTERVAL_MS = 1_000;
+/** Time from the first probe without a response after which a silent member counts as ended, in milliseconds. A sound server may be silent for more than a second. */
+const MAX_SILENCE_MS = 2_000;
+/** Delay of the event loop above which a missing response does not count, in milliseconds. */
+const MAX_LOOP_DELAY_MS = 60;
 
-/** State of the last probe of a member. */
-interface ProbeState {
-  readonly state: "pending" | "alive" | "unresponsive";
-  readonly atMs: number;
+/**
+ * State of a member according to its probes.
+ *
+ * - `alive`: it has responded to the last probe.
+ * - `ended`: its process has ended, or another process uses its address.
+ * - `silent`: it has not responded for `MAX_SILENCE_MS`.
+ * - `unknown`: no probe has ended yet, or it has been silent for a shorter time.
+ */
+export type MemberState = "alive" | "ended" | "silent" | "unknown";
+
+interface MemberProbe {
+  state: MemberState;
+  isPending: boolean;
+  /** Monotonic time at which the last probe was sent, in milliseconds. */
+  sentAtMs: number;
+  /** Whether the group was lost when the last probe was sent. */
+  isAfterLoss: boolean;
+  /** Monotonic time at which the first of the unanswered probes was sent, in milliseconds. */
+  silentSinceMs: number | undefined;
 }
 
-/** Probes the members of a lost group before they join another group, since the server list keeps dead servers for several heartbeats. */
+/** Probes the members of lost and suspected groups before they join another group. The server list keeps dead servers for several heartbeats, and a silent server may go on. */
 export class SurvivorProber {
   readonly #orders: MemberOrderExecutor;
-  readonly #states = new Map<string, Map<string, ProbeState>>();
+  readonly #onResult: () => void;
+  readonly #probes = new Map<string, Map<string, MemberProbe>>();
 
-  constructor(options: { orders: MemberOrderExecutor }) {
+  constructor(options: {
+    orders: MemberOrderExecutor;
+    /** Called when a probe has ended. */
+    onResult?(): void;
+  }) {
     this.#orders = options.orders;
+    this.#onResult = options.onResult ?? (() => {});
+  }
+
+  /**
+   * Gets the state of a member of a group, and starts a probe if one is due. A response from before the loss of the group does not count after it.
+   *
+   * @param groupKey - Key of the group.
+   * @param server - Member to probe.
+   * @param options - Whether the group is lost, and whether a member that has responded is probed again.
+   */
+  getState(
+    groupKey: string,
+    server: BackendServer,
+    { isLost, mustRepeat }: { isLost: boolean; mustRepeat: boolean },
+  ): MemberState {
+    const probes = this.#probes.get(groupKey) ??
+      new Map<string, MemberProbe>();
+    this.#probes.set(groupKey, probes);
+    const probe = probes.get(server.id) ?? createProbe();
+    probes.set(server.id, probe);
+    const isOutdated = isLost && !probe.isAfterLoss && probe.state === "alive";
+    const ageMs = performance.now() - probe.sentAtMs;
+    const isDue = probe.state === "alive"
+      ? isOutdated || (mustRepeat && ageMs >= ALIVE_PROBE_INTERVAL_MS)
+      : ageMs >= SILENCE_PROBE_INTERVAL_MS;
+    if (!probe.isPending && isDue) {
+      probe.isAfterLoss = isLost;
+      probe.state = isOutdated ? "unknown" : probe.state;
+      void this.#runProbe(probe, server);
+    }
+    return probe.state;
   }
 
   /**
-   * Gets whether a member of a lost group has responded to a probe since the loss. The first call starts a probe and returns `false`. After a probe without a response, a call starts another one once `PROBE_RETRY_MS` have passed.
+   * Gets whether a member has responded to a probe since its group was lost. The first call starts a probe and returns `false`.
    *
    * @param groupKey - Key of the lost group.
    * @param server - Member to probe.
    */
   isAlive(groupKey: string, server: BackendServer): boolean {
-    const states = this.#states.get(groupKey) ?? new Map<string, ProbeState>();
-    this.#states.set(groupKey, states);
-    const lastProbe = states.get(server.id);
-    const isDue = lastProbe === undefined ||
-      (lastProbe.state === "unresponsive" &&
-        performance.now() - lastProbe.atMs > PROBE_RETRY_MS);
-    if (isDue) {
-      void this.#checkServer(states, server);
-    }
-    return lastProbe?.state === "alive";
+    return this.getState(groupKey, server, {
+      isLost: true,
+      mustRepeat: false,
+    }) === "alive";
   }
 
   /**
@@ -44,20 +97,43 @@
    * @param keys - Keys of the groups that servers still report.
    */
   retainGroups(keys: { has(key: string): boolean }): void {
-    for (const key of this.#states.keys()) {
+    for (const key of this.#probes.keys()) {
       if (!keys.has(key)) {
-        this.#states.delete(key);
+        this.#probes.delete(key);
       }
     }
   }
 
-  async #checkServer(
-    states: Map<string, ProbeState>,
-    server: BackendServer,
-  ): Promise<void> {
-    states.set(server.id, { state: "pending", atMs: performance.now() });
-    const isAlive = await this.#orders.refreshServer(server);
-    const state = isAlive ? "alive" : "unresponsive";
-    states.set(server.id, { state, atMs: performance.now() });
+  async #runProbe(probe: MemberProbe, server: BackendServer): Promise<void> {
+    const sentAtMs = performance.now();
+    probe.isPending = true;
+    probe.sentAtMs = sentAtMs;
+    const meter = new LoopDelayMeter();
+    const report = await this.#orders.requestState(server);
+    const isObserverSlow = meter.stop() > MAX_LOOP_DELAY_MS;
+    probe.isPending = false;
+    const error = report.isLeft() ? report.extract() : undefined;
+    if (error === undefined) {
+      probe.state = "alive";
+      probe.silentSinceMs = undefined;
+    } else if (!(error instanceof ReportTimeoutError)) {
+      probe.state = "ended";
+    } else if (!isObserverSlow) {
+      probe.silentSinceMs ??= sentAtMs;
+      probe.state = performance.now() - probe.silentSinceMs >= MAX_SILENCE_MS
+        ? "silent"
+        : "unknown";
+    }
+    this.#onResult();
   }
 }
+
+function createProbe(): MemberProbe {
+  return {
+    state: "unknown",
+    isPending: false,
+    sentAtMs: Number.NEGATIVE_INFINITY,
+    isAfterLoss: false,
+    silentSinceMs: undefined,
+  };
+}
