Hand crashes over whole to a daemon that starts

Cause: notices told a crash for 1.5 s only, also the first one on a link.

Notices now describe all crashes that count, like those of prompt parts, with their ages: the first one on a link has all, later ones the new ones. Ages keep a crash from counting longer each time it is told. Daemons of the version before omit the age and tell recent crashes only.

--- a/src/connection/peer_notice.ts
+++ b/src/connection/peer_notice.ts
@@ -7,6 +7,8 @@
   readonly fingerprint: string;
   /** Key of the group, or of the server's process. */
   readonly groupKey: string;
+  /** Time since the crash, in milliseconds; daemons of older versions omit it and report recent crashes only. */
+  readonly ageMs?: number;
 }
 
 /** Report that the head of a group crashed while it began to respond to a request. */
--- a/src/process/fleet/notice_composer.ts
+++ b/src/process/fleet/notice_composer.ts
@@ -9,6 +9,7 @@
   PlannerNotice,
   ServerLimitNotice,
 } from "../../connection/peer_notice.ts";
+import type { RequestCrash } from "./crash_counter.ts";
 import type { ServerLimitReport } from "./server_limits.ts";
 import type { PartCrash, PromptPartReport } from "./prompt_part_quarantine.ts";
 
@@ -30,8 +31,8 @@
   readonly loads: ReadonlyMap<string, number>;
   readonly lostGroups: readonly string[];
   readonly suspectedGroups: readonly string[];
-  /** Crashes of the last moments. */
-  readonly crashes: readonly CrashNotice[];
+  /** All crashes that count. The array is replaced with each change. */
+  readonly crashes: readonly RequestCrash[];
   /** Fingerprints of the suspected requests that completed in the last moments. */
   readonly completedSuspects: readonly string[];
   readonly promptParts: PromptPartReport;
@@ -43,7 +44,6 @@
 /** Composes the notices for links to which a daemon sends the same state. Remembers what it has sent, so that a notice contains changes only. */
 export class NoticeComposer {
   #state: NoticeState | undefined;
-  #crashKeys: ReadonlySet<string> = new Set();
   /** Statements of servers as of the last notice that described each of them. */
   #sentLimits: ReadonlyMap<string, ServerLimitReport> = new Map();
   /** Monotonic time at which the store confirmed the list of servers, as of the last notice that told it, in milliseconds. */
@@ -107,9 +107,9 @@
     if (suspectedGroups.length > 0) {
       notice.suspectedGroups = suspectedGroups;
     }
-    const crashes = this.#takeNewCrashes(state.crashes);
+    const crashes = listNewCrashes(previous?.crashes, state.crashes);
     if (crashes.length > 0) {
-      notice.crashes = crashes;
+      notice.crashes = crashes.map(convertCrash);
     }
     const completedSuspects = listAdded(
       previous?.completedSuspects,
@@ -142,12 +142,14 @@
     if (this.#state === undefined) {
       return undefined;
     }
-    const { loads, peers, promptParts, serverLimits, ...state } = this.#state;
+    const { loads, peers, crashes, promptParts, serverLimits, ...state } =
+      this.#state;
     return {
       ...state,
       isComplete: true,
       loads: [...loads],
       peers: [...peers.values()],
+      crashes: crashes.map(convertCrash),
       partCrashes: promptParts.crashes.map(convertPartCrash),
       partSuccesses: promptParts.successes,
       serverLimits: serverLimits.map(convertServerLimit),
@@ -180,12 +182,6 @@
     );
     return newLimits.map(convertServerLimit);
   }
-
-  #takeNewCrashes(crashes: readonly CrashNotice[]): CrashNotice[] {
-    const previousKeys = this.#crashKeys;
-    this.#crashKeys = new Set(crashes.map(getCrashKey));
-    return crashes.filter((crash) => !previousKeys.has(getCrashKey(crash)));
-  }
 }
 
 type Mutable<T> = { -readonly [K in keyof T]: T[K] };
@@ -235,6 +231,13 @@
   return current.filter((entry) => !previousKeys.has(getKey(entry)));
 }
 
+function listNewCrashes(
+  previous: readonly RequestCrash[] = [],
+  current: readonly RequestCrash[],
+): RequestCrash[] {
+  return previous === current ? [] : listNew(previous, current, getCrashKey);
+}
+
 function addPromptPartChanges(
   notice: Mutable<PeerNotice>,
   previous: PromptPartReport = { crashes: [], successes: [] },
@@ -257,6 +260,10 @@
   }
 }
 
+function convertCrash({ atMs, ...crash }: RequestCrash): CrashNotice {
+  return { ...crash, ageMs: Math.round(performance.now() - atMs) };
+}
+
 function convertPartCrash(
   { groupKey, parts, atMs }: PartCrash,
 ): PartCrashNotice {
@@ -295,7 +302,7 @@
     : performance.now() - serversAgeMs;
 }
 
-function getCrashKey({ fingerprint, groupKey }: CrashNotice): string {
+function getCrashKey({ fingerprint, groupKey }: RequestCrash): string {
   return `${fingerprint} ${groupKey}`;
 }
 
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -410,7 +410,7 @@
       loads: this.#groupLoads.getReport(relation),
       lostGroups: this.#groups.listLostKeys(),
       suspectedGroups: this.#groups.listSuspectedKeys(),
-      crashes: this.#crashCounter.listRecentCrashes(),
+      crashes: this.#crashCounter.getReport(),
       completedSuspects: this.#crashCounter.listRecentCompletions(),
       promptParts: this.#promptParts.getReport(),
       serverLimits: this.#serverLimits.getReport(relation),
--- a/tests/poison_service_request_test.ts
+++ b/tests/poison_service_request_test.ts
@@ -1,6 +1,9 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { delay } from "../src/shared/delay.ts";
-import { PlatformDeployment } from "./support/platform_deployment.ts";
+import {
+  PlatformDeployment,
+  waitUntil,
+} from "./support/platform_deployment.ts";
 
 const DAEMONS = 3;
 /** Path of the request that crashes the servers that run it. */
@@ -47,6 +50,11 @@
     return statuses;
   }
 
+  function countCrashes(): number {
+    return [...deployment.fleet.values()]
+      .reduce((sum, { requestCrashes }) => sum + requestCrashes, 0);
+  }
+
   it("is refused by all daemons after three crashes", async () => {
     deployment.fleet.forEach((s) => s.crashingPath = POISON_PATH);
     const statuses = await sendRepeats();
@@ -61,6 +69,26 @@
     expect((await callLookup(SOUND_PATH, 0)).status).toBe(200);
   });
 
+  // A daemon that started learned only of crashes of the last 1.5 s, and let the request crash three more servers.
+  it("stays refused while all daemons are replaced in turn", async () => {
+    deployment.fleet.forEach((s) => s.crashingPath = POISON_PATH);
+    await sendRepeats();
+    const crashesBefore = countCrashes();
+    for (let i = 0; i < DAEMONS; i++) {
+      await deployment.daemons.shift()!.stop();
+      deployment.callerAddresses.shift();
+      await deployment.startDaemon(`entry-new-${i}`);
+      const number = deployment.callerAddresses.length - 1;
+      await waitUntil(async () =>
+        (await callLookup(SOUND_PATH, number)).status === 200
+      );
+      await delay(NOTICE_MS);
+      expect((await callLookup(POISON_PATH, number)).status).toBe(503);
+    }
+    expect(countCrashes()).toBe(crashesBefore);
+    expect((await callLookup(SOUND_PATH, 0)).status).toBe(200);
+  }, 90_000);
+
   // A reset alone, such as that of a connection over the limit of a server, is no crash.
   it("is not suspected when its servers only reset connections", async () => {
     const plainServers = ["p0", "p1", "p2"].map((id) =>
