Leave odd crash entries of a peer's notice out

By the code, an entry that is no object threw while the notice was applied, and ended the link, again each time that the peer sent its whole state. An age that is no number made a crash that never expires or never counts.

Entries are checked before they are applied, and odd ones are left out; the others count. Prompt part crashes that are too old to count are ignored, so that they are not told on.

--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -6,6 +6,12 @@
 import type { BackendDirectory } from "./backend_directory.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
 import type { CrashCounter } from "./crash_counter.ts";
+import {
+  decodeCrashes,
+  decodeFingerprints,
+  decodePartCrashes,
+  decodePartSuccesses,
+} from "./crash_notice_decoder.ts";
 import type { ExcludedZones } from "./excluded_zones.ts";
 import type { GroupLoads } from "./group_loads.ts";
 import type { GroupTable } from "./group_table.ts";
@@ -394,12 +400,16 @@
     loads.applyPeerLoad(name, relation, notice);
     this.#applyLosses(name, notice.lostGroups ?? []);
     this.#applySuspicions(name, notice.suspectedGroups ?? []);
-    notice.crashes?.forEach((crash) => crashes.applyNotice(crash));
-    notice.completedSuspects?.forEach((fingerprint) =>
+    decodeCrashes(notice.crashes).forEach((crash) =>
+      crashes.applyNotice(crash)
+    );
+    decodeFingerprints(notice.completedSuspects).forEach((fingerprint) =>
       crashes.recordSuccess(fingerprint)
     );
-    notice.partCrashes?.forEach((crash) => promptParts.applyCrash(crash));
-    notice.partSuccesses?.forEach((success) =>
+    decodePartCrashes(notice.partCrashes).forEach((crash) =>
+      promptParts.applyCrash(crash)
+    );
+    decodePartSuccesses(notice.partSuccesses).forEach((success) =>
       promptParts.applySuccess(success)
     );
     notice.serverLimits?.forEach((limit) =>
--- a/src/process/fleet/prompt_part_quarantine.ts
+++ b/src/process/fleet/prompt_part_quarantine.ts
@@ -143,7 +143,8 @@
     };
     const suspectKey = parts.join(",");
     if (
-      parts.length === 0 || crash.suspects.has(suspectKey) ||
+      parts.length === 0 || ageMs > CRASH_RETENTION_MS ||
+      crash.suspects.has(suspectKey) ||
       crash.suspects.size >= MAX_SUSPECTS_PER_CRASH
     ) {
       return;
