Let streams end by their own channel while their head responds

What callers saw: streams were ended on evidence that proves nothing.

Now a failed status request is repeated, and a reset counts as silence. A closing head decides before any other evidence. A member that responds but is in another group, or a head that is no longer open, is the loss of the group: its streams move if they can, and otherwise end with the head's channel. Only a member that refuses connections ends streams.

--- a/src/process/fleet/group_failure_detector.ts
+++ b/src/process/fleet/group_failure_detector.ts
@@ -40,11 +40,21 @@
 /** Delay of the event loop above which a missing response does not count, in milliseconds. A status request takes several turns of the loop. */
 const MAX_LOOP_DELAY_MS = 60;
 
-/** Evidence that a member does not serve its group: `closing` for a head that takes no new request and completes those in flight. */
-type MemberEvidence = GroupEvidence | "closing";
+/**
+ * Evidence that a member does not serve its group.
+ *
+ * - `closing`: the head takes no new request, and completes those in flight.
+ * - `changed`: the member responds, but has left the group, or the head has closed it. The responses may have been sent in full, and not been read by their callers.
+ */
+type MemberEvidence = GroupEvidence | "closing" | "changed";
 
-/** Severity of the evidence; the fault with the highest one decides. */
-const EVIDENCE_ORDER: readonly MemberEvidence[] = ["closing", "silent", "lost"];
+/** Order in which evidence decides. A closing head comes first: a member that stops stays until the head has no more work, but no longer listens. */
+const EVIDENCE_ORDER: readonly MemberEvidence[] = [
+  "closing",
+  "lost",
+  "changed",
+  "silent",
+];
 
 interface MemberFault {
   readonly memberId: string;
@@ -138,7 +148,7 @@
       group.members.map((member) => this.#findFault(group, member)),
     )).filter((fault) => fault !== undefined);
     const loopDelayMs = meter.stop();
-    const fault = findGravest(faults);
+    const fault = findDecisive(faults);
     const isObserverSlow = loopDelayMs > MAX_LOOP_DELAY_MS;
     this.#logger.write("info", "group-checked", {
       group: group.key,
@@ -151,16 +161,19 @@
     if (fault === undefined) {
       this.#silences.delete(group.key);
       this.#groups.confirmGroup(group.key);
-    } else if (fault.evidence === "lost") {
-      this.#recordLoss(group, fault.message, "lost");
     } else if (fault.evidence === "closing") {
+      this.#silences.delete(group.key);
       this.#groups.recordSuspicion(group.key, fault.message);
+    } else if (fault.evidence === "lost") {
+      this.#recordLoss(group, fault.message, "lost");
+    } else if (fault.evidence === "changed") {
+      this.#recordLoss(group, fault.message, "silent");
     } else if (!isObserverSlow) {
       this.#recordSilence(group, fault, startedAtMs);
     }
     return faults.some(({ memberId, hasEnded, evidence }) =>
       memberId === group.head.id && hasEnded &&
-      (evidence === "lost" || !isObserverSlow)
+      (evidence !== "silent" || !isObserverSlow)
     );
   }
 
@@ -236,10 +249,13 @@
         const isMember = membership?.groupName === group.name &&
           membership.generation === group.generation;
         if (!isMember) {
-          return createFault(
-            `member ${member.id} does not belong to the group`,
-            true,
-          );
+          return {
+            ...createFault(
+              `member ${member.id} does not belong to the group`,
+              true,
+            ),
+            evidence: "changed" as const,
+          };
         }
         if (member.id !== group.head.id || membership.state === "open") {
           return undefined;
@@ -248,9 +264,10 @@
           `head ${member.id} is ${membership.state}`,
           false,
         );
-        return membership.state === "closing"
-          ? { ...fault, evidence: "closing" as const }
-          : fault;
+        return {
+          ...fault,
+          evidence: membership.state === "closing" ? "closing" : "changed",
+        };
       },
     });
   }
@@ -263,7 +280,7 @@
       firstReport,
       delay(SECOND_REPORT_DELAY_MS).then(() => undefined),
     ]);
-    if (firstResult !== undefined) {
+    if (firstResult?.isRight()) {
       return firstResult;
     }
     const secondTimeoutMs = REPORT_TIMEOUT_MS - SECOND_REPORT_DELAY_MS;
@@ -303,9 +320,9 @@
   }
 }
 
-function findGravest(faults: readonly MemberFault[]): MemberFault | undefined {
+function findDecisive(faults: readonly MemberFault[]): MemberFault | undefined {
   return [...faults].sort((a, b) =>
-    EVIDENCE_ORDER.indexOf(b.evidence) - EVIDENCE_ORDER.indexOf(a.evidence)
+    EVIDENCE_ORDER.indexOf(a.evidence) - EVIDENCE_ORDER.indexOf(b.evidence)
   )[0];
 }
 
--- a/src/process/fleet/group_failure_detector_test.ts
+++ b/src/process/fleet/group_failure_detector_test.ts
@@ -237,5 +237,113 @@
       ]]);
       expect(tookMs).toBeLessThan(150);
     });
+
+    // Guards against streams that are cut because a sound server, which accepts a limited number of connections, reset that of one status request.
+    it("repeats a status request whose connection was reset", async () => {
+      const { lostKeys, records } = await doTest([
+        [Left(new Error("read ECONNRESET")), 5],
+        [Right(MEMBER_REPORT), 5],
+      ]);
+      expect(lostKeys).toEqual([]);
+      expect(records).toEqual([]);
+    });
+
+    // Guards against streams that are cut during a planned stop of a member, which stops listening while the head completes them.
+    it("lets the streams of a closing group complete whose member has stopped listening", async () => {
+      const records: string[] = [];
+      const attempts = new StreamAttempts();
+      const group = {
+        ...GROUP,
+        members: [HEAD, { id: "s2", address: "127.0.0.1:2" } as BackendServer],
+      };
+      attempts.add({
+        group,
+        startedAtMs: performance.now(),
+        lastEventAtMs: performance.now(),
+        abandon: (_reason, evidence) => records.push(evidence),
+      });
+      const detector = new GroupFailureDetector({
+        groups: {
+          onChange: () => {},
+          recordLoss: () => {},
+          recordSuspicion: () => {},
+        } as unknown as GroupTable,
+        attempts,
+        orders: {
+          getReport: ({ serverId }: { serverId: string }) =>
+            Promise.resolve(
+              serverId === HEAD.id
+                ? Right({
+                  ...MEMBER_REPORT,
+                  membership: {
+                    ...MEMBER_REPORT.membership!,
+                    state: "closing",
+                  },
+                })
+                : Left(new Error("connect ECONNREFUSED 127.0.0.1:2")),
+            ),
+        } as unknown as GroupOrderClient,
+        logger: new NullLogger(),
+        announceLoss: () => {},
+      });
+      await detector.checkGroup(group, "declined");
+      expect(records).not.toContain("lost");
+    });
+
+    // Guards against a response that is discarded although its group had sent all of it before it closed, because the caller reads slowly.
+    it("does not end the streams of a group that has closed", async () => {
+      const { records } = await doTest([[
+        Right({
+          ...MEMBER_REPORT,
+          membership: { ...MEMBER_REPORT.membership!, state: "ready" },
+        }),
+        5,
+      ]]);
+      expect(records).not.toContain("abandoned: lost");
+    });
+
+    // Guards against a group that counts as lost after one missing response, because an earlier silence ended while it was closing.
+    it("measures a silence from the last response of a closing group", async () => {
+      const lostKeys: string[] = [];
+      let state: "silent" | "closing" = "silent";
+      const detector = new GroupFailureDetector({
+        groups: {
+          onChange: () => {},
+          recordLoss: (key: string) => lostKeys.push(key),
+          recordSuspicion: () => {},
+        } as unknown as GroupTable,
+        attempts: new StreamAttempts(),
+        orders: {
+          getReport: async (_target: unknown, timeoutMs: number) => {
+            if (state === "closing") {
+              return Right({
+                ...MEMBER_REPORT,
+                membership: { ...MEMBER_REPORT.membership!, state },
+              });
+            }
+            await new Promise((resolve) => setTimeout(resolve, timeoutMs));
+            return Left(
+              new ReportTimeoutError("No response arrived", {
+                hasConnected: true,
+              }),
+            );
+          },
+        } as unknown as GroupOrderClient,
+        logger: new NullLogger(),
+        announceLoss: () => {},
+      });
+      const check = async () => {
+        const result = detector.checkGroup(GROUP, "test");
+        await vi.advanceTimersByTimeAsync(500);
+        await result;
+      };
+      await check();
+      state = "closing";
+      await check();
+      state = "silent";
+      await vi.advanceTimersByTimeAsync(1_000);
+      await check();
+      expect(lostKeys).toEqual([]);
+    });
   });
 });
