--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -28,6 +28,8 @@
   readonly priority: number;
   /** Keys of groups that must not receive the request, because an earlier attempt there has failed. */
   readonly excludedGroups: ReadonlySet<string>;
+  /** Ids of the only heads that may receive the request; undefined when all may. */
+  readonly permittedServers?: ReadonlySet<string>;
   /** Whether the caller has received a part of the response. Such a request waits also when no present head takes it, since a group may form before its stream has to be broken off. */
   readonly hasStarted: boolean;
   /** Maximum number of concurrent requests in a group. */
@@ -172,8 +174,7 @@
   #isWaitUseless(
     request: GroupAdmissionRequest,
   ): boolean {
-    const { service, model, excludedGroups, waitDeadlineMs, hasStarted } =
-      request;
+    const { service, model, waitDeadlineMs, hasStarted } = request;
     if (hasStarted) {
       return false;
     }
@@ -183,7 +184,7 @@
       const waitMs = this.#statements.getWaitMs(group.head);
       if (waitMs > 0 && waitMs >= remainingMs) {
         isAnyHeadLate = true;
-      } else if (!excludedGroups.has(group.key)) {
+      } else if (isPermitted(group, request)) {
         return false;
       }
     }
@@ -245,12 +246,12 @@
   }
 
   #chooseGroup(request: GroupAdmissionRequest): ReplicaGroup | undefined {
-    const { service, model, excludedGroups, slots } = request;
+    const { service, model, slots } = request;
     const groups: ReplicaGroup[] = [];
     const servingGroups = this.#groups.listServingGroups(service, model);
     const preferredKeys = this.#getPreferredKeys(servingGroups);
     for (const group of servingGroups) {
-      if (excludedGroups.has(group.key)) {
+      if (!isPermitted(group, request)) {
         continue;
       }
       if (this.#sendLimits.every((limit) => limit.isBelowLimit(group.head))) {
@@ -303,6 +304,15 @@
 /** Delay after which the caller of a refused request should retry, in milliseconds: about the duration of one response. */
 const RETRY_AFTER_MS = 500;
 
+/** Gets whether the group may receive the request. */
+function isPermitted(
+  { key, head }: ReplicaGroup,
+  { excludedGroups, permittedServers }: GroupAdmissionRequest,
+): boolean {
+  return !excludedGroups.has(key) &&
+    permittedServers?.has(head.id) !== false;
+}
+
 function createCapacityError(
   request: GroupAdmissionRequest,
   retryAfterMs: number,
--- a/src/process/fleet/service_retry_budget.ts
+++ b/src/process/fleet/service_retry_budget.ts
@@ -33,21 +33,26 @@
     this.#getBucket().requests++;
   }
 
+  /** Gets whether a retry is permitted now. */
+  hasPermit(): boolean {
+    const { ratio, slack, countDaemons } = this.#options;
+    this.#getBucket();
+    const requests = this.#buckets.reduce((sum, b) => sum + b.requests, 0);
+    const retries = this.#buckets.reduce((sum, b) => sum + b.retries, 0);
+    return retries + 1 <=
+      ratio * requests + slack / Math.max(1, countDaemons());
+  }
+
   /**
    * Acquires a permit for one retry.
    *
    * @returns `false` when the window's budget is exhausted.
    */
   tryAcquire(): boolean {
-    const { ratio, slack, countDaemons } = this.#options;
-    const bucket = this.#getBucket();
-    const requests = this.#buckets.reduce((sum, b) => sum + b.requests, 0);
-    const retries = this.#buckets.reduce((sum, b) => sum + b.retries, 0);
-    const limit = ratio * requests + slack / Math.max(1, countDaemons());
-    if (retries + 1 > limit) {
+    if (!this.hasPermit()) {
       return false;
     }
-    bucket.retries++;
+    this.#getBucket().retries++;
     return true;
   }
 
--- a/src/request/routed/group_attempt.ts
+++ b/src/request/routed/group_attempt.ts
@@ -30,6 +30,9 @@
     this.#onSilence = options.onSilence;
     const abort = () => this.#controller.abort();
     request.signal.addEventListener("abort", abort, { once: true });
+    if (request.signal.aborted) {
+      abort();
+    }
     const timer = setTimeout(
       abort,
       Math.max(0, deadlineAtMs - performance.now()),
