Test changes of the configuration beside requests in flight

The tests change routes, services, models, group sizes, accounts, keys, time-outs and limits under requests that run (all have to complete), that wait for a place (all have to be answered or refused within their time), whose body arrives slowly, and whose caller waits to be told to continue.

--- /dev/null
+++ b/tests/config_change_test.ts
@@ -0,0 +1,217 @@
+import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
+import { createPlatformConfig } from "../fakes/platform_documents.ts";
+import { delay } from "../src/shared/delay.ts";
+import {
+  PlatformDeployment,
+  waitUntil,
+} from "./support/platform_deployment.ts";
+import { RawCaller } from "./support/raw_caller.ts";
+
+/** Time between two events of a stream, in milliseconds; a stream takes 20 times as long. */
+const EVENT_MS = 60;
+/** Time that a plain service takes for a response, in milliseconds. */
+const RESPONSE_MS = 800;
+/** Number of concurrent model requests, which exceeds the places of the two groups. */
+const WAITING_REQUESTS = 24;
+const BODY_LENGTH = 10;
+
+type PlatformConfig = ReturnType<typeof createPlatformConfig>;
+
+/** Changes of the configuration that concern requests in flight. */
+const CHANGES: {
+  name: string;
+  change: (config: PlatformConfig) => Record<string, unknown>;
+}[] = [
+  { name: "the routes are removed", change: () => ({ Routes: [] }) },
+  {
+    name: "the routes are removed and the services too",
+    change: () => ({ Routes: [], Services: [] }),
+  },
+  {
+    name: "the routes move to the other service",
+    change: ({ Routes }) => ({
+      Routes: Routes.map((route) => ({
+        ...route,
+        Service: route.Service === "app" ? "models" : "app",
+      })),
+    }),
+  },
+  {
+    name: "the model is replaced by another one",
+    change: ({ Services: [models, ...others] }) => ({
+      Services: [{
+        ...models,
+        Engine: {
+          ...models.Engine,
+          Models: models.Engine?.Models.map((model) => ({
+            ...model,
+            Name: "m2",
+          })),
+        },
+      }, ...others],
+    }),
+  },
+  {
+    name: "the groups of the model become larger",
+    change: ({ Services: [models, ...others] }) => ({
+      Services: [{
+        ...models,
+        Engine: {
+          ...models.Engine,
+          Models: models.Engine?.Models.map((model) => ({
+            ...model,
+            size: 4,
+          })),
+        },
+      }, ...others],
+    }),
+  },
+  { name: "the account is removed", change: () => ({ Tenants: [] }) },
+  {
+    name: "the key of the account changes",
+    change: ({ Tenants }) => ({
+      Tenants: Tenants.map((tenant) => ({ ...tenant, ApiKeys: ["key-2"] })),
+    }),
+  },
+  {
+    name: "the time-outs are lowered below the age of the request",
+    change: ({ Routes }) => ({
+      Routes: Routes.map((route) => ({ ...route, TimeoutMs: 200 })),
+    }),
+  },
+  {
+    name: "all limits are lowered",
+    change: () => ({
+      Limits: {
+        MaxHeaderBytes: 1_024,
+        MaxBodyBytes: 1,
+        HeaderTimeoutMs: 100,
+        IdleTimeoutMs: 100,
+      },
+    }),
+  },
+];
+
+describe("a change of the configuration", () => {
+  let deployment: PlatformDeployment;
+
+  beforeAll(async () => {
+    deployment = new PlatformDeployment();
+    await deployment.start({ daemons: 1, models: 4, eventMs: EVENT_MS });
+    for (const server of deployment.fleet.values()) {
+      server.responseMs = RESPONSE_MS;
+    }
+    await deployment.waitUntilServing();
+  });
+  afterEach(async () => {
+    await applyChange(() => ({}));
+    await deployment.waitUntilServing();
+  });
+  afterAll(() => deployment.dispose());
+
+  /** Changes the configuration, and waits until it is in force. */
+  async function applyChange(
+    change: (config: PlatformConfig) => Record<string, unknown>,
+  ): Promise<void> {
+    const { events } = deployment;
+    const countChanges = () =>
+      events.filter(({ event }) => event === "config-in-force").length;
+    const changesBefore = countChanges();
+    deployment.writeConfig(change(createPlatformConfig(1)));
+    await waitUntil(() => countChanges() > changesBefore);
+  }
+
+  function callService(path: string) {
+    return deployment.call(deployment.callerAddresses[0], {
+      method: "POST",
+      path,
+    });
+  }
+
+  for (const { name, change } of CHANGES) {
+    // Guards against requests that are cut, or refused although a server runs them.
+    it(`lets requests in flight complete when ${name}`, async () => {
+      const runsBefore = deployment.runs.length;
+      const pendingResponses = [
+        deployment.callModel(),
+        callService("/book/1"),
+        callService("/look/1"),
+      ];
+      await waitUntil(() => deployment.runs.length >= runsBefore + 3);
+      await delay(2 * EVENT_MS);
+      await applyChange(change);
+      const responses = await Promise.all(pendingResponses);
+      expect(responses.map(({ status, isWhole }) => ({ status, isWhole })))
+        .toEqual(Array(3).fill({ status: 200, isWhole: true }));
+    });
+
+    // Guards against requests that wait in vain for a place in a service that the configuration no longer has.
+    it(`answers requests that wait for a place when ${name}`, async () => {
+      const startedAtMs = performance.now();
+      const runsBefore = deployment.runs.length;
+      // More than the slots of the two groups.
+      const responses = Array.from(
+        { length: 24 },
+        () =>
+          deployment.callModel(undefined, {
+            headers: { "Deadline-Ms": "4000" },
+          }),
+      );
+      await delay(300);
+      await applyChange(change);
+      expect(deployment.runs.length - runsBefore).toBeLessThan(
+        WAITING_REQUESTS,
+      );
+      const statuses = (await Promise.all(responses)).map((response) =>
+        response.isWhole || response.status === 503
+      );
+      expect(statuses).toEqual(Array(WAITING_REQUESTS).fill(true));
+      expect(performance.now() - startedAtMs).toBeLessThan(4_500);
+    });
+  }
+
+  /** Sends the head of a request and a part of its body. */
+  async function startBody(
+    options: { part: string; headers?: string },
+  ): Promise<RawCaller> {
+    const caller = await RawCaller.open(deployment.callerAddresses[0]);
+    caller.write([
+      "POST /book/1 HTTP/1.1",
+      "host: app.example",
+      "request-id: raw-1",
+      "credential: key-1",
+      `content-length: ${BODY_LENGTH}`,
+      `${options.headers ?? ""}\r\n${options.part}`,
+    ].join("\r\n"));
+    return caller;
+  }
+
+  it("keeps to the limits of its arrival for a request whose body arrives slowly", async () => {
+    const caller = await startBody({ part: "01234" });
+    await delay(200);
+    await applyChange(() => ({
+      Limits: {
+        MaxHeaderBytes: 1_024,
+        MaxBodyBytes: 1,
+        HeaderTimeoutMs: 100,
+        IdleTimeoutMs: 100,
+      },
+    }));
+    await delay(1_500);
+    caller.write("56789");
+    await caller.waitFor("done by", 2_000);
+    caller.dispose();
+  });
+
+  it("answers a caller that expects to be told to continue", async () => {
+    const caller = await startBody({
+      part: "",
+      headers: "expect: 100-continue\r\n",
+    });
+    await caller.waitFor("HTTP/1.1 100 Continue", 2_000);
+    await applyChange(() => ({}));
+    caller.write("0123456789");
+    await caller.waitFor("done by", 2_000);
+    caller.dispose();
+  });
+});
