Grant a request the header limit in force when it began

Callers saw: 408 for a request whose headers arrived within the limit of their time, after a configuration had lowered the limit meanwhile.

Cause: the limit was put into force for all requests at once.

Evidence: npx vitest run src/connection/http_server_test.ts -t "header limit", before: "grants a request the header limit in force when it began" fails, "The condition did not hold within 1000 ms"; "puts a lowered header limit into force" passes. Both pass now.

Why it works: a lower limit is put into force after the present one has passed once, when all requests that began under it have arrived or exceeded it. A higher limit is put into force at once.

--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -34,13 +34,17 @@
 export class HttpServer {
   readonly #server: Server;
   readonly #idleTimeout = new IdleTimeout();
+  /** Header limit that is in force or comes into force, in milliseconds. */
+  #headerTimeoutMs: number;
+  #headerTimeoutTimer: NodeJS.Timeout | undefined;
   #address = "";
 
   constructor(listener: RequestListener, options: HttpServerOptions = {}) {
     const requestTimeoutMs = options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS;
+    this.#headerTimeoutMs = Math.min(HEADERS_TIMEOUT_MS, requestTimeoutMs);
     this.#server = createServer({
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      headersTimeout: Math.min(HEADERS_TIMEOUT_MS, requestTimeoutMs),
+      headersTimeout: this.#headerTimeoutMs,
       requestTimeout: requestTimeoutMs,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -78,10 +82,28 @@
     return this.#server;
   }
 
-  /** Puts limits into force for the open connections and the later ones. */
+  /** Puts limits into force. Requests that have begun keep the header limit of their time, and idle connections the longer of their limits. */
   setLimits(limits: ConnectionLimits): void {
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
-    this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#setHeaderTimeout(limits.headerTimeoutMs);
+  }
+
+  /** Raises the header limit at once, and lowers it when the requests that have begun under the present one have arrived or exceeded it. */
+  #setHeaderTimeout(timeoutMs: number): void {
+    if (timeoutMs === this.#headerTimeoutMs) {
+      return;
+    }
+    this.#headerTimeoutMs = timeoutMs;
+    clearTimeout(this.#headerTimeoutTimer);
+    const apply = () => {
+      this.#server.headersTimeout = timeoutMs;
+    };
+    if (timeoutMs >= this.#server.headersTimeout) {
+      apply();
+    } else {
+      this.#headerTimeoutTimer = setTimeout(apply, this.#server.headersTimeout)
+        .unref();
+    }
   }
 
   /**
