Test an idle limit that a configuration raises on a whole daemon

npx vitest run tests/config_change_test.ts -t 'idle connections': fails with the handler of "timeout" in http_server.ts taken out (the connection is closed two seconds after the change), and passes on this code.

--- a/tests/config_change_test.ts
+++ b/tests/config_change_test.ts
@@ -203,6 +203,20 @@
     caller.dispose();
   });
 
+  // Guards against an idle connection that is closed after the limit that was in force when it became idle.
+  it("keeps idle connections for a limit that it raises", async () => {
+    const limits = { MaxHeaderBytes: 16_384, MaxBodyBytes: 4_096 };
+    await applyChange(() => ({
+      Limits: { ...limits, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 100 },
+    }));
+    const caller = await startBody({ part: "0123456789" });
+    await caller.waitFor("done by", 2_000);
+    await applyChange(() => ({}));
+    await delay(2_000);
+    expect(caller.isClosed).toBe(false);
+    caller.dispose();
+  });
+
   it("answers a caller that expects to be told to continue", async () => {
     const caller = await startBody({
       part: "",
