Put a request that crashed servers on probation when its refusal ends

A minute after its third crash a request was unknown again, and could crash three more servers each minute (BUDGET has no end of the window).

Cause: crashes were forgotten one by one, whether or not the request was refused for them.

After three crashes within a minute a request is refused for a minute after its last crash, and then on probation for ten minutes after it: a daemon allows one request at a time as a trial. A trial that crashes a server doubles the refusal for all daemons, and one that completes ends it. Only a crash a minute after the one before counts as that of a trial, so servers that fail together do not prolong the refusal.

The unit test "ignores crashes older than a minute" stated the fault and is replaced by tests of the refusal, the trials and the end of the probation.

The end of the minute was not played with servers.

--- a/src/process/fleet/crash_counter_test.ts
+++ b/src/process/fleet/crash_counter_test.ts
@@ -31,21 +31,87 @@
       [["g1", "g2", "g3"], true],
     ])("after crashes of the groups %j returns %j", (groupKeys, expected) => {
       const counter = doTest(groupKeys);
-      expect(counter.isRefused("f")).toBe(expected);
-      expect(counter.isRefused("other")).toBe(false);
+      expect(counter.isRefused("f", "r1")).toBe(expected);
+      expect(counter.isRefused("other", "r1")).toBe(false);
     });
 
-    it("ignores crashes older than a minute", () => {
-      const counter = doTest(["g1", "g2", "g3"]);
+    it("ignores crashes that are more than a minute apart", () => {
+      const counter = doTest(["g1", "g2"]);
       vi.advanceTimersByTime(61_000);
-      expect(counter.isRefused("f")).toBe(false);
+      counter.recordCrash({ fingerprint: "f", groupKey: "g3" });
+      expect(counter.isRefused("f", "r1")).toBe(false);
+    });
+
+    it("ignores the crashes of a refused request after ten minutes", () => {
+      const counter = doTest(["g1", "g2", "g3"]);
+      vi.advanceTimersByTime(601_000);
+      expect(counter.isRefused("f", "r1")).toBe(false);
+      expect(counter.isRefused("f", "r2")).toBe(false);
+    });
+
+    // Guards against a request that crashes three more servers each time that its refusal ends.
+    it("allows one request at a time after a minute, and refuses all after its crash", () => {
+      const counter = doTest(["g1", "g2", "g3"]);
+      vi.advanceTimersByTime(59_000);
+      expect(counter.isRefused("f", "r1")).toBe(true);
+      vi.advanceTimersByTime(1_000);
+      expect(counter.isRefused("f", "r1")).toBe(false);
+      expect(counter.isRefused("f", "r2")).toBe(true);
+      expect(counter.isRefused("f", "r1")).toBe(false);
+      counter.recordCrash({ fingerprint: "f", groupKey: "g4" });
+      expect(counter.isRefused("f", "r1")).toBe(true);
+      vi.advanceTimersByTime(119_000);
+      expect(counter.isRefused("f", "r1")).toBe(true);
+      vi.advanceTimersByTime(1_000);
+      expect(counter.isRefused("f", "r1")).toBe(false);
+    });
+
+    it("allows another trial when the first one does not end", () => {
+      const counter = doTest(["g1", "g2", "g3"]);
+      vi.advanceTimersByTime(60_000);
+      expect(counter.isRefused("f", "r1")).toBe(false);
+      vi.advanceTimersByTime(10_000);
+      expect(counter.isRefused("f", "r2")).toBe(false);
+      expect(counter.isRefused("f", "r3")).toBe(true);
+    });
+
+    it("allows all requests once a trial has completed", () => {
+      const counter = doTest(["g1", "g2", "g3"]);
+      vi.advanceTimersByTime(60_000);
+      expect(counter.isRefused("f", "r1")).toBe(false);
+      counter.recordSuccess("f");
+      expect(counter.isRefused("f", "r2")).toBe(false);
+    });
+
+    // Many servers that fail together are no failed trials.
+    it("refuses for a minute however many servers crash together", () => {
+      const counter = doTest(["g1", "g2", "g3", "g4", "g5", "g6", "g7", "g8"]);
+      vi.advanceTimersByTime(60_000);
+      expect(counter.isRefused("f", "r1")).toBe(false);
+    });
+
+    it("crashes few servers in an hour, whichever daemons get a request that comes each second", () => {
+      const counters = [doTest(["g1", "g2", "g3"]), new CrashCounter()];
+      let trialCrashes = 0;
+      for (let second = 0; second < 3_600; second++) {
+        counters.forEach((counter) =>
+          counters.forEach((other) => sendReport(counter, other))
+        );
+        const counter = counters[second % 2];
+        if (!counter.isRefused("f", `r${second}`)) {
+          const groupKey = `t${trialCrashes++}`;
+          counter.recordCrash({ fingerprint: "f", groupKey });
+        }
+        vi.advanceTimersByTime(1_000);
+      }
+      expect(trialCrashes).toBeLessThanOrEqual(10);
     });
 
     it("discards the crashes of a request that has completed", () => {
       const counter = doTest(["g1", "g2"]);
       counter.recordSuccess("f");
       counter.recordCrash({ fingerprint: "f", groupKey: "g3" });
-      expect(counter.isRefused("f")).toBe(false);
+      expect(counter.isRefused("f", "r1")).toBe(false);
     });
   });
 
@@ -54,7 +120,7 @@
       const counters = ["g1", "g2", "g3"].map((key) => doTest([key]));
       const [firstCounter] = counters;
       counters.forEach((counter) => sendReport(counter, firstCounter));
-      expect(firstCounter.isRefused("f")).toBe(true);
+      expect(firstCounter.isRefused("f", "r1")).toBe(true);
     });
 
     // Guards against a crash that counts again each time that a daemon starts and hears of it.
@@ -65,9 +131,9 @@
         counter.applyNotice({ fingerprint: "f", groupKey, ageMs: 40_000 })
       );
       vi.advanceTimersByTime(19_000);
-      expect(counter.isRefused("f")).toBe(true);
+      expect(counter.isRefused("f", "r1")).toBe(true);
       vi.advanceTimersByTime(2_000);
-      expect(counter.isRefused("f")).toBe(false);
+      expect(counter.isRefused("f", "r1")).toBe(false);
     });
 
     // A new link may bring the crashes of a peer that has not yet heard of the completion.
@@ -77,7 +143,7 @@
       vi.advanceTimersByTime(2_000);
       counter.recordSuccess("f");
       sendReport(peer, counter);
-      expect(counter.isRefused("f")).toBe(false);
+      expect(counter.isRefused("f", "r1")).toBe(false);
       expect(counter.getReport()).toEqual([]);
     });
   });
@@ -92,7 +158,7 @@
       first.recordSuccess("other");
       expect(first.listRecentCompletions()).toEqual(["f"]);
       second.recordSuccess("f");
-      expect(second.isRefused("f")).toBe(false);
+      expect(second.isRefused("f", "r1")).toBe(false);
       expect(second.listRecentCompletions()).toEqual(["f"]);
     });
   });
@@ -104,7 +170,7 @@
       vi.advanceTimersByTime(50_000);
       const newCounter = new CrashCounter();
       sendReport(counter, newCounter);
-      expect(newCounter.isRefused("f")).toBe(true);
+      expect(newCounter.isRefused("f", "r1")).toBe(true);
     });
 
     it("stops listing a crash when it no longer counts", () => {
@@ -128,7 +194,7 @@
         counter.recordCrash({ fingerprint: `f${i}`, groupKey: "g" });
         counter.recordCrash({ fingerprint: "h", groupKey: `g${i}` });
       }
-      expect(counter.isRefused("f")).toBe(true);
+      expect(counter.isRefused("f", "r1")).toBe(true);
       expect(counter.getReport().length).toBeLessThanOrEqual(2_010);
     });
   });
--- a/src/process/fleet/crash_notice_decoder_test.ts
+++ b/src/process/fleet/crash_notice_decoder_test.ts
@@ -87,7 +87,7 @@
         counter.recordCrash({ fingerprint: "own", groupKey });
         quarantine.recordCrash(groupKey, ["own"]);
       });
-      expect(counter.isRefused("own")).toBe(true);
+      expect(counter.isRefused("own", "r1")).toBe(true);
       expect(quarantine.findRefusedPart(["own"])).toBe("own");
     }));
   });
--- a/src/request/routed/crash_refusal.ts
+++ b/src/request/routed/crash_refusal.ts
@@ -8,7 +8,7 @@
  *
  * @example
  * ```ts
- * if (context.crashes.isRefused(getFingerprint(scope))) {
+ * if (context.crashes.isRefused(getFingerprint(scope), request.requestId)) {
  *   throw createCrashRefusal("Several servers crashed", "not-run");
  * }
  * ```
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -294,9 +294,9 @@
 
   /** Gets whether the request is suspected of crashing the groups that run it. */
   #isRefused(): boolean {
-    const { crashes, promptParts } = this.#scope.context;
+    const { context: { crashes, promptParts }, request } = this.#scope;
     return promptParts.findRefusedPart(this.#sharedParts) !== undefined ||
-      crashes.isRefused(this.#fingerprint);
+      crashes.isRefused(this.#fingerprint, request.requestId);
   }
 
   /** Refuses a request that is suspected of crashing the groups that run it. */
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -92,8 +92,10 @@
 
   /** Refuses a request that is suspected of crashing the servers that run it. */
   #checkCrashLimit(): void {
-    const { crashes } = this.#scope.context;
-    if (!crashes.isEmpty && crashes.isRefused(this.#getFingerprint())) {
+    const { context: { crashes }, request } = this.#scope;
+    const isRefused = !crashes.isEmpty &&
+      crashes.isRefused(this.#getFingerprint(), request.requestId);
+    if (isRefused) {
       throw createCrashRefusal(
         "The request is refused because several backend servers crashed while running it",
         this.#verdict,
