Test that crashes are remembered through an outage of the store

A daemon that starts during an outage of the store, and so serves and links only after it, has to know the crashes from before the outage.

--- a/tests/poison_service_request_test.ts
+++ b/tests/poison_service_request_test.ts
@@ -89,6 +89,32 @@
     expect((await callLookup(SOUND_PATH, 0)).status).toBe(200);
   }, 90_000);
 
+  // Guards against evidence that is lost or made old by an outage, or by a daemon that starts during one.
+  it(
+    "stays refused through an outage of the store in which a daemon starts",
+    async () => {
+      deployment.fleet.forEach((s) => s.crashingPath = POISON_PATH);
+      await sendRepeats();
+      const crashesBefore = countCrashes();
+      deployment.store.fault = "silent";
+      await delay(NOTICE_MS);
+      const startPromise = deployment.startDaemon("entry-new");
+      await delay(NOTICE_MS);
+      for (let i = 0; i < DAEMONS; i++) {
+        expect((await callLookup(POISON_PATH, i)).status).toBe(503);
+      }
+      deployment.store.fault = "none";
+      await startPromise;
+      await waitUntil(async () =>
+        (await callLookup(SOUND_PATH, DAEMONS)).status === 200
+      );
+      await delay(NOTICE_MS);
+      expect((await callLookup(POISON_PATH, DAEMONS)).status).toBe(503);
+      expect(countCrashes()).toBe(crashesBefore);
+    },
+    60_000,
+  );
+
   // A reset alone, such as that of a connection over the limit of a server, is no crash.
   it("is not suspected when its servers only reset connections", async () => {
     const plainServers = ["p0", "p1", "p2"].map((id) =>
