Bound the size of the notice with suspected prompt parts

Suspects were bounded by number only. With many long parts in the prompts, the first notice on a link was larger than the 4 MB that a link buffers, so that a daemon that starts could not have been linked.

The oldest crashes are evicted while the parts of all suspects, with what the notice adds to each, have more than 2,000,000 characters.

Before: the new unit test fails with "expected to be less than 4194304". After: the 19 tests of the file pass. That a link is closed by such a notice follows from the code and was not run.

--- a/src/process/fleet/prompt_part_quarantine.ts
+++ b/src/process/fleet/prompt_part_quarantine.ts
@@ -21,6 +21,10 @@
 const MAX_CRASHES = 500;
 /** Number of requests that are stored for each crash. */
 const MAX_SUSPECTS_PER_CRASH = 20;
+/** Size of all suspects in characters of the notice that hands them over to a daemon that starts. The oldest crash is evicted first. It is below the size at which a link is closed because its partner does not read. */
+const MAX_SUSPECTS_SIZE = 2_000_000;
+/** Characters that a notice has for a suspected part and its success, without the id of the part. */
+const PART_OVERHEAD = 100;
 /** Number of parts of a request that are stored. */
 const MAX_PARTS_PER_SUSPECT = 64;
 /** Number of parts whose last success is stored. The part whose success was recorded first is evicted first. */
@@ -37,6 +41,8 @@
   readonly suspects: Map<string, readonly string[]>;
   /** Parts with which a response began before or after the crash and has shown that they are harmless. */
   readonly successes: Map<string, PartSuccessTime>;
+  /** Size of the suspects in a notice, in characters. */
+  size: number;
 }
 
 /** Part that is refused in combination with the parts that were in all crashed requests with it. */
@@ -76,6 +82,8 @@
   readonly #crashes = new Map<string, Crash>();
   /** Monotonic time at which the last harmless response with a part began, in milliseconds, in order of arrival. */
   readonly #lastSuccessAtMs = new Map<string, number>();
+  /** Size of the suspects of all crashes in a notice, in characters. */
+  #suspectsSize = 0;
   #report: PromptPartReport | undefined;
   #refusals: readonly Refusal[] = [];
   #refusalsAtMs = Number.NEGATIVE_INFINITY;
@@ -140,6 +148,7 @@
       atMs: performance.now() - ageMs,
       suspects: new Map(),
       successes: new Map(),
+      size: 0,
     };
     const suspectKey = parts.join(",");
     if (
@@ -149,12 +158,12 @@
     ) {
       return;
     }
+    const size = suspectKey.length + parts.length * PART_OVERHEAD;
     crash.suspects.set(suspectKey, parts);
+    crash.size += size;
+    this.#suspectsSize += size;
     this.#crashes.set(groupKey, crash);
-    const [oldestKey] = this.#crashes.keys();
-    if (this.#crashes.size > MAX_CRASHES) {
-      this.#crashes.delete(oldestKey);
-    }
+    this.#removeExcessCrashes();
     this.#publishChange();
     for (const part of parts) {
       const successAtMs = this.#lastSuccessAtMs.get(part);
@@ -218,11 +227,27 @@
     return this.#refusals;
   }
 
+  #removeExcessCrashes(): void {
+    for (const crash of this.#crashes.values()) {
+      const isExcess = this.#crashes.size > MAX_CRASHES ||
+        this.#suspectsSize > MAX_SUSPECTS_SIZE;
+      if (!isExcess) {
+        return;
+      }
+      this.#removeCrash(crash);
+    }
+  }
+
+  #removeCrash({ groupKey, size }: Crash): void {
+    this.#crashes.delete(groupKey);
+    this.#suspectsSize -= size;
+    this.#report = undefined;
+  }
+
   #removeExpiredCrashes(nowMs: number): void {
-    for (const { groupKey, atMs } of this.#crashes.values()) {
-      if (nowMs - atMs > CRASH_RETENTION_MS) {
-        this.#crashes.delete(groupKey);
-        this.#report = undefined;
+    for (const crash of this.#crashes.values()) {
+      if (nowMs - crash.atMs > CRASH_RETENTION_MS) {
+        this.#removeCrash(crash);
       }
     }
   }
--- a/src/process/fleet/prompt_part_quarantine_test.ts
+++ b/src/process/fleet/prompt_part_quarantine_test.ts
@@ -3,6 +3,9 @@
 import { NullLogger } from "../../shared/logger.ts";
 import { PromptPartQuarantine } from "./prompt_part_quarantine.ts";
 
+/** Number of bytes that a link buffers before it is closed. */
+const MAX_LINK_BUFFER_BYTES = 4_194_304;
+
 describe("PromptPartQuarantine", () => {
   beforeEach(() => {
     vi.useFakeTimers();
@@ -213,6 +216,24 @@
       });
     });
 
+    // Guards against a first notice that is too large for a link, so that the daemons could not link again.
+    it("keeps suspects whose notice fits into a link, whatever the parts of the prompts", () => {
+      const quarantine = createQuarantine();
+      const createParts = (length: number) =>
+        Array.from({ length: 64 }, (_, i) => `${i}`.padEnd(length, "x"));
+      for (let i = 0; i < 600; i++) {
+        const parts = createParts(i % 2 === 0 ? 128 : 2);
+        for (let j = 0; j < 20; j++) {
+          quarantine.recordCrash(`g${i}/1`, [`a${j}`, ...parts]);
+        }
+        quarantine.recordSuccess(parts, performance.now());
+      }
+      const { crashes, successes } = quarantine.getReport();
+      expect(crashes.length).toBeGreaterThan(100);
+      expect(JSON.stringify({ crashes, successes }).length)
+        .toBeLessThan(MAX_LINK_BUFFER_BYTES);
+    });
+
     it("keeps a bounded number of crashes and suspects", () => {
       const quarantine = createQuarantine();
       for (let i = 0; i < 2_000; i++) {
