Close the groups that do not fit a new configuration before reusing them

Cause: the planner compared the members of a group with the size that the model has now. A group of the earlier size counted as incomplete, as if it had lost a member, so that its members left it after 250 ms, while the head was open.

Evidence: tests/config_change_streams_test on: 4 of 7 cases fail (size raised, size lowered, model replaced, model removed and added again) with "expected [ 'm0', 'm1', 'm4', 'm5' ] to deeply equal []": these servers left their group while its head served. All 7 pass with this change. The cases of a service that leaves and returns, of changed shares, and of a route that moves to another service passed before and only guard.

Change: the size of a group is recorded once its head has joined, or when its formation has ended, and does not change with the configuration. A group that is incomplete by this size has lost a member, as before. One that no longer fits the configuration is closed, which lets its requests finish, and its members are reused once the head has confirmed that.

--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -68,8 +68,12 @@
   readonly key: string;
   readonly members: readonly BackendServer[];
   readonly head: BackendServer | undefined;
-  /** Whether the group has as many members as its model needs. */
+  /** Number of servers that the group was formed of; undefined while the head joins a group of a model that is not in the configuration. */
+  readonly size: number | undefined;
+  /** Whether none of these servers is missing. */
   readonly isComplete: boolean;
+  /** Whether the configuration no longer has the group's model, or has it with another number of servers. */
+  readonly isOutdated: boolean;
   /** Whether all members are ready, so that the group can be opened. */
   readonly isReady: boolean;
 }
@@ -87,6 +91,8 @@
   readonly #incompleteSinceMs = new Map<string, number>();
   /** Monotonic time from which the members of a group that must not be opened may join other groups, by group key. */
   readonly #reusableFromMs = new Map<string, number>();
+  /** Number of servers that each reported group was formed of, by service and group key. */
+  readonly #groupSizes = new Map<string, Map<string, number>>();
   readonly #survivorProber: SurvivorProber;
   /** Model assigned to each fabric domain, by service. */
   readonly #assignments = new Map<string, ReadonlyMap<string, string>>();
@@ -148,7 +154,12 @@
       return;
     }
     this.#recordLastModels(servers);
-    const reportedGroups = collectReportedGroups(service, servers);
+    const reportedGroups = collectReportedGroups(
+      service,
+      servers,
+      this.#groupSizes.get(service.name) ?? new Map(),
+    );
+    this.#recordGroupSizes(service.name, reportedGroups);
     this.#recordIncompleteGroups(reportedGroups);
     this.#recordSupersededGroups(service, reportedGroups);
     this.#survivorProber.retainGroups(reportedGroups);
@@ -232,6 +243,20 @@
     }
   }
 
+  /** Records the sizes of the groups whose head has joined. A new configuration changes the size of the model, but not that of a group. */
+  #recordGroupSizes(
+    service: string,
+    reportedGroups: ReadonlyMap<string, ReportedGroup>,
+  ): void {
+    const sizes = new Map<string, number>();
+    for (const { key, size, head } of reportedGroups.values()) {
+      if (size !== undefined && hasJoined(head)) {
+        sizes.set(key, size);
+      }
+    }
+    this.#groupSizes.set(service, sizes);
+  }
+
   #recordIncompleteGroups(
     reportedGroups: ReadonlyMap<string, ReportedGroup>,
   ): void {
@@ -339,13 +364,16 @@
     const hasDrainingMember = group.members.some(({ isDraining }) =>
       isDraining
     );
-    // A group with a draining member is closed first, which lets its requests finish.
+    // A group with a draining member, or of an earlier configuration, is closed first, which lets its requests finish.
     const reusableFromMs = this.#reusableFromMs.get(group.key);
     const isSuperseded = reusableFromMs !== undefined &&
       performance.now() >= reusableFromMs;
+    const isClosed = state === undefined || state === "ready" ||
+      state === "broken";
     return hasDrainingMember
-      ? state === undefined || state === "ready" || state === "broken"
-      : isIncomplete || isSuperseded || state === "broken";
+      ? isClosed
+      : (group.isOutdated && isClosed) || isIncomplete || isSuperseded ||
+        state === "broken";
   }
 
   /**
@@ -392,9 +420,9 @@
       !this.#options.getExcludedZones().has(server.zone);
   }
 
-  /** Opens a complete group whose formation has failed although all members are ready now, and closes an open group that has a draining member. */
+  /** Opens a complete group whose formation has failed although all members are ready now, and closes an open group that has a draining member or does not fit the configuration. */
   #continueGroup(service: RoutedService, group: ReportedGroup): void {
-    const { head, members, isComplete, isReady, key } = group;
+    const { head, members, isComplete, isOutdated, isReady, key } = group;
     if (this.#options.groups.isLost(key)) {
       this.#closeLostGroup(group);
       return;
@@ -406,9 +434,10 @@
       return;
     }
     const hasDrainingMember = members.some(({ isDraining }) => isDraining);
-    if (hasDrainingMember && head.membership?.state === "open") {
+    const mustClose = hasDrainingMember || isOutdated;
+    if (mustClose && head.membership?.state === "open") {
       this.#startTask("closing", this.#runClosing(head, members));
-    } else if (!hasDrainingMember && isReady && !this.#isSuperseded(group)) {
+    } else if (!mustClose && isReady && !this.#isSuperseded(group)) {
       this.#startTask("opening", this.#runOpening(service, head, members));
     }
   }
@@ -507,7 +536,12 @@
           getOpenWaitOptions(service),
         ),
     );
-    if (!isOpen) {
+    if (isOpen) {
+      this.#groupSizes.get(service.name)?.set(
+        `${group.groupName}/${generation}`,
+        members.length,
+      );
+    } else {
       await this.#pauseUnresponsiveMembers(members);
     }
     logger.write("info", "group-formed", {
@@ -590,26 +624,45 @@
 /** Margin by which the first status request follows the expected end of an order, in milliseconds. */
 const FIRST_POLL_MARGIN_MS = 20;
 
+/**
+ * Collects the groups that the servers of a service report.
+ *
+ * @param service - Service of the servers.
+ * @param servers - Servers of the service.
+ * @param knownSizes - Number of servers that each group was formed of, by group key. Any other group counts as formed as the configuration says.
+ */
 function collectReportedGroups(
   service: RoutedService,
   servers: readonly BackendServer[],
+  knownSizes: ReadonlyMap<string, number>,
 ): Map<string, ReportedGroup> {
   const groups = new Map<string, ReportedGroup>();
   for (const [key, members] of collectMembers(servers)) {
     const head = members.find(({ membership }) => membership?.rank === 0);
     const groupSize = findModel(service, head?.loadedModels[0] ?? "")
       ?.groupSize;
+    const expectedSize = knownSizes.get(key) ?? groupSize;
+    const size = hasJoined(head)
+      ? Math.max(expectedSize ?? 0, members.length)
+      : expectedSize;
     groups.set(key, {
       key,
       members,
       head,
-      isComplete: members.length === groupSize,
+      size,
+      isComplete: members.length === size,
+      isOutdated: hasJoined(head) && size !== groupSize,
       isReady: members.every(({ membership }) => membership?.state === "ready"),
     });
   }
   return groups;
 }
 
+/** Gets whether the head of a group has joined it, so that the model which it reports is that of the group. */
+function hasJoined(head: BackendServer | undefined): boolean {
+  return head?.membership !== undefined && head.membership.state !== "joining";
+}
+
 /** Radix of the generation in group names. It keeps the names short, as daemons exchange the name of every group several times a second. */
 const GROUP_NAME_RADIX = 36;
 
