Let an attempt go on until another server can take its request

What callers saw: an idempotent request to a plain service whose only server was silent for 1.5 s ended with a 502 after half of its time, although the server would have answered in time. Cause: an attempt that may be followed by another one was aborted after its share of the time, before it was known whether another server or a retry was left.

Evidence: tests/silent_service_test on: "end with an answer when the only server is silent for 1500 ms" and "... 2000 ms" fail, for instance with "GET-1-12 502 after 1503 ms: No backend server can take the request"; the other 7 cases (one server or both silent for 1.0 to 2.0 s, bookings among them, which are run once at most) passed. All 9 pass with this change.

Change: after its share of the time, the attempt goes on until another server can take the request and a retry has been taken from the budget; both are then reserved for the next attempt.

--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -16,6 +16,8 @@
 
 /** Share of the remaining time that an attempt of an idempotent request gets while another attempt may follow. */
 const ATTEMPT_TIME_SHARE = 0.5;
+/** Interval at which an attempt that has used its share of the time checks whether another one can follow, in milliseconds. */
+const REPLACEMENT_CHECK_INTERVAL_MS = 50;
 /** Maximum number of retries of a request, including those after a server declined it without running it. */
 const MAX_RETRIES = 3;
 /** Time after which callers are asked to retry a request that has not run, in milliseconds. In this time a full server completes several requests. */
@@ -32,6 +34,8 @@
   #responseStatus: number | undefined;
   /** Hash that identifies the request, once it is needed. */
   #fingerprint: string | undefined;
+  /** Server of the next attempt, for which a retry has been taken from the budget. */
+  #nextServer: BackendServer | undefined;
   /** Last response of a server that ran the request. */
   #lastResponse: AttemptResponse | undefined;
 
@@ -60,7 +64,8 @@
   async run(): Promise<void> {
     for (;;) {
       this.#checkCrashLimit();
-      const server = this.#chooseServer();
+      const server = this.#nextServer ?? this.#chooseServer();
+      this.#nextServer = undefined;
       if (server === undefined) {
         this.#sendLastResponseOrThrow(
           this.#createError("No backend server can take the request"),
@@ -189,10 +194,13 @@
     const controller = new AbortController();
     const abortAttempt = () => controller.abort();
     request.signal.addEventListener("abort", abortAttempt, { once: true });
-    const timer = setTimeout(
-      abortAttempt,
-      isLastAttempt ? remainingMs : remainingMs * ATTEMPT_TIME_SHARE,
-    );
+    const timer = setTimeout(abortAttempt, remainingMs);
+    const stopReplacement = isLastAttempt
+      ? () => {}
+      : this.#scheduleReplacement(
+        remainingMs * ATTEMPT_TIME_SHARE,
+        abortAttempt,
+      );
     const removeLoad = serverLoads.addRequest(server.id);
     coldLimits.recordRequest(server);
     serverLimits.recordRequest(server);
@@ -224,11 +232,39 @@
       return { outcome: "failed", error, isGroupLost: false };
     } finally {
       clearTimeout(timer);
+      stopReplacement();
       removeLoad();
       request.signal.removeEventListener("abort", abortAttempt);
     }
   }
 
+  /**
+   * Aborts an attempt that has used its share of the time as soon as another server can take the request. Until then the attempt goes on, since its server may only be silent for a while.
+   *
+   * @param afterMs - Share of the time that the attempt gets, in milliseconds.
+   * @param abortAttempt - Aborts the attempt.
+   * @returns Function that is called when the attempt has ended.
+   */
+  #scheduleReplacement(afterMs: number, abortAttempt: () => void): () => void {
+    const checkReplacement = () => {
+      const server = this.#chooseServer();
+      if (server !== undefined && this.#tryAcquireRetry()) {
+        this.#nextServer = server;
+        abortAttempt();
+      } else {
+        timer = setTimeout(checkReplacement, REPLACEMENT_CHECK_INTERVAL_MS);
+      }
+    };
+    let timer = setTimeout(checkReplacement, afterMs);
+    return () => clearTimeout(timer);
+  }
+
+  #tryAcquireRetry(): boolean {
+    const { context, service } = this.#scope;
+    return this.#attemptCount <= MAX_RETRIES &&
+      context.getRetryBudget(service.name).tryAcquire();
+  }
+
   #recordResult(server: BackendServer, result: AttemptResult): void {
     const { context, request, route } = this.#scope;
     if (result.outcome === "answered") {
@@ -260,7 +296,7 @@
 
   /** Returns the error that ends the request, or undefined when the request may be retried, in which case the retry has been taken from the budget. */
   #findFinalError(result: AttemptResult): RequestError | undefined {
-    const { context, request, route, service, deadlineAtMs } = this.#scope;
+    const { request, route, deadlineAtMs } = this.#scope;
     if (request.signal.aborted) {
       return this.#createError("The caller closed the connection");
     }
@@ -271,8 +307,7 @@
       route.kind === "idempotent";
     if (
       isRetryable && this.#countedAttemptCount < route.maxAttempts &&
-      this.#attemptCount <= MAX_RETRIES &&
-      context.getRetryBudget(service.name).tryAcquire()
+      (this.#nextServer !== undefined || this.#tryAcquireRetry())
     ) {
       return undefined;
     }
