Let the soak silence sound servers

A backend server sends nothing for 0.7 to 2.0 s and goes on. That counts as no disturbance, so that it excuses no interrupted call at a planned stop and no join while the previous head serves.

Run here: the tests of the plan and of the checks. The soak itself has not been run with it.

--- a/bench/soak/soak_plan.ts
+++ b/bench/soak/soak_plan.ts
@@ -13,6 +13,7 @@
  * - `store`: the store does not respond (`silent`) or responds with status 503 (`busy`).
  * - `drop-history`: the store discards its past events, from which watches resume.
  * - `crash-server`: a backend server crashes and is replaced.
+ * - `silence-server`: a backend server without a fault sends nothing for a while, and goes on.
  * - `drain-server`: a backend server drains and is replaced.
  * - `late-orders`: the next order to a backend server gets no response and is carried out later.
  * - `lose-answers`: a backend server executes the next requests, but resets their connections in place of a response.
@@ -42,6 +43,11 @@
   }
   | { readonly kind: "drop-history" }
   | { readonly kind: "crash-server"; readonly server: number }
+  | {
+    readonly kind: "silence-server";
+    readonly server: number;
+    readonly forMs: number;
+  }
   | { readonly kind: "drain-server"; readonly server: number }
   | { readonly kind: "late-orders"; readonly server: number }
   | { readonly kind: "lose-answers"; readonly server: number }
@@ -75,6 +81,8 @@
 ];
 const MIN_FAULT_DURATION_MS = 300;
 const MAX_FAULT_DURATION_MS = 4_000;
+/** Shortest and longest silence of a backend server without a fault, in milliseconds. */
+const SILENCE_DURATION_MS = { min: 700, max: 2_000 };
 /** Shortest exclusion of a zone, in milliseconds. It exceeds the time for which the zone may still receive requests. */
 const MIN_EXCLUSION_DURATION_MS = 5_500;
 /** Time at the end of a soak without new actions, in milliseconds, so that calls in flight can end. */
@@ -109,6 +117,8 @@
   const fault = LINK_FAULTS[random.getInteger(LINK_FAULTS.length)];
   const forMs = MIN_FAULT_DURATION_MS +
     random.getInteger(MAX_FAULT_DURATION_MS - MIN_FAULT_DURATION_MS);
+  const silenceMs = SILENCE_DURATION_MS.min +
+    random.getInteger(SILENCE_DURATION_MS.max - SILENCE_DURATION_MS.min);
   const actions: readonly SoakAction[] = [
     { kind: "kill", daemon },
     { kind: "stop", daemon },
@@ -125,6 +135,8 @@
     { kind: "drop-history" },
     { kind: "crash-server", server },
     { kind: "crash-server", server },
+    { kind: "silence-server", server, forMs: silenceMs },
+    { kind: "silence-server", server, forMs: silenceMs },
     { kind: "drain-server", server },
     { kind: "late-orders", server },
     { kind: "lose-answers", server },
--- a/bench/soak/soak_plan_test.ts
+++ b/bench/soak/soak_plan_test.ts
@@ -9,13 +9,14 @@
     expect(createPlan(7, size)).not.toEqual(createPlan(8, size));
   });
 
-  it("creates each of the 13 kinds of action within 50 seeds", () => {
+  it("creates each of the 14 kinds of action within 50 seeds", () => {
     const kinds = new Set<string>();
     for (let seed = 1; seed <= 50; seed++) {
       const steps = createPlan(seed, size);
       expect(steps.length).toBeGreaterThan(3);
       steps.forEach(({ kind }) => kinds.add(kind));
     }
-    expect(kinds.size).toBe(13);
+    expect(kinds).toContain("silence-server");
+    expect(kinds.size).toBe(14);
   });
 });
--- a/bench/soak/soak_runner.ts
+++ b/bench/soak/soak_runner.ts
@@ -211,6 +211,10 @@
         );
         await fleet.crashServer(step.server, modelServerCount);
         return;
+      case "silence-server":
+        // The silence of a server is no disturbance that excuses a violation.
+        await fleet.servers[step.server].server.pause(step.forMs);
+        return;
       case "drain-server":
         await fleet.drainServer(step.server, modelServerCount);
         recordDisturbance(
