Split the progress and the servers of a stream from its forwarder

StreamProgress keeps the events that the caller has received, AttemptedServers the route's limit on servers; functions about results and moves stand with these. No change of behaviour.

--- a/src/request/routed/attempt_result.ts
+++ b/src/request/routed/attempt_result.ts
@@ -68,3 +68,57 @@
   }
   return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
 }
+
+/** Reads the body of a response that is no stream, and returns the result of the attempt. */
+export async function readRefusal(
+  response: BackendResponse,
+): Promise<AttemptResponse> {
+  const body = await readResponseBody(response);
+  return {
+    outcome: response.verdict === "not-run" ? "declined" : "answered",
+    response,
+    body,
+  };
+}
+
+/** Gets whether a head refused the request for a stated time, after which the request may be sent to it again. */
+export function isPausing(result: AttemptResult): boolean {
+  return result.outcome === "declined" &&
+    typeof result.response.pause === "number" && result.response.pause > 0;
+}
+
+/** Describes the failure of an attempt at a replica group, for the error of its request. */
+export function describeFailure(result: AttemptResult): string {
+  if (result.outcome === "failed") {
+    return result.error.message;
+  }
+  return result.outcome === "answered"
+    ? `The replica group that was to continue the stream answered with status ${result.response.status}`
+    : "All replica groups that were tried declined the request";
+}
+
+/**
+ * Converts the error of an attempt at a replica group to its result.
+ *
+ * @param error - Thrown value; an error that says nothing about the server is thrown again.
+ * @param lossReason - Reason why the daemon ended the attempt; undefined when it did not.
+ */
+export function convertAttemptError(
+  error: unknown,
+  lossReason: string | undefined,
+): AttemptResult {
+  if (!(error instanceof BackendError)) {
+    throw error;
+  }
+  return {
+    outcome: "failed",
+    isGroupLost: lossReason !== undefined,
+    error: lossReason === undefined
+      ? error
+      : new BackendError(`The replica group was lost: ${lossReason}`, {
+        kind: "reset",
+        verdict: error.verdict,
+        cause: error,
+      }),
+  };
+}
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -7,36 +7,38 @@
 import { RequestError } from "../../shared/errors.ts";
 import type { LogFields } from "../../shared/logger.ts";
 import { combineVerdicts, type Verdict } from "../../shared/verdict.ts";
-import type { EngineProfile, Route } from "../../version/routing_config.ts";
+import type { EngineProfile } from "../../version/routing_config.ts";
 import {
   type ServerSentEvent,
   ServerSentEventParser,
 } from "./server_sent_events.ts";
 import {
   type AttemptFailure,
-  type AttemptResponse,
   type AttemptResult,
-  readResponseBody,
+  convertAttemptError,
+  describeFailure,
+  isPausing,
+  readRefusal,
 } from "./attempt_result.ts";
+import { AttemptedServers } from "./attempted_servers.ts";
 import { createCrashRefusal, getFingerprint } from "./crash_refusal.ts";
 import { GroupAttempt } from "./group_attempt.ts";
 import { PromptPartEvidence } from "./prompt_part_evidence.ts";
 import type { RequestForwarder } from "./request_forwarder.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { ModelRequest } from "./routed_request.ts";
-import { type RespondingAttempt, StreamMove } from "./stream_move.ts";
+import {
+  getMaxPauseMs,
+  MIN_MOVE_SILENCE_MS,
+  type RespondingAttempt,
+  StreamMove,
+  waitForBody,
+} from "./stream_move.ts";
+import { StreamProgress } from "./stream_progress.ts";
 
 /** Share of the remaining time that a request may wait for a free slot before its response has started. */
 const FIRST_ADMISSION_WAIT_SHARE = 0.3;
 const MS_PER_SECOND = 1_000;
-/** Time without an event after which a stream moves, in milliseconds. Other daemons may report the loss of a group whose streams go on here. */
-const MIN_MOVE_SILENCE_MS = 300;
-/** Minimum time after which callers abandon a stream without an event, in milliseconds. */
-const MIN_CALLER_WAIT_MS = 2_000;
-/** Number of latency objectives for which callers wait for an event, if that is longer. */
-const CALLER_WAIT_OBJECTIVES = 4;
-/** Number of pause objectives for which callers wait for an event, if that is longer. */
-const CALLER_WAIT_PAUSES = 8;
 /** Maximum number of retries after a group declined the request without running it. Declined attempts are cheap, and a closing group declines requests until this daemon learns of its state. */
 const MAX_DECLINED_ATTEMPTS = 4;
 /** Maximum length of the id of a prompt part, in characters. */
@@ -57,22 +59,13 @@
   #isAttemptRunning = false;
   /** Move to another group while the group of the current attempt is silent. */
   #move: StreamMove | undefined;
-  /** Id of the last event that the caller has received. */
-  #lastEventId: number | undefined;
+  readonly #progress: StreamProgress;
+  readonly #servers: AttemptedServers;
   #verdict: Verdict = "not-run";
   #attemptCount = 0;
-  /** Ids of the servers that count towards the route's limit on servers: they may have run the request, and have not ended since. */
-  readonly #countedServerIds = new Set<string>();
-  /** Ids of those counted servers that have not failed, because a move to them was cancelled. */
-  readonly #returnServerIds = new Set<string>();
   #declinedCount = 0;
   #admissionWaitMs = 0;
   #lastGroupKey: string | undefined;
-  /** Time from the arrival of the request to its first event, in milliseconds. */
-  #firstEventMs: number | undefined;
-  /** Longest time between two chunks with new events, in milliseconds. */
-  #longestPauseMs = 0;
-  #lastEventAtMs: number | undefined;
 
   constructor(scope: RequestScope, options: {
     engine: EngineProfile;
@@ -81,7 +74,10 @@
     this.#scope = scope;
     this.#engine = options.engine;
     this.#modelRequest = options.modelRequest;
-    this.#lastEventId = scope.request.resumeAfter;
+    this.#progress = new StreamProgress(scope.request.resumeAfter);
+    this.#servers = new AttemptedServers({
+      maxServers: scope.route.maxAttempts,
+    });
     this.#fingerprint = getFingerprint(scope);
     this.#sharedParts = options.modelRequest.promptParts.slice(0, -1)
       .map(({ id }) => id.slice(0, MAX_PART_ID_LENGTH));
@@ -102,9 +98,7 @@
       group: this.#lastGroupKey,
       attempts: this.#attemptCount,
       waitedMs: Math.round(this.#admissionWaitMs),
-      firstEventMs: this.#firstEventMs,
-      longestPauseMs: Math.round(this.#longestPauseMs),
-      lastEvent: this.#lastEventId,
+      ...this.#progress.getLogFields(),
     };
   }
 
@@ -239,7 +233,7 @@
         attempt.dispose();
         await this.#recordResult(attempt, result);
         if (signal.aborted) {
-          this.#returnServerIds.add(attempt.group.head.id);
+          this.#servers.recordCancellation(attempt.group.head.id);
         } else if (!isPausing(result)) {
           this.#excludedGroupKeys.add(attempt.group.key);
         }
@@ -247,8 +241,8 @@
       }
       // A group that responds after the silent one has gone on may have run the request, too.
       if (!hasResponded) {
-        this.#countedServerIds.add(attempt.group.head.id);
-        this.#returnServerIds.add(attempt.group.head.id);
+        this.#servers.add(attempt.group.head.id);
+        this.#servers.recordCancellation(attempt.group.head.id);
         return undefined;
       }
       move.recordTaken();
@@ -271,7 +265,7 @@
         ...this.#excludedGroupKeys,
         currentAttempt.group.key,
       ]),
-      permittedServers: this.#findPermittedServers(
+      permittedServers: this.#servers.findPermitted(
         currentAttempt.group.head.id,
       ),
       waitShare: 1,
@@ -302,7 +296,7 @@
         ? await waitForBody(response)
         : await readRefusal(response);
     } catch (error) {
-      return convertError(error, attempt.lossReason);
+      return convertAttemptError(error, attempt.lossReason);
     }
   }
 
@@ -318,7 +312,7 @@
       from: from.group.key,
       to: to.group.key,
       reason,
-      lastEvent: this.#lastEventId,
+      lastEvent: this.#progress.lastEventId,
       tookMs: Math.round(performance.now() - to.startedAtMs),
     });
   }
@@ -377,7 +371,7 @@
     const { request, writer } = this.#scope;
     const grant = await this.#waitForGrant({
       excludedGroups: this.#excludedGroupKeys,
-      permittedServers: this.#findPermittedServers(),
+      permittedServers: this.#servers.findPermitted(),
       waitShare: writer.hasStarted() ? 1 : FIRST_ADMISSION_WAIT_SHARE,
       signal: request.signal,
     });
@@ -456,7 +450,7 @@
         response ?? await this.#sendRequest(attempt),
       );
     } catch (error) {
-      return convertError(error, attempt.lossReason);
+      return convertAttemptError(error, attempt.lossReason);
     } finally {
       attempt.dispose();
     }
@@ -476,7 +470,7 @@
         body: request.body,
         timeBudgetMs: deadlineAtMs - performance.now(),
         account,
-        resumeAfter: this.#lastEventId,
+        resumeAfter: this.#progress.lastEventId,
         usesDedicatedConnection: false,
         signal,
       },
@@ -505,7 +499,7 @@
     const parser = new ServerSentEventParser();
     for await (const chunk of response.body) {
       const receivedEvents = parser.push(chunk);
-      const events = this.#acceptEvents(receivedEvents);
+      const events = this.#progress.acceptEvents(receivedEvents);
       attempt.lastEventAtMs = performance.now();
       if (receivedEvents.length > 0) {
         this.#partEvidence.recordEvents(attempt);
@@ -516,11 +510,11 @@
       this.#move?.cancel();
       if (!writer.hasStarted()) {
         const firstEventMs = performance.now() - request.receivedAtMs;
-        this.#firstEventMs = Math.round(firstEventMs);
+        this.#progress.recordFirstEvent(firstEventMs);
         context.metrics.record("time_to_first_token", firstEventMs);
         writer.openStream(response.status, response.headers);
       }
-      this.#recordPause();
+      this.#progress.recordEvents();
       const writablePromise = writer.write(joinEvents(events));
       if (writablePromise !== undefined) {
         await writablePromise;
@@ -539,37 +533,6 @@
     writer.finish();
   }
 
-  #recordPause(): void {
-    const nowMs = performance.now();
-    const pauseMs = nowMs - (this.#lastEventAtMs ?? nowMs);
-    this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
-    this.#lastEventAtMs = nowMs;
-  }
-
-  /** Drops events that were already sent to the caller, and throws when an event id is missing in the sequence. */
-  #acceptEvents(events: readonly ServerSentEvent[]): ServerSentEvent[] {
-    return events.filter(({ id }) => {
-      if (id === undefined) {
-        return true;
-      }
-      const lastEventId = this.#lastEventId;
-      if (lastEventId !== undefined && id <= lastEventId) {
-        return false;
-      }
-      if (lastEventId !== undefined && id !== lastEventId + 1) {
-        throw new BackendError(
-          `Event ${id} arrived directly after event ${lastEventId}`,
-          {
-            kind: "invalid",
-            verdict: "may-have-run",
-          },
-        );
-      }
-      this.#lastEventId = id;
-      return true;
-    });
-  }
-
   async #recordResult(
     attempt: GroupAttempt,
     result: AttemptResult,
@@ -581,7 +544,7 @@
       const countsTowardsLimit = result.error.verdict !== "not-run" &&
         !this.#hasHeadProcessEnded(group, result);
       if (countsTowardsLimit) {
-        this.#countedServerIds.add(group.head.id);
+        this.#servers.add(group.head.id);
       }
       if (result.error.kind === "reset" && !result.isGroupLost) {
         context.crashes.recordCrash({
@@ -599,9 +562,9 @@
       this.#declinedCount++;
     } else if (result.outcome === "answered") {
       this.#verdict = combineVerdicts(this.#verdict, result.response.verdict);
-      this.#countedServerIds.add(group.head.id);
+      this.#servers.add(group.head.id);
     }
-    this.#returnServerIds.delete(group.head.id);
+    this.#servers.recordEnd(group.head.id);
     if (result.outcome !== "complete") {
       context.logger.write("info", "attempt-ended", {
         requestId: request.requestId,
@@ -616,7 +579,7 @@
           : undefined,
         message: result.outcome === "failed" ? result.error.message : undefined,
         verdict: this.#verdict,
-        lastEvent: this.#lastEventId,
+        lastEvent: this.#progress.lastEventId,
         promptParts: formatPromptParts(this.#modelRequest),
       });
     }
@@ -653,26 +616,7 @@
   /** Gets whether another attempt may follow the one at a server, if that is abandoned. */
   #hasAnotherAttempt(serverId: string): boolean {
     return this.#scope.route.isResumable &&
-      this.#findPermittedServers(serverId)?.size !== 0;
-  }
-
-  /**
-   * Finds the ids of the servers to which the limit of the route restricts the next attempt; undefined when any server is permitted.
-   *
-   * @param currentServerId - Server that runs the request at present.
-   */
-  #findPermittedServers(
-    currentServerId?: string,
-  ): ReadonlySet<string> | undefined {
-    const serverIds = new Set(this.#countedServerIds);
-    if (currentServerId !== undefined) {
-      serverIds.add(currentServerId);
-    }
-    return serverIds.size < this.#scope.route.maxAttempts ? undefined : new Set(
-      [...this.#returnServerIds].filter((id) =>
-        id !== currentServerId && this.#countedServerIds.has(id)
-      ),
-    );
+      this.#servers.findPermitted(serverId)?.size !== 0;
   }
 
   /**
@@ -692,7 +636,7 @@
       );
     }
     const isRetryable = this.#verdict === "not-run" || route.isResumable;
-    const isLimitReached = this.#findPermittedServers()?.size === 0 ||
+    const isLimitReached = this.#servers.findPermitted()?.size === 0 ||
       this.#declinedCount > MAX_DECLINED_ATTEMPTS;
     if (
       !isRetryable || isLimitReached ||
@@ -720,43 +664,6 @@
   }
 }
 
-/** Waits until the first chunk of the body has arrived. A server may send the head of its response before it has read the prompt. */
-async function waitForBody(
-  response: BackendResponse,
-): Promise<BackendResponse> {
-  const chunks = response.body[Symbol.asyncIterator]();
-  const first = await chunks.next();
-  const readBody = async function* () {
-    if (!first.done) {
-      yield first.value;
-      yield* { [Symbol.asyncIterator]: () => chunks };
-    }
-  };
-  return { ...response, body: readBody() };
-}
-
-async function readRefusal(
-  response: BackendResponse,
-): Promise<AttemptResponse> {
-  const body = await readResponseBody(response);
-  return {
-    outcome: response.verdict === "not-run" ? "declined" : "answered",
-    response,
-    body,
-  };
-}
-
-/** Gets the time for which callers wait for the next event of a stream, in milliseconds. */
-function getMaxPauseMs(
-  { latencyObjectiveMs, pauseObjectiveMs = 0 }: Route,
-): number {
-  return Math.max(
-    MIN_CALLER_WAIT_MS,
-    latencyObjectiveMs * CALLER_WAIT_OBJECTIVES,
-    pauseObjectiveMs * CALLER_WAIT_PAUSES,
-  );
-}
-
 function formatPromptParts({ promptParts }: ModelRequest): string | undefined {
   return promptParts.length === 0
     ? undefined
@@ -769,38 +676,3 @@
     ? events[0].bytes
     : Buffer.concat(events.map(({ bytes }) => bytes));
 }
-
-/** Gets whether a head refused the request for a stated time, after which the request may be sent to it again. */
-function isPausing(result: AttemptResult): boolean {
-  return result.outcome === "declined" &&
-    typeof result.response.pause === "number" && result.response.pause > 0;
-}
-
-function describeFailure(result: AttemptResult): string {
-  if (result.outcome === "failed") {
-    return result.error.message;
-  }
-  return result.outcome === "answered"
-    ? `The replica group that was to continue the stream answered with status ${result.response.status}`
-    : "All replica groups that were tried declined the request";
-}
-
-function convertError(
-  error: unknown,
-  lossReason: string | undefined,
-): AttemptResult {
-  if (!(error instanceof BackendError)) {
-    throw error;
-  }
-  return {
-    outcome: "failed",
-    isGroupLost: lossReason !== undefined,
-    error: lossReason === undefined
-      ? error
-      : new BackendError(`The replica group was lost: ${lossReason}`, {
-        kind: "reset",
-        verdict: error.verdict,
-        cause: error,
-      }),
-  };
-}
--- a/src/request/routed/stream_move.ts
+++ b/src/request/routed/stream_move.ts
@@ -1,6 +1,16 @@
 import type { BackendResponse } from "../../connection/backend_transport.ts";
+import type { Route } from "../../version/routing_config.ts";
 import type { GroupAttempt } from "./group_attempt.ts";
 
+/** Time without an event after which a stream moves, in milliseconds. Other daemons may report the loss of a group whose streams go on here. */
+export const MIN_MOVE_SILENCE_MS = 300;
+/** Minimum time after which callers abandon a stream without an event, in milliseconds. */
+const MIN_CALLER_WAIT_MS = 2_000;
+/** Number of latency objectives for which callers wait for an event, if that is longer. */
+const CALLER_WAIT_OBJECTIVES = 4;
+/** Number of pause objectives for which callers wait for an event, if that is longer. */
+const CALLER_WAIT_PAUSES = 8;
+
 /** Attempt whose group has begun to respond. */
 export interface RespondingAttempt {
   readonly attempt: GroupAttempt;
@@ -66,3 +76,29 @@
     }
   }
 }
+
+/** Gets the time for which callers wait for the next event of a stream, in milliseconds. */
+export function getMaxPauseMs(
+  { latencyObjectiveMs, pauseObjectiveMs = 0 }: Route,
+): number {
+  return Math.max(
+    MIN_CALLER_WAIT_MS,
+    latencyObjectiveMs * CALLER_WAIT_OBJECTIVES,
+    pauseObjectiveMs * CALLER_WAIT_PAUSES,
+  );
+}
+
+/** Waits until the first chunk of the body has arrived. A server may send the head of its response before it has read the prompt. */
+export async function waitForBody(
+  response: BackendResponse,
+): Promise<BackendResponse> {
+  const chunks = response.body[Symbol.asyncIterator]();
+  const first = await chunks.next();
+  const readBody = async function* () {
+    if (!first.done) {
+      yield first.value;
+      yield* { [Symbol.asyncIterator]: () => chunks };
+    }
+  };
+  return { ...response, body: readBody() };
+}
