Take a reset status request for silence, not for the end of a server

Callers saw: a stream that ended in the middle at a sound server after another request to that server had failed.

Cause: a failed request makes the daemon ask all members of the group for their state, on new connections. Servers reset connections beyond their maximum. A reset counted as proof that the process had ended, and all streams of the group were aborted.

Why it works: a reset is reported like a missing response, so that the group is suspected and asked again, and streams that cannot move go on. A refused connection is still proof.

--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -112,6 +112,8 @@
   ordersToDelay = 0;
   /** Returns the time until an order is applied that gets no response, in milliseconds, or 0 for an order that is applied at once. */
   getOrderDelayMs: (order: ServerOrder) => number = () => 0;
+  /** Number of upcoming status requests whose connection is reset, as by a server that has its maximum number of connections. */
+  reportsToReset = 0;
   /** Number of upcoming requests that are executed but whose connection is reset instead of a response. */
   responsesToLose = 0;
 
@@ -224,6 +226,11 @@
       this.#deferredCalls.push(() => this.#handle(req, res));
       return;
     }
+    if (req.url === "/v1/report" && this.reportsToReset > 0) {
+      this.reportsToReset--;
+      req.socket.resetAndDestroy();
+      return;
+    }
     if (req.url === "/v1/report") {
       sendJson(res, 200, { ...this.#describeState(), Running: 0, Waiting: 0 });
       return;
--- a/src/connection/group_order_client.ts
+++ b/src/connection/group_order_client.ts
@@ -83,7 +83,7 @@
    *
    * @param target - Backend server to query.
    * @param timeoutMs - Time limit of the request in milliseconds.
-   * @returns The state, or a `ReportTimeoutError` when no response arrives in time, or another error when the request fails.
+   * @returns The state, or a `ReportTimeoutError` when no response arrives in time or the server resets the connection, or another error when the request fails.
    */
   getReport(
     target: BackendTarget,
