--- a/src/request/routed/service_request_forwarder_test.ts
+++ b/src/request/routed/service_request_forwarder_test.ts
@@ -1,5 +1,5 @@
 import { Buffer } from "node:buffer";
-import { describe, expect, it } from "vitest";
+import { describe, expect, it, vi } from "vitest";
 import { createBackendServer } from "../../../tests/support/backend_servers.ts";
 import { createRequestScope } from "../../../tests/support/routed_requests.ts";
 import { BackendError } from "../../connection/backend_transport.ts";
@@ -11,14 +11,16 @@
 import { ServiceRequestForwarder } from "./service_request_forwarder.ts";
 
 const MAX_ATTEMPTS = 2;
+/** Time until a late response, in milliseconds; more than half of the time of a request. */
+const RESPONSE_DELAY_MS = 6_000;
 
 describe("ServiceRequestForwarder", () => {
   describe("run", () => {
-    /** Responds to the attempts in turn with the given statuses, or resets the connection, and returns the caller's status and the number of attempts. */
+    /** Responds to the attempts in turn with the given statuses, late with the status 200, or resets the connection, and returns the caller's status and the number of attempts. */
     async function doTest(
       { kind, outcomes, hasBudget = true }: {
         kind: RouteKind;
-        outcomes: readonly (number | "reset")[];
+        outcomes: readonly (number | "reset" | "late")[];
         hasBudget?: boolean;
       },
     ): Promise<{ status: number | undefined; attemptCount: number }> {
@@ -44,8 +46,11 @@
         getRetryBudget: () => ({ tryAcquire: () => hasBudget }),
         transport: {
           isAccepting: () => Promise.resolve(true),
-          send: () => {
+          send: async (_target: unknown, call: { signal: AbortSignal }) => {
             const outcome = outcomes[attemptCount++];
+            if (outcome === "late") {
+              await waitUntilAborted(call.signal, RESPONSE_DELAY_MS);
+            }
             return outcome === "reset"
               ? Promise.reject(
                 new BackendError("The connection was reset", {
@@ -54,7 +59,7 @@
                 }),
               )
               : Promise.resolve({
-                status: outcome,
+                status: outcome === "late" ? 200 : outcome,
                 headers: [],
                 verdict: "ran",
                 body: [Buffer.from("body")],
@@ -179,6 +184,28 @@
       },
     );
 
+    // Guards against a request that fails although its server, which is only silent, would have answered in time.
+    it.each([
+      ["goes on when the retry budget is exhausted", false, 1],
+      ["moves to another server when a retry is left", true, 2],
+    ])(
+      "%s after half of its time",
+      async (_name, hasBudget, attemptCount) => {
+        vi.useFakeTimers();
+        try {
+          const result = doTest({
+            kind: "idempotent",
+            outcomes: ["late", 200],
+            hasBudget,
+          });
+          await vi.advanceTimersByTimeAsync(RESPONSE_DELAY_MS);
+          expect(await result).toEqual({ status: 200, attemptCount });
+        } finally {
+          vi.useRealTimers();
+        }
+      },
+    );
+
     it("forwards a server error when the retry budget is exhausted", async () => {
       const outcomes = [500, 200];
       const hasBudget = false;
@@ -187,3 +214,22 @@
     });
   });
 });
+
+/** Waits for a time, and fails if the signal aborts before its end. */
+async function waitUntilAborted(
+  signal: AbortSignal,
+  timeoutMs: number,
+): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    const timer = setTimeout(resolve, timeoutMs);
+    signal.addEventListener("abort", () => {
+      clearTimeout(timer);
+      reject(
+        new BackendError("The attempt was aborted", {
+          kind: "aborted",
+          verdict: "may-have-run",
+        }),
+      );
+    });
+  });
+}
