Wait until the requests have been read before the configuration changes

With 1 ms in place of the 300 ms before the change, both cases of removed routes fail. The test now waits until the daemon has read all requests; its demands stay. A type of the failure detector gets its doc comment back.

--- a/src/process/fleet/group_failure_detector.ts
+++ b/src/process/fleet/group_failure_detector.ts
@@ -56,6 +56,7 @@
   "silent",
 ];
 
+/** Reason why a member does not serve its group. */
 interface MemberFault {
   readonly memberId: string;
   readonly message: string;
--- a/tests/config_change_test.ts
+++ b/tests/config_change_test.ts
@@ -149,15 +149,21 @@
     it(`answers requests that wait for a place when ${name}`, async () => {
       const startedAtMs = performance.now();
       const runsBefore = deployment.runs.length;
+      const countRequests = () =>
+        deployment.metrics[0].getCount("chat_requests");
+      const requestsBefore = countRequests();
       // More than the slots of the two groups.
       const responses = Array.from(
-        { length: 24 },
+        { length: WAITING_REQUESTS },
         () =>
           deployment.callModel(undefined, {
             headers: { "Deadline-Ms": "4000" },
           }),
       );
-      await delay(300);
+      // A request that is read after the change is answered according to it, with 404 if its route is gone.
+      await waitUntil(() =>
+        countRequests() >= requestsBefore + WAITING_REQUESTS
+      );
       await applyChange(change);
       expect(deployment.runs.length - runsBefore).toBeLessThan(
         WAITING_REQUESTS,
--- a/tests/support/platform_deployment.ts
+++ b/tests/support/platform_deployment.ts
@@ -34,6 +34,8 @@
   readonly fleet = new Map<string, FakeBackendServer>();
   readonly runs: FakeServerRun[] = [];
   readonly daemons: RoutingDaemon[] = [];
+  /** Metrics of the daemons, in the order of their starts. */
+  readonly metrics: Metrics[] = [];
   readonly callerAddresses: string[] = [];
   readonly readyAddresses: string[] = [];
   readonly events: { event: string; fields: LogFields }[] = [];
@@ -110,6 +112,7 @@
     });
     await daemon.start();
     this.daemons.push(daemon);
+    this.metrics.push(daemonMetrics);
     this.callerAddresses.push(`127.0.0.1:${callerPort}`);
     this.readyAddresses.push(`127.0.0.1:${readyPort}`);
   }
