--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -94,6 +94,8 @@
   readonly #deferredCalls: (() => void)[] = [];
   #state: "ready" | "draining" = "ready";
   #isDisposed = false;
+  /** Whether the server has removed its entry from the store. */
+  #isWithdrawn = false;
   #sequence = 0;
   /** Whether the server has crashed; a crashed server does not respond. */
   hasCrashed = false;
@@ -175,6 +177,12 @@
     this.publishEntry();
   }
 
+  /** Removes the server's entry from the store, as a server does that leaves without the state `draining`. It serves on. */
+  withdrawEntry(): void {
+    this.#isWithdrawn = true;
+    this.#options.store.deleteObject("servers", this.#options.id);
+  }
+
   /** Stops listening. */
   async dispose(): Promise<void> {
     this.#isDisposed = true;
@@ -186,10 +194,10 @@
     return this.#readyGroupNames.has(groupName);
   }
 
-  /** Writes the server's entry to the store, unless the server has crashed or stopped. */
+  /** Writes the server's entry to the store, unless the server has crashed, stopped or removed it. */
   publishEntry(): void {
     const { store, id, service, zone, getPublicAddress } = this.#options;
-    if (this.hasCrashed || this.#isDisposed) {
+    if (this.hasCrashed || this.#isDisposed || this.#isWithdrawn) {
       return;
     }
     const { address } = this.#listener;
@@ -248,7 +256,11 @@
       return;
     }
     if (req.url === "/v1/report") {
-      sendJson(res, 200, { ...this.#describeState(), Running: 0, Waiting: 0 });
+      sendJson(res, 200, {
+        ...this.#describeState(),
+        Running: this.#streams.size,
+        Waiting: 0,
+      });
       return;
     }
     const handling = req.url === "/v1/order"
@@ -514,6 +526,7 @@
       this.#group = undefined;
       this.isLeaving = false;
       this.#startedAtMs = Date.now();
+      this.#isWithdrawn = false;
       this.#sequence = 0;
       await this.#listener.listen(port);
       this.hasCrashed = false;
