--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -271,6 +271,11 @@
 
   async #handleOrder(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const order = await readJson(req) as ServerOrder;
+    const { "expect-instance": expectedId = this.#options.id } = req.headers;
+    if (expectedId !== this.#options.id) {
+      sendJson(res, 421, {});
+      return;
+    }
     let delayMs = this.getOrderDelayMs(order);
     if (this.ordersToDelay > 0) {
       this.ordersToDelay--;
--- a/src/process/fleet/member_order_executor.ts
+++ b/src/process/fleet/member_order_executor.ts
@@ -1,4 +1,4 @@
-import type { Either } from "purify-ts";
+import { type Either, Left } from "purify-ts";
 import type { BackendTarget } from "../../connection/backend_transport.ts";
 import type {
   GroupOrder,
@@ -275,7 +275,7 @@
   }
 
   /**
-   * Requests a server's state and applies it to the directory.
+   * Requests a server's state and applies it to the directory. The state of another process that uses the server's address says nothing about the server, except that its process has ended.
    *
    * @param server - Current directory entry of the server.
    * @returns The state, or the reason why there is none.
@@ -287,8 +287,17 @@
       getTarget(server),
       REPORT_TIMEOUT_MS,
     );
-    report.ifRight((state) => this.#directory.applyReport(server.id, state));
-    return report;
+    return report.chain((state) => {
+      if (!isSameProcess(server, state)) {
+        return Left(
+          new Error(
+            `Another process responds at the address of server ${server.id}`,
+          ),
+        );
+      }
+      this.#directory.applyReport(server.id, state);
+      return report;
+    });
   }
 
   /** Waits until a server has the expected state. Checks the server's entry in the directory often, which causes no request, and requests the state at a growing interval. */
@@ -346,6 +355,15 @@
   return `${id}@${startedAtMs}`;
 }
 
+/** Gets whether a report may come from the process of an entry; a start time of 0 is not known. */
+function isSameProcess(
+  entry: BackendServer,
+  { startedAtMs }: BackendReport,
+): boolean {
+  return startedAtMs === 0 || entry.startedAtMs === 0 ||
+    startedAtMs === entry.startedAtMs;
+}
+
 function getTarget(server: BackendServer): BackendTarget {
   return { serverId: server.id, address: server.address };
 }
--- a/src/process/fleet/member_order_executor_test.ts
+++ b/src/process/fleet/member_order_executor_test.ts
@@ -93,4 +93,32 @@
       });
     });
   });
+
+  describe("requestState", () => {
+    // Guards against a group that is opened although one process stands for two of its members: a server that has restarted under another id at the same address.
+    it("does not apply the state of another process at the address", async () => {
+      const directory = new BackendDirectory({ logger: new NullLogger() });
+      directory.applyChange({
+        changed: new Map([["s1", { ...SERVER, startedAtMs: 1_000 }]]),
+        removed: [],
+        revision: 1,
+        changeRevision: 1,
+        outageMs: 0,
+        isSnapshot: false,
+      });
+      const executor = new MemberOrderExecutor({
+        directory,
+        orders: {
+          getReport: () =>
+            Promise.resolve(Right({ ...REPORT, startedAtMs: 2_000 })),
+        } as unknown as GroupOrderClient,
+        lease: {} as PlannerLeaseHolder,
+        logger: new NullLogger(),
+      });
+      const server = directory.findServer("s1")!;
+      const state = await executor.requestState(server);
+      expect(state.isLeft()).toBe(true);
+      expect(directory.findServer("s1")).toEqual(server);
+    });
+  });
 });
