--- a/src/connection/client_error_handler.ts
+++ b/src/connection/client_error_handler.ts
@@ -3,9 +3,16 @@
 import type { Socket } from "node:net";
 import { RequestError } from "../shared/errors.ts";
 import { createErrorBody } from "./error_body.ts";
+import { recordEndReason } from "./connection_end_reason.ts";
 
 /** Time after the last response at which a connection that is still open is destroyed, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 1_000;
+/** Codes of errors by which a caller or the network ended the connection. */
+const CALLER_ERROR_CODES: ReadonlySet<string> = new Set([
+  "ECONNRESET",
+  "EPIPE",
+  "ETIMEDOUT",
+]);
 /** Connections whose first error was handled. Later errors on them are ignored. */
 const handledSockets = new WeakSet<Socket>();
 
@@ -24,6 +31,9 @@
     socket.destroy();
     return;
   }
+  if (!CALLER_ERROR_CODES.has((error as NodeJS.ErrnoException).code ?? "")) {
+    recordEndReason(socket, "client-error");
+  }
   dropInput(socket);
   const response = getResponse(socket);
   if (response === undefined || !hasRequest(response)) {
--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, Server as TcpServer, type Socket } from "node:net";
 import { handleClientError } from "./client_error_handler.ts";
 import { IdleTimeout } from "./idle_timeout.ts";
+import { recordEndReason } from "./connection_end_reason.ts";
 
 /** Time for which an idle keep-alive connection stays open, in milliseconds. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
@@ -34,6 +35,7 @@
 export class HttpServer {
   readonly #server: Server;
   readonly #idleTimeout = new IdleTimeout();
+  readonly #sockets = new Set<Socket>();
   /** Header limit that is in force or comes into force, in milliseconds. */
   #headerTimeoutMs: number;
   #headerTimeoutTimer: NodeJS.Timeout | undefined;
@@ -60,6 +62,10 @@
     if (options.maxConnections !== undefined) {
       this.#server.maxConnections = options.maxConnections;
     }
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
     // Node.js sets the timer of a connection only while no request is in flight on it.
     this.#server.on(
       "timeout",
@@ -131,14 +137,25 @@
 
   /** Stops listening and closes all connections, including those with requests in flight. */
   async dispose(): Promise<void> {
-    if (!this.#server.listening) {
-      this.#server.closeAllConnections();
-      return;
-    }
-    const closePromise = new Promise<void>((resolve) =>
-      this.#server.close(() => resolve())
+    clearTimeout(this.#headerTimeoutTimer);
+    this.#sockets.forEach((socket) =>
+      recordEndReason(socket, "listener-closed")
     );
+    const closePromise = this.#server.listening
+      ? new Promise<void>((resolve) => this.#server.close(() => resolve()))
+      : undefined;
     this.#server.closeAllConnections();
     await closePromise;
+    await this.#waitForClosedSockets();
+  }
+
+  /** Waits until the ends of the connections have been reported, which happens after they are destroyed. */
+  async #waitForClosedSockets(): Promise<void> {
+    const sockets = [...this.#sockets].filter(({ destroyed }) => destroyed);
+    await Promise.all(
+      sockets.map((socket) =>
+        new Promise((resolve) => socket.once("close", resolve))
+      ),
+    );
   }
 }
--- a/src/connection/idle_timeout.ts
+++ b/src/connection/idle_timeout.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { recordEndReason } from "./connection_end_reason.ts";
 
 /** Time for which an idle connection stays open beyond its limit, so that a request sent just before the limit arrives on an open connection, in milliseconds. */
 const IDLE_MARGIN_MS = 1_000;
@@ -48,6 +49,7 @@
     const { bytesRead } = socket;
     setImmediate(() => {
       if (socket.bytesRead === bytesRead) {
+        recordEndReason(socket, "idle-timeout");
         socket.destroy();
       }
     });
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -35,7 +35,8 @@
   | "peer_bytes_sent"
   | "store_reads"
   | "store_writes"
-  | "config_changes";
+  | "config_changes"
+  | "unanswered_ends";
 
 /** Gauge whose value is read each time the metrics are rendered. */
 export interface Gauge {
--- a/src/process/planned_stop.ts
+++ b/src/process/planned_stop.ts
@@ -99,6 +99,13 @@
     return this.#requests.add(request);
   }
 
+  /** Finds a request in flight by the id that its caller gave it. */
+  findRequest(requestId: string): RoutedInFlightRequest | undefined {
+    return this.#requests.list().find((request) =>
+      request.requestId === requestId
+    );
+  }
+
   /**
    * Registers a request whose body has not arrived in full. The stop waits for it, so that it can be refused.
    *
--- a/src/process/platform_adapter.ts
+++ b/src/process/platform_adapter.ts
@@ -2,6 +2,7 @@
 import type { BackendTransport } from "../connection/backend_transport.ts";
 import type { GroupOrderClient } from "../connection/group_order_client.ts";
 import type { SnapshotStore } from "../connection/object_store.ts";
+import type { UnansweredEndObserver } from "../connection/unanswered_end.ts";
 import type { RequestHandler } from "../request/routed/request_handler.ts";
 import type { RoutingConfig } from "../version/routing_config.ts";
 import type { BackendServer } from "../shared/backend_server.ts";
@@ -24,6 +25,9 @@
   decodeConfig(value: unknown): RoutingConfig;
   /** Decodes the stored entry of a backend server; throws when the entry does not describe a usable server. */
   decodeServer(id: string, value: unknown, entryVersion: number): BackendServer;
-  /** Creates the request listener that decodes callers' requests and passes them to a request handler. */
-  createIngress(requestHandler: RequestHandler): RequestListener;
+  /** Creates the request listener that decodes callers' requests, passes them to a request handler and tells the observer of responses that were not completed. */
+  createIngress(
+    requestHandler: RequestHandler,
+    observer: UnansweredEndObserver,
+  ): RequestListener;
 }
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -37,6 +37,7 @@
 import type { PlatformAdapter } from "./platform_adapter.ts";
 import type { RoutingContext } from "./routing_context.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
+import { UnansweredEndRecorder } from "./unanswered_end_recorder.ts";
 
 /** Kinds of the store objects that daemons write. */
 const LEASE_KIND = "tarragontally-leases";
@@ -174,7 +175,14 @@
     };
     this.#requestHandler = new RoutedRequestHandler(this.#context);
     this.#callerServer = new HttpServer(
-      platform.createIngress(this.#requestHandler),
+      platform.createIngress(
+        this.#requestHandler,
+        new UnansweredEndRecorder({
+          logger,
+          metrics,
+          requests: this.#plannedStop,
+        }),
+      ),
     );
     this.#readinessServer = new HttpServer((req, res) => {
       const isReady = req.url === platform.readyPath && this.isReady();
