--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -62,6 +62,8 @@
     if (options.maxConnections !== undefined) {
       this.#server.maxConnections = options.maxConnections;
     }
+    // An error of a single connection, such as one that cannot be accepted, must not end the process. The error of a listener that cannot be opened rejects its promise.
+    this.#server.on("error", () => {});
     this.#server.on("connection", (socket) => {
       this.#sockets.add(socket);
       socket.once("close", () => this.#sockets.delete(socket));
--- a/src/connection/http_server_test.ts
+++ b/src/connection/http_server_test.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { constants } from "node:os";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { RawCaller } from "../../tests/support/raw_caller.ts";
 import { waitUntil } from "../../tests/support/platform_deployment.ts";
@@ -143,6 +144,15 @@
     await caller.waitFor(" 408 ", 1_000);
   });
 
+  // An error that the kernel reports for a new connection ended the process, and with it all requests in flight.
+  it("goes on after a connection that cannot be accepted", async () => {
+    const { _handle: handle } = server.server as unknown as {
+      _handle: { onconnection(status: number): void };
+    };
+    handle.onconnection(-constants.errno.ENOBUFS);
+    await checkAnswered(await openCaller());
+  });
+
   // A request that was refused with 408 ran when its rest arrived before the connection was closed.
   it("does not handle a request after its refusal", async () => {
     const caller = await openCaller();
