--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -34,7 +34,7 @@
 /** HTTP server of one listener of the daemon. */
 export class HttpServer {
   readonly #server: Server;
-  readonly #idleTimeout = new IdleTimeout();
+  readonly #idleTimeout = new IdleTimeout(KEEP_ALIVE_TIMEOUT_MS);
   readonly #sockets = new Set<Socket>();
   /** Header limit that is in force or comes into force, in milliseconds. */
   #headerTimeoutMs: number;
@@ -51,10 +51,7 @@
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
       maxHeaderSize: MAX_HEADER_BYTES,
     }, (req, res) => {
-      this.#idleTimeout.recordRequest(
-        req.socket,
-        this.#server.keepAliveTimeout,
-      );
+      this.#idleTimeout.recordRequest(req.socket);
       listener(req, res);
     });
     // By default, Node.js silently drops headers above a certain number. A limit on the number is not needed because the size of the headers is limited.
@@ -71,8 +68,7 @@
     // Node.js sets the timer of a connection only while no request is in flight on it.
     this.#server.on(
       "timeout",
-      (socket) =>
-        this.#idleTimeout.handleTimeout(socket, this.#server.keepAliveTimeout),
+      (socket) => this.#idleTimeout.handleTimeout(socket),
     );
     this.#server.on(
       "clientError",
@@ -90,9 +86,10 @@
     return this.#server;
   }
 
-  /** Puts limits into force. Requests that have begun keep the header limit of their time, and idle connections the longer of their limits. */
+  /** Puts limits into force. Requests that have begun keep the header limit of their time, and idle connections the longest of the limits since their last request. */
   setLimits(limits: ConnectionLimits): void {
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#idleTimeout.setLimit(limits.idleTimeoutMs);
     this.#setHeaderTimeout(limits.headerTimeoutMs);
   }
 
--- a/src/connection/http_server_test.ts
+++ b/src/connection/http_server_test.ts
@@ -71,6 +71,29 @@
     await checkAnswered(caller);
   });
 
+  // The connection was closed after the lower limit, although the higher one was in force meanwhile.
+  it("keeps an idle connection for a limit that is raised and lowered again meanwhile", async () => {
+    const caller = await openCaller();
+    await checkAnswered(caller);
+    setIdleTimeout(LONG_IDLE_MS);
+    await delay(100);
+    setIdleTimeout(2 * SHORT_IDLE_MS);
+    setIdleTimeout(SHORT_IDLE_MS);
+    await delay(LONG_IDLE_MS * 0.8);
+    expect(caller.isClosed).toBe(false);
+    await checkAnswered(caller);
+  });
+
+  it("closes a connection that becomes idle after a limit was raised and lowered again", async () => {
+    setIdleTimeout(LONG_IDLE_MS);
+    setIdleTimeout(SHORT_IDLE_MS);
+    await delay(10);
+    const caller = await openCaller();
+    await checkAnswered(caller);
+    await delay(SHORT_IDLE_MS + NODE_BUFFER_MS + 500);
+    expect(caller.isClosed).toBe(true);
+  });
+
   it("closes an idle connection after a limit that is raised meanwhile", async () => {
     const caller = await openCaller();
     await checkAnswered(caller);
--- a/src/connection/idle_timeout.ts
+++ b/src/connection/idle_timeout.ts
@@ -3,42 +3,76 @@
 
 /** Time for which an idle connection stays open beyond its limit, so that a request sent just before the limit arrives on an open connection, in milliseconds. */
 const IDLE_MARGIN_MS = 1_000;
+/** Maximum number of earlier limits that are kept. */
+const MAX_EARLIER_LIMITS = 64;
 
 /** What the caller of a connection may count on after the last response. */
 interface IdleState {
-  /** Limit in force when the last request arrived, which the head of its response states, in milliseconds. */
-  limitMs: number;
+  /** Monotonic time at which the last request arrived, in milliseconds. The head of its response states the limit of that time. */
+  requestedAtMs: number;
   /** Time for which the connection has been idle when its timer was last set, in milliseconds. */
   idleMs: number;
 }
 
+/** Limit that is no longer in force. */
+interface EarlierLimit {
+  readonly limitMs: number;
+  /** Monotonic time at which another limit came into force, in milliseconds. */
+  readonly endedAtMs: number;
+}
+
 /** Decides when an idle connection is closed, if its limit changes while it is in use or idle. */
 export class IdleTimeout {
   readonly #states = new WeakMap<Socket, IdleState>();
+  /** Earlier limits that are higher than all later ones, in the order of time. */
+  readonly #earlierLimits: EarlierLimit[] = [];
+  #limitMs: number;
 
   /**
-   * Records a request, which ends the idle time of its connection.
-   *
    * @param limitMs - Limit in force, in milliseconds.
    */
-  recordRequest(socket: Socket, limitMs: number): void {
+  constructor(limitMs: number) {
+    this.#limitMs = limitMs;
+  }
+
+  /**
+   * Puts a limit into force.
+   *
+   * @param limitMs - Limit in milliseconds.
+   */
+  setLimit(limitMs: number): void {
+    const earlierLimits = this.#earlierLimits;
+    earlierLimits.push({
+      limitMs: this.#limitMs,
+      endedAtMs: performance.now(),
+    });
+    this.#limitMs = limitMs;
+    while ((earlierLimits.at(-1)?.limitMs ?? Infinity) <= limitMs) {
+      earlierLimits.pop();
+    }
+    if (earlierLimits.length > MAX_EARLIER_LIMITS) {
+      earlierLimits.shift();
+    }
+  }
+
+  /** Records a request, which ends the idle time of its connection. */
+  recordRequest(socket: Socket): void {
+    const requestedAtMs = performance.now();
     const state = this.#states.get(socket);
     if (state === undefined) {
-      this.#states.set(socket, { limitMs, idleMs: 0 });
+      this.#states.set(socket, { requestedAtMs, idleMs: 0 });
     } else {
-      state.limitMs = limitMs;
+      state.requestedAtMs = requestedAtMs;
       state.idleMs = 0;
     }
   }
 
-  /**
-   * Closes a connection whose timer has expired, or sets the timer again if its caller may still count on the connection.
-   *
-   * @param limitMs - Limit in force, in milliseconds.
-   */
-  handleTimeout(socket: Socket, limitMs: number): void {
-    const state = this.#states.get(socket) ?? { limitMs, idleMs: 0 };
-    const allowedMs = Math.max(state.limitMs, limitMs) + IDLE_MARGIN_MS;
+  /** Closes a connection whose timer has expired, or sets the timer again if its caller may still count on the connection. */
+  handleTimeout(socket: Socket): void {
+    const state = this.#states.get(socket) ??
+      { requestedAtMs: performance.now(), idleMs: 0 };
+    const allowedMs = this.#getHighestLimit(state.requestedAtMs) +
+      IDLE_MARGIN_MS;
     const idleMs = state.idleMs + (socket.timeout ?? 0);
     if (idleMs < allowedMs) {
       state.idleMs = idleMs;
@@ -54,4 +88,10 @@
       }
     });
   }
+
+  /** Gets the highest limit that has been in force since a monotonic time, in milliseconds. */
+  #getHighestLimit(sinceMs: number): number {
+    return this.#earlierLimits.find(({ endedAtMs }) => endedAtMs >= sinceMs)
+      ?.limitMs ?? this.#limitMs;
+  }
 }
