--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -72,10 +72,23 @@
     );
     this.#server.on(
       "clientError",
-      (error, socket) => handleClientError(error, socket as Socket),
+      (error, socket) => this.#handleClientError(error, socket as Socket),
     );
   }
 
+  #handleClientError(error: Error, socket: Socket): void {
+    const isTimeout =
+      (error as NodeJS.ErrnoException).code === "ERR_HTTP_REQUEST_TIMEOUT";
+    // Node.js also applies the header limit to the time before the first byte of a connection, which is idle time.
+    const isUnused = isTimeout && socket.bytesRead === 0;
+    if (
+      !isUnused ||
+      !this.#idleTimeout.keepUnused(socket, this.#server.headersTimeout)
+    ) {
+      handleClientError(error, socket);
+    }
+  }
+
   /** Gets the listening address as `host:port`, or an empty string before the server listens. */
   get address(): string {
     return this.#address;
--- a/src/connection/http_server_test.ts
+++ b/src/connection/http_server_test.ts
@@ -167,6 +167,37 @@
     await caller.waitFor(" 408 ", 1_000);
   });
 
+  // A caller that opened its connection early read a 408 before it had sent anything.
+  it("keeps a connection without a request for the idle limit", async () => {
+    setIdleTimeout(LONG_IDLE_MS);
+    handleRequest = (_req, res) => {
+      // Longer than the time that is left of the idle limit.
+      setTimeout(() => res.end("answer"), LONG_IDLE_MS);
+    };
+    const caller = await openCaller();
+    await delay(LONG_IDLE_MS * 0.8);
+    expect(caller.received).toBe("");
+    expect(caller.isClosed).toBe(false);
+    caller.write(GET);
+    await caller.waitFor("answer", LONG_IDLE_MS + 1_000);
+  });
+
+  it("closes a connection without a request after the idle limit", async () => {
+    const caller = await openCaller();
+    await waitUntil(
+      () => caller.isClosed,
+      REQUEST_TIMEOUT_MS + NODE_BUFFER_MS + 1_000,
+    );
+  });
+
+  it("limits the time of the first headers on a connection that was opened early", async () => {
+    setIdleTimeout(LONG_IDLE_MS);
+    const caller = await openCaller();
+    await delay(REFUSAL_MS + 1_000);
+    caller.write("GET / HTTP/1.1\r\n");
+    await caller.waitFor(" 408 ", REFUSAL_MS + 2_000);
+  });
+
   // An error that the kernel reports for a new connection ended the process, and with it all requests in flight.
   it("goes on after a connection that cannot be accepted", async () => {
     const { _handle: handle } = server.server as unknown as {
--- a/src/connection/idle_timeout.ts
+++ b/src/connection/idle_timeout.ts
@@ -24,6 +24,8 @@
 /** Decides when an idle connection is closed, if its limit changes while it is in use or idle. */
 export class IdleTimeout {
   readonly #states = new WeakMap<Socket, IdleState>();
+  /** Connections without a request whose timers this class has set. */
+  readonly #unusedSockets = new WeakSet<Socket>();
   /** Earlier limits that are higher than all later ones, in the order of time. */
   readonly #earlierLimits: EarlierLimit[] = [];
   #limitMs: number;
@@ -59,6 +61,10 @@
   recordRequest(socket: Socket): void {
     const requestedAtMs = performance.now();
     const state = this.#states.get(socket);
+    if (this.#unusedSockets.delete(socket)) {
+      // Node.js clears only the timers that it has set itself.
+      socket.setTimeout(0);
+    }
     if (state === undefined) {
       this.#states.set(socket, { requestedAtMs, idleMs: 0 });
     } else {
@@ -67,8 +73,33 @@
     }
   }
 
+  /**
+   * Keeps a connection that has not received anything for the rest of its idle limit.
+   *
+   * @param waitedMs - Time since the connection was opened, in milliseconds.
+   * @returns Whether the limit allows it to be kept.
+   */
+  keepUnused(socket: Socket, waitedMs: number): boolean {
+    const remainingMs = this.#limitMs + IDLE_MARGIN_MS - waitedMs;
+    // Node.js takes a limit of 0 as none.
+    if (this.#limitMs === 0 || remainingMs <= 0) {
+      return false;
+    }
+    this.#states.set(socket, {
+      requestedAtMs: performance.now() - waitedMs,
+      idleMs: waitedMs,
+    });
+    this.#unusedSockets.add(socket);
+    socket.setTimeout(remainingMs);
+    return true;
+  }
+
   /** Closes a connection whose timer has expired, or sets the timer again if its caller may still count on the connection. */
   handleTimeout(socket: Socket): void {
+    if (this.#unusedSockets.has(socket) && socket.bytesRead > 0) {
+      // The headers of the first request are arriving, for which there is a limit of its own.
+      return;
+    }
     const state = this.#states.get(socket) ??
       { requestedAtMs: performance.now(), idleMs: 0 };
     const allowedMs = this.#getHighestLimit(state.requestedAtMs) +
