--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -65,6 +65,14 @@
       this.#sockets.add(socket);
       socket.once("close", () => this.#sockets.delete(socket));
     });
+    // Without a listener, Node.js closes the connection without an answer. It has removed its own listeners, and an error without one would end the process.
+    this.#server.on("connect", (_req, socket) => {
+      socket.on("error", () => socket.destroy());
+      handleClientError(
+        new Error("The listener opens no tunnels"),
+        socket as Socket,
+      );
+    });
     // Node.js sets the timer of a connection only while no request is in flight on it.
     this.#server.on(
       "timeout",
--- a/src/connection/http_server_test.ts
+++ b/src/connection/http_server_test.ts
@@ -207,6 +207,46 @@
     await checkAnswered(await openCaller());
   });
 
+  it("refuses a request to open a tunnel", async () => {
+    const caller = await openCaller();
+    caller.write("CONNECT test:80 HTTP/1.1\r\nhost: test\r\n\r\n");
+    await caller.waitFor(" 400 ", 2_000);
+    expect(paths).toEqual([]);
+  });
+
+  it("answers the requests before one to open a tunnel", async () => {
+    handleRequest = (_req, res) => {
+      setTimeout(() => res.end("answer"), 200);
+    };
+    const caller = await openCaller();
+    caller.write(`${GET}CONNECT test:80 HTTP/1.1\r\nhost: test\r\n\r\n`);
+    await caller.waitFor("answer", 2_000);
+    expect(caller.received).toMatch(/^HTTP\/1\.1 200 /);
+    await waitUntil(() => caller.isClosed, 2_000);
+  });
+
+  it("goes on after a caller that resets its request to open a tunnel", async () => {
+    const caller = await openCaller();
+    caller.write("CONNECT test:80 HTTP/1.1\r\nhost: test\r\n\r\n");
+    await caller.waitFor(" 400 ", 2_000);
+    caller.cut();
+    await delay(100);
+    await checkAnswered(await openCaller());
+  });
+
+  // A caller that has closed its side cannot be told from one that has left.
+  it("aborts a request in flight whose caller closes its side of the connection", async () => {
+    let isAborted = false;
+    handleRequest = (_req, res) => {
+      res.on("close", () => isAborted = true);
+    };
+    const caller = await openCaller();
+    caller.write(GET);
+    caller.close();
+    await waitUntil(() => isAborted, 500);
+    expect(caller.received).toBe("");
+  });
+
   // A request that was refused with 408 ran when its rest arrived before the connection was closed.
   it("does not handle a request after its refusal", async () => {
     const caller = await openCaller();
--- a/tests/support/raw_caller.ts
+++ b/tests/support/raw_caller.ts
@@ -54,6 +54,11 @@
     return received;
   }
 
+  /** Ends the connection with a reset. */
+  cut(): void {
+    this.#socket.resetAndDestroy();
+  }
+
   dispose(): void {
     this.#socket.destroy();
   }
