--- a/src/connection/client_error_handler.ts
+++ b/src/connection/client_error_handler.ts
@@ -103,7 +103,7 @@
 function convertClientError(error: Error): RequestError {
   const code = (error as NodeJS.ErrnoException).code;
   if (code === "HPE_HEADER_OVERFLOW") {
-    return new RequestError("The request headers are larger than 16384 bytes", {
+    return new RequestError("The request headers are larger than the limit", {
       code: "headers-too-large",
       verdict: "not-run",
       status: 431,
--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -10,7 +10,7 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 /** Default time in which a complete request has to arrive, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 60_000;
-/** Maximum total size of the headers of a request, in bytes. */
+/** Default maximum total size of the headers of a request, in bytes. */
 const MAX_HEADER_BYTES = 16_384;
 /** Interval at which Node.js checks the header and request timeouts, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
@@ -19,12 +19,16 @@
 export interface HttpServerOptions {
   /** Time in which a complete request has to arrive, in milliseconds. */
   readonly requestTimeoutMs?: number;
+  /** Maximum total size of the headers of a request, in bytes. */
+  readonly maxHeaderBytes?: number;
   /** Maximum number of concurrent connections; further connections are closed. */
   readonly maxConnections?: number;
 }
 
 /** Limits of a listener that may change while it listens. */
 export interface ConnectionLimits {
+  /** Maximum total size of the headers of a request, in bytes. */
+  readonly maxHeaderBytes?: number;
   /** Time in which the headers of a request have to arrive, in milliseconds. */
   readonly headerTimeoutMs: number;
   /** Time for which a caller may use an idle connection again, in milliseconds. */
@@ -36,12 +40,15 @@
   readonly #server: Server;
   readonly #idleTimeout = new IdleTimeout(KEEP_ALIVE_TIMEOUT_MS);
   readonly #sockets = new Set<Socket>();
+  /** Header size up to which open connections take a raised limit, in bytes. */
+  readonly #maxHeaderBytes: number;
   /** Header limit that is in force or comes into force, in milliseconds. */
   #headerTimeoutMs: number;
   #headerTimeoutTimer: NodeJS.Timeout | undefined;
   #address = "";
 
   constructor(listener: RequestListener, options: HttpServerOptions = {}) {
+    this.#maxHeaderBytes = options.maxHeaderBytes ?? MAX_HEADER_BYTES;
     const requestTimeoutMs = options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS;
     this.#headerTimeoutMs = Math.min(HEADERS_TIMEOUT_MS, requestTimeoutMs);
     this.#server = createServer({
@@ -49,7 +56,7 @@
       headersTimeout: this.#headerTimeoutMs,
       requestTimeout: requestTimeoutMs,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-      maxHeaderSize: MAX_HEADER_BYTES,
+      maxHeaderSize: this.#maxHeaderBytes,
     }, (req, res) => {
       this.#idleTimeout.recordRequest(req.socket);
       listener(req, res);
@@ -112,6 +119,9 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
     this.#idleTimeout.setLimit(limits.idleTimeoutMs);
     this.#setHeaderTimeout(limits.headerTimeoutMs);
+    // Node.js reads this property for each new connection, but does not declare it.
+    (this.#server as Server & { maxHeaderSize: number }).maxHeaderSize = Math
+      .max(this.#maxHeaderBytes, limits.maxHeaderBytes ?? 0);
   }
 
   /** Raises the header limit at once, and lowers it when the requests that have begun under the present one have arrived or exceeded it. */
--- a/src/connection/http_server_test.ts
+++ b/src/connection/http_server_test.ts
@@ -234,6 +234,19 @@
     await checkAnswered(await openCaller());
   });
 
+  it("takes longer headers on a connection that is opened after their limit was raised", async () => {
+    server.setLimits({
+      maxHeaderBytes: 400_000,
+      headerTimeoutMs: HEADER_TIMEOUT_MS,
+      idleTimeoutMs: SHORT_IDLE_MS,
+    });
+    const caller = await openCaller();
+    caller.write(
+      `GET / HTTP/1.1\r\nhost: test\r\nx: ${"x".repeat(300_000)}\r\n\r\n`,
+    );
+    await caller.waitFor("answer", 2_000);
+  });
+
   // A caller that has closed its side cannot be told from one that has left.
   it("aborts a request in flight whose caller closes its side of the connection", async () => {
     let isAborted = false;
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -48,6 +48,8 @@
 const MEMBER_CANDIDATE_DELAY_MS = 5_000;
 /** Minimum number of daemons among which budgets are divided. Without it, a daemon that receives no messages from its peers would use the whole budget. */
 const MIN_SHARING_DAEMONS = 7;
+/** Header size up to which the HTTP parser passes on requests of callers, in bytes. It exceeds the usual limits of the configuration, which are checked for each request, since the limit of the parser cannot change while a connection is open. */
+const MAX_PARSED_HEADER_BYTES = 262_144;
 /** Options of a routing daemon. */
 export interface RoutingDaemonOptions {
   readonly settings: RoutingSettings;
@@ -183,6 +185,7 @@
           requests: this.#plannedStop,
         }),
       ),
+      { maxHeaderBytes: MAX_PARSED_HEADER_BYTES },
     );
     this.#readinessServer = new HttpServer((req, res) => {
       const isReady = req.url === platform.readyPath && this.isReady();
--- a/tests/config_change_test.ts
+++ b/tests/config_change_test.ts
@@ -181,15 +181,20 @@
     options: { part: string; headers?: string },
   ): Promise<RawCaller> {
     const caller = await RawCaller.open(deployment.callerAddresses[0]);
-    caller.write([
+    caller.write(`${createHead(options.headers)}${options.part}`);
+    return caller;
+  }
+
+  /** Creates the head of a request whose body has the length `BODY_LENGTH`. */
+  function createHead(headers = ""): string {
+    return [
       "POST /book/1 HTTP/1.1",
       "host: app.example",
       "request-id: raw-1",
       "credential: key-1",
       `content-length: ${BODY_LENGTH}`,
-      `${options.headers ?? ""}\r\n${options.part}`,
-    ].join("\r\n"));
-    return caller;
+      `${headers}\r\n`,
+    ].join("\r\n");
   }
 
   it("keeps to the limits of its arrival for a request whose body arrives slowly", async () => {
@@ -223,6 +228,29 @@
     caller.dispose();
   });
 
+  // Guards against a limit of the headers that stays in force after its change.
+  it("puts the limit of the headers into force on open connections", async () => {
+    const setHeaderLimit = (MaxHeaderBytes: number) =>
+      applyChange(({ Limits }) => ({ Limits: { ...Limits, MaxHeaderBytes } }));
+    // Adds a header that is not forwarded, since the stand-ins of the servers have a limit of their own.
+    const sendHeaders = async (caller: RawCaller, size: number) => {
+      caller.takeReceived();
+      caller.write(
+        `${createHead(`te: ${"x".repeat(size)}\r\n`)}0123456789`,
+      );
+      await waitUntil(() => caller.received.includes("\r\n\r\n"), 3_000);
+      return Number(caller.received.split(" ")[1]);
+    };
+    const caller = await startBody({ part: "0123456789" });
+    await caller.waitFor("done by", 2_000);
+    await setHeaderLimit(65_536);
+    expect(await sendHeaders(caller, 40_000)).toBe(200);
+    await setHeaderLimit(2_048);
+    expect(await sendHeaders(caller, 1_000)).toBe(200);
+    expect(await sendHeaders(caller, 3_000)).toBe(431);
+    caller.dispose();
+  });
+
   it("answers a caller that expects to be told to continue", async () => {
     const caller = await startBody({
       part: "",
