--- a/src/connection/http_server_test.ts
+++ b/src/connection/http_server_test.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { constants } from "node:os";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { RawCaller } from "../../tests/support/raw_caller.ts";
 import { waitUntil } from "../../tests/support/platform_deployment.ts";
@@ -70,6 +71,29 @@
     await checkAnswered(caller);
   });
 
+  // The connection was closed after the lower limit, although the higher one was in force meanwhile.
+  it("keeps an idle connection for a limit that is raised and lowered again meanwhile", async () => {
+    const caller = await openCaller();
+    await checkAnswered(caller);
+    setIdleTimeout(LONG_IDLE_MS);
+    await delay(100);
+    setIdleTimeout(2 * SHORT_IDLE_MS);
+    setIdleTimeout(SHORT_IDLE_MS);
+    await delay(LONG_IDLE_MS * 0.8);
+    expect(caller.isClosed).toBe(false);
+    await checkAnswered(caller);
+  });
+
+  it("closes a connection that becomes idle after a limit was raised and lowered again", async () => {
+    setIdleTimeout(LONG_IDLE_MS);
+    setIdleTimeout(SHORT_IDLE_MS);
+    await delay(10);
+    const caller = await openCaller();
+    await checkAnswered(caller);
+    await delay(SHORT_IDLE_MS + NODE_BUFFER_MS + 500);
+    expect(caller.isClosed).toBe(true);
+  });
+
   it("closes an idle connection after a limit that is raised meanwhile", async () => {
     const caller = await openCaller();
     await checkAnswered(caller);
@@ -143,6 +167,99 @@
     await caller.waitFor(" 408 ", 1_000);
   });
 
+  // A caller that opened its connection early read a 408 before it had sent anything.
+  it("keeps a connection without a request for the idle limit", async () => {
+    setIdleTimeout(LONG_IDLE_MS);
+    handleRequest = (_req, res) => {
+      // Longer than the time that is left of the idle limit.
+      setTimeout(() => res.end("answer"), LONG_IDLE_MS);
+    };
+    const caller = await openCaller();
+    await delay(LONG_IDLE_MS * 0.8);
+    expect(caller.received).toBe("");
+    expect(caller.isClosed).toBe(false);
+    caller.write(GET);
+    await caller.waitFor("answer", LONG_IDLE_MS + 1_000);
+  });
+
+  it("closes a connection without a request after the idle limit", async () => {
+    const caller = await openCaller();
+    await waitUntil(
+      () => caller.isClosed,
+      REQUEST_TIMEOUT_MS + NODE_BUFFER_MS + 1_000,
+    );
+  });
+
+  it("limits the time of the first headers on a connection that was opened early", async () => {
+    setIdleTimeout(LONG_IDLE_MS);
+    const caller = await openCaller();
+    await delay(REFUSAL_MS + 1_000);
+    caller.write("GET / HTTP/1.1\r\n");
+    await caller.waitFor(" 408 ", REFUSAL_MS + 2_000);
+  });
+
+  // An error that the kernel reports for a new connection ended the process, and with it all requests in flight.
+  it("goes on after a connection that cannot be accepted", async () => {
+    const { _handle: handle } = server.server as unknown as {
+      _handle: { onconnection(status: number): void };
+    };
+    handle.onconnection(-constants.errno.ENOBUFS);
+    await checkAnswered(await openCaller());
+  });
+
+  it("refuses a request to open a tunnel", async () => {
+    const caller = await openCaller();
+    caller.write("CONNECT test:80 HTTP/1.1\r\nhost: test\r\n\r\n");
+    await caller.waitFor(" 400 ", 2_000);
+    expect(paths).toEqual([]);
+  });
+
+  it("answers the requests before one to open a tunnel", async () => {
+    handleRequest = (_req, res) => {
+      setTimeout(() => res.end("answer"), 200);
+    };
+    const caller = await openCaller();
+    caller.write(`${GET}CONNECT test:80 HTTP/1.1\r\nhost: test\r\n\r\n`);
+    await caller.waitFor("answer", 2_000);
+    expect(caller.received).toMatch(/^HTTP\/1\.1 200 /);
+    await waitUntil(() => caller.isClosed, 2_000);
+  });
+
+  it("goes on after a caller that resets its request to open a tunnel", async () => {
+    const caller = await openCaller();
+    caller.write("CONNECT test:80 HTTP/1.1\r\nhost: test\r\n\r\n");
+    await caller.waitFor(" 400 ", 2_000);
+    caller.cut();
+    await delay(100);
+    await checkAnswered(await openCaller());
+  });
+
+  it("takes longer headers on a connection that is opened after their limit was raised", async () => {
+    server.setLimits({
+      maxHeaderBytes: 400_000,
+      headerTimeoutMs: HEADER_TIMEOUT_MS,
+      idleTimeoutMs: SHORT_IDLE_MS,
+    });
+    const caller = await openCaller();
+    caller.write(
+      `GET / HTTP/1.1\r\nhost: test\r\nx: ${"x".repeat(300_000)}\r\n\r\n`,
+    );
+    await caller.waitFor("answer", 2_000);
+  });
+
+  // A caller that has closed its side cannot be told from one that has left.
+  it("aborts a request in flight whose caller closes its side of the connection", async () => {
+    let isAborted = false;
+    handleRequest = (_req, res) => {
+      res.on("close", () => isAborted = true);
+    };
+    const caller = await openCaller();
+    caller.write(GET);
+    caller.close();
+    await waitUntil(() => isAborted, 500);
+    expect(caller.received).toBe("");
+  });
+
   // A request that was refused with 408 ran when its rest arrived before the connection was closed.
   it("does not handle a request after its refusal", async () => {
     const caller = await openCaller();
