--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -125,6 +125,8 @@
   getOrderDelayMs: (order: ServerOrder) => number = () => 0;
   /** Number of upcoming status requests whose connection is reset, as by a server that has its maximum number of connections. */
   reportsToReset = 0;
+  /** Status and body of the responses to status requests; undefined when the server reports its state. */
+  reportResponse: { status: number; body: string } | undefined;
   /** Number of upcoming requests that are executed but whose connection is reset instead of a response. */
   responsesToLose = 0;
 
@@ -175,6 +177,11 @@
     this.publishEntry();
   }
 
+  /** Accepts no further connection, as a server that is about to exit, and completes the requests in flight. */
+  stopListening(): void {
+    this.#listener.stopListening();
+  }
+
   /** Stops listening. */
   async dispose(): Promise<void> {
     this.#isDisposed = true;
@@ -247,6 +254,12 @@
       req.socket.resetAndDestroy();
       return;
     }
+    if (req.url === "/v1/report" && this.reportResponse !== undefined) {
+      const { status, body } = this.reportResponse;
+      res.writeHead(status, { "content-type": "application/json" });
+      res.end(body);
+      return;
+    }
     if (req.url === "/v1/report") {
       sendJson(res, 200, { ...this.#describeState(), Running: 0, Waiting: 0 });
       return;
--- a/fakes/http_listener.ts
+++ b/fakes/http_listener.ts
@@ -38,6 +38,11 @@
     this.#server.closeAllConnections();
   }
 
+  /** Stops listening; connections with a request in flight go on. */
+  stopListening(): void {
+    this.#server.close();
+  }
+
   /** Stops listening and closes all connections. */
   async close(): Promise<void> {
     if (!this.#server.listening) {
--- a/src/process/fleet/group_failure_detector.ts
+++ b/src/process/fleet/group_failure_detector.ts
@@ -12,11 +12,7 @@
 } from "../../shared/backend_server.ts";
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
 import { LoopDelayMeter } from "./loop_delay_meter.ts";
-import type {
-  GroupEvidence,
-  StreamAttempt,
-  StreamAttempts,
-} from "./stream_attempts.ts";
+import type { StreamAttempt, StreamAttempts } from "./stream_attempts.ts";
 
 /** Minimum time between two checks of the streams, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
@@ -44,9 +40,11 @@
  * Evidence that a member does not serve its group.
  *
  * - `closing`: the head takes no new request, and completes those in flight.
+ * - `lost`: the member accepts no connection, or another process uses its address. A server that is about to exit stops listening before its streams are complete.
  * - `changed`: the member responds, but has left the group, or the head has closed it. The responses may have been sent in full, and not been read by their callers.
+ * - `silent`: the member does not respond, or not with its state.
  */
-type MemberEvidence = GroupEvidence | "closing" | "changed";
+type MemberEvidence = "closing" | "lost" | "changed" | "silent";
 
 /** Order in which evidence decides. A closing head comes first: a member that stops stays until the head has no more work, but no longer listens. */
 const EVIDENCE_ORDER: readonly MemberEvidence[] = [
@@ -70,7 +68,7 @@
 /**
  * Detects groups that have lost a member. Silent streams trigger a check of the members, long before the list of servers or the engine shows the loss.
  *
- * A member whose process has ended, or that is not in the group, is a loss. A member that is only silent makes the group suspected: it gets no requests, its streams go on elsewhere where that is possible, and it is checked again until the member responds or has been silent for `SILENCE_LOSS_MS`. Silence alone ends no stream: one that no other group takes goes on where it is.
+ * A member whose process has ended, or that is not in the group, is a loss. A member that is only silent makes the group suspected: it gets no requests, its streams go on elsewhere where that is possible, and it is checked again until the member responds or has been silent for `SILENCE_LOSS_MS`. No evidence against a group ends a stream: one that has events, or that no other group takes, goes on where it is.
  */
 export class GroupFailureDetector {
   readonly #groups: GroupTable;
@@ -165,10 +163,8 @@
     } else if (fault.evidence === "closing") {
       this.#silences.delete(group.key);
       this.#groups.recordSuspicion(group.key, fault.message);
-    } else if (fault.evidence === "lost") {
-      this.#recordLoss(group, fault.message, "lost");
-    } else if (fault.evidence === "changed") {
-      this.#recordLoss(group, fault.message, "silent");
+    } else if (fault.evidence !== "silent") {
+      this.#recordLoss(group, fault.message);
     } else if (!isObserverSlow) {
       this.#recordSilence(group, fault, startedAtMs);
     }
@@ -178,14 +174,10 @@
     );
   }
 
-  #recordLoss(
-    group: ReplicaGroup,
-    reason: string,
-    evidence: GroupEvidence,
-  ): void {
+  #recordLoss(group: ReplicaGroup, reason: string): void {
     this.#silences.delete(group.key);
     this.#groups.recordLoss(group.key, reason);
-    this.#attempts.abandonGroup(group.key, reason, evidence);
+    this.#attempts.abandonGroup(group.key, reason);
     this.#announceLoss();
   }
 
@@ -197,14 +189,14 @@
     const silence = this.#silences.get(group.key) ??
       { group, sinceMs: checkedAtMs };
     if (performance.now() - silence.sinceMs >= silenceLossMs) {
-      this.#recordLoss(group, reason, "silent");
+      this.#recordLoss(group, reason);
       return;
     }
     this.#silences.set(group.key, silence);
     if (this.#groups.recordSuspicion(group.key, reason)) {
       this.#announceLoss();
     }
-    this.#attempts.abandonGroup(group.key, reason, "silent");
+    this.#attempts.abandonGroup(group.key, reason);
   }
 
   /** Checks the groups with a silent member again, and returns the time until the next check in milliseconds. */
@@ -300,7 +292,7 @@
   #moveFromLostGroups(): void {
     for (const [key] of this.#attempts.listByGroup()) {
       if (this.#groups.isLost(key)) {
-        this.#attempts.abandonGroup(key, "the group is lost", "silent");
+        this.#attempts.abandonGroup(key, "the group is lost");
       }
     }
   }
--- a/src/process/fleet/stream_attempts.ts
+++ b/src/process/fleet/stream_attempts.ts
@@ -1,21 +1,13 @@
 import type { ReplicaGroup } from "./group_table.ts";
 
-/**
- * Evidence against a group.
- *
- * - `silent`: a member does not respond, or another daemon reports the loss of the group; it may go on.
- * - `lost`: the group has lost a member.
- */
-export type GroupEvidence = "silent" | "lost";
-
 /** Attempt to serve a streaming request at a group. */
 export interface StreamAttempt {
   readonly group: ReplicaGroup;
   readonly startedAtMs: number;
   /** Monotonic time of the last event of the stream, in milliseconds; undefined before the first event. */
   lastEventAtMs: number | undefined;
-  /** Aborts the attempt. On the evidence `silent`, it goes on until another group has begun to respond. */
-  abandon(reason: string, evidence: GroupEvidence): void;
+  /** Moves the attempt to another group if its own one sends nothing. It goes on until the other group has begun to respond, since whatever is known of the group does not show that its head has stopped sending. */
+  abandon(reason: string): void;
 }
 
 /** Registry of the attempts in flight by group, used to detect groups whose streams have stalled. */
@@ -45,10 +37,10 @@
     return [...this.#byGroup].map(([key, attempts]) => [key, [...attempts]]);
   }
 
-  /** Aborts the attempts at a group, as far as the evidence is sufficient for each of them. */
-  abandonGroup(key: string, reason: string, evidence: GroupEvidence): void {
+  /** Moves the attempts at a group that have no events to other groups. */
+  abandonGroup(key: string, reason: string): void {
     [...(this.#byGroup.get(key) ?? [])].forEach((attempt) =>
-      attempt.abandon(reason, evidence)
+      attempt.abandon(reason)
     );
   }
 }
--- a/src/request/routed/group_attempt.ts
+++ b/src/request/routed/group_attempt.ts
@@ -1,9 +1,6 @@
 import type { GroupGrant } from "../../process/fleet/group_admission.ts";
 import type { ReplicaGroup } from "../../process/fleet/group_table.ts";
-import type {
-  GroupEvidence,
-  StreamAttempt,
-} from "../../process/fleet/stream_attempts.ts";
+import type { StreamAttempt } from "../../process/fleet/stream_attempts.ts";
 import type { RequestScope } from "./request_scope.ts";
 
 /** Attempt of one request at a replica group. It holds a slot of the group, and ends with the request's deadline or when the caller leaves. */
@@ -64,15 +61,11 @@
     return performance.now() - (this.lastEventAtMs ?? this.startedAtMs);
   }
 
-  abandon(reason: string, evidence: GroupEvidence): void {
-    if (evidence === "lost") {
-      this.abort(reason);
-    } else {
-      this.#onSilence(reason);
-    }
+  abandon(reason: string): void {
+    this.#onSilence(reason);
   }
 
-  /** Ends the attempt because its group is lost or another group continues the response. */
+  /** Ends the attempt because another group continues the response, or its caller no longer waits for an event. */
   abort(reason: string): void {
     this.#lossReason ??= reason;
     this.#controller.abort();
