--- a/src/process/fleet/survivor_prober.ts
+++ b/src/process/fleet/survivor_prober.ts
@@ -117,7 +117,8 @@
       probe.state = "alive";
       probe.silentSinceMs = undefined;
     } else if (!(error instanceof ReportTimeoutError)) {
-      probe.state = "ended";
+      // A server that drains stops listening before its requests are complete. Its entry is removed once it has ended.
+      probe.state = server.isDraining ? "unknown" : "ended";
     } else if (!isObserverSlow) {
       probe.silentSinceMs ??= sentAtMs;
       probe.state = performance.now() - probe.silentSinceMs >= MAX_SILENCE_MS
--- a/src/process/fleet/survivor_prober_test.ts
+++ b/src/process/fleet/survivor_prober_test.ts
@@ -5,7 +5,10 @@
   MEMBER_REPORT,
 } from "../../../tests/support/backend_servers.ts";
 import { ReportTimeoutError } from "../../connection/group_order_client.ts";
-import type { BackendReport } from "../../shared/backend_server.ts";
+import type {
+  BackendReport,
+  BackendServer,
+} from "../../shared/backend_server.ts";
 import { LoopDelayMeter } from "./loop_delay_meter.ts";
 import type { MemberOrderExecutor } from "./member_order_executor.ts";
 import { SurvivorProber } from "./survivor_prober.ts";
@@ -59,10 +62,14 @@
     async function doTest(
       prober: SurvivorProber,
       durationMs: number,
-      options: { isLost?: boolean; mustRepeat?: boolean } = {},
+      options: {
+        server?: BackendServer;
+        isLost?: boolean;
+        mustRepeat?: boolean;
+      } = {},
     ) {
       const getState = () =>
-        prober.getState(GROUP_KEY, SERVER, {
+        prober.getState(GROUP_KEY, options.server ?? SERVER, {
           isLost: options.isLost ?? true,
           mustRepeat: options.mustRepeat ?? true,
         });
@@ -85,6 +92,13 @@
     });
 
     // Guards against groups of sound servers that are taken apart for a silence of a second or two.
+    // Guards against members that join another group while a draining head, which no longer listens, completes its streams.
+    it("does not take a draining member that refuses connections for ended", async () => {
+      const { prober } = createProber(() => REFUSAL);
+      const server = { ...SERVER, isDraining: true };
+      expect(await doTest(prober, 3_000, { server })).toBe("unknown");
+    });
+
     it("does not count a member as silent within two seconds", async () => {
       const { prober } = createProber(() => NO_RESPONSE);
       expect(await doTest(prober, 1_950)).toBe("unknown");
