--- a/src/request/routed/stream_progress.ts
+++ b/src/request/routed/stream_progress.ts
@@ -33,16 +33,16 @@
   }
 
   /**
-   * Drops events that the caller has received.
+   * Drops events that the caller has received. None of the events is accepted when one is missing.
    *
    * @throws {BackendError} When an event is missing in the sequence.
    */
   acceptEvents(events: readonly ServerSentEvent[]): ServerSentEvent[] {
-    return events.filter(({ id }) => {
+    let lastEventId = this.#lastEventId;
+    const acceptedEvents = events.filter(({ id }) => {
       if (id === undefined) {
         return true;
       }
-      const lastEventId = this.#lastEventId;
       if (lastEventId !== undefined && id <= lastEventId) {
         return false;
       }
@@ -52,9 +52,11 @@
           { kind: "invalid", verdict: "may-have-run" },
         );
       }
-      this.#lastEventId = id;
+      lastEventId = id;
       return true;
     });
+    this.#lastEventId = lastEventId;
+    return acceptedEvents;
   }
 
   /** Records the time from the arrival of the request to its first event, in milliseconds. */
