--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -21,9 +21,8 @@
   readRefusal,
 } from "./attempt_result.ts";
 import { AttemptedServers } from "./attempted_servers.ts";
-import { createCrashRefusal, getFingerprint } from "./crash_refusal.ts";
+import { CrashEvidence, formatPromptParts } from "./crash_evidence.ts";
 import { GroupAttempt } from "./group_attempt.ts";
-import { PromptPartEvidence } from "./prompt_part_evidence.ts";
 import type { RequestForwarder } from "./request_forwarder.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { ModelRequest } from "./routed_request.ts";
@@ -41,10 +40,6 @@
 const MS_PER_SECOND = 1_000;
 /** Maximum number of retries after a group declined the request without running it. Declined attempts are cheap, and a closing group declines requests until this daemon learns of its state. */
 const MAX_DECLINED_ATTEMPTS = 4;
-/** Maximum length of the id of a prompt part, in characters. */
-const MAX_PART_ID_LENGTH = 128;
-/** Maximum number of prompt parts in a log line. */
-const MAX_LOGGED_PARTS = 6;
 
 /** Forwards one request to the replica groups of a model and streams the response to the caller, resuming on another group after a failure. */
 export class ModelStreamForwarder implements RequestForwarder {
@@ -52,10 +47,7 @@
   readonly #engine: EngineProfile;
   readonly #modelRequest: ModelRequest;
   readonly #excludedGroupKeys = new Set<string>();
-  readonly #fingerprint: string;
-  /** Parts of the prompt that other requests may have in common with this one; the last part belongs to this request. */
-  readonly #sharedParts: readonly string[];
-  readonly #partEvidence: PromptPartEvidence;
+  readonly #crashEvidence: CrashEvidence;
   #isAttemptRunning = false;
   /** Move to another group while the group of the current attempt is silent. */
   #move: StreamMove | undefined;
@@ -78,13 +70,7 @@
     this.#servers = new AttemptedServers({
       maxServers: scope.route.maxAttempts,
     });
-    this.#fingerprint = getFingerprint(scope);
-    this.#sharedParts = options.modelRequest.promptParts.slice(0, -1)
-      .map(({ id }) => id.slice(0, MAX_PART_ID_LENGTH));
-    this.#partEvidence = new PromptPartEvidence(
-      scope.context.promptParts,
-      this.#sharedParts,
-    );
+    this.#crashEvidence = new CrashEvidence(scope, options.modelRequest);
   }
 
   get hasBeenSent(): boolean {
@@ -127,8 +113,7 @@
       movedAttempt = await this.#finishMove(result);
       this.#isAttemptRunning = false;
       if (result.outcome === "complete") {
-        this.#scope.context.crashes.recordSuccess(this.#fingerprint);
-        this.#partEvidence.recordCompletion();
+        this.#crashEvidence.recordCompletion();
         return;
       }
       // The answer of another group cannot follow a stream that has started.
@@ -147,7 +132,7 @@
   }
 
   async #startAttempt(): Promise<GroupAttempt> {
-    this.#checkCrashLimit();
+    this.#crashEvidence.checkLimit(this.#verdict);
     return this.#createAttempt(await this.#acquireGrant());
   }
 
@@ -277,7 +262,7 @@
       return undefined;
     });
     const isPermitted = !signal.aborted && !currentAttempt.signal.aborted &&
-      !this.#isRefused() && grant !== undefined &&
+      !this.#crashEvidence.isRefused() && grant !== undefined &&
       context.getRetryBudget(service.name).tryAcquire();
     if (!isPermitted) {
       grant?.release();
@@ -338,27 +323,6 @@
     return undefined;
   }
 
-  /** Gets whether the request is suspected of crashing the groups that run it. */
-  #isRefused(): boolean {
-    const { context: { crashes, promptParts }, request } = this.#scope;
-    return promptParts.findRefusedPart(this.#sharedParts) !== undefined ||
-      crashes.isRefused(this.#fingerprint, request.requestId);
-  }
-
-  /** Refuses a request that is suspected of crashing the groups that run it. */
-  #checkCrashLimit(): void {
-    const { promptParts } = this.#scope.context;
-    if (this.#isRefused()) {
-      const refusedPart = promptParts.findRefusedPart(this.#sharedParts);
-      throw createCrashRefusal(
-        refusedPart === undefined
-          ? "The request is refused because several replica groups crashed while running it"
-          : `The request is refused because several replica groups crashed while running requests with the prompt part "${refusedPart}"`,
-        this.#verdict,
-      );
-    }
-  }
-
   /** Refuses a request that has not run and may outlast a planned stop of this daemon. */
   #checkStop(): void {
     const { context, writer, deadlineAtMs } = this.#scope;
@@ -377,7 +341,7 @@
     });
     try {
       // The crashes for which the request is refused may have happened while it waited, and a planned stop may have begun.
-      this.#checkCrashLimit();
+      this.#crashEvidence.checkLimit(this.#verdict);
       this.#checkStop();
     } catch (error) {
       grant.release();
@@ -502,7 +466,7 @@
       const events = this.#progress.acceptEvents(receivedEvents);
       attempt.lastEventAtMs = performance.now();
       if (receivedEvents.length > 0) {
-        this.#partEvidence.recordEvents(attempt);
+        this.#crashEvidence.recordEvents(attempt);
       }
       if (events.length === 0) {
         continue;
@@ -547,16 +511,7 @@
         this.#servers.add(group.head.id);
       }
       if (result.error.kind === "reset" && !result.isGroupLost) {
-        context.crashes.recordCrash({
-          fingerprint: this.#fingerprint,
-          groupKey: group.key,
-        });
-        context.logger.write("info", "crash-recorded", {
-          requestId: request.requestId,
-          group: group.key,
-          fingerprint: this.#fingerprint,
-          crashes: context.crashes.countCrashes(this.#fingerprint),
-        });
+        this.#crashEvidence.recordCrash(group.key);
       }
     } else if (result.outcome === "declined") {
       this.#declinedCount++;
@@ -591,10 +546,7 @@
         group,
         result.outcome,
       );
-      const isSuspect = this.#partEvidence.recordFailure(attempt, result);
-      if (isSuspect && await check) {
-        context.promptParts.recordCrash(group.key, this.#sharedParts);
-      }
+      await this.#crashEvidence.recordFailure(attempt, result, check);
     }
   }
 
@@ -664,13 +616,6 @@
   }
 }
 
-function formatPromptParts({ promptParts }: ModelRequest): string | undefined {
-  return promptParts.length === 0
-    ? undefined
-    : promptParts.slice(0, MAX_LOGGED_PARTS)
-      .map(({ id }) => id.slice(0, MAX_PART_ID_LENGTH)).join(",");
-}
-
 function joinEvents(events: readonly ServerSentEvent[]): Buffer {
   return events.length === 1
     ? events[0].bytes
