--- a/src/process/fleet/group_table.ts
+++ b/src/process/fleet/group_table.ts
@@ -2,6 +2,7 @@
 import type { ServedModel } from "../../version/routing_config.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
+import { getFormedSize } from "./group_name.ts";
 
 /** Time for which a suspicion holds without being confirmed, in milliseconds; longer than the time between two checks of a suspected group. */
 const SUSPICION_PERIOD_MS = 1_000;
@@ -256,7 +257,9 @@
     }
     const model = head.loadedModels[0];
     const groupSize = this.#findModel(head.service, model)?.groupSize;
-    const isComplete = servers.length === groupSize &&
+    const formedSize = getFormedSize(head.membership.groupName) ?? groupSize;
+    const isComplete = formedSize === groupSize &&
+      servers.length === formedSize &&
       servers.every(({ isDraining }) => !isDraining);
     if (
       !isComplete || servers.some(({ zone }) => this.#excludedZones.has(zone))
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -8,6 +8,7 @@
 import type { BackendServer } from "../../shared/backend_server.ts";
 import type { PlannedServer } from "./fleet_state.ts";
 import type { GroupLoads } from "./group_loads.ts";
+import { createGroupName, getFormedSize } from "./group_name.ts";
 import {
   collectMembers,
   getMembershipKey,
@@ -91,7 +92,7 @@
   readonly #incompleteSinceMs = new Map<string, number>();
   /** Monotonic time from which the members of a group that must not be opened may join other groups, by group key. */
   readonly #reusableFromMs = new Map<string, number>();
-  /** Number of servers that each reported group was formed of, by service and group key. */
+  /** Number of servers that each reported group was formed of, by service and group key. It counts for groups that an earlier version has formed, whose names do not state it. */
   readonly #groupSizes = new Map<string, Map<string, number>>();
   readonly #survivorProber: SurvivorProber;
   /** Model assigned to each fabric domain, by service. */
@@ -522,7 +523,8 @@
       directory.findServer(id) ?? []
     );
     const generation = ++this.#generation;
-    const group = { groupName: createGroupName(generation), generation };
+    const groupName = createGroupName({ generation, size: model.groupSize });
+    const group = { groupName, generation };
     const startedAtMs = performance.now();
     const isOpen = await this.#runOrders(
       formation.members,
@@ -629,7 +631,7 @@
  *
  * @param service - Service of the servers.
  * @param servers - Servers of the service.
- * @param knownSizes - Number of servers that each group was formed of, by group key. Any other group counts as formed as the configuration says.
+ * @param knownSizes - Number of servers that each group was formed of whose name does not state it, by group key. Any other such group counts as formed as the configuration says.
  */
 function collectReportedGroups(
   service: RoutedService,
@@ -641,7 +643,9 @@
     const head = members.find(({ membership }) => membership?.rank === 0);
     const groupSize = findModel(service, head?.loadedModels[0] ?? "")
       ?.groupSize;
-    const expectedSize = knownSizes.get(key) ?? groupSize;
+    const { groupName } = members[0].membership!;
+    const expectedSize = getFormedSize(groupName) ?? knownSizes.get(key) ??
+      groupSize;
     const size = hasJoined(head)
       ? Math.max(expectedSize ?? 0, members.length)
       : expectedSize;
@@ -663,13 +667,6 @@
   return head?.membership !== undefined && head.membership.state !== "joining";
 }
 
-/** Radix of the generation in group names. It keeps the names short, as daemons exchange the name of every group several times a second. */
-const GROUP_NAME_RADIX = 36;
-
-function createGroupName(generation: number): string {
-  return `g${generation.toString(GROUP_NAME_RADIX)}`;
-}
-
 function findModel(
   service: RoutedService,
   name: string,
--- /dev/null
+++ b/src/process/fleet/replica_reconciler_test.ts
@@ -0,0 +1,78 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import {
+  createModelService,
+  ReconciledFleet,
+} from "../../../tests/support/reconciled_fleet.ts";
+
+/** Time within which groups are formed of servers that have loaded their model, in milliseconds. */
+const FORMATION_MS = 2_000;
+/** Time for which requests in flight go on, in milliseconds. */
+const REQUEST_MS = 3_000;
+
+describe("ReplicaReconciler", () => {
+  let fleet: ReconciledFleet;
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+    fleet = new ReconciledFleet();
+  });
+  afterEach(() => {
+    fleet.dispose();
+    vi.useRealTimers();
+  });
+
+  async function runFor(durationMs: number): Promise<void> {
+    await vi.advanceTimersByTimeAsync(durationMs);
+  }
+
+  /** Starts a planner, and waits until the servers have formed groups. */
+  async function createGroups(): Promise<void> {
+    fleet.startPlanner();
+    await runFor(FORMATION_MS);
+  }
+
+  /** Assumes requests in flight at all groups, and returns the ids of the heads. */
+  function assumeBusyGroups(): string[] {
+    const headIds = fleet.listOpenGroups().map(([headId]) => headId);
+    headIds.forEach((id) => fleet.changeServer(id, { isBusy: true }));
+    return headIds;
+  }
+
+  function listGroupSizes(service?: string): number[] {
+    return fleet.listOpenGroups(service).map(({ length }) => length);
+  }
+
+  describe("run with a planner that takes over", () => {
+    // Guards against members that leave a group whose size the new planner takes from the new configuration.
+    it("lets the groups of an earlier size finish their requests after the size was raised", async () => {
+      fleet.addServers(4);
+      await createGroups();
+      expect(listGroupSizes()).toEqual([2, 2]);
+      const headIds = assumeBusyGroups();
+      fleet.services = [createModelService({ groupSize: 4 })];
+      fleet.startPlanner();
+      await runFor(REQUEST_MS);
+      expect(fleet.interruptions).toEqual([]);
+      headIds.forEach((id) => fleet.finishRequests(id));
+      await runFor(FORMATION_MS);
+      expect(listGroupSizes()).toEqual([4]);
+    });
+
+    // Guards against a group that has lost members and counts as complete by the new size.
+    it("replaces a group of an earlier size whose remaining members are as many as the new size", async () => {
+      fleet.addServers(4);
+      fleet.services = [createModelService({ groupSize: 4 })];
+      await createGroups();
+      const [[, ...others]] = fleet.listOpenGroups();
+      fleet.services = [createModelService({ groupSize: 2 })];
+      others.slice(1).forEach((id) =>
+        fleet.changeServer(id, { condition: "ended", isListed: false })
+      );
+      fleet.startPlanner();
+      expect(fleet.groups.listAll()).toEqual([]);
+      await runFor(FORMATION_MS);
+      expect(listGroupSizes()).toEqual([2]);
+      expect(fleet.groups.listAll().length).toBe(1);
+    });
+  });
+});
