--- a/src/process/fleet/group_name.ts
+++ b/src/process/fleet/group_name.ts
@@ -1,3 +1,5 @@
+/** Number of group generations reserved for each lease term. It exceeds the number of orders that can be sent in one term. */
+const GENERATIONS_PER_TERM = 100_000;
 /** Radix of the generation in group names. It keeps the names short, as daemons exchange the name of every group several times a second. */
 const GENERATION_RADIX = 36;
 const GROUP_NAME_PATTERN = /^g[0-9a-z]+-([1-9]\d*)$/;
@@ -27,3 +29,8 @@
   const size = GROUP_NAME_PATTERN.exec(groupName)?.[1];
   return size === undefined ? undefined : Number(size);
 }
+
+/** Gets the number that the generations of a lease term exceed. */
+export function getFirstGeneration(term: number): number {
+  return term * GENERATIONS_PER_TERM;
+}
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -8,20 +8,17 @@
 import type { BackendServer } from "../../shared/backend_server.ts";
 import type { PlannedServer } from "./fleet_state.ts";
 import type { GroupLoads } from "./group_loads.ts";
-import { createGroupName, getFormedSize } from "./group_name.ts";
-import {
-  collectMembers,
-  getMembershipKey,
-  type GroupTable,
-} from "./group_table.ts";
+import { createGroupName, getFirstGeneration } from "./group_name.ts";
+import { getMembershipKey, type GroupTable } from "./group_table.ts";
 import {
   createSpareGroupName,
   getProcessKey,
   isSpareGroup,
   type MemberOrderExecutor,
 } from "./member_order_executor.ts";
+import { OrderSchedule } from "./order_schedule.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
-import { SurvivorProber } from "./survivor_prober.ts";
+import { type ReportedGroup, ReportedGroups } from "./reported_groups.ts";
 import {
   type FleetPlan,
   type GroupFormation,
@@ -39,15 +36,6 @@
 const ORDER_TIMEOUT_MARGIN_MS = 2_000;
 /** Time limit for a closing group to finish its requests, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 10_000;
-/** Number of group generations reserved for each lease term. It exceeds the number of orders that can be sent in one term. */
-const GENERATIONS_PER_TERM = 100_000;
-/** Time for which a server gets no further order after an order to it failed, in milliseconds. */
-const FAILURE_PAUSE_MS = 1_000;
-/** Time for which a server that did not respond gets no further order, in milliseconds. It spans several heartbeats, after which a dead server has left the server list. */
-const UNRESPONSIVE_PAUSE_MS = 4_000;
-/** Time for which a group has to be incomplete before its remaining members may join other groups, in milliseconds. Entries of the server list arrive in batches, so a member may be missing temporarily. */
-const INCOMPLETE_GRACE_MS = 250;
-
 /** Time for which the number of fabric domains has to stay the same before the domains of a new fleet count as complete, in milliseconds. Each domain is assigned a model once, so all domains have to be known first. */
 const DOMAIN_SETTLE_MS = 300;
 
@@ -64,37 +52,13 @@
   getExcludedZones(): ReadonlySet<string>;
 }
 
-/** Replica group as reported by its members. */
-interface ReportedGroup {
-  readonly key: string;
-  readonly members: readonly BackendServer[];
-  readonly head: BackendServer | undefined;
-  /** Number of servers that the group was formed of; undefined while the head joins a group of a model that is not in the configuration. */
-  readonly size: number | undefined;
-  /** Whether none of these servers is missing. */
-  readonly isComplete: boolean;
-  /** Whether the configuration no longer has the group's model, or has it with another number of servers. */
-  readonly isOutdated: boolean;
-  /** Whether all members are ready, so that the group can be opened. */
-  readonly isReady: boolean;
-}
-
 /** Compares the reported replica groups with the plan, and orders backend servers to form, open or close groups and to load models, while this daemon holds the planner lease. */
 export class ReplicaReconciler {
   readonly #options: ReplicaReconcilerOptions;
-  /** Kind of the order in progress, by server id: `load` for an order to load weights from the weight store, `order` for any other. */
-  readonly #pendingOrders = new Map<string, "load" | "order">();
-  /** Monotonic time until which a server gets no orders, by server id. */
-  readonly #pausedUntilMs = new Map<string, number>();
+  readonly #schedule: OrderSchedule;
+  readonly #reportedGroups: ReportedGroups;
   /** Model of the last group that a server joined, by server id and start time. */
   readonly #lastModels = new Map<string, string>();
-  /** Monotonic time since which a group is incomplete, by group key. */
-  readonly #incompleteSinceMs = new Map<string, number>();
-  /** Monotonic time from which the members of a group that must not be opened may join other groups, by group key. */
-  readonly #reusableFromMs = new Map<string, number>();
-  /** Number of servers that each reported group was formed of, by service and group key. It counts for groups that an earlier version has formed, whose names do not state it. */
-  readonly #groupSizes = new Map<string, Map<string, number>>();
-  readonly #survivorProber: SurvivorProber;
   /** Model assigned to each fabric domain, by service. */
   readonly #assignments = new Map<string, ReadonlyMap<string, string>>();
   #generation = 0;
@@ -107,16 +71,23 @@
 
   constructor(options: ReplicaReconcilerOptions) {
     this.#options = options;
-    this.#survivorProber = new SurvivorProber({
-      orders: options.orders,
-      onResult: () => {
-        this.#hasChanged = true;
-      },
-    });
-    // A lost group publishes a change, too.
-    options.groups.onChange(() => {
+    const { groups, orders, logger } = options;
+    const onChange = () => {
       this.#hasChanged = true;
+    };
+    this.#schedule = new OrderSchedule({
+      orders,
+      getExcludedZones: () => options.getExcludedZones(),
+      onEnd: onChange,
+    });
+    this.#reportedGroups = new ReportedGroups({
+      groups,
+      orders,
+      logger,
+      onProbeResult: onChange,
     });
+    // A lost group publishes a change, too.
+    groups.onChange(onChange);
   }
 
   /** Runs the reconciliation loop until the signal aborts. */
@@ -131,7 +102,7 @@
       if (term !== this.#term) {
         this.#term = term;
         this.#assignments.clear();
-        this.#generation = term * GENERATIONS_PER_TERM;
+        this.#generation = getFirstGeneration(term);
       }
       if (!this.#isPlanDue()) {
         continue;
@@ -155,23 +126,14 @@
       return;
     }
     this.#recordLastModels(servers);
-    const reportedGroups = collectReportedGroups(
-      service,
-      servers,
-      this.#groupSizes.get(service.name) ?? new Map(),
-    );
-    this.#recordGroupSizes(service.name, reportedGroups);
-    this.#recordIncompleteGroups(reportedGroups);
-    this.#recordSupersededGroups(service, reportedGroups);
-    this.#survivorProber.retainGroups(reportedGroups);
-    this.#checkSuspectedGroups(reportedGroups);
-    for (const group of reportedGroups.values()) {
+    this.#reportedGroups.update(service, servers, { term: this.#term });
+    for (const group of this.#reportedGroups.list()) {
       this.#continueGroup(service, group);
     }
     const plan = planFleet({
       engine: service.engine!,
       servers: servers.filter(({ domain }) => domain !== undefined)
-        .map((server) => this.#describeServer(server, reportedGroups)),
+        .map((server) => this.#describeServer(server)),
       assignments: this.#assignments.get(service.name) ?? new Map(),
       hasTraffic: this.#options.loads.hasTraffic(),
     });
@@ -205,7 +167,7 @@
       this.#domainCount = domainCount;
       this.#domainCountChangedAtMs = performance.now();
     }
-    return this.#pendingOrders.size > 0 ||
+    return this.#schedule.isRunning ||
       servers.some(({ stagedModels }) => stagedModels.length > 0) ||
       performance.now() - this.#domainCountChangedAtMs >= DOMAIN_SETTLE_MS;
   }
@@ -244,101 +206,22 @@
     }
   }
 
-  /** Records the sizes of the groups whose head has joined. A new configuration changes the size of the model, but not that of a group. */
-  #recordGroupSizes(
-    service: string,
-    reportedGroups: ReadonlyMap<string, ReportedGroup>,
-  ): void {
-    const sizes = new Map<string, number>();
-    for (const { key, size, head } of reportedGroups.values()) {
-      if (size !== undefined && hasJoined(head)) {
-        sizes.set(key, size);
-      }
-    }
-    this.#groupSizes.set(service, sizes);
-  }
-
-  #recordIncompleteGroups(
-    reportedGroups: ReadonlyMap<string, ReportedGroup>,
-  ): void {
-    for (const key of this.#incompleteSinceMs.keys()) {
-      if (reportedGroups.get(key)?.isComplete ?? true) {
-        this.#incompleteSinceMs.delete(key);
-      }
-    }
-    for (const { key, isComplete } of reportedGroups.values()) {
-      if (!isComplete && !this.#incompleteSinceMs.has(key)) {
-        this.#incompleteSinceMs.set(key, performance.now());
-      }
-    }
-  }
-
-  /** Records the groups that are ready but must not be opened. An earlier planner may have opened one of them just now, which shows after the time that a group takes to open. */
-  #recordSupersededGroups(
-    service: RoutedService,
-    reportedGroups: ReadonlyMap<string, ReportedGroup>,
-  ): void {
-    for (const key of this.#reusableFromMs.keys()) {
-      const group = reportedGroups.get(key);
-      if (group === undefined || !this.#isSuperseded(group)) {
-        this.#reusableFromMs.delete(key);
-      }
-    }
-    for (const group of reportedGroups.values()) {
-      if (
-        this.#isSuperseded(group) && !this.#reusableFromMs.has(group.key)
-      ) {
-        const { openMs } = service.engine!;
-        this.#reusableFromMs.set(group.key, performance.now() + openMs);
-        this.#options.logger.write("info", "group-superseded", {
-          group: group.key,
-          members: group.members.map(({ id }) => id).join(","),
-          term: this.#term,
-        });
-      }
-    }
-  }
-
-  /**
-   * Gets whether a group that is ready must not be opened, since one of its members may still carry out the join of a later group, and a server must not leave an open group for another one.
-   *
-   * This planner knows only the joins that it has sent in this term. The members of such a group therefore join a new one, whose generation makes all earlier joins void.
-   */
-  #isSuperseded(
-    { head, members, isComplete, isReady }: ReportedGroup,
-  ): boolean {
-    if (!isComplete || !isReady || isSpareGroup(head!.membership!)) {
-      return false;
-    }
-    const { generation } = head!.membership!;
-    return generation < this.#term * GENERATIONS_PER_TERM ||
-      members.some((member) =>
-        this.#options.orders.hasUnansweredJoin(member, generation)
-      );
-  }
-
-  #describeServer(
-    server: BackendServer,
-    reportedGroups: ReadonlyMap<string, ReportedGroup>,
-  ): PlannedServer {
+  #describeServer(server: BackendServer): PlannedServer {
     return {
       id: server.id,
       domain: server.domain!,
       zone: server.zone,
       stagedModels: server.stagedModels,
       lastModel: this.#lastModels.get(getProcessKey(server)),
-      isFree: this.#isFree(server, reportedGroups),
-      isLoading: this.#pendingOrders.get(server.id) === "load",
+      isFree: this.#isFree(server),
+      isLoading: this.#schedule.isLoading(server.id),
     };
   }
 
   /** Gets whether a server can join another group now. */
-  #isFree(
-    server: BackendServer,
-    reportedGroups: ReadonlyMap<string, ReportedGroup>,
-  ): boolean {
+  #isFree(server: BackendServer): boolean {
     const { membership } = server;
-    if (server.isDraining || !this.#takesOrders(server)) {
+    if (server.isDraining || !this.#schedule.takesOrders(server)) {
       return false;
     }
     if (
@@ -347,78 +230,10 @@
     ) {
       return true;
     }
-    const group = reportedGroups.get(getMembershipKey(server)!);
+    const group = this.#reportedGroups.find(getMembershipKey(server)!);
     return membership.state !== "joining" && group !== undefined &&
-      this.#hasReusableMembers(group) &&
-      this.#survivorProber.isAlive(group.key, server);
-  }
-
-  /** Gets whether the members of a group can join other groups. */
-  #hasReusableMembers(group: ReportedGroup): boolean {
-    if (this.#options.groups.isLost(group.key)) {
-      return this.#isLossConfirmed(group);
-    }
-    const incompleteSinceMs = this.#incompleteSinceMs.get(group.key);
-    const isIncomplete = incompleteSinceMs !== undefined &&
-      performance.now() - incompleteSinceMs >= INCOMPLETE_GRACE_MS;
-    const state = group.head?.membership?.state;
-    const hasDrainingMember = group.members.some(({ isDraining }) =>
-      isDraining
-    );
-    // A group with a draining member, or of an earlier configuration, is closed first, which lets its requests finish.
-    const reusableFromMs = this.#reusableFromMs.get(group.key);
-    const isSuperseded = reusableFromMs !== undefined &&
-      performance.now() >= reusableFromMs;
-    const isClosed = state === undefined || state === "ready" ||
-      state === "broken";
-    return hasDrainingMember
-      ? isClosed
-      : (group.isOutdated && isClosed) || isIncomplete || isSuperseded ||
-        state === "broken";
-  }
-
-  /**
-   * Gets whether the members of a lost group can join other groups: a member is known to have ended, or the head is closed or broken, or has been silent for so long that it counts as ended. A group may be lost although its members are only silent, and a member must not join another group while the head still serves.
-   */
-  #isLossConfirmed({ key, head, members, isComplete }: ReportedGroup): boolean {
-    const states = members.map((member) =>
-      this.#survivorProber.getState(key, member, {
-        isLost: true,
-        mustRepeat: member === head,
-      })
-    );
-    if (!isComplete || head === undefined || states.includes("ended")) {
-      return true;
-    }
-    const headState = states[members.indexOf(head)];
-    const isClosed = head.membership?.state === "ready" ||
-      head.membership?.state === "broken";
-    return headState === "silent" || (headState === "alive" && isClosed);
-  }
-
-  /** Starts to probe the members of the groups that other daemons or this one suspect, so that the time of a silence is known when the group is lost. */
-  #checkSuspectedGroups(
-    reportedGroups: ReadonlyMap<string, ReportedGroup>,
-  ): void {
-    for (const key of this.#options.groups.listSuspectedKeys()) {
-      const group = reportedGroups.get(key);
-      if (group?.head?.membership?.state === "open") {
-        group.members.forEach((member) =>
-          this.#survivorProber.getState(key, member, {
-            isLost: false,
-            mustRepeat: false,
-          })
-        );
-      }
-    }
-  }
-
-  /** Gets whether a server may get an order: none is in progress, it is not paused, and its zone is not excluded. */
-  #takesOrders(server: BackendServer): boolean {
-    const isPaused = (this.#pausedUntilMs.get(server.id) ?? 0) >
-      performance.now();
-    return !this.#pendingOrders.has(server.id) && !isPaused &&
-      !this.#options.getExcludedZones().has(server.zone);
+      this.#reportedGroups.hasReusableMembers(group) &&
+      this.#reportedGroups.isAlive(group.key, server);
   }
 
   /** Opens a complete group whose formation has failed although all members are ready now, and closes an open group that has a draining member or does not fit the configuration. */
@@ -430,7 +245,7 @@
     }
     if (
       head === undefined || !isComplete || isSpareGroup(head.membership!) ||
-      !members.every((member) => this.#takesOrders(member))
+      !members.every((member) => this.#schedule.takesOrders(member))
     ) {
       return;
     }
@@ -438,7 +253,9 @@
     const mustClose = hasDrainingMember || isOutdated;
     if (mustClose && head.membership?.state === "open") {
       this.#startTask("closing", this.#runClosing(head, members));
-    } else if (!mustClose && isReady && !this.#isSuperseded(group)) {
+    } else if (
+      !mustClose && isReady && !this.#reportedGroups.isSuperseded(group)
+    ) {
       this.#startTask("opening", this.#runOpening(service, head, members));
     }
   }
@@ -447,8 +264,9 @@
   #closeLostGroup(group: ReportedGroup): void {
     const { key, head } = group;
     const mustClose = head?.membership?.state === "open" &&
-      this.#takesOrders(head) && !this.#isLossConfirmed(group) &&
-      this.#survivorProber.isAlive(key, head);
+      this.#schedule.takesOrders(head) &&
+      !this.#reportedGroups.isLossConfirmed(group) &&
+      this.#reportedGroups.isAlive(key, head);
     if (mustClose) {
       this.#startTask("closing", this.#runClosing(head, [head]));
     }
@@ -459,7 +277,7 @@
     members: readonly BackendServer[],
   ): Promise<void> {
     const ids = members.map(({ id }) => id);
-    await this.#runOrders(
+    await this.#schedule.run(
       ids,
       "order",
       () =>
@@ -475,7 +293,7 @@
     members: readonly BackendServer[],
   ): Promise<void> {
     const ids = members.map(({ id }) => id);
-    await this.#runOrders(ids, "order", () =>
+    await this.#schedule.run(ids, "order", () =>
       this.#options.orders.openGroup(
         head,
         head.membership!,
@@ -496,7 +314,7 @@
     }
     const { needsLoad } = preparation;
     const generation = ++this.#generation;
-    await this.#runOrders(
+    await this.#schedule.run(
       [server.id],
       needsLoad ? "load" : "order",
       () =>
@@ -526,7 +344,7 @@
     const groupName = createGroupName({ generation, size: model.groupSize });
     const group = { groupName, generation };
     const startedAtMs = performance.now();
-    const isOpen = await this.#runOrders(
+    const isOpen = await this.#schedule.run(
       formation.members,
       "order",
       async () =>
@@ -539,12 +357,13 @@
         ),
     );
     if (isOpen) {
-      this.#groupSizes.get(service.name)?.set(
-        `${group.groupName}/${generation}`,
+      this.#reportedGroups.recordSize(
+        service.name,
+        `${groupName}/${generation}`,
         members.length,
       );
     } else {
-      await this.#pauseUnresponsiveMembers(members);
+      await this.#schedule.pauseUnresponsiveMembers(members);
     }
     logger.write("info", "group-formed", {
       group: `${group.groupName}/${generation}`,
@@ -556,26 +375,6 @@
     });
   }
 
-  /** If some members of a failed formation do not respond, pauses only these until the server list has dropped them, so that the other members can join another group at once. */
-  async #pauseUnresponsiveMembers(
-    members: readonly BackendServer[],
-  ): Promise<void> {
-    const areAlive = await Promise.all(
-      members.map((member) => this.#options.orders.refreshServer(member)),
-    );
-    if (areAlive.every(Boolean)) {
-      return;
-    }
-    const untilMs = performance.now() + UNRESPONSIVE_PAUSE_MS;
-    members.forEach(({ id }, index) => {
-      if (areAlive[index]) {
-        this.#pausedUntilMs.delete(id);
-      } else {
-        this.#pausedUntilMs.set(id, untilMs);
-      }
-    });
-  }
-
   async #joinMembers(
     model: ServedModel,
     members: readonly BackendServer[],
@@ -596,29 +395,6 @@
     );
     return joinResults.every(Boolean);
   }
-
-  /** Runs orders while keeping their servers from getting other orders. If the orders fail, the servers get no further order for `FAILURE_PAUSE_MS`. */
-  async #runOrders(
-    serverIds: readonly string[],
-    kind: "load" | "order",
-    sendOrders: () => Promise<boolean>,
-  ): Promise<boolean> {
-    serverIds.forEach((id) => this.#pendingOrders.set(id, kind));
-    let isSuccess = false;
-    try {
-      isSuccess = await sendOrders();
-      return isSuccess;
-    } finally {
-      const untilMs = performance.now() + FAILURE_PAUSE_MS;
-      this.#hasChanged = true;
-      for (const id of serverIds) {
-        this.#pendingOrders.delete(id);
-        if (!isSuccess) {
-          this.#pausedUntilMs.set(id, untilMs);
-        }
-      }
-    }
-  }
 }
 
 /** Expected time for a server to join a group of the model that it has loaded, in milliseconds. */
@@ -626,47 +402,6 @@
 /** Margin by which the first status request follows the expected end of an order, in milliseconds. */
 const FIRST_POLL_MARGIN_MS = 20;
 
-/**
- * Collects the groups that the servers of a service report.
- *
- * @param service - Service of the servers.
- * @param servers - Servers of the service.
- * @param knownSizes - Number of servers that each group was formed of whose name does not state it, by group key. Any other such group counts as formed as the configuration says.
- */
-function collectReportedGroups(
-  service: RoutedService,
-  servers: readonly BackendServer[],
-  knownSizes: ReadonlyMap<string, number>,
-): Map<string, ReportedGroup> {
-  const groups = new Map<string, ReportedGroup>();
-  for (const [key, members] of collectMembers(servers)) {
-    const head = members.find(({ membership }) => membership?.rank === 0);
-    const groupSize = findModel(service, head?.loadedModels[0] ?? "")
-      ?.groupSize;
-    const { groupName } = members[0].membership!;
-    const expectedSize = getFormedSize(groupName) ?? knownSizes.get(key) ??
-      groupSize;
-    const size = hasJoined(head)
-      ? Math.max(expectedSize ?? 0, members.length)
-      : expectedSize;
-    groups.set(key, {
-      key,
-      members,
-      head,
-      size,
-      isComplete: members.length === size,
-      isOutdated: hasJoined(head) && size !== groupSize,
-      isReady: members.every(({ membership }) => membership?.state === "ready"),
-    });
-  }
-  return groups;
-}
-
-/** Gets whether the head of a group has joined it, so that the model which it reports is that of the group. */
-function hasJoined(head: BackendServer | undefined): boolean {
-  return head?.membership !== undefined && head.membership.state !== "joining";
-}
-
 function findModel(
   service: RoutedService,
   name: string,
--- /dev/null
+++ b/src/process/fleet/reported_groups.ts
@@ -0,0 +1,278 @@
+import type { BackendServer } from "../../shared/backend_server.ts";
+import type { Logger } from "../../shared/logger.ts";
+import type { RoutedService } from "../../version/routing_config.ts";
+import { getFirstGeneration, getFormedSize } from "./group_name.ts";
+import { collectMembers, type GroupTable } from "./group_table.ts";
+import {
+  isSpareGroup,
+  type MemberOrderExecutor,
+} from "./member_order_executor.ts";
+import { SurvivorProber } from "./survivor_prober.ts";
+
+/** Time for which a group has to be incomplete before its remaining members may join other groups, in milliseconds. Entries of the server list arrive in batches, so a member may be missing temporarily. */
+const INCOMPLETE_GRACE_MS = 250;
+
+/** Replica group as reported by its members. */
+export interface ReportedGroup {
+  readonly key: string;
+  readonly members: readonly BackendServer[];
+  readonly head: BackendServer | undefined;
+  /** Number of servers that the group was formed of; undefined while the head joins a group of a model that is not in the configuration. */
+  readonly size: number | undefined;
+  /** Whether none of these servers is missing. */
+  readonly isComplete: boolean;
+  /** Whether the configuration no longer has the group's model, or has it with another number of servers. */
+  readonly isOutdated: boolean;
+  /** Whether all members are ready, so that the group can be opened. */
+  readonly isReady: boolean;
+}
+
+/** Dependencies of `ReportedGroups`. */
+export interface ReportedGroupsOptions {
+  readonly groups: GroupTable;
+  readonly orders: MemberOrderExecutor;
+  readonly logger: Logger;
+  /** Called when a member of a group has responded to a probe, or has not. */
+  onProbeResult(): void;
+}
+
+/** Groups that the servers report, and what the planner has observed of them. */
+export class ReportedGroups {
+  readonly #options: ReportedGroupsOptions;
+  #groups: ReadonlyMap<string, ReportedGroup> = new Map();
+  /** Monotonic time since which a group is incomplete, by group key. */
+  readonly #incompleteSinceMs = new Map<string, number>();
+  /** Monotonic time from which the members of a group that must not be opened may join other groups, by group key. */
+  readonly #reusableFromMs = new Map<string, number>();
+  /** Number of servers that each reported group was formed of, by service and group key. It counts for groups that an earlier version has formed, whose names do not state it. */
+  readonly #groupSizes = new Map<string, Map<string, number>>();
+  readonly #survivorProber: SurvivorProber;
+  #term = 0;
+
+  constructor(options: ReportedGroupsOptions) {
+    this.#options = options;
+    this.#survivorProber = new SurvivorProber({
+      orders: options.orders,
+      onResult: () => options.onProbeResult(),
+    });
+  }
+
+  /**
+   * Replaces the groups by those that the servers of a service report now.
+   *
+   * @param service - Service of the servers.
+   * @param servers - Servers of the service.
+   * @param options - Term of the planner's lease.
+   */
+  update(
+    service: RoutedService,
+    servers: readonly BackendServer[],
+    { term }: { term: number },
+  ): void {
+    this.#term = term;
+    const groups = collectReportedGroups(
+      service,
+      servers,
+      this.#groupSizes.get(service.name) ?? new Map(),
+    );
+    this.#groups = groups;
+    this.#recordGroupSizes(service.name, groups);
+    this.#recordIncompleteGroups(groups);
+    this.#recordSupersededGroups(service, groups);
+    this.#survivorProber.retainGroups(groups);
+    this.#checkSuspectedGroups(groups);
+  }
+
+  list(): ReportedGroup[] {
+    return [...this.#groups.values()];
+  }
+
+  find(key: string): ReportedGroup | undefined {
+    return this.#groups.get(key);
+  }
+
+  /** Records the size of a group that was formed just now. */
+  recordSize(service: string, key: string, size: number): void {
+    this.#groupSizes.get(service)?.set(key, size);
+  }
+
+  /** Gets whether a member has responded to a probe since its group was lost or closed. */
+  isAlive(key: string, member: BackendServer): boolean {
+    return this.#survivorProber.isAlive(key, member);
+  }
+
+  /**
+   * Gets whether a group that is ready must not be opened, since one of its members may still carry out the join of a later group, and a server must not leave an open group for another one.
+   *
+   * This planner knows only the joins that it has sent in this term. The members of such a group therefore join a new one, whose generation makes all earlier joins void.
+   */
+  isSuperseded(
+    { head, members, isComplete, isReady }: ReportedGroup,
+  ): boolean {
+    if (!isComplete || !isReady || isSpareGroup(head!.membership!)) {
+      return false;
+    }
+    const { generation } = head!.membership!;
+    return generation < getFirstGeneration(this.#term) ||
+      members.some((member) =>
+        this.#options.orders.hasUnansweredJoin(member, generation)
+      );
+  }
+
+  /** Gets whether the members of a group can join other groups. */
+  hasReusableMembers(group: ReportedGroup): boolean {
+    if (this.#options.groups.isLost(group.key)) {
+      return this.isLossConfirmed(group);
+    }
+    const incompleteSinceMs = this.#incompleteSinceMs.get(group.key);
+    const isIncomplete = incompleteSinceMs !== undefined &&
+      performance.now() - incompleteSinceMs >= INCOMPLETE_GRACE_MS;
+    const state = group.head?.membership?.state;
+    const hasDrainingMember = group.members.some(({ isDraining }) =>
+      isDraining
+    );
+    // A group with a draining member, or of an earlier configuration, is closed first, which lets its requests finish.
+    const reusableFromMs = this.#reusableFromMs.get(group.key);
+    const isSuperseded = reusableFromMs !== undefined &&
+      performance.now() >= reusableFromMs;
+    const isClosed = state === undefined || state === "ready" ||
+      state === "broken";
+    return hasDrainingMember
+      ? isClosed
+      : (group.isOutdated && isClosed) || isIncomplete || isSuperseded ||
+        state === "broken";
+  }
+
+  /**
+   * Gets whether the members of a lost group can join other groups: a member is known to have ended, or the head is closed or broken, or has been silent for so long that it counts as ended. A group may be lost although its members are only silent, and a member must not join another group while the head still serves.
+   */
+  isLossConfirmed({ key, head, members, isComplete }: ReportedGroup): boolean {
+    const states = members.map((member) =>
+      this.#survivorProber.getState(key, member, {
+        isLost: true,
+        mustRepeat: member === head,
+      })
+    );
+    if (!isComplete || head === undefined || states.includes("ended")) {
+      return true;
+    }
+    const headState = states[members.indexOf(head)];
+    const isClosed = head.membership?.state === "ready" ||
+      head.membership?.state === "broken";
+    return headState === "silent" || (headState === "alive" && isClosed);
+  }
+
+  /** Starts to probe the members of the groups that other daemons or this one suspect, so that the time of a silence is known when the group is lost. */
+  #checkSuspectedGroups(
+    reportedGroups: ReadonlyMap<string, ReportedGroup>,
+  ): void {
+    for (const key of this.#options.groups.listSuspectedKeys()) {
+      const group = reportedGroups.get(key);
+      if (group?.head?.membership?.state === "open") {
+        group.members.forEach((member) =>
+          this.#survivorProber.getState(key, member, {
+            isLost: false,
+            mustRepeat: false,
+          })
+        );
+      }
+    }
+  }
+
+  /** Records the sizes of the groups whose head has joined. A new configuration changes the size of the model, but not that of a group. */
+  #recordGroupSizes(
+    service: string,
+    reportedGroups: ReadonlyMap<string, ReportedGroup>,
+  ): void {
+    const sizes = new Map<string, number>();
+    for (const { key, size, head } of reportedGroups.values()) {
+      if (size !== undefined && hasJoined(head)) {
+        sizes.set(key, size);
+      }
+    }
+    this.#groupSizes.set(service, sizes);
+  }
+
+  #recordIncompleteGroups(
+    reportedGroups: ReadonlyMap<string, ReportedGroup>,
+  ): void {
+    for (const key of this.#incompleteSinceMs.keys()) {
+      if (reportedGroups.get(key)?.isComplete ?? true) {
+        this.#incompleteSinceMs.delete(key);
+      }
+    }
+    for (const { key, isComplete } of reportedGroups.values()) {
+      if (!isComplete && !this.#incompleteSinceMs.has(key)) {
+        this.#incompleteSinceMs.set(key, performance.now());
+      }
+    }
+  }
+
+  /** Records the groups that are ready but must not be opened. An earlier planner may have opened one of them just now, which shows after the time that a group takes to open. */
+  #recordSupersededGroups(
+    service: RoutedService,
+    reportedGroups: ReadonlyMap<string, ReportedGroup>,
+  ): void {
+    for (const key of this.#reusableFromMs.keys()) {
+      const group = reportedGroups.get(key);
+      if (group === undefined || !this.isSuperseded(group)) {
+        this.#reusableFromMs.delete(key);
+      }
+    }
+    for (const group of reportedGroups.values()) {
+      if (
+        this.isSuperseded(group) && !this.#reusableFromMs.has(group.key)
+      ) {
+        const { openMs } = service.engine!;
+        this.#reusableFromMs.set(group.key, performance.now() + openMs);
+        this.#options.logger.write("info", "group-superseded", {
+          group: group.key,
+          members: group.members.map(({ id }) => id).join(","),
+          term: this.#term,
+        });
+      }
+    }
+  }
+}
+
+/**
+ * Collects the groups that the servers of a service report.
+ *
+ * @param service - Service of the servers.
+ * @param servers - Servers of the service.
+ * @param knownSizes - Number of servers that each group was formed of whose name does not state it, by group key. Any other such group counts as formed as the configuration says.
+ */
+function collectReportedGroups(
+  service: RoutedService,
+  servers: readonly BackendServer[],
+  knownSizes: ReadonlyMap<string, number>,
+): Map<string, ReportedGroup> {
+  const groups = new Map<string, ReportedGroup>();
+  for (const [key, members] of collectMembers(servers)) {
+    const head = members.find(({ membership }) => membership?.rank === 0);
+    const groupSize = service.engine?.models.find(({ name }) =>
+      name === head?.loadedModels[0]
+    )?.groupSize;
+    const { groupName } = members[0].membership!;
+    const expectedSize = getFormedSize(groupName) ?? knownSizes.get(key) ??
+      groupSize;
+    const size = hasJoined(head)
+      ? Math.max(expectedSize ?? 0, members.length)
+      : expectedSize;
+    groups.set(key, {
+      key,
+      members,
+      head,
+      size,
+      isComplete: members.length === size,
+      isOutdated: hasJoined(head) && size !== groupSize,
+      isReady: members.every(({ membership }) => membership?.state === "ready"),
+    });
+  }
+  return groups;
+}
+
+/** Gets whether the head of a group has joined it, so that the model which it reports is that of the group. */
+function hasJoined(head: BackendServer | undefined): boolean {
+  return head?.membership !== undefined && head.membership.state !== "joining";
+}
