--- a/src/process/fleet/order_schedule.ts
+++ b/src/process/fleet/order_schedule.ts
@@ -30,9 +30,9 @@
     this.#onEnd = () => options.onEnd();
   }
 
-  /** Gets whether any order is in progress. */
-  get isRunning(): boolean {
-    return this.#pendingOrders.size > 0;
+  /** Gets whether an order to a server is in progress. */
+  isBusy(serverId: string): boolean {
+    return this.#pendingOrders.has(serverId);
   }
 
   /** Gets whether a server is loading weights from the weight store. */
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -17,8 +17,9 @@
   type MemberOrderExecutor,
 } from "./member_order_executor.ts";
 import { OrderSchedule } from "./order_schedule.ts";
+import { ServiceState } from "./service_state.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
-import { type ReportedGroup, ReportedGroups } from "./reported_groups.ts";
+import type { ReportedGroup, ReportedGroups } from "./reported_groups.ts";
 import {
   type FleetPlan,
   type GroupFormation,
@@ -36,9 +37,6 @@
 const ORDER_TIMEOUT_MARGIN_MS = 2_000;
 /** Time limit for a closing group to finish its requests, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 10_000;
-/** Time for which the number of fabric domains has to stay the same before the domains of a new fleet count as complete, in milliseconds. Each domain is assigned a model once, so all domains have to be known first. */
-const DOMAIN_SETTLE_MS = 300;
-
 /** Dependencies of a `ReplicaReconciler`. */
 export interface ReplicaReconcilerOptions {
   readonly directory: BackendDirectory;
@@ -56,38 +54,28 @@
 export class ReplicaReconciler {
   readonly #options: ReplicaReconcilerOptions;
   readonly #schedule: OrderSchedule;
-  readonly #reportedGroups: ReportedGroups;
   /** Model of the last group that a server joined, by server id and start time. */
   readonly #lastModels = new Map<string, string>();
-  /** Model assigned to each fabric domain, by service. */
-  readonly #assignments = new Map<string, ReadonlyMap<string, string>>();
+  /** State of each service that has an engine, by name. */
+  readonly #states = new Map<string, ServiceState>();
   #generation = 0;
   #term = 0;
   /** Whether a server has changed or an order has ended since the last plan. */
   #hasChanged = true;
   #plannedAtMs = Number.NEGATIVE_INFINITY;
-  #domainCount = 0;
-  #domainCountChangedAtMs = 0;
 
   constructor(options: ReplicaReconcilerOptions) {
     this.#options = options;
-    const { groups, orders, logger } = options;
     const onChange = () => {
       this.#hasChanged = true;
     };
     this.#schedule = new OrderSchedule({
-      orders,
+      orders: options.orders,
       getExcludedZones: () => options.getExcludedZones(),
       onEnd: onChange,
     });
-    this.#reportedGroups = new ReportedGroups({
-      groups,
-      orders,
-      logger,
-      onProbeResult: onChange,
-    });
     // A lost group publishes a change, too.
-    groups.onChange(onChange);
+    options.groups.onChange(onChange);
   }
 
   /** Runs the reconciliation loop until the signal aborts. */
@@ -101,7 +89,7 @@
       }
       if (term !== this.#term) {
         this.#term = term;
-        this.#assignments.clear();
+        this.#states.forEach((state) => state.assignments = new Map());
         this.#generation = getFirstGeneration(term);
       }
       if (!this.#isPlanDue()) {
@@ -122,19 +110,21 @@
 
   #planService(service: RoutedService): void {
     const servers = this.#options.directory.listServers(service.name);
-    if (!this.#isDomainListSettled(servers)) {
+    const state = this.#getState(service.name);
+    if (!this.#isDomainListSettled(state, servers)) {
       return;
     }
+    const { reportedGroups } = state;
     this.#recordLastModels(servers);
-    this.#reportedGroups.update(service, servers, { term: this.#term });
-    for (const group of this.#reportedGroups.list()) {
-      this.#continueGroup(service, group);
+    reportedGroups.update(service, servers, { term: this.#term });
+    for (const group of reportedGroups.list()) {
+      this.#continueGroup(service, { reportedGroups, group });
     }
     const plan = planFleet({
       engine: service.engine!,
       servers: servers.filter(({ domain }) => domain !== undefined)
-        .map((server) => this.#describeServer(server)),
-      assignments: this.#assignments.get(service.name) ?? new Map(),
+        .map((server) => this.#describeServer(server, reportedGroups)),
+      assignments: state.assignments,
       hasTraffic: this.#options.loads.hasTraffic(),
     });
     this.#recordAssignments(service.name, plan.assignments);
@@ -145,31 +135,48 @@
     service: string,
     assignments: ReadonlyMap<string, string>,
   ): void {
-    const previousAssignments = this.#assignments.get(service);
+    const state = this.#getState(service);
     for (const [domain, model] of assignments) {
-      if (previousAssignments?.get(domain) !== model) {
+      if (state.assignments.get(domain) !== model) {
         this.#options.logger.write("info", "domain-assigned", {
           service,
           domain,
           model,
-          before: previousAssignments?.get(domain),
+          before: state.assignments.get(domain),
           term: this.#term,
         });
       }
     }
-    this.#assignments.set(service, assignments);
+    state.assignments = assignments;
   }
 
-  /** Gets whether models can be assigned: either a load has begun or ended, or the number of fabric domains of the new fleet has settled. */
-  #isDomainListSettled(servers: readonly BackendServer[]): boolean {
-    const domainCount = new Set(servers.map(({ domain }) => domain)).size;
-    if (domainCount !== this.#domainCount) {
-      this.#domainCount = domainCount;
-      this.#domainCountChangedAtMs = performance.now();
+  #getState(service: string): ServiceState {
+    let state = this.#states.get(service);
+    if (state === undefined) {
+      const { groups, orders, logger } = this.#options;
+      state = new ServiceState({
+        groups,
+        orders,
+        logger,
+        onProbeResult: () => {
+          this.#hasChanged = true;
+        },
+      });
+      this.#states.set(service, state);
     }
-    return this.#schedule.isRunning ||
-      servers.some(({ stagedModels }) => stagedModels.length > 0) ||
-      performance.now() - this.#domainCountChangedAtMs >= DOMAIN_SETTLE_MS;
+    return state;
+  }
+
+  /** Gets whether models can be assigned: either a load has begun or ended, or the number of fabric domains of the new fleet has settled. */
+  #isDomainListSettled(
+    state: ServiceState,
+    servers: readonly BackendServer[],
+  ): boolean {
+    const isSettled = state.isDomainCountSettled(servers);
+    return isSettled ||
+      servers.some(({ id, stagedModels }) =>
+        stagedModels.length > 0 || this.#schedule.isBusy(id)
+      );
   }
 
   #applyPlan(service: RoutedService, plan: FleetPlan): void {
@@ -206,20 +213,26 @@
     }
   }
 
-  #describeServer(server: BackendServer): PlannedServer {
+  #describeServer(
+    server: BackendServer,
+    reportedGroups: ReportedGroups,
+  ): PlannedServer {
     return {
       id: server.id,
       domain: server.domain!,
       zone: server.zone,
       stagedModels: server.stagedModels,
       lastModel: this.#lastModels.get(getProcessKey(server)),
-      isFree: this.#isFree(server),
+      isFree: this.#isFree(server, reportedGroups),
       isLoading: this.#schedule.isLoading(server.id),
     };
   }
 
   /** Gets whether a server can join another group now. */
-  #isFree(server: BackendServer): boolean {
+  #isFree(
+    server: BackendServer,
+    reportedGroups: ReportedGroups,
+  ): boolean {
     const { membership } = server;
     if (server.isDraining || !this.#schedule.takesOrders(server)) {
       return false;
@@ -230,17 +243,23 @@
     ) {
       return true;
     }
-    const group = this.#reportedGroups.find(getMembershipKey(server)!);
+    const group = reportedGroups.find(getMembershipKey(server)!);
     return membership.state !== "joining" && group !== undefined &&
-      this.#reportedGroups.hasReusableMembers(group) &&
-      this.#reportedGroups.isAlive(group.key, server);
+      reportedGroups.hasReusableMembers(group) &&
+      reportedGroups.isAlive(group.key, server);
   }
 
   /** Opens a complete group whose formation has failed although all members are ready now, and closes an open group that has a draining member or does not fit the configuration. */
-  #continueGroup(service: RoutedService, group: ReportedGroup): void {
+  #continueGroup(
+    service: RoutedService,
+    { reportedGroups, group }: {
+      reportedGroups: ReportedGroups;
+      group: ReportedGroup;
+    },
+  ): void {
     const { head, members, isComplete, isOutdated, isReady, key } = group;
     if (this.#options.groups.isLost(key)) {
-      this.#closeLostGroup(group);
+      this.#closeLostGroup(reportedGroups, group);
       return;
     }
     if (
@@ -254,19 +273,22 @@
     if (mustClose && head.membership?.state === "open") {
       this.#startTask("closing", this.#runClosing(head, members));
     } else if (
-      !mustClose && isReady && !this.#reportedGroups.isSuperseded(group)
+      !mustClose && isReady && !reportedGroups.isSuperseded(group)
     ) {
       this.#startTask("opening", this.#runOpening(service, head, members));
     }
   }
 
   /** Closes a lost group whose head still serves, which lets its requests finish. */
-  #closeLostGroup(group: ReportedGroup): void {
+  #closeLostGroup(
+    reportedGroups: ReportedGroups,
+    group: ReportedGroup,
+  ): void {
     const { key, head } = group;
     const mustClose = head?.membership?.state === "open" &&
       this.#schedule.takesOrders(head) &&
-      !this.#reportedGroups.isLossConfirmed(group) &&
-      this.#reportedGroups.isAlive(key, head);
+      !reportedGroups.isLossConfirmed(group) &&
+      reportedGroups.isAlive(key, head);
     if (mustClose) {
       this.#startTask("closing", this.#runClosing(head, [head]));
     }
@@ -357,8 +379,7 @@
         ),
     );
     if (isOpen) {
-      this.#reportedGroups.recordSize(
-        service.name,
+      this.#getState(service.name).reportedGroups.recordSize(
         `${groupName}/${generation}`,
         members.length,
       );
--- a/src/process/fleet/replica_reconciler_test.ts
+++ b/src/process/fleet/replica_reconciler_test.ts
@@ -75,4 +75,57 @@
       expect(fleet.groups.listAll().length).toBe(1);
     });
   });
+
+  describe("run with two services that have engines", () => {
+    beforeEach(() => {
+      fleet.services = [
+        createModelService(),
+        createModelService({ name: "others" }),
+      ];
+    });
+
+    // Guards against a number of fabric domains that changes with each service that is planned, and so never settles.
+    it("forms groups of servers that have loaded nothing yet", async () => {
+      fleet.addServers(2, { model: undefined });
+      for (const domain of ["d1", "d2"]) {
+        fleet.addServers(2, { service: "others", domain, model: undefined });
+      }
+      await createGroups();
+      expect(listGroupSizes("models")).toEqual([2]);
+      expect(listGroupSizes("others")).toEqual([2, 2]);
+    });
+
+    // Guards against a plan for one service that restarts the waiting times of the groups of the other one.
+    it.each(["models", "others"])(
+      "replaces a group of %s that has lost a member",
+      async (service) => {
+        fleet.addServers(3);
+        fleet.addServers(3, { service: "others", domain: "d1" });
+        await createGroups();
+        const [[, memberId]] = fleet.listOpenGroups(service);
+        fleet.changeServer(memberId, { condition: "ended", isListed: false });
+        await runFor(FORMATION_MS);
+        expect(fleet.listOpenGroups(service).flat()).not.toContain(memberId);
+        expect(listGroupSizes(service)).toEqual([2]);
+      },
+    );
+
+    // Guards against a plan for one service that forgets which groups of the other one may not be opened.
+    it("forms the groups again that an earlier planner has not opened", async () => {
+      fleet.addServers(2);
+      fleet.addServers(2, { service: "others", domain: "d1" });
+      fleet.startPlanner();
+      await vi.waitUntil(
+        () =>
+          [...fleet.servers.values()].every(({ group }) =>
+            group?.state === "ready"
+          ),
+        { interval: 1, timeout: FORMATION_MS },
+      );
+      fleet.startPlanner();
+      await runFor(FORMATION_MS);
+      expect(listGroupSizes("models")).toEqual([2]);
+      expect(listGroupSizes("others")).toEqual([2]);
+    });
+  });
 });
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -36,7 +36,7 @@
   onProbeResult(): void;
 }
 
-/** Groups that the servers report, and what the planner has observed of them. */
+/** Groups that the servers of one service report, and what the planner has observed of them. */
 export class ReportedGroups {
   readonly #options: ReportedGroupsOptions;
   #groups: ReadonlyMap<string, ReportedGroup> = new Map();
@@ -44,8 +44,8 @@
   readonly #incompleteSinceMs = new Map<string, number>();
   /** Monotonic time from which the members of a group that must not be opened may join other groups, by group key. */
   readonly #reusableFromMs = new Map<string, number>();
-  /** Number of servers that each reported group was formed of, by service and group key. It counts for groups that an earlier version has formed, whose names do not state it. */
-  readonly #groupSizes = new Map<string, Map<string, number>>();
+  /** Number of servers that each reported group was formed of, by group key. It counts for groups that an earlier version has formed, whose names do not state it. */
+  #groupSizes = new Map<string, number>();
   readonly #survivorProber: SurvivorProber;
   #term = 0;
 
@@ -58,9 +58,9 @@
   }
 
   /**
-   * Replaces the groups by those that the servers of a service report now.
+   * Replaces the groups by those that the servers report now.
    *
-   * @param service - Service of the servers.
+   * @param service - Service, as configured now.
    * @param servers - Servers of the service.
    * @param options - Term of the planner's lease.
    */
@@ -70,13 +70,9 @@
     { term }: { term: number },
   ): void {
     this.#term = term;
-    const groups = collectReportedGroups(
-      service,
-      servers,
-      this.#groupSizes.get(service.name) ?? new Map(),
-    );
+    const groups = collectReportedGroups(service, servers, this.#groupSizes);
     this.#groups = groups;
-    this.#recordGroupSizes(service.name, groups);
+    this.#recordGroupSizes(groups);
     this.#recordIncompleteGroups(groups);
     this.#recordSupersededGroups(service, groups);
     this.#survivorProber.retainGroups(groups);
@@ -92,8 +88,8 @@
   }
 
   /** Records the size of a group that was formed just now. */
-  recordSize(service: string, key: string, size: number): void {
-    this.#groupSizes.get(service)?.set(key, size);
+  recordSize(key: string, size: number): void {
+    this.#groupSizes.set(key, size);
   }
 
   /** Gets whether a member has responded to a probe since its group was lost or closed. */
@@ -181,7 +177,6 @@
 
   /** Records the sizes of the groups whose head has joined. A new configuration changes the size of the model, but not that of a group. */
   #recordGroupSizes(
-    service: string,
     reportedGroups: ReadonlyMap<string, ReportedGroup>,
   ): void {
     const sizes = new Map<string, number>();
@@ -190,7 +185,7 @@
         sizes.set(key, size);
       }
     }
-    this.#groupSizes.set(service, sizes);
+    this.#groupSizes = sizes;
   }
 
   #recordIncompleteGroups(
