--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -143,6 +143,14 @@
       : servers.filter((server) => server.service === service);
   }
 
+  /** Lists the removed servers of a service, as they were last known. A server whose entry was removed may still run: it may be cut off from the store, or finish its requests before it stops. */
+  listRemovedServers(service: string): BackendServer[] {
+    return [...this.#tombstones.values()].map(({ entry }) => entry)
+      .filter((entry) =>
+        entry.service === service && !this.#servers.has(entry.id)
+      );
+  }
+
   /** Registers a listener that is called after each change of the directory. */
   onChange(listener: DirectoryListener): void {
     this.#listeners.add(listener);
@@ -240,28 +248,22 @@
   }
 
   /**
-   * Applies the status report of a backend server, which is newer than its entry in the list.
+   * Applies the status report of a backend server, which is newer than its entry in the list, or than its last entry if that was removed.
    *
    * @param id - Id of the backend server.
    * @param report - Status report of the server.
    */
   applyReport(id: string, report: BackendReport): void {
     const server = this.#servers.get(id);
+    const tombstone = this.#tombstones.get(id);
+    if (server === undefined && tombstone !== undefined) {
+      const entry = applyReportToEntry(tombstone.entry, report);
+      this.#tombstones.set(id, { ...tombstone, entry });
+    }
     if (server === undefined) {
       return;
     }
-    const startedAtMs = report.startedAtMs || server.startedAtMs;
-    this.#setServer(id, {
-      ...server,
-      startedAtMs,
-      // The number of the last entry does not count for another process.
-      reportNumber: startedAtMs === server.startedAtMs
-        ? server.reportNumber
-        : 0,
-      membership: report.membership,
-      loadedModels: report.loadedModels,
-      stagedModels: report.stagedModels ?? server.stagedModels,
-    });
+    this.#setServer(id, applyReportToEntry(server, report));
     this.#reportedAtMs.set(id, performance.now());
     this.#publishChange();
   }
@@ -381,6 +383,22 @@
   }
 }
 
+function applyReportToEntry(
+  entry: BackendServer,
+  report: BackendReport,
+): BackendServer {
+  const startedAtMs = report.startedAtMs || entry.startedAtMs;
+  return {
+    ...entry,
+    startedAtMs,
+    // The number of the last entry does not count for another process.
+    reportNumber: startedAtMs === entry.startedAtMs ? entry.reportNumber : 0,
+    membership: report.membership,
+    loadedModels: report.loadedModels,
+    stagedModels: report.stagedModels ?? entry.stagedModels,
+  };
+}
+
 /** Compares the times of the reports that two entries of a server contain. */
 function compareReports(a: BackendServer, b: BackendServer): number {
   return a.startedAtMs - b.startedAtMs || a.reportNumber - b.reportNumber;
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -1,5 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { createBackendServer } from "../../../tests/support/backend_servers.ts";
+import {
+  createBackendServer,
+  MEMBER_REPORT,
+} from "../../../tests/support/backend_servers.ts";
 import { createVersion } from "../../connection/object_store.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import { BackendDirectory } from "./backend_directory.ts";
@@ -140,6 +143,64 @@
     });
   });
 
+  describe("listRemovedServers", () => {
+    const MEMBERSHIP = {
+      groupName: "g1",
+      generation: 1,
+      rank: 0,
+      state: "closing",
+    } as const;
+
+    function createDirectory(): BackendDirectory {
+      const directory = new BackendDirectory({ logger: new NullLogger() });
+      const change = { outageMs: 0, isSnapshot: false };
+      directory.applyChange({
+        ...change,
+        changed: new Map([["s1", createServer(1)]]),
+        removed: [],
+        revision: 1,
+        changeRevision: 1,
+      });
+      directory.applyChange({
+        ...change,
+        changed: new Map(),
+        removed: ["s1"],
+        revision: 2,
+        changeRevision: 2,
+      });
+      return directory;
+    }
+
+    // Guards against a removed server whose state is never known again although it responds.
+    it("lists a removed server with the state that it has reported since", () => {
+      const directory = createDirectory();
+      directory.applyReport("s1", {
+        ...MEMBER_REPORT,
+        membership: MEMBERSHIP,
+      });
+      expect(directory.listRemovedServers("models")[0].membership)
+        .toEqual(MEMBERSHIP);
+      expect(directory.findServer("s1")).toBeUndefined();
+    });
+
+    it("does not list a server that has registered again", () => {
+      const directory = createDirectory();
+      directory.applyChange({
+        changed: new Map([["s1", createServer(3)]]),
+        removed: [],
+        revision: 3,
+        changeRevision: 3,
+        outageMs: 0,
+        isSnapshot: false,
+      });
+      expect(directory.listRemovedServers("models")).toEqual([]);
+    });
+
+    it("lists the servers of the given service only", () => {
+      expect(createDirectory().listRemovedServers("app")).toEqual([]);
+    });
+  });
+
   describe("a restore of the store", () => {
     beforeEach(() => {
       vi.useFakeTimers();
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -116,7 +116,10 @@
     }
     const { reportedGroups } = state;
     this.#recordLastModels(servers);
-    reportedGroups.update(service, servers, { term: this.#term });
+    reportedGroups.update(service, servers, {
+      removedServers: this.#options.directory.listRemovedServers(service.name),
+      term: this.#term,
+    });
     for (const group of reportedGroups.list()) {
       this.#continueGroup(service, { reportedGroups, group });
     }
@@ -262,10 +265,14 @@
       this.#closeLostGroup(reportedGroups, group);
       return;
     }
-    if (
-      head === undefined || !isComplete || isSpareGroup(head.membership!) ||
-      !members.every((member) => this.#schedule.takesOrders(member))
-    ) {
+    if (head === undefined || isSpareGroup(head.membership!)) {
+      return;
+    }
+    if (!isComplete) {
+      this.#closeIncompleteGroup(reportedGroups, group);
+      return;
+    }
+    if (!members.every((member) => this.#schedule.takesOrders(member))) {
       return;
     }
     const hasDrainingMember = members.some(({ isDraining }) => isDraining);
@@ -279,6 +286,20 @@
     }
   }
 
+  /** Closes a group that has a member which is not in the list of servers but goes on, which lets its requests finish. */
+  #closeIncompleteGroup(
+    reportedGroups: ReportedGroups,
+    group: ReportedGroup,
+  ): void {
+    const head = group.head!;
+    if (
+      this.#schedule.takesOrders(head) &&
+      reportedGroups.hasToCloseIncomplete(group)
+    ) {
+      this.#startTask("closing", this.#runClosing(head, [head]));
+    }
+  }
+
   /** Closes a lost group whose head still serves, which lets its requests finish. */
   #closeLostGroup(
     reportedGroups: ReportedGroups,
--- a/src/process/fleet/replica_reconciler_test.ts
+++ b/src/process/fleet/replica_reconciler_test.ts
@@ -128,4 +128,73 @@
       expect(listGroupSizes("others")).toEqual([2]);
     });
   });
+
+  describe("run while a member is not in the list of servers", () => {
+    /** Time within which the other members are in a new group, in milliseconds. */
+    const REPLACEMENT_MS = 1_000;
+    /** Time for which a silent server does not count as ended, in milliseconds. */
+    const SILENCE_MS = 2_000;
+
+    beforeEach(async () => {
+      fleet.addServers(3);
+      await createGroups();
+    });
+
+    // Guards against requests in flight that stand still since the other members leave the group of a server that goes on.
+    it.each([["member", 1], ["head", 0]])(
+      "lets the requests of a group finish whose %s goes on",
+      async (_, rank) => {
+        const [headId] = assumeBusyGroups();
+        const missingId = fleet.listOpenGroups()[0][rank];
+        fleet.changeServer(missingId, { isListed: false });
+        await runFor(REQUEST_MS);
+        expect(fleet.interruptions).toEqual([]);
+        expect(fleet.servers.get(headId)!.group?.state).toBe("closing");
+        fleet.finishRequests(headId);
+        await runFor(FORMATION_MS);
+        expect(fleet.interruptions).toEqual([]);
+        expect(listGroupSizes()).toEqual([2]);
+        expect(fleet.listOpenGroups().flat()).not.toContain(missingId);
+      },
+    );
+
+    it.each([["member", 1], ["head", 0]])(
+      "replaces a group whose %s has ended",
+      async (_, rank) => {
+        const missingId = fleet.listOpenGroups()[0][rank];
+        fleet.changeServer(missingId, { condition: "ended", isListed: false });
+        await runFor(REPLACEMENT_MS);
+        expect(fleet.groups.listAll().length).toBe(1);
+        expect(fleet.groups.listAll()[0].members.map(({ id }) => id))
+          .not.toContain(missingId);
+      },
+    );
+
+    it("replaces a group whose member has left it", async () => {
+      const [[, missingId]] = fleet.listOpenGroups();
+      fleet.changeServer(missingId, { group: undefined, isListed: false });
+      await runFor(REPLACEMENT_MS);
+      expect(fleet.groups.listAll().length).toBe(1);
+    });
+
+    it("replaces a group whose member stays silent", async () => {
+      const [[, missingId]] = fleet.listOpenGroups();
+      fleet.changeServer(missingId, { condition: "silent", isListed: false });
+      await runFor(SILENCE_MS + REPLACEMENT_MS);
+      expect(fleet.groups.listAll().length).toBe(1);
+    });
+
+    // Guards against a lost group whose members leave while the head still finishes its requests.
+    it("lets the requests of a lost group finish whose member goes on", async () => {
+      const [headId] = assumeBusyGroups();
+      const [[, missingId]] = fleet.listOpenGroups();
+      fleet.groups.recordLoss(fleet.groups.listAll()[0].key, "test");
+      fleet.changeServer(missingId, { isListed: false });
+      await runFor(REQUEST_MS);
+      expect(fleet.interruptions).toEqual([]);
+      fleet.finishRequests(headId);
+      await runFor(FORMATION_MS);
+      expect(listGroupSizes()).toEqual([2]);
+    });
+  });
 });
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -7,7 +7,7 @@
   isSpareGroup,
   type MemberOrderExecutor,
 } from "./member_order_executor.ts";
-import { SurvivorProber } from "./survivor_prober.ts";
+import { type MemberState, SurvivorProber } from "./survivor_prober.ts";
 
 /** Time for which a group has to be incomplete before its remaining members may join other groups, in milliseconds. Entries of the server list arrive in batches, so a member may be missing temporarily. */
 const INCOMPLETE_GRACE_MS = 250;
@@ -15,7 +15,11 @@
 /** Replica group as reported by its members. */
 export interface ReportedGroup {
   readonly key: string;
+  /** Members in the list of servers. */
   readonly members: readonly BackendServer[];
+  /** Members that were removed from the list of servers, as they were last known. */
+  readonly missingMembers: readonly BackendServer[];
+  /** Head, which may be one of the missing members. */
   readonly head: BackendServer | undefined;
   /** Number of servers that the group was formed of; undefined while the head joins a group of a model that is not in the configuration. */
   readonly size: number | undefined;
@@ -61,16 +65,23 @@
    * Replaces the groups by those that the servers report now.
    *
    * @param service - Service, as configured now.
-   * @param servers - Servers of the service.
-   * @param options - Term of the planner's lease.
+   * @param servers - Servers of the service in the list.
+   * @param options - Servers that were removed from the list, and term of the planner's lease.
    */
   update(
     service: RoutedService,
     servers: readonly BackendServer[],
-    { term }: { term: number },
+    { removedServers, term }: {
+      removedServers: readonly BackendServer[];
+      term: number;
+    },
   ): void {
     this.#term = term;
-    const groups = collectReportedGroups(service, servers, this.#groupSizes);
+    const groups = collectReportedGroups(service, {
+      servers,
+      removedServers,
+      knownSizes: this.#groupSizes,
+    });
     this.#groups = groups;
     this.#recordGroupSizes(groups);
     this.#recordIncompleteGroups(groups);
@@ -120,38 +131,74 @@
     if (this.#options.groups.isLost(group.key)) {
       return this.isLossConfirmed(group);
     }
-    const incompleteSinceMs = this.#incompleteSinceMs.get(group.key);
-    const isIncomplete = incompleteSinceMs !== undefined &&
-      performance.now() - incompleteSinceMs >= INCOMPLETE_GRACE_MS;
     const state = group.head?.membership?.state;
-    const hasDrainingMember = group.members.some(({ isDraining }) =>
-      isDraining
-    );
+    if (state === "broken") {
+      return true;
+    }
     // A group with a draining member, or of an earlier configuration, is closed first, which lets its requests finish.
+    const isClosed = state === undefined || state === "ready";
+    if (!group.isComplete) {
+      return (group.isOutdated && isClosed) ||
+        (this.#isGraceOver(group) && this.#isMissingConfirmed(group));
+    }
+    if (group.members.some(({ isDraining }) => isDraining)) {
+      return isClosed;
+    }
     const reusableFromMs = this.#reusableFromMs.get(group.key);
     const isSuperseded = reusableFromMs !== undefined &&
       performance.now() >= reusableFromMs;
-    const isClosed = state === undefined || state === "ready" ||
-      state === "broken";
-    return hasDrainingMember
-      ? isClosed
-      : (group.isOutdated && isClosed) || isIncomplete || isSuperseded ||
-        state === "broken";
+    return (group.isOutdated && isClosed) || isSuperseded;
+  }
+
+  #isGraceOver({ key }: ReportedGroup): boolean {
+    const incompleteSinceMs = this.#incompleteSinceMs.get(key);
+    return incompleteSinceMs !== undefined &&
+      performance.now() - incompleteSinceMs >= INCOMPLETE_GRACE_MS;
+  }
+
+  /** Gets whether an incomplete group does not serve any more: a missing member has ended, has left the group or stays silent, or the head is not open. */
+  #isMissingConfirmed(group: ReportedGroup): boolean {
+    const states = this.#requestMissingStates(group);
+    const headState = group.head?.membership?.state;
+    return states.length === 0 || states.includes("ended") ||
+      states.includes("silent") ||
+      (headState !== "open" && headState !== "closing");
+  }
+
+  /** Gets whether an incomplete group has to be closed, since it still serves and all missing members respond. */
+  hasToCloseIncomplete(group: ReportedGroup): boolean {
+    return this.#isGraceOver(group) &&
+      group.head?.membership?.state === "open" &&
+      group.missingMembers.length > 0 &&
+      this.#requestMissingStates(group).every((state) => state === "alive");
+  }
+
+  #requestMissingStates(group: ReportedGroup): MemberState[] {
+    return group.missingMembers.map((member) =>
+      this.#survivorProber.getState(group.key, member, {
+        isLost: true,
+        mustRepeat: true,
+      })
+    );
   }
 
   /**
-   * Gets whether the members of a lost group can join other groups: a member is known to have ended, or the head is closed or broken, or has been silent for so long that it counts as ended. A group may be lost although its members are only silent, and a member must not join another group while the head still serves.
+   * Gets whether the members of a lost group can join other groups: a member is known to have ended or to be missing, or the head is closed or broken, or has been silent for so long that it counts as ended. A group may be lost although its members are only silent, and a member must not join another group while the head still serves.
    */
-  isLossConfirmed({ key, head, members, isComplete }: ReportedGroup): boolean {
+  isLossConfirmed(group: ReportedGroup): boolean {
+    const { key, head, members, isComplete } = group;
     const states = members.map((member) =>
       this.#survivorProber.getState(key, member, {
         isLost: true,
         mustRepeat: member === head,
       })
     );
-    if (!isComplete || head === undefined || states.includes("ended")) {
+    if (head === undefined || states.includes("ended")) {
       return true;
     }
+    if (!isComplete) {
+      return this.#isMissingConfirmed(group);
+    }
     const headState = states[members.indexOf(head)];
     const isClosed = head.membership?.state === "ready" ||
       head.membership?.state === "broken";
@@ -234,17 +281,23 @@
  * Collects the groups that the servers of a service report.
  *
  * @param service - Service of the servers.
- * @param servers - Servers of the service.
- * @param knownSizes - Number of servers that each group was formed of whose name does not state it, by group key. Any other such group counts as formed as the configuration says.
+ * @param options - Servers, and number of servers that each group was formed of whose name does not state it, by group key. Any other such group counts as formed as the configuration says.
  */
 function collectReportedGroups(
   service: RoutedService,
-  servers: readonly BackendServer[],
-  knownSizes: ReadonlyMap<string, number>,
+  { servers, removedServers, knownSizes }: {
+    servers: readonly BackendServer[];
+    removedServers: readonly BackendServer[];
+    knownSizes: ReadonlyMap<string, number>;
+  },
 ): Map<string, ReportedGroup> {
   const groups = new Map<string, ReportedGroup>();
+  const missingByKey = collectMembers(removedServers);
   for (const [key, members] of collectMembers(servers)) {
-    const head = members.find(({ membership }) => membership?.rank === 0);
+    const missingMembers = missingByKey.get(key) ?? [];
+    const head = [...members, ...missingMembers].find(({ membership }) =>
+      membership?.rank === 0
+    );
     const groupSize = service.engine?.models.find(({ name }) =>
       name === head?.loadedModels[0]
     )?.groupSize;
@@ -252,11 +305,12 @@
     const expectedSize = getFormedSize(groupName) ?? knownSizes.get(key) ??
       groupSize;
     const size = hasJoined(head)
-      ? Math.max(expectedSize ?? 0, members.length)
+      ? Math.max(expectedSize ?? 0, members.length + missingMembers.length)
       : expectedSize;
     groups.set(key, {
       key,
       members,
+      missingMembers,
       head,
       size,
       isComplete: members.length === size,
