--- /dev/null
+++ b/src/process/fleet/replica_reconciler_test.ts
@@ -0,0 +1,200 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import {
+  createModelService,
+  ReconciledFleet,
+} from "../../../tests/support/reconciled_fleet.ts";
+
+/** Time within which groups are formed of servers that have loaded their model, in milliseconds. */
+const FORMATION_MS = 2_000;
+/** Time for which requests in flight go on, in milliseconds. */
+const REQUEST_MS = 3_000;
+
+describe("ReplicaReconciler", () => {
+  let fleet: ReconciledFleet;
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+    fleet = new ReconciledFleet();
+  });
+  afterEach(() => {
+    fleet.dispose();
+    vi.useRealTimers();
+  });
+
+  async function runFor(durationMs: number): Promise<void> {
+    await vi.advanceTimersByTimeAsync(durationMs);
+  }
+
+  /** Starts a planner, and waits until the servers have formed groups. */
+  async function createGroups(): Promise<void> {
+    fleet.startPlanner();
+    await runFor(FORMATION_MS);
+  }
+
+  /** Assumes requests in flight at all groups, and returns the ids of the heads. */
+  function assumeBusyGroups(): string[] {
+    const headIds = fleet.listOpenGroups().map(([headId]) => headId);
+    headIds.forEach((id) => fleet.changeServer(id, { isBusy: true }));
+    return headIds;
+  }
+
+  function listGroupSizes(service?: string): number[] {
+    return fleet.listOpenGroups(service).map(({ length }) => length);
+  }
+
+  describe("run with a planner that takes over", () => {
+    // Guards against members that leave a group whose size the new planner takes from the new configuration.
+    it("lets the groups of an earlier size finish their requests after the size was raised", async () => {
+      fleet.addServers(4);
+      await createGroups();
+      expect(listGroupSizes()).toEqual([2, 2]);
+      const headIds = assumeBusyGroups();
+      fleet.services = [createModelService({ groupSize: 4 })];
+      fleet.startPlanner();
+      await runFor(REQUEST_MS);
+      expect(fleet.interruptions).toEqual([]);
+      headIds.forEach((id) => fleet.finishRequests(id));
+      await runFor(FORMATION_MS);
+      expect(listGroupSizes()).toEqual([4]);
+    });
+
+    // Guards against a group that has lost members and counts as complete by the new size.
+    it("replaces a group of an earlier size whose remaining members are as many as the new size", async () => {
+      fleet.addServers(4);
+      fleet.services = [createModelService({ groupSize: 4 })];
+      await createGroups();
+      const [[, ...others]] = fleet.listOpenGroups();
+      fleet.services = [createModelService({ groupSize: 2 })];
+      others.slice(1).forEach((id) =>
+        fleet.changeServer(id, { condition: "ended", isListed: false })
+      );
+      fleet.startPlanner();
+      expect(fleet.groups.listAll()).toEqual([]);
+      await runFor(FORMATION_MS);
+      expect(listGroupSizes()).toEqual([2]);
+      expect(fleet.groups.listAll().length).toBe(1);
+    });
+  });
+
+  describe("run with two services that have engines", () => {
+    beforeEach(() => {
+      fleet.services = [
+        createModelService(),
+        createModelService({ name: "others" }),
+      ];
+    });
+
+    // Guards against a number of fabric domains that changes with each service that is planned, and so never settles.
+    it("forms groups of servers that have loaded nothing yet", async () => {
+      fleet.addServers(2, { model: undefined });
+      for (const domain of ["d1", "d2"]) {
+        fleet.addServers(2, { service: "others", domain, model: undefined });
+      }
+      await createGroups();
+      expect(listGroupSizes("models")).toEqual([2]);
+      expect(listGroupSizes("others")).toEqual([2, 2]);
+    });
+
+    // Guards against a plan for one service that restarts the waiting times of the groups of the other one.
+    it.each(["models", "others"])(
+      "replaces a group of %s that has lost a member",
+      async (service) => {
+        fleet.addServers(3);
+        fleet.addServers(3, { service: "others", domain: "d1" });
+        await createGroups();
+        const [[, memberId]] = fleet.listOpenGroups(service);
+        fleet.changeServer(memberId, { condition: "ended", isListed: false });
+        await runFor(FORMATION_MS);
+        expect(fleet.listOpenGroups(service).flat()).not.toContain(memberId);
+        expect(listGroupSizes(service)).toEqual([2]);
+      },
+    );
+
+    // Guards against a plan for one service that forgets which groups of the other one may not be opened.
+    it("forms the groups again that an earlier planner has not opened", async () => {
+      fleet.addServers(2);
+      fleet.addServers(2, { service: "others", domain: "d1" });
+      fleet.startPlanner();
+      await vi.waitUntil(
+        () =>
+          [...fleet.servers.values()].every(({ group }) =>
+            group?.state === "ready"
+          ),
+        { interval: 1, timeout: FORMATION_MS },
+      );
+      fleet.startPlanner();
+      await runFor(FORMATION_MS);
+      expect(listGroupSizes("models")).toEqual([2]);
+      expect(listGroupSizes("others")).toEqual([2]);
+    });
+  });
+
+  describe("run while a member is not in the list of servers", () => {
+    /** Time within which the other members are in a new group, in milliseconds. */
+    const REPLACEMENT_MS = 1_000;
+    /** Time for which a silent server does not count as ended, in milliseconds. */
+    const SILENCE_MS = 2_000;
+
+    beforeEach(async () => {
+      fleet.addServers(3);
+      await createGroups();
+    });
+
+    // Guards against requests in flight that stand still since the other members leave the group of a server that goes on.
+    it.each([["member", 1], ["head", 0]])(
+      "lets the requests of a group finish whose %s goes on",
+      async (_, rank) => {
+        const [headId] = assumeBusyGroups();
+        const missingId = fleet.listOpenGroups()[0][rank];
+        fleet.changeServer(missingId, { isListed: false });
+        await runFor(REQUEST_MS);
+        expect(fleet.interruptions).toEqual([]);
+        expect(fleet.servers.get(headId)!.group?.state).toBe("closing");
+        fleet.finishRequests(headId);
+        await runFor(FORMATION_MS);
+        expect(fleet.interruptions).toEqual([]);
+        expect(listGroupSizes()).toEqual([2]);
+        expect(fleet.listOpenGroups().flat()).not.toContain(missingId);
+      },
+    );
+
+    it.each([["member", 1], ["head", 0]])(
+      "replaces a group whose %s has ended",
+      async (_, rank) => {
+        const missingId = fleet.listOpenGroups()[0][rank];
+        fleet.changeServer(missingId, { condition: "ended", isListed: false });
+        await runFor(REPLACEMENT_MS);
+        expect(fleet.groups.listAll().length).toBe(1);
+        expect(fleet.groups.listAll()[0].members.map(({ id }) => id))
+          .not.toContain(missingId);
+      },
+    );
+
+    it("replaces a group whose member has left it", async () => {
+      const [[, missingId]] = fleet.listOpenGroups();
+      fleet.changeServer(missingId, { group: undefined, isListed: false });
+      await runFor(REPLACEMENT_MS);
+      expect(fleet.groups.listAll().length).toBe(1);
+    });
+
+    it("replaces a group whose member stays silent", async () => {
+      const [[, missingId]] = fleet.listOpenGroups();
+      fleet.changeServer(missingId, { condition: "silent", isListed: false });
+      await runFor(SILENCE_MS + REPLACEMENT_MS);
+      expect(fleet.groups.listAll().length).toBe(1);
+    });
+
+    // Guards against a lost group whose members leave while the head still finishes its requests.
+    it("lets the requests of a lost group finish whose member goes on", async () => {
+      const [headId] = assumeBusyGroups();
+      const [[, missingId]] = fleet.listOpenGroups();
+      fleet.groups.recordLoss(fleet.groups.listAll()[0].key, "test");
+      fleet.changeServer(missingId, { isListed: false });
+      await runFor(REQUEST_MS);
+      expect(fleet.interruptions).toEqual([]);
+      fleet.finishRequests(headId);
+      await runFor(FORMATION_MS);
+      expect(listGroupSizes()).toEqual([2]);
+    });
+  });
+});
