--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -37,6 +37,7 @@
 import type { PlatformAdapter } from "./platform_adapter.ts";
 import type { RoutingContext } from "./routing_context.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
+import { type BackgroundTask, TaskSupervisor } from "./task_supervisor.ts";
 import { UnansweredEndRecorder } from "./unanswered_end_recorder.ts";
 
 /** Kinds of the store objects that daemons write. */
@@ -437,16 +438,13 @@
       : { name: this.#ownDaemon.name, term, ageMs: 0 };
   }
 
-  #startTask(
-    name: string,
-    task: { run(signal: AbortSignal): Promise<void> },
-  ): void {
-    task.run(this.#lifeCycle.signal).catch((error: unknown) => {
-      this.#options.logger.write("error", "task-failed", {
-        task: name,
-        message: error instanceof Error ? error.stack : String(error),
-      });
+  #startTask(name: string, task: BackgroundTask): void {
+    const supervisor = new TaskSupervisor({
+      name,
+      task,
+      logger: this.#options.logger,
     });
+    void supervisor.run(this.#lifeCycle.signal);
   }
 
   #applyConfig(config: RoutingConfig, source: string): void {
--- a/tests/config_change_test.ts
+++ b/tests/config_change_test.ts
@@ -66,6 +66,16 @@
       }, ...others],
     }),
   },
+  {
+    // Guards against a planner that ends with an error and leaves the models without groups after the next change.
+    name: "all models are removed",
+    change: ({ Services: [models, ...others] }) => ({
+      Services: [
+        { ...models, Engine: { ...models.Engine, Models: [] } },
+        ...others,
+      ],
+    }),
+  },
   { name: "the account is removed", change: () => ({ Tenants: [] }) },
   {
     name: "the key of the account changes",
