--- a/src/process/fleet/group_failure_detector.ts
+++ b/src/process/fleet/group_failure_detector.ts
@@ -56,13 +56,10 @@
 
 /** Reason why a member does not serve its group. */
 interface MemberFault {
-  readonly memberId: string;
   readonly message: string;
   readonly evidence: MemberEvidence;
   /** Time of silence from which the group is lost, in milliseconds. */
   readonly silenceLossMs: number;
-  /** Whether the process of the member has ended or does not respond. */
-  readonly hasEnded: boolean;
 }
 
 /**
@@ -78,7 +75,7 @@
   readonly #announceLoss: () => void;
   readonly #lastCheckAtMs = new Map<string, number>();
   /** Checks in progress, by group key. */
-  readonly #checks = new Map<string, Promise<boolean>>();
+  readonly #checks = new Map<string, Promise<void>>();
   /** Groups with a silent member, by key, with the monotonic time of the first check without a response in milliseconds. */
   readonly #silences = new Map<
     string,
@@ -129,9 +126,8 @@
    *
    * @param group - Group to check.
    * @param cause - Reason for the check, for the log.
-   * @returns Whether the process of the head has ended or does not respond.
    */
-  checkGroup(group: ReplicaGroup, cause: string): Promise<boolean> {
+  checkGroup(group: ReplicaGroup, cause: string): Promise<void> {
     const { key } = group;
     const check = this.#checks.get(key) ??
       this.#runCheck(group, cause).finally(() => this.#checks.delete(key));
@@ -139,7 +135,7 @@
     return check;
   }
 
-  async #runCheck(group: ReplicaGroup, cause: string): Promise<boolean> {
+  async #runCheck(group: ReplicaGroup, cause: string): Promise<void> {
     const startedAtMs = performance.now();
     this.#lastCheckAtMs.set(group.key, startedAtMs);
     const meter = new LoopDelayMeter();
@@ -168,10 +164,6 @@
     } else if (!isObserverSlow) {
       this.#recordSilence(group, fault, startedAtMs);
     }
-    return faults.some(({ memberId, hasEnded, evidence }) =>
-      memberId === group.head.id && hasEnded &&
-      (evidence !== "silent" || !isObserverSlow)
-    );
   }
 
   #recordLoss(group: ReplicaGroup, reason: string): void {
@@ -219,10 +211,8 @@
     group: ReplicaGroup,
     member: BackendServer,
   ): Promise<MemberFault | undefined> {
-    const createFault = (message: string, hasEnded: boolean): MemberFault => ({
-      memberId: member.id,
+    const createFault = (message: string): MemberFault => ({
       message,
-      hasEnded,
       evidence: "lost",
       silenceLossMs: 0,
     });
@@ -230,7 +220,7 @@
     const result = await this.#getReport(target);
     return result.caseOf({
       Left: (error) => ({
-        ...createFault(`member ${member.id}: ${error.message}`, true),
+        ...createFault(`member ${member.id}: ${error.message}`),
         ...error instanceof ReportTimeoutError && {
           evidence: "silent" as const,
           silenceLossMs: error.hasConnected
@@ -245,7 +235,6 @@
           return {
             ...createFault(
               `member ${member.id} does not belong to the group`,
-              true,
             ),
             evidence: "changed" as const,
           };
@@ -255,7 +244,6 @@
         }
         const fault = createFault(
           `head ${member.id} is ${membership.state}`,
-          false,
         );
         return {
           ...fault,
--- a/src/process/fleet/group_failure_detector_test.ts
+++ b/src/process/fleet/group_failure_detector_test.ts
@@ -212,7 +212,7 @@
         silentMs: Number.POSITIVE_INFINITY,
         blockedMs: 150,
       });
-      expect(await detector.checkGroup(GROUP, "test")).toBe(false);
+      await detector.checkGroup(GROUP, "test");
       expect(records).toEqual([]);
     });
 
--- a/src/request/routed/crash_evidence.ts
+++ b/src/request/routed/crash_evidence.ts
@@ -1,5 +1,4 @@
 import type { Verdict } from "../../shared/verdict.ts";
-import type { AttemptResult } from "./attempt_result.ts";
 import { createCrashRefusal, getFingerprint } from "./crash_refusal.ts";
 import type { GroupAttempt } from "./group_attempt.ts";
 import { PromptPartEvidence } from "./prompt_part_evidence.ts";
@@ -75,9 +74,10 @@
     this.#partEvidence.recordCompletion();
   }
 
-  /** Records that a group crashed while it ran the request. */
-  recordCrash(groupKey: string): void {
-    const { context: { crashes, logger }, request } = this.#scope;
+  /** Records that the head of a group crashed while it ran the request. */
+  recordCrash(attempt: GroupAttempt): void {
+    const { context: { crashes, promptParts, logger }, request } = this.#scope;
+    const groupKey = attempt.group.key;
     crashes.recordCrash({ fingerprint: this.#fingerprint, groupKey });
     logger.write("info", "crash-recorded", {
       requestId: request.requestId,
@@ -85,22 +85,8 @@
       fingerprint: this.#fingerprint,
       crashes: crashes.countCrashes(this.#fingerprint),
     });
-  }
-
-  /**
-   * Records what a failed attempt shows about the parts of the prompt.
-   *
-   * @param hasHeadEnded - Whether the process of the group's head has ended.
-   */
-  async recordFailure(
-    attempt: GroupAttempt,
-    result: AttemptResult,
-    hasHeadEnded: Promise<boolean>,
-  ): Promise<void> {
-    const isSuspect = this.#partEvidence.recordFailure(attempt, result);
-    if (isSuspect && await hasHeadEnded) {
-      const { promptParts } = this.#scope.context;
-      promptParts.recordCrash(attempt.group.key, this.#sharedParts);
+    if (this.#partEvidence.recordCrash(attempt)) {
+      promptParts.recordCrash(groupKey, this.#sharedParts);
     }
   }
 }
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -13,7 +13,6 @@
   ServerSentEventParser,
 } from "./server_sent_events.ts";
 import {
-  type AttemptFailure,
   type AttemptResult,
   convertAttemptError,
   describeFailure,
@@ -503,16 +502,20 @@
   ): Promise<void> {
     const { context, request, route } = this.#scope;
     const { group } = attempt;
+    const isGroupSuspect = result.outcome === "declined" ||
+      (result.outcome === "failed" && !result.isGroupLost &&
+        result.error.kind !== "aborted");
+    if (isGroupSuspect) {
+      void context.groupFailureDetector.checkGroup(group, result.outcome);
+    }
+    const hasCrashed = await this.#hasHeadCrashed(group, result);
     if (result.outcome === "failed") {
       this.#verdict = combineVerdicts(this.#verdict, result.error.verdict);
       const countsTowardsLimit = result.error.verdict !== "not-run" &&
-        !this.#hasHeadProcessEnded(group, result);
+        !this.#hasHeadProcessEnded(group, hasCrashed);
       if (countsTowardsLimit) {
         this.#servers.add(group.head.id);
       }
-      if (result.error.kind === "reset" && !result.isGroupLost) {
-        this.#crashEvidence.recordCrash(group.key);
-      }
     } else if (result.outcome === "declined") {
       this.#declinedCount++;
     } else if (result.outcome === "answered") {
@@ -533,35 +536,39 @@
           ? result.response.failedServerId
           : undefined,
         message: result.outcome === "failed" ? result.error.message : undefined,
+        hasCrashed: result.outcome === "failed" ? hasCrashed : undefined,
         verdict: this.#verdict,
         lastEvent: this.#progress.lastEventId,
         promptParts: formatPromptParts(this.#modelRequest),
       });
     }
-    const isGroupSuspect = result.outcome === "declined" ||
-      (result.outcome === "failed" && !result.isGroupLost &&
-        result.error.kind !== "aborted");
-    if (isGroupSuspect) {
-      const check = context.groupFailureDetector.checkGroup(
-        group,
-        result.outcome,
-      );
-      await this.#crashEvidence.recordFailure(attempt, result, check);
+    if (hasCrashed) {
+      this.#crashEvidence.recordCrash(attempt);
     }
   }
 
+  /** Gets whether the process of the group's head has ended during an attempt: the connection was reset, and no other one is accepted. Sound servers reset connections above their limit. */
+  async #hasHeadCrashed(
+    { head: { id, address } }: ReplicaGroup,
+    result: AttemptResult,
+  ): Promise<boolean> {
+    return result.outcome === "failed" && result.error.kind === "reset" &&
+      !result.isGroupLost &&
+      !await this.#scope.context.transport.isAccepting({
+        serverId: id,
+        address,
+      });
+  }
+
   /**
    * Gets whether the process of the group's head has ended, in which case the failed attempt does not count towards the route's limit.
    *
    * The attempt counts when the group lost another member, since the head has run the request. A missing directory entry alone does not prove that the head has ended: a head that cannot reach the store keeps running.
    */
-  #hasHeadProcessEnded(
-    { head }: ReplicaGroup,
-    { error, isGroupLost }: AttemptFailure,
-  ): boolean {
+  #hasHeadProcessEnded({ head }: ReplicaGroup, hasCrashed: boolean): boolean {
     const listedHead = this.#scope.context.directory.findServer(head.id);
     return listedHead === undefined
-      ? error.kind === "reset" && !isGroupLost
+      ? hasCrashed
       : listedHead.startedAtMs !== head.startedAtMs;
   }
 
--- a/src/request/routed/model_stream_forwarder_test.ts
+++ b/src/request/routed/model_stream_forwarder_test.ts
@@ -19,12 +19,15 @@
         failure,
         maxCrashes = Number.POSITIVE_INFINITY,
         promptParts = [],
+        isAccepting = false,
       }: {
         head: "listed" | "restarted" | "not listed";
         failure: "silent member" | "reset";
         /** Number of crashes after which the request is refused. */
         maxCrashes?: number;
         promptParts?: readonly string[];
+        /** Whether the heads accept connections after the failure. */
+        isAccepting?: boolean;
       },
     ): Promise<
       {
@@ -61,7 +64,7 @@
             checkedParts = parts;
           },
         },
-        groupFailureDetector: { checkGroup: () => Promise.resolve(false) },
+        groupFailureDetector: { checkGroup: () => Promise.resolve() },
         directory: {
           findServer: (id: string) =>
             head === "not listed"
@@ -78,6 +81,7 @@
         },
         getRetryBudget: () => ({ tryAcquire: () => true }),
         transport: {
+          isAccepting: () => Promise.resolve(isAccepting),
           send: (
             { serverId }: { serverId: string },
             { signal }: { signal: AbortSignal },
@@ -145,7 +149,7 @@
           attempts: new StreamAttempts(),
           crashes: { isRefused: () => false },
           promptParts: { findRefusedPart: () => undefined },
-          groupFailureDetector: { checkGroup: () => Promise.resolve(false) },
+          groupFailureDetector: { checkGroup: () => Promise.resolve() },
           serverLimits: { recordResponse: () => {} },
           serverStatements: { recordResponse: () => {} },
           admission: {
@@ -183,6 +187,7 @@
         [{ head: "listed", failure: "silent member" }],
         [{ head: "listed", failure: "reset" }],
         [{ head: "not listed", failure: "silent member" }],
+        [{ head: "not listed", failure: "reset", isAccepting: true }],
       ] as const,
     )("counts an attempt on a head that may still run: %o", async (options) => {
       const { headIds, error } = await doTest(options);
--- a/src/request/routed/prompt_part_evidence.ts
+++ b/src/request/routed/prompt_part_evidence.ts
@@ -1,5 +1,4 @@
 import type { PromptPartQuarantine } from "../../process/fleet/prompt_part_quarantine.ts";
-import type { AttemptResult } from "./attempt_result.ts";
 import type { GroupAttempt } from "./group_attempt.ts";
 
 /** Time for which a group sends events until the prompt parts count as harmless, in milliseconds. A server that a part crashes may send some events first. */
@@ -61,15 +60,14 @@
   }
 
   /**
-   * Records a failed attempt.
+   * Records that the server of an attempt has crashed.
    *
-   * @returns Whether the request is a suspect, provided that the server has crashed.
+   * @returns Whether the request is a suspect.
    */
-  recordFailure(attempt: GroupAttempt, result: AttemptResult): boolean {
+  recordCrash(attempt: GroupAttempt): boolean {
     const wasHarmless = this.#events?.attempt === attempt &&
       this.#events.areHarmless;
-    const isSuspect = result.outcome === "failed" &&
-      result.error.kind === "reset" && !wasHarmless && this.#parts.length > 0;
+    const isSuspect = !wasHarmless && this.#parts.length > 0;
     this.#wasSuspect ||= isSuspect;
     return isSuspect;
   }
--- a/src/request/routed/prompt_part_evidence_test.ts
+++ b/src/request/routed/prompt_part_evidence_test.ts
@@ -1,20 +1,9 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { BackendError } from "../../connection/backend_transport.ts";
 import { PromptPartQuarantine } from "../../process/fleet/prompt_part_quarantine.ts";
 import { NullLogger } from "../../shared/logger.ts";
-import type { AttemptResult } from "./attempt_result.ts";
 import type { GroupAttempt } from "./group_attempt.ts";
 import { PromptPartEvidence } from "./prompt_part_evidence.ts";
 
-const RESET: AttemptResult = {
-  outcome: "failed",
-  isGroupLost: false,
-  error: new BackendError("The connection was reset", {
-    kind: "reset",
-    verdict: "may-have-run",
-  }),
-};
-
 describe("PromptPartEvidence", () => {
   beforeEach(() => {
     vi.useFakeTimers();
@@ -45,7 +34,7 @@
     vi.advanceTimersByTime(500);
     evidence.recordEvents(attempt);
     expect(isRefused()).toBe(true);
-    expect(evidence.recordFailure(attempt, RESET)).toBe(true);
+    expect(evidence.recordCrash(attempt)).toBe(true);
   });
 
   it("clears the parts once the response has had events for a second", () => {
@@ -54,7 +43,7 @@
     vi.advanceTimersByTime(1_000);
     evidence.recordEvents(attempt);
     expect(isRefused()).toBe(false);
-    expect(evidence.recordFailure(attempt, RESET)).toBe(false);
+    expect(evidence.recordCrash(attempt)).toBe(false);
   });
 
   it("clears the parts when the response is complete", () => {
@@ -68,7 +57,7 @@
   it("keeps a part suspected when the rest of the response follows a crash", () => {
     const { evidence, attempts: [first, second], isRefused } = doTest();
     evidence.recordEvents(first);
-    evidence.recordFailure(first, RESET);
+    evidence.recordCrash(first);
     evidence.recordEvents(second);
     evidence.recordCompletion();
     expect(isRefused()).toBe(true);
@@ -79,7 +68,7 @@
     evidence.recordEvents(first);
     vi.advanceTimersByTime(1_000);
     evidence.recordEvents(first);
-    expect(evidence.recordFailure(first, RESET)).toBe(false);
-    expect(evidence.recordFailure(second, RESET)).toBe(true);
+    expect(evidence.recordCrash(first)).toBe(false);
+    expect(evidence.recordCrash(second)).toBe(true);
   });
 });
--- a/src/request/routed/stream_move_test.ts
+++ b/src/request/routed/stream_move_test.ts
@@ -163,7 +163,7 @@
         },
         serverLimits: { recordResponse: () => {} },
         serverStatements: { recordResponse: () => {} },
-        groupFailureDetector: { checkGroup: () => Promise.resolve(false) },
+        groupFailureDetector: { checkGroup: () => Promise.resolve() },
         directory: { findServer: (id: string) => ({ id, startedAtMs: 1 }) },
         admission: {
           acquire: (
@@ -197,6 +197,7 @@
           tryAcquire: () => this.retryPermits-- > 0,
         }),
         transport: {
+          isAccepting: () => Promise.resolve(false),
           send: ({ serverId }: BackendTarget, call: BackendCall) =>
             this.groups.find(({ group }) => group.head.id === serverId)!
               .receive(call),
