--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -177,6 +177,11 @@
     this.publishEntry();
   }
 
+  /** Resets the connections of the streams in flight, and goes on serving. */
+  resetStreams(): void {
+    [...this.#streams].forEach(({ socket }) => socket?.resetAndDestroy());
+  }
+
   /** Accepts no further connection, as a server that is about to exit, and completes the requests in flight. */
   stopListening(): void {
     this.#listener.stopListening();
--- a/src/request/routed/attempt_result.ts
+++ b/src/request/routed/attempt_result.ts
@@ -87,6 +87,12 @@
     typeof result.response.pause === "number" && result.response.pause > 0;
 }
 
+/** Gets whether the connection of an attempt failed without the daemon having ended the attempt. */
+export function isReset(result: AttemptResult): boolean {
+  return result.outcome === "failed" && !result.isGroupLost &&
+    result.error.kind === "reset";
+}
+
 /** Describes the failure of an attempt at a replica group, for the error of its request. */
 export function describeFailure(result: AttemptResult): string {
   if (result.outcome === "failed") {
--- a/src/request/routed/attempted_servers.ts
+++ b/src/request/routed/attempted_servers.ts
@@ -3,8 +3,10 @@
   readonly #maxServers: number;
   /** Ids of the servers that may have run the request, and have not ended since. */
   readonly #countedIds = new Set<string>();
-  /** Ids of the servers that have not failed, because the attempt there was cancelled. */
+  /** Ids of the servers to which the request may return, because the attempt there was cancelled, or its connection was reset once. */
   readonly #returnIds = new Set<string>();
+  /** Ids of the servers that have reset a connection of the request, and go on. */
+  readonly #resetIds = new Set<string>();
 
   constructor(options: { maxServers: number }) {
     this.#maxServers = options.maxServers;
@@ -25,6 +27,19 @@
     this.#returnIds.add(serverId);
   }
 
+  /** Records that a server that goes on has reset the connection of an attempt. The request may return to it once; a server that resets it again may be faulty. */
+  recordReset(serverId: string): void {
+    if (!this.#resetIds.has(serverId)) {
+      this.#resetIds.add(serverId);
+      this.#returnIds.add(serverId);
+    }
+  }
+
+  /** Gets whether the request may return to a server at which an attempt has ended. */
+  isReturnPermitted(serverId: string): boolean {
+    return this.#returnIds.has(serverId);
+  }
+
   /**
    * Finds the ids of the servers to which the limit restricts the next attempt; undefined when any server is permitted.
    *
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -17,6 +17,7 @@
   convertAttemptError,
   describeFailure,
   isPausing,
+  isReset,
   readRefusal,
 } from "./attempt_result.ts";
 import { AttemptedServers } from "./attempted_servers.ts";
@@ -121,9 +122,7 @@
         this.#scope.writer.sendResponse(status, headers, result.body);
         return;
       }
-      if (!isPausing(result)) {
-        this.#excludedGroupKeys.add(group.key);
-      }
+      this.#excludeGroup(group, result);
       if (movedAttempt === undefined) {
         this.#checkRetryAllowed(result);
       }
@@ -218,8 +217,8 @@
         await this.#recordResult(attempt, result);
         if (signal.aborted) {
           this.#servers.recordCancellation(attempt.group.head.id);
-        } else if (!isPausing(result)) {
-          this.#excludedGroupKeys.add(attempt.group.key);
+        } else {
+          this.#excludeGroup(attempt.group, result);
         }
         return undefined;
       }
@@ -523,6 +522,9 @@
       this.#servers.add(group.head.id);
     }
     this.#servers.recordEnd(group.head.id);
+    if (!hasCrashed && isReset(result)) {
+      this.#servers.recordReset(group.head.id);
+    }
     if (result.outcome !== "complete") {
       context.logger.write("info", "attempt-ended", {
         requestId: request.requestId,
@@ -547,13 +549,19 @@
     }
   }
 
+  /** Excludes a group from further attempts, unless its head has only refused the request for a time, or has reset its connection once and goes on. */
+  #excludeGroup({ key, head }: ReplicaGroup, result: AttemptResult): void {
+    if (!isPausing(result) && !this.#servers.isReturnPermitted(head.id)) {
+      this.#excludedGroupKeys.add(key);
+    }
+  }
+
   /** Gets whether the process of the group's head has ended during an attempt: the connection was reset, and no other one is accepted. Sound servers reset connections above their limit. */
   async #hasHeadCrashed(
     { head: { id, address } }: ReplicaGroup,
     result: AttemptResult,
   ): Promise<boolean> {
-    return result.outcome === "failed" && result.error.kind === "reset" &&
-      !result.isGroupLost &&
+    return isReset(result) &&
       !await this.#scope.context.transport.isAccepting({
         serverId: id,
         address,
--- a/src/request/routed/model_stream_forwarder_test.ts
+++ b/src/request/routed/model_stream_forwarder_test.ts
@@ -72,8 +72,13 @@
               : { id, startedAtMs: head === "restarted" ? 2 : 1 },
         },
         admission: {
-          acquire: () => {
-            const group = groups.shift();
+          acquire: (
+            { permittedServers }: { permittedServers?: ReadonlySet<string> },
+          ) => {
+            const index = groups.findIndex(({ head }) =>
+              permittedServers?.has(head.id) !== false
+            );
+            const [group] = index < 0 ? [] : groups.splice(index, 1);
             return group === undefined
               ? Promise.reject(new Error("No group is left"))
               : Promise.resolve({ group, release: () => {} });
