--- a/src/request/routed/group_attempt.ts
+++ b/src/request/routed/group_attempt.ts
@@ -12,6 +12,8 @@
   readonly #onSilence: (reason: string) => void;
   readonly #removeListeners: () => void;
   #lossReason: string | undefined;
+  /** Whether events that have arrived wait for the caller to read. */
+  #isCallerSlow = false;
 
   /**
    * @param scope - Request of the attempt.
@@ -56,9 +58,22 @@
     return this.#lossReason;
   }
 
-  /** Gets the time since the last event, or since the start of the attempt, in milliseconds. */
+  /** Gets the time since the last event, or since the start of the attempt, in milliseconds; 0 while events wait for the caller to read. */
   getSilenceMs(): number {
-    return performance.now() - (this.lastEventAtMs ?? this.startedAtMs);
+    return this.#isCallerSlow
+      ? 0
+      : performance.now() - (this.lastEventAtMs ?? this.startedAtMs);
+  }
+
+  /** Waits for the caller to read on, which is no silence of the group. */
+  async waitForCaller(writablePromise: Promise<void>): Promise<void> {
+    this.#isCallerSlow = true;
+    try {
+      await writablePromise;
+    } finally {
+      this.#isCallerSlow = false;
+      this.lastEventAtMs = performance.now();
+    }
   }
 
   abandon(reason: string): void {
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -479,8 +479,7 @@
       this.#progress.recordEvents();
       const writablePromise = writer.write(joinEvents(events));
       if (writablePromise !== undefined) {
-        await writablePromise;
-        attempt.lastEventAtMs = performance.now();
+        await attempt.waitForCaller(writablePromise);
       }
     }
     if (parser.hasPartialEvent) {
--- a/src/request/routed/stream_move_test.ts
+++ b/src/request/routed/stream_move_test.ts
@@ -136,6 +136,8 @@
   grantCount = 0;
   readonly attempts = new StreamAttempts();
   text = "";
+  /** Resolves when the caller reads on; undefined while it reads at once. */
+  writable: Promise<void> | undefined;
   isFinished = false;
   retryPermits = 1;
   /** Whether the second group has a free slot. */
@@ -216,7 +218,7 @@
         openStream: () => hasStarted = true,
         write: (chunk) => {
           this.text += chunk;
-          return undefined;
+          return this.writable;
         },
         finish: () => this.isFinished = true,
       },
@@ -534,6 +536,25 @@
     expect(stream.listEventIds()).toEqual([1, 2, 3, 4]);
   });
 
+  // Guards against a stream that is cut although its group has sent all of it, because its caller reads slowly while the group is closed or silent.
+  it("does not begin while the caller reads slowly", async () => {
+    const stream = new SilentStream();
+    let continueReading = () => {};
+    stream.writable = new Promise((resolve) => continueReading = resolve);
+    await stream.start();
+    const [group, otherGroup] = stream.groups;
+    group.stream(3, 4);
+    group.finish();
+    await vi.advanceTimersByTimeAsync(2 * CALLER_WAIT_MS);
+    await stream.reportSilence();
+    expect(otherGroup.calls).toHaveLength(0);
+    expect(group.isAborted).toBe(false);
+    continueReading();
+    await runTasks();
+    expect(await stream.result).toBeUndefined();
+    expect(stream.listEventIds()).toEqual([1, 2, 3, 4]);
+  });
+
   // Guards against a stream that waits for the prompt to be read again, although its silent server goes on first.
   it("waits for the first bytes of the other group's response", async () => {
     const { stream, otherGroup } = await startStream();
