--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -41,6 +41,16 @@
 /** Maximum number of retries after a group declined the request without running it. Declined attempts are cheap, and a closing group declines requests until this daemon learns of its state. */
 const MAX_DECLINED_ATTEMPTS = 4;
 
+/**
+ * Limit that forbids another attempt.
+ *
+ * - `route`: the request may have run, and its route permits no resumption.
+ * - `servers`: as many servers as the route permits have run it, and it may return to none of them.
+ * - `declined`: too many attempts were declined.
+ * - `budget`: the retries of the service are used up.
+ */
+type RetryLimit = "route" | "servers" | "declined" | "budget";
+
 /** Forwards one request to the replica groups of a model and streams the response to the caller, resuming on another group after a failure. */
 export class ModelStreamForwarder implements RequestForwarder {
   readonly #scope: RequestScope;
@@ -148,7 +158,8 @@
     const isHopeless = this.#move?.state !== "sent" &&
       attempt.getSilenceMs() >= getMaxPauseMs(this.#scope.route);
     if (isHopeless) {
-      attempt.abort(reason);
+      const silenceMs = Math.round(attempt.getSilenceMs());
+      attempt.abort(`no event for ${silenceMs} ms, and ${reason}`);
     } else {
       this.#startMove(attempt, reason);
     }
@@ -591,7 +602,7 @@
    * @throws {RequestError} When the request must not be retried.
    */
   #checkRetryAllowed(result: AttemptResult): void {
-    const { context, request, route, service, deadlineAtMs } = this.#scope;
+    const { context, request, deadlineAtMs } = this.#scope;
     if (request.signal.aborted) {
       throw this.#createError("The caller closed the connection");
     }
@@ -601,18 +612,35 @@
         504,
       );
     }
-    const isRetryable = this.#verdict === "not-run" || route.isResumable;
-    const isLimitReached = this.#servers.findPermitted()?.size === 0 ||
-      this.#declinedCount > MAX_DECLINED_ATTEMPTS;
-    if (
-      !isRetryable || isLimitReached ||
-      !context.getRetryBudget(service.name).tryAcquire()
-    ) {
+    const limit = this.#findRetryLimit();
+    if (limit !== undefined) {
+      context.logger.write("info", "retry-refused", {
+        requestId: request.requestId,
+        limit,
+        hasStarted: this.#scope.writer.hasStarted(),
+      });
       throw this.#createError(describeFailure(result));
     }
     context.metrics.count("resumes");
   }
 
+  /** Takes a retry from the budget, or finds the limit that forbids it. */
+  #findRetryLimit(): RetryLimit | undefined {
+    const { context, route, service } = this.#scope;
+    if (this.#verdict !== "not-run" && !route.isResumable) {
+      return "route";
+    }
+    if (this.#servers.findPermitted()?.size === 0) {
+      return "servers";
+    }
+    if (this.#declinedCount > MAX_DECLINED_ATTEMPTS) {
+      return "declined";
+    }
+    return context.getRetryBudget(service.name).tryAcquire()
+      ? undefined
+      : "budget";
+  }
+
   #createError(message: string, statusIfMayHaveRun = 502): RequestError {
     const { context, service } = this.#scope;
     const isNotRun = this.#verdict === "not-run";
--- a/tests/status_evidence_test.ts
+++ b/tests/status_evidence_test.ts
@@ -60,6 +60,11 @@
     });
   }
 
+  function listRetryLimits() {
+    return deployment.events.filter(({ event }) => event === "retry-refused")
+      .map(({ fields }) => fields.limit);
+  }
+
   it.each<[name: string, role: "head" | "member", state: ServerState]>([
     ["its head answers status requests with 503", "head", answerReports(503)],
     ["its head answers status requests with 500", "head", answerReports(500)],
@@ -96,6 +101,7 @@
       );
       const { status, isWhole } = await stream;
       expect({ status, isWhole }).toEqual({ status: 200, isWhole: true });
+      expect(listRetryLimits()).toContain("route");
       await failedCall;
     } finally {
       state.restore?.(server);
