--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -185,6 +185,11 @@
     this.#options.store.deleteObject("servers", this.#options.id);
   }
 
+  /** Resets the connections of the streams in flight, and goes on serving. */
+  resetStreams(): void {
+    [...this.#streams].forEach(({ socket }) => socket?.resetAndDestroy());
+  }
+
   /** Accepts no further connection, as a server that is about to exit, and completes the requests in flight. */
   stopListening(): void {
     this.#listener.stopListening();
