--- a/src/request/routed/routed_request_handler.ts
+++ b/src/request/routed/routed_request_handler.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from "node:timers/promises";
 import { createStopError } from "../../process/planned_stop.ts";
 import type { RoutingContext } from "../../process/routing_context.ts";
 import { RequestError } from "../../shared/errors.ts";
@@ -23,6 +24,8 @@
   idleTimeoutMs: 15_000,
 };
 
+/** Number of turns of the event loop within which the close of a connection is observed after its request: one reads the end of the stream, one shuts the own side, and the next one reports the close. */
+const CLOSE_OBSERVATION_TURNS = 3;
 /** Time after which callers are asked to retry while the daemon lacks a configuration or a route lacks its service, in milliseconds. */
 const CONFIG_RETRY_AFTER_MS = 500;
 
@@ -123,6 +126,7 @@
       },
     });
     try {
+      await checkCaller(request);
       await forwarder.run();
     } catch (error) {
       removeRequest();
@@ -174,6 +178,23 @@
   }
 }
 
+/**
+ * Waits until the close of a connection that was closed before its request was read has been observed. Under load a connection may wait for seconds until the event loop accepts it, and its caller may have left by then.
+ *
+ * @throws {RequestError} When the caller has closed the connection.
+ */
+async function checkCaller({ signal }: RoutedRequest): Promise<void> {
+  for (let turn = 0; turn < CLOSE_OBSERVATION_TURNS; turn++) {
+    await setImmediate();
+  }
+  if (signal.aborted) {
+    throw new RequestError(
+      "The caller closed the connection before the request was forwarded",
+      { code: "cancelled", verdict: "not-run", status: 503 },
+    );
+  }
+}
+
 function findRouteOrThrow(routes: RouteTable, request: RoutedRequest): Route {
   const route = routes.findRoute(request.host, request.path);
   if (route === undefined) {
