--- a/src/process/fleet/replica_reconciler_test.ts
+++ b/src/process/fleet/replica_reconciler_test.ts
@@ -76,6 +76,103 @@
     });
   });
 
+  describe("run with a planner that takes over at any time", () => {
+    /** Interval between the times at which the planner is replaced, in milliseconds. */
+    const STEP_MS = 20;
+    /** Time after which a change that is taken back ends, in milliseconds. */
+    const RETURN_MS = 200;
+    /** Longest time after which it is replaced, in milliseconds. It exceeds that of a formation. */
+    const MAX_TIME_MS = 600;
+    /** Time within which the groups are formed after the requests have ended, in milliseconds. It exceeds the pauses after a failed order. */
+    const SETTLE_MS = 8_000;
+
+    const changes: Record<string, () => void> = {
+      "the configuration stays": () => {},
+      "the size is raised": () => {
+        fleet.services = [createModelService({ groupSize: 4 })];
+      },
+      "the size is lowered": () => {
+        fleet.services = [createModelService({ groupSize: 1 })];
+      },
+      "the model is replaced": () => {
+        fleet.services = [createModelService({ model: "n" })];
+      },
+      "the model is removed and added again": () => {
+        fleet.services = [createModelService({ model: "n" })];
+        setTimeout(() => fleet.services = [createModelService()], RETURN_MS);
+      },
+      "the service is removed and added again": () => {
+        const { services } = fleet;
+        fleet.services = [];
+        setTimeout(() => fleet.services = services, RETURN_MS);
+      },
+      "the zone is taken out for a moment": () => {
+        fleet.excludedZones.add("z1");
+        setTimeout(() => fleet.excludedZones.clear(), RETURN_MS);
+      },
+    };
+    const starts: Record<string, () => Promise<void>> = {
+      "while groups are formed": async () => {
+        fleet.startPlanner();
+        await runFor(250);
+      },
+      "while groups are closed": async () => {
+        await createGroups();
+        assumeBusyGroups();
+        fleet.services = [createModelService({ groupSize: 4 })];
+      },
+      "while a member leaves the list": async () => {
+        await createGroups();
+        assumeBusyGroups();
+        const [[, memberId]] = fleet.listOpenGroups();
+        fleet.changeServer(memberId, { isListed: false });
+      },
+      "while a member drains": async () => {
+        await createGroups();
+        assumeBusyGroups();
+        const [[, memberId]] = fleet.listOpenGroups();
+        fleet.changeServer(memberId, { isDraining: true });
+      },
+    };
+
+    // Guards against requests in flight that a new planner interrupts, since it does not know what the earlier one has begun.
+    for (const [start, assumeStart] of Object.entries(starts)) {
+      it.each(Object.keys(changes))(
+        `interrupts no request ${start} and %s`,
+        async (change) => {
+          for (let timeMs = 0; timeMs <= MAX_TIME_MS; timeMs += STEP_MS) {
+            fleet.dispose();
+            fleet = new ReconciledFleet();
+            fleet.addServers(5);
+            await assumeStart();
+            await runFor(timeMs);
+            changes[change]();
+            fleet.startPlanner();
+            await runFor(REQUEST_MS);
+            expect(fleet.interruptions, `${timeMs} ms`).toEqual([]);
+            fleet.servers.forEach(({ id }) => fleet.finishRequests(id));
+            await runFor(SETTLE_MS);
+            expect(fleet.interruptions, `${timeMs} ms`).toEqual([]);
+            const memberIds = fleet.listOpenGroups().flat();
+            expect(new Set(memberIds).size).toBe(memberIds.length);
+            const [{ engine }] = fleet.services;
+            const { groupSize } = engine!.models[0];
+            const availableCount = [...fleet.servers.values()].filter((
+              { isListed, isDraining },
+            ) => isListed && !isDraining).length;
+            expect(listGroupSizes(), `${timeMs} ms`).toEqual(
+              Array.from(
+                { length: Math.floor(availableCount / groupSize) },
+                () => groupSize,
+              ),
+            );
+          }
+        },
+        30_000,
+      );
+    }
+  });
+
   describe("run with two services that have engines", () => {
     beforeEach(() => {
       fleet.services = [
@@ -177,6 +274,13 @@
       expect(fleet.groups.listAll().length).toBe(1);
     });
 
+    it("replaces a group whose member has started again", async () => {
+      const [[, memberId]] = fleet.listOpenGroups();
+      fleet.changeServer(memberId, { group: undefined });
+      await runFor(REPLACEMENT_MS);
+      expect(fleet.groups.listAll().length).toBe(1);
+    });
+
     it("replaces a group whose member stays silent", async () => {
       const [[, missingId]] = fleet.listOpenGroups();
       fleet.changeServer(missingId, { condition: "silent", isListed: false });
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -160,16 +160,14 @@
   #isMissingConfirmed(group: ReportedGroup): boolean {
     const states = this.#requestMissingStates(group);
     const headState = group.head?.membership?.state;
-    return states.length === 0 || states.includes("ended") ||
-      states.includes("silent") ||
+    return states.includes("ended") || states.includes("silent") ||
       (headState !== "open" && headState !== "closing");
   }
 
-  /** Gets whether an incomplete group has to be closed, since it still serves and all missing members respond. */
+  /** Gets whether an incomplete group has to be closed, since its head is open and no missing member is known to have ended. A planner that has taken over may not know the missing members. */
   hasToCloseIncomplete(group: ReportedGroup): boolean {
     return this.#isGraceOver(group) &&
       group.head?.membership?.state === "open" &&
-      group.missingMembers.length > 0 &&
       this.#requestMissingStates(group).every((state) => state === "alive");
   }
 
@@ -197,7 +195,8 @@
       return true;
     }
     if (!isComplete) {
-      return this.#isMissingConfirmed(group);
+      return group.missingMembers.length === 0 ||
+        this.#isMissingConfirmed(group);
     }
     const headState = states[members.indexOf(head)];
     const isClosed = head.membership?.state === "ready" ||
--- a/tests/support/reconciled_fleet.ts
+++ b/tests/support/reconciled_fleet.ts
@@ -26,6 +26,8 @@
 const ORDER_MS = 50;
 /** Time after which a call to a silent server ends, in milliseconds. */
 const SILENCE_TIMEOUT_MS = 300;
+/** Time after which an order that gets no response ends, in milliseconds. */
+const ORDER_TIMEOUT_MS = 500;
 /** Time of a call to a server that responds or refuses the connection, in milliseconds. */
 const ROUND_TRIP_MS = 1;
 
@@ -81,6 +83,8 @@
   /** Number of `open` orders that heads have accepted, by group name. */
   readonly openings = new Map<string, number>();
   services: readonly RoutedService[] = [createModelService()];
+  /** Returns the time until an order is carried out that gets no response, in milliseconds, or 0 for an order that is carried out at once. */
+  getOrderDelayMs: (serverId: string, order: GroupOrder) => number = () => 0;
   #directory = new BackendDirectory({ logger: new NullLogger() });
   #groups!: GroupTable;
   #controller = new AbortController();
@@ -201,6 +205,20 @@
     if (server.condition !== "running") {
       return "unknown";
     }
+    const delayMs = this.getOrderDelayMs(serverId, order);
+    if (delayMs > 0) {
+      setTimeout(() => this.#acceptOrder(server, order, term), delayMs);
+      await new Promise((resolve) => setTimeout(resolve, ORDER_TIMEOUT_MS));
+      return "unknown";
+    }
+    return this.#acceptOrder(server, order, term);
+  }
+
+  #acceptOrder(
+    server: FleetServer,
+    order: GroupOrder,
+    term: number,
+  ): GroupOrderOutcome {
     if (term < server.highestTerm) {
       return "fenced";
     }
