--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -143,11 +143,12 @@
       : servers.filter((server) => server.service === service);
   }
 
-  /** Lists the removed servers of a service, as they were last known. A server whose entry was removed may still run: it may be cut off from the store, or finish its requests before it stops. */
-  listRemovedServers(service: string): BackendServer[] {
+  /** Lists the removed servers of a service, or of all services when it is left out, as they were last known. A server whose entry was removed may still run: it may be cut off from the store, or finish its requests before it stops. */
+  listRemovedServers(service?: string): BackendServer[] {
     return [...this.#tombstones.values()].map(({ entry }) => entry)
       .filter((entry) =>
-        entry.service === service && !this.#servers.has(entry.id)
+        (service === undefined || entry.service === service) &&
+        !this.#servers.has(entry.id)
       );
   }
 
--- a/src/process/fleet/member_order_executor.ts
+++ b/src/process/fleet/member_order_executor.ts
@@ -49,6 +49,8 @@
   readonly #refreshedTerms = new Map<string, number | undefined>();
   /** Highest generation of a join without a response, by server id and start time, until the server is known to have received it or a later one. */
   readonly #unansweredJoins = new Map<string, number>();
+  /** Generation of the last group for which a server got a leave without a response, by server id and start time, until the server is known to have left that group. */
+  readonly #unansweredLeaves = new Map<string, number>();
 
   constructor(options: {
     directory: BackendDirectory;
@@ -166,6 +168,24 @@
     return generation > afterGeneration;
   }
 
+  /**
+   * Gets whether a leave that was sent to a server may still be carried out in its present group. The server refuses it in any other group.
+   *
+   * @param server - Current directory entry of the server.
+   */
+  hasUnansweredLeave(server: BackendServer): boolean {
+    const key = getProcessKey(server);
+    const generation = this.#unansweredLeaves.get(key);
+    if (generation === undefined) {
+      return false;
+    }
+    if (server.membership?.generation === generation) {
+      return true;
+    }
+    this.#unansweredLeaves.delete(key);
+    return false;
+  }
+
   #recordJoin(
     server: BackendServer,
     generation: number,
@@ -188,10 +208,16 @@
   }
 
   #forgetEndedProcesses(): void {
-    const keys = new Set(this.#directory.listServers().map(getProcessKey));
-    for (const key of this.#unansweredJoins.keys()) {
-      if (!keys.has(key)) {
-        this.#unansweredJoins.delete(key);
+    const servers = [
+      ...this.#directory.listServers(),
+      ...this.#directory.listRemovedServers(),
+    ];
+    const keys = new Set(servers.map(getProcessKey));
+    for (const orders of [this.#unansweredJoins, this.#unansweredLeaves]) {
+      for (const key of orders.keys()) {
+        if (!keys.has(key)) {
+          orders.delete(key);
+        }
       }
     }
   }
@@ -219,8 +245,13 @@
       generation,
     });
     if (outcome === "begun" || outcome === "done") {
+      this.#unansweredLeaves.delete(getProcessKey(server));
       return true;
     }
+    if (outcome === "unknown") {
+      this.#unansweredLeaves.set(getProcessKey(server), generation);
+      this.#forgetEndedProcesses();
+    }
     await this.refreshServer(server);
     return false;
   }
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -252,7 +252,7 @@
       reportedGroups.isAlive(group.key, server);
   }
 
-  /** Opens a complete group whose formation has failed although all members are ready now, and closes an open group that has a draining member or does not fit the configuration. */
+  /** Opens a complete group whose formation has failed although all members are ready now, and closes an open group that has a draining member, does not fit the configuration, or has a member that may still carry out a leave. */
   #continueGroup(
     service: RoutedService,
     { reportedGroups, group }: {
@@ -276,7 +276,8 @@
       return;
     }
     const hasDrainingMember = members.some(({ isDraining }) => isDraining);
-    const mustClose = hasDrainingMember || isOutdated;
+    const mustClose = hasDrainingMember || isOutdated ||
+      reportedGroups.hasUnansweredLeave(group);
     if (mustClose && head.membership?.state === "open") {
       this.#startTask("closing", this.#runClosing(head, members));
     } else if (
--- a/src/process/fleet/replica_reconciler_test.ts
+++ b/src/process/fleet/replica_reconciler_test.ts
@@ -173,6 +173,56 @@
     }
   });
 
+  describe("run after a leave without a response", () => {
+    /** Time after which the leaves are carried out, in milliseconds. */
+    const LATE_MS = 4_000;
+
+    // Guards against a member that leaves an open group, since the group was opened again before a leave was carried out.
+    it("does not open the group of the member again", async () => {
+      fleet.addServers(2);
+      await createGroups();
+      let leaveCount = 0;
+      fleet.getOrderDelayMs = (_serverId, { action }) =>
+        action === "leave" && ++leaveCount <= 2 ? LATE_MS : 0;
+      fleet.services = [createModelService({ model: "n" })];
+      await vi.waitUntil(() => leaveCount === 2, { timeout: FORMATION_MS });
+      fleet.services = [createModelService()];
+      await runFor(FORMATION_MS);
+      assumeBusyGroups();
+      await runFor(LATE_MS);
+      expect(fleet.interruptions).toEqual([]);
+      expect(listGroupSizes()).toEqual([2]);
+    });
+  });
+
+  describe("run after a leave without a response to a group that is complete again", () => {
+    /** Time after which the leave is carried out, in milliseconds. */
+    const LATE_MS = 8_000;
+    /** Time after which a silent server counts as ended and the others get orders, in milliseconds. */
+    const SILENCE_MS = 3_000;
+
+    // Guards against requests that go on being sent to a group whose member is about to leave.
+    it("closes the group", async () => {
+      fleet.addServers(3);
+      await createGroups();
+      const [[headId, memberId]] = fleet.listOpenGroups();
+      let leaveCount = 0;
+      fleet.getOrderDelayMs = (serverId, { action }) =>
+        serverId === headId && action === "leave" && ++leaveCount === 1
+          ? LATE_MS
+          : 0;
+      fleet.changeServer(memberId, { condition: "silent", isListed: false });
+      await runFor(SILENCE_MS);
+      expect(leaveCount).toBe(1);
+      fleet.changeServer(memberId, { condition: "running", isListed: true });
+      await runFor(FORMATION_MS);
+      assumeBusyGroups();
+      await runFor(LATE_MS);
+      expect(fleet.interruptions).toEqual([]);
+      expect(listGroupSizes()).toEqual([2]);
+    });
+  });
+
   describe("run with two services that have engines", () => {
     beforeEach(() => {
       fleet.services = [
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -109,9 +109,9 @@
   }
 
   /**
-   * Gets whether a group that is ready must not be opened, since one of its members may still carry out the join of a later group, and a server must not leave an open group for another one.
+   * Gets whether a group that is ready must not be opened, since one of its members may still carry out a leave, or the join of a later group, and a server must not leave an open group.
    *
-   * This planner knows only the joins that it has sent in this term. The members of such a group therefore join a new one, whose generation makes all earlier joins void.
+   * This planner knows only the orders that it has sent in this term. The members of such a group therefore join a new one, whose generation makes all earlier joins void.
    */
   isSuperseded(
     { head, members, isComplete, isReady }: ReportedGroup,
@@ -123,7 +123,14 @@
     return generation < getFirstGeneration(this.#term) ||
       members.some((member) =>
         this.#options.orders.hasUnansweredJoin(member, generation)
-      );
+      ) || this.hasUnansweredLeave({ members });
+  }
+
+  /** Gets whether a member of a group may still carry out a leave. */
+  hasUnansweredLeave({ members }: Pick<ReportedGroup, "members">): boolean {
+    return members.some((member) =>
+      this.#options.orders.hasUnansweredLeave(member)
+    );
   }
 
   /** Gets whether the members of a group can join other groups. */
--- a/tests/support/reconciled_fleet.ts
+++ b/tests/support/reconciled_fleet.ts
@@ -86,14 +86,14 @@
   /** Returns the time until an order is carried out that gets no response, in milliseconds, or 0 for an order that is carried out at once. */
   getOrderDelayMs: (serverId: string, order: GroupOrder) => number = () => 0;
   #directory = new BackendDirectory({ logger: new NullLogger() });
-  #groups!: GroupTable;
+  #groups: GroupTable | undefined;
   #controller = new AbortController();
   #term = 0;
   #revision = 1;
 
   /** Table of the groups at the current planner. */
   get groups(): GroupTable {
-    return this.#groups;
+    return this.#groups!;
   }
 
   /** Adds servers that have no group yet. */
@@ -118,32 +118,20 @@
     }
   }
 
-  /** Lets a daemon that knows nothing but the list of servers become the planner. */
-  startPlanner(): void {
+  /**
+   * Lets another daemon become the planner.
+   *
+   * @param options - Whether the daemon has started just now, and so knows nothing but the present list of servers. Another daemon knows the servers that were removed from it.
+   */
+  startPlanner({ isNew = true }: { isNew?: boolean } = {}): void {
     this.stopPlanner();
     this.#term++;
     const { signal } = this.#controller = new AbortController();
     const logger = new NullLogger();
-    const directory = new BackendDirectory({ logger });
-    this.#directory = directory;
-    this.#groups = new GroupTable({
-      directory,
-      logger,
-      findModel: (service, model) =>
-        this.services.find(({ name }) => name === service)?.engine?.models
-          .find(({ name }) => name === model),
-    });
-    directory.applyChange({
-      changed: new Map(
-        [...this.servers.values()].filter(({ isListed }) => isListed)
-          .map((server) => [server.id, this.#createEntry(server)]),
-      ),
-      removed: [],
-      revision: ++this.#revision,
-      changeRevision: this.#revision,
-      outageMs: 0,
-      isSnapshot: true,
-    });
+    if (isNew || this.#groups === undefined) {
+      this.#startDaemon();
+    }
+    const directory = this.#directory;
     const term = this.#term;
     const lease = {
       getTerm: () => signal.aborted ? undefined : term,
@@ -151,7 +139,7 @@
     } as unknown as PlannerLeaseHolder;
     const reconciler = new ReplicaReconciler({
       directory,
-      groups: this.#groups,
+      groups: this.groups,
       orders: new MemberOrderExecutor({
         directory,
         orders: this,
@@ -258,6 +246,30 @@
     this.stopPlanner();
   }
 
+  #startDaemon(): void {
+    const logger = new NullLogger();
+    const directory = new BackendDirectory({ logger });
+    this.#directory = directory;
+    this.#groups = new GroupTable({
+      directory,
+      logger,
+      findModel: (service, model) =>
+        this.services.find(({ name }) => name === service)?.engine?.models
+          .find(({ name }) => name === model),
+    });
+    directory.applyChange({
+      changed: new Map(
+        [...this.servers.values()].filter(({ isListed }) => isListed)
+          .map((server) => [server.id, this.#createEntry(server)]),
+      ),
+      removed: [],
+      revision: ++this.#revision,
+      changeRevision: this.#revision,
+      outageMs: 0,
+      isSnapshot: true,
+    });
+  }
+
   async #waitForResponse({ condition }: FleetServer): Promise<void> {
     const durationMs = condition === "silent"
       ? SILENCE_TIMEOUT_MS
