--- a/tests/config_change_streams_test.ts
+++ b/tests/config_change_streams_test.ts
@@ -1,5 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { createPlatformConfig } from "../fakes/platform_documents.ts";
+import {
+  createPlatformConfig,
+  EXCLUDED_ZONE_KIND,
+} from "../fakes/platform_documents.ts";
 import { delay } from "../src/shared/delay.ts";
 import {
   type CallerResponse,
@@ -13,6 +16,8 @@
 const STREAMS_PER_DAEMON = 4;
 /** Time for which the streams run before the configuration changes, in milliseconds. */
 const START_MS = 500;
+const LEASE_KIND = "tarragontally-leases";
+const DAEMON_NAME_PREFIX = "entry-";
 
 type ModelChange = Partial<{ Name: string; size: number; Share: number }>;
 
@@ -53,16 +58,20 @@
     };
   }
 
-  /** Runs streams while the configuration changes, and returns the responses. */
-  async function runStreams(
-    changes: readonly Record<string, unknown>[],
-  ): Promise<CallerResponse[]> {
-    const responses = deployment.callerAddresses.flatMap((callerAddress) =>
+  function startStreams(): Promise<CallerResponse>[] {
+    return deployment.callerAddresses.flatMap((callerAddress) =>
       Array.from(
         { length: STREAMS_PER_DAEMON },
         () => deployment.callModel(callerAddress),
       )
     );
+  }
+
+  /** Runs streams while the configuration changes, and returns the responses. */
+  async function runStreams(
+    changes: readonly Record<string, unknown>[],
+  ): Promise<CallerResponse[]> {
+    const responses = startStreams();
     await delay(START_MS);
     for (const change of changes) {
       deployment.writeConfig(change);
@@ -150,4 +159,57 @@
       }]),
     );
   }, 60_000);
+
+  function findPlannerIndex(): number {
+    const lease = deployment.store.getObject(LEASE_KIND, "planner") as {
+      holder: string;
+    };
+    return Number(lease.holder.slice(DAEMON_NAME_PREFIX.length));
+  }
+
+  it(
+    "changes the number of servers of a group while another daemon becomes the planner run to their end",
+    async () => {
+      const responses = startStreams();
+      await delay(START_MS);
+      deployment.writeConfig(createServices({ size: 4 }));
+      const stopping = deployment.daemons[findPlannerIndex()].stop();
+      checkStreams(await Promise.all(responses));
+      await stopping;
+      await waitUntil(() => countOpenGroups(4) === 2);
+    },
+    60_000,
+  );
+
+  it(
+    "changes the number of servers of a group while a zone is taken out and brought back run to their end",
+    async () => {
+      const responses = startStreams();
+      await delay(START_MS);
+      deployment.store.putObject(EXCLUDED_ZONE_KIND, "z2", {});
+      await delay(START_MS);
+      deployment.writeConfig(createServices({ size: 4 }));
+      deployment.store.deleteObject(EXCLUDED_ZONE_KIND, "z2");
+      checkStreams(await Promise.all(responses));
+      await waitUntil(() => countOpenGroups(4) === 2);
+    },
+    60_000,
+  );
+
+  it(
+    "revokes the last API key of their client account run to their end",
+    async () => {
+      const { Tenants: [account] } = createPlatformConfig(1);
+      checkStreams(
+        await runStreams([{
+          Tenants: [
+            { ...account, ApiKeys: [] },
+            { ...account, Name: "account-2", ApiKeys: ["key-2"] },
+          ],
+        }]),
+      );
+      expect((await deployment.callModel()).status).toBe(401);
+    },
+    60_000,
+  );
 });
