--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -109,9 +109,9 @@
   }
 
   /**
-   * Gets whether a group that is ready must not be opened, since one of its members may still carry out the join of a later group, and a server must not leave an open group for another one.
+   * Gets whether a group that is ready must not be opened, since one of its members may still carry out a leave, or the join of a later group, and a server must not leave an open group.
    *
-   * This planner knows only the joins that it has sent in this term. The members of such a group therefore join a new one, whose generation makes all earlier joins void.
+   * This planner knows only the orders that it has sent in this term. The members of such a group therefore join a new one, whose generation makes all earlier joins void.
    */
   isSuperseded(
     { head, members, isComplete, isReady }: ReportedGroup,
@@ -123,7 +123,14 @@
     return generation < getFirstGeneration(this.#term) ||
       members.some((member) =>
         this.#options.orders.hasUnansweredJoin(member, generation)
-      );
+      ) || this.hasUnansweredLeave({ members });
+  }
+
+  /** Gets whether a member of a group may still carry out a leave. */
+  hasUnansweredLeave({ members }: Pick<ReportedGroup, "members">): boolean {
+    return members.some((member) =>
+      this.#options.orders.hasUnansweredLeave(member)
+    );
   }
 
   /** Gets whether the members of a group can join other groups. */
@@ -160,16 +167,14 @@
   #isMissingConfirmed(group: ReportedGroup): boolean {
     const states = this.#requestMissingStates(group);
     const headState = group.head?.membership?.state;
-    return states.length === 0 || states.includes("ended") ||
-      states.includes("silent") ||
+    return states.includes("ended") || states.includes("silent") ||
       (headState !== "open" && headState !== "closing");
   }
 
-  /** Gets whether an incomplete group has to be closed, since it still serves and all missing members respond. */
+  /** Gets whether an incomplete group has to be closed, since its head is open and no missing member is known to have ended. A planner that has taken over may not know the missing members. */
   hasToCloseIncomplete(group: ReportedGroup): boolean {
     return this.#isGraceOver(group) &&
       group.head?.membership?.state === "open" &&
-      group.missingMembers.length > 0 &&
       this.#requestMissingStates(group).every((state) => state === "alive");
   }
 
@@ -197,7 +202,8 @@
       return true;
     }
     if (!isComplete) {
-      return this.#isMissingConfirmed(group);
+      return group.missingMembers.length === 0 ||
+        this.#isMissingConfirmed(group);
     }
     const headState = states[members.indexOf(head)];
     const isClosed = head.membership?.state === "ready" ||
--- a/tests/support/reconciled_fleet.ts
+++ b/tests/support/reconciled_fleet.ts
@@ -26,6 +26,8 @@
 const ORDER_MS = 50;
 /** Time after which a call to a silent server ends, in milliseconds. */
 const SILENCE_TIMEOUT_MS = 300;
+/** Time after which an order that gets no response ends, in milliseconds. */
+const ORDER_TIMEOUT_MS = 500;
 /** Time of a call to a server that responds or refuses the connection, in milliseconds. */
 const ROUND_TRIP_MS = 1;
 
@@ -81,15 +83,17 @@
   /** Number of `open` orders that heads have accepted, by group name. */
   readonly openings = new Map<string, number>();
   services: readonly RoutedService[] = [createModelService()];
+  /** Returns the time until an order is carried out that gets no response, in milliseconds, or 0 for an order that is carried out at once. */
+  getOrderDelayMs: (serverId: string, order: GroupOrder) => number = () => 0;
   #directory = new BackendDirectory({ logger: new NullLogger() });
-  #groups!: GroupTable;
+  #groups: GroupTable | undefined;
   #controller = new AbortController();
   #term = 0;
   #revision = 1;
 
   /** Table of the groups at the current planner. */
   get groups(): GroupTable {
-    return this.#groups;
+    return this.#groups!;
   }
 
   /** Adds servers that have no group yet. */
@@ -114,32 +118,20 @@
     }
   }
 
-  /** Lets a daemon that knows nothing but the list of servers become the planner. */
-  startPlanner(): void {
+  /**
+   * Lets another daemon become the planner.
+   *
+   * @param options - Whether the daemon has started just now, and so knows nothing but the present list of servers. Another daemon knows the servers that were removed from it.
+   */
+  startPlanner({ isNew = true }: { isNew?: boolean } = {}): void {
     this.stopPlanner();
     this.#term++;
     const { signal } = this.#controller = new AbortController();
     const logger = new NullLogger();
-    const directory = new BackendDirectory({ logger });
-    this.#directory = directory;
-    this.#groups = new GroupTable({
-      directory,
-      logger,
-      findModel: (service, model) =>
-        this.services.find(({ name }) => name === service)?.engine?.models
-          .find(({ name }) => name === model),
-    });
-    directory.applyChange({
-      changed: new Map(
-        [...this.servers.values()].filter(({ isListed }) => isListed)
-          .map((server) => [server.id, this.#createEntry(server)]),
-      ),
-      removed: [],
-      revision: ++this.#revision,
-      changeRevision: this.#revision,
-      outageMs: 0,
-      isSnapshot: true,
-    });
+    if (isNew || this.#groups === undefined) {
+      this.#startDaemon();
+    }
+    const directory = this.#directory;
     const term = this.#term;
     const lease = {
       getTerm: () => signal.aborted ? undefined : term,
@@ -147,7 +139,7 @@
     } as unknown as PlannerLeaseHolder;
     const reconciler = new ReplicaReconciler({
       directory,
-      groups: this.#groups,
+      groups: this.groups,
       orders: new MemberOrderExecutor({
         directory,
         orders: this,
@@ -201,6 +193,20 @@
     if (server.condition !== "running") {
       return "unknown";
     }
+    const delayMs = this.getOrderDelayMs(serverId, order);
+    if (delayMs > 0) {
+      setTimeout(() => this.#acceptOrder(server, order, term), delayMs);
+      await new Promise((resolve) => setTimeout(resolve, ORDER_TIMEOUT_MS));
+      return "unknown";
+    }
+    return this.#acceptOrder(server, order, term);
+  }
+
+  #acceptOrder(
+    server: FleetServer,
+    order: GroupOrder,
+    term: number,
+  ): GroupOrderOutcome {
     if (term < server.highestTerm) {
       return "fenced";
     }
@@ -240,6 +246,30 @@
     this.stopPlanner();
   }
 
+  #startDaemon(): void {
+    const logger = new NullLogger();
+    const directory = new BackendDirectory({ logger });
+    this.#directory = directory;
+    this.#groups = new GroupTable({
+      directory,
+      logger,
+      findModel: (service, model) =>
+        this.services.find(({ name }) => name === service)?.engine?.models
+          .find(({ name }) => name === model),
+    });
+    directory.applyChange({
+      changed: new Map(
+        [...this.servers.values()].filter(({ isListed }) => isListed)
+          .map((server) => [server.id, this.#createEntry(server)]),
+      ),
+      removed: [],
+      revision: ++this.#revision,
+      changeRevision: this.#revision,
+      outageMs: 0,
+      isSnapshot: true,
+    });
+  }
+
   async #waitForResponse({ condition }: FleetServer): Promise<void> {
     const durationMs = condition === "silent"
       ? SILENCE_TIMEOUT_MS
