--- a/src/connection/client_error_handler.ts
+++ b/src/connection/client_error_handler.ts
@@ -31,7 +31,8 @@
     socket.destroy();
     return;
   }
-  if (!CALLER_ERROR_CODES.has((error as NodeJS.ErrnoException).code ?? "")) {
+  const { code } = error as NodeJS.ErrnoException;
+  if (!socket.readableEnded && !CALLER_ERROR_CODES.has(code ?? "")) {
     recordEndReason(socket, "client-error");
   }
   dropInput(socket);
