--- a/tests/config_change_test.ts
+++ b/tests/config_change_test.ts
@@ -14,6 +14,11 @@
 /** Number of concurrent model requests, which exceeds the places of the two groups. */
 const WAITING_REQUESTS = 24;
 const BODY_LENGTH = 10;
+const KEPT_CONNECTIONS = 8;
+/** Longest pause of a caller on a kept connection, in milliseconds. */
+const MAX_PAUSE_MS = 150;
+const LIMIT_CHANGES = 80;
+const LIMIT_CHANGE_INTERVAL_MS = 60;
 
 type PlatformConfig = ReturnType<typeof createPlatformConfig>;
 
@@ -261,6 +266,60 @@
     caller.dispose();
   });
 
+  // Guards against a change of the limits that closes a kept connection, or loses or refuses its requests.
+  it(
+    "answers all requests on kept connections while the limits change",
+    async () => {
+      const { events, metrics: [metrics] } = deployment;
+      const runsBefore = deployment.runs.length;
+      const eventsBefore = events.length;
+      let isChanging = true;
+      const countRequests = async (): Promise<number> => {
+        const caller = await RawCaller.open(deployment.callerAddresses[0]);
+        let requests = 0;
+        while (isChanging) {
+          caller.takeReceived();
+          caller.write(`${createHead()}01234`);
+          await delay(Math.random() * MAX_PAUSE_MS);
+          caller.write("56789");
+          await caller.waitFor("done by", 3_000);
+          expect(caller.received).toMatch(/^HTTP\/1\.1 200 /);
+          requests++;
+          await delay(Math.random() * MAX_PAUSE_MS);
+        }
+        expect(caller.isClosed).toBe(false);
+        caller.dispose();
+        return requests;
+      };
+      deployment.fleet.forEach((server) => server.responseMs = MAX_PAUSE_MS);
+      const counts = Array.from({ length: KEPT_CONNECTIONS }, countRequests);
+      for (let i = 0; i < LIMIT_CHANGES; i++) {
+        deployment.writeConfig({
+          Limits: {
+            MaxHeaderBytes: [16_384, 1_024, 300_000][i % 3],
+            MaxBodyBytes: [4_096, BODY_LENGTH][i % 2],
+            HeaderTimeoutMs: [3_000, 400][i % 2],
+            IdleTimeoutMs: [15_000, 2 * MAX_PAUSE_MS, 3_000, 1_000][i % 4],
+          },
+        });
+        await delay(LIMIT_CHANGE_INTERVAL_MS);
+      }
+      isChanging = false;
+      const requests = (await Promise.all(counts)).reduce((a, b) => a + b, 0);
+      deployment.fleet.forEach((server) => server.responseMs = RESPONSE_MS);
+      expect(deployment.runs.length - runsBefore).toBe(requests);
+      expect(
+        events.slice(eventsBefore).filter(({ event }) =>
+          event === "request-unanswered"
+        ),
+      ).toEqual([]);
+      expect(metrics.getCount("config_changes")).toBeGreaterThan(
+        LIMIT_CHANGES / 2,
+      );
+    },
+    30_000,
+  );
+
   it("answers a caller that expects to be told to continue", async () => {
     const caller = await startBody({
       part: "",
