--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -28,6 +28,15 @@
   State: "joining" | "ready" | "open" | "closing" | "broken";
 }
 
+/**
+ * Place at which the streams of a group stand still while a server of it is paused.
+ *
+ * - `between events`: no event is begun; those of the pause follow at the usual pace.
+ * - `inside an event`: the first half of the next event has been sent.
+ * - `before a burst`: as between events, and all events of the pause follow at once.
+ */
+export type PauseForm = "between events" | "inside an event" | "before a burst";
+
 /** Order of the planner as the server receives it. */
 export interface ServerOrder {
   readonly Operation: string;
@@ -123,6 +132,8 @@
   ordersToDelay = 0;
   /** Returns the time until an order is applied that gets no response, in milliseconds, or 0 for an order that is applied at once. */
   getOrderDelayMs: (order: ServerOrder) => number = () => 0;
+  /** Place at which streams stand still while the group is paused. */
+  pauseForm: PauseForm = "between events";
   /** Number of upcoming status requests whose connection is reset, as by a server that has its maximum number of connections. */
   reportsToReset = 0;
   /** Status and body of the responses to status requests; undefined when the server reports its state. */
@@ -495,10 +506,18 @@
     const isCrashing = listPromptParts(res.req).some((part) =>
       part === this.crashingPart
     );
+    let missedCount = 0;
+    let sentHalf = "";
     const timer = setInterval(() => {
-      if (
-        this.hasCrashed || !this.#isGroupComplete() || this.#isGroupPaused()
-      ) {
+      if (this.hasCrashed || !this.#isGroupComplete()) {
+        return;
+      }
+      if (this.#isGroupPaused()) {
+        missedCount++;
+        if (this.pauseForm === "inside an event" && sentHalf === "") {
+          sentHalf = `id: ${id + 1}\nda`;
+          res.write(sentHalf);
+        }
         return;
       }
       if (isCrashing && id >= crashId) {
@@ -507,8 +526,16 @@
         void this.restart();
         return;
       }
-      id++;
-      res.write(`id: ${id}\ndata: ${id}\n\n`);
+      const burst = this.pauseForm === "before a burst" ? missedCount : 0;
+      const lastId = Math.min(eventCount, id + 1 + burst);
+      missedCount = 0;
+      let text = "";
+      while (id < lastId) {
+        id++;
+        text += `id: ${id}\ndata: ${id}\n\n`;
+      }
+      res.write(text.slice(sentHalf.length));
+      sentHalf = "";
       if (id >= eventCount) {
         clearInterval(timer);
         res.end();
