--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -54,7 +54,9 @@
 }
 
 /**
- * Sorts waiting requests by priority, then those that can still meet the latency objective before the late ones, then by arrival. While a burst exceeds the free slots, first-come-first-served would make every request late. This order keeps as many requests on time as there are slots, and the late ones get the remaining slots.
+ * Sorts waiting requests by priority, then those that can still meet the latency objective before the late ones. Those that can be on time are sorted by arrival with the newest first, the late ones with the oldest first.
+ *
+ * While requests exceed the free slots, the oldest of those that can be on time is always about to be late: its slot comes just before `latencyDeadlineMs`, and any delay that the estimate of the first event leaves out makes it late. The newest has the most time left. The late ones get the remaining slots.
  *
  * @param waiters - Waiting requests in order of arrival.
  * @param nowMs - Monotonic time in milliseconds.
@@ -65,11 +67,12 @@
   waiters: readonly T[],
   nowMs: number,
 ): T[] {
-  const getLateness = ({ request }: T) =>
-    Number(request.latencyDeadlineMs < nowMs);
-  return [...waiters].sort((a, b) =>
-    a.request.priority - b.request.priority || getLateness(a) - getLateness(b)
-  );
+  const isLate = ({ request }: T) => request.latencyDeadlineMs < nowMs;
+  const sortedWaiters = [
+    ...waiters.filter((waiter) => !isLate(waiter)).reverse(),
+    ...waiters.filter(isLate),
+  ];
+  return sortedWaiters.sort((a, b) => a.request.priority - b.request.priority);
 }
 
 /** Admits requests to groups. Requests wait at the daemon rather than at an engine, so that each gets the first free slot of any group. */
--- a/src/process/fleet/group_admission_test.ts
+++ b/src/process/fleet/group_admission_test.ts
@@ -271,6 +271,29 @@
       expect(servedOrder).toEqual(["on time", "late"]);
     });
 
+    // Guards against first-come-first-served order among the requests that can be on time: in a lasting overload each gets its slot when its time has almost run out.
+    it("grants slots in a lasting overload while there is time left", async () => {
+      const { admission } = doTest(["g1"]);
+      const remainingTimesMs: number[] = [];
+      const runRequest = async () => {
+        const latencyDeadlineMs = performance.now() + 200;
+        const grant = await admission.acquire(
+          createRequest({ latencyDeadlineMs }),
+        );
+        remainingTimesMs.push(latencyDeadlineMs - performance.now());
+        setTimeout(() => grant.release(), 100);
+      };
+      const requests: Promise<void>[] = [];
+      for (let i = 0; i < 100; i++) {
+        requests.push(runRequest().catch(() => {}));
+        await vi.advanceTimersByTimeAsync(25);
+      }
+      await vi.advanceTimersByTimeAsync(2_000);
+      await Promise.all(requests);
+      const earlyCount = remainingTimesMs.filter((ms) => ms >= 100).length;
+      expect(earlyCount / remainingTimesMs.length).toBeGreaterThan(0.5);
+    });
+
     it("serves the request of higher priority first", async () => {
       const { admission } = doTest(["g1"]);
       const grants = await Promise.all([
