--- a/bench/explore/explored_event.ts
+++ b/bench/explore/explored_event.ts
@@ -38,8 +38,8 @@
   | { readonly kind: "cut-link"; readonly forMs: number }
   | { readonly kind: "change-model"; readonly index: number };
 
-/** Times for which a server is silent, in milliseconds. A sound server may be silent for more than a second. */
-const SILENCES_MS = [500, 1_500];
+/** Times for which a server is silent, in milliseconds. A sound server may be silent for more than a second, and counts as ended after more than two. */
+const SILENCES_MS = [500, 2_000];
 /** Times for which a daemon stands still, in milliseconds: shorter and longer than the lease. */
 const PAUSES_MS = [2_000, 6_000];
 const STORE_CUT_MS = 5_000;
--- a/bench/explore/planted_faults.ts
+++ b/bench/explore/planted_faults.ts
@@ -22,6 +22,8 @@
  * - `endless-lease`: a daemon that once held the lease goes on as planner.
  * - `equal-terms`: all planners use the same term.
  * - `silence-is-loss`: a server that doesn't answer one status request counts as ended.
+ * - `equal-generations`: all groups have the same generation.
+ * - `unread-reports`: the state of a server is taken from the list alone.
  * - `unconditional-writes`: the store ignores the expected version of a write.
  * - `hidden-open`: the list shows open groups as ready.
  */
@@ -31,6 +33,8 @@
   | "endless-lease"
   | "equal-terms"
   | "silence-is-loss"
+  | "equal-generations"
+  | "unread-reports"
   | "unconditional-writes"
   | "hidden-open";
 
@@ -40,6 +44,8 @@
   "endless-lease",
   "equal-terms",
   "silence-is-loss",
+  "equal-generations",
+  "unread-reports",
   "unconditional-writes",
   "hidden-open",
 ];
@@ -53,6 +59,10 @@
       return new ExecutorParts(TrustingExecutor);
     case "silence-is-loss":
       return new ExecutorParts(ImpatientExecutor);
+    case "equal-generations":
+      return new ExecutorParts(EqualGenerationExecutor);
+    case "unread-reports":
+      return new DirectoryParts(UnreadReportDirectory);
     case "endless-lease":
       return new LeaseParts(EndlessLease);
     case "equal-terms":
@@ -60,7 +70,7 @@
     case "unconditional-writes":
       return new UnconditionalParts();
     case "hidden-open":
-      return new HiddenOpenParts();
+      return new DirectoryParts(HiddenOpenDirectory);
   }
 }
 
@@ -94,9 +104,16 @@
   override readonly isStoreConditional = false;
 }
 
-class HiddenOpenParts extends DaemonParts {
+class DirectoryParts extends DaemonParts {
+  readonly #Directory: typeof BackendDirectory;
+
+  constructor(Directory: typeof BackendDirectory) {
+    super();
+    this.#Directory = Directory;
+  }
+
   override createDirectory(options: DirectoryOptions): BackendDirectory {
-    return new HiddenOpenDirectory(options);
+    return new this.#Directory(options);
   }
 }
 
@@ -124,6 +141,31 @@
   }
 }
 
+/** Generation of all groups without the guard that it rises. */
+const EQUAL_GENERATION = 1;
+
+class EqualGenerationExecutor extends MemberOrderExecutor {
+  override joinGroup(
+    ...[server, group, options]: Parameters<MemberOrderExecutor["joinGroup"]>
+  ): Promise<boolean> {
+    const equalGroup = { ...group, generation: EQUAL_GENERATION };
+    return super.joinGroup(server, equalGroup, options);
+  }
+
+  override openGroup(
+    ...[head, { groupName }, options]: Parameters<
+      MemberOrderExecutor["openGroup"]
+    >
+  ): Promise<boolean> {
+    const equalGroup = { groupName, generation: EQUAL_GENERATION };
+    return super.openGroup(head, equalGroup, options);
+  }
+}
+
+class UnreadReportDirectory extends BackendDirectory {
+  override applyReport(): void {}
+}
+
 class EndlessLease extends PlannerLeaseHolder {
   #lastTerm: number | undefined;
 
