--- a/bench/explore/explored_world.ts
+++ b/bench/explore/explored_world.ts
@@ -22,6 +22,7 @@
 } from "./simulated_order_client.ts";
 import { SimulatedServer } from "./simulated_server.ts";
 import { SimulatedStore, SimulatedStoreLink } from "./simulated_store.ts";
+import { describeState, getServersKey } from "./world_state.ts";
 import type { VirtualClock } from "./virtual_clock.ts";
 
 /** Time until a daemon receives a change of the configuration, in milliseconds. */
@@ -87,11 +88,6 @@
     }
   }
 
-  /** Gets the size of the groups in force. */
-  get groupSize(): number {
-    return this.#model.groupSize;
-  }
-
   findServer(address: string): SimulatedServer | undefined {
     return this.#servers.find((server) => server.address === address);
   }
@@ -295,6 +291,7 @@
       service: createService(this.#model),
       isStanding: (address) =>
         this.checker.isStanding(this.findServer(address)!),
+      onTaskFailure: (message) => this.checker.record("task-failed", message),
       sendNotice: (notice) => this.#sendNotice(daemon, notice),
     });
     this.#liveOwners.add(owner);
@@ -366,33 +363,11 @@
 
   /** Describes the groups and daemons for the message of a path that did not recover. */
   describeState(): string {
-    const servers = this.#servers.map(({ id, isRunning, group }) =>
-      `${id}${isRunning ? "" : " ended"}: ${
-        group === undefined ? "-" : `${group.name} ${group.state}`
-      }`
-    );
-    const daemons = this.#daemons.map(({ name, lease, groups }) =>
-      `${name}: term ${lease.getTerm() ?? "-"}, serving ${
-        groups.listAll().map((group) => group.name).join() || "-"
-      }`
-    );
-    return [...servers, ...daemons].join("; ");
+    return describeState(this.#servers, this.#daemons);
   }
 
-  /** Gets a text that is equal for equal visible states. Names of groups and terms are left out, since they rise with each order. */
+  /** Gets a text that is equal for equal visible states. Terms are left out, since they rise with each planner. */
   getStateKey(): string {
-    const groupNames = this.#servers.map(({ group }) => group?.name ?? "");
-    const servers = this.#servers.map((server) => {
-      const { isRunning, isSilent, group, rank } = server;
-      return [
-        isRunning,
-        isSilent,
-        group?.state,
-        group?.isOpening,
-        groupNames.indexOf(group?.name ?? ""),
-        rank,
-      ].join();
-    });
     const daemons = this.#daemons.map(({ owner, lease, storeLink, groups }) =>
       [
         this.#list.isHeld(owner),
@@ -404,7 +379,7 @@
       ].join()
     );
     const common = [MODELS.indexOf(this.#model), this.#isLinkCut];
-    return [...common, ...servers, ...daemons].join(" ");
+    return [...common, getServersKey(this.#servers), ...daemons].join(" ");
   }
 
   /** Ends all daemons. */
--- a/bench/explore/simulated_daemon.ts
+++ b/bench/explore/simulated_daemon.ts
@@ -35,6 +35,8 @@
   readonly service: RoutedService;
   /** Gets whether the streams of a group stand still. */
   isStanding(headAddress: string): boolean;
+  /** Called when a task of the daemon ends with an error. */
+  onTaskFailure(message: string): void;
   /** Sends a notice to the other daemons. */
   sendNotice(notice: DaemonNotice): void;
 }
@@ -119,10 +121,9 @@
   /** Starts the tasks of the daemon. */
   start(): void {
     const { signal } = this.#lifeCycle;
+    const { name } = this;
     const recordFailure = (error: unknown) =>
-      this.#options.logger.write("error", "task-failed", {
-        message: String((error as Error).stack),
-      });
+      this.#options.onTaskFailure(`${name}: ${(error as Error).stack}`);
     this.lease.run(signal).catch(recordFailure);
     this.#reconciler.run(signal).catch(recordFailure);
     this.#detector.run(signal).catch(recordFailure);
