--- a/src/process/fleet/domain_models.ts
+++ b/src/process/fleet/domain_models.ts
@@ -10,10 +10,14 @@
  * Assigns a model to each fabric domain, so that each model's fraction of the domains is close to its expected share, in the whole fleet and in each zone. The evacuation or loss of a zone then leaves groups of every model. Domains are counted rather than servers, since the servers of a new fleet register one after another.
  *
  * @param state - Current state of the fleet.
+ * @returns Model of each domain; empty when the engine has no models.
  */
 export function assignDomainModels(
   state: FleetState,
 ): ReadonlyMap<string, ServedModel> {
+  if (state.engine.models.length === 0) {
+    return new Map();
+  }
   const serversByDomain = collectServersByDomain(state.servers);
   const modelsByDomain = new Map<string, ServedModel>();
   // Number of domains that a model lacks to reach its expected share of the given domains.
--- a/src/process/fleet/replica_reconciler_test.ts
+++ b/src/process/fleet/replica_reconciler_test.ts
@@ -173,6 +173,22 @@
     }
   });
 
+  describe("run with an engine that has no models", () => {
+    // Guards against an error that ends the planning of all services until the daemon restarts.
+    it("keeps the servers for the models that are added later", async () => {
+      const service = createModelService();
+      fleet.services = [{
+        ...service,
+        engine: { ...service.engine!, models: [] },
+      }];
+      fleet.addServers(2);
+      await createGroups();
+      fleet.services = [service];
+      await runFor(FORMATION_MS);
+      expect(listGroupSizes()).toEqual([2]);
+    });
+  });
+
   describe("run after a leave without a response", () => {
     /** Time after which the leaves are carried out, in milliseconds. */
     const LATE_MS = 4_000;
