--- a/src/process/fleet/replica_reconciler_test.ts
+++ b/src/process/fleet/replica_reconciler_test.ts
@@ -173,6 +173,27 @@
     }
   });
 
+  describe("run with a list that is out of date", () => {
+    /** Time of a response of a busy server, in milliseconds. */
+    const SLOW_RESPONSE_MS = 200;
+
+    // Guards against members that leave a group whose head still closes, since an entry from before the opening says that it is ready.
+    it("waits until the head itself has confirmed that it is closed", async () => {
+      fleet.addServers(2);
+      await createGroups();
+      const [headId] = assumeBusyGroups();
+      fleet.services = [createModelService({ groupSize: 1 })];
+      await runFor(REQUEST_MS);
+      fleet.changeServer(headId, { responseMs: SLOW_RESPONSE_MS });
+      fleet.assumeOutdatedEntry(headId, "ready");
+      await runFor(REQUEST_MS);
+      expect(fleet.interruptions).toEqual([]);
+      fleet.finishRequests(headId);
+      await runFor(FORMATION_MS);
+      expect(listGroupSizes()).toEqual([1, 1]);
+    });
+  });
+
   describe("run with an engine that has no models", () => {
     // Guards against an error that ends the planning of all services until the daemon restarts.
     it("keeps the servers for the models that are added later", async () => {
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -143,7 +143,8 @@
       return true;
     }
     // A group with a draining member, or of an earlier configuration, is closed first, which lets its requests finish.
-    const isClosed = state === undefined || state === "ready";
+    const isClosed = state === undefined ||
+      (state === "ready" && this.#isHeadConfirmed(group));
     if (!group.isComplete) {
       return (group.isOutdated && isClosed) ||
         (this.#isGraceOver(group) && this.#isMissingConfirmed(group));
@@ -157,6 +158,15 @@
     return (group.isOutdated && isClosed) || isSuperseded;
   }
 
+  /** Gets whether the state of the head does not come from the list alone, which may contain an entry from before the group was opened. */
+  #isHeadConfirmed({ key, head }: ReportedGroup): boolean {
+    const state = this.#survivorProber.getState(key, head!, {
+      isLost: true,
+      mustRepeat: false,
+    });
+    return state !== "unknown";
+  }
+
   #isGraceOver({ key }: ReportedGroup): boolean {
     const incompleteSinceMs = this.#incompleteSinceMs.get(key);
     return incompleteSinceMs !== undefined &&
--- a/tests/support/reconciled_fleet.ts
+++ b/tests/support/reconciled_fleet.ts
@@ -48,6 +48,8 @@
   condition: "running" | "silent" | "ended";
   /** Whether requests are in flight at the group whose head this server is. */
   isBusy: boolean;
+  /** Time of a call to the running server, in milliseconds. */
+  responseMs: number;
 }
 
 /** Creates a service with one model whose groups have two servers. */
@@ -112,6 +114,7 @@
         isDraining: false,
         condition: "running",
         isBusy: false,
+        responseMs: ROUND_TRIP_MS,
         ...server,
       });
       this.#publishEntry(id);
@@ -166,6 +169,15 @@
     this.#publishEntry(id);
   }
 
+  /** Assumes that the list brings a state of a group's member that is out of date. */
+  assumeOutdatedEntry(id: string, state: GroupMembership["state"]): void {
+    const server = this.servers.get(id)!;
+    const { group } = server;
+    server.group = { ...group!, state };
+    this.#publishEntry(id);
+    server.group = group;
+  }
+
   /** Ends the requests in flight at a head. */
   finishRequests(id: string): void {
     const server = this.servers.get(id)!;
@@ -270,10 +282,10 @@
     });
   }
 
-  async #waitForResponse({ condition }: FleetServer): Promise<void> {
-    const durationMs = condition === "silent"
-      ? SILENCE_TIMEOUT_MS
-      : ROUND_TRIP_MS;
+  async #waitForResponse(
+    { condition, responseMs }: FleetServer,
+  ): Promise<void> {
+    const durationMs = condition === "silent" ? SILENCE_TIMEOUT_MS : responseMs;
     await new Promise((resolve) => setTimeout(resolve, durationMs));
   }
 
