--- a/src/process/fleet/replica_reconciler_test.ts
+++ b/src/process/fleet/replica_reconciler_test.ts
@@ -354,6 +354,18 @@
       },
     );
 
+    // Guards against a group that waits for ever for a server that has drained and ended.
+    it("replaces a group whose member had drained and has ended", async () => {
+      const [[, missingId]] = fleet.listOpenGroups();
+      fleet.excludedZones.add("z1");
+      fleet.changeServer(missingId, { isDraining: true });
+      await runFor(REPLACEMENT_MS);
+      fleet.changeServer(missingId, { condition: "ended", isListed: false });
+      fleet.excludedZones.clear();
+      await runFor(REPLACEMENT_MS);
+      expect(fleet.groups.listAll().length).toBe(1);
+    });
+
     it("replaces a group whose member has left it", async () => {
       const [[, missingId]] = fleet.listOpenGroups();
       fleet.changeServer(missingId, { group: undefined, isListed: false });
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -190,10 +190,12 @@
 
   #requestMissingStates(group: ReportedGroup): MemberState[] {
     return group.missingMembers.map((member) =>
-      this.#survivorProber.getState(group.key, member, {
-        isLost: true,
-        mustRepeat: true,
-      })
+      // A server that drains may refuse connections before it ends. Once its entry is removed, a refusal means that it has ended.
+      this.#survivorProber.getState(
+        group.key,
+        { ...member, isDraining: false },
+        { isLost: true, mustRepeat: true },
+      )
     );
   }
 
