--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -1,17 +1,13 @@
 import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
-import type {
-  RoutedService,
-  ServedModel,
-} from "../../version/routing_config.ts";
+import type { RoutedService } from "../../version/routing_config.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
 import type { PlannedServer } from "./fleet_state.ts";
 import type { GroupLoads } from "./group_loads.ts";
-import { createGroupName, getFirstGeneration } from "./group_name.ts";
 import { getMembershipKey, type GroupTable } from "./group_table.ts";
+import { GroupTasks } from "./group_tasks.ts";
 import {
-  createSpareGroupName,
   getProcessKey,
   isSpareGroup,
   type MemberOrderExecutor,
@@ -20,12 +16,7 @@
 import { ServiceState } from "./service_state.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
 import type { ReportedGroup, ReportedGroups } from "./reported_groups.ts";
-import {
-  type FleetPlan,
-  type GroupFormation,
-  planFleet,
-  type ServerPreparation,
-} from "./replica_planner.ts";
+import { type FleetPlan, planFleet } from "./replica_planner.ts";
 
 /** Minimum time between two plans, in milliseconds. */
 const PLAN_INTERVAL_MS = 50;
@@ -33,10 +24,6 @@
 const MAX_PLAN_INTERVAL_MS = 250;
 /** Interval between checks of the planner lease while another daemon holds it, in milliseconds. */
 const STANDBY_INTERVAL_MS = 250;
-/** Margin by which the timeout of an order exceeds the expected duration of the order, in milliseconds. */
-const ORDER_TIMEOUT_MARGIN_MS = 2_000;
-/** Time limit for a closing group to finish its requests, in milliseconds. */
-const CLOSE_TIMEOUT_MS = 10_000;
 /** Dependencies of a `ReplicaReconciler`. */
 export interface ReplicaReconcilerOptions {
   readonly directory: BackendDirectory;
@@ -54,11 +41,11 @@
 export class ReplicaReconciler {
   readonly #options: ReplicaReconcilerOptions;
   readonly #schedule: OrderSchedule;
+  readonly #tasks: GroupTasks;
   /** Model of the last group that a server joined, by server id and start time. */
   readonly #lastModels = new Map<string, string>();
   /** State of each service that has an engine, by name. */
   readonly #states = new Map<string, ServiceState>();
-  #generation = 0;
   #term = 0;
   /** Whether a server has changed or an order has ended since the last plan. */
   #hasChanged = true;
@@ -74,6 +61,7 @@
       getExcludedZones: () => options.getExcludedZones(),
       onEnd: onChange,
     });
+    this.#tasks = new GroupTasks({ ...options, schedule: this.#schedule });
     // A lost group publishes a change, too.
     options.groups.onChange(onChange);
   }
@@ -90,7 +78,7 @@
       if (term !== this.#term) {
         this.#term = term;
         this.#states.forEach((state) => state.assignments = new Map());
-        this.#generation = getFirstGeneration(term);
+        this.#tasks.startTerm(term);
       }
       if (!this.#isPlanDue()) {
         continue;
@@ -184,12 +172,15 @@
 
   #applyPlan(service: RoutedService, plan: FleetPlan): void {
     for (const formation of plan.formations) {
-      this.#startTask("formation", this.#runFormation(service, formation));
+      this.#startTask(
+        "formation",
+        this.#tasks.runFormation(service, formation),
+      );
     }
     for (const preparation of plan.preparations) {
       this.#startTask(
         "preparation",
-        this.#runPreparation(service, preparation),
+        this.#tasks.runPreparation(service, preparation),
       );
     }
   }
@@ -279,11 +270,14 @@
     const mustClose = hasDrainingMember || isOutdated ||
       reportedGroups.hasUnansweredLeave(group);
     if (mustClose && head.membership?.state === "open") {
-      this.#startTask("closing", this.#runClosing(head, members));
+      this.#startTask("closing", this.#tasks.runClosing(head, members));
     } else if (
       !mustClose && isReady && !reportedGroups.isSuperseded(group)
     ) {
-      this.#startTask("opening", this.#runOpening(service, head, members));
+      this.#startTask(
+        "opening",
+        this.#tasks.runOpening(service, head, members),
+      );
     }
   }
 
@@ -297,7 +291,7 @@
       this.#schedule.takesOrders(head) &&
       reportedGroups.hasToCloseIncomplete(group)
     ) {
-      this.#startTask("closing", this.#runClosing(head, [head]));
+      this.#startTask("closing", this.#tasks.runClosing(head, [head]));
     }
   }
 
@@ -312,161 +306,7 @@
       !reportedGroups.isLossConfirmed(group) &&
       reportedGroups.isAlive(key, head);
     if (mustClose) {
-      this.#startTask("closing", this.#runClosing(head, [head]));
-    }
-  }
-
-  async #runClosing(
-    head: BackendServer,
-    members: readonly BackendServer[],
-  ): Promise<void> {
-    const ids = members.map(({ id }) => id);
-    await this.#schedule.run(
-      ids,
-      "order",
-      () =>
-        this.#options.orders.closeGroup(head, head.membership!, {
-          timeoutMs: CLOSE_TIMEOUT_MS,
-        }),
-    );
-  }
-
-  async #runOpening(
-    service: RoutedService,
-    head: BackendServer,
-    members: readonly BackendServer[],
-  ): Promise<void> {
-    const ids = members.map(({ id }) => id);
-    await this.#schedule.run(ids, "order", () =>
-      this.#options.orders.openGroup(
-        head,
-        head.membership!,
-        getOpenWaitOptions(service),
-      ));
-  }
-
-  /** Orders a server to load a model by joining a single-member group that never opens, so that it can join its next group without loading. */
-  async #runPreparation(
-    service: RoutedService,
-    preparation: ServerPreparation,
-  ): Promise<void> {
-    const { directory, orders } = this.#options;
-    const server = directory.findServer(preparation.serverId);
-    const model = findModel(service, preparation.model);
-    if (server === undefined || model === undefined) {
-      return;
+      this.#startTask("closing", this.#tasks.runClosing(head, [head]));
     }
-    const { needsLoad } = preparation;
-    const generation = ++this.#generation;
-    await this.#schedule.run(
-      [server.id],
-      needsLoad ? "load" : "order",
-      () =>
-        orders.joinGroup(server, {
-          groupName: createSpareGroupName(generation),
-          generation,
-          model: model.name,
-          members: [server.id],
-        }, {
-          timeoutMs: getMaxPreparationMs(service, model, needsLoad) +
-            ORDER_TIMEOUT_MARGIN_MS,
-          firstPollMs: needsLoad ? undefined : model.warmMs,
-        }),
-    );
   }
-
-  async #runFormation(
-    service: RoutedService,
-    formation: GroupFormation,
-  ): Promise<void> {
-    const { directory, logger } = this.#options;
-    const model = findModel(service, formation.model)!;
-    const members = formation.members.flatMap((id) =>
-      directory.findServer(id) ?? []
-    );
-    const generation = ++this.#generation;
-    const groupName = createGroupName({ generation, size: model.groupSize });
-    const group = { groupName, generation };
-    const startedAtMs = performance.now();
-    const isOpen = await this.#schedule.run(
-      formation.members,
-      "order",
-      async () =>
-        members.length === model.groupSize &&
-        await this.#joinMembers(model, members, group) &&
-        await this.#options.orders.openGroup(
-          members[0],
-          group,
-          getOpenWaitOptions(service),
-        ),
-    );
-    if (isOpen) {
-      this.#getState(service.name).reportedGroups.recordSize(
-        `${groupName}/${generation}`,
-        members.length,
-      );
-    } else {
-      await this.#schedule.pauseUnresponsiveMembers(members);
-    }
-    logger.write("info", "group-formed", {
-      group: `${group.groupName}/${generation}`,
-      model: model.name,
-      domain: formation.domain,
-      members: formation.members.join(","),
-      outcome: isOpen ? "open" : "failed",
-      tookMs: Math.round(performance.now() - startedAtMs),
-    });
-  }
-
-  async #joinMembers(
-    model: ServedModel,
-    members: readonly BackendServer[],
-    group: { groupName: string; generation: number },
-  ): Promise<boolean> {
-    const ids = members.map(({ id }) => id);
-    const joinResults = await Promise.all(
-      members.map((member) =>
-        this.#options.orders.joinGroup(member, {
-          ...group,
-          model: model.name,
-          members: ids,
-        }, {
-          timeoutMs: model.warmMs + ORDER_TIMEOUT_MARGIN_MS,
-          firstPollMs: EXPECTED_JOIN_MS + FIRST_POLL_MARGIN_MS,
-        })
-      ),
-    );
-    return joinResults.every(Boolean);
-  }
-}
-
-/** Expected time for a server to join a group of the model that it has loaded, in milliseconds. */
-const EXPECTED_JOIN_MS = 200;
-/** Margin by which the first status request follows the expected end of an order, in milliseconds. */
-const FIRST_POLL_MARGIN_MS = 20;
-
-function findModel(
-  service: RoutedService,
-  name: string,
-): ServedModel | undefined {
-  return service.engine?.models.find((model) => model.name === name);
-}
-
-function getOpenWaitOptions(service: RoutedService) {
-  const { openMs } = service.engine!;
-  return {
-    timeoutMs: openMs + ORDER_TIMEOUT_MARGIN_MS,
-    firstPollMs: openMs + FIRST_POLL_MARGIN_MS,
-  };
-}
-
-/** Gets the longest expected time of a preparation. Concurrent loads share the bandwidth of the weight store. */
-function getMaxPreparationMs(
-  service: RoutedService,
-  model: ServedModel,
-  needsLoad: boolean,
-): number {
-  return needsLoad
-    ? model.loadMs * Math.max(1, service.engine!.concurrentLoads)
-    : model.warmMs;
 }
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -98,11 +98,6 @@
     return this.#groups.get(key);
   }
 
-  /** Records the size of a group that was formed just now. */
-  recordSize(key: string, size: number): void {
-    this.#groupSizes.set(key, size);
-  }
-
   /** Gets whether a member has responded to a probe since its group was lost or closed. */
   isAlive(key: string, member: BackendServer): boolean {
     return this.#survivorProber.isAlive(key, member);
