--- a/tests/caller_close_test.ts
+++ b/tests/caller_close_test.ts
@@ -11,7 +11,7 @@
 /** Time for which the event loop of the daemon is occupied, in milliseconds. */
 const OCCUPIED_MS = 300;
 
-function occupyLoop(durationMs: number): void {
+function pauseLoop(durationMs: number): void {
   const endAtMs = performance.now() + durationMs;
   while (performance.now() < endAtMs) {
     // The event loop reads nothing meanwhile.
@@ -49,7 +49,7 @@
       caller.close();
     });
     const soundResponse = sendSoundRequest();
-    occupyLoop(OCCUPIED_MS);
+    pauseLoop(OCCUPIED_MS);
     const listEvents = (event: string) =>
       deployment.events.filter(({ event: name, fields }) =>
         name === event && String(fields.requestId).startsWith("left-")
