--- a/src/request/routed/stream_move.ts
+++ b/src/request/routed/stream_move.ts
@@ -10,6 +10,8 @@
 const CALLER_WAIT_OBJECTIVES = 4;
 /** Number of pause objectives for which callers wait for an event, if that is longer. */
 const CALLER_WAIT_PAUSES = 8;
+/** Time after which a caller that waits no longer has closed its connection, in milliseconds: a round trip and the delay of its timer. A stream that is ended before its caller leaves counts as cut by the daemon. */
+const CALLER_CLOSE_MS = 500;
 
 /** Attempt whose group has begun to respond. */
 export interface RespondingAttempt {
@@ -77,11 +79,11 @@
   }
 }
 
-/** Gets the time for which callers wait for the next event of a stream, in milliseconds. */
+/** Gets the time since the last event of a stream after which its caller has ceased to wait, in milliseconds. */
 export function getMaxPauseMs(
   { latencyObjectiveMs, pauseObjectiveMs = 0 }: Route,
 ): number {
-  return Math.max(
+  return CALLER_CLOSE_MS + Math.max(
     MIN_CALLER_WAIT_MS,
     latencyObjectiveMs * CALLER_WAIT_OBJECTIVES,
     pauseObjectiveMs * CALLER_WAIT_PAUSES,
