--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -191,13 +191,13 @@
   }
 
   /** Removes the server's entry from the store, as a server does that leaves without the state `draining`. It serves on. */
-  withdrawEntry(): void {
+  removeEntry(): void {
     this.#isWithdrawn = true;
     this.#options.store.deleteObject("servers", this.#options.id);
   }
 
   /** Resets the connections of the streams in flight, and goes on serving. */
-  resetStreams(): void {
+  abortStreams(): void {
     [...this.#streams].forEach(({ socket }) => socket?.resetAndDestroy());
   }
 
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -132,7 +132,7 @@
         this.#scope.writer.sendResponse(status, headers, result.body);
         return;
       }
-      this.#excludeGroup(group, result);
+      this.#recordExclusion(group, result);
       if (movedAttempt === undefined) {
         this.#checkRetryAllowed(result);
       }
@@ -229,7 +229,7 @@
         if (signal.aborted) {
           this.#servers.recordCancellation(attempt.group.head.id);
         } else {
-          this.#excludeGroup(attempt.group, result);
+          this.#recordExclusion(attempt.group, result);
         }
         return undefined;
       }
@@ -559,8 +559,8 @@
     }
   }
 
-  /** Excludes a group from further attempts, unless its head has only refused the request for a time, or has reset its connection once and goes on. */
-  #excludeGroup({ key, head }: ReplicaGroup, result: AttemptResult): void {
+  /** Records that a group gets no further attempt, unless its head has only refused the request for a time, or has reset its connection once and goes on. */
+  #recordExclusion({ key, head }: ReplicaGroup, result: AttemptResult): void {
     if (!isPausing(result) && !this.#servers.isReturnPermitted(head.id)) {
       this.#excludedGroupKeys.add(key);
     }
--- a/tests/removed_entry_test.ts
+++ b/tests/removed_entry_test.ts
@@ -85,7 +85,7 @@
             ),
         );
         await delay(STREAM_AGE_MS);
-        server.withdrawEntry();
+        server.removeEntry();
         const responses = await Promise.all(streams);
         expect(responses.map(({ status, isWhole }) => ({ status, isWhole })))
           .toEqual(responses.map(() => ({ status: 200, isWhole: true })));
@@ -107,7 +107,7 @@
         const [server, other] = getMembers(role);
         const groupName = server.group!.Name;
         const startedAtMs = performance.now();
-        server.withdrawEntry();
+        server.removeEntry();
         await server.dispose();
         await waitUntil(() => isServingAgain(other, groupName));
         expect(performance.now() - startedAtMs).toBeLessThan(RECOVERY_MS);
--- a/tests/reset_stream_resume_test.ts
+++ b/tests/reset_stream_resume_test.ts
@@ -38,7 +38,7 @@
     const call = deployment.callModel();
     await waitUntil(() => runs.length > runsBefore);
     await delay(3 * EVENT_MS);
-    fleet.get(runs.at(-1)!.serverId)!.resetStreams();
+    fleet.get(runs.at(-1)!.serverId)!.abortStreams();
     const { status, isWhole, body } = await call;
     const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
     return { status, isWhole, ids };
