--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -21,6 +21,8 @@
   readonly requestTimeoutMs?: number;
   /** Maximum total size of the headers of a request, in bytes. */
   readonly maxHeaderBytes?: number;
+  /** Whether the time before the first byte of a connection counts as idle time; by default, it counts towards the header limit. */
+  readonly isUnusedTimeIdle?: boolean;
   /** Maximum number of concurrent connections; further connections are closed. */
   readonly maxConnections?: number;
 }
@@ -40,6 +42,7 @@
   readonly #server: Server;
   readonly #idleTimeout = new IdleTimeout(KEEP_ALIVE_TIMEOUT_MS);
   readonly #sockets = new Set<Socket>();
+  readonly #isUnusedTimeIdle: boolean;
   /** Header size up to which open connections take a raised limit, in bytes. */
   readonly #maxHeaderBytes: number;
   /** Header limit that is in force or comes into force, in milliseconds. */
@@ -48,6 +51,7 @@
   #address = "";
 
   constructor(listener: RequestListener, options: HttpServerOptions = {}) {
+    this.#isUnusedTimeIdle = options.isUnusedTimeIdle ?? false;
     this.#maxHeaderBytes = options.maxHeaderBytes ?? MAX_HEADER_BYTES;
     const requestTimeoutMs = options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS;
     this.#headerTimeoutMs = Math.min(HEADERS_TIMEOUT_MS, requestTimeoutMs);
@@ -95,7 +99,8 @@
     const isTimeout =
       (error as NodeJS.ErrnoException).code === "ERR_HTTP_REQUEST_TIMEOUT";
     // Node.js also applies the header limit to the time before the first byte of a connection, which is idle time.
-    const isUnused = isTimeout && socket.bytesRead === 0;
+    const isUnused = this.#isUnusedTimeIdle && isTimeout &&
+      socket.bytesRead === 0;
     if (
       !isUnused ||
       !this.#idleTimeout.keepUnused(socket, this.#server.headersTimeout)
--- a/src/connection/http_server_test.ts
+++ b/src/connection/http_server_test.ts
@@ -35,7 +35,7 @@
     server = new HttpServer((req, res) => {
       paths.push(req.url);
       handleRequest(req, res);
-    }, { requestTimeoutMs: REQUEST_TIMEOUT_MS });
+    }, { requestTimeoutMs: REQUEST_TIMEOUT_MS, isUnusedTimeIdle: true });
     setIdleTimeout(SHORT_IDLE_MS);
     await server.listen({ host: "127.0.0.1", port: 0 });
   });
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -186,7 +186,7 @@
           requests: this.#plannedStop,
         }),
       ),
-      { maxHeaderBytes: MAX_PARSED_HEADER_BYTES },
+      { maxHeaderBytes: MAX_PARSED_HEADER_BYTES, isUnusedTimeIdle: true },
     );
     this.#readinessServer = new HttpServer((req, res) => {
       const isReady = req.url === platform.readyPath && this.isReady();
