--- a/src/process/fleet/group_failure_detector.ts
+++ b/src/process/fleet/group_failure_detector.ts
@@ -159,6 +159,7 @@
     } else if (fault.evidence === "closing") {
       this.#silences.delete(group.key);
       this.#groups.recordSuspicion(group.key, fault.message);
+      this.#moveFromClosingGroup(group, faults);
     } else if (fault.evidence !== "silent") {
       this.#recordLoss(group, fault.message);
     } else if (!isObserverSlow) {
@@ -166,6 +167,20 @@
     }
   }
 
+  /** Moves the streams of a closing group that stand still since a member does not serve it any more. A member that stops may refuse connections while the streams go on. */
+  #moveFromClosingGroup(
+    { key }: ReplicaGroup,
+    faults: readonly MemberFault[],
+  ): void {
+    const memberFault = faults.find(({ evidence }) => evidence !== "closing");
+    const attempts = this.#attempts.listByGroup()
+      .find(([groupKey]) => groupKey === key)?.[1] ?? [];
+    const areSilent = attempts.length > 0 && getRemainingMs(attempts) < 0;
+    if (memberFault !== undefined && areSilent) {
+      this.#attempts.abandonGroup(key, memberFault.message);
+    }
+  }
+
   #recordLoss(group: ReplicaGroup, reason: string): void {
     this.#silences.delete(group.key);
     this.#groups.recordLoss(group.key, reason);
--- a/src/process/fleet/group_failure_detector_test.ts
+++ b/src/process/fleet/group_failure_detector_test.ts
@@ -248,6 +248,19 @@
 
     // Guards against streams that are cut during a planned stop of a member, which stops listening while the head completes them.
     it("lets the streams of a closing group complete whose member has stopped listening", async () => {
+      expect(await checkClosingGroup({ silentMs: 0 })).toEqual([]);
+    });
+
+    // Guards against streams that stand still until their callers leave, because a member has ended before the head of its closing group has completed them.
+    it("moves the silent streams of a closing group whose member has ended", async () => {
+      expect(await checkClosingGroup({ silentMs: 700 }))
+        .toEqual(["abandoned"]);
+    });
+
+    /** Checks a closing group whose other member refuses connections, and returns what happened to its stream. */
+    async function checkClosingGroup(
+      { silentMs }: { silentMs: number },
+    ): Promise<string[]> {
       const records: string[] = [];
       const attempts = new StreamAttempts();
       const group = {
@@ -256,8 +269,8 @@
       };
       attempts.add({
         group,
-        startedAtMs: performance.now(),
-        lastEventAtMs: performance.now(),
+        startedAtMs: performance.now() - silentMs,
+        lastEventAtMs: performance.now() - silentMs,
         abandon: () => records.push("abandoned"),
       });
       const detector = new GroupFailureDetector({
@@ -285,8 +298,8 @@
         announceLoss: () => {},
       });
       await detector.checkGroup(group, "declined");
-      expect(records).toEqual([]);
-    });
+      return records;
+    }
 
     // Guards against a response that is discarded although its group had sent all of it before it closed, because the caller reads slowly.
     it("moves the streams of a group that has closed", async () => {
