--- a/src/connection/backend_transport.ts
+++ b/src/connection/backend_transport.ts
@@ -127,7 +127,7 @@
    * @throws {BackendError} When no valid response to this request arrives.
    */
   send(target: BackendTarget, call: BackendCall): Promise<BackendResponse>;
-  /** Gets whether a backend server accepts a new connection; no request is sent on it. */
+  /** Gets whether the process of a backend server may still run: only a refused connection shows that it has ended, while one that is not made in time or is reset shows nothing. No request is sent. */
   isAccepting(target: BackendTarget): Promise<boolean>;
   /** Closes the idle connections. */
   dispose(): void;
