--- a/src/process/fleet/member_order_executor.ts
+++ b/src/process/fleet/member_order_executor.ts
@@ -80,7 +80,11 @@
     if (!await this.#confirmMembership(server)) {
       return false;
     }
-    const membership = this.#directory.findServer(server.id)?.membership;
+    const entry = this.#directory.findServer(server.id);
+    if (entry === undefined) {
+      return false;
+    }
+    const { membership } = entry;
     const mustLeave = membership !== undefined && !isSpareGroup(membership);
     if (mustLeave && !await this.#leaveGroup(server, membership)) {
       return false;
--- a/src/process/fleet/member_order_executor_test.ts
+++ b/src/process/fleet/member_order_executor_test.ts
@@ -1,6 +1,7 @@
 import { Left, Right } from "purify-ts";
 import { describe, expect, it } from "vitest";
 import type {
+  GroupOrder,
   GroupOrderClient,
   GroupOrderOutcome,
 } from "../../connection/group_order_client.ts";
@@ -10,7 +11,10 @@
 } from "../../../tests/support/backend_servers.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import { BackendDirectory } from "./backend_directory.ts";
-import type { BackendReport } from "../../shared/backend_server.ts";
+import type {
+  BackendReport,
+  BackendServer,
+} from "../../shared/backend_server.ts";
 import { MemberOrderExecutor } from "./member_order_executor.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
 
@@ -94,6 +98,51 @@
     });
   });
 
+  describe("joinGroup of a server whose entry is removed", () => {
+    // Guards against a server that joins a group without leaving the one that its removed entry named, whose head may still serve.
+    it("sends no join", async () => {
+      const directory = new BackendDirectory({ logger: new NullLogger() });
+      const applyChange = (
+        changed: Map<string, BackendServer>,
+        removed: string[],
+        revision: number,
+      ) =>
+        directory.applyChange({
+          changed,
+          removed,
+          revision,
+          changeRevision: revision,
+          outageMs: 0,
+          isSnapshot: false,
+        });
+      const server = { ...SERVER, membership: REPORT.membership };
+      applyChange(new Map([["s1", server]]), [], 1);
+      const actions: string[] = [];
+      const executor = new MemberOrderExecutor({
+        directory,
+        orders: {
+          sendOrder: (_target: unknown, { action }: GroupOrder) => {
+            actions.push(action);
+            return Promise.resolve("begun");
+          },
+          getReport: () => {
+            applyChange(new Map(), ["s1"], 2);
+            return Promise.resolve(Right(REPORT));
+          },
+        } as unknown as GroupOrderClient,
+        lease: { getTerm: () => 1 } as unknown as PlannerLeaseHolder,
+        logger: new NullLogger(),
+      });
+      const isJoined = await executor.joinGroup(server, {
+        groupName: "g2",
+        generation: 2,
+        model: "m",
+        members: ["s1"],
+      }, { timeoutMs: 100 });
+      expect({ isJoined, actions }).toEqual({ isJoined: false, actions: [] });
+    });
+  });
+
   describe("requestState", () => {
     // Guards against a group that is opened although one process stands for two of its members: a server that has restarted under another id at the same address.
     it("does not apply the state of another process at the address", async () => {
