--- a/src/process/fleet/replica_reconciler_test.ts
+++ b/src/process/fleet/replica_reconciler_test.ts
@@ -318,6 +318,8 @@
     const REPLACEMENT_MS = 1_000;
     /** Time for which a silent server does not count as ended, in milliseconds. */
     const SILENCE_MS = 2_000;
+    /** Time for which a sound server may be silent, in milliseconds. */
+    const SHORT_SILENCE_MS = 1_200;
 
     beforeEach(async () => {
       fleet.addServers(3);
@@ -342,6 +344,25 @@
       },
     );
 
+    // Guards against a member that leaves while the head serves, because the last entry of the head is from before the group was opened.
+    it.each([["member", 1], ["head", 0]])(
+      "asks a head whose last entry is out of date, while the %s is not listed",
+      async (_, rank) => {
+        const [headId] = assumeBusyGroups();
+        const missingId = fleet.listOpenGroups()[0][rank];
+        await runFor(FORMATION_MS);
+        fleet.assumeOutdatedEntry(headId, "ready");
+        // Without a change of the server, which would publish its entry.
+        fleet.servers.get(headId)!.condition = "silent";
+        fleet.changeServer(missingId, { isListed: false });
+        fleet.startPlanner({ isNew: false });
+        await runFor(SHORT_SILENCE_MS);
+        fleet.servers.get(headId)!.condition = "running";
+        await runFor(REQUEST_MS);
+        expect(fleet.interruptions).toEqual([]);
+      },
+    );
+
     it.each([["member", 1], ["head", 0]])(
       "replaces a group whose %s has ended",
       async (_, rank) => {
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -173,7 +173,9 @@
     const states = this.#requestMissingStates(group);
     const headState = group.head?.membership?.state;
     return states.includes("ended") || states.includes("silent") ||
-      (headState !== "open" && headState !== "closing");
+      headState === undefined ||
+      (headState !== "open" && headState !== "closing" &&
+        this.#isHeadConfirmed(group));
   }
 
   /** Gets whether an incomplete group has to be closed, since its head is open and no missing member is known to have ended. A planner that has taken over may not know the missing members. */
