--- a/src/process/fleet/group_table.ts
+++ b/src/process/fleet/group_table.ts
@@ -258,8 +258,9 @@
     const model = head.loadedModels[0];
     const groupSize = this.#findModel(head.service, model)?.groupSize;
     const formedSize = getFormedSize(head.membership.groupName) ?? groupSize;
+    const ranks = new Set(servers.map(({ membership }) => membership?.rank));
     const isComplete = formedSize === groupSize &&
-      servers.length === formedSize &&
+      servers.length === formedSize && ranks.size === formedSize &&
       servers.every(({ isDraining }) => !isDraining);
     if (
       !isComplete || servers.some(({ zone }) => this.#excludedZones.has(zone))
--- a/src/process/fleet/group_table_test.ts
+++ b/src/process/fleet/group_table_test.ts
@@ -59,6 +59,16 @@
     expect(listKeys()).toEqual(["g1/1"]);
   });
 
+  // Guards against a group that counts as complete although two entries name one process, which has one rank.
+  it("serves no group in which two members have the same rank", () => {
+    const { change, listKeys } = doTest();
+    change([
+      createMember("g1", 0),
+      createMember("g1", 0, { id: "earlier entry" }),
+    ]);
+    expect(listKeys()).toEqual([]);
+  });
+
   it("serves a suspected group again when its members respond, or nobody confirms the suspicion", () => {
     vi.useFakeTimers();
     const { table, change, listKeys } = doTest();
