--- a/src/connection/peer_notice.ts
+++ b/src/connection/peer_notice.ts
@@ -167,6 +167,8 @@
   readonly config?: RoutingConfig;
   /** Changes of the list of backend servers that the receiver lacks. */
   readonly servers?: BackendServerChanges;
+  /** Reports of the parts of the sender that have changed, by the name of their section. */
+  readonly sections?: Readonly<Record<string, unknown>>;
   /** Data that the sender asks the receiver for. */
   readonly request?: PeerDataRequest;
 }
--- a/src/process/fleet/notice_composer.ts
+++ b/src/process/fleet/notice_composer.ts
@@ -39,6 +39,8 @@
   readonly serverLimits: readonly ServerLimitReport[];
   readonly leavingServers: readonly LeavingServerNotice[];
   readonly peers: ReadonlyMap<string, DaemonDescription>;
+  /** Reports of the parts by the name of their section. A report is replaced by another object when it changes. */
+  readonly sections: ReadonlyMap<string, unknown>;
 }
 
 /** Composes the notices for links to which a daemon sends the same state. Remembers what it has sent, so that a notice contains changes only. */
@@ -132,6 +134,7 @@
     }
     addPromptPartChanges(notice, previous?.promptParts, state.promptParts);
     addPeerChanges(notice, previous?.peers, state.peers);
+    addSectionChanges(notice, previous?.sections, state.sections);
     this.#state = state;
     const isEmpty = Object.keys(notice).length === 0;
     return isEmpty && !options.isPeriodic ? undefined : notice;
@@ -142,8 +145,15 @@
     if (this.#state === undefined) {
       return undefined;
     }
-    const { loads, peers, crashes, promptParts, serverLimits, ...state } =
-      this.#state;
+    const {
+      loads,
+      peers,
+      crashes,
+      promptParts,
+      serverLimits,
+      sections,
+      ...state
+    } = this.#state;
     return {
       ...state,
       isComplete: true,
@@ -153,6 +163,7 @@
       partCrashes: promptParts.crashes.map(convertPartCrash),
       partSuccesses: promptParts.successes,
       serverLimits: serverLimits.map(convertServerLimit),
+      sections: Object.fromEntries(sections),
     };
   }
 
@@ -296,6 +307,19 @@
   }
 }
 
+function addSectionChanges(
+  notice: Mutable<PeerNotice>,
+  previous: ReadonlyMap<string, unknown> = new Map(),
+  sections: ReadonlyMap<string, unknown>,
+): void {
+  const changed = [...sections].filter(([name, report]) =>
+    previous.get(name) !== report
+  );
+  if (changed.length > 0) {
+    notice.sections = Object.fromEntries(changed);
+  }
+}
+
 function getConfirmedAtMs({ serversAgeMs }: NoticeState): number {
   return serversAgeMs === undefined
     ? Number.NEGATIVE_INFINITY
--- a/src/process/fleet/notice_composer_test.ts
+++ b/src/process/fleet/notice_composer_test.ts
@@ -20,6 +20,7 @@
       promptParts: { crashes: [], successes: [] },
       serverLimits: [],
       leavingServers: [],
+      sections: new Map(),
       peers: new Map(),
       ...state,
     };
@@ -45,6 +46,14 @@
       )).toEqual({ loads: [["g2", 4], ["g3", 0]] });
     });
 
+    it("contains the sections whose report was replaced", () => {
+      const unchanged = { n: 1 };
+      expect(doTest(
+        { sections: new Map([["a", unchanged], ["b", { n: 2 }]]) },
+        { sections: new Map([["a", unchanged], ["b", { n: 3 }]]) },
+      )).toEqual({ sections: { b: { n: 3 } } });
+    });
+
     it("contains each lost group and each crash once", () => {
       const createCrash = (groupKey: string) => ({
         fingerprint: "f1",
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -32,6 +32,7 @@
   | "claims"
   | "orders"
   | "status_requests"
+  | "duty_calls"
   | "peer_bytes_sent"
   | "store_reads"
   | "store_writes"
--- a/src/process/platform_adapter.ts
+++ b/src/process/platform_adapter.ts
@@ -1,4 +1,5 @@
 import type { RequestListener } from "node:http";
+import type { DutyClient } from "../connection/duty_client.ts";
 import type { BackendTransport } from "../connection/backend_transport.ts";
 import type { GroupOrderClient } from "../connection/group_order_client.ts";
 import type { SnapshotStore } from "../connection/object_store.ts";
@@ -12,6 +13,8 @@
   readonly store: SnapshotStore;
   readonly transport: BackendTransport;
   readonly orders: GroupOrderClient;
+  /** Client for the calls that are the duty of one daemon at a time; undefined when there are none. */
+  readonly duties?: DutyClient;
   /** Kinds of the store objects that operators and backend servers write. */
   readonly kinds: {
     readonly config: string;
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -23,6 +23,7 @@
   PeerRelation,
   PlannerNotice,
 } from "../connection/peer_notice.ts";
+import { NoticeSections } from "./notices/notice_sections.ts";
 import type { NoticeState } from "./fleet/notice_composer.ts";
 import { PromptPartQuarantine } from "./fleet/prompt_part_quarantine.ts";
 import { PlannerLeaseHolder } from "./fleet/planner_lease_holder.ts";
@@ -35,6 +36,7 @@
 import type { Metrics } from "./metrics.ts";
 import { PlannedStop } from "./planned_stop.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
+import type { RoutingPart } from "./routing_parts.ts";
 import type { RoutingContext } from "./routing_context.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
 import { type BackgroundTask, TaskSupervisor } from "./task_supervisor.ts";
@@ -83,6 +85,8 @@
   readonly #leaseHolder: PlannerLeaseHolder;
   readonly #peerExchange: PeerExchange;
   readonly #plannedStop: PlannedStop;
+  readonly #sections: NoticeSections;
+  readonly #parts: readonly RoutingPart[];
   readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
   #routes: RouteTable | undefined;
   #stopPromise: Promise<void> | undefined;
@@ -91,6 +95,7 @@
     this.#options = options;
     const { logger, platform, settings, metrics } = options;
     this.#addGauges(metrics);
+    this.#sections = new NoticeSections({ logger });
     this.#plannedStop = new PlannedStop({
       graceMs: settings.stopGraceMs,
       logger,
@@ -202,6 +207,17 @@
       res.end();
     });
     this.#linkTransport.listen(this.#peerServer.server);
+    this.#parts = this.#createParts();
+  }
+
+  /** Creates the parts that the settings switch on. */
+  #createParts(): RoutingPart[] {
+    const parts: RoutingPart[] = [];
+    for (const part of parts) {
+      part.sections.forEach((section) => this.#sections.add(section));
+      part.addGauges(this.#options.metrics);
+    }
+    return parts;
   }
 
   #addGauges(metrics: Metrics): void {
@@ -258,6 +274,11 @@
       this.#leaseHolder.observeTerm(planner.term, planner.name);
     }
     this.#fleetSync.applyNotice(partner, relation, notice);
+    this.#sections.applyReports(
+      partner.name,
+      relation,
+      notice.sections ?? {},
+    );
   }
 
   /** Gets whether the daemon is ready to serve callers: it has a configuration and a list of backend servers, and no planned stop has begun. */
@@ -284,6 +305,9 @@
     this.#startTask("lease", this.#leaseHolder);
     this.#startTask("replicas", this.#createReplicaReconciler());
     this.#startTask("guard", this.#context.groupFailureDetector);
+    for (const { tasks } of this.#parts) {
+      tasks.forEach((task, name) => this.#startTask(name, task));
+    }
     logger.write("info", "daemon-started", {
       caller: this.#callerServer.address,
       ready: this.#readinessServer.address,
@@ -379,7 +403,10 @@
         this.#applyNotice(partner, relation, notice),
       onReportSent: (number, loads) =>
         this.#groupLoads.recordSentLoads(number, loads),
-      onPartnerLost: (name) => this.#fleetSync.removePartner(name),
+      onPartnerLost: (name) => {
+        this.#fleetSync.removePartner(name);
+        this.#sections.removePartner(name);
+      },
     });
   }
 
@@ -428,6 +455,7 @@
       serverLimits: this.#serverLimits.getReport(relation),
       leavingServers: this.#serverStatements.getReport(relation),
       peers: this.#peerTable.getReport(relation),
+      sections: this.#sections.getReports(relation),
     };
   }
 
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -39,4 +39,22 @@
   readonly coldSlack: number;
   /** Whether backend servers use the planner's term as a fencing token, that is, refuse orders of an earlier term. */
   readonly areOrdersFenced: boolean;
+  /** Calls to the platform that are the duty of one daemon at a time; undefined when there are none. */
+  readonly duties?: DutySettings;
+}
+
+/** Kind of calls that are the duty of one daemon at a time. */
+export type DutyKind = "usage-report" | "server-scaling";
+
+/** Settings of the calls that are the duty of one daemon at a time. */
+export interface DutySettings {
+  readonly kinds: readonly DutyKind[];
+  /** Maximum number of such calls per second, over all daemons. */
+  readonly callsPerSecond: number;
+  /** Time within which the duties must not return to a daemon that has given them up, in milliseconds. */
+  readonly leaseMs: number;
+  /** Length of a window of usage in milliseconds. */
+  readonly usageWindowMs: number;
+  /** Time after the end of a window by which its usage has to be reported, in milliseconds. */
+  readonly usageDueMs: number;
 }
--- a/src/version/routing_config.ts
+++ b/src/version/routing_config.ts
@@ -82,6 +82,16 @@
   readonly coldRequestsPerSecond: number;
   /** Properties of the engines; undefined for a plain service. */
   readonly engine?: EngineProfile;
+  /** Limits of the number of servers that may be ordered; undefined when the number is fixed. */
+  readonly scaling?: ScalingLimits;
+}
+
+/** Limits of the number of backend servers of a service in each availability zone. */
+export interface ScalingLimits {
+  readonly minServers: number;
+  readonly maxServers: number;
+  /** Time from an order until a new server accepts requests, in milliseconds. */
+  readonly bootMs: number;
 }
 
 /** Limits on requests and connections of callers. */
