--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -8,6 +8,7 @@
   printConfigDiff,
   printConfigHistory,
 } from "./commands/config_commands.ts";
+import { printRouteExplanation } from "./commands/route_commands.ts";
 import {
   clearQuarantine,
   printQuarantine,
@@ -142,6 +143,16 @@
           this.#commandHandler = (context) => printTimeline(context, args);
         },
       )
+      .command(
+        "explain-route",
+        "Explains where a request would go now, without sending it",
+        (y) => this.#addRouteOptions(y),
+        (args) => {
+          const { host, path, account, model } = args;
+          this.#commandHandler = (context) =>
+            printRouteExplanation(context, { host, path, account, model });
+        },
+      )
       .command("request", "Requests", (y) => this.#addRequestCommands(y))
       .command(
         "quarantine",
@@ -280,6 +291,28 @@
     return y.demandCommand(1, "Specify a subcommand of vm");
   }
 
+  #addRouteOptions(y: Argv) {
+    return y
+      .option("host", {
+        type: "string",
+        demandOption: true,
+        describe: "Host of the request",
+      })
+      .option("path", {
+        type: "string",
+        demandOption: true,
+        describe: "Path of the request",
+      })
+      .option("account", {
+        type: "string",
+        describe: "Name of the client account; none by default",
+      })
+      .option("model", {
+        type: "string",
+        describe: "Model of the request; none for a plain service",
+      });
+  }
+
   #addRequestCommands(y: Argv): Argv {
     return y
       .command(
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -1,6 +1,10 @@
 import { type Got, RequestError, type Response } from "got";
 import { httpClient } from "../connection/http_client.ts";
 import type { QuarantinedRequest } from "../process/quarantine_list.ts";
+import type {
+  RouteExplanation,
+  RouteQuery,
+} from "../request/routed/route_explanation.ts";
 import type { CollectedTimeline } from "../process/timeline_collector.ts";
 import type { StatusReport } from "../process/status_report.ts";
 import type {
@@ -41,6 +45,14 @@
     return this.#getJson("api/status");
   }
 
+  /** Gets where a request would go now, as the daemon sees it. */
+  explainRoute(query: RouteQuery): Promise<RouteExplanation> {
+    const parameters = Object.entries(query).filter(([, value]) =>
+      value !== undefined
+    );
+    return this.#getJson(`explain-route?${new URLSearchParams(parameters)}`);
+  }
+
   /** Gets the configuration in force. */
   async getConfig(): Promise<VersionedConfig> {
     return await this.#getJson("api/config");
