Keep groups in service whose member has lost its entry

An entry that expires while its server is cut off from the store took the group out of service at every daemon, and the planner closed it after 250 ms. The group now stays in service until a second before the drain notice time, if the missing member is not the head, the directory knows the removed process and the planner has been heard of within 1.3 s. The planner polls the member every 250 ms, records a loss, and closes the groups share by share. The time of a removal is that of the last confirmation of the list, so it is never taken to be later than it was. keepsIncompleteGroups=false restores the earlier behaviour.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -152,6 +152,14 @@
       );
   }
 
+  /** Finds the last entry of a removed server; undefined when it is listed or the time of its removal is not known, as after a store outage. */
+  findRemovedServer(id: string): BackendServer | undefined {
+    const tombstone = this.#tombstones.get(id);
+    return this.#servers.has(id) || tombstone?.revision === UNKNOWN_REVISION
+      ? undefined
+      : tombstone?.entry;
+  }
+
   /** Registers a listener that is called after each change of the directory. */
   onChange(listener: DirectoryListener): void {
     this.#listeners.add(listener);
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -117,6 +117,8 @@
   #readingWait: Promise<void> | undefined;
   /** Monotonic time at which the store last confirmed the list of servers to a partner, in milliseconds. */
   #partnersConfirmedAtMs = Number.NEGATIVE_INFINITY;
+  /** Monotonic time at which the store had confirmed the list of servers when this daemon last received a confirmation, in milliseconds. */
+  #listConfirmedAtMs = Number.NEGATIVE_INFINITY;
   #laggingSinceMs: number | undefined;
   /** Last revision that the store or a peer has stated; 0 before the first one. */
   #knownRevision = 0;
@@ -183,7 +185,10 @@
         this.#observeRevision(change.revision, "store");
         directory.applyChange(change);
       },
-      onConfirm: () => options.scheduleNotices(),
+      onConfirm: () => {
+        this.#recordListConfirmation();
+        options.scheduleNotices();
+      },
       onStoreRecovered: () => {
         // The connections of the other watches may have been lost in the same outage; without a restart, this would be noticed only after their longer timeouts.
         this.#configWatch.restart();
@@ -302,9 +307,19 @@
         this.#partnersConfirmedAtMs,
         partner.serversConfirmedAtMs,
       );
+      this.#recordListConfirmation();
     }
   }
 
+  #recordListConfirmation(): void {
+    this.#listConfirmedAtMs = performance.now() - this.#getListAgeMs();
+  }
+
+  /** Gets the monotonic time at which the store had last confirmed the list of servers, in milliseconds. While a change of the list is applied, it is the time before that change. */
+  get listConfirmedAtMs(): number {
+    return this.#listConfirmedAtMs;
+  }
+
   /** Gets whether the store's confirmation of a partner's list holds for the list of this daemon, too. A list of another generation of the store says nothing about this one. */
   #hasConfirmedList({ relation, serversRevision }: Partner): boolean {
     const { revision } = this.#options.directory;
--- a/src/process/fleet/group_table.ts
+++ b/src/process/fleet/group_table.ts
@@ -2,6 +2,7 @@
 import type { ServedModel } from "../../version/routing_config.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
+import type { MissingMembers } from "../registration/missing_members.ts";
 import { getFormedSize } from "./group_name.ts";
 
 /** Time for which a suspicion holds without being confirmed, in milliseconds; longer than the time between two checks of a suspected group. */
@@ -32,6 +33,8 @@
   readonly #directory: BackendDirectory;
   readonly #logger: Logger;
   readonly #findModel: ModelLookup;
+  /** Members with which groups stay in service although their entries were removed; undefined when a missing entry takes a group out of service. */
+  readonly #missingMembers: MissingMembers | undefined;
   /** Reason for each recorded loss, by group key. */
   readonly #lossReasons = new Map<string, string>();
   /** Monotonic time until which a group with a silent member gets no requests, in milliseconds, by group key. */
@@ -52,10 +55,12 @@
     directory: BackendDirectory;
     logger: Logger;
     findModel: ModelLookup;
+    missingMembers?: MissingMembers;
   }) {
     this.#directory = options.directory;
     this.#logger = options.logger;
     this.#findModel = options.findModel;
+    this.#missingMembers = options.missingMembers;
     this.#directory.onChange((changedIds) => this.#applyServers(changedIds));
   }
 
@@ -121,6 +126,7 @@
     }
     this.#lossReasons.set(key, reason);
     this.#suspectedUntilMs.delete(key);
+    this.#missingMembers?.removeGroup(key);
     this.#logger.write("info", "group-lost", { group: key, reason });
     this.#refreshGroups([key]);
     return true;
@@ -184,6 +190,14 @@
     }
   }
 
+  /** Takes the groups out of service whose missing members are not allowed any more. */
+  removeExpiredMissing(): void {
+    const keys = this.#missingMembers?.sweep() ?? [];
+    if (keys.length > 0) {
+      this.#refreshGroups(keys);
+    }
+  }
+
   /** Rebuilds all groups, and calls the listeners. */
   refresh(): void {
     this.#refreshGroups([...this.#members.keys()]);
@@ -195,6 +209,11 @@
       const server = this.#directory.findServer(id);
       const previousKey = this.#keysByServer.get(id);
       const key = server === undefined ? undefined : getMembershipKey(server);
+      if (server !== undefined) {
+        this.#missingMembers?.removeServer(id);
+      } else if (previousKey !== undefined) {
+        this.#recordMissing(previousKey, id);
+      }
       if (previousKey !== undefined && previousKey !== key) {
         this.#removeMember(previousKey, id);
         changedKeys.add(previousKey);
@@ -214,6 +233,20 @@
     this.#keysByServer.set(server.id, key);
   }
 
+  /** Records a member whose entry was removed while its group was in service. A removal after an outage of the store has no known time, and a group without its head's entry is out of service. */
+  #recordMissing(key: string, id: string): void {
+    const member = this.#members.get(key)?.get(id);
+    const removed = this.#directory.findRemovedServer(id);
+    if (
+      member !== undefined && this.#groups.has(key) &&
+      member.membership?.rank !== 0 && removed !== undefined &&
+      removed.startedAtMs === member.startedAtMs &&
+      getMembershipKey(removed) === key
+    ) {
+      this.#missingMembers?.record(key, removed);
+    }
+  }
+
   #removeMember(key: string, id: string): void {
     const members = this.#members.get(key);
     members?.delete(id);
@@ -223,6 +256,7 @@
       this.#lossReasons.delete(key);
       this.#suspectedUntilMs.delete(key);
       this.#confirmedAtMs.delete(key);
+      this.#missingMembers?.removeGroup(key);
     }
   }
 
@@ -231,9 +265,10 @@
     this.#groupsByModel.clear();
     for (const key of keys) {
       const members = this.#members.get(key);
-      const group = members === undefined
-        ? undefined
-        : this.#createGroup(key, [...members.values()]);
+      const group = members === undefined ? undefined : this.#createGroup(key, [
+        ...members.values(),
+        ...this.#missingMembers?.listAllowed(key) ?? [],
+      ]);
       this.#recordServingChange(key, group);
       if (group === undefined) {
         this.#groups.delete(key);
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -12,6 +12,7 @@
   isSpareGroup,
   type MemberOrderExecutor,
 } from "./member_order_executor.ts";
+import type { MissingMembers } from "../registration/missing_members.ts";
 import { OrderSchedule } from "./order_schedule.ts";
 import { ServiceState } from "./service_state.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
@@ -32,6 +33,8 @@
   readonly lease: PlannerLeaseHolder;
   readonly loads: GroupLoads;
   readonly logger: Logger;
+  /** Members with which groups stay in service although their entries were removed. */
+  readonly missingMembers?: MissingMembers;
   /** Lists the services that have an engine. */
   listEngineServices(): RoutedService[];
   getExcludedZones(): ReadonlySet<string>;
@@ -144,11 +147,12 @@
   #getState(service: string): ServiceState {
     let state = this.#states.get(service);
     if (state === undefined) {
-      const { groups, orders, logger } = this.#options;
+      const { groups, orders, logger, missingMembers } = this.#options;
       state = new ServiceState({
         groups,
         orders,
         logger,
+        missingMembers,
         onProbeResult: () => {
           this.#hasChanged = true;
         },
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -1,6 +1,8 @@
 import type { BackendServer } from "../../shared/backend_server.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type { RoutedService } from "../../version/routing_config.ts";
+import { GroupClosings } from "../registration/group_closings.ts";
+import type { MissingMembers } from "../registration/missing_members.ts";
 import { getFirstGeneration, getFormedSize } from "./group_name.ts";
 import { collectMembers, type GroupTable } from "./group_table.ts";
 import {
@@ -36,6 +38,8 @@
   readonly groups: GroupTable;
   readonly orders: MemberOrderExecutor;
   readonly logger: Logger;
+  /** Members with which groups stay in service although their entries were removed. */
+  readonly missingMembers?: MissingMembers;
   /** Called when a member of a group has responded to a probe, or has not. */
   onProbeResult(): void;
 }
@@ -51,6 +55,8 @@
   /** Number of servers that each reported group was formed of, by group key. It counts for groups that an earlier version has formed, whose names do not state it. */
   #groupSizes = new Map<string, number>();
   readonly #survivorProber: SurvivorProber;
+  /** Closings of the groups that stay in service without the entry of a member; undefined when a missing entry takes a group out of service. */
+  readonly #closings: GroupClosings | undefined;
   #term = 0;
 
   constructor(options: ReportedGroupsOptions) {
@@ -59,6 +65,10 @@
       orders: options.orders,
       onResult: () => options.onProbeResult(),
     });
+    const { groups, logger, missingMembers } = options;
+    this.#closings = missingMembers === undefined
+      ? undefined
+      : new GroupClosings({ groups, logger, missingMembers });
   }
 
   /**
@@ -88,6 +98,7 @@
     this.#recordSupersededGroups(service, groups);
     this.#survivorProber.retainGroups(groups);
     this.#checkSuspectedGroups(groups);
+    this.#closings?.update(service, groups.values());
   }
 
   list(): ReportedGroup[] {
@@ -141,8 +152,9 @@
     const isClosed = state === undefined ||
       (state === "ready" && this.#isHeadConfirmed(group));
     if (!group.isComplete) {
-      return (group.isOutdated && isClosed) ||
+      const isReusable = (group.isOutdated && isClosed) ||
         (this.#isGraceOver(group) && this.#isMissingConfirmed(group));
+      return isReusable && !this.#closings?.isServingIncomplete(group);
     }
     if (group.members.some(({ isDraining }) => isDraining)) {
       return isClosed;
@@ -180,18 +192,27 @@
 
   /** Gets whether an incomplete group has to be closed, since its head is open and no missing member is known to have ended. A planner that has taken over may not know the missing members. */
   hasToCloseIncomplete(group: ReportedGroup): boolean {
-    return this.#isGraceOver(group) &&
-      group.head?.membership?.state === "open" &&
-      this.#requestMissingStates(group).every((state) => state === "alive");
+    if (
+      !this.#isGraceOver(group) || group.head?.membership?.state !== "open"
+    ) {
+      return false;
+    }
+    const states = this.#requestMissingStates(group);
+    return this.#closings?.hasServedIncomplete(group)
+      ? this.#closings.has(group.key) && !states.includes("ended")
+      : states.every((state) => state === "alive");
   }
 
   #requestMissingStates(group: ReportedGroup): MemberState[] {
+    // A response from before the loss of the group does not count after it.
+    const isLost = this.#options.groups.isLost(group.key) ||
+      !this.#closings?.isServingIncomplete(group);
     return group.missingMembers.map((member) =>
       // A server that drains may refuse connections before it ends. Once its entry is removed, a refusal means that it has ended.
       this.#survivorProber.getState(
         group.key,
         { ...member, isDraining: false },
-        { isLost: true, mustRepeat: true },
+        { isLost, mustRepeat: true },
       )
     );
   }
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -40,6 +40,9 @@
 import type { RoutingContext } from "./routing_context.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
 import { type BackgroundTask, TaskSupervisor } from "./task_supervisor.ts";
+import { MissingMembers } from "./registration/missing_members.ts";
+import { createMissingMemberBounds } from "./registration/missing_member_rules.ts";
+import { MissingMemberTask } from "./registration/missing_member_task.ts";
 import { UnansweredEndRecorder } from "./unanswered_end_recorder.ts";
 
 /** Kinds of the store objects that daemons write. */
@@ -66,7 +69,10 @@
   readonly #options: RoutingDaemonOptions;
   readonly #lifeCycle = new LifeCycleManager();
   readonly #directory: BackendDirectory;
+  /** Undefined when a missing entry takes a group out of service. */
+  readonly #missingMembers: MissingMembers | undefined;
   readonly #groups: GroupTable;
+  readonly #memberOrders: MemberOrderExecutor;
   readonly #context: RoutingContext;
   readonly #requestHandler: RoutedRequestHandler;
   readonly #callerServer: HttpServer;
@@ -101,6 +107,7 @@
       logger,
     });
     this.#directory = new BackendDirectory({ logger });
+    this.#missingMembers = this.#createMissingMembers();
     this.#groups = new GroupTable({
       directory: this.#directory,
       logger,
@@ -108,6 +115,7 @@
         this.#routes?.findService(service)?.engine?.models.find(({ name }) =>
           name === model
         ),
+      missingMembers: this.#missingMembers,
     });
     this.#serverStatements = new ServerStatements({
       directory: this.#directory,
@@ -133,6 +141,12 @@
     this.#fleetSync = this.#createFleetSync();
     this.#leaseHolder = this.#createLeaseHolder();
     this.#peerExchange = this.#createPeerExchange();
+    this.#memberOrders = new MemberOrderExecutor({
+      directory: this.#directory,
+      orders: platform.orders,
+      lease: this.#leaseHolder,
+      logger,
+    });
     this.#serverStatements.onChange(() => this.#peerExchange.scheduleNotices());
     this.#groupLoads.onReportChange(() => this.#peerExchange.scheduleNotices());
     const attempts = new StreamAttempts();
@@ -213,6 +227,9 @@
   /** Creates the parts that the settings switch on. */
   #createParts(): RoutingPart[] {
     const parts: RoutingPart[] = [];
+    if (this.#missingMembers !== undefined) {
+      parts.push(this.#createRegistrationPart(this.#missingMembers));
+    }
     for (const part of parts) {
       part.sections.forEach((section) => this.#sections.add(section));
       part.addGauges(this.#options.metrics);
@@ -220,6 +237,41 @@
     return parts;
   }
 
+  #createMissingMembers(): MissingMembers | undefined {
+    const { settings, logger } = this.#options;
+    const { drainNoticeMs, keepsIncompleteGroups = true } = settings;
+    const { closeByMs } = createMissingMemberBounds(drainNoticeMs);
+    return keepsIncompleteGroups && closeByMs > 0
+      ? new MissingMembers({
+        drainNoticeMs,
+        getPlannerAgeMs: () => this.#findPlanner()?.ageMs,
+        getListConfirmedAtMs: () => this.#fleetSync.listConfirmedAtMs,
+        logger,
+      })
+      : undefined;
+  }
+
+  #createRegistrationPart(missingMembers: MissingMembers): RoutingPart {
+    const task = new MissingMemberTask({
+      missingMembers,
+      groups: this.#groups,
+      orders: this.#memberOrders,
+      isPlanner: () => this.#leaseHolder.getTerm() !== undefined,
+      announceLoss: () => this.#peerExchange.announce(),
+    });
+    return {
+      name: "registration",
+      sections: [],
+      tasks: new Map([["missing-members", task]]),
+      addGauges: (metrics) =>
+        metrics.addGauge({
+          name: "incomplete_groups",
+          help: "Groups in service with a member whose entry was removed",
+          getValue: () => missingMembers.allowedCount,
+        }),
+    };
+  }
+
   #addGauges(metrics: Metrics): void {
     metrics.addGauge({
       name: "serving_groups",
@@ -411,16 +463,12 @@
   }
 
   #createReplicaReconciler(): ReplicaReconciler {
-    const { platform, logger } = this.#options;
+    const { logger } = this.#options;
     return new ReplicaReconciler({
       directory: this.#directory,
       groups: this.#groups,
-      orders: new MemberOrderExecutor({
-        directory: this.#directory,
-        orders: platform.orders,
-        lease: this.#leaseHolder,
-        logger,
-      }),
+      orders: this.#memberOrders,
+      missingMembers: this.#missingMembers,
       lease: this.#leaseHolder,
       loads: this.#groupLoads,
       logger,
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -39,6 +39,8 @@
   readonly coldSlack: number;
   /** Whether backend servers use the planner's term as a fencing token, that is, refuse orders of an earlier term. */
   readonly areOrdersFenced: boolean;
+  /** Whether a group stays in service for a time when the entry of a member that is not its head is removed; defaults to true. */
+  readonly keepsIncompleteGroups?: boolean;
   /** Calls to the platform that are the duty of one daemon at a time; undefined when there are none. */
   readonly duties?: DutySettings;
 }
--- a/tests/support/reconciled_fleet.ts
+++ b/tests/support/reconciled_fleet.ts
@@ -12,6 +12,8 @@
 import { MemberOrderExecutor } from "../../src/process/fleet/member_order_executor.ts";
 import type { PlannerLeaseHolder } from "../../src/process/fleet/planner_lease_holder.ts";
 import { ReplicaReconciler } from "../../src/process/fleet/replica_reconciler.ts";
+import { MissingMemberTask } from "../../src/process/registration/missing_member_task.ts";
+import { MissingMembers } from "../../src/process/registration/missing_members.ts";
 import type {
   BackendReport,
   BackendServer,
@@ -87,7 +89,12 @@
   services: readonly RoutedService[] = [createModelService()];
   /** Returns the time until an order is carried out that gets no response, in milliseconds, or 0 for an order that is carried out at once. */
   getOrderDelayMs: (serverId: string, order: GroupOrder) => number = () => 0;
+  /** Time within which requests to a removed server have to end, in milliseconds; undefined when a missing entry takes a group out of service. */
+  drainNoticeMs: number | undefined;
+  /** Age of the planner's last notice, in milliseconds. */
+  plannerAgeMs: number | undefined = 0;
   #directory = new BackendDirectory({ logger: new NullLogger() });
+  #missingMembers: MissingMembers | undefined;
   #groups: GroupTable | undefined;
   #controller = new AbortController();
   #term = 0;
@@ -140,15 +147,17 @@
       getTerm: () => signal.aborted ? undefined : term,
       drop: () => {},
     } as unknown as PlannerLeaseHolder;
+    const orders = new MemberOrderExecutor({
+      directory,
+      orders: this,
+      lease,
+      logger,
+    });
     const reconciler = new ReplicaReconciler({
       directory,
       groups: this.groups,
-      orders: new MemberOrderExecutor({
-        directory,
-        orders: this,
-        lease,
-        logger,
-      }),
+      orders,
+      missingMembers: this.#missingMembers,
       lease,
       loads: { hasTraffic: () => true } as GroupLoads,
       logger,
@@ -156,6 +165,16 @@
       getExcludedZones: () => this.excludedZones,
     });
     void reconciler.run(signal);
+    if (this.#missingMembers !== undefined) {
+      const task = new MissingMemberTask({
+        missingMembers: this.#missingMembers,
+        groups: this.groups,
+        orders,
+        isPlanner: () => !signal.aborted,
+        announceLoss: () => {},
+      });
+      void task.run(signal);
+    }
   }
 
   /** Ends the planner, whose orders in progress are not continued. */
@@ -262,9 +281,18 @@
     const logger = new NullLogger();
     const directory = new BackendDirectory({ logger });
     this.#directory = directory;
+    this.#missingMembers = this.drainNoticeMs === undefined
+      ? undefined
+      : new MissingMembers({
+        drainNoticeMs: this.drainNoticeMs,
+        getPlannerAgeMs: () => this.plannerAgeMs,
+        getListConfirmedAtMs: () => performance.now(),
+        logger,
+      });
     this.#groups = new GroupTable({
       directory,
       logger,
+      missingMembers: this.#missingMembers,
       findModel: (service, model) =>
         this.services.find(({ name }) => name === service)?.engine?.models
           .find(({ name }) => name === model),
