Keep a group in service as long as its missing member states that it is healthy

The planner checks the health of missing members, keeps the groups of healthy ones in service beyond the bound, and closes the group of a leaving one at once. A notice section tells the other daemons which groups are confirmed; without a recent confirmation they keep to the bound.

--- a/bench/explore/simulated_order_client.ts
+++ b/bench/explore/simulated_order_client.ts
@@ -6,6 +6,7 @@
   type GroupOrderOutcome,
   ReportTimeoutError,
 } from "../../src/connection/group_order_client.ts";
+import type { ServerHealth } from "../../src/connection/group_order_client.ts";
 import type { BackendReport } from "../../src/shared/backend_server.ts";
 import type { SimulatedServer } from "./simulated_server.ts";
 import type { VirtualClock } from "./virtual_clock.ts";
@@ -104,6 +105,11 @@
     });
   }
 
+  /** The simulated servers have no health check. */
+  getHealth(): Promise<ServerHealth> {
+    return Promise.resolve("unknown");
+  }
+
   #applyOrder(
     server: SimulatedServer | undefined,
     target: BackendTarget,
--- a/src/connection/group_order_client.ts
+++ b/src/connection/group_order_client.ts
@@ -52,6 +52,15 @@
   | "gone"
   | "unknown";
 
+/**
+ * Result of a health check.
+ *
+ * - `healthy`: the server states that it is sound and does not leave.
+ * - `unhealthy`: the server states that it leaves or fails.
+ * - `unknown`: no usable response arrived.
+ */
+export type ServerHealth = "healthy" | "unhealthy" | "unknown";
+
 /** Missing response to a status request. The server is silent, which does not prove that its process has ended. */
 export class ReportTimeoutError extends Error {
   override readonly name = "ReportTimeoutError";
@@ -89,4 +98,16 @@
     target: BackendTarget,
     timeoutMs: number,
   ): Promise<Either<Error, BackendReport>>;
+  /**
+   * Checks the health of a backend server.
+   *
+   * @param target - Backend server to query.
+   * @param path - Path of the health check of the server's service.
+   * @param timeoutMs - Time limit of the request in milliseconds.
+   */
+  getHealth(
+    target: BackendTarget,
+    path: string,
+    timeoutMs: number,
+  ): Promise<ServerHealth>;
 }
--- a/src/process/fleet/member_order_executor.ts
+++ b/src/process/fleet/member_order_executor.ts
@@ -4,6 +4,7 @@
   GroupOrder,
   GroupOrderClient,
   GroupOrderOutcome,
+  ServerHealth,
 } from "../../connection/group_order_client.ts";
 import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
@@ -44,6 +45,7 @@
   readonly #directory: BackendDirectory;
   readonly #orders: GroupOrderClient;
   readonly #lease: PlannerLeaseHolder;
+  readonly #getHealthPath: (service: string) => string | undefined;
   readonly #logger: Logger;
   /** Lease term in which the state of a server was last requested, by server id and start time. */
   readonly #refreshedTerms = new Map<string, number | undefined>();
@@ -56,11 +58,14 @@
     directory: BackendDirectory;
     orders: GroupOrderClient;
     lease: PlannerLeaseHolder;
+    /** Gets the path of the health check of a service; undefined when it has none. */
+    getHealthPath?(service: string): string | undefined;
     logger: Logger;
   }) {
     this.#directory = options.directory;
     this.#orders = options.orders;
     this.#lease = options.lease;
+    this.#getHealthPath = (service) => options.getHealthPath?.(service);
     this.#logger = options.logger;
   }
 
@@ -335,6 +340,16 @@
     });
   }
 
+  /** Requests what a server states about its own health. */
+  async requestHealth(server: BackendServer): Promise<ServerHealth> {
+    const path = this.#getHealthPath(server.service);
+    return path === undefined ? "unknown" : await this.#orders.getHealth(
+      getTarget(server),
+      path,
+      REPORT_TIMEOUT_MS,
+    );
+  }
+
   /** Waits until a server has the expected state. Checks the server's entry in the directory often, which causes no request, and requests the state at a growing interval. */
   async #waitForState(
     server: BackendServer,
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -32,6 +32,7 @@
   | "claims"
   | "orders"
   | "status_requests"
+  | "health_checks"
   | "duty_calls"
   | "peer_bytes_sent"
   | "store_reads"
--- a/src/process/registration/group_closings.ts
+++ b/src/process/registration/group_closings.ts
@@ -75,6 +75,8 @@
     for (const { key, model, missingMs } of incompleteGroups) {
       const reason = closings.get(key);
       if (reason !== undefined) {
+        // The suspicion is told to the other daemons, which would send requests until the list shows that the head closes.
+        this.#groups.recordSuspicion(key, `it is being closed: ${reason}`);
         this.#logger.write("info", "incomplete-group-closing", {
           group: key,
           reason,
@@ -101,6 +103,8 @@
       isServing: this.#groups.isServing(key),
       isAllowed: this.#missingMembers.isAllowed(key) && !isOutdated &&
         members.every(({ isDraining }) => !isDraining),
+      isConfirmed: this.#missingMembers.isConfirmed(key),
+      isLeaving: this.#missingMembers.isLeaving(key),
       isClosing: this.#closings.has(key) || head.membership?.state !== "open",
     };
   }
--- a/src/process/registration/missing_member_rules.ts
+++ b/src/process/registration/missing_member_rules.ts
@@ -31,12 +31,16 @@
   readonly isServing: boolean;
   /** Whether the group may stay in service without the entry for now. */
   readonly isAllowed: boolean;
+  /** Whether all missing members have recently stated that they are healthy. */
+  readonly isConfirmed: boolean;
+  /** Whether a missing member has stated that it leaves or fails. */
+  readonly isLeaving: boolean;
   /** Whether the group has been closed, or its closing was decided before. */
   readonly isClosing: boolean;
 }
 
 /** Reason why a group with a missing member is closed. */
-export type ClosingReason = "out-of-service" | "share" | "bound";
+export type ClosingReason = "out-of-service" | "leaving" | "share" | "bound";
 
 /**
  * Derives the times for closing a group from the time within which no daemon may send requests to a removed server. Requests that begin just before the group has to be closed end within that time.
@@ -58,23 +62,26 @@
 /**
  * Decides whether a group whose members serve on without an entry stays in service. Guards against a partition between servers and the store that takes all groups of the servers out of service at once.
  *
- * @param options - Time since the removal, age of the planner's last notice (undefined without a planner), both in milliseconds, and bounds.
+ * A server that is cut off from the store states that it is healthy, and no request reaches a member that is not the head, so its group may stay in service beyond the bound. One that leaves without an announcement states that it is not.
+ *
+ * @param options - Time since the removal, age of the planner's last notice (undefined without a planner), both in milliseconds, whether the planner has recently found the missing members healthy, and bounds.
  */
 export function isMissingAllowed(
-  { missingMs, plannerAgeMs, bounds }: {
+  { missingMs, plannerAgeMs, isConfirmed, bounds }: {
     missingMs: number;
     plannerAgeMs: number | undefined;
+    isConfirmed: boolean;
     bounds: MissingMemberBounds;
   },
 ): boolean {
-  return missingMs < bounds.closeByMs && plannerAgeMs !== undefined &&
-    plannerAgeMs <= MAX_PLANNER_AGE_MS;
+  return (missingMs < bounds.closeByMs || isConfirmed) &&
+    plannerAgeMs !== undefined && plannerAgeMs <= MAX_PLANNER_AGE_MS;
 }
 
 /**
  * Decides which groups with a missing member the planner closes now. Guards against the closing of many groups at once when many entries are removed together, as by a partition or a release: each closing takes slots from the model until the requests in flight have ended and the next group is open.
  *
- * A group whose bound is reached or that is out of service is closed in any case. The others follow from `closeFromMs` on, longest missing first, while at most `MAX_CLOSING_SHARE` of the model's groups, and at least one, are closing; those with a missing head count first.
+ * A group whose bound is reached, that is out of service or whose missing member leaves is closed in any case, and one whose missing members are healthy is not closed. The others follow from `closeFromMs` on, longest missing first, while at most `MAX_CLOSING_SHARE` of the model's groups, and at least one, are closing; those with a missing head count first.
  *
  * @param groups - All groups with a missing member.
  * @param options - Number of groups that accept requests at the planner by model, and bounds.
@@ -102,7 +109,9 @@
     }
     if (!isClosing && reason !== undefined) {
       closings.set(key, reason);
-    } else if (!isClosing && group.missingMs >= bounds.closeFromMs) {
+    } else if (
+      !isClosing && !group.isConfirmed && group.missingMs >= bounds.closeFromMs
+    ) {
       candidates.push(group);
     }
   }
@@ -122,10 +131,14 @@
 
 /** Finds the reason why a group has to be closed whatever the number of groups that are closing. */
 function findClosingReason(
-  { missingMs, isHeadMissing, isAllowed }: IncompleteGroup,
+  { missingMs, isHeadMissing, isAllowed, isConfirmed, isLeaving }:
+    IncompleteGroup,
   { closeByMs }: MissingMemberBounds,
 ): ClosingReason | undefined {
-  if (missingMs >= closeByMs) {
+  if (isLeaving) {
+    return "leaving";
+  }
+  if (missingMs >= closeByMs && !isConfirmed) {
     return "bound";
   }
   return isHeadMissing || !isAllowed ? "out-of-service" : undefined;
--- a/src/process/registration/missing_member_task.ts
+++ b/src/process/registration/missing_member_task.ts
@@ -15,7 +15,7 @@
 export class MissingMemberTask {
   readonly #missingMembers: MissingMembers;
   readonly #groups: GroupTable;
-  readonly #orders: Pick<MemberOrderExecutor, "requestState">;
+  readonly #orders: Pick<MemberOrderExecutor, "requestState" | "requestHealth">;
   readonly #isPlanner: () => boolean;
   readonly #announceLoss: () => void;
   /** Monotonic time of the last poll in milliseconds, by group key and server id; infinite while it is in progress. */
@@ -24,7 +24,7 @@
   constructor(options: {
     missingMembers: MissingMembers;
     groups: GroupTable;
-    orders: Pick<MemberOrderExecutor, "requestState">;
+    orders: Pick<MemberOrderExecutor, "requestState" | "requestHealth">;
     isPlanner(): boolean;
     /** Sends the loss of a group to the other daemons at once. */
     announceLoss(): void;
@@ -70,12 +70,18 @@
 
   /** Requests the state of a member, and records the loss of its group if the member does not serve it any more. A missing response is left to the checks of silent members. */
   async #poll(key: string, member: BackendServer): Promise<void> {
-    const report = await this.#orders.requestState(member);
+    const [report, health] = await Promise.all([
+      this.#orders.requestState(member),
+      this.#orders.requestHealth(member),
+    ]);
     const loss = report.caseOf({
       Left: (error) =>
         error instanceof ReportTimeoutError ? undefined : error.message,
       Right: (state) => findLoss(member, state),
     });
+    if (report.isRight() && loss === undefined) {
+      this.#missingMembers.recordHealth(key, member.id, health);
+    }
     if (
       loss !== undefined && this.#missingMembers.isAllowed(key) &&
       this.#missingMembers.listAllowed(key).includes(member) &&
--- a/src/process/registration/missing_members.ts
+++ b/src/process/registration/missing_members.ts
@@ -1,5 +1,7 @@
+import type { ServerHealth } from "../../connection/group_order_client.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
 import type { Logger } from "../../shared/logger.ts";
+import type { ConfirmedGroups } from "./confirmed_groups.ts";
 import {
   createMissingMemberBounds,
   isMissingAllowed,
@@ -12,8 +14,15 @@
   readonly server: BackendServer;
   /** Monotonic time after which the entry was removed, in milliseconds. */
   readonly removedAtMs: number;
+  /** Monotonic time at which the planner on this daemon last found the member healthy, in milliseconds. */
+  healthyAtMs: number;
+  /** Whether the member has stated that it leaves or fails. */
+  isLeaving: boolean;
 }
 
+/** Age up to which the health of one member counts while others of its group are checked, in milliseconds; two polls. */
+const HEALTH_VALIDITY_MS = 600;
+
 /** Missing members of one group, by server id. */
 interface MissingGroup {
   readonly members: Map<string, MissingMember>;
@@ -26,6 +35,7 @@
   readonly bounds: MissingMemberBounds;
   readonly #getPlannerAgeMs: () => number | undefined;
   readonly #getListConfirmedAtMs: () => number;
+  readonly #confirmedGroups: ConfirmedGroups;
   readonly #logger: Logger;
   readonly #groups = new Map<string, MissingGroup>();
 
@@ -36,11 +46,14 @@
     getPlannerAgeMs(): number | undefined;
     /** Gets the monotonic time at which the store had last confirmed the list of servers before the present change, in milliseconds. */
     getListConfirmedAtMs(): number;
+    /** Groups whose missing members the planner has found healthy. */
+    confirmedGroups: ConfirmedGroups;
     logger: Logger;
   }) {
     this.bounds = createMissingMemberBounds(options.drainNoticeMs);
     this.#getPlannerAgeMs = () => options.getPlannerAgeMs();
     this.#getListConfirmedAtMs = () => options.getListConfirmedAtMs();
+    this.#confirmedGroups = options.confirmedGroups;
     this.#logger = options.logger;
   }
 
@@ -67,9 +80,14 @@
     const removedAtMs = Math.min(nowMs, this.#getListConfirmedAtMs());
     const group = this.#groups.get(key) ??
       { members: new Map<string, MissingMember>(), isAllowed: true };
-    group.members.set(server.id, { server, removedAtMs });
+    group.members.set(server.id, {
+      server,
+      removedAtMs,
+      healthyAtMs: Number.NEGATIVE_INFINITY,
+      isLeaving: false,
+    });
     this.#groups.set(key, group);
-    group.isAllowed = group.isAllowed && this.#isAllowed(group);
+    group.isAllowed = group.isAllowed && this.#isAllowed(key, group);
     this.#logger.write("info", "member-missing", {
       group: key,
       server: server.id,
@@ -110,6 +128,40 @@
       : [];
   }
 
+  /** Records what a missing member has stated about its health to the planner on this daemon. */
+  recordHealth(key: string, id: string, health: ServerHealth): void {
+    const group = this.#groups.get(key);
+    const member = group?.members.get(id);
+    if (group === undefined || member === undefined || health === "unknown") {
+      return;
+    }
+    if (health === "unhealthy") {
+      member.isLeaving = true;
+      return;
+    }
+    const nowMs = performance.now();
+    member.isLeaving = false;
+    member.healthyAtMs = nowMs;
+    const isConfirmed = [...group.members.values()].every(({ healthyAtMs }) =>
+      nowMs - healthyAtMs <= HEALTH_VALIDITY_MS
+    );
+    if (isConfirmed) {
+      this.#confirmedGroups.confirm(key);
+    }
+  }
+
+  /** Gets whether the missing members of a group have recently been healthy. */
+  isConfirmed(key: string): boolean {
+    return this.#confirmedGroups.isConfirmed(key);
+  }
+
+  /** Gets whether a missing member of a group has stated that it leaves or fails. */
+  isLeaving(key: string): boolean {
+    return [...this.#groups.get(key)?.members.values() ?? []].some((member) =>
+      member.isLeaving
+    );
+  }
+
   /** Gets whether a group stays in service without the entry of a member. */
   isAllowed(key: string): boolean {
     return this.#groups.get(key)?.isAllowed === true;
@@ -129,7 +181,7 @@
   sweep(): string[] {
     const ended: string[] = [];
     for (const [key, group] of this.#groups) {
-      if (group.isAllowed && !this.#isAllowed(group)) {
+      if (group.isAllowed && !this.#isAllowed(key, group)) {
         group.isAllowed = false;
         ended.push(key);
         this.#logger.write("info", "member-missing-ended", {
@@ -143,10 +195,11 @@
     return ended;
   }
 
-  #isAllowed(group: MissingGroup): boolean {
+  #isAllowed(key: string, group: MissingGroup): boolean {
     return isMissingAllowed({
       missingMs: getMissingMs(group),
       plannerAgeMs: this.#getPlannerAgeMs(),
+      isConfirmed: this.#confirmedGroups.isConfirmed(key),
       bounds: this.bounds,
     });
   }
--- a/src/process/registration/missing_members_test.ts
+++ b/src/process/registration/missing_members_test.ts
@@ -63,6 +63,35 @@
     expect(orders).toEqual([]);
   });
 
+  // Guards against a partition that lasts longer than the bound of a member about which nothing is known.
+  it("keeps the groups in service while their members state that they are healthy", async () => {
+    const groups = await createGroups(8);
+    groups.forEach(([, id]) =>
+      fleet.changeServer(id, { isListed: false, health: "healthy" })
+    );
+    for (let timeMs = 0; timeMs < 8_000; timeMs += STEP_MS) {
+      expect(countServing()).toBe(4);
+      await runFor(STEP_MS);
+    }
+    groups.forEach(([, id]) => fleet.changeServer(id, { isListed: true }));
+    await runFor(3_000);
+    expect(countServing()).toBe(4);
+    expect(orders).toEqual([]);
+  });
+
+  // Guards against requests in flight that are cut off since the closing of the group began too late.
+  it("closes a group at once whose member states that it leaves", async () => {
+    const [[headId, leaverId]] = await createGroups(3);
+    fleet.changeServer(leaverId, { isListed: false, health: "unhealthy" });
+    await runFor(700);
+    expect(listClosedIds()).toEqual([headId]);
+    expect(countServing()).toBe(0);
+    fleet.finishRequests(headId);
+    await runFor(1_200);
+    expect(fleet.interruptions).toEqual([]);
+    expect(countServing()).toBe(1);
+  });
+
   // Guards against streams that stand still since a server exits that never announced its stop.
   it("replaces the group of a server that exits after the drain notice time, without interrupting its requests", async () => {
     const [[headId, leaverId]] = await createGroups(3);
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -40,6 +40,7 @@
 import type { RoutingContext } from "./routing_context.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
 import { type BackgroundTask, TaskSupervisor } from "./task_supervisor.ts";
+import { ConfirmedGroups } from "./registration/confirmed_groups.ts";
 import { MissingMembers } from "./registration/missing_members.ts";
 import { createMissingMemberBounds } from "./registration/missing_member_rules.ts";
 import { MissingMemberTask } from "./registration/missing_member_task.ts";
@@ -69,6 +70,9 @@
   readonly #options: RoutingDaemonOptions;
   readonly #lifeCycle = new LifeCycleManager();
   readonly #directory: BackendDirectory;
+  readonly #confirmedGroups = new ConfirmedGroups({
+    onChange: () => this.#peerExchange.scheduleNotices(),
+  });
   /** Undefined when a missing entry takes a group out of service. */
   readonly #missingMembers: MissingMembers | undefined;
   readonly #groups: GroupTable;
@@ -145,6 +149,8 @@
       directory: this.#directory,
       orders: platform.orders,
       lease: this.#leaseHolder,
+      getHealthPath: (service) =>
+        this.#routes?.findService(service)?.healthPath,
       logger,
     });
     this.#serverStatements.onChange(() => this.#peerExchange.scheduleNotices());
@@ -246,6 +252,7 @@
         drainNoticeMs,
         getPlannerAgeMs: () => this.#findPlanner()?.ageMs,
         getListConfirmedAtMs: () => this.#fleetSync.listConfirmedAtMs,
+        confirmedGroups: this.#confirmedGroups,
         logger,
       })
       : undefined;
@@ -261,7 +268,7 @@
     });
     return {
       name: "registration",
-      sections: [],
+      sections: [this.#confirmedGroups],
       tasks: new Map([["missing-members", task]]),
       addGauges: (metrics) =>
         metrics.addGauge({
--- a/tests/support/reconciled_fleet.ts
+++ b/tests/support/reconciled_fleet.ts
@@ -5,6 +5,7 @@
   type GroupOrderClient,
   type GroupOrderOutcome,
   ReportTimeoutError,
+  type ServerHealth,
 } from "../../src/connection/group_order_client.ts";
 import { BackendDirectory } from "../../src/process/fleet/backend_directory.ts";
 import type { GroupLoads } from "../../src/process/fleet/group_loads.ts";
@@ -12,6 +13,7 @@
 import { MemberOrderExecutor } from "../../src/process/fleet/member_order_executor.ts";
 import type { PlannerLeaseHolder } from "../../src/process/fleet/planner_lease_holder.ts";
 import { ReplicaReconciler } from "../../src/process/fleet/replica_reconciler.ts";
+import { ConfirmedGroups } from "../../src/process/registration/confirmed_groups.ts";
 import { MissingMemberTask } from "../../src/process/registration/missing_member_task.ts";
 import { MissingMembers } from "../../src/process/registration/missing_members.ts";
 import type {
@@ -50,6 +52,8 @@
   condition: "running" | "silent" | "ended";
   /** Whether requests are in flight at the group whose head this server is. */
   isBusy: boolean;
+  /** What the server states about its health; undefined when it has no health check. */
+  health?: ServerHealth;
   /** Time of a call to the running server, in milliseconds. */
   responseMs: number;
 }
@@ -151,6 +155,7 @@
       directory,
       orders: this,
       lease,
+      getHealthPath: () => "/health",
       logger,
     });
     const reconciler = new ReplicaReconciler({
@@ -245,6 +250,13 @@
     return this.#applyOrder(server, order);
   }
 
+  getHealth({ serverId }: BackendTarget): Promise<ServerHealth> {
+    const server = this.servers.get(serverId)!;
+    return Promise.resolve(
+      server.condition === "running" ? server.health ?? "unknown" : "unknown",
+    );
+  }
+
   async getReport(
     { serverId }: BackendTarget,
   ): Promise<Either<Error, BackendReport>> {
@@ -287,6 +299,7 @@
         drainNoticeMs: this.drainNoticeMs,
         getPlannerAgeMs: () => this.plannerAgeMs,
         getListConfirmedAtMs: () => performance.now(),
+        confirmedGroups: new ConfirmedGroups({ onChange: () => {} }),
         logger,
       });
     this.#groups = new GroupTable({
