--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -196,6 +196,12 @@
     this.#options.store.deleteObject("servers", this.#options.id);
   }
 
+  /** Writes the server's entry to the store again, as a server that reaches the store after its entry has expired. */
+  restoreEntry(): void {
+    this.#isWithdrawn = false;
+    this.publishEntry();
+  }
+
   /** Resets the connections of the streams in flight, and goes on serving. */
   abortStreams(): void {
     [...this.#streams].forEach(({ socket }) => socket?.resetAndDestroy());
--- a/tests/support/platform_deployment.ts
+++ b/tests/support/platform_deployment.ts
@@ -16,6 +16,7 @@
 import { FakeObjectStore } from "../../fakes/fake_object_store.ts";
 import { Metrics } from "../../src/process/metrics.ts";
 import { RoutingDaemon } from "../../src/process/routing_daemon.ts";
+import type { RoutingSettings } from "../../src/process/routing_settings.ts";
 import { delay } from "../../src/shared/delay.ts";
 import type { LogFields, Logger } from "../../src/shared/logger.ts";
 
@@ -41,11 +42,19 @@
   readonly events: { event: string; fields: LogFields }[] = [];
   #version = 1;
   #requestCount = 0;
+  /** Settings of the daemons that differ from those of the platform. */
+  #settings: Partial<RoutingSettings> = {};
 
   /** Starts the store, the servers and the daemons. */
   async start(
-    options: { daemons: number; models: number; eventMs?: number },
+    options: {
+      daemons: number;
+      models: number;
+      eventMs?: number;
+      settings?: Partial<RoutingSettings>;
+    },
   ): Promise<void> {
+    this.#settings = options.settings ?? {};
     await this.store.start();
     this.writeConfig({});
     for (let i = 0; i < options.models; i++) {
@@ -104,6 +113,7 @@
     const daemon = new RoutingDaemon({
       settings: {
         ...settings.daemon,
+        ...this.#settings,
         metrics: { host: "127.0.0.1", port: metricsPort },
       },
       platform: createPlatformAdapter({ settings, metrics: daemonMetrics }),
