Log the time of each step by which a lost group is replaced

One group-replaced line for each replaced group tells when it was detected, closed, left, joined and open again, from its detection on.

--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -197,7 +197,7 @@
   }
 
   /** Writes the server's entry to the store again, as a server that reaches the store after its entry has expired. */
-  restoreEntry(): void {
+  publishEntryAgain(): void {
     this.#isWithdrawn = false;
     this.publishEntry();
   }
--- a/src/process/fleet/group_tasks.ts
+++ b/src/process/fleet/group_tasks.ts
@@ -4,8 +4,10 @@
   RoutedService,
   ServedModel,
 } from "../../version/routing_config.ts";
+import type { ReplacementTrace } from "../registration/replacement_trace.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
 import { createGroupName, getFirstGeneration } from "./group_name.ts";
+import { getMembershipKey } from "./group_table.ts";
 import {
   createSpareGroupName,
   type MemberOrderExecutor,
@@ -27,6 +29,7 @@
   readonly directory: BackendDirectory;
   readonly orders: MemberOrderExecutor;
   readonly schedule: OrderSchedule;
+  readonly trace: ReplacementTrace;
   readonly logger: Logger;
 }
 
@@ -128,22 +131,46 @@
     const generation = ++this.#generation;
     const groupName = createGroupName({ generation, size: model.groupSize });
     const group = { groupName, generation };
+    const replacedKeys = new Set(
+      members.flatMap((member) => getMembershipKey(member) ?? []),
+    );
     const startedAtMs = performance.now();
+    let leftAtMs: number | undefined;
+    let joinedAtMs: number | undefined;
+    const onLeft = () => {
+      leftAtMs = performance.now();
+    };
     const isOpen = await this.#options.schedule.run(
       formation.members,
       "order",
-      async () =>
-        members.length === model.groupSize &&
-        await this.#joinMembers(model, members, group) &&
-        await this.#options.orders.openGroup(
+      async () => {
+        if (
+          members.length !== model.groupSize ||
+          !await this.#joinMembers(model, members, { ...group, onLeft })
+        ) {
+          return false;
+        }
+        joinedAtMs = performance.now();
+        return await this.#options.orders.openGroup(
           members[0],
           group,
           getOpenWaitOptions(service),
-        ),
+        );
+      },
     );
     if (!isOpen) {
       await this.#options.schedule.pauseUnresponsiveMembers(members);
     }
+    this.#options.trace.recordFormation(
+      `${groupName}/${generation}`,
+      replacedKeys,
+      {
+        orderedAtMs: startedAtMs,
+        leftAtMs,
+        joinedAtMs,
+        openAtMs: isOpen ? performance.now() : undefined,
+      },
+    );
     logger.write("info", "group-formed", {
       group: `${group.groupName}/${generation}`,
       model: model.name,
@@ -157,7 +184,11 @@
   async #joinMembers(
     model: ServedModel,
     members: readonly BackendServer[],
-    group: { groupName: string; generation: number },
+    { onLeft, ...group }: {
+      groupName: string;
+      generation: number;
+      onLeft(): void;
+    },
   ): Promise<boolean> {
     const ids = members.map(({ id }) => id);
     const joinResults = await Promise.all(
@@ -169,6 +200,7 @@
         }, {
           timeoutMs: model.warmMs + ORDER_TIMEOUT_MARGIN_MS,
           firstPollMs: EXPECTED_JOIN_MS + FIRST_POLL_MARGIN_MS,
+          onLeft,
         })
       ),
     );
--- a/src/process/fleet/member_order_executor.ts
+++ b/src/process/fleet/member_order_executor.ts
@@ -37,6 +37,8 @@
   readonly timeoutMs: number;
   /** Time before the first status request, in milliseconds. */
   readonly firstPollMs?: number;
+  /** Called when a server that is to join a group has left another one. */
+  onLeft?(): void;
 }
 
 /** Sends orders to individual group members under the planner lease, and waits until the server's state shows the effect of each order. */
@@ -86,8 +88,11 @@
     }
     const { membership } = entry;
     const mustLeave = membership !== undefined && !isSpareGroup(membership);
-    if (mustLeave && !await this.#leaveGroup(server, membership)) {
-      return false;
+    if (mustLeave) {
+      if (!await this.#leaveGroup(server, membership)) {
+        return false;
+      }
+      options.onLeft?.();
     }
     const outcome = await this.#sendOrder(server, {
       action: "join",
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -13,6 +13,7 @@
   type MemberOrderExecutor,
 } from "./member_order_executor.ts";
 import type { MissingMembers } from "../registration/missing_members.ts";
+import { ReplacementTrace } from "../registration/replacement_trace.ts";
 import { OrderSchedule } from "./order_schedule.ts";
 import { ServiceState } from "./service_state.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
@@ -45,6 +46,7 @@
   readonly #options: ReplicaReconcilerOptions;
   readonly #schedule: OrderSchedule;
   readonly #tasks: GroupTasks;
+  readonly #trace: ReplacementTrace;
   /** Model of the last group that a server joined, by server id and start time. */
   readonly #lastModels = new Map<string, string>();
   /** State of each service that has an engine, by name. */
@@ -64,7 +66,12 @@
       getExcludedZones: () => options.getExcludedZones(),
       onEnd: onChange,
     });
-    this.#tasks = new GroupTasks({ ...options, schedule: this.#schedule });
+    this.#trace = new ReplacementTrace({ logger: options.logger });
+    this.#tasks = new GroupTasks({
+      ...options,
+      schedule: this.#schedule,
+      trace: this.#trace,
+    });
     // A lost group publishes a change, too.
     options.groups.onChange(onChange);
   }
@@ -111,6 +118,10 @@
       removedServers: this.#options.directory.listRemovedServers(service.name),
       term: this.#term,
     });
+    this.#trace.observe(
+      reportedGroups.list(),
+      (key) => this.#options.groups.isLost(key),
+    );
     for (const group of reportedGroups.list()) {
       this.#continueGroup(service, { reportedGroups, group });
     }
--- a/src/process/registration/missing_member_task.ts
+++ b/src/process/registration/missing_member_task.ts
@@ -41,12 +41,12 @@
     while (await delay(CHECK_INTERVAL_MS, signal)) {
       this.#groups.removeExpiredMissing();
       if (this.#isPlanner()) {
-        this.#pollMembers();
+        this.#checkMembers();
       }
     }
   }
 
-  #pollMembers(): void {
+  #checkMembers(): void {
     const nowMs = performance.now();
     const polledAtMs = new Map<string, number>();
     for (const key of this.#missingMembers.listAllowedKeys()) {
@@ -57,7 +57,7 @@
         polledAtMs.set(pollKey, lastAtMs);
         if (nowMs - lastAtMs >= POLL_INTERVAL_MS) {
           polledAtMs.set(pollKey, Number.POSITIVE_INFINITY);
-          void this.#poll(key, member).finally(() => {
+          void this.#checkMember(key, member).finally(() => {
             if (this.#polledAtMs.has(pollKey)) {
               this.#polledAtMs.set(pollKey, nowMs);
             }
@@ -69,7 +69,7 @@
   }
 
   /** Requests the state of a member, and records the loss of its group if the member does not serve it any more. A missing response is left to the checks of silent members. */
-  async #poll(key: string, member: BackendServer): Promise<void> {
+  async #checkMember(key: string, member: BackendServer): Promise<void> {
     const report = await this.#orders.requestState(member);
     const loss = report.caseOf({
       Left: (error) =>
--- a/tests/missing_members_test.ts
+++ b/tests/missing_members_test.ts
@@ -89,7 +89,7 @@
       await waitUntil(() => listEvents("member-missing").length === 12);
       const missingAtMs = Date.now();
       await delay(CUT_MS);
-      members.forEach((member) => member.restoreEntry());
+      members.forEach((member) => member.publishEntryAgain());
       const restoredAtMs = Date.now();
       const areWhole = (await responses).map(({ isWhole }) => isWhole);
       expect(areWhole).not.toContain(false);
