Wait for the closing of a group whose head has no entry

The wait for the closing ended at once when the head's entry had been removed, counted as a failed order and paused the head for a second.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -152,12 +152,15 @@
       );
   }
 
-  /** Finds the last entry of a removed server; undefined when it is listed or the time of its removal is not known, as after a store outage. */
+  /** Finds a removed server, as it was last known; undefined while it is listed. */
   findRemovedServer(id: string): BackendServer | undefined {
-    const tombstone = this.#tombstones.get(id);
-    return this.#servers.has(id) || tombstone?.revision === UNKNOWN_REVISION
-      ? undefined
-      : tombstone?.entry;
+    return this.#servers.has(id) ? undefined : this.#tombstones.get(id)?.entry;
+  }
+
+  /** Gets whether a server was removed at a time that is known within the age of the list; after a store outage it is not. */
+  hasRemovalTime(id: string): boolean {
+    const revision = this.#tombstones.get(id)?.revision;
+    return revision !== undefined && revision !== UNKNOWN_REVISION;
   }
 
   /** Registers a listener that is called after each change of the directory. */
--- a/src/process/fleet/group_table.ts
+++ b/src/process/fleet/group_table.ts
@@ -240,6 +240,7 @@
     if (
       member !== undefined && this.#groups.has(key) &&
       member.membership?.rank !== 0 && removed !== undefined &&
+      this.#directory.hasRemovalTime(id) &&
       removed.startedAtMs === member.startedAtMs &&
       getMembershipKey(removed) === key
     ) {
--- a/src/process/fleet/member_order_executor.ts
+++ b/src/process/fleet/member_order_executor.ts
@@ -23,6 +23,8 @@
 const POLL_BACKOFF_FACTOR = 1.5;
 /** Upper limit of the polling interval, in milliseconds. */
 const MAX_POLL_INTERVAL_MS = 2_000;
+/** Upper limit of the polling interval while a group closes, in milliseconds. Its requests take about a second, and no slot of its members is in use from their end until the planner knows it. */
+const MAX_CLOSE_POLL_INTERVAL_MS = 250;
 /** Interval between checks of the server's entry in the directory, in milliseconds. */
 const ENTRY_CHECK_INTERVAL_MS = 50;
 
@@ -37,6 +39,10 @@
   readonly timeoutMs: number;
   /** Time before the first status request, in milliseconds. */
   readonly firstPollMs?: number;
+  /** Upper limit of the polling interval, in milliseconds; defaults to `MAX_POLL_INTERVAL_MS`. */
+  readonly maxPollIntervalMs?: number;
+  /** Whether the wait goes on while the server is not in the list; defaults to false. */
+  readonly includesRemoved?: boolean;
   /** Called when a server that is to join a group has left another one. */
   onLeft?(): void;
 }
@@ -138,7 +144,7 @@
   }
 
   /**
-   * Orders the head of a group to close it once the requests in flight have ended, and waits until the group is closed.
+   * Orders the head of a group to close it once the requests in flight have ended, and waits until the group is closed. A head whose entry was removed is asked at its last address.
    *
    * @param head - Head of the group.
    * @param group - Group.
@@ -153,7 +159,11 @@
     return await this.#runOrder(
       head,
       { action: "close", groupName, generation, inFlight: "finish" },
-      options,
+      {
+        ...options,
+        maxPollIntervalMs: MAX_CLOSE_POLL_INTERVAL_MS,
+        includesRemoved: true,
+      },
       (currentMembership) =>
         currentMembership?.groupName !== groupName ||
         (currentMembership.state !== "open" &&
@@ -350,7 +360,10 @@
     let intervalMs = INITIAL_POLL_INTERVAL_MS;
     let pollAtMs = performance.now() + (options.firstPollMs ?? intervalMs);
     while (performance.now() < endMs) {
-      const entry = this.#directory.findServer(server.id);
+      const entry = this.#directory.findServer(server.id) ??
+        (options.includesRemoved
+          ? this.#directory.findRemovedServer(server.id)
+          : undefined);
       if (entry === undefined || entry.startedAtMs !== server.startedAtMs) {
         return false;
       }
@@ -361,7 +374,7 @@
         await this.refreshServer(server);
         intervalMs = Math.min(
           intervalMs * POLL_BACKOFF_FACTOR,
-          MAX_POLL_INTERVAL_MS,
+          options.maxPollIntervalMs ?? MAX_POLL_INTERVAL_MS,
         );
         pollAtMs = performance.now() + intervalMs;
         continue;
--- a/src/process/registration/missing_members_test.ts
+++ b/src/process/registration/missing_members_test.ts
@@ -114,6 +114,19 @@
     expect(countServing()).toBe(0);
   });
 
+  // Guards against members that wait for a second since the planner takes the order to a head without an entry for a failed one.
+  it("replaces the group of a missing head once its requests have ended", async () => {
+    const [[headId, memberId]] = await createGroups(3);
+    fleet.changeServer(headId, { isListed: false });
+    await runFor(600);
+    expect(listClosedIds()).toEqual([headId]);
+    fleet.finishRequests(headId);
+    await runFor(600);
+    expect(fleet.listOpenGroups().flat()).toContain(memberId);
+    expect(listClosedIds()).toEqual([headId]);
+    expect(fleet.interruptions).toEqual([]);
+  });
+
   // Guards against a group that nobody closes, since no planner polls its missing member.
   it.each([1_400, undefined])(
     "takes a group out of service when the planner's notice is %s ms old",
