--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -104,6 +104,8 @@
   #state: "ready" | "draining" = "ready";
   #isDisposed = false;
   /** Whether the server has removed its entry from the store. */
+  /** Whether the health check succeeds. */
+  #isHealthy = true;
   #isWithdrawn = false;
   #sequence = 0;
   /** Whether the server has crashed; a crashed server does not respond. */
@@ -190,12 +192,24 @@
     this.publishEntry();
   }
 
-  /** Removes the server's entry from the store, as a server does that leaves without the state `draining`. It serves on. */
-  removeEntry(): void {
+  /**
+   * Removes the server's entry from the store, as a server does that leaves without the state `draining`. It serves on.
+   *
+   * @param options - With `isLeaving` set to false, the entry has expired since the server is cut off from the store, and its health check succeeds.
+   */
+  removeEntry({ isLeaving = true }: { isLeaving?: boolean } = {}): void {
     this.#isWithdrawn = true;
+    this.#isHealthy = !isLeaving;
     this.#options.store.deleteObject("servers", this.#options.id);
   }
 
+  /** Writes the server's entry to the store again, as a server that reaches the store after its entry has expired. */
+  publishEntryAgain(): void {
+    this.#isWithdrawn = false;
+    this.#isHealthy = true;
+    this.publishEntry();
+  }
+
   /** Resets the connections of the streams in flight, and goes on serving. */
   abortStreams(): void {
     [...this.#streams].forEach(({ socket }) => socket?.resetAndDestroy());
@@ -292,6 +306,12 @@
       });
       return;
     }
+    if (req.url === "/health") {
+      const isLeaving = this.isLeaving || this.#state === "draining";
+      res.writeHead(this.#isHealthy && !isLeaving ? 200 : 503);
+      res.end();
+      return;
+    }
     const handling = req.url === "/v1/order"
       ? this.#handleOrder(req, res)
       : this.#handleRequest(req, res);
