--- a/src/process/fleet/member_order_executor.ts
+++ b/src/process/fleet/member_order_executor.ts
@@ -4,6 +4,7 @@
   GroupOrder,
   GroupOrderClient,
   GroupOrderOutcome,
+  ServerHealth,
 } from "../../connection/group_order_client.ts";
 import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
@@ -23,6 +24,8 @@
 const POLL_BACKOFF_FACTOR = 1.5;
 /** Upper limit of the polling interval, in milliseconds. */
 const MAX_POLL_INTERVAL_MS = 2_000;
+/** Upper limit of the polling interval while a group closes, in milliseconds. Its requests take about a second, and no slot of its members is in use from their end until the planner knows it. */
+const MAX_CLOSE_POLL_INTERVAL_MS = 250;
 /** Interval between checks of the server's entry in the directory, in milliseconds. */
 const ENTRY_CHECK_INTERVAL_MS = 50;
 
@@ -37,6 +40,12 @@
   readonly timeoutMs: number;
   /** Time before the first status request, in milliseconds. */
   readonly firstPollMs?: number;
+  /** Upper limit of the polling interval, in milliseconds; defaults to `MAX_POLL_INTERVAL_MS`. */
+  readonly maxPollIntervalMs?: number;
+  /** Whether the wait goes on while the server is not in the list; defaults to false. */
+  readonly includesRemoved?: boolean;
+  /** Called when a server that is to join a group has left another one. */
+  onLeft?(): void;
 }
 
 /** Sends orders to individual group members under the planner lease, and waits until the server's state shows the effect of each order. */
@@ -44,6 +53,7 @@
   readonly #directory: BackendDirectory;
   readonly #orders: GroupOrderClient;
   readonly #lease: PlannerLeaseHolder;
+  readonly #getHealthPath: (service: string) => string | undefined;
   readonly #logger: Logger;
   /** Lease term in which the state of a server was last requested, by server id and start time. */
   readonly #refreshedTerms = new Map<string, number | undefined>();
@@ -56,11 +66,14 @@
     directory: BackendDirectory;
     orders: GroupOrderClient;
     lease: PlannerLeaseHolder;
+    /** Gets the path of the health check of a service; undefined when it has none. */
+    getHealthPath?(service: string): string | undefined;
     logger: Logger;
   }) {
     this.#directory = options.directory;
     this.#orders = options.orders;
     this.#lease = options.lease;
+    this.#getHealthPath = (service) => options.getHealthPath?.(service);
     this.#logger = options.logger;
   }
 
@@ -86,8 +99,11 @@
     }
     const { membership } = entry;
     const mustLeave = membership !== undefined && !isSpareGroup(membership);
-    if (mustLeave && !await this.#leaveGroup(server, membership)) {
-      return false;
+    if (mustLeave) {
+      if (!await this.#leaveGroup(server, membership)) {
+        return false;
+      }
+      options.onLeft?.();
     }
     const outcome = await this.#sendOrder(server, {
       action: "join",
@@ -133,7 +149,7 @@
   }
 
   /**
-   * Orders the head of a group to close it once the requests in flight have ended, and waits until the group is closed.
+   * Orders the head of a group to close it once the requests in flight have ended, and waits until the group is closed. A head whose entry was removed is asked at its last address.
    *
    * @param head - Head of the group.
    * @param group - Group.
@@ -148,7 +164,11 @@
     return await this.#runOrder(
       head,
       { action: "close", groupName, generation, inFlight: "finish" },
-      options,
+      {
+        ...options,
+        maxPollIntervalMs: MAX_CLOSE_POLL_INTERVAL_MS,
+        includesRemoved: true,
+      },
       (currentMembership) =>
         currentMembership?.groupName !== groupName ||
         (currentMembership.state !== "open" &&
@@ -335,6 +355,16 @@
     });
   }
 
+  /** Requests what a server states about its own health. */
+  async requestHealth(server: BackendServer): Promise<ServerHealth> {
+    const path = this.#getHealthPath(server.service);
+    return path === undefined ? "unknown" : await this.#orders.getHealth(
+      getTarget(server),
+      path,
+      REPORT_TIMEOUT_MS,
+    );
+  }
+
   /** Waits until a server has the expected state. Checks the server's entry in the directory often, which causes no request, and requests the state at a growing interval. */
   async #waitForState(
     server: BackendServer,
@@ -345,7 +375,10 @@
     let intervalMs = INITIAL_POLL_INTERVAL_MS;
     let pollAtMs = performance.now() + (options.firstPollMs ?? intervalMs);
     while (performance.now() < endMs) {
-      const entry = this.#directory.findServer(server.id);
+      const entry = this.#directory.findServer(server.id) ??
+        (options.includesRemoved
+          ? this.#directory.findRemovedServer(server.id)
+          : undefined);
       if (entry === undefined || entry.startedAtMs !== server.startedAtMs) {
         return false;
       }
@@ -356,7 +389,7 @@
         await this.refreshServer(server);
         intervalMs = Math.min(
           intervalMs * POLL_BACKOFF_FACTOR,
-          MAX_POLL_INTERVAL_MS,
+          options.maxPollIntervalMs ?? MAX_POLL_INTERVAL_MS,
         );
         pollAtMs = performance.now() + intervalMs;
         continue;
