--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -32,6 +32,14 @@
   readonly renewal: number;
 }
 
+/** Circumstances of a write of the lease. */
+interface LeaseWrite {
+  /** Monotonic time at which the write started, in milliseconds. */
+  readonly startedAtMs: number;
+  /** Number of drops of the lease before the write. */
+  readonly dropCount: number;
+}
+
 /** Acquires, renews and releases the lease in the store that elects one daemon at a time as planner of the groups. */
 export class PlannerLeaseHolder {
   readonly #store: SnapshotStore;
@@ -56,6 +64,10 @@
   #unchangedSinceMs = performance.now();
   /** Monotonic time at which the last acknowledged write of this daemon started; undefined while it does not hold the lease. */
   #renewedAtMs: number | undefined;
+  /** Monotonic time at which the first acknowledged write of the current term ended. */
+  #acquiredAtMs = Number.NEGATIVE_INFINITY;
+  /** Number of times that this daemon has dropped the lease. */
+  #dropCount = 0;
   /** Monotonic time since which no peer has reported a holder; undefined while one is reported. */
   #holderMissingSinceMs: number | undefined;
   #clockOffsetMs = getClockOffsetMs();
@@ -97,6 +109,13 @@
     return this.#ownLease.term;
   }
 
+  /** Gets the time for which this daemon has held the lease in the current term, in milliseconds; 0 while it does not hold it. */
+  getTermAgeMs(): number {
+    return this.getTerm() === undefined
+      ? 0
+      : performance.now() - this.#acquiredAtMs;
+  }
+
   #getValidityMs(): number {
     return this.#areOrdersFenced && !this.#isStoreReachable
       ? OUTAGE_VALIDITY_MS
@@ -105,6 +124,7 @@
 
   /** Gives up the lease locally without a write to the store, for example after a backend server has received an order of a later term. */
   drop(reason: string): void {
+    this.#dropCount++;
     if (this.#renewedAtMs !== undefined) {
       this.#renewedAtMs = undefined;
       this.#logger.write("info", "lease-dropped", {
@@ -272,6 +292,7 @@
 
   async #writeLease(value: LeaseValue): Promise<boolean> {
     const startedAtMs = performance.now();
+    const dropCount = this.#dropCount;
     const writeResult = await this.#store.putObject({
       kind: this.#kind,
       name: LEASE_NAME,
@@ -284,22 +305,32 @@
       this.#lease = value;
       this.#unchangedSinceMs = performance.now();
       this.#recordTerm();
-      return this.#recordWrite(value, startedAtMs);
+      return this.#recordWrite(value, { startedAtMs, dropCount });
     }
     if (writeResult.outcome === "conflict") {
       await this.#resolveConflict();
     } else {
-      await this.#confirmWrite(value, startedAtMs);
+      await this.#confirmWrite(value, { startedAtMs, dropCount });
     }
     return false;
   }
 
   /** Records that the store holds a lease which this daemon has written. Returns whether the lease is valid: after a restore of the store, another daemon may hold a lease that the store has lost in the same term. */
-  #recordWrite(value: LeaseValue, startedAtMs: number): boolean {
+  #recordWrite(
+    value: LeaseValue,
+    { startedAtMs, dropCount }: LeaseWrite,
+  ): boolean {
     if (this.#isLeaseOutdated()) {
       this.drop("the store was restored while the lease was written");
       return false;
     }
+    if (dropCount !== this.#dropCount) {
+      // The renewal of a lease that was dropped meanwhile must not bring its term back into use.
+      return false;
+    }
+    if (this.#ownLease?.term !== value.term) {
+      this.#acquiredAtMs = performance.now();
+    }
     this.#ownLease = value;
     this.#renewedAtMs = startedAtMs;
     return true;
@@ -317,14 +348,14 @@
   }
 
   /** Reads the lease to check whether a write without a response took effect. */
-  async #confirmWrite(value: LeaseValue, startedAtMs: number): Promise<void> {
+  async #confirmWrite(value: LeaseValue, write: LeaseWrite): Promise<void> {
     await this.#readLease();
     const storedLease = this.#lease;
     if (
       storedLease?.holder === value.holder && storedLease.term === value.term &&
       storedLease.renewal === value.renewal
     ) {
-      this.#recordWrite(value, startedAtMs);
+      this.#recordWrite(value, write);
     }
   }
 
--- a/src/process/fleet/planner_lease_holder_test.ts
+++ b/src/process/fleet/planner_lease_holder_test.ts
@@ -25,6 +25,8 @@
   readonly unreachableFor = new Set<string>();
   /** Called once instead of the next write, which gets no response and takes no effect. */
   beforeLostWrite: (() => void) | undefined;
+  /** Called before each write takes effect. */
+  beforeWrite: (() => void) | undefined;
   generation = 0;
   #revision = 0;
   object: StoredObject | undefined;
@@ -65,6 +67,7 @@
   }
 
   #put({ kind, name, value, expectedVersion }: PutObjectOptions) {
+    this.beforeWrite?.();
     const { beforeLostWrite } = this;
     if (beforeLostWrite !== undefined) {
       this.beforeLostWrite = undefined;
@@ -132,6 +135,27 @@
     });
   });
 
+  describe("drop", () => {
+    // Guards against the return of a term that a server or the platform has refused: a renewal that was under way when the lease was dropped is acknowledged.
+    it("ends the term although a renewal is acknowledged after it", async () => {
+      const store = new LeaseStore();
+      const holder = startHolder(store, "entry-1");
+      await vi.advanceTimersByTimeAsync(500);
+      expect(holder.getTerm()).toBe(1);
+      expect(holder.getTermAgeMs()).toBe(500);
+      store.beforeWrite = () => {
+        store.beforeWrite = undefined;
+        holder.drop("test");
+      };
+      const terms = new Set<number | undefined>();
+      for (let i = 0; i < 30; i++) {
+        await vi.advanceTimersByTimeAsync(100);
+        terms.add(store.beforeWrite === undefined ? holder.getTerm() : 1);
+      }
+      expect([...terms]).toEqual([1, undefined, 2]);
+    });
+  });
+
   // The term is the fencing number of all orders; one that is not a number, or too large to be increased, stops or confuses the planners.
   describe("getTerm", () => {
     /** Creates a store with a lease that another writer has left. */
