Report the usage of client accounts by window

Each daemon counts the requests that begin to run by account and window, on a clock that is the median of the daemons' clocks. A notice section exchanges the counts so that each process is in the sum of one hub. The holder of the duty writes a window to the store before it sends it, and a new holder repeats the last record as its first call. The part exists only if the settings contain the duty and the platform has the API.

--- a/src/process/routing_context.ts
+++ b/src/process/routing_context.ts
@@ -17,6 +17,7 @@
 import type { Metrics } from "./metrics.ts";
 import type { PlannedStop } from "./planned_stop.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
+import type { UsageRecorder } from "./usage/usage_part.ts";
 
 /** Components of a routing daemon that its request handlers share. */
 export interface RoutingContext {
@@ -43,4 +44,6 @@
   getExcludedZones(): ReadonlySet<string>;
   /** Gets the budget for retries of requests to a service. */
   getRetryBudget(service: string): ServiceRetryBudget;
+  /** Gets the counter of the requests of client accounts; undefined when usage is not reported. */
+  getUsageRecorder(): UsageRecorder | undefined;
 }
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -1,4 +1,5 @@
 import { WebSocketLinkTransport } from "../connection/peer_link.ts";
+import type { DutyClient } from "../connection/duty_client.ts";
 import { HttpServer } from "../connection/http_server.ts";
 import { RoutedRequestHandler } from "../request/routed/routed_request_handler.ts";
 import { LifeCycleManager } from "../shared/life_cycle_manager.ts";
@@ -34,12 +35,15 @@
 import { ServerLoads } from "./fleet/server_loads.ts";
 import { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { Metrics } from "./metrics.ts";
+import { LimitedDutyClient } from "./duties/limited_duty_client.ts";
+import { PlannerDutyLease } from "./duties/planner_duty_lease.ts";
 import { PlannedStop } from "./planned_stop.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
 import type { RoutingPart } from "./routing_parts.ts";
 import type { RoutingContext } from "./routing_context.ts";
-import type { RoutingSettings } from "./routing_settings.ts";
+import type { DutySettings, RoutingSettings } from "./routing_settings.ts";
 import { type BackgroundTask, TaskSupervisor } from "./task_supervisor.ts";
+import { UsagePart, type UsageRecorder } from "./usage/usage_part.ts";
 import { UnansweredEndRecorder } from "./unanswered_end_recorder.ts";
 
 /** Kinds of the store objects that daemons write. */
@@ -87,6 +91,7 @@
   readonly #plannedStop: PlannedStop;
   readonly #sections: NoticeSections;
   readonly #parts: readonly RoutingPart[];
+  #usageRecorder: UsageRecorder | undefined;
   readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
   #routes: RouteTable | undefined;
   #stopPromise: Promise<void> | undefined;
@@ -179,6 +184,7 @@
       getRoutes: () => this.#routes,
       getExcludedZones: () => this.#excludedZones.getZones(),
       getRetryBudget: (service) => this.#getRetryBudget(service),
+      getUsageRecorder: () => this.#usageRecorder,
       plannedStop: this.#plannedStop,
     };
     this.#requestHandler = new RoutedRequestHandler(this.#context);
@@ -213,6 +219,10 @@
   /** Creates the parts that the settings switch on. */
   #createParts(): RoutingPart[] {
     const parts: RoutingPart[] = [];
+    const { platform: { duties }, settings } = this.#options;
+    if (settings.duties !== undefined && duties !== undefined) {
+      parts.push(...this.#createDutyParts(settings.duties, duties));
+    }
     for (const part of parts) {
       part.sections.forEach((section) => this.#sections.add(section));
       part.addGauges(this.#options.metrics);
@@ -220,6 +230,39 @@
     return parts;
   }
 
+  /** Creates the parts for the calls that are the duty of one daemon at a time. */
+  #createDutyParts(
+    duties: DutySettings,
+    dutyClient: DutyClient,
+  ): RoutingPart[] {
+    const { platform, settings, logger } = this.#options;
+    const lease = new PlannerDutyLease({
+      holder: settings.name,
+      lease: this.#leaseHolder,
+      leaseMs: duties.leaseMs,
+    });
+    const client = new LimitedDutyClient({
+      client: dutyClient,
+      callsPerSecond: duties.callsPerSecond,
+    });
+    const parts: RoutingPart[] = [];
+    if (duties.kinds.includes("usage-report")) {
+      const usagePart = new UsagePart({
+        settings: duties,
+        client,
+        lease,
+        store: platform.store,
+        logger,
+        getStoreGeneration: () => this.#fleetSync.storeGeneration,
+        scheduleNotices: () => this.#peerExchange.scheduleNotices(),
+        announce: () => this.#peerExchange.announce(),
+      });
+      this.#usageRecorder = usagePart.recorder;
+      parts.push(usagePart);
+    }
+    return parts;
+  }
+
   #addGauges(metrics: Metrics): void {
     metrics.addGauge({
       name: "serving_groups",
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -486,6 +486,7 @@
         this.#progress.recordFirstEvent(firstEventMs);
         context.metrics.record("time_to_first_token", firstEventMs);
         writer.openStream(response.status, response.headers);
+        this.#recordUsage();
       }
       this.#progress.recordEvents();
       const writablePromise = writer.write(joinEvents(events));
@@ -505,6 +506,14 @@
     writer.finish();
   }
 
+  /** Counts the request for its account. A request that continues an earlier response was counted with the first event of that. */
+  #recordUsage(): void {
+    const { context, request, account } = this.#scope;
+    if (account !== undefined && request.resumeAfter === undefined) {
+      context.getUsageRecorder()?.recordRequest(account);
+    }
+  }
+
   async #recordResult(
     attempt: GroupAttempt,
     result: AttemptResult,
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -141,6 +141,10 @@
   #sendResponse(
     { response: { status, headers }, body }: AttemptResponse,
   ): void {
+    const { context, account } = this.#scope;
+    if (account !== undefined) {
+      context.getUsageRecorder()?.recordRequest(account);
+    }
     this.#responseStatus = status;
     this.#scope.writer.sendResponse(status, headers, body);
   }
