--- a/fakes/platform_documents.ts
+++ b/fakes/platform_documents.ts
@@ -7,12 +7,23 @@
   readonly ready: string;
   readonly peerPort: number;
   readonly store: string;
+  /** Calls that are the duty of one daemon at a time; none by default. */
+  readonly duties?: PlatformDuties;
+}
+
+/** Duties in the settings file, and the address of their API. */
+export interface PlatformDuties {
+  readonly address: string;
+  readonly kinds: readonly string[];
+  readonly leaseMs: number;
+  readonly windowS: number;
 }
 
 /** Creates the content of the settings file that the platform writes for a daemon. */
 export function createPlatformSettings(
   daemon: PlatformDaemonAddresses,
 ): string {
+  const { duties } = daemon;
   return JSON.stringify({
     NodeName: daemon.name,
     Ip: daemon.ip,
@@ -20,8 +31,19 @@
     Listen: { Front: daemon.caller, Ready: daemon.ready },
     InternalPorts: [daemon.peerPort, daemon.peerPort],
     Limits: { CpuShare: 1, CpuCores: 1, MemoryMb: 350 },
-    Bounds: { FenceChecked: true, RetrySlack: 100 },
+    Bounds: {
+      FenceChecked: true,
+      RetrySlack: 100,
+      ...(duties === undefined
+        ? {}
+        : { LeaseMs: duties.leaseMs, ReportWindowS: duties.windowS }),
+    },
     PlatformApi: { Address: daemon.store },
+    Cloud: duties === undefined ? undefined : {
+      Address: duties.address,
+      Duties: duties.kinds,
+      DutyPerS: 50,
+    },
   });
 }
 
--- a/src/process/usage/usage_counter.ts
+++ b/src/process/usage/usage_counter.ts
@@ -9,13 +9,14 @@
 /** Counts the requests of this daemon by window and client account. */
 export class UsageCounter {
   readonly #clock: SharedClock;
-  readonly #windowMs: number;
+  /** Length of a window in milliseconds. */
+  readonly windowMs: number;
   readonly #windows = new Map<number, Map<string, number>>();
   #revision = 0;
 
   constructor(options: { clock: SharedClock; windowMs: number }) {
     this.#clock = options.clock;
-    this.#windowMs = options.windowMs;
+    this.windowMs = options.windowMs;
   }
 
   /** Gets the number of requests counted so far, by which a change is noticed. */
@@ -25,12 +26,12 @@
 
   /** Gets the number of the current window. */
   get currentWindow(): number {
-    return Math.floor(this.#clock.getNowMs() / this.#windowMs);
+    return Math.floor(this.#clock.getNowMs() / this.windowMs);
   }
 
   /** Gets the number of the window at an earlier time. */
   getPastWindow(ageMs: number): number {
-    return Math.floor((this.#clock.getNowMs() - ageMs) / this.#windowMs);
+    return Math.floor((this.#clock.getNowMs() - ageMs) / this.windowMs);
   }
 
   /** Counts a request that has begun to run. */
--- a/src/process/usage/usage_exchange.ts
+++ b/src/process/usage/usage_exchange.ts
@@ -13,16 +13,14 @@
   type UsageNotice,
 } from "./usage_messages.ts";
 
-/** Time between two reports of a window that has not ended, in milliseconds. It bounds the counts that are lost with a daemon that is killed: one second of one of seven daemons is 2.9% of a window of 5 s. */
-const PARTIAL_INTERVAL_MS = 1_000;
-/** Number of other hubs from which a hub no longer reports a window before its end. The share of one of as many daemons in a window is at most 5%. */
-const MAX_PARTIAL_HUBS = 20;
+/** Share of the requests of a window that may be lost with a daemon that is killed. Together with the errors of the clocks it has to stay below 5% of an account. */
+const MAX_LOST_SHARE = 0.03;
 /** Time for which a hub collects the counts of several daemons before it reports them, in milliseconds. Notices of members take up to 100 ms, and windows end at different times by the error of the clocks. */
 const COLLECT_MS = 300;
 /** Minimum time between two reports because of new links, in milliseconds. */
 const GREET_INTERVAL_MS = 1_000;
 /** Number of ended windows in a report. Links deliver reports in order, so that earlier windows have arrived unless a link is new. */
-const REPORTED_WINDOWS = 2;
+const REPORTED_WINDOWS = 1;
 /** Number of random characters of the id of a process. Of 420 processes, two have the same one with a probability of 3 in 100 million. */
 const ID_LENGTH = 8;
 const ID_RADIX = 36;
@@ -227,7 +225,7 @@
   /** Reports the counts of the current window to the hub, or to the other hubs of a small fleet. */
   #reportPartialCounts(nowMs: number): void {
     const { revision } = this.#counter;
-    const isDue = nowMs - this.#partialAtMs >= PARTIAL_INTERVAL_MS &&
+    const isDue = nowMs - this.#partialAtMs >= this.#getPartialIntervalMs() &&
       revision !== this.#partialRevision;
     if (isDue) {
       this.#partialAtMs = nowMs;
@@ -238,9 +236,21 @@
     }
   }
 
+  /** Gets the time between two reports of a window that has not ended. It is infinite in a fleet that is so large that the counts of one daemon in a whole window may be lost. */
+  #getPartialIntervalMs(): number {
+    const { windowMs } = this.#counter;
+    const daemonCount = Math.max(
+      this.#partners.size + 1,
+      this.getCounts(this.#endedWindow)?.daemonCount ?? 0,
+    );
+    const intervalMs = windowMs * daemonCount * MAX_LOST_SHARE;
+    return intervalMs < windowMs ? intervalMs : Number.POSITIVE_INFINITY;
+  }
+
+  /** Gets whether entries contain the current window. The entry of a hub with members would repeat the counts of its cell. */
   #reportsPartialEntries(): boolean {
     return this.#listLinkedIds("member").length === 0 &&
-      this.#listLinkedIds("equal").length < MAX_PARTIAL_HUBS;
+      Number.isFinite(this.#getPartialIntervalMs());
   }
 
   #createReport(relation: PeerRelation): unknown {
--- a/tests/support/platform_deployment.ts
+++ b/tests/support/platform_deployment.ts
@@ -8,6 +8,7 @@
   createPlatformConfig,
   createPlatformSettings,
   MODEL_HEADERS,
+  type PlatformDuties,
 } from "../../fakes/platform_documents.ts";
 import {
   FakeBackendServer,
@@ -39,6 +40,8 @@
   readonly callerAddresses: string[] = [];
   readonly readyAddresses: string[] = [];
   readonly events: { event: string; fields: LogFields }[] = [];
+  /** Duties of the daemons that are started from now on; none by default. */
+  duties: PlatformDuties | undefined;
   #version = 1;
   #requestCount = 0;
 
@@ -99,6 +102,7 @@
       ready: `127.0.0.1:${readyPort}`,
       peerPort,
       store: this.store.address,
+      duties: this.duties,
     }));
     const daemonMetrics = new Metrics();
     const daemon = new RoutingDaemon({
