Continue usage reports after a restore of the store

A holder whose lease was renewed less than leaseMs before it acquired the lease again knows the last record although the store has lost it: another daemon cannot have recorded a window meanwhile. Other holders leave out the windows that ended before they noticed the restore, which they now do when they hear of the store's generation.

--- a/fakes/fake_duty_api.ts
+++ b/fakes/fake_duty_api.ts
@@ -60,7 +60,7 @@
       if (isLost) {
         await delay(this.lateMs);
       }
-      const status = this.#carryOut({
+      const status = this.#applyCall({
         path: req.url ?? "",
         holder: String(req.headers["duty-holder"]),
         token: Number(req.headers["fencing-token"]),
@@ -76,7 +76,7 @@
   }
 
   /** Carries out a call and returns its status. */
-  #carryOut(call: DutyCall): number {
+  #applyCall(call: DutyCall): number {
     const { path, holder, token, body, atMs } = call;
     const recentCount =
       this.#receivedAtMs.filter((receivedAtMs) =>
--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -116,6 +116,13 @@
       : performance.now() - this.#acquiredAtMs;
   }
 
+  /** Gets the time since the start of the last acknowledged write of the lease, in milliseconds; infinite while this daemon does not hold it. */
+  getRenewalAgeMs(): number {
+    return this.getTerm() === undefined || this.#renewedAtMs === undefined
+      ? Number.POSITIVE_INFINITY
+      : performance.now() - this.#renewedAtMs;
+  }
+
   #getValidityMs(): number {
     return this.#areOrdersFenced && !this.#isStoreReachable
       ? OUTAGE_VALIDITY_MS
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -251,6 +251,7 @@
         settings: duties,
         client,
         lease,
+        leaseTimes: this.#leaseHolder,
         store: platform.store,
         logger,
         getStoreGeneration: () => this.#fleetSync.storeGeneration,
--- a/src/process/usage/usage_exchange.ts
+++ b/src/process/usage/usage_exchange.ts
@@ -114,7 +114,7 @@
     this.#clock.refresh();
     const endedWindow = this.#counter.currentWindow - 1;
     if (endedWindow !== this.#endedWindow) {
-      this.#endWindows(endedWindow);
+      this.#finishWindows(endedWindow);
     }
     const nowMs = performance.now();
     if (
@@ -134,7 +134,7 @@
 
   /** Ends the current window early, since this daemon is about to stop. */
   finish(): void {
-    this.#endWindows(this.#counter.currentWindow);
+    this.#finishWindows(this.#counter.currentWindow);
     this.#scheduleReports(RELATIONS);
   }
 
@@ -175,7 +175,7 @@
   }
 
   /** Ends the windows of this daemon up to the given one. Those before its start are left out; those that have ended before a correction of the clock are reported again with the counts that were added. */
-  #endWindows(endedWindow: number): void {
+  #finishWindows(endedWindow: number): void {
     const hub = this.#listLinkedIds("hub")[0] ?? this.#id;
     const firstWindow = Math.max(
       Math.min(this.#endedWindow + 1, endedWindow),
@@ -183,7 +183,7 @@
       endedWindow - RETAINED_WINDOWS,
     );
     for (let window = firstWindow; window <= endedWindow; window++) {
-      this.#ledger.endWindow(window, hub);
+      this.#ledger.finishWindow(window, hub);
     }
     this.#endedWindow = endedWindow;
     this.#counter.sweep();
@@ -231,7 +231,7 @@
       this.#partialAtMs = nowMs;
       this.#partialRevision = revision;
       this.#scheduleReports(
-        this.#reportsPartialEntries() ? ["member", "equal"] : ["member"],
+        this.#hasPartialEntries() ? ["member", "equal"] : ["member"],
       );
     }
   }
@@ -248,7 +248,7 @@
   }
 
   /** Gets whether entries contain the current window. The entry of a hub with members would repeat the counts of its cell. */
-  #reportsPartialEntries(): boolean {
+  #hasPartialEntries(): boolean {
     return this.#listLinkedIds("member").length === 0 &&
       Number.isFinite(this.#getPartialIntervalMs());
   }
@@ -257,7 +257,7 @@
     const ledger = this.#ledger;
     const endedWindows = this.#listReportedWindows();
     const windows = [...endedWindows, this.#endedWindow + 1];
-    const entryWindows = this.#reportsPartialEntries() ? windows : endedWindows;
+    const entryWindows = this.#hasPartialEntries() ? windows : endedWindows;
     const atMs = relation === "hub" ? this.#clock.getNowMs() : Date.now();
     return encodeUsageNotice({
       id: this.#id,
--- a/src/process/usage/usage_ledger.ts
+++ b/src/process/usage/usage_ledger.ts
@@ -46,8 +46,8 @@
     this.#listLinkedIds = options.listLinkedIds;
   }
 
-  /** Ends a window of this daemon, whose counts the sum of the named hub is to include. The hub stays the same when the window ends again after a correction of the clock. */
-  endWindow(window: number, hub: string): void {
+  /** Finishes a window of this daemon, whose counts the sum of the named hub is to include. The hub stays the same when the window ends again after a correction of the clock. */
+  finishWindow(window: number, hub: string): void {
     if (!this.#ownHubs.has(window)) {
       this.#ownHubs.set(window, hub);
     }
--- a/src/process/usage/usage_part.ts
+++ b/src/process/usage/usage_part.ts
@@ -11,7 +11,7 @@
 import { UsageCounter } from "./usage_counter.ts";
 import { UsageExchange } from "./usage_exchange.ts";
 import { UsageRecordStore } from "./usage_record.ts";
-import { UsageReportTask } from "./usage_report_task.ts";
+import { type LeaseTimes, UsageReportTask } from "./usage_report_task.ts";
 
 /** Interval at which the end of a window is noticed, in milliseconds. It is that of the notices. */
 const REFRESH_INTERVAL_MS = 100;
@@ -28,6 +28,8 @@
   readonly settings: DutySettings;
   readonly client: DutyClient;
   readonly lease: DutyLease;
+  /** Times of the lease on which the duty rests. */
+  readonly leaseTimes: LeaseTimes;
   readonly store: SnapshotStore;
   readonly logger: Logger;
   /** Gets the generation of the store that this daemon knows. */
@@ -47,7 +49,7 @@
   readonly #reportTask: UsageReportTask;
 
   constructor(options: UsagePartOptions) {
-    const { settings, client, lease, store, logger } = options;
+    const { settings, client, lease, leaseTimes, store, logger } = options;
     const { usageWindowMs: windowMs, usageDueMs: dueMs } = settings;
     const clock = new SharedClock();
     const counter = new UsageCounter({ clock, windowMs });
@@ -62,6 +64,8 @@
       records: new UsageRecordStore(store),
       client,
       lease,
+      leaseTimes,
+      leaseMs: settings.leaseMs,
       clock,
       logger,
       windowMs,
--- a/src/process/usage/usage_report_task.ts
+++ b/src/process/usage/usage_report_task.ts
@@ -37,11 +37,32 @@
   retryAtMs: number;
 }
 
+/** Times of the lease on which the duty rests. */
+export interface LeaseTimes {
+  /** Gets the time since the lease was acquired in the current term, in milliseconds. */
+  getTermAgeMs(): number;
+  /** Gets the time since the lease was last renewed, in milliseconds. */
+  getRenewalAgeMs(): number;
+}
+
+/** Last record that this daemon has read or written as the holder. */
+interface HeldRecord {
+  readonly record: UsageRecord;
+  /** Token with which this daemon held the lease. */
+  readonly token: number;
+  /** Last time at which this daemon is known to have held the lease since, on the monotonic clock in milliseconds. */
+  readonly heldAtMs: number;
+}
+
 /** Components of the usage reports. */
 export interface UsageReportOptions {
   readonly records: UsageRecordStore;
   readonly client: Pick<DutyClient, "reportUsage">;
   readonly lease: DutyLease;
+  /** Times of the lease on which the duty rests. */
+  readonly leaseTimes: LeaseTimes;
+  /** Time between the acquisition of the lease and the first call of a holder, in milliseconds. */
+  readonly leaseMs: number;
   readonly clock: SharedClock;
   readonly logger: Logger;
   /** Length of a window in milliseconds. */
@@ -65,10 +86,11 @@
 export class UsageReportTask implements BackgroundTask {
   readonly #options: UsageReportOptions;
   #session: ReportSession | undefined;
-  /** Generation of the store whose record is older, and the first window that may be recorded since. */
+  /** Latest generation of the store, and the first window that cannot have been sent before this daemon noticed it. */
   #restore:
     | { readonly generation: number; readonly firstWindow: number }
     | undefined;
+  #heldRecord: HeldRecord | undefined;
   #reportedWindow: number | undefined;
   #skippedCount = 0;
 
@@ -95,6 +117,7 @@
   }
 
   async #runStep(): Promise<void> {
+    this.#observeGeneration(this.#options.getStoreGeneration());
     const fence = this.#options.lease.getFence();
     if (fence === undefined) {
       this.#session = undefined;
@@ -104,6 +127,7 @@
       this.#session = createSession(fence.token);
     }
     const session = this.#session;
+    this.#recordHolding(session);
     if (performance.now() < session.retryAtMs) {
       return;
     }
@@ -144,11 +168,60 @@
       (record === undefined
         ? this.#getGeneration(session) > 0
         : isRecordOutdated(record, session.version));
-    if (isUnknown) {
-      this.#skipUnknownWindows(session);
+    if (isUnknown && !this.#tryContinue(session)) {
+      this.#abandonUnknownWindows(session);
+    }
+  }
+
+  /** Notices a restore of the store. */
+  #observeGeneration(generation: number): void {
+    if (generation > (this.#restore?.generation ?? 0)) {
+      this.#restore = { generation, firstWindow: this.#currentWindow + 1 };
+    }
+  }
+
+  #recordHolding({ isLoaded, record, token }: ReportSession): void {
+    const renewalAgeMs = this.#options.leaseTimes.getRenewalAgeMs();
+    if (isLoaded && record !== undefined && Number.isFinite(renewalAgeMs)) {
+      this.#heldRecord = {
+        record,
+        token,
+        heldAtMs: performance.now() - renewalAgeMs,
+      };
     }
   }
 
+  /**
+   * Continues with the record that this daemon knows, if the store has lost it in a restore and no other daemon can have recorded a window since.
+   *
+   * Another holder would have had to wait `leaseMs` after it acquired the lease, which it could only do after the last renewal by this daemon. What it records after the restore shows the new generation.
+   */
+  #tryContinue(session: ReportSession): boolean {
+    const { leaseTimes, leaseMs, logger } = this.#options;
+    const held = this.#heldRecord;
+    if (held === undefined) {
+      return false;
+    }
+    const nowMs = performance.now();
+    const heldAgainAtMs = held.token === session.token
+      ? nowMs
+      : nowMs - leaseTimes.getTermAgeMs();
+    if (heldAgainAtMs - held.heldAtMs > leaseMs) {
+      return false;
+    }
+    const { window } = held.record;
+    logger.write("info", "usage-record-restored", {
+      window,
+      storedWindow: session.record?.window,
+      token: session.token,
+      heldAgeMs: Math.round(nowMs - held.heldAtMs),
+    });
+    session.record = held.record;
+    session.isConfirmed = false;
+    session.firstWindow = window + 1;
+    return true;
+  }
+
   /** Finds the first window of which counts are known. */
   #findFirstWindow(): number {
     const { counts } = this.#options;
@@ -169,12 +242,9 @@
   }
 
   /** Leaves out the windows that may have been sent with a record that the store has lost: those that ended before the restore was noticed, and the one after them. */
-  #skipUnknownWindows(session: ReportSession): void {
-    const generation = this.#getGeneration(session);
-    if (this.#restore?.generation !== generation) {
-      this.#restore = { generation, firstWindow: this.#currentWindow + 1 };
-    }
-    const { firstWindow } = this.#restore;
+  #abandonUnknownWindows(session: ReportSession): void {
+    this.#observeGeneration(this.#getGeneration(session));
+    const firstWindow = this.#restore?.firstWindow ?? this.#currentWindow + 1;
     if (firstWindow > session.firstWindow) {
       this.#recordSkip(session, {
         fromWindow: session.firstWindow,
@@ -256,7 +326,7 @@
     } else {
       // The store was restored before the write, so that the window may have been sent with other counts. The next record replaces this one.
       session.record = undefined;
-      this.#skipUnknownWindows(session);
+      this.#abandonUnknownWindows(session);
     }
   }
 
--- a/src/process/usage/usage_report_task_test.ts
+++ b/src/process/usage/usage_report_task_test.ts
@@ -20,6 +20,7 @@
 
 const WINDOW_MS = 5_000;
 const FIRST_WINDOW = 1_000;
+const LEASE_MS = 3_000;
 
 /** Store of one object that can be restored from a copy. */
 class RecordStore {
@@ -97,6 +98,8 @@
         | DutyFence
         | undefined,
       requests: options.requests,
+      acquiredAtMs: performance.now(),
+      renewalAgeMs: 500,
     };
     const clock = new SharedClock();
     const getCounts = () => ({
@@ -116,6 +119,11 @@
         getFence: () => state.fence,
         recordFenced: () => state.fence = undefined,
       },
+      leaseTimes: {
+        getTermAgeMs: () => performance.now() - state.acquiredAtMs,
+        getRenewalAgeMs: () => state.renewalAgeMs,
+      },
+      leaseMs: LEASE_MS,
       clock,
       logger: new NullLogger(),
       windowMs: WINDOW_MS,
@@ -261,6 +269,33 @@
     },
   );
 
+  // Guards against windows that are left out although the holder has stayed the same, and against other counts when another one may have reported meanwhile.
+  it.each([
+    { renewalAgeMs: 500, windows: [2, 3, 4] },
+    { renewalAgeMs: 4_000, windows: [0, 4] },
+  ])(
+    "continues after a restore of the store when the lease was renewed $renewalAgeMs ms before",
+    async ({ renewalAgeMs, windows }) => {
+      const { state } = start({ name: "a", token: 1, requests: 7 });
+      await vi.advanceTimersByTimeAsync(WINDOW_MS + 1_000);
+      const copy = store.object;
+      await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+      state.renewalAgeMs = renewalAgeMs;
+      await vi.advanceTimersByTimeAsync(200);
+      calls.length = 0;
+      state.fence = undefined;
+      store.object = copy;
+      store.generation++;
+      state.acquiredAtMs = performance.now();
+      await vi.advanceTimersByTimeAsync(LEASE_MS);
+      state.fence = { holder: "a", token: 100_000 };
+      state.requests = 9;
+      await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+      expect(listCalls().map(([window]) => window)).toEqual(windows);
+      expect(listCalls()[0][1]).toBe(7);
+    },
+  );
+
   // Guards against a daemon that stops reporting because of an object that someone else wrote.
   it("replaces a record that cannot be decoded", async () => {
     store.object = { kind: "k", name: "n", version: 3, value: { window: "x" } };
