Send only the current window in usage reports before its end

A small fleet repeated the last window with each of these reports. A test shows that an ended window that has not been sent stays in the report; it fails without the check.

--- a/src/process/usage/usage_exchange.ts
+++ b/src/process/usage/usage_exchange.ts
@@ -48,9 +48,13 @@
   readonly #startedAtMs = performance.now();
   readonly #partners = new Map<string, UsagePartner>();
   readonly #reports = new Map<PeerRelation, unknown>();
+  /** Relations whose next report contains the current window only, since the ended ones have not changed. */
+  readonly #partialRelations = new Set<PeerRelation>();
   /** Monotonic time since which a report with this relation lacks a change, in milliseconds. */
   readonly #changedAtMs = new Map<PeerRelation, number>();
   #endedWindow: number;
+  /** Number of daemons in the window before the last one, whose counts have arrived by its end. */
+  #fleetSize = 1;
   /** Revision of the counts when they were last reported before the end of the window. */
   #partialRevision = 0;
   #partialAtMs = Number.NEGATIVE_INFINITY;
@@ -186,6 +190,7 @@
       this.#ledger.finishWindow(window, hub);
     }
     this.#endedWindow = endedWindow;
+    this.#fleetSize = this.getCounts(endedWindow - 1)?.daemonCount ?? 1;
     this.#counter.sweep();
     this.#ledger.sweep(endedWindow + 1);
     this.#scheduleReports(["member"]);
@@ -210,6 +215,7 @@
       relations.forEach((relation) => {
         this.#reports.delete(relation);
         this.#changedAtMs.delete(relation);
+        this.#partialRelations.delete(relation);
       });
       this.#onChange();
     }
@@ -230,8 +236,17 @@
     if (isDue) {
       this.#partialAtMs = nowMs;
       this.#partialRevision = revision;
-      this.#scheduleReports(
-        this.#hasPartialEntries() ? ["member", "equal"] : ["member"],
+      const relations: PeerRelation[] = this.#hasPartialEntries()
+        ? ["member", "equal"]
+        : ["member"];
+      // A change of the ended windows may not have been sent yet.
+      const unchangedRelations = relations.filter((relation) =>
+        !this.#changedAtMs.has(relation) &&
+        (this.#reports.has(relation) || this.#partialRelations.has(relation))
+      );
+      this.#scheduleReports(relations);
+      unchangedRelations.forEach((relation) =>
+        this.#partialRelations.add(relation)
       );
     }
   }
@@ -239,10 +254,7 @@
   /** Gets the time between two reports of a window that has not ended. It is infinite in a fleet that is so large that the counts of one daemon in a whole window may be lost. */
   #getPartialIntervalMs(): number {
     const { windowMs } = this.#counter;
-    const daemonCount = Math.max(
-      this.#partners.size + 1,
-      this.getCounts(this.#endedWindow)?.daemonCount ?? 0,
-    );
+    const daemonCount = Math.max(this.#partners.size + 1, this.#fleetSize);
     const intervalMs = windowMs * daemonCount * MAX_LOST_SHARE;
     return intervalMs < windowMs ? intervalMs : Number.POSITIVE_INFINITY;
   }
@@ -255,7 +267,7 @@
 
   #createReport(relation: PeerRelation): unknown {
     const ledger = this.#ledger;
-    const endedWindows = this.#listReportedWindows();
+    const endedWindows = this.#listReportedWindows(relation);
     const windows = [...endedWindows, this.#endedWindow + 1];
     const entryWindows = this.#hasPartialEntries() ? windows : endedWindows;
     const atMs = relation === "hub" ? this.#clock.getNowMs() : Date.now();
@@ -281,7 +293,10 @@
   }
 
   /** Lists the ended windows to report: the last ones, and after a new link all that are retained. */
-  #listReportedWindows(): number[] {
+  #listReportedWindows(relation: PeerRelation): number[] {
+    if (this.#partialRelations.has(relation)) {
+      return [];
+    }
     const isLinkNew = performance.now() - this.#greetedAtMs <
       GREET_INTERVAL_MS;
     const count = isLinkNew ? RETAINED_WINDOWS : REPORTED_WINDOWS;
--- a/src/process/usage/usage_exchange_test.ts
+++ b/src/process/usage/usage_exchange_test.ts
@@ -235,6 +235,22 @@
     );
   });
 
+  // Guards against the loss of a window whose report is replaced by one about the current window before it is sent.
+  it("reports an ended window although more requests follow at once", () => {
+    const { fleet, m1 } = createCells();
+    fleet.run(3_900);
+    for (let ms = 0; ms < 4_000; ms += 100) {
+      m1.record(1);
+      vi.advanceTimersByTime(50);
+      m1.exchange.refresh();
+      vi.advanceTimersByTime(50);
+      m1.exchange.refresh();
+    }
+    fleet.run(100);
+    const report = m1.exchange.getReport("member") as { w: unknown[][] };
+    expect(report.w.map(([window]) => window)).toContain(firstWindow);
+  });
+
   // Guards against reports that are sent with each notice, and against a report to a partner that changes although nothing has happened.
   it("returns the same report until it changes", () => {
     const { fleet, hub1 } = createCells();
