Prefer the own total of usage to that of a former hub

A daemon that became a hub kept using the last total of its former hub when both included as many daemons, although its own was newer.

--- a/src/process/usage/usage_ledger.ts
+++ b/src/process/usage/usage_ledger.ts
@@ -126,11 +126,14 @@
     };
   }
 
-  /** Gets the counts of a window as far as this daemon knows them. The total of the hub is used unless this daemon knows those of more daemons. */
+  /** Gets the counts of a window as far as this daemon knows them. The total of the hub is used unless this daemon knows those of more daemons, or of as many since it has no hub any more. */
   getCounts(window: number): WindowCounts | undefined {
     const total = this.#combineWindow(window);
     const hubTotal = this.#hubTotals.get(window);
-    if (hubTotal !== undefined && hubTotal.daemonCount >= total.sources.size) {
+    const minHubCount = this.#listLinkedIds("hub").length > 0
+      ? total.sources.size
+      : total.sources.size + 1;
+    if (hubTotal !== undefined && hubTotal.daemonCount >= minHubCount) {
       return hubTotal;
     }
     return total.sources.size === 0 ? undefined : {
