--- a/src/process/usage/usage_exchange.ts
+++ b/src/process/usage/usage_exchange.ts
@@ -228,7 +228,7 @@
       : this.#ledger.createEntry(this.#endedWindow).pendingCount === 0;
   }
 
-  /** Reports the counts of the current window to the hub, or to the other hubs of a small fleet. */
+  /** Reports the counts of the current window to the hub or the other hubs of a small fleet. */
   #reportPartialCounts(nowMs: number): void {
     const { revision } = this.#counter;
     const isDue = nowMs - this.#partialAtMs >= this.#getPartialIntervalMs() &&
@@ -236,9 +236,7 @@
     if (isDue) {
       this.#partialAtMs = nowMs;
       this.#partialRevision = revision;
-      const relations: PeerRelation[] = this.#hasPartialEntries()
-        ? ["member", "equal"]
-        : ["member"];
+      const relations: readonly PeerRelation[] = ["member", "equal"];
       // A change of the ended windows may not have been sent yet.
       const unchangedRelations = relations.filter((relation) =>
         !this.#changedAtMs.has(relation) &&
@@ -259,17 +257,12 @@
     return intervalMs < windowMs ? intervalMs : Number.POSITIVE_INFINITY;
   }
 
-  /** Gets whether entries contain the current window. The entry of a hub with members would repeat the counts of its cell. */
-  #hasPartialEntries(): boolean {
-    return this.#listLinkedIds("member").length === 0 &&
-      Number.isFinite(this.#getPartialIntervalMs());
-  }
-
   #createReport(relation: PeerRelation): unknown {
     const ledger = this.#ledger;
     const endedWindows = this.#listReportedWindows(relation);
     const windows = [...endedWindows, this.#endedWindow + 1];
-    const entryWindows = this.#hasPartialEntries() ? windows : endedWindows;
+    const isPartial = Number.isFinite(this.#getPartialIntervalMs());
+    const entryWindows = isPartial ? windows : endedWindows;
     const atMs = relation === "hub" ? this.#clock.getNowMs() : Date.now();
     return encodeUsageNotice({
       id: this.#id,
