Decide the number of servers by demand, in small steps

The number of servers is fixed today. A pure decision derives the number of each zone from the lasting demand, and a task that runs every second at the holder of the duty orders it. The part is not switched on, as no lease of the duties exists yet.

--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -127,6 +127,13 @@
     return this.#waiters.length;
   }
 
+  /** Counts the requests that wait for a slot of a model. */
+  countWaiting(service: string, model: string): number {
+    return this.#waiters.filter(({ request }) =>
+      request.service === service && request.model === model
+    ).length;
+  }
+
   /**
    * Acquires a slot of a group, and waits for one if none is free.
    *
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -33,6 +33,7 @@
   | "orders"
   | "status_requests"
   | "duty_calls"
+  | "server_orders"
   | "peer_bytes_sent"
   | "store_reads"
   | "store_writes"
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -34,9 +34,11 @@
 import { ServerLoads } from "./fleet/server_loads.ts";
 import { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { Metrics } from "./metrics.ts";
+import type { DutyLease } from "./duties/duty_lease.ts";
 import { PlannedStop } from "./planned_stop.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
 import type { RoutingPart } from "./routing_parts.ts";
+import { createScalingPart } from "./scaling/scaling_part.ts";
 import type { RoutingContext } from "./routing_context.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
 import { type BackgroundTask, TaskSupervisor } from "./task_supervisor.ts";
@@ -213,6 +215,10 @@
   /** Creates the parts that the settings switch on. */
   #createParts(): RoutingPart[] {
     const parts: RoutingPart[] = [];
+    const scalingPart = this.#createScalingPart(this.#findDutyLease());
+    if (scalingPart !== undefined) {
+      parts.push(scalingPart);
+    }
     for (const part of parts) {
       part.sections.forEach((section) => this.#sections.add(section));
       part.addGauges(this.#options.metrics);
@@ -220,6 +226,36 @@
     return parts;
   }
 
+  /** Finds the lease of the duties; undefined when this daemon makes no calls of a duty. */
+  #findDutyLease(): DutyLease | undefined {
+    return undefined;
+  }
+
+  /** Creates the part that orders servers; undefined when the settings do not switch it on. */
+  #createScalingPart(lease: DutyLease | undefined): RoutingPart | undefined {
+    const { platform, settings, logger, metrics } = this.#options;
+    const isOn = settings.duties?.kinds.includes("server-scaling") === true;
+    if (!isOn || platform.duties === undefined || lease === undefined) {
+      return undefined;
+    }
+    return createScalingPart({
+      client: platform.duties,
+      lease,
+      logger,
+      metrics,
+      directory: this.#directory,
+      groups: this.#groups,
+      loads: this.#groupLoads,
+      listServices: () => this.#routes?.config.services ?? [],
+      countWaiting: (service, model) =>
+        this.#context.admission.countWaiting(service, model),
+      countLiveDaemons: () => this.#peerTable.listLivePeers().length + 1,
+      getListAgeMs: () => this.#fleetSync.getReportedListAgeMs("hub"),
+      getStoreGeneration: () => this.#fleetSync.storeGeneration,
+      getExcludedZones: () => this.#excludedZones.getZones(),
+    });
+  }
+
   #addGauges(metrics: Metrics): void {
     metrics.addGauge({
       name: "serving_groups",
