--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -231,14 +231,10 @@
     return undefined;
   }
 
-  /** Creates the part that orders servers; undefined when the settings do not switch it on. */
   #createScalingPart(lease: DutyLease | undefined): RoutingPart | undefined {
     const { platform, settings, logger, metrics } = this.#options;
-    const isOn = settings.duties?.kinds.includes("server-scaling") === true;
-    if (!isOn || platform.duties === undefined || lease === undefined) {
-      return undefined;
-    }
     return createScalingPart({
+      duties: settings.duties,
       client: platform.duties,
       lease,
       logger,
--- a/src/process/scaling/scaling_task.ts
+++ b/src/process/scaling/scaling_task.ts
@@ -1,5 +1,6 @@
 import type { DutyClient, DutyFence } from "../../connection/duty_client.ts";
 import { delay } from "../../shared/delay.ts";
+import { getErrorMessage } from "../../shared/errors.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type { RoutedService } from "../../version/routing_config.ts";
 import type { DutyLease } from "../duties/duty_lease.ts";
@@ -121,7 +122,7 @@
     return waiting;
   }
 
-  /** Gets whether the list of servers is up to date, the store was not restored, and as many daemons have reported as are alive and have recently reported. */
+  /** Gets whether callers have begun, the list of servers is up to date, the store was not restored, and as many daemons have reported as are alive and have recently reported. */
   #isViewComplete(daemons: number): boolean {
     const nowMs = performance.now();
     this.#daemonCounts = this.#daemonCounts.filter(({ atMs }) =>
@@ -132,7 +133,8 @@
     const isRestored = generation !== this.#storeGeneration;
     this.#storeGeneration = generation;
     const listAgeMs = this.#options.getListAgeMs();
-    return !isRestored && listAgeMs !== undefined &&
+    return !isRestored && this.#options.loads.hasTraffic() &&
+      listAgeMs !== undefined &&
       listAgeMs <= MAX_LIST_AGE_MS &&
       daemons === this.#options.countLiveDaemons() &&
       this.#daemonCounts.every(({ count }) => count <= daemons);
@@ -170,6 +172,12 @@
     if (choice.order !== undefined && !this.#isCalling) {
       this.#isCalling = true;
       this.#sendOrder(service, { scaler, view, choice, order: choice.order })
+        .catch((error: unknown) =>
+          this.#options.logger.write("error", "server-order-failed", {
+            service: service.name,
+            message: getErrorMessage(error),
+          })
+        )
         .finally(() => {
           this.#isCalling = false;
         });
--- /dev/null
+++ b/src/process/scaling/scaling_task_test.ts
@@ -0,0 +1,179 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createBackendServer } from "../../../tests/support/backend_servers.ts";
+import type {
+  DutyCallOutcome,
+  DutyFence,
+  ServerCountOrder,
+} from "../../connection/duty_client.ts";
+import type { RoutedService } from "../../version/routing_config.ts";
+import { BackendDirectory } from "../fleet/backend_directory.ts";
+import { GroupLoads } from "../fleet/group_loads.ts";
+import { GroupTable } from "../fleet/group_table.ts";
+import { Metrics } from "../metrics.ts";
+import { createScalingPart, type ScalingPartOptions } from "./scaling_part.ts";
+
+const SERVICE = {
+  name: "models",
+  engine: { slots: 24, models: [{ name: "m", groupSize: 4, loadMs: 12_000 }] },
+  scaling: { minServers: 4, maxServers: 40, bootMs: 8_000 },
+} as unknown as RoutedService;
+
+/** Starts the task at a daemon with 3 zones of 2 domains with 3 groups of 4 servers each. */
+function startTask(overrides: Partial<ScalingPartOptions> = {}) {
+  const logger = { write: vi.fn() };
+  const directory = new BackendDirectory({ logger });
+  const groups = new GroupTable({
+    directory,
+    logger,
+    findModel: () => SERVICE.engine!.models[0],
+  });
+  const changed = new Map(
+    Array.from({ length: 72 }, (_, i) => {
+      const group = Math.floor(i / 4);
+      const server = createBackendServer({
+        id: `s${i}`,
+        zone: `z${group % 3}`,
+        domain: `d${group % 6}`,
+        loadedModels: ["m"],
+        membership: {
+          groupName: `g${group}-4`,
+          generation: 1,
+          rank: i % 4,
+          state: "open",
+        },
+      });
+      return [server.id, server] as const;
+    }),
+  );
+  directory.applyChange({
+    changed,
+    removed: [],
+    revision: 1,
+    changeRevision: 1,
+    outageMs: 0,
+    isSnapshot: true,
+  });
+  const loads = new GroupLoads();
+  loads.addRequest("g0-4/1");
+  const state = {
+    fence: { holder: "entry-1", token: 7 } as DutyFence | undefined,
+    listAgeMs: 100,
+    liveDaemons: 1,
+  };
+  const orderServers = vi.fn(
+    (_order: ServerCountOrder, _fence: DutyFence): Promise<DutyCallOutcome> =>
+      Promise.resolve("done"),
+  );
+  const recordFenced = vi.fn(() => {
+    state.fence = undefined;
+  });
+  const part = createScalingPart({
+    duties: {
+      kinds: ["server-scaling"],
+      callsPerSecond: 50,
+      leaseMs: 3_000,
+      usageWindowMs: 5_000,
+      usageDueMs: 10_000,
+    },
+    client: { orderServers, reportUsage: vi.fn() },
+    lease: { getFence: () => state.fence, recordFenced },
+    logger,
+    metrics: new Metrics(),
+    directory,
+    groups,
+    loads,
+    listServices: () => [SERVICE],
+    countWaiting: () => 0,
+    countLiveDaemons: () => state.liveDaemons,
+    getListAgeMs: () => state.listAgeMs,
+    getStoreGeneration: () => 0,
+    getExcludedZones: () => new Set(),
+    ...overrides,
+  });
+  const controller = new AbortController();
+  part?.tasks.forEach((task) => void task.run(controller.signal));
+  return { part, state, logger, orderServers, recordFenced };
+}
+
+describe("ScalingTask", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  // Guards against orders without the fence, and against further orders before the first was carried out.
+  it("orders one step with the fence of the lease, and logs it", async () => {
+    const { orderServers, logger } = startTask();
+    await vi.advanceTimersByTimeAsync(30_000);
+    expect(orderServers.mock.calls).toEqual([[
+      { service: "models", zone: "z0", count: 22 },
+      { holder: "entry-1", token: 7 },
+    ]]);
+    expect(logger.write).toHaveBeenCalledWith(
+      "info",
+      "servers-ordered",
+      expect.objectContaining({ zone: "z0", count: 22, outcome: "done" }),
+    );
+  });
+
+  // Guards against two holders that order, and against a removal on the state of an earlier holder's order.
+  it("orders nothing without the lease, and after a takeover only once servers that were ordered have started", async () => {
+    const { orderServers, state } = startTask();
+    state.fence = undefined;
+    await vi.advanceTimersByTimeAsync(60_000);
+    expect(orderServers).not.toHaveBeenCalled();
+    state.fence = { holder: "entry-1", token: 8 };
+    await vi.advanceTimersByTimeAsync(7_500);
+    expect(orderServers).not.toHaveBeenCalled();
+    await vi.advanceTimersByTimeAsync(3_000);
+    expect(orderServers).toHaveBeenCalledTimes(1);
+  });
+
+  // Guards against the use of a token that another holder has exceeded.
+  it("reports a fenced call to the lease", async () => {
+    const { orderServers, recordFenced } = startTask();
+    orderServers.mockResolvedValue("fenced");
+    await vi.advanceTimersByTimeAsync(60_000);
+    expect(orderServers).toHaveBeenCalledTimes(1);
+    expect(recordFenced).toHaveBeenCalledWith({ holder: "entry-1", token: 7 });
+  });
+
+  // Guards against calls that overlap while the API is slow, whose order of execution would be open.
+  it("makes no further call before the last one has ended", async () => {
+    const { orderServers } = startTask();
+    orderServers.mockReturnValue(new Promise(() => {}));
+    await vi.advanceTimersByTimeAsync(120_000);
+    expect(orderServers).toHaveBeenCalledTimes(1);
+  });
+
+  // Guards against a removal on a partial view.
+  it("removes nothing while the list of servers is old or a daemon does not report", async () => {
+    const { orderServers, state } = startTask();
+    state.listAgeMs = 2_100;
+    await vi.advanceTimersByTimeAsync(60_000);
+    state.listAgeMs = 100;
+    state.liveDaemons = 2;
+    await vi.advanceTimersByTimeAsync(60_000);
+    expect(orderServers).not.toHaveBeenCalled();
+  });
+
+  // Guards against the removal of servers that were provisioned for callers who have not begun yet.
+  it("removes nothing before the first request", async () => {
+    const { orderServers } = startTask({ loads: new GroupLoads() });
+    await vi.advanceTimersByTimeAsync(60_000);
+    expect(orderServers).not.toHaveBeenCalled();
+  });
+
+  // Guards against orders for a deployment whose number of servers is fixed.
+  it("is off without the duty, the calls or the lease, and orders nothing without limits of the service", async () => {
+    expect(startTask({ duties: undefined }).part).toBeUndefined();
+    expect(startTask({ client: undefined }).part).toBeUndefined();
+    expect(startTask({ lease: undefined }).part).toBeUndefined();
+    const { scaling: _, ...fixedService } = SERVICE;
+    const { orderServers } = startTask({ listServices: () => [fixedService] });
+    await vi.advanceTimersByTimeAsync(60_000);
+    expect(orderServers).not.toHaveBeenCalled();
+  });
+});
--- a/src/process/scaling/service_scaler_test.ts
+++ b/src/process/scaling/service_scaler_test.ts
@@ -27,7 +27,7 @@
 class FakeFleet {
   readonly scaler = new ServiceScaler();
   readonly sent: DecidedOrder[] = [];
-  readonly domains = new Map(
+  readonly domains: Map<string, number> = new Map(
     ZONES.flatMap((zone) => [0, 1, 2].map((i) => [`${zone}${i}`, 19] as const)),
   );
   demand = NORMAL;
