--- a/src/process/scaling/scaling_task_test.ts
+++ b/src/process/scaling/scaling_task_test.ts
@@ -59,6 +59,7 @@
     fence: { holder: "entry-1", token: 7 } as DutyFence | undefined,
     listAgeMs: 100,
     liveDaemons: 1,
+    generation: 1,
   };
   const orderServers = vi.fn(
     (_order: ServerCountOrder, _fence: DutyFence): Promise<DutyCallOutcome> =>
@@ -86,7 +87,7 @@
     countWaiting: () => 0,
     countLiveDaemons: () => state.liveDaemons,
     getListAgeMs: () => state.listAgeMs,
-    getStoreGeneration: () => 0,
+    getStoreGeneration: () => state.generation,
     getExcludedZones: () => new Set(),
     ...overrides,
   });
@@ -159,6 +160,32 @@
     expect(orderServers).not.toHaveBeenCalled();
   });
 
+  // Guards against a removal while a daemon that has reported is gone, whose requests are not known.
+  it("removes nothing for a time after a daemon has stopped to report", async () => {
+    const { part, orderServers, state } = startTask();
+    const [section] = part!.sections;
+    section.applyReport("entry-2", "equal", { daemons: 1, waiting: {} });
+    state.liveDaemons = 2;
+    await vi.advanceTimersByTimeAsync(15_000);
+    section.removePartner("entry-2");
+    state.liveDaemons = 1;
+    await vi.advanceTimersByTimeAsync(48_000);
+    expect(orderServers).not.toHaveBeenCalled();
+    await vi.advanceTimersByTimeAsync(10_000);
+    expect(orderServers).toHaveBeenCalledTimes(1);
+  });
+
+  // Guards against a removal on a list of servers that a restore of the store has set back.
+  it("removes nothing for a time after a restore of the store", async () => {
+    const { orderServers, state } = startTask();
+    await vi.advanceTimersByTimeAsync(15_000);
+    state.generation = 2;
+    await vi.advanceTimersByTimeAsync(19_000);
+    expect(orderServers).not.toHaveBeenCalled();
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(orderServers).toHaveBeenCalledTimes(1);
+  });
+
   // Guards against the removal of servers that were provisioned for callers who have not begun yet.
   it("removes nothing before the first request", async () => {
     const { orderServers } = startTask({ loads: new GroupLoads() });
