Remove no servers while several of a zone are missing

Servers that are cut off from the store for longer than a server takes to start no longer count as recently lost, so that an order computed from the registered ones would have removed as many in addition. Removals now wait while more servers are missing than one order removes, for up to 5 minutes. A daemon that moves to another hub no longer counts as a missing one afterwards.

--- a/src/process/scaling/scaling_decision.ts
+++ b/src/process/scaling/scaling_decision.ts
@@ -16,7 +16,7 @@
 /** Multiple of the highest demand of the last moments that is kept, which covers waves of 20% around a mean together with the headroom. */
 const PEAK_MARGIN = 1.1;
 /** Largest number of servers that one order removes. In a trial, the removal of 17 servers of a zone at once broke up nearly all of its groups. */
-const MAX_STEP = 2;
+export const MAX_STEP = 2;
 /** Multiple of `bootMs` after which servers that were ordered no longer count as starting. */
 export const BOOT_TIMEOUT_FACTOR = 2;
 
--- a/src/process/scaling/scaling_task.ts
+++ b/src/process/scaling/scaling_task.ts
@@ -128,7 +128,11 @@
     this.#daemonCounts = this.#daemonCounts.filter(({ atMs }) =>
       nowMs - atMs < DAEMON_MEMORY_MS
     );
-    this.#daemonCounts.push({ atMs: nowMs, count: daemons });
+    const isConsistent = daemons === this.#options.countLiveDaemons();
+    if (isConsistent) {
+      // While a daemon moves to another hub, a higher number may be reported for a moment, which is no daemon that has gone.
+      this.#daemonCounts.push({ atMs: nowMs, count: daemons });
+    }
     const generation = this.#options.getStoreGeneration();
     const isRestored = generation !== this.#storeGeneration;
     this.#storeGeneration = generation;
@@ -136,7 +140,7 @@
     return !isRestored && this.#options.loads.hasTraffic() &&
       listAgeMs !== undefined &&
       listAgeMs <= MAX_LIST_AGE_MS &&
-      daemons === this.#options.countLiveDaemons() &&
+      isConsistent &&
       this.#daemonCounts.every(({ count }) => count <= daemons);
   }
 
--- a/src/process/scaling/service_scaler.ts
+++ b/src/process/scaling/service_scaler.ts
@@ -11,6 +11,7 @@
   type DecidedOrder,
   decideRemoval,
   getKeptServers,
+  MAX_STEP,
   type ScalingState,
   type ZoneServers,
 } from "./scaling_decision.ts";
@@ -18,6 +19,10 @@
 
 /** Time before a removal within which no request may have waited, in milliseconds. */
 const WAITING_WINDOW_MS = 3_000;
+/** Least time over which demand counts as lasting, in milliseconds; a single sample is no evidence. */
+const MIN_LASTING_MS = 3_000;
+/** Least time for which the demand has to be low before servers are removed, in milliseconds, for services whose servers start at once. */
+const MIN_LOW_DEMAND_MS = 10_000;
 
 /** Service whose number of servers may be ordered. */
 export type ScaledService =
@@ -94,6 +99,7 @@
   #describeState(service: ScaledService, view: ScalingView): ScalingState {
     const { engine, scaling } = service;
     const { bootMs } = scaling;
+    const lastingMs = Math.max(MIN_LASTING_MS, bootMs);
     const windowMs = getLowDemandMs(service);
     const zones = [...view.servers].map(([zone, count]): ZoneServers => ({
       zone,
@@ -109,24 +115,25 @@
       demands: engine.models.map(({ name, groupSize }) => ({
         model: name,
         groupSize,
-        lasting: this.tracker.getLastingRequests(name, bootMs),
-        lastingPeak: this.tracker.getLastingPeak(name, windowMs, bootMs),
+        lasting: this.tracker.getLastingRequests(name, lastingMs),
+        lastingPeak: this.tracker.getLastingPeak(name, windowMs, lastingMs),
         peak: this.tracker.getPeak(name, windowMs),
       })),
       domains: view.domains,
       zones,
-      hasLostServers: this.#hasLostServers(view, bootMs),
+      hasLostServers: this.#countMissing(view, bootMs) > 0,
     };
   }
 
-  /** Gets whether a zone has fewer servers than within the last `bootMs`, apart from those whose removal was ordered. */
-  #hasLostServers({ servers }: ScalingView, bootMs: number): boolean {
-    return this.tracker.listZones(bootMs).some((zone) =>
-      (servers.get(zone) ?? 0) < Math.min(
-        this.tracker.getServerPeak(zone, bootMs),
+  /** Counts the servers that the zone which lacks most has fewer than within the last `windowMs`, apart from those whose removal was ordered. */
+  #countMissing({ servers }: ScalingView, windowMs: number): number {
+    const missing = this.tracker.listZones(windowMs).map((zone) =>
+      Math.min(
+        this.tracker.getServerPeak(zone, windowMs),
         this.orders.getCount(zone) ?? Number.POSITIVE_INFINITY,
-      )
+      ) - (servers.get(zone) ?? 0)
     );
+    return Math.max(0, ...missing);
   }
 
   #findObstacle(
@@ -146,7 +153,9 @@
       ...view,
       isCovered: view.isComplete &&
         this.tracker.isCovered(getLowDemandMs(service)),
-      hasLostServers,
+      // Missing servers may be cut off from the store and still run; a count below the present one would remove as many in addition.
+      hasLostServers: hasLostServers ||
+        this.#countMissing(view, HISTORY_MS) > MAX_STEP,
       groupSizes: new Map(
         engine.models.map(({ name, groupSize }) => [name, groupSize]),
       ),
@@ -162,6 +171,6 @@
 
 /** Gets the time for which the demand has to be low before servers are removed, in milliseconds: as long as it takes until a server that is ordered again serves. */
 function getLowDemandMs({ scaling, engine }: ScaledService): number {
-  return scaling.bootMs +
-    Math.max(0, ...engine.models.map(({ loadMs }) => loadMs));
+  const loadsMs = engine.models.map(({ loadMs }) => loadMs);
+  return Math.max(MIN_LOW_DEMAND_MS, scaling.bootMs + Math.max(0, ...loadsMs));
 }
--- a/src/process/scaling/service_scaler_test.ts
+++ b/src/process/scaling/service_scaler_test.ts
@@ -241,6 +241,18 @@
     expect(next.count).toBe(first.count - 1 - 2);
   });
 
+  // Guards against a count that removes servers in addition to those that are cut off from the store and still run.
+  it("removes nothing for minutes while several servers of a zone are missing", () => {
+    fleet.demand = multiplyDemand(0.2);
+    fleet.run(10);
+    fleet.domains.set("a1", 9);
+    fleet.run(200);
+    expect(fleet.sent).toEqual([]);
+    fleet.domains.set("a1", 19);
+    fleet.run(10);
+    expect(fleet.sent.length).toBeGreaterThan(0);
+  });
+
   // Guards against a flood of calls to a slow API, and against a removal that is repeated while requests wait.
   it("repeats an order with unknown outcome at a falling rate, and no removal while requests wait", () => {
     fleet.outcome = "unknown";
