Bound the notices about waiting requests, and document the server scaling

A hub sent its sum again for each change at one of its members, up to 10 times a second while requests wait: 23 KB/s with 29 other hubs (computed). The reports change at most once a second now.

--- a/src/process/scaling/scale_in_conditions.ts
+++ b/src/process/scaling/scale_in_conditions.ts
@@ -55,7 +55,7 @@
     ["groups-lost", state.lostGroups > 0],
     ["servers-draining", state.drainingServers > 0],
     ["servers-lost", state.hasLostServers],
-    ["groups-forming", !areGroupsFormed(state)],
+    ["groups-forming", !hasAllGroups(state)],
     ["requests-waiting", state.waitingRequests > 0],
     ["order-pending", state.isOrderPending],
     ["settling", state.settledMs < SETTLE_MS],
@@ -64,7 +64,7 @@
 }
 
 /** Gets whether each domain has as many serving groups as its servers allow. */
-function areGroupsFormed(
+function hasAllGroups(
   { domains, servingGroups, groupSizes }: ScaleInState,
 ): boolean {
   return domains.every(({ domain, model, count }) => {
--- a/src/process/scaling/waiting_section.ts
+++ b/src/process/scaling/waiting_section.ts
@@ -36,19 +36,20 @@
     string,
     { readonly relation: PeerRelation; readonly report: WaitingReport }
   >();
-  /** Sums of the reports, until one of them changes. */
+  /** Sums to report, by the role of this daemon towards the receivers. */
   readonly #sums = new Map<PeerRelation, WaitingReport>();
 
   /**
-   * Sets the waiting requests of this daemon.
+   * Sets the waiting requests of this daemon, and updates the reports. They change only then, once a second, as the reports of the members of a hub would change them with each notice while requests wait.
    *
    * @param waiting - Requests by the key of their model.
    */
   setOwn(waiting: ReadonlyMap<string, number>): void {
     const own = { daemons: 1, waiting: Object.fromEntries(waiting) };
-    if (!isSame(own, this.#own)) {
-      this.#own = own;
-      this.#sums.clear();
+    this.#own = replaceIfChanged(this.#own, own);
+    for (const relation of ["equal", "hub"] as const) {
+      const sum = this.#sums.get(relation);
+      this.#sums.set(relation, replaceIfChanged(sum, this.#add(relation)));
     }
   }
 
@@ -57,33 +58,28 @@
     const hub = [...this.#partners.values()].find(({ relation }) =>
       relation === "hub"
     );
-    return hub?.report ?? this.getReport("hub");
+    return hub?.report ?? this.#add("hub");
   }
 
   getReport(relation: PeerRelation): WaitingReport {
-    if (relation === "member") {
-      return this.#own;
-    }
-    let sum = this.#sums.get(relation);
-    if (sum === undefined) {
-      const included = [...this.#partners.values()].filter((partner) =>
-        partner.relation === "member" ||
-        (partner.relation === "equal" && relation === "hub")
-      );
-      sum = addReports([this.#own, ...included.map(({ report }) => report)]);
-      this.#sums.set(relation, sum);
-    }
-    return sum;
+    return this.#sums.get(relation) ?? this.#own;
+  }
+
+  /** Adds the reports that the receivers do not have from others. */
+  #add(relation: PeerRelation): WaitingReport {
+    const included = [...this.#partners.values()].filter((partner) =>
+      partner.relation === "member" ||
+      (partner.relation === "equal" && relation === "hub")
+    );
+    return addReports([this.#own, ...included.map(({ report }) => report)]);
   }
 
   applyReport(partner: string, relation: PeerRelation, report: unknown): void {
     this.#partners.set(partner, { relation, report: decodeReport(report) });
-    this.#sums.clear();
   }
 
   removePartner(name: string): void {
     this.#partners.delete(name);
-    this.#sums.clear();
   }
 }
 
@@ -98,8 +94,14 @@
   return { daemons, waiting };
 }
 
-function isSame(a: WaitingReport, b: WaitingReport): boolean {
-  return JSON.stringify(a) === JSON.stringify(b);
+/** Gets the previous report if the new one is equal, so that it is not sent again. */
+function replaceIfChanged(
+  previous: WaitingReport | undefined,
+  report: WaitingReport,
+): WaitingReport {
+  return JSON.stringify(previous) === JSON.stringify(report)
+    ? previous!
+    : report;
 }
 
 function decodeReport(value: unknown): WaitingReport {
--- a/src/process/scaling/waiting_section_test.ts
+++ b/src/process/scaling/waiting_section_test.ts
@@ -14,14 +14,18 @@
     const [hubA, hubB, memberA, memberB] = [1, 2, 4, 8].map(createSection);
     hubA.applyReport("memberA", "member", memberA.getReport("member"));
     hubB.applyReport("memberB", "member", memberB.getReport("member"));
+    hubA.setOwn(new Map([["models m", 1]]));
+    hubB.setOwn(new Map([["models m", 2]]));
     hubA.applyReport("hubB", "equal", hubB.getReport("equal"));
     hubB.applyReport("hubA", "equal", hubA.getReport("equal"));
+    hubA.setOwn(new Map([["models m", 1]]));
     memberA.applyReport("hubA", "hub", hubA.getReport("hub"));
     const total = { daemons: 4, waiting: { "models m": 15 } };
     for (const section of [hubA, hubB, memberA]) {
       expect(section.getTotal()).toEqual(total);
     }
     hubB.removePartner("memberB");
+    hubB.setOwn(new Map([["models m", 2]]));
     hubA.applyReport("hubB", "equal", hubB.getReport("equal"));
     expect(hubA.getTotal()).toEqual({
       daemons: 3,
@@ -29,6 +33,15 @@
     });
   });
 
+  // Guards against a notice of a hub for each change at one of its members.
+  it("changes its reports only with its own sample", () => {
+    const section = createSection(1);
+    const before = section.getReport("equal");
+    section.applyReport("memberA", "member", { daemons: 1, waiting: {} });
+    expect(section.getReport("equal")).toBe(before);
+    expect(section.getTotal().daemons).toBe(2);
+  });
+
   // Guards against a notice with each heartbeat although nothing has changed.
   it("keeps its report until a number changes", () => {
     const section = createSection(1);
