--- a/src/process/scaling/scaling_task.ts
+++ b/src/process/scaling/scaling_task.ts
@@ -172,7 +172,7 @@
   ): void {
     const choice = scaler.choose(service, view);
     this.#kept = Math.max(this.#kept, choice.kept);
-    this.#logObstacle(service.name, choice);
+    this.#recordObstacle(service.name, choice);
     if (choice.order !== undefined && !this.#isCalling) {
       this.#isCalling = true;
       this.#sendOrder(service, { scaler, view, choice, order: choice.order })
@@ -230,7 +230,7 @@
     });
   }
 
-  #logObstacle(
+  #recordObstacle(
     service: string,
     { obstacle, kept }: ScalingChoice,
   ): void {
--- a/src/process/scaling/scaling_task_test.ts
+++ b/src/process/scaling/scaling_task_test.ts
@@ -115,7 +115,12 @@
     expect(logger.write).toHaveBeenCalledWith(
       "info",
       "servers-ordered",
-      expect.objectContaining({ zone: "z0", count: 22, outcome: "done" }),
+      expect.objectContaining({
+        zone: "z0",
+        count: 22,
+        requests: 1,
+        outcome: "done",
+      }),
     );
   });
 
@@ -160,6 +165,17 @@
     expect(orderServers).not.toHaveBeenCalled();
   });
 
+  // Guards against a removal that the return of the zone needs, and against one within it.
+  it("removes nothing while a zone is excluded", async () => {
+    const zones = new Set(["z1"]);
+    const { orderServers } = startTask({ getExcludedZones: () => zones });
+    await vi.advanceTimersByTimeAsync(60_000);
+    expect(orderServers).not.toHaveBeenCalled();
+    zones.clear();
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(orderServers).toHaveBeenCalledTimes(1);
+  });
+
   // Guards against a removal while a daemon that has reported is gone, whose requests are not known.
   it("removes nothing for a time after a daemon has stopped to report", async () => {
     const { part, orderServers, state } = startTask();
--- a/src/process/scaling/service_scaler_test.ts
+++ b/src/process/scaling/service_scaler_test.ts
@@ -114,7 +114,7 @@
     vi.useRealTimers();
   });
 
-  function multiplyDemand(factor: number) {
+  function createDemand(factor: number) {
     return { big: NORMAL.big * factor, small: NORMAL.small * factor };
   }
 
@@ -141,7 +141,7 @@
   // Guards against alternating orders.
   it("orders no additions in waves of 20%", () => {
     for (let i = 0; i < 20; i++) {
-      fleet.demand = multiplyDemand(i % 2 === 0 ? 1.2 : 0.8);
+      fleet.demand = createDemand(i % 2 === 0 ? 1.2 : 0.8);
       fleet.run(20);
     }
     expect(fleet.sent.every(({ reason }) => reason === "surplus")).toBe(true);
@@ -151,7 +151,7 @@
   it("orders nothing in a burst of 2.2 times for 5 s, also at the reserve", () => {
     fleet.run(600);
     const steps = fleet.sent.length;
-    fleet.demand = multiplyDemand(2.2);
+    fleet.demand = createDemand(2.2);
     fleet.run(5);
     fleet.demand = NORMAL;
     fleet.run(20);
@@ -163,7 +163,7 @@
     fleet.run(600);
     const before = fleet.total;
     fleet.sent.length = 0;
-    fleet.demand = multiplyDemand(2);
+    fleet.demand = createDemand(2);
     fleet.run(8 + ZONES.length);
     expect(fleet.sent.map(({ zone }) => zone).sort()).toEqual(ZONES);
     fleet.run(30);
@@ -173,7 +173,7 @@
 
   // Guards against a fleet without headroom after a zone is gone, and against orders for a zone that returns at once.
   it("adds servers in the other zones after the loss of a zone", () => {
-    fleet.demand = multiplyDemand(1.3);
+    fleet.demand = createDemand(1.3);
     fleet.run(60);
     fleet.sent.length = 0;
     [0, 1, 2].forEach((i) => fleet.domains.set(`a${i}`, 0));
@@ -188,7 +188,7 @@
     fleet.run(10);
     fleet.domains.set("a0", 0);
     fleet.domains.set("b0", 0);
-    fleet.demand = multiplyDemand(2);
+    fleet.demand = createDemand(2);
     fleet.run(20);
     expect(fleet.sent.map(({ zone }) => zone)).toEqual(
       expect.arrayContaining(["a", "b"]),
@@ -243,7 +243,7 @@
 
   // Guards against a count that removes servers in addition to those that are cut off from the store and still run.
   it("removes nothing for minutes while several servers of a zone are missing", () => {
-    fleet.demand = multiplyDemand(0.2);
+    fleet.demand = createDemand(0.2);
     fleet.run(10);
     fleet.domains.set("a1", 9);
     fleet.run(200);
