Test additions at once after a takeover

The history of the demand is kept at every daemon, so the next holder of the duty answers growth without delay; no test noticed a change of that.

--- a/src/process/scaling/service_scaler_test.ts
+++ b/src/process/scaling/service_scaler_test.ts
@@ -171,6 +171,17 @@
     expect(fleet.total).toBeGreaterThan(before + 10);
   });
 
+  // Guards against a holder that has to collect a history before it answers growth that began before.
+  it("orders the servers for lasting growth at once after a takeover", () => {
+    fleet.demand = createDemand(2.5);
+    fleet.run(9);
+    fleet.scaler.orders.clear();
+    fleet.sent.length = 0;
+    fleet.dutyMs = 0;
+    fleet.run(1);
+    expect(fleet.sent.map(({ reason }) => reason)).toEqual(["demand"]);
+  });
+
   // Guards against a fleet without headroom after a zone is gone, and against orders for a zone that returns at once.
   it("adds servers in the other zones after the loss of a zone", () => {
     fleet.demand = createDemand(1.3);
