--- a/src/process/duties/limited_duty_client.ts
+++ b/src/process/duties/limited_duty_client.ts
@@ -33,11 +33,11 @@
     return this.#tryCall(() => this.#client.reportUsage(report, fence));
   }
 
-  orderServers(
+  requestServers(
     order: ServerCountOrder,
     fence: DutyFence,
   ): Promise<DutyCallOutcome> {
-    return this.#tryCall(() => this.#client.orderServers(order, fence));
+    return this.#tryCall(() => this.#client.requestServers(order, fence));
   }
 
   #tryCall(call: () => Promise<DutyCallOutcome>): Promise<DutyCallOutcome> {
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -34,6 +34,7 @@
   | "status_requests"
   | "health_checks"
   | "duty_calls"
+  | "server_orders"
   | "peer_bytes_sent"
   | "store_reads"
   | "store_writes"
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -1,5 +1,4 @@
 import { WebSocketLinkTransport } from "../connection/peer_link.ts";
-import type { DutyClient } from "../connection/duty_client.ts";
 import { HttpServer } from "../connection/http_server.ts";
 import { RoutedRequestHandler } from "../request/routed/routed_request_handler.ts";
 import { LifeCycleManager } from "../shared/life_cycle_manager.ts";
@@ -35,19 +34,18 @@
 import { ServerLoads } from "./fleet/server_loads.ts";
 import { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { Metrics } from "./metrics.ts";
-import { LimitedDutyClient } from "./duties/limited_duty_client.ts";
-import { PlannerDutyLease } from "./duties/planner_duty_lease.ts";
+import { createDutyParts, type DutyParts } from "./duty_parts.ts";
 import { PlannedStop } from "./planned_stop.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
 import type { RoutingPart } from "./routing_parts.ts";
 import type { RoutingContext } from "./routing_context.ts";
-import type { DutySettings, RoutingSettings } from "./routing_settings.ts";
+import type { RoutingSettings } from "./routing_settings.ts";
 import { type BackgroundTask, TaskSupervisor } from "./task_supervisor.ts";
 import { ConfirmedGroups } from "./registration/confirmed_groups.ts";
 import { MissingMembers } from "./registration/missing_members.ts";
 import { createMissingMemberBounds } from "./registration/missing_member_rules.ts";
 import { MissingMemberTask } from "./registration/missing_member_task.ts";
-import { UsagePart, type UsageRecorder } from "./usage/usage_part.ts";
+import type { UsageRecorder } from "./usage/usage_part.ts";
 import { UnansweredEndRecorder } from "./unanswered_end_recorder.ts";
 
 /** Kinds of the store objects that daemons write. */
@@ -242,10 +240,9 @@
     if (this.#missingMembers !== undefined) {
       parts.push(this.#createRegistrationPart(this.#missingMembers));
     }
-    const { platform: { duties }, settings } = this.#options;
-    if (settings.duties !== undefined && duties !== undefined) {
-      parts.push(...this.#createDutyParts(settings.duties, duties));
-    }
+    const dutyParts = this.#createDutyParts();
+    this.#usageRecorder = dutyParts.usageRecorder;
+    parts.push(...dutyParts.parts);
     for (const part of parts) {
       part.sections.forEach((section) => this.#sections.add(section));
       part.addGauges(this.#options.metrics);
@@ -289,38 +286,29 @@
     };
   }
 
-  /** Creates the parts for the calls that are the duty of one daemon at a time. */
-  #createDutyParts(
-    duties: DutySettings,
-    dutyClient: DutyClient,
-  ): RoutingPart[] {
-    const { platform, settings, logger } = this.#options;
-    const lease = new PlannerDutyLease({
-      holder: settings.name,
+  #createDutyParts(): DutyParts {
+    const { platform, settings, logger, metrics } = this.#options;
+    return createDutyParts({
+      name: settings.name,
+      settings: settings.duties,
+      client: platform.duties,
       lease: this.#leaseHolder,
-      leaseMs: duties.leaseMs,
-    });
-    const client = new LimitedDutyClient({
-      client: dutyClient,
-      callsPerSecond: duties.callsPerSecond,
+      store: platform.store,
+      logger,
+      metrics,
+      directory: this.#directory,
+      groups: this.#groups,
+      loads: this.#groupLoads,
+      listServices: () => this.#routes?.config.services ?? [],
+      countWaiting: (service, model) =>
+        this.#context.admission.countWaiting(service, model),
+      countLiveDaemons: () => this.#peerTable.listLivePeers().length + 1,
+      getListAgeMs: () => this.#fleetSync.getReportedListAgeMs("hub"),
+      getStoreGeneration: () => this.#fleetSync.storeGeneration,
+      getExcludedZones: () => this.#excludedZones.getZones(),
+      scheduleNotices: () => this.#peerExchange.scheduleNotices(),
+      announce: () => this.#peerExchange.announce(),
     });
-    const parts: RoutingPart[] = [];
-    if (duties.kinds.includes("usage-report")) {
-      const usagePart = new UsagePart({
-        settings: duties,
-        client,
-        lease,
-        leaseTimes: this.#leaseHolder,
-        store: platform.store,
-        logger,
-        getStoreGeneration: () => this.#fleetSync.storeGeneration,
-        scheduleNotices: () => this.#peerExchange.scheduleNotices(),
-        announce: () => this.#peerExchange.announce(),
-      });
-      this.#usageRecorder = usagePart.recorder;
-      parts.push(usagePart);
-    }
-    return parts;
   }
 
   #addGauges(metrics: Metrics): void {
