Add an estimator of the speed and the concurrency limit of servers

Groups and plain servers that slow down keep their share of the requests, since the choice knows only the number of requests in flight. The new part compares pauses and durations with the engine's formula and with the other servers, shares evidence of slow ones in a notice section, and scales the load and the slots in the choice. It is off until its failure cases are tested.

--- /dev/null
+++ b/src/process/concurrency/learned_concurrency.ts
@@ -0,0 +1,346 @@
+import { delay } from "../../shared/delay.ts";
+import type { BackendServer } from "../../shared/backend_server.ts";
+import type { Logger } from "../../shared/logger.ts";
+import type { EngineProfile } from "../../version/routing_config.ts";
+import type { ReplicaGroup } from "../fleet/group_table.ts";
+import type { BackgroundTask } from "../task_supervisor.ts";
+import type { ServerEstimate } from "./candidate_limits.ts";
+import type {
+  ConcurrencyReports,
+  ServerEvidence,
+} from "./concurrency_reports.ts";
+import {
+  assessEvidence,
+  combineEvidence,
+  convertToBaseline,
+  type Evidence,
+  getBaseline,
+  limitWeight,
+  NO_EVIDENCE,
+} from "./evidence.ts";
+import { RouteDurations } from "./route_durations.ts";
+import {
+  BEGIN_RATIO,
+  type EstimateChange,
+  MIN_WEIGHT,
+} from "./server_estimator.ts";
+import {
+  CallObservation,
+  ServerRecord,
+  StreamObservation,
+} from "./server_record.ts";
+
+/** Interval of the evaluations, in milliseconds: a quarter of the second in which a slowdown has to be found. */
+const UPDATE_INTERVAL_MS = 250;
+/** Minimum weight of own evidence for a server to count towards the baseline. */
+const MIN_BASELINE_WEIGHT = 2;
+/** Minimum weight of own evidence of a slowdown that is reported to peers. */
+const MIN_REPORT_WEIGHT = 1.5;
+/** Share of the weight of sufficient own evidence that the evidence of peers gets. The path to a server may be slow from some VMs only. */
+const PEER_WEIGHT_SHARE = 0.5;
+/** Time after which a record without observations is removed, in milliseconds. */
+const RECORD_RETENTION_MS = 60_000;
+/** Maximum number of records: three times the servers of the design size. */
+const MAX_RECORDS = 2_000;
+/** Time after the cold phase of a server in which it is not observed, in milliseconds: requests of the cold phase are still running. */
+const COLD_MARGIN_MS = 1_000;
+/** Maximum number of log lines in a period of `LOG_PERIOD_MS`. */
+const MAX_LOG_LINES = 50;
+const LOG_PERIOD_MS = 10_000;
+const MS_PER_SECOND = 1_000;
+/** Number of batches until the first event: on average half of the running one, and the first own one. */
+const FIRST_EVENT_BATCHES = 1.5;
+/** Shortest time between two events that is expected, in milliseconds, for engines without a published formula. */
+const MIN_EXPECTED_MS = 1;
+const SERVER_KEY_PATTERN = /@\d+$/;
+
+/** Options of the learned concurrency. */
+export interface LearnedConcurrencyOptions {
+  readonly logger: Logger;
+  readonly reports: ConcurrencyReports;
+  /** Gets the number of requests in flight in a group, over all daemons. */
+  getLoad(groupKey: string): number;
+}
+
+/** Stream whose pauses are observed. */
+export interface ObservedStream {
+  readonly group: ReplicaGroup;
+  readonly engine: EngineProfile;
+  readonly promptTokens: number;
+}
+
+/** Learns how fast each server and group is, and how many concurrent requests it handles well, from the responses to this daemon and the evidence of its peers. */
+export class LearnedConcurrency implements BackgroundTask {
+  readonly #options: LearnedConcurrencyOptions;
+  readonly #records = new Map<string, ServerRecord>();
+  readonly #routes = new RouteDurations();
+  /** Estimates of the servers that deviate, by key. */
+  #estimates: ReadonlyMap<string, ServerEstimate> = new Map();
+  readonly #listeners = new Set<() => void>();
+  #loggedLines = 0;
+  #logPeriodStartMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: LearnedConcurrencyOptions) {
+    this.#options = options;
+  }
+
+  /** Gets the number of servers and groups that are found slow. */
+  get slowCount(): number {
+    return [...this.#estimates.values()].filter(({ speed }) => speed < 1)
+      .length;
+  }
+
+  /** Gets the number of servers and groups with a concurrency limit. */
+  get limitedCount(): number {
+    return [...this.#estimates.values()].filter(({ limit }) =>
+      limit !== Number.POSITIVE_INFINITY
+    ).length;
+  }
+
+  /** Registers a listener that is called when an estimate has changed. */
+  onChange(listener: () => void): void {
+    this.#listeners.add(listener);
+  }
+
+  /** Gets the estimate of a server or group; undefined when it does not deviate. */
+  getEstimate(key: string): ServerEstimate | undefined {
+    return this.#estimates.get(key);
+  }
+
+  /** Starts to observe a stream whose request is being sent to a group. */
+  startStream(
+    { group, engine, promptTokens }: ObservedStream,
+  ): StreamObservation | undefined {
+    if (isCold(group.head)) {
+      return undefined;
+    }
+    const { key, service, model } = group;
+    const factor =
+      engine.models.find(({ name }) => name === model)?.stepFactor ?? 1;
+    const baseMs = engine.stepsPerBatch * engine.stepMs * factor;
+    const perRequestMs = engine.stepsPerBatch * engine.stepPerRequestMs *
+      factor;
+    const getBatchMs = (load: number) =>
+      Math.max(MIN_EXPECTED_MS, baseMs + perRequestMs * load);
+    const getLoad = () => this.#options.getLoad(key);
+    const prefillMs = promptTokens * MS_PER_SECOND * factor /
+      Math.max(1, engine.promptTokensPerSecond);
+    return new StreamObservation(this.#getRecord(key, `${service} ${model}`), {
+      firstEventMs: FIRST_EVENT_BATCHES * getBatchMs(getLoad()) + prefillMs,
+      getLoad,
+      getBatchMs,
+    });
+  }
+
+  /** Starts to observe a request that is being sent to a server of a plain service. */
+  startCall(server: BackendServer, route: string): CallObservation | undefined {
+    return isCold(server) ? undefined : new CallObservation(
+      this.#getRecord(getServerKey(server), server.service),
+      this.#routes.get(`${server.service} ${route}`),
+    );
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await delay(UPDATE_INTERVAL_MS, signal);
+      this.update();
+    }
+  }
+
+  /** Evaluates the evidence, and updates the estimates and the report to the peers. */
+  update(): void {
+    const nowMs = performance.now();
+    const ownEvidence = this.#collectEvidence(nowMs);
+    const baselines = this.#getBaselines(ownEvidence);
+    const ownEntries = new Map<string, ServerEvidence>();
+    const estimates = new Map<string, ServerEstimate>();
+    const { reports } = this.#options;
+    reports.listKeys().forEach((key) => this.#getRecord(key));
+    for (const record of this.#records.values()) {
+      const { key, estimator } = record;
+      const baseline = baselines.get(record.scope ?? "") ?? 1;
+      const own = convertToBaseline(
+        ownEvidence.get(key) ?? NO_EVIDENCE,
+        baseline,
+      );
+      this.#updateEstimate(record, own, baseline, nowMs);
+      if (!estimator.isUsual) {
+        estimates.set(key, { speed: estimator.speed, limit: estimator.limit });
+      }
+      if (this.#isReported(record, own, nowMs)) {
+        ownEntries.set(key, {
+          evidence: own,
+          observedAtMs: record.observedAtMs,
+        });
+      }
+    }
+    reports.setOwnEntries(ownEntries, nowMs);
+    this.#endPeriod(nowMs);
+    const hasChanged = estimates.size > 0 || this.#estimates.size > 0;
+    this.#estimates = estimates;
+    if (hasChanged) {
+      this.#listeners.forEach((listener) => listener());
+    }
+  }
+
+  #collectEvidence(nowMs: number): Map<string, Evidence> {
+    const evidence = new Map<string, Evidence>();
+    for (const record of this.#records.values()) {
+      const { key } = record;
+      const own = record.getEvidence(
+        MIN_WEIGHT,
+        nowMs,
+        () =>
+          isServerKey(key) ? record.pending.size : this.#options.getLoad(key),
+      );
+      if (own.weight > 0) {
+        evidence.set(key, own);
+      }
+    }
+    return evidence;
+  }
+
+  #getBaselines(
+    ownEvidence: ReadonlyMap<string, Evidence>,
+  ): Map<string, number> {
+    const ratios = new Map<string, number[]>();
+    for (const [key, evidence] of ownEvidence) {
+      const scope = this.#records.get(key)?.scope;
+      if (scope !== undefined && evidence.weight >= MIN_BASELINE_WEIGHT) {
+        const scopeRatios = ratios.get(scope) ?? [];
+        scopeRatios.push(assessEvidence(evidence).ratio);
+        ratios.set(scope, scopeRatios);
+      }
+    }
+    return new Map(
+      [...ratios].map(([scope, list]) => [scope, getBaseline(list)]),
+    );
+  }
+
+  #updateEstimate(
+    record: ServerRecord,
+    own: Evidence,
+    baseline: number,
+    nowMs: number,
+  ): void {
+    const { key, estimator } = record;
+    const peers = this.#options.reports.getPeerEvidence(key, nowMs);
+    const peerEvidence = peers === undefined || own.weight < MIN_WEIGHT
+      ? peers?.evidence ?? NO_EVIDENCE
+      : limitWeight(peers.evidence, own.weight * PEER_WEIGHT_SHARE);
+    let evidence = combineEvidence(own, peerEvidence);
+    if (isServerKey(key)) {
+      // A daemon knows only its own requests at a plain server, so the loads of other daemons say nothing about its limit.
+      const load = own.weight > 0 ? own.loads / own.weight : 0;
+      evidence = { ...evidence, loads: load * evidence.weight };
+    }
+    const observedAtMs = Math.max(
+      record.observedAtMs,
+      peers?.observedAtMs ?? Number.NEGATIVE_INFINITY,
+    );
+    const change = estimator.update(evidence, observedAtMs, nowMs);
+    if (change !== undefined) {
+      this.#logChange(change, record, { evidence, own, baseline, nowMs });
+    }
+  }
+
+  /** Gets whether peers are told the evidence of this daemon about a server: it suggests a slowdown, or others have such evidence, to which it adds or which it contradicts. */
+  #isReported(
+    { key, estimator }: ServerRecord,
+    own: Evidence,
+    nowMs: number,
+  ): boolean {
+    const isSuspect = own.weight >= MIN_REPORT_WEIGHT &&
+      own.ratios >= own.expected * BEGIN_RATIO;
+    return own.weight > 0 &&
+      (isSuspect || estimator.isSlow ||
+        this.#options.reports.isSuspect(key, nowMs));
+  }
+
+  /** Ends a period of the observation windows, and removes old records. */
+  #endPeriod(nowMs: number): void {
+    for (const [key, record] of this.#records) {
+      record.rotate();
+      const isUnused = record.pending.size === 0 && record.estimator.isUsual &&
+        nowMs - record.observedAtMs > RECORD_RETENTION_MS;
+      if (isUnused) {
+        this.#records.delete(key);
+      }
+    }
+  }
+
+  #getRecord(key: string, scope?: string): ServerRecord {
+    let record = this.#records.get(key);
+    if (record === undefined) {
+      record = new ServerRecord(key);
+      this.#records.set(key, record);
+      if (this.#records.size > MAX_RECORDS) {
+        const [oldestKey] = this.#records.keys();
+        this.#records.delete(oldestKey);
+      }
+    }
+    record.scope ??= scope;
+    return record;
+  }
+
+  #logChange(
+    change: EstimateChange,
+    { key, estimator, expectedMs, observedAtMs }: ServerRecord,
+    { evidence, own, baseline, nowMs }: {
+      evidence: Evidence;
+      own: Evidence;
+      baseline: number;
+      nowMs: number;
+    },
+  ): void {
+    if (nowMs - this.#logPeriodStartMs >= LOG_PERIOD_MS) {
+      this.#logPeriodStartMs = nowMs;
+      this.#loggedLines = 0;
+    }
+    if (this.#loggedLines++ >= MAX_LOG_LINES) {
+      return;
+    }
+    const ratio = evidence.weight > 0
+      ? evidence.ratios / evidence.expected
+      : undefined;
+    const usualMs = expectedMs * baseline;
+    const event = change === "begun" ? "server-slow" : "server-not-slow";
+    this.#options.logger.write("info", event, {
+      server: key,
+      reason: change === "begun" ? undefined : change,
+      ratio: roundFigure(ratio),
+      expectedMs: own.weight > 0 ? Math.round(usualMs) : undefined,
+      observedMs: own.weight > 0
+        ? Math.round(usualMs * own.ratios / own.expected)
+        : undefined,
+      evidence: roundFigure(evidence.weight),
+      ownEvidence: roundFigure(own.weight),
+      ageMs: own.weight > 0 ? Math.round(nowMs - observedAtMs) : undefined,
+      speed: roundFigure(estimator.speed),
+      limit: estimator.limit === Number.POSITIVE_INFINITY
+        ? undefined
+        : roundFigure(estimator.limit),
+      origin: own.weight * 2 >= evidence.weight ? "own" : "peer",
+    });
+  }
+}
+
+/** Gets the key of a server's process, which a later process with the same id does not have. */
+export function getServerKey(
+  { id, startedAtMs }: Pick<BackendServer, "id" | "startedAtMs">,
+): string {
+  return `${id}@${startedAtMs}`;
+}
+
+/** Gets whether a key is that of a server's process. That of a group ends with a slash and its generation. */
+function isServerKey(key: string): boolean {
+  return SERVER_KEY_PATTERN.test(key);
+}
+
+function isCold({ coldUntilMs }: BackendServer): boolean {
+  return coldUntilMs > 0 && coldUntilMs > performance.now() - COLD_MARGIN_MS;
+}
+
+function roundFigure(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value * 100) / 100;
+}
--- /dev/null
+++ b/src/process/concurrency/server_record.ts
@@ -0,0 +1,247 @@
+import {
+  addObservation,
+  type Evidence,
+  EvidenceWindow,
+  getStreamWeight,
+  limitWeight,
+  type Observation,
+  WINDOW_PERIODS,
+} from "./evidence.ts";
+import { BEGIN_RATIO, ServerEstimator } from "./server_estimator.ts";
+
+/** Maximum weight of the evidence for each request. Two requests stay below the weight on which a server is judged, three reach it. */
+const MAX_REQUEST_WEIGHT = 1.6;
+
+/** Weight of the newest observations that replace older ones while a server is slow, so that its recovery shows early. */
+const RECOVERY_WEIGHT = 2;
+/** Share of the expected time between two batches of events below which events belong to the last batch: the network has split it. */
+const SAME_BATCH_SHARE = 0.2;
+
+/** Request in flight, whose silence is evidence before it ends. */
+interface PendingObservation {
+  /** Whether the request has contributed an observation. */
+  readonly hasObserved: boolean;
+  /** Gets the ratio so far of the time since the last event to the expected one; 0 when it is no evidence. */
+  getPendingRatio(nowMs: number): number;
+  /** Gets the weights of the observation if it ended now. */
+  getPendingWeight(nowMs: number): Pick<Observation, "weight" | "expected">;
+}
+
+/** Observations and estimate of one process of a server, or of one group. */
+export class ServerRecord {
+  readonly estimator = new ServerEstimator();
+  /** Servers with which this one is compared; undefined when only peers have reported it. */
+  scope: string | undefined;
+  /** Monotonic time of the newest observation, in milliseconds. */
+  observedAtMs = Number.NEGATIVE_INFINITY;
+  /** Expected duration of the newest observation, in milliseconds. */
+  expectedMs = 0;
+  readonly pending = new Set<PendingObservation>();
+  readonly #window = new EvidenceWindow();
+  /** Number of observed requests that ended in each of the last periods, the current one first. */
+  #endedCounts = [0];
+
+  constructor(readonly key: string) {}
+
+  /** Adds an observation. */
+  observe(
+    observedMs: number,
+    expectedMs: number,
+    observation: Omit<Observation, "ratio">,
+  ): void {
+    this.observedAtMs = performance.now();
+    this.expectedMs = expectedMs;
+    this.#window.add({ ratio: observedMs / expectedMs, ...observation });
+  }
+
+  /** Removes a request that has ended. */
+  removePending(observation: PendingObservation): void {
+    if (this.pending.delete(observation) && observation.hasObserved) {
+      this.#endedCounts[0]++;
+    }
+  }
+
+  /** Ends a period of the observation window. */
+  rotate(): void {
+    this.#window.rotate();
+    this.#endedCounts = [0, ...this.#endedCounts.slice(0, WINDOW_PERIODS - 1)];
+  }
+
+  /**
+   * Gets the evidence of the window, including requests that already take longer than expected. Its weight is bounded by the number of requests: a few long streams are not many requests.
+   *
+   * @param sufficientWeight - Weight from which older observations are left out.
+   * @param getLoad - Gets the number of concurrent requests.
+   */
+  getEvidence(
+    sufficientWeight: number,
+    nowMs: number,
+    getLoad: () => number,
+  ): Evidence {
+    const evidence = this.#window.getEvidence(
+      this.estimator.isSlow ? RECOVERY_WEIGHT : sufficientWeight,
+    );
+    // A shorter wait than the mean of the ended ones says nothing yet, and would lower the mean.
+    const minLateRatio = Math.max(
+      BEGIN_RATIO,
+      evidence.ratios / Math.max(Number.MIN_VALUE, evidence.expected),
+    );
+    let requestCount = this.#endedCounts.reduce((sum, count) => sum + count);
+    for (const observation of this.pending) {
+      const ratio = observation.getPendingRatio(nowMs);
+      const isLate = ratio >= minLateRatio;
+      if (isLate) {
+        addObservation(evidence, {
+          ratio,
+          ...observation.getPendingWeight(nowMs),
+          load: getLoad(),
+        });
+        this.observedAtMs = nowMs;
+      }
+      requestCount += Number(isLate || observation.hasObserved);
+    }
+    return limitWeight(evidence, requestCount * MAX_REQUEST_WEIGHT);
+  }
+}
+
+/** Observes the pauses of one stream. */
+export class StreamObservation implements PendingObservation {
+  hasObserved = false;
+  readonly #record: ServerRecord;
+  readonly #getLoad: () => number;
+  readonly #getBatchMs: (load: number) => number;
+  #lastAtMs = performance.now();
+  #expectedMs: number;
+  #isPaused = false;
+
+  /**
+   * @param options.firstEventMs - Expected time until the first event, in milliseconds.
+   * @param options.getLoad - Gets the number of requests in flight in the group.
+   * @param options.getBatchMs - Gets the expected time between two batches of events, in milliseconds.
+   */
+  constructor(record: ServerRecord, options: {
+    firstEventMs: number;
+    getLoad(): number;
+    getBatchMs(load: number): number;
+  }) {
+    this.#record = record;
+    this.#expectedMs = options.firstEventMs;
+    this.#getLoad = options.getLoad;
+    this.#getBatchMs = options.getBatchMs;
+    record.pending.add(this);
+  }
+
+  /** Records that events have arrived. */
+  recordEvents(): void {
+    const nowMs = performance.now();
+    const observedMs = nowMs - this.#lastAtMs;
+    if (observedMs < this.#expectedMs * SAME_BATCH_SHARE) {
+      return;
+    }
+    const load = this.#getLoad();
+    this.#observe(nowMs, load);
+    this.#lastAtMs = nowMs;
+    this.#expectedMs = this.#getBatchMs(load);
+  }
+
+  /** Leaves out the time until `resume`, in which events wait for the caller to read. */
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  /** Observes the stream again. */
+  resume(): void {
+    this.#isPaused = false;
+    this.#lastAtMs = performance.now();
+  }
+
+  /** Ends the observation. A stream that ends while its next event is late has waited at least that long for it. */
+  end(): void {
+    if (!this.#record.pending.has(this)) {
+      return;
+    }
+    const nowMs = performance.now();
+    if (this.getPendingRatio(nowMs) >= BEGIN_RATIO) {
+      this.#observe(nowMs, this.#getLoad());
+    }
+    this.#record.removePending(this);
+  }
+
+  getPendingRatio(nowMs: number): number {
+    return this.#isPaused ? 0 : (nowMs - this.#lastAtMs) / this.#expectedMs;
+  }
+
+  getPendingWeight(nowMs: number): Pick<Observation, "weight" | "expected"> {
+    return {
+      weight: getStreamWeight(nowMs - this.#lastAtMs),
+      expected: getStreamWeight(this.#expectedMs),
+    };
+  }
+
+  #observe(nowMs: number, load: number): void {
+    this.hasObserved = true;
+    this.#record.observe(nowMs - this.#lastAtMs, this.#expectedMs, {
+      ...this.getPendingWeight(nowMs),
+      load,
+    });
+  }
+}
+
+/** Expected duration of the requests of one route of a plain service. */
+export interface RouteDuration {
+  /** Gets the expected duration in milliseconds; undefined before enough requests. */
+  getExpectedMs(): number | undefined;
+  /** Records the duration of a successful request. */
+  record(durationMs: number): void;
+}
+
+/** Weights of a request of a plain service. */
+const CALL_WEIGHT = { weight: 1, expected: 1 };
+
+/** Observes the duration of one request to a server of a plain service. */
+export class CallObservation implements PendingObservation {
+  hasObserved = false;
+  readonly #record: ServerRecord;
+  readonly #route: RouteDuration;
+  readonly #startedAtMs = performance.now();
+
+  constructor(record: ServerRecord, route: RouteDuration) {
+    this.#record = record;
+    this.#route = route;
+    record.pending.add(this);
+  }
+
+  /**
+   * Ends the observation.
+   *
+   * @param isSuccess - Whether the server sent a complete response without an error. Otherwise the duration counts only when it is long: a fast error is no speed.
+   */
+  end(isSuccess: boolean): void {
+    const load = this.#record.pending.size;
+    if (!this.#record.pending.has(this)) {
+      return;
+    }
+    const nowMs = performance.now();
+    const durationMs = nowMs - this.#startedAtMs;
+    const expectedMs = this.#route.getExpectedMs();
+    const isEvidence = expectedMs !== undefined &&
+      (isSuccess || durationMs / expectedMs >= BEGIN_RATIO);
+    if (isEvidence) {
+      this.hasObserved = true;
+      this.#record.observe(durationMs, expectedMs, { ...CALL_WEIGHT, load });
+    }
+    this.#record.removePending(this);
+    if (isSuccess) {
+      this.#route.record(durationMs);
+    }
+  }
+
+  getPendingRatio(nowMs: number): number {
+    return (nowMs - this.#startedAtMs) /
+      (this.#route.getExpectedMs() ?? Number.POSITIVE_INFINITY);
+  }
+
+  getPendingWeight(): Pick<Observation, "weight" | "expected"> {
+    return CALL_WEIGHT;
+  }
+}
--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -1,5 +1,9 @@
 import { RequestError } from "../../shared/errors.ts";
 import { getRendezvousOrder } from "../../shared/rendezvous_hash.ts";
+import {
+  applyEstimates,
+  type ServerEstimate,
+} from "../concurrency/candidate_limits.ts";
 import { chooseGroup } from "./group_choice.ts";
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
 import type { GroupLoads } from "./group_loads.ts";
@@ -89,6 +93,7 @@
     ReadonlySet<string>
   >();
   readonly #getStalenessMs: () => number;
+  readonly #findEstimate: (groupKey: string) => ServerEstimate | undefined;
   /** Mean time that a request holds its slot, by model, in milliseconds. */
   readonly #meanDurationsMs = new Map<string, number>();
   readonly #waiters: Waiter[] = [];
@@ -108,6 +113,8 @@
       ownName: string;
       /** Gets the mean age of the loads that other daemons reported, in milliseconds. */
       getStalenessMs(): number;
+      /** Finds what is learned of a group that deviates from the others; defaults to nothing. */
+      findEstimate?(groupKey: string): ServerEstimate | undefined;
     },
   ) {
     this.#groups = options.groups;
@@ -117,6 +124,7 @@
     this.#zone = options.zone;
     this.#ownName = options.ownName;
     this.#getStalenessMs = options.getStalenessMs;
+    this.#findEstimate = options.findEstimate ?? (() => undefined);
     this.#groups.onChange(() => this.admitWaiting());
     this.#loads.onChange(() => this.admitWaiting());
     this.#statements.onChange(() => this.admitWaiting());
@@ -263,9 +271,14 @@
         this.#scheduleRetry();
       }
     }
-    const candidates = groups.map(({ key, head }) => ({
-      load: this.#loads.getLoad(key),
+    const limits = applyEstimates(
+      groups.map(({ key }) => this.#findEstimate(key)),
       slots,
+    );
+    const candidates = groups.map(({ key, head }, i) => ({
+      load: this.#loads.getLoad(key),
+      slots: limits?.[i].slots ?? slots,
+      speed: limits?.[i].speed,
       penalty: (head.zone === this.#zone ? 0 : CROSS_ZONE_PENALTY) +
         (preferredKeys.has(key) ? 0 : UNPREFERRED_PENALTY),
     }));
--- a/src/process/fleet/server_loads.ts
+++ b/src/process/fleet/server_loads.ts
@@ -1,5 +1,10 @@
 import type { BackendServer } from "../../shared/backend_server.ts";
 
+import {
+  getScaledLoad,
+  type ServerEstimate,
+} from "../concurrency/candidate_limits.ts";
+
 /** Time for which a server that failed a request is avoided while another server has free slots, in milliseconds. */
 const FAILURE_AVOIDANCE_MS = 2_000;
 
@@ -7,6 +12,20 @@
 export class ServerLoads {
   readonly #inFlightCounts = new Map<string, number>();
   readonly #lastFailureAtMs = new Map<string, number>();
+  readonly #findEstimate: (
+    server: BackendServer,
+  ) => ServerEstimate | undefined;
+
+  /**
+   * @param options.findEstimate - Finds what is learned of a server that deviates from the others; defaults to nothing.
+   */
+  constructor(
+    options: {
+      findEstimate?(server: BackendServer): ServerEstimate | undefined;
+    } = {},
+  ) {
+    this.#findEstimate = options.findEstimate ?? (() => undefined);
+  }
 
   /**
    * Counts a request as in flight at a server.
@@ -42,7 +61,7 @@
   }
 
   /**
-   * Chooses the server with the fewest requests of this daemon, with preference for servers without a recent failure. Among equally loaded servers, one in the zone of this daemon is preferred.
+   * Chooses the server with the fewest requests of this daemon, with preference for servers without a recent failure. Among equally loaded servers, one in the zone of this daemon is preferred. A slow server counts as more loaded, and one at its concurrency limit as full; one that is the only candidate is chosen all the same.
    *
    * @param servers - Servers that accept requests.
    * @param zone - Zone of this daemon.
@@ -63,11 +82,19 @@
     return bestServer;
   }
 
+  #getEffectiveLoad(server: BackendServer): number {
+    const load = this.getLoad(server.id);
+    const estimate = this.#findEstimate(server);
+    return estimate === undefined ? load : getScaledLoad(load, estimate.speed) +
+      (load >= estimate.limit ? server.slots : 0);
+  }
+
   #getCost(server: BackendServer, zone: string): number {
     const lastFailureAtMs = this.#lastFailureAtMs.get(server.id);
     const hasFailedRecently = lastFailureAtMs !== undefined &&
       performance.now() - lastFailureAtMs < FAILURE_AVOIDANCE_MS;
-    return this.getLoad(server.id) + (hasFailedRecently ? server.slots : 0) +
+    return this.#getEffectiveLoad(server) +
+      (hasFailedRecently ? server.slots : 0) +
       (server.zone === zone ? 0 : 0.5) + Math.random() * 0.1;
   }
 }
--- a/src/process/routing_context.ts
+++ b/src/process/routing_context.ts
@@ -2,6 +2,7 @@
 import type { LifeCycleManager } from "../shared/life_cycle_manager.ts";
 import type { Logger } from "../shared/logger.ts";
 import type { RouteTable } from "../version/route_table.ts";
+import type { LearnedConcurrency } from "./concurrency/learned_concurrency.ts";
 import type { BackendDirectory } from "./fleet/backend_directory.ts";
 import type { ColdLimits } from "./fleet/cold_limits.ts";
 import type { CrashCounter } from "./fleet/crash_counter.ts";
@@ -31,6 +32,8 @@
   readonly attempts: StreamAttempts;
   readonly groupFailureDetector: GroupFailureDetector;
   readonly serverLoads: ServerLoads;
+  /** Observes the responses of servers; undefined when the settings turn it off. */
+  readonly concurrency?: LearnedConcurrency;
   readonly coldLimits: ColdLimits;
   readonly serverLimits: ServerLimits;
   readonly serverStatements: ServerStatements;
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -5,6 +5,11 @@
 import type { Logger } from "../shared/logger.ts";
 import { RouteTable } from "../version/route_table.ts";
 import type { RoutingConfig } from "../version/routing_config.ts";
+import {
+  type ConcurrencyPart,
+  createConcurrencyPart,
+} from "./concurrency/concurrency_part.ts";
+import { getServerKey } from "./concurrency/learned_concurrency.ts";
 import { BackendDirectory } from "./fleet/backend_directory.ts";
 import { ColdLimits } from "./fleet/cold_limits.ts";
 import { CrashCounter } from "./fleet/crash_counter.ts";
@@ -86,6 +91,7 @@
   readonly #peerExchange: PeerExchange;
   readonly #plannedStop: PlannedStop;
   readonly #sections: NoticeSections;
+  readonly #concurrency: ConcurrencyPart | undefined;
   readonly #parts: readonly RoutingPart[];
   readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
   #routes: RouteTable | undefined;
@@ -135,6 +141,14 @@
     this.#peerExchange = this.#createPeerExchange();
     this.#serverStatements.onChange(() => this.#peerExchange.scheduleNotices());
     this.#groupLoads.onReportChange(() => this.#peerExchange.scheduleNotices());
+    this.#concurrency = settings.learnedConcurrency !== true
+      ? undefined
+      : createConcurrencyPart({
+        logger,
+        getLoad: (groupKey) => this.#groupLoads.getLoad(groupKey),
+        onReportChange: () => this.#peerExchange.scheduleNotices(),
+      });
+    const concurrency = this.#concurrency?.concurrency;
     const attempts = new StreamAttempts();
     const coldLimits = new ColdLimits({
       overageFactor: settings.coldOverage,
@@ -161,6 +175,7 @@
         zone: settings.zone,
         ownName: settings.name,
         getStalenessMs: () => this.#peerExchange.getStalenessMs(),
+        findEstimate: (groupKey) => concurrency?.getEstimate(groupKey),
       }),
       attempts,
       groupFailureDetector: new GroupFailureDetector({
@@ -170,7 +185,11 @@
         logger,
         announceLoss: () => this.#peerExchange.announce(),
       }),
-      serverLoads: new ServerLoads(),
+      serverLoads: new ServerLoads({
+        findEstimate: (server) =>
+          concurrency?.getEstimate(getServerKey(server)),
+      }),
+      concurrency,
       coldLimits,
       serverLimits: this.#serverLimits,
       serverStatements: this.#serverStatements,
@@ -181,6 +200,7 @@
       getRetryBudget: (service) => this.#getRetryBudget(service),
       plannedStop: this.#plannedStop,
     };
+    concurrency?.onChange(() => this.#context.admission.admitWaiting());
     this.#requestHandler = new RoutedRequestHandler(this.#context);
     this.#callerServer = new HttpServer(
       platform.createIngress(
@@ -212,7 +232,8 @@
 
   /** Creates the parts that the settings switch on. */
   #createParts(): RoutingPart[] {
-    const parts: RoutingPart[] = [];
+    const parts: RoutingPart[] = [this.#concurrency]
+      .filter((part) => part !== undefined);
     for (const part of parts) {
       part.sections.forEach((section) => this.#sections.add(section));
       part.addGauges(this.#options.metrics);
--- a/src/request/routed/group_attempt.ts
+++ b/src/request/routed/group_attempt.ts
@@ -1,3 +1,4 @@
+import type { StreamObservation } from "../../process/concurrency/server_record.ts";
 import type { GroupGrant } from "../../process/fleet/group_admission.ts";
 import type { ReplicaGroup } from "../../process/fleet/group_table.ts";
 import type { StreamAttempt } from "../../process/fleet/stream_attempts.ts";
@@ -7,6 +8,8 @@
 export class GroupAttempt implements StreamAttempt {
   readonly startedAtMs = performance.now();
   lastEventAtMs: number | undefined;
+  /** Observation of the stream's pauses, once its request is sent. */
+  observation: StreamObservation | undefined;
   readonly #grant: GroupGrant;
   readonly #controller = new AbortController();
   readonly #onSilence: (reason: string) => void;
@@ -68,10 +71,12 @@
   /** Waits for the caller to read on, which is no silence of the group. */
   async waitForCaller(writablePromise: Promise<void>): Promise<void> {
     this.#isCallerSlow = true;
+    this.observation?.pause();
     try {
       await writablePromise;
     } finally {
       this.#isCallerSlow = false;
+      this.observation?.resume();
       this.lastEventAtMs = performance.now();
     }
   }
@@ -89,6 +94,7 @@
   /** Releases the slot, and ends the attempt if it is still running. */
   dispose(): void {
     this.#removeListeners();
+    this.observation?.end();
     this.#controller.abort();
     this.#grant.release();
   }
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -429,10 +429,15 @@
     }
   }
 
-  async #sendRequest(
-    { group: { head }, signal }: GroupAttempt,
-  ): Promise<BackendResponse> {
+  async #sendRequest(attempt: GroupAttempt): Promise<BackendResponse> {
+    const { group, signal } = attempt;
+    const { head } = group;
     const { context, request, deadlineAtMs, account } = this.#scope;
+    attempt.observation = context.concurrency?.startStream({
+      group,
+      engine: this.#engine,
+      promptTokens: this.#modelRequest.promptTokens,
+    });
     const response = await context.transport.send(
       { serverId: head.id, address: head.address },
       {
@@ -475,6 +480,7 @@
       const events = this.#progress.acceptEvents(receivedEvents);
       attempt.lastEventAtMs = performance.now();
       if (receivedEvents.length > 0) {
+        attempt.observation?.recordEvents();
         this.#crashEvidence.recordEvents(attempt);
       }
       if (events.length === 0) {
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -18,6 +18,8 @@
 const ATTEMPT_TIME_SHARE = 0.5;
 /** Interval at which an attempt that has used its share of the time checks whether another one can follow, in milliseconds. */
 const REPLACEMENT_CHECK_INTERVAL_MS = 50;
+/** Lowest HTTP status of an error, whose duration says nothing about the speed of a server. */
+const FIRST_ERROR_STATUS = 400;
 /** Maximum number of retries of a request, including those after a server declined it without running it. */
 const MAX_RETRIES = 3;
 /** Time after which callers are asked to retry a request that has not run, in milliseconds. In this time a full server completes several requests. */
@@ -204,6 +206,8 @@
         abortAttempt,
       );
     const removeLoad = serverLoads.addRequest(server.id);
+    const observation = context.concurrency?.startCall(server, route.name);
+    let isSuccess = false;
     coldLimits.recordRequest(server);
     serverLimits.recordRequest(server);
     try {
@@ -226,6 +230,8 @@
       serverStatements.recordResponse(server, response);
       const body = await readResponseBody(response);
       const outcome = response.verdict === "not-run" ? "declined" : "answered";
+      isSuccess = outcome === "answered" &&
+        response.status < FIRST_ERROR_STATUS;
       return { outcome, response, body };
     } catch (error) {
       if (!(error instanceof BackendError)) {
@@ -235,6 +241,7 @@
     } finally {
       clearTimeout(timer);
       stopReplacement();
+      observation?.end(isSuccess);
       removeLoad();
       request.signal.removeEventListener("abort", abortAttempt);
     }
