Test the exchange and the use of learned concurrency

Evidence is taken from the newest periods first: a report of one stream mixed its usual pauses before a slowdown with the slow ones, and 20 daemons needed 2.5 s to find the group.

--- a/src/process/concurrency/concurrency_part.ts
+++ b/src/process/concurrency/concurrency_part.ts
@@ -25,6 +25,7 @@
 }): ConcurrencyPart {
   const reports = new ConcurrencyReports(options);
   const concurrency = new LearnedConcurrency({ ...options, reports });
+  reports.onPeerReport(() => concurrency.applyPeerReports());
   return {
     name: "concurrency",
     concurrency,
--- a/src/process/concurrency/concurrency_reports.ts
+++ b/src/process/concurrency/concurrency_reports.ts
@@ -20,7 +20,7 @@
 /** Age at which evidence of a partner is no longer used, in milliseconds: that of the observation window and one second for the reports of a hub that is slow. */
 const MAX_AGE_MS = 3_000;
 /** Minimum time between two changes of the report, in milliseconds. */
-const MIN_REPORT_INTERVAL_MS = 500;
+const MIN_REPORT_INTERVAL_MS = 200;
 /** Time between two changes of the report for each of its entries, in milliseconds. An entry has about 50 bytes, so a link carries at most 1 KB of them in a second. */
 const REPORT_INTERVAL_PER_ENTRY_MS = 50;
 
@@ -53,6 +53,7 @@
 export class ConcurrencyReports implements NoticeSection {
   readonly name = "concurrency";
   readonly #onReportChange: () => void;
+  readonly #listeners = new Set<() => void>();
   readonly #partners = new Map<string, PartnerReport>();
   #ownEntries: ReadonlyMap<string, ServerEvidence> = new Map();
   #reports = new Map<PeerRelation, readonly ReportEntry[]>();
@@ -65,6 +66,11 @@
     this.#onReportChange = options.onReportChange;
   }
 
+  /** Registers a listener that is called after a partner has reported. */
+  onPeerReport(listener: () => void): void {
+    this.#listeners.add(listener);
+  }
+
   /** Lists the keys of the servers that partners report. */
   listKeys(): Set<string> {
     return new Set(
@@ -121,6 +127,7 @@
     report: unknown,
   ): void {
     this.#partners.set(partner, { relation, entries: decodeReport(report) });
+    this.#listeners.forEach((listener) => listener());
   }
 
   removePartner(name: string): void {
--- a/src/process/concurrency/evidence.ts
+++ b/src/process/concurrency/evidence.ts
@@ -5,7 +5,7 @@
 /** Smallest relative standard deviation that is assumed of single observations. A few equal observations do not prove that a server has no variance. */
 const MIN_DEVIATION = 0.3;
 /** Number of standard errors by which a mean has to exceed a bound. In a trial with 1.5, chance found servers slow 41 times in a minute among 10 whose durations varied by a factor of 4. */
-const STANDARD_ERRORS = 2.5;
+const STANDARD_ERRORS = 3;
 /** Share of the servers, from the fastest on, whose ratio is the usual one. A lower share follows the chance of the single fastest server, a higher one hides a slowdown of the majority. */
 const BASELINE_SHARE = 0.2;
 
@@ -44,7 +44,7 @@
 /** Number of periods that a window keeps. With evaluations each 250 ms, it is 2 s long. */
 export const WINDOW_PERIODS = 8;
 /** Number of periods that are always used, so that a hiccup of a single period does not count alone. */
-const MIN_PERIODS = 3;
+const MIN_PERIODS = 2;
 
 type Mutable<T> = { -readonly [K in keyof T]: T[K] };
 
@@ -73,10 +73,18 @@
     }
   }
 
-  /** Gets the evidence of the newest periods that together have a sufficient weight, otherwise that of the whole window. A change of the speed thereby shows as soon as there is enough evidence after it. */
-  getEvidence(sufficientWeight: number): Mutable<Evidence> {
+  /**
+   * Gets the evidence of the newest periods that together have a sufficient weight. A change of the speed thereby shows as soon as there is enough evidence after it.
+   *
+   * @param sufficientWeight - Weight from which older periods are left out.
+   * @param maxPeriods - Number of periods that are used if their weight is not sufficient.
+   */
+  getEvidence(
+    sufficientWeight: number,
+    maxPeriods: number,
+  ): Mutable<Evidence> {
     let evidence: Mutable<Evidence> = { ...NO_EVIDENCE };
-    for (const [i, period] of this.#periods.entries()) {
+    for (const [i, period] of this.#periods.slice(0, maxPeriods).entries()) {
       if (i >= MIN_PERIODS && evidence.weight >= sufficientWeight) {
         break;
       }
--- a/src/process/concurrency/learned_concurrency.ts
+++ b/src/process/concurrency/learned_concurrency.ts
@@ -34,8 +34,12 @@
 const UPDATE_INTERVAL_MS = 250;
 /** Minimum weight of own evidence for a server to count towards the baseline. */
 const MIN_BASELINE_WEIGHT = 2;
-/** Minimum weight of own evidence of a slowdown that is reported to peers. */
-const MIN_REPORT_WEIGHT = 1.5;
+/** Minimum weight of own evidence of a slowdown that is reported to peers: 200 ms of one stream. Twenty daemons with a stream each at a slow group find it together. */
+const MIN_REPORT_WEIGHT = 0.4;
+/** Number of periods of which the evidence is reported, 500 to 750 ms. Daemons whose last request to a server ended before its slowdown must not contradict the others. */
+const REPORT_PERIODS = 3;
+/** Minimum time between an evaluation and the next one, which the report of a peer causes, in milliseconds. */
+const MIN_UPDATE_INTERVAL_MS = 50;
 /** Share of the weight of sufficient own evidence that the evidence of peers gets. The path to a server may be slow from some VMs only. */
 const PEER_WEIGHT_SHARE = 0.5;
 /** Time after which a record without observations is removed, in milliseconds. */
@@ -77,6 +81,7 @@
   /** Estimates of the servers that deviate, by key. */
   #estimates: ReadonlyMap<string, ServerEstimate> = new Map();
   readonly #listeners = new Set<() => void>();
+  #updatedAtMs = Number.NEGATIVE_INFINITY;
   #loggedLines = 0;
   #logPeriodStartMs = Number.NEGATIVE_INFINITY;
 
@@ -143,6 +148,19 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await delay(UPDATE_INTERVAL_MS, signal);
+      this.runPeriod();
+    }
+  }
+
+  /** Evaluates the evidence, and begins another period of the observation windows. */
+  runPeriod(): void {
+    this.update();
+    this.#endPeriod();
+  }
+
+  /** Evaluates the evidence after the report of a peer has changed, unless that has just been done. */
+  applyPeerReports(): void {
+    if (performance.now() - this.#updatedAtMs >= MIN_UPDATE_INTERVAL_MS) {
       this.update();
     }
   }
@@ -150,6 +168,7 @@
   /** Evaluates the evidence, and updates the estimates and the report to the peers. */
   update(): void {
     const nowMs = performance.now();
+    this.#updatedAtMs = nowMs;
     const ownEvidence = this.#collectEvidence(nowMs);
     const baselines = this.#getBaselines(ownEvidence);
     const ownEntries = new Map<string, ServerEvidence>();
@@ -159,23 +178,26 @@
     for (const record of this.#records.values()) {
       const { key, estimator } = record;
       const baseline = baselines.get(record.scope ?? "") ?? 1;
-      const own = convertToBaseline(
-        ownEvidence.get(key) ?? NO_EVIDENCE,
-        baseline,
-      );
-      this.#updateEstimate(record, own, baseline, nowMs);
+      const getOwn = (sufficientWeight: number, maxPeriods?: number) =>
+        ownEvidence.has(key)
+          ? convertToBaseline(
+            this.#getOwnEvidence(record, nowMs, sufficientWeight, maxPeriods),
+            baseline,
+          )
+          : NO_EVIDENCE;
+      this.#updateEstimate(record, getOwn, baseline, nowMs);
       if (!estimator.isUsual) {
         estimates.set(key, { speed: estimator.speed, limit: estimator.limit });
       }
-      if (this.#isReported(record, own, nowMs)) {
+      const recent = getOwn(MIN_REPORT_WEIGHT, REPORT_PERIODS);
+      if (this.#isReported(record, recent, nowMs)) {
         ownEntries.set(key, {
-          evidence: own,
+          evidence: recent,
           observedAtMs: record.observedAtMs,
         });
       }
     }
     reports.setOwnEntries(ownEntries, nowMs);
-    this.#endPeriod(nowMs);
     const hasChanged = estimates.size > 0 || this.#estimates.size > 0;
     this.#estimates = estimates;
     if (hasChanged) {
@@ -186,20 +208,30 @@
   #collectEvidence(nowMs: number): Map<string, Evidence> {
     const evidence = new Map<string, Evidence>();
     for (const record of this.#records.values()) {
-      const { key } = record;
-      const own = record.getEvidence(
-        MIN_WEIGHT,
-        nowMs,
-        () =>
-          isServerKey(key) ? record.pending.size : this.#options.getLoad(key),
-      );
+      const own = this.#getOwnEvidence(record, nowMs, MIN_WEIGHT);
       if (own.weight > 0) {
-        evidence.set(key, own);
+        evidence.set(record.key, own);
       }
     }
     return evidence;
   }
 
+  #getOwnEvidence(
+    record: ServerRecord,
+    nowMs: number,
+    sufficientWeight: number,
+    maxPeriods?: number,
+  ): Evidence {
+    const { key, pending } = record;
+    return record.getEvidence({
+      sufficientWeight,
+      maxPeriods,
+      nowMs,
+      getLoad: () =>
+        isServerKey(key) ? pending.size : this.#options.getLoad(key),
+    });
+  }
+
   #getBaselines(
     ownEvidence: ReadonlyMap<string, Evidence>,
   ): Map<string, number> {
@@ -219,12 +251,15 @@
 
   #updateEstimate(
     record: ServerRecord,
-    own: Evidence,
+    getOwn: (sufficientWeight: number) => Evidence,
     baseline: number,
     nowMs: number,
   ): void {
     const { key, estimator } = record;
     const peers = this.#options.reports.getPeerEvidence(key, nowMs);
+    const own = getOwn(
+      Math.max(MIN_REPORT_WEIGHT, MIN_WEIGHT - (peers?.evidence.weight ?? 0)),
+    );
     const peerEvidence = peers === undefined || own.weight < MIN_WEIGHT
       ? peers?.evidence ?? NO_EVIDENCE
       : limitWeight(peers.evidence, own.weight * PEER_WEIGHT_SHARE);
@@ -247,18 +282,19 @@
   /** Gets whether peers are told the evidence of this daemon about a server: it suggests a slowdown, or others have such evidence, to which it adds or which it contradicts. */
   #isReported(
     { key, estimator }: ServerRecord,
-    own: Evidence,
+    recent: Evidence,
     nowMs: number,
   ): boolean {
-    const isSuspect = own.weight >= MIN_REPORT_WEIGHT &&
-      own.ratios >= own.expected * BEGIN_RATIO;
-    return own.weight > 0 &&
+    const isSuspect = recent.weight >= MIN_REPORT_WEIGHT &&
+      recent.ratios >= recent.expected * BEGIN_RATIO;
+    return recent.weight > 0 &&
       (isSuspect || estimator.isSlow ||
         this.#options.reports.isSuspect(key, nowMs));
   }
 
   /** Ends a period of the observation windows, and removes old records. */
-  #endPeriod(nowMs: number): void {
+  #endPeriod(): void {
+    const nowMs = performance.now();
     for (const [key, record] of this.#records) {
       record.rotate();
       const isUnused = record.pending.size === 0 && record.estimator.isUsual &&
--- a/src/process/concurrency/learned_concurrency_test.ts
+++ b/src/process/concurrency/learned_concurrency_test.ts
@@ -89,7 +89,7 @@
           }
         }
         if (nowMs % UPDATE_MS < STEP_MS) {
-          concurrency.update();
+          concurrency.runPeriod();
           onUpdate();
         }
       }
@@ -253,7 +253,7 @@
           }
           vi.advanceTimersByTime(100);
           if (performance.now() % UPDATE_MS < 100) {
-            concurrency.update();
+            concurrency.runPeriod();
           }
         }
         vi.advanceTimersByTime(0);
--- a/src/process/concurrency/server_record.ts
+++ b/src/process/concurrency/server_record.ts
@@ -9,7 +9,7 @@
 } from "./evidence.ts";
 import { BEGIN_RATIO, ServerEstimator } from "./server_estimator.ts";
 
-/** Maximum weight of the evidence for each request. Two requests stay below the weight on which a server is judged, three reach it. */
+/** Maximum weight of the evidence for each request. Three requests stay below the weight on which a server is judged, four reach it. */
 const MAX_REQUEST_WEIGHT = 1.6;
 
 /** Weight of the newest observations that replace older ones while a server is slow, so that its recovery shows early. */
@@ -70,16 +70,21 @@
   /**
    * Gets the evidence of the window, including requests that already take longer than expected. Its weight is bounded by the number of requests: a few long streams are not many requests.
    *
-   * @param sufficientWeight - Weight from which older observations are left out.
-   * @param getLoad - Gets the number of concurrent requests.
+   * @param options.sufficientWeight - Weight from which older observations are left out.
+   * @param options.maxPeriods - Number of periods that are used if their weight is not sufficient.
+   * @param options.getLoad - Gets the number of concurrent requests.
    */
   getEvidence(
-    sufficientWeight: number,
-    nowMs: number,
-    getLoad: () => number,
+    { sufficientWeight, maxPeriods = WINDOW_PERIODS, nowMs, getLoad }: {
+      sufficientWeight: number;
+      maxPeriods?: number;
+      nowMs: number;
+      getLoad(): number;
+    },
   ): Evidence {
     const evidence = this.#window.getEvidence(
       this.estimator.isSlow ? RECOVERY_WEIGHT : sufficientWeight,
+      maxPeriods,
     );
     // A shorter wait than the mean of the ended ones says nothing yet, and would lower the mean.
     const minLateRatio = Math.max(
--- /dev/null
+++ b/tests/learned_concurrency_test.ts
@@ -0,0 +1,250 @@
+import { afterEach, describe, expect, it, vi } from "vitest";
+import { SeededRandom } from "../bench/load/seeded_random.ts";
+import type { PeerRelation } from "../src/connection/peer_notice.ts";
+import { applyEstimates } from "../src/process/concurrency/candidate_limits.ts";
+import { createConcurrencyPart } from "../src/process/concurrency/concurrency_part.ts";
+import type { StreamObservation } from "../src/process/concurrency/server_record.ts";
+import { chooseGroup } from "../src/process/fleet/group_choice.ts";
+import { createBackendServer } from "./support/backend_servers.ts";
+import { ENGINE } from "./support/planned_fleet.ts";
+
+const DAEMONS = 20;
+const GROUPS = 20;
+/** Daemons that are hubs; each has half of the others as members. */
+const HUBS = 2;
+const REQUESTS_PER_SECOND = 120;
+/** Number of batches of events in a stream, which lasts about a second. */
+const BATCHES = 20;
+const STEP_MS = 10;
+const NOTICE_MS = 100;
+const UPDATE_MS = 250;
+const SLOW_FROM_MS = 5_000;
+const SLOW_UNTIL_MS = 15_000;
+const END_MS = 25_000;
+const SLOWNESS = 5;
+
+interface Stream {
+  readonly daemon: number;
+  readonly group: number;
+  readonly observation: StreamObservation | undefined;
+  nextAtMs: number;
+  batches: number;
+}
+
+/** Requests to the slow group and to all groups, and the batches of events that came later than 200 ms. */
+interface Phase {
+  slowGroup: number;
+  all: number;
+  lateBatches: number;
+}
+
+describe("learned concurrency of 20 daemons", () => {
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function createParts(loads: readonly number[]) {
+    return Array.from({ length: DAEMONS }, () =>
+      createConcurrencyPart({
+        logger: { write: () => {} },
+        getLoad: (key) => loads[Number(key.slice(1).split("/")[0])],
+        onReportChange: () => {},
+      }));
+  }
+
+  /** Delivers the reports of all daemons that have changed, as JSON. */
+  function exchangeReports(
+    parts: ReturnType<typeof createParts>,
+    sent: Map<string, unknown>,
+    isCut: (from: number, to: number) => boolean,
+  ): void {
+    const deliver = (from: number, to: number, relation: PeerRelation) => {
+      const report = parts[from].sections[0].getReport(relation);
+      const link = `${from} ${to}`;
+      if (
+        report !== undefined && sent.get(link) !== report && !isCut(from, to)
+      ) {
+        sent.set(link, report);
+        parts[to].sections[0].applyReport(
+          String(from),
+          relation,
+          JSON.parse(JSON.stringify(report)),
+        );
+      }
+    };
+    for (let i = HUBS; i < DAEMONS; i++) {
+      deliver(i, i % HUBS, "member");
+    }
+    deliver(0, 1, "equal");
+    deliver(1, 0, "equal");
+    for (let i = HUBS; i < DAEMONS; i++) {
+      deliver(i % HUBS, i, "hub");
+    }
+  }
+
+  /** Replays a steady load over groups, of which the first is slow for 10 s. */
+  function replay(options: {
+    isOn: boolean;
+    requestsPerSecond?: number;
+    isCut?: (from: number, to: number) => boolean;
+  }) {
+    vi.useFakeTimers({ now: 0 });
+    const { requestsPerSecond = REQUESTS_PER_SECOND } = options;
+    const random = new SeededRandom(11);
+    const loads = new Array<number>(GROUPS).fill(0);
+    const parts = createParts(loads);
+    const sent = new Map<string, unknown>();
+    let knownLoads = [...loads];
+    let sentSince = parts.map(() => new Array<number>(GROUPS).fill(0));
+    let streams: Stream[] = [];
+    const createPhase = (): Phase => ({ slowGroup: 0, all: 0, lateBatches: 0 });
+    const phases = { slow: createPhase(), recovered: createPhase() };
+    const getBatchMs = (group: number) => {
+      const nowMs = performance.now();
+      const isSlow = nowMs >= SLOW_FROM_MS && nowMs < SLOW_UNTIL_MS;
+      return ENGINE.stepsPerBatch *
+        (ENGINE.stepMs + ENGINE.stepPerRequestMs * loads[group]) *
+        (isSlow && group === 0 ? SLOWNESS : 1) *
+        (0.8 + 0.4 * random.getFloat());
+    };
+    const findPhase = () => {
+      const nowMs = performance.now();
+      if (nowMs >= SLOW_FROM_MS + 1_500 && nowMs < SLOW_UNTIL_MS) {
+        return phases.slow;
+      }
+      return nowMs >= SLOW_UNTIL_MS + 4_000 ? phases.recovered : undefined;
+    };
+    const startStream = () => {
+      const daemon = random.getInteger(DAEMONS);
+      const { concurrency } = parts[daemon];
+      const limits = options.isOn
+        ? applyEstimates(
+          loads.map((_, g) => concurrency.getEstimate(`g${g}/1`)),
+          ENGINE.slots,
+        )
+        : undefined;
+      const candidates = knownLoads.map((load, g) => ({
+        load: load + sentSince[daemon][g],
+        slots: limits?.[g].slots ?? ENGINE.slots,
+        speed: limits?.[g].speed,
+        penalty: 0,
+      }));
+      const group = chooseGroup(candidates, {
+        stalenessMs: NOTICE_MS,
+        durationMs: 1_000,
+        peersShare: 1 - 1 / DAEMONS,
+      }, random.getFloat());
+      const phase = findPhase();
+      if (phase !== undefined) {
+        phase.all++;
+        phase.slowGroup += Number(group === 0);
+      }
+      if (group === undefined) {
+        return;
+      }
+      sentSince[daemon][group]++;
+      loads[group]++;
+      const key = `g${group}/1`;
+      streams.push({
+        daemon,
+        group,
+        observation: concurrency.startStream({
+          group: {
+            key,
+            name: `g${group}`,
+            generation: 1,
+            service: "models",
+            model: "large",
+            head: createBackendServer({ id: `s${group}` }),
+            members: [],
+          },
+          engine: ENGINE,
+          promptTokens: 0,
+        }),
+        nextAtMs: performance.now() +
+          (1 + random.getFloat()) * getBatchMs(group),
+        batches: 0,
+      });
+    };
+    const runStreams = () => {
+      const nowMs = performance.now();
+      streams = streams.filter((stream) => {
+        if (nowMs < stream.nextAtMs) {
+          return true;
+        }
+        stream.observation?.recordEvents();
+        const batchMs = getBatchMs(stream.group);
+        stream.nextAtMs = nowMs + batchMs;
+        const phase = findPhase();
+        if (phase !== undefined) {
+          phase.lateBatches += Number(batchMs > 200);
+        }
+        if (++stream.batches < BATCHES) {
+          return true;
+        }
+        stream.observation?.end();
+        loads[stream.group]--;
+        return false;
+      });
+    };
+    let detectedAtMs = Number.POSITIVE_INFINITY;
+    let falseEstimates = 0;
+    const checkEstimates = () => {
+      const slowGroups = parts.map(({ concurrency }) =>
+        loads.map((_, g) => concurrency.getEstimate(`g${g}/1`) !== undefined)
+      );
+      if (slowGroups.every(([isSlow]) => isSlow)) {
+        detectedAtMs = Math.min(detectedAtMs, performance.now());
+      }
+      falseEstimates += slowGroups.flatMap((list) => list.slice(1))
+        .filter((isSlow) => isSlow).length;
+    };
+    let nextArrivalMs = 0;
+    for (let nowMs = 0; nowMs < END_MS; nowMs += STEP_MS) {
+      vi.advanceTimersByTime(STEP_MS);
+      runStreams();
+      for (; nextArrivalMs < nowMs;) {
+        startStream();
+        nextArrivalMs += 1_000 / requestsPerSecond;
+      }
+      if (nowMs % UPDATE_MS < STEP_MS) {
+        parts.forEach(({ concurrency }) => concurrency.runPeriod());
+        checkEstimates();
+      }
+      if (nowMs % NOTICE_MS === 0) {
+        exchangeReports(parts, sent, options.isCut ?? (() => false));
+        knownLoads = [...loads];
+        sentSince = parts.map(() => new Array<number>(GROUPS).fill(0));
+      }
+    }
+    return { ...phases, detectedAtMs, falseEstimates };
+  }
+
+  // Guards against a slow group that gets its share of the requests, since the counts of requests in flight alone show its slowness only when they have grown.
+  it("sends few requests to a slow group, and its share again after its recovery", () => {
+    const off = replay({ isOn: false });
+    const on = replay({ isOn: true });
+    expect(on.slow.slowGroup).toBeLessThan(off.slow.slowGroup / 2);
+    expect(on.slow.lateBatches).toBeLessThan(off.slow.lateBatches / 1.5);
+    const usualShare = on.recovered.all / GROUPS;
+    expect(on.recovered.slowGroup).toBeGreaterThan(usualShare * 0.8);
+    expect(on.falseEstimates).toBe(0);
+  });
+
+  // Guards against evidence that reaches only a part of the daemons, or takes longer than the requests it is to spare.
+  it("lets all daemons know of a slow group 1.5 seconds after its slowdown", () => {
+    const { detectedAtMs } = replay({ isOn: true });
+    expect(detectedAtMs).toBeLessThanOrEqual(SLOW_FROM_MS + 1_500);
+  });
+
+  // Guards against relying on one hub: a zone that is partitioned has to learn from its own requests.
+  it("finds the slow group on both sides of a partition", () => {
+    const isCut = (from: number, to: number) => from % HUBS !== to % HUBS;
+    const { detectedAtMs } = replay({
+      isOn: true,
+      isCut,
+      requestsPerSecond: 200,
+    });
+    expect(detectedAtMs).toBeLessThanOrEqual(SLOW_FROM_MS + 1_750);
+  });
+});
