Turn learned concurrency on by default

The standard error of a server's mean ratio now comes from the servers it is compared with: a slowdown mixes usual and slow pauses, so its own variance hid it for half a second.

--- a/src/process/concurrency/evidence.ts
+++ b/src/process/concurrency/evidence.ts
@@ -2,9 +2,9 @@
 export const MAX_RATIO = 8;
 /** Observed time that gives an observation of a stream the weight 1, in milliseconds. A stream of one second has a weight of 2, whatever the length of its pauses. */
 const FULL_WEIGHT_MS = 500;
-/** Smallest relative standard deviation that is assumed of single observations. A few equal observations do not prove that a server has no variance. */
+/** Smallest standard deviation that is assumed of the ratios of single observations. A few equal observations do not prove that a server has no variance. */
 const MIN_DEVIATION = 0.3;
-/** Number of standard errors by which a mean has to exceed a bound. In a trial with 1.5, chance found servers slow 41 times in a minute among 10 whose durations varied by a factor of 4. */
+/** Number of standard errors by which a mean has to exceed a bound. Each server is evaluated 4 times a second, so that with 1.5, in a trial, chance found servers slow 41 times in a minute among 10 whose durations varied by a factor of 4. */
 const STANDARD_ERRORS = 3;
 /** Share of the servers, from the fastest on, whose ratio is the usual one. A lower share follows the chance of the single fastest server, a higher one hides a slowdown of the majority. */
 const BASELINE_SHARE = 0.2;
@@ -161,35 +161,78 @@
 }
 
 /**
- * Assesses evidence. The lower ratio is the mean less a few standard errors, so that a server with a large variance is judged on more observations than an even one.
+ * Assesses evidence.
+ *
+ * The lower ratio is the mean less a few standard errors. Their standard deviation is that of the servers with which this one is compared: a few observations say little about their own variance, and those of a server that has just become slow are partly usual and partly slow.
  *
  * @param evidence - Evidence of at least one observation.
+ * @param deviation - Standard deviation of the ratios of single observations.
  * @example
  * ```ts
- * const { ratio } = assessEvidence(window.getEvidence(4));
+ * const { lowRatio } = assessEvidence(evidence, 0.3);
  * ```
  */
 export function assessEvidence(
-  { weight, expected, ratios, squares, loads }: Evidence,
+  { weight, expected, ratios, loads }: Evidence,
+  deviation: number,
 ): Assessment {
   const ratio = ratios / expected;
-  const variance = Math.max(
-    squares / expected - ratio * ratio,
-    (MIN_DEVIATION * ratio) ** 2,
-  );
   return {
     ratio,
-    lowRatio: ratio - STANDARD_ERRORS * Math.sqrt(variance / weight),
+    lowRatio: ratio - STANDARD_ERRORS * deviation / Math.sqrt(weight),
     load: loads / weight,
   };
 }
 
+/** Gets the standard deviation of the ratios in evidence, which is at least a share of their mean. */
+export function getDeviation({ expected, ratios, squares }: Evidence): number {
+  const ratio = ratios / expected;
+  return Math.max(
+    MIN_DEVIATION * ratio,
+    Math.sqrt(Math.max(0, squares / expected - ratio * ratio)),
+  );
+}
+
+/** What is usual among the servers of one service, or the groups of one model. */
+export interface UsualFigures {
+  /** Ratio that counts as usual. */
+  readonly baseline: number;
+  /** Standard deviation of single observations, in multiples of the baseline. */
+  readonly deviation: number;
+}
+
+/** Figures without evidence: the expected durations are right. */
+export const DEFAULT_USUAL_FIGURES: UsualFigures = {
+  baseline: 1,
+  deviation: MIN_DEVIATION,
+};
+
+/**
+ * Gets what is usual among servers: their baseline, and the median of their deviations.
+ *
+ * @param evidence - Sufficient evidence of each server.
+ */
+export function getUsualFigures(evidence: readonly Evidence[]): UsualFigures {
+  const baseline = getBaseline(
+    evidence.map(({ ratios, expected }) => ratios / expected),
+  );
+  const deviations = evidence.map((one) => getDeviation(one) / baseline)
+    .sort((a, b) => a - b);
+  return {
+    baseline,
+    deviation: Math.max(
+      MIN_DEVIATION,
+      deviations[Math.floor((deviations.length - 1) / 2)],
+    ),
+  };
+}
+
 /**
  * Gets the ratio that counts as usual among the servers of one service, or the groups of one model. It is 1 when the expected durations are right. When all servers differ from them alike, for example because the network adds to each pause, it is the ratio of the faster servers, so that no server is slow only since the expectation is wrong.
  *
  * @param ratios - Ratios of the servers with sufficient evidence.
  */
-export function getBaseline(ratios: readonly number[]): number {
+function getBaseline(ratios: readonly number[]): number {
   if (ratios.length < 2) {
     return 1;
   }
--- a/src/process/concurrency/learned_concurrency.ts
+++ b/src/process/concurrency/learned_concurrency.ts
@@ -10,13 +10,15 @@
   ServerEvidence,
 } from "./concurrency_reports.ts";
 import {
-  assessEvidence,
   combineEvidence,
   convertToBaseline,
+  DEFAULT_USUAL_FIGURES,
   type Evidence,
-  getBaseline,
+  getDeviation,
+  getUsualFigures,
   limitWeight,
   NO_EVIDENCE,
+  type UsualFigures,
 } from "./evidence.ts";
 import { RouteDurations } from "./route_durations.ts";
 import {
@@ -170,14 +172,16 @@
     const nowMs = performance.now();
     this.#updatedAtMs = nowMs;
     const ownEvidence = this.#collectEvidence(nowMs);
-    const baselines = this.#getBaselines(ownEvidence);
+    const usualFigures = this.#getUsualFigures(ownEvidence);
     const ownEntries = new Map<string, ServerEvidence>();
     const estimates = new Map<string, ServerEstimate>();
     const { reports } = this.#options;
     reports.listKeys().forEach((key) => this.#getRecord(key));
     for (const record of this.#records.values()) {
       const { key, estimator } = record;
-      const baseline = baselines.get(record.scope ?? "") ?? 1;
+      const usual = usualFigures.get(record.scope ?? "") ??
+        DEFAULT_USUAL_FIGURES;
+      const { baseline } = usual;
       const getOwn = (sufficientWeight: number, maxPeriods?: number) =>
         ownEvidence.has(key)
           ? convertToBaseline(
@@ -185,7 +189,7 @@
             baseline,
           )
           : NO_EVIDENCE;
-      this.#updateEstimate(record, getOwn, baseline, nowMs);
+      this.#updateEstimate(record, getOwn, usual, nowMs);
       if (!estimator.isUsual) {
         estimates.set(key, { speed: estimator.speed, limit: estimator.limit });
       }
@@ -232,27 +236,31 @@
     });
   }
 
-  #getBaselines(
+  /** Gets what is usual in each scope for which there is own evidence. */
+  #getUsualFigures(
     ownEvidence: ReadonlyMap<string, Evidence>,
-  ): Map<string, number> {
-    const ratios = new Map<string, number[]>();
+  ): Map<string, UsualFigures> {
+    const evidenceByScope = new Map<string, Evidence[]>();
     for (const [key, evidence] of ownEvidence) {
       const scope = this.#records.get(key)?.scope;
       if (scope !== undefined && evidence.weight >= MIN_BASELINE_WEIGHT) {
-        const scopeRatios = ratios.get(scope) ?? [];
-        scopeRatios.push(assessEvidence(evidence).ratio);
-        ratios.set(scope, scopeRatios);
+        const list = evidenceByScope.get(scope) ?? [];
+        list.push(evidence);
+        evidenceByScope.set(scope, list);
       }
     }
     return new Map(
-      [...ratios].map(([scope, list]) => [scope, getBaseline(list)]),
+      [...evidenceByScope].map(([scope, list]) => [
+        scope,
+        getUsualFigures(list),
+      ]),
     );
   }
 
   #updateEstimate(
     record: ServerRecord,
     getOwn: (sufficientWeight: number) => Evidence,
-    baseline: number,
+    { baseline, deviation }: UsualFigures,
     nowMs: number,
   ): void {
     const { key, estimator } = record;
@@ -264,7 +272,10 @@
       ? peers?.evidence ?? NO_EVIDENCE
       : limitWeight(peers.evidence, own.weight * PEER_WEIGHT_SHARE);
     let evidence = combineEvidence(own, peerEvidence);
-    if (isServerKey(key)) {
+    let ownDeviation = 0;
+    if (isServerKey(key) && evidence.weight > 0) {
+      // Few requests of a plain server make up its evidence, and one that varies more than the others must not be found slow by chance.
+      ownDeviation = getDeviation(evidence);
       // A daemon knows only its own requests at a plain server, so the loads of other daemons say nothing about its limit.
       const load = own.weight > 0 ? own.loads / own.weight : 0;
       evidence = { ...evidence, loads: load * evidence.weight };
@@ -273,7 +284,12 @@
       record.observedAtMs,
       peers?.observedAtMs ?? Number.NEGATIVE_INFINITY,
     );
-    const change = estimator.update(evidence, observedAtMs, nowMs);
+    const change = estimator.update(
+      evidence,
+      Math.max(deviation, ownDeviation),
+      observedAtMs,
+      nowMs,
+    );
     if (change !== undefined) {
       this.#logChange(change, record, { evidence, own, baseline, nowMs });
     }
--- a/src/process/concurrency/server_estimator.ts
+++ b/src/process/concurrency/server_estimator.ts
@@ -76,19 +76,21 @@
    * Updates the estimate, several times a second.
    *
    * @param evidence - Evidence of the last observations, in multiples of the baseline.
+   * @param deviation - Standard deviation of single observations, in multiples of the baseline.
    * @param observedAtMs - Monotonic time of the newest observation, in milliseconds.
    * @param nowMs - Monotonic time, in milliseconds.
    * @returns Change that is worth a log line.
    */
   update(
     evidence: Evidence,
+    deviation: number,
     observedAtMs: number,
     nowMs: number,
   ): EstimateChange | undefined {
     const wasSlow = this.#isSlow;
     const minWeight = wasSlow ? MIN_CONFIRMATION_WEIGHT : MIN_WEIGHT;
     if (evidence.weight >= minWeight && observedAtMs > this.#evidenceAtMs) {
-      this.#applyEvidence(evidence, nowMs);
+      this.#applyEvidence(evidence, deviation, nowMs);
       this.#evidenceAtMs = observedAtMs;
     }
     if (!this.#isSlow) {
@@ -108,8 +110,12 @@
     return wasSlow ? undefined : "begun";
   }
 
-  #applyEvidence(evidence: Evidence, nowMs: number): void {
-    const { ratio, lowRatio, load } = assessEvidence(evidence);
+  #applyEvidence(
+    evidence: Evidence,
+    deviation: number,
+    nowMs: number,
+  ): void {
+    const { ratio, lowRatio, load } = assessEvidence(evidence, deviation);
     if (!this.#isSlow && lowRatio >= BEGIN_RATIO) {
       this.#isSlow = true;
       this.#firstSlowLoad = load;
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -141,7 +141,7 @@
     this.#peerExchange = this.#createPeerExchange();
     this.#serverStatements.onChange(() => this.#peerExchange.scheduleNotices());
     this.#groupLoads.onReportChange(() => this.#peerExchange.scheduleNotices());
-    this.#concurrency = settings.learnedConcurrency !== true
+    this.#concurrency = settings.learnedConcurrency === false
       ? undefined
       : createConcurrencyPart({
         logger,
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -39,7 +39,7 @@
   readonly coldSlack: number;
   /** Whether backend servers use the planner's term as a fencing token, that is, refuse orders of an earlier term. */
   readonly areOrdersFenced: boolean;
-  /** Whether the daemon learns how fast each backend server is and how many concurrent requests it handles well; defaults to false. */
+  /** Whether the daemon learns how fast each backend server is and how many concurrent requests it handles well; defaults to true. */
   readonly learnedConcurrency?: boolean;
   /** Calls to the platform that are the duty of one daemon at a time; undefined when there are none. */
   readonly duties?: DutySettings;
