--- a/src/process/concurrency/evidence.ts
+++ b/src/process/concurrency/evidence.ts
@@ -56,13 +56,13 @@
   /**
    * Adds an observation.
    *
-   * @param observation.ratio - Observed duration divided by the expected one.
-   * @param observation.expected - Share of a whole request that was expected in the observed time.
-   * @param observation.weight - Weight of the observation, from 0 to 1.
-   * @param observation.load - Number of concurrent requests at the server.
+   * @param ratio - Observed duration divided by the expected one.
+   * @param expected - Share of a whole request that was expected in the observed time.
+   * @param weight - Weight of the observation, from 0 to 1.
+   * @param load - Number of concurrent requests at the server.
    */
-  add(observation: Observation): void {
-    addObservation(this.#periods[0], observation);
+  add(ratio: number, expected: number, weight: number, load: number): void {
+    addObservation(this.#periods[0], ratio, expected, weight, load);
   }
 
   /** Ends a period, and drops the oldest one. */
@@ -83,29 +83,30 @@
     sufficientWeight: number,
     maxPeriods: number,
   ): Mutable<Evidence> {
-    let evidence: Mutable<Evidence> = { ...NO_EVIDENCE };
-    for (const [i, period] of this.#periods.slice(0, maxPeriods).entries()) {
+    const evidence: Mutable<Evidence> = { ...NO_EVIDENCE };
+    const count = Math.min(maxPeriods, this.#periods.length);
+    for (let i = 0; i < count; i++) {
       if (i >= MIN_PERIODS && evidence.weight >= sufficientWeight) {
         break;
       }
-      evidence = combineEvidence(evidence, period);
+      const period = this.#periods[i];
+      evidence.weight += period.weight;
+      evidence.expected += period.expected;
+      evidence.ratios += period.ratios;
+      evidence.squares += period.squares;
+      evidence.loads += period.loads;
     }
     return evidence;
   }
 }
 
-/** One observation of a server. */
-export interface Observation {
-  readonly ratio: number;
-  readonly expected: number;
-  readonly weight: number;
-  readonly load: number;
-}
-
 /** Adds an observation to evidence. */
 export function addObservation(
   evidence: Mutable<Evidence>,
-  { ratio, expected, weight, load }: Observation,
+  ratio: number,
+  expected: number,
+  weight: number,
+  load: number,
 ): void {
   const boundedRatio = Math.min(MAX_RATIO, ratio);
   const weighted = boundedRatio * expected;
--- a/src/process/concurrency/server_record.ts
+++ b/src/process/concurrency/server_record.ts
@@ -4,7 +4,6 @@
   EvidenceWindow,
   getStreamWeight,
   limitWeight,
-  type Observation,
   WINDOW_PERIODS,
 } from "./evidence.ts";
 import { BEGIN_RATIO, ServerEstimator } from "./server_estimator.ts";
@@ -23,8 +22,10 @@
   readonly hasObserved: boolean;
   /** Gets the ratio so far of the time since the last event to the expected one; 0 when it is no evidence. */
   getPendingRatio(nowMs: number): number;
-  /** Gets the weights of the observation if it ended now. */
-  getPendingWeight(nowMs: number): Pick<Observation, "weight" | "expected">;
+  /** Gets the weight of the observation if it ended now. */
+  getPendingWeight(nowMs: number): number;
+  /** Gets the share of a whole request that is expected by the next event. */
+  getPendingExpected(): number;
 }
 
 /** Observations and estimate of one process of a server, or of one group. */
@@ -43,15 +44,27 @@
 
   constructor(readonly key: string) {}
 
-  /** Adds an observation. */
+  /**
+   * Adds an observation.
+   *
+   * @param observedMs - Observed duration, in milliseconds.
+   * @param expectedMs - Expected duration, in milliseconds.
+   * @param expected - Share of a whole request that was expected in the observed time.
+   * @param weight - Weight of the observation, from 0 to 1.
+   * @param load - Number of concurrent requests.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
   observe(
     observedMs: number,
     expectedMs: number,
-    observation: Omit<Observation, "ratio">,
+    expected: number,
+    weight: number,
+    load: number,
+    nowMs: number,
   ): void {
-    this.observedAtMs = performance.now();
+    this.observedAtMs = nowMs;
     this.expectedMs = expectedMs;
-    this.#window.add({ ratio: observedMs / expectedMs, ...observation });
+    this.#window.add(observedMs / expectedMs, expected, weight, load);
   }
 
   /** Removes a request that has ended. */
@@ -96,11 +109,13 @@
       const ratio = observation.getPendingRatio(nowMs);
       const isLate = ratio >= minLateRatio;
       if (isLate) {
-        addObservation(evidence, {
+        addObservation(
+          evidence,
           ratio,
-          ...observation.getPendingWeight(nowMs),
-          load: getLoad(),
-        });
+          observation.getPendingExpected(),
+          observation.getPendingWeight(nowMs),
+          getLoad(),
+        );
         this.observedAtMs = nowMs;
       }
       requestCount += Number(isLate || observation.hasObserved);
@@ -176,19 +191,25 @@
     return this.#isPaused ? 0 : (nowMs - this.#lastAtMs) / this.#expectedMs;
   }
 
-  getPendingWeight(nowMs: number): Pick<Observation, "weight" | "expected"> {
-    return {
-      weight: getStreamWeight(nowMs - this.#lastAtMs),
-      expected: getStreamWeight(this.#expectedMs),
-    };
+  getPendingWeight(nowMs: number): number {
+    return getStreamWeight(nowMs - this.#lastAtMs);
+  }
+
+  getPendingExpected(): number {
+    return getStreamWeight(this.#expectedMs);
   }
 
   #observe(nowMs: number, load: number): void {
     this.hasObserved = true;
-    this.#record.observe(nowMs - this.#lastAtMs, this.#expectedMs, {
-      ...this.getPendingWeight(nowMs),
+    const observedMs = nowMs - this.#lastAtMs;
+    this.#record.observe(
+      observedMs,
+      this.#expectedMs,
+      getStreamWeight(this.#expectedMs),
+      getStreamWeight(observedMs),
       load,
-    });
+      nowMs,
+    );
   }
 }
 
@@ -200,9 +221,6 @@
   record(durationMs: number): void;
 }
 
-/** Weights of a request of a plain service. */
-const CALL_WEIGHT = { weight: 1, expected: 1 };
-
 /** Observes the duration of one request to a server of a plain service. */
 export class CallObservation implements PendingObservation {
   hasObserved = false;
@@ -233,7 +251,7 @@
       (isSuccess || durationMs / expectedMs >= BEGIN_RATIO);
     if (isEvidence) {
       this.hasObserved = true;
-      this.#record.observe(durationMs, expectedMs, { ...CALL_WEIGHT, load });
+      this.#record.observe(durationMs, expectedMs, 1, 1, load, nowMs);
     }
     this.#record.removePending(this);
     if (isSuccess) {
@@ -246,7 +264,11 @@
       (this.#route.getExpectedMs() ?? Number.POSITIVE_INFINITY);
   }
 
-  getPendingWeight(): Pick<Observation, "weight" | "expected"> {
-    return CALL_WEIGHT;
+  getPendingWeight(): number {
+    return 1;
+  }
+
+  getPendingExpected(): number {
+    return 1;
   }
 }
