--- a/src/process/concurrency/learned_concurrency.ts
+++ b/src/process/concurrency/learned_concurrency.ts
@@ -20,12 +20,9 @@
   NO_EVIDENCE,
   type UsualFigures,
 } from "./evidence.ts";
+import { EstimateLog } from "./estimate_log.ts";
 import { RouteDurations } from "./route_durations.ts";
-import {
-  BEGIN_RATIO,
-  type EstimateChange,
-  MIN_WEIGHT,
-} from "./server_estimator.ts";
+import { BEGIN_RATIO, MIN_WEIGHT } from "./server_estimator.ts";
 import {
   CallObservation,
   ServerRecord,
@@ -50,15 +47,11 @@
 const MAX_RECORDS = 2_000;
 /** Time after the cold phase of a server in which it is not observed, in milliseconds: requests of the cold phase are still running. */
 const COLD_MARGIN_MS = 1_000;
-/** Maximum number of log lines in a period of `LOG_PERIOD_MS`. */
-const MAX_LOG_LINES = 50;
-const LOG_PERIOD_MS = 10_000;
 const MS_PER_SECOND = 1_000;
 /** Number of batches until the first event: on average half of the running one, and the first own one. */
 const FIRST_EVENT_BATCHES = 1.5;
 /** Shortest time between two events that is expected, in milliseconds, for engines without a published formula. */
 const MIN_EXPECTED_MS = 1;
-const SERVER_KEY_PATTERN = /@\d+$/;
 
 /** Options of the learned concurrency. */
 export interface LearnedConcurrencyOptions {
@@ -84,11 +77,11 @@
   #estimates: ReadonlyMap<string, ServerEstimate> = new Map();
   readonly #listeners = new Set<() => void>();
   #updatedAtMs = Number.NEGATIVE_INFINITY;
-  #loggedLines = 0;
-  #logPeriodStartMs = Number.NEGATIVE_INFINITY;
+  readonly #log: EstimateLog;
 
   constructor(options: LearnedConcurrencyOptions) {
     this.#options = options;
+    this.#log = new EstimateLog(options);
   }
 
   /** Gets the number of servers and groups that are found slow. */
@@ -176,9 +169,15 @@
     const ownEntries = new Map<string, ServerEvidence>();
     const estimates = new Map<string, ServerEstimate>();
     const { reports } = this.#options;
-    reports.listKeys().forEach((key) => this.#getRecord(key));
+    const reportedKeys = reports.listKeys();
+    reportedKeys.forEach((key) => this.#getRecord(key));
     for (const record of this.#records.values()) {
       const { key, estimator } = record;
+      const isIdle = estimator.isUsual && !ownEvidence.has(key) &&
+        !reportedKeys.has(key);
+      if (isIdle) {
+        continue;
+      }
       const usual = usualFigures.get(record.scope ?? "") ??
         DEFAULT_USUAL_FIGURES;
       const { baseline } = usual;
@@ -226,13 +225,12 @@
     sufficientWeight: number,
     maxPeriods?: number,
   ): Evidence {
-    const { key, pending } = record;
+    const { key, isServer, pending } = record;
     return record.getEvidence({
       sufficientWeight,
       maxPeriods,
       nowMs,
-      getLoad: () =>
-        isServerKey(key) ? pending.size : this.#options.getLoad(key),
+      getLoad: () => isServer ? pending.size : this.#options.getLoad(key),
     });
   }
 
@@ -273,7 +271,7 @@
       : limitWeight(peers.evidence, own.weight * PEER_WEIGHT_SHARE);
     let evidence = combineEvidence(own, peerEvidence);
     let ownDeviation = 0;
-    if (isServerKey(key) && evidence.weight > 0) {
+    if (record.isServer && evidence.weight > 0) {
       // Few requests of a plain server make up its evidence, and one that varies more than the others must not be found slow by chance.
       ownDeviation = getDeviation(evidence);
       // A daemon knows only its own requests at a plain server, so the loads of other daemons say nothing about its limit.
@@ -291,7 +289,7 @@
       nowMs,
     );
     if (change !== undefined) {
-      this.#logChange(change, record, { evidence, own, baseline, nowMs });
+      this.#log.write(change, record, { evidence, own, baseline, nowMs });
     }
   }
 
@@ -334,47 +332,6 @@
     record.scope ??= scope;
     return record;
   }
-
-  #logChange(
-    change: EstimateChange,
-    { key, estimator, expectedMs, observedAtMs }: ServerRecord,
-    { evidence, own, baseline, nowMs }: {
-      evidence: Evidence;
-      own: Evidence;
-      baseline: number;
-      nowMs: number;
-    },
-  ): void {
-    if (nowMs - this.#logPeriodStartMs >= LOG_PERIOD_MS) {
-      this.#logPeriodStartMs = nowMs;
-      this.#loggedLines = 0;
-    }
-    if (this.#loggedLines++ >= MAX_LOG_LINES) {
-      return;
-    }
-    const ratio = evidence.weight > 0
-      ? evidence.ratios / evidence.expected
-      : undefined;
-    const usualMs = expectedMs * baseline;
-    const event = change === "begun" ? "server-slow" : "server-not-slow";
-    this.#options.logger.write("info", event, {
-      server: key,
-      reason: change === "begun" ? undefined : change,
-      ratio: roundFigure(ratio),
-      expectedMs: own.weight > 0 ? Math.round(usualMs) : undefined,
-      observedMs: own.weight > 0
-        ? Math.round(usualMs * own.ratios / own.expected)
-        : undefined,
-      evidence: roundFigure(evidence.weight),
-      ownEvidence: roundFigure(own.weight),
-      ageMs: own.weight > 0 ? Math.round(nowMs - observedAtMs) : undefined,
-      speed: roundFigure(estimator.speed),
-      limit: estimator.limit === Number.POSITIVE_INFINITY
-        ? undefined
-        : roundFigure(estimator.limit),
-      origin: own.weight * 2 >= evidence.weight ? "own" : "peer",
-    });
-  }
 }
 
 /** Gets the key of a server's process, which a later process with the same id does not have. */
@@ -384,15 +341,6 @@
   return `${id}@${startedAtMs}`;
 }
 
-/** Gets whether a key is that of a server's process. That of a group ends with a slash and its generation. */
-function isServerKey(key: string): boolean {
-  return SERVER_KEY_PATTERN.test(key);
-}
-
 function isCold({ coldUntilMs }: BackendServer): boolean {
   return coldUntilMs > 0 && coldUntilMs > performance.now() - COLD_MARGIN_MS;
 }
-
-function roundFigure(value: number | undefined): number | undefined {
-  return value === undefined ? undefined : Math.round(value * 100) / 100;
-}
--- a/src/process/concurrency/server_record.ts
+++ b/src/process/concurrency/server_record.ts
@@ -8,6 +8,8 @@
 } from "./evidence.ts";
 import { BEGIN_RATIO, ServerEstimator } from "./server_estimator.ts";
 
+/** Pattern of the keys of processes: id and start time. The key of a group ends with a slash and its generation. */
+const SERVER_KEY_PATTERN = /@\d+$/;
 /** Maximum weight of the evidence for each request. Three requests stay below the weight on which a server is judged, four reach it. */
 const MAX_REQUEST_WEIGHT = 1.6;
 
@@ -42,7 +44,15 @@
   /** Number of observed requests that ended in each of the last periods, the current one first. */
   #endedCounts = [0];
 
-  constructor(readonly key: string) {}
+  /** Whether this is a server's process of a plain service. */
+  readonly isServer: boolean;
+
+  /**
+   * @param key - Key of the group, or of the server's process.
+   */
+  constructor(readonly key: string) {
+    this.isServer = SERVER_KEY_PATTERN.test(key);
+  }
 
   /**
    * Adds an observation.
