Let sufficient own evidence outweigh that of a peer that disagrees

The evidence of a peer with a large weight shortened the window of the own evidence until it was too little to count, so one peer could make a group slow at all daemons. A new test replays it.

--- a/src/process/concurrency/learned_concurrency.ts
+++ b/src/process/concurrency/learned_concurrency.ts
@@ -257,18 +257,23 @@
 
   #updateEstimate(
     record: ServerRecord,
-    getOwn: (sufficientWeight: number) => Evidence,
+    getOwn: (sufficientWeight: number, maxPeriods?: number) => Evidence,
     { baseline, deviation }: UsualFigures,
     nowMs: number,
   ): void {
     const { key, estimator } = record;
     const peers = this.#options.reports.getPeerEvidence(key, nowMs);
-    const own = getOwn(
-      Math.max(MIN_REPORT_WEIGHT, MIN_WEIGHT - (peers?.evidence.weight ?? 0)),
+    const recent = getOwn(MIN_WEIGHT, REPORT_PERIODS);
+    const isOwnSufficient = recent.weight >= MIN_WEIGHT;
+    const own = isOwnSufficient || peers === undefined
+      ? getOwn(MIN_WEIGHT)
+      : getOwn(Math.max(MIN_REPORT_WEIGHT, MIN_WEIGHT - peers.evidence.weight));
+    const peerEvidence = limitWeight(
+      peers?.evidence ?? NO_EVIDENCE,
+      isOwnSufficient
+        ? own.weight * PEER_WEIGHT_SHARE
+        : Number.POSITIVE_INFINITY,
     );
-    const peerEvidence = peers === undefined || own.weight < MIN_WEIGHT
-      ? peers?.evidence ?? NO_EVIDENCE
-      : limitWeight(peers.evidence, own.weight * PEER_WEIGHT_SHARE);
     let evidence = combineEvidence(own, peerEvidence);
     let ownDeviation = 0;
     if (record.isServer && evidence.weight > 0) {
--- a/src/process/concurrency/learned_concurrency_test.ts
+++ b/src/process/concurrency/learned_concurrency_test.ts
@@ -143,6 +143,46 @@
       expect(concurrency.getEstimate("a")?.speed ?? 1).toBe(1);
     });
 
+    /** Lets a peer report a group as 5 times slower, with the given weight. */
+    function reportSlow(
+      reports: ConcurrencyReports,
+      key: string,
+      weight: number,
+    ): void {
+      const expected = weight / 5;
+      reports.applyReport("peer", "equal", [
+        [key, weight, expected, expected * 5, expected * 25, weight * 4, 0],
+      ]);
+    }
+
+    // Guards against requests to a slow group that only the peers have used so far, and against a restarted daemon that starts without their evidence.
+    it("uses the evidence of a peer about a group without own requests", () => {
+      const { concurrency, reports, replay } = createGroups({
+        a: { streams: 0, slowness: getUsual },
+      });
+      reportSlow(reports, "a", 8);
+      replay(500);
+      expect(concurrency.getEstimate("a")?.speed).toBeCloseTo(0.2, 1);
+      reportSlow(reports, "b/2", 3);
+      replay(500);
+      expect(concurrency.getEstimate("b/2")).toBeUndefined();
+    });
+
+    // Guards against one peer with a slow path, or a fault, that takes a group out of use at daemons whose own requests are fast.
+    it("prefers sufficient own evidence to that of a peer that disagrees", () => {
+      const { concurrency, reports, write, replay } = createGroups({
+        a: { streams: 4, slowness: getUsual },
+        b: { streams: 4, slowness: getUsual },
+      });
+      replay(2_000);
+      for (let i = 0; i < 10; i++) {
+        reportSlow(reports, "a", 100);
+        replay(500);
+      }
+      expect(concurrency.getEstimate("a")).toBeUndefined();
+      expect(write).not.toHaveBeenCalled();
+    });
+
     // Guards against judging a group by the chance of one or two requests.
     it("does not judge an idle group on two slow requests", () => {
       const { concurrency, replay } = createGroups({
--- a/tests/learned_concurrency_test.ts
+++ b/tests/learned_concurrency_test.ts
@@ -5,6 +5,12 @@
 import { createConcurrencyPart } from "../src/process/concurrency/concurrency_part.ts";
 import type { StreamObservation } from "../src/process/concurrency/server_record.ts";
 import { chooseGroup } from "../src/process/fleet/group_choice.ts";
+import { createPlatformSettings } from "../fakes/platform_documents.ts";
+import { createPlatformAdapter } from "../platform/adapter.ts";
+import { parseSettings } from "../platform/settings.ts";
+import { Metrics } from "../src/process/metrics.ts";
+import { RoutingDaemon } from "../src/process/routing_daemon.ts";
+import { NullLogger } from "../src/shared/logger.ts";
 import { createBackendServer } from "./support/backend_servers.ts";
 import { ENGINE } from "./support/planned_fleet.ts";
 
@@ -38,6 +44,38 @@
   lateBatches: number;
 }
 
+describe("RoutingDaemon", () => {
+  function createDaemonMetrics(change: Record<string, unknown>): string {
+    const settings = parseSettings(JSON.stringify({
+      ...JSON.parse(createPlatformSettings({
+        name: "entry-1",
+        zone: "z1",
+        ip: "127.0.0.1",
+        caller: "127.0.0.1:1",
+        ready: "127.0.0.1:2",
+        peerPort: 3,
+        store: "127.0.0.1:4",
+      })),
+      ...change,
+    }));
+    const metrics = new Metrics();
+    new RoutingDaemon({
+      settings: settings.daemon,
+      platform: createPlatformAdapter({ settings, metrics }),
+      logger: new NullLogger(),
+      metrics,
+    });
+    return metrics.render();
+  }
+
+  // Guards against a part that runs although the settings turn it off.
+  it("learns the concurrency of servers only if the settings permit it", () => {
+    expect(createDaemonMetrics({})).toContain("tarragontally_slow_servers 0");
+    expect(createDaemonMetrics({ LearnedConcurrency: false }))
+      .not.toContain("tarragontally_slow_servers");
+  });
+});
+
 describe("learned concurrency of 20 daemons", () => {
   afterEach(() => {
     vi.useRealTimers();
