Change reports of known slow servers once a second

A report changed five times a second for as long as a server was slow; at a hub with 45 links that is 12 KB a second for one server (computed).

--- a/src/process/concurrency/concurrency_reports.ts
+++ b/src/process/concurrency/concurrency_reports.ts
@@ -7,7 +7,7 @@
 import { BEGIN_RATIO } from "./server_estimator.ts";
 
 /** Maximum number of servers in a report, those with the most evidence of a slowdown first. */
-const MAX_ENTRIES = 200;
+const MAX_ENTRIES = 100;
 /** Maximum weight that an entry may have, so that one partner's error is bounded. */
 const MAX_ENTRY_WEIGHT = 100;
 /** Highest ratio of the expected to the observed time in an entry: events that arrive sooner belong to the last batch. */
@@ -19,10 +19,16 @@
 const MAX_KEY_LENGTH = 300;
 /** Age at which evidence of a partner is no longer used, in milliseconds: that of the observation window and one second for the reports of a hub that is slow. */
 const MAX_AGE_MS = 3_000;
-/** Minimum time between two changes of the report, in milliseconds. */
+/** Time after the first report of a server in which the report changes often, in milliseconds: until the daemons have the evidence to judge it. */
+const NEW_KEY_PERIOD_MS = 1_500;
+/** Minimum time between two changes of the report in this period, in milliseconds. */
 const MIN_REPORT_INTERVAL_MS = 200;
-/** Time between two changes of the report for each of its entries, in milliseconds. An entry has about 50 bytes, so a link carries at most 1 KB of them in a second. */
+/** Minimum time between two changes at other times, in milliseconds. The evidence of a peer is used for three times as long. */
+const STEADY_REPORT_INTERVAL_MS = 1_000;
+/** Time between two changes of the report for each of its entries, in milliseconds. An entry has about 55 bytes, so 40 of them take 1 KB a second on each link. */
 const REPORT_INTERVAL_PER_ENTRY_MS = 50;
+/** Maximum time between two changes, in milliseconds, so that evidence does not get too old to be used. */
+const MAX_REPORT_INTERVAL_MS = 2_000;
 
 /** Evidence of one server, in multiples of the baseline of the daemon that observed it. */
 export interface ServerEvidence {
@@ -58,6 +64,8 @@
   #ownEntries: ReadonlyMap<string, ServerEvidence> = new Map();
   #reports = new Map<PeerRelation, readonly ReportEntry[]>();
   #changedAtMs = Number.NEGATIVE_INFINITY;
+  /** Monotonic time at which a server was added to a report, in milliseconds. */
+  #newKeyAtMs = Number.NEGATIVE_INFINITY;
 
   /**
    * @param options.onReportChange - Called when there is a changed report to send.
@@ -99,12 +107,7 @@
   ): void {
     this.#ownEntries = entries;
     this.#removeOutdated(nowMs);
-    const entryCount = this.#reports.get("hub")?.length ?? 0;
-    const intervalMs = Math.max(
-      MIN_REPORT_INTERVAL_MS,
-      entryCount * REPORT_INTERVAL_PER_ENTRY_MS,
-    );
-    if (nowMs - this.#changedAtMs < intervalMs) {
+    if (nowMs - this.#changedAtMs < this.#getIntervalMs(nowMs)) {
       return;
     }
     const relations: PeerRelation[] = ["member", "equal", "hub"];
@@ -134,6 +137,18 @@
     this.#partners.delete(name);
   }
 
+  #getIntervalMs(nowMs: number): number {
+    const entryCount = this.#reports.get("hub")?.length ?? 0;
+    const isNew = nowMs - this.#newKeyAtMs < NEW_KEY_PERIOD_MS;
+    return Math.max(
+      isNew ? MIN_REPORT_INTERVAL_MS : STEADY_REPORT_INTERVAL_MS,
+      Math.min(
+        MAX_REPORT_INTERVAL_MS,
+        entryCount * REPORT_INTERVAL_PER_ENTRY_MS,
+      ),
+    );
+  }
+
   #updateReport(relation: PeerRelation, nowMs: number): boolean {
     const entries = this.#createReport(relation, nowMs);
     const previous = this.#reports.get(relation);
@@ -141,6 +156,10 @@
       ? entries.length === 0
       : hasSameEvidence(previous, entries);
     if (!isUnchanged) {
+      const previousKeys = new Set(previous?.map(([key]) => key));
+      if (entries.some(([key]) => !previousKeys.has(key))) {
+        this.#newKeyAtMs = nowMs;
+      }
       this.#reports.set(relation, entries);
     }
     return !isUnchanged;
