--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -5,6 +5,11 @@
 import type { Logger } from "../shared/logger.ts";
 import { RouteTable } from "../version/route_table.ts";
 import type { RoutingConfig } from "../version/routing_config.ts";
+import {
+  type ConcurrencyPart,
+  createConcurrencyPart,
+} from "./concurrency/concurrency_part.ts";
+import { getServerKey } from "./concurrency/learned_concurrency.ts";
 import { BackendDirectory } from "./fleet/backend_directory.ts";
 import { ColdLimits } from "./fleet/cold_limits.ts";
 import { CrashCounter } from "./fleet/crash_counter.ts";
@@ -98,6 +103,7 @@
   readonly #peerExchange: PeerExchange;
   readonly #plannedStop: PlannedStop;
   readonly #sections: NoticeSections;
+  readonly #concurrency: ConcurrencyPart | undefined;
   readonly #parts: readonly RoutingPart[];
   #usageRecorder: UsageRecorder | undefined;
   readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
@@ -158,6 +164,14 @@
     });
     this.#serverStatements.onChange(() => this.#peerExchange.scheduleNotices());
     this.#groupLoads.onReportChange(() => this.#peerExchange.scheduleNotices());
+    this.#concurrency = settings.learnedConcurrency === false
+      ? undefined
+      : createConcurrencyPart({
+        logger,
+        getLoad: (groupKey) => this.#groupLoads.getLoad(groupKey),
+        onReportChange: () => this.#peerExchange.scheduleNotices(),
+      });
+    const concurrency = this.#concurrency?.concurrency;
     const attempts = new StreamAttempts();
     const coldLimits = new ColdLimits({
       overageFactor: settings.coldOverage,
@@ -184,6 +198,7 @@
         zone: settings.zone,
         ownName: settings.name,
         getStalenessMs: () => this.#peerExchange.getStalenessMs(),
+        findEstimate: (groupKey) => concurrency?.getEstimate(groupKey),
       }),
       attempts,
       groupFailureDetector: new GroupFailureDetector({
@@ -193,7 +208,11 @@
         logger,
         announceLoss: () => this.#peerExchange.announce(),
       }),
-      serverLoads: new ServerLoads(),
+      serverLoads: new ServerLoads({
+        findEstimate: (server) =>
+          concurrency?.getEstimate(getServerKey(server)),
+      }),
+      concurrency,
       coldLimits,
       serverLimits: this.#serverLimits,
       serverStatements: this.#serverStatements,
@@ -205,6 +224,7 @@
       getUsageRecorder: () => this.#usageRecorder,
       plannedStop: this.#plannedStop,
     };
+    concurrency?.onChange(() => this.#context.admission.admitWaiting());
     this.#requestHandler = new RoutedRequestHandler(this.#context);
     this.#callerServer = new HttpServer(
       platform.createIngress(
@@ -236,13 +256,13 @@
 
   /** Creates the parts that the settings switch on. */
   #createParts(): RoutingPart[] {
-    const parts: RoutingPart[] = [];
-    if (this.#missingMembers !== undefined) {
-      parts.push(this.#createRegistrationPart(this.#missingMembers));
-    }
     const dutyParts = this.#createDutyParts();
     this.#usageRecorder = dutyParts.usageRecorder;
-    parts.push(...dutyParts.parts);
+    const registrationPart = this.#missingMembers === undefined
+      ? undefined
+      : this.#createRegistrationPart(this.#missingMembers);
+    const parts = [registrationPart, this.#concurrency, ...dutyParts.parts]
+      .filter((part) => part !== undefined);
     for (const part of parts) {
       part.sections.forEach((section) => this.#sections.add(section));
       part.addGauges(this.#options.metrics);
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -41,6 +41,8 @@
   readonly areOrdersFenced: boolean;
   /** Whether a group stays in service for a time when the entry of a member that is not its head is removed; defaults to true. */
   readonly keepsIncompleteGroups?: boolean;
+  /** Whether the daemon learns how fast each backend server is and how many concurrent requests it handles well; defaults to true. */
+  readonly learnedConcurrency?: boolean;
   /** Calls to the platform that are the duty of one daemon at a time; undefined when there are none. */
   readonly duties?: DutySettings;
 }
