--- a/src/process/concurrency/concurrency_part.ts
+++ b/src/process/concurrency/concurrency_part.ts
@@ -1,7 +1,10 @@
 import type { Logger } from "../../shared/logger.ts";
 import type { RoutingPart } from "../routing_parts.ts";
 import { ConcurrencyReports } from "./concurrency_reports.ts";
-import { LearnedConcurrency } from "./learned_concurrency.ts";
+import {
+  type DeviatingServer,
+  LearnedConcurrency,
+} from "./learned_concurrency.ts";
 
 /** Part that learns the speed and the concurrency limit of servers and groups. */
 export interface ConcurrencyPart extends RoutingPart {
@@ -42,6 +45,41 @@
         help: "Servers and groups with a learned concurrency limit",
         getValue: () => concurrency.limitedCount,
       });
+      const addServerGauge = (
+        name: string,
+        help: string,
+        getValue: (server: DeviatingServer) => number,
+      ) =>
+        metrics.addLabeledGauge({
+          name,
+          help,
+          label: "server",
+          listValues: () =>
+            concurrency.listEstimates().map((server) => [
+              server.key,
+              getValue(server),
+            ]),
+        });
+      addServerGauge(
+        "server_speed",
+        "Speed of a server or group that deviates, 1 when as its peers",
+        ({ speed }) => Math.round(speed * 1_000) / 1_000,
+      );
+      addServerGauge(
+        "server_concurrency_limit",
+        "Concurrent requests that a server or group handles well",
+        ({ limit }) => limit,
+      );
+      addServerGauge(
+        "server_evidence",
+        "Weight of the evidence about a server or group, about 1 for a request",
+        ({ evidence }) => evidence,
+      );
+      addServerGauge(
+        "server_evidence_age_seconds",
+        "Time since the newest observation of a server or group",
+        ({ ageMs }) => ageMs / 1_000,
+      );
     },
   };
 }
--- a/src/process/concurrency/learned_concurrency.ts
+++ b/src/process/concurrency/learned_concurrency.ts
@@ -47,6 +47,8 @@
 const MAX_RECORDS = 2_000;
 /** Time after the cold phase of a server in which it is not observed, in milliseconds: requests of the cold phase are still running. */
 const COLD_MARGIN_MS = 1_000;
+/** Maximum number of servers in the metrics. */
+const MAX_LISTED = 100;
 const MS_PER_SECOND = 1_000;
 /** Number of batches until the first event: on average half of the running one, and the first own one. */
 const FIRST_EVENT_BATCHES = 1.5;
@@ -61,6 +63,15 @@
   getLoad(groupKey: string): number;
 }
 
+/** Server or group that deviates from the others. */
+export interface DeviatingServer extends ServerEstimate {
+  readonly key: string;
+  /** Weight of the evidence; that of a request is about 1. */
+  readonly evidence: number;
+  /** Time since the newest observation, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** Stream whose pauses are observed. */
 export interface ObservedStream {
   readonly group: ReplicaGroup;
@@ -97,6 +108,20 @@
     ).length;
   }
 
+  /** Lists the servers and groups that deviate, at most 100. */
+  listEstimates(): DeviatingServer[] {
+    const nowMs = performance.now();
+    return [...this.#estimates].slice(0, MAX_LISTED).map(([key, estimate]) => {
+      const record = this.#records.get(key);
+      return {
+        key,
+        ...estimate,
+        evidence: record?.judgedWeight ?? 0,
+        ageMs: nowMs - (record?.judgedAtMs ?? nowMs),
+      };
+    });
+  }
+
   /** Registers a listener that is called when an estimate has changed. */
   onChange(listener: () => void): void {
     this.#listeners.add(listener);
@@ -287,6 +312,8 @@
       record.observedAtMs,
       peers?.observedAtMs ?? Number.NEGATIVE_INFINITY,
     );
+    record.judgedWeight = evidence.weight;
+    record.judgedAtMs = observedAtMs;
     const change = estimator.update(
       evidence,
       Math.max(deviation, ownDeviation),
--- a/src/process/concurrency/learned_concurrency_test.ts
+++ b/src/process/concurrency/learned_concurrency_test.ts
@@ -116,6 +116,9 @@
       replay(2_000);
       expect(concurrency.getEstimate("a")?.speed).toBeCloseTo(0.2, 1);
       expect(concurrency.getEstimate("b")).toBeUndefined();
+      expect(concurrency.listEstimates()).toMatchObject([{ key: "a" }]);
+      expect(concurrency.listEstimates()[0].evidence).toBeGreaterThan(1);
+      expect(concurrency.listEstimates()[0].ageMs).toBeLessThan(UPDATE_MS);
       slowness = 1;
       replay(3_000);
       expect(concurrency.getEstimate("a")?.speed ?? 1).toBe(1);
--- a/src/process/concurrency/server_estimator.ts
+++ b/src/process/concurrency/server_estimator.ts
@@ -1,6 +1,6 @@
 import { assessEvidence, type Evidence } from "./evidence.ts";
 
-/** Weight of the evidence on which a server is found slow: that of four requests or more. In a trial with 4.5, chance found 2 of 10 servers slow in a minute whose durations varied by a factor of 4. */
+/** Weight of the evidence on which a server is found slow: that of three requests or more. With 6, three streams in a group never sufficed. */
 export const MIN_WEIGHT = 4.5;
 /** Weight of the evidence that confirms or ends a known slowdown. A slow server gets few requests, and an error costs little: the next requests show it again. */
 const MIN_CONFIRMATION_WEIGHT = 1;
--- a/src/process/concurrency/server_record.ts
+++ b/src/process/concurrency/server_record.ts
@@ -10,7 +10,7 @@
 
 /** Pattern of the keys of processes: id and start time. The key of a group ends with a slash and its generation. */
 const SERVER_KEY_PATTERN = /@\d+$/;
-/** Maximum weight of the evidence for each request. Three requests stay below the weight on which a server is judged, four reach it. */
+/** Maximum weight of the evidence for each request. Two requests stay below the weight on which a server is judged, three reach it. */
 const MAX_REQUEST_WEIGHT = 1.6;
 
 /** Weight of the newest observations that replace older ones while a server is slow, so that its recovery shows early. */
@@ -39,6 +39,10 @@
   observedAtMs = Number.NEGATIVE_INFINITY;
   /** Expected duration of the newest observation, in milliseconds. */
   expectedMs = 0;
+  /** Weight of the evidence of this daemon and its peers at the last evaluation. */
+  judgedWeight = 0;
+  /** Monotonic time of the newest observation of this daemon or its peers, in milliseconds. */
+  judgedAtMs = Number.NEGATIVE_INFINITY;
   readonly pending = new Set<PendingObservation>();
   readonly #window = new EvidenceWindow();
   /** Number of observed requests that ended in each of the last periods, the current one first. */
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -47,11 +47,22 @@
   getValue(): number;
 }
 
+/** Gauge with a value for each of a bounded number of subjects, which are read each time the metrics are rendered. */
+export interface LabeledGauge {
+  readonly name: string;
+  readonly help: string;
+  /** Name of the label that identifies the subject. */
+  readonly label: string;
+  /** Lists the current values by subject. */
+  listValues(): readonly (readonly [subject: string, value: number])[];
+}
+
 /** Metrics of one process: counters, gauges and quantiles of durations. */
 export class Metrics {
   readonly #counters = new Map<string, number>();
   readonly #histograms = new Map<DurationName, Histogram>();
   readonly #gauges: Gauge[] = [];
+  readonly #labeledGauges: LabeledGauge[] = [];
 
   /**
    * Increments a counter.
@@ -122,11 +133,21 @@
     this.#gauges.push(gauge);
   }
 
+  /**
+   * Registers a gauge with a value for each of several subjects.
+   *
+   * @param gauge - Gauge to render with the metrics.
+   */
+  addLabeledGauge(gauge: LabeledGauge): void {
+    this.#labeledGauges.push(gauge);
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   render(): string {
     const lines = [
       ...this.#renderCounters(),
       ...this.#renderGauges(),
+      ...this.#renderLabeledGauges(),
       ...this.#renderHistograms(),
     ];
     return `${lines.join("\n")}\n`;
@@ -164,6 +185,19 @@
     ]);
   }
 
+  #renderLabeledGauges(): string[] {
+    return this.#labeledGauges.flatMap(({ name, help, label, listValues }) => [
+      `# HELP tarragontally_${name} ${help}`,
+      `# TYPE tarragontally_${name} gauge`,
+      // A JSON string escapes quotes and backslashes as a label value does.
+      ...listValues().map(([subject, value]) =>
+        `tarragontally_${name}{${label}=${JSON.stringify(subject)}} ${
+          value === Number.POSITIVE_INFINITY ? "+Inf" : value
+        }`
+      ),
+    ]);
+  }
+
   #renderHistograms(): string[] {
     const lines: string[] = [];
     for (const [name, histogram] of [...this.#histograms].sort()) {
