Refuse requests that have hardly a chance of a slot

A request waited for 0.3 of its remaining time also where the queue grew, and its caller was told to return after 500 ms whatever the load.

Each daemon now counts arrivals, granted and freed slots by model, and estimates the chance that a waiting request gets a slot in its time. Without evidence, and for streams that have started or requests that have been attempted, nothing changes. The setting waitEstimates turns it off.

--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -5,6 +5,7 @@
 import type { GroupLoads } from "./group_loads.ts";
 import { getJitteredMs } from "../../shared/backoff.ts";
 import type { SendLimit, TimedSendLimit } from "./send_limit.ts";
+import type { WaitEstimates } from "../waiting/wait_estimates.ts";
 
 /** Delay before the waiting requests are checked again when a head is at a limit of its request rate, in milliseconds. */
 const SEND_LIMIT_RETRY_MS = 100;
@@ -46,6 +47,8 @@
   readonly group: ReplicaGroup;
   /** Releases the slot; further calls have no effect. */
   release(): void;
+  /** Records that the engine declined the request, so that the end of its attempt freed no slot. Called once, after the release. */
+  recordDecline?(): void;
 }
 
 interface Waiter {
@@ -89,6 +92,7 @@
     ReadonlySet<string>
   >();
   readonly #getStalenessMs: () => number;
+  readonly #waits: WaitEstimates | undefined;
   /** Mean time that a request holds its slot, by model, in milliseconds. */
   readonly #meanDurationsMs = new Map<string, number>();
   readonly #waiters: Waiter[] = [];
@@ -108,6 +112,8 @@
       ownName: string;
       /** Gets the mean age of the loads that other daemons reported, in milliseconds. */
       getStalenessMs(): number;
+      /** Estimates of the waits; undefined when requests wait until their deadline. */
+      waits?: WaitEstimates;
     },
   ) {
     this.#groups = options.groups;
@@ -117,6 +123,7 @@
     this.#zone = options.zone;
     this.#ownName = options.ownName;
     this.#getStalenessMs = options.getStalenessMs;
+    this.#waits = options.waits;
     this.#groups.onChange(() => this.admitWaiting());
     this.#loads.onChange(() => this.admitWaiting());
     this.#statements.onChange(() => this.admitWaiting());
@@ -130,9 +137,10 @@
   /**
    * Acquires a slot of a group, and waits for one if none is free.
    *
-   * @throws {RequestError} When no slot is granted before `waitDeadlineMs` or the signal aborts; at once when the heads state that they take no request until then.
+   * @throws {RequestError} When no slot is granted before `waitDeadlineMs` or the signal aborts; at once when the heads state that they take no request until then, or the request has hardly a chance of a slot.
    */
   async acquire(request: GroupAdmissionRequest): Promise<GroupGrant> {
+    this.#waits?.recordArrival(request);
     const grant = this.#tryGrant(request) ?? await this.#wait(request);
     if (grant === undefined) {
       throw createCapacityError(request, this.getRetryAfterMs(request));
@@ -141,7 +149,7 @@
   }
 
   /**
-   * Gets the time after which the caller of a refused request should retry, in milliseconds: when the first head takes requests again, with a random part added, or about the duration of one response.
+   * Gets the time after which the caller of a refused request should retry, in milliseconds: when the first head takes requests again, with a random part added, when slots become free for it, or about the duration of one response.
    *
    * @example
    * ```ts
@@ -155,9 +163,13 @@
       { head },
     ) => this.#statements.getWaitMs(head));
     const waitMs = Math.min(...waitsMs);
-    return waitMs > 0 && Number.isFinite(waitMs)
-      ? getJitteredMs(waitMs)
-      : RETRY_AFTER_MS;
+    if (waitMs > 0 && Number.isFinite(waitMs)) {
+      return getJitteredMs(waitMs);
+    }
+    return this.#waits?.createReturn(
+      { service, model },
+      this.#countWaiting(service, model),
+    ) ?? RETRY_AFTER_MS;
   }
 
   /** Grants free slots to waiting requests, and ends the wait of those that no head takes in time. */
@@ -165,14 +177,34 @@
     if (this.#waiters.length === 0) {
       return;
     }
+    const isHopeless = this.#waits?.createExamination();
     for (const waiter of sortWaiters(this.#waiters, performance.now())) {
       const grant = this.#tryGrant(waiter.request);
-      if (grant !== undefined || this.#isWaitUseless(waiter.request)) {
+      if (
+        grant !== undefined || this.#isWaitUseless(waiter.request) ||
+        isHopeless?.(waiter.request) === true
+      ) {
         waiter.settle(grant);
       }
     }
   }
 
+  /** Ends the wait of requests that have hardly a chance of a slot, now that another one waits. */
+  #refuseHopeless(waits: WaitEstimates): void {
+    const isHopeless = waits.createExamination();
+    for (const waiter of sortWaiters(this.#waiters, performance.now())) {
+      if (isHopeless(waiter.request)) {
+        waiter.settle(undefined);
+      }
+    }
+  }
+
+  #countWaiting(service: string, model: string): number {
+    return this.#waiters.filter(({ request }) =>
+      request.service === service && request.model === model
+    ).length;
+  }
+
   /** Gets whether the heads of all groups that could serve a request leave, or pause until the request may no longer wait. Without any group a request waits, since one may form. */
   #isWaitUseless(
     request: GroupAdmissionRequest,
@@ -213,6 +245,9 @@
       const timer = setTimeout(onAbort, waitMs);
       request.signal.addEventListener("abort", onAbort, { once: true });
       this.#waiters.push(waiter);
+      if (this.#waits !== undefined) {
+        this.#refuseHopeless(this.#waits);
+      }
     });
   }
 
@@ -223,20 +258,22 @@
     }
     this.#loads.addRequest(group.key);
     this.#sendLimits.forEach((limit) => limit.recordRequest(group.head));
+    this.#waits?.recordGrant(request);
     const grantedAtMs = performance.now();
     let isReleased = false;
+    let heldMs = 0;
     return {
       group,
       release: () => {
         if (!isReleased) {
           isReleased = true;
-          this.#recordDuration(
-            request.model,
-            performance.now() - grantedAtMs,
-          );
+          heldMs = performance.now() - grantedAtMs;
+          this.#recordDuration(request.model, heldMs);
+          this.#waits?.recordRelease(request, heldMs);
           this.#loads.removeRequest(group.key);
         }
       },
+      recordDecline: () => this.#waits?.removeRelease(request, heldMs),
     };
   }
 
--- a/src/process/fleet/group_admission_test.ts
+++ b/src/process/fleet/group_admission_test.ts
@@ -139,6 +139,29 @@
       expect(keys.size).toBeLessThanOrEqual(4);
     });
 
+    // Guards against a setting that does not restore the wait until the deadline and the constant time to return.
+    it("refuses a request at its deadline when waits are not estimated", async () => {
+      const { admission } = doTest(["g1"]);
+      for (let i = 0; i < SLOTS; i++) {
+        await admission.acquire(createRequest());
+      }
+      const settled = vi.fn();
+      const errors = Array.from(
+        { length: 50 },
+        () =>
+          admission.acquire(createRequest()).catch((error: unknown) => {
+            settled();
+            return error;
+          }),
+      );
+      await vi.advanceTimersByTimeAsync(990);
+      expect(settled).not.toHaveBeenCalled();
+      await vi.advanceTimersByTimeAsync(20);
+      expect(await Promise.all(errors)).toEqual(
+        errors.map(() => expect.objectContaining({ retryAfterMs: 500 })),
+      );
+    });
+
     it("uses all groups once the preferred ones are full", async () => {
       const heads = Array.from({ length: 20 }, (_, i) => `g${i}`);
       const { admission } = doTest(heads);
--- a/src/process/fleet/group_loads.ts
+++ b/src/process/fleet/group_loads.ts
@@ -82,6 +82,11 @@
     );
   }
 
+  /** Gets the number of requests of this daemon in flight in a group. */
+  getOwnLoad(key: string): number {
+    return this.#ownLoads.get(key) ?? 0;
+  }
+
   /** Gets the fraction of all requests in flight that other daemons sent, from 0 to 1. */
   getPeersShare(): number {
     const totalCount = this.#cellCount + this.#otherCount;
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -37,7 +37,8 @@
   | "store_reads"
   | "store_writes"
   | "config_changes"
-  | "unanswered_ends";
+  | "unanswered_ends"
+  | "early_refusals";
 
 /** Gauge whose value is read each time the metrics are rendered. */
 export interface Gauge {
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -40,6 +40,7 @@
 import type { RoutingContext } from "./routing_context.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
 import { type BackgroundTask, TaskSupervisor } from "./task_supervisor.ts";
+import { createWaitingPart, type WaitingPart } from "./waiting/waiting_part.ts";
 import { UnansweredEndRecorder } from "./unanswered_end_recorder.ts";
 
 /** Kinds of the store objects that daemons write. */
@@ -86,6 +87,7 @@
   readonly #peerExchange: PeerExchange;
   readonly #plannedStop: PlannedStop;
   readonly #sections: NoticeSections;
+  readonly #waiting: WaitingPart | undefined;
   readonly #parts: readonly RoutingPart[];
   readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
   #routes: RouteTable | undefined;
@@ -135,6 +137,12 @@
     this.#peerExchange = this.#createPeerExchange();
     this.#serverStatements.onChange(() => this.#peerExchange.scheduleNotices());
     this.#groupLoads.onReportChange(() => this.#peerExchange.scheduleNotices());
+    this.#waiting = createWaitingPart(settings, {
+      logger,
+      metrics,
+      groups: this.#groups,
+      loads: this.#groupLoads,
+    });
     const attempts = new StreamAttempts();
     const coldLimits = new ColdLimits({
       overageFactor: settings.coldOverage,
@@ -161,6 +169,7 @@
         zone: settings.zone,
         ownName: settings.name,
         getStalenessMs: () => this.#peerExchange.getStalenessMs(),
+        waits: this.#waiting?.estimates,
       }),
       attempts,
       groupFailureDetector: new GroupFailureDetector({
@@ -213,6 +222,9 @@
   /** Creates the parts that the settings switch on. */
   #createParts(): RoutingPart[] {
     const parts: RoutingPart[] = [];
+    if (this.#waiting !== undefined) {
+      parts.push(this.#waiting);
+    }
     for (const part of parts) {
       part.sections.forEach((section) => this.#sections.add(section));
       part.addGauges(this.#options.metrics);
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -39,6 +39,8 @@
   readonly coldSlack: number;
   /** Whether backend servers use the planner's term as a fencing token, that is, refuse orders of an earlier term. */
   readonly areOrdersFenced: boolean;
+  /** Whether the waits of requests to engines are estimated, so that those without a chance of a slot are refused at once; defaults to true. */
+  readonly waitEstimates?: boolean;
   /** Calls to the platform that are the duty of one daemon at a time; undefined when there are none. */
   readonly duties?: DutySettings;
 }
--- /dev/null
+++ b/src/process/waiting/load_replay_test.ts
@@ -0,0 +1,61 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import {
+  type ReplayedLoad,
+  replayLoad,
+} from "../../../tests/support/waiting_replay.ts";
+
+/** Load of 80% of the capacity of 4 groups with 10 slots, at 4 daemons. */
+const NORMAL_LOAD: ReplayedLoad = {
+  daemons: 4,
+  groups: 4,
+  slots: 10,
+  durationMs: 1_000,
+  timeLimitMs: 6_000,
+  objectiveMs: 800,
+  retries: 1,
+  getRate: () => 32,
+  getServingGroups: () => 4,
+  skew: 0,
+  lastsMs: 12_000,
+  isEnabled: true,
+};
+const isEvent = (atMs: number) => atMs >= 3_000 && atMs < 8_000;
+
+describe("replayed loads", () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  // Guards against requests that wait for seconds without a chance, and against estimates that refuse what would have been served.
+  it.each<[string, Partial<ReplayedLoad>]>([
+    ["a burst of twice the capacity", {
+      getRate: (atMs) => isEvent(atMs) ? 80 : 32,
+    }],
+    ["the loss of half of the groups", {
+      getServingGroups: (atMs) => isEvent(atMs) ? 2 : 4,
+    }],
+    ["callers that retry three times as often", {
+      getRate: (atMs) => isEvent(atMs) ? 80 : 32,
+      retries: 3,
+    }],
+    ["uneven arrivals over the daemons", {
+      getRate: (atMs) => isEvent(atMs) ? 80 : 32,
+      skew: 0.5,
+    }],
+  ])("refuses sooner and serves as many: %s", async (_name, load) => {
+    const off = await replayLoad({ ...NORMAL_LOAD, ...load, isEnabled: false });
+    const on = await replayLoad({ ...NORMAL_LOAD, ...load });
+    expect(on.refusalMs).toBeLessThan(off.refusalMs * 0.6);
+    expect(on.onTime).toBeGreaterThan(off.onTime * 0.95);
+    expect(on.onTime + on.late).toBeGreaterThan((off.onTime + off.late) * 0.95);
+  });
+
+  // Guards against refusals by an estimate from too few observations.
+  it("refuses nobody below the capacity", async () => {
+    const result = await replayLoad(NORMAL_LOAD);
+    expect(result).toMatchObject({ late: 0, refused: 0, refusalMs: 0 });
+  });
+});
--- /dev/null
+++ b/src/process/waiting/wait_estimates.ts
@@ -0,0 +1,239 @@
+import type { Logger } from "../../shared/logger.ts";
+import type { ReplicaGroup } from "../fleet/group_table.ts";
+import type { Metrics } from "../metrics.ts";
+import { ModelWaits, type SlotFlow } from "./model_waits.ts";
+
+/** Minimum time between two observations of the loads of other daemons, in milliseconds: the interval of their notices. */
+const OBSERVATION_INTERVAL_MS = 100;
+/** Minimum time between two log lines about refusals of one model, in milliseconds. */
+const LOG_INTERVAL_MS = 1_000;
+/** Maximum number of models whose waits are observed. */
+const MAX_MODELS = 256;
+
+/** Model that a request is for. */
+export interface RequestedModel {
+  readonly service: string;
+  readonly model: string;
+}
+
+/** Part of a request for a slot that estimates depend on. */
+export interface EstimatedRequest extends RequestedModel {
+  /** Priority level; 0 is the most urgent. */
+  readonly priority: number;
+  /** Whether the caller has received a part of the response. */
+  readonly hasStarted: boolean;
+  /** Keys of groups that must not receive the request. */
+  readonly excludedGroups: ReadonlySet<string>;
+  /** Ids of the only heads that may receive the request; undefined when all may. */
+  readonly permittedServers?: ReadonlySet<string>;
+  /** Monotonic time until which the request may wait for a slot, in milliseconds. */
+  readonly waitDeadlineMs: number;
+}
+
+/** State of a model while its waiting requests are examined. */
+interface ModelState {
+  readonly waits: ModelWaits;
+  readonly flow: SlotFlow | undefined;
+}
+
+interface RefusalLog {
+  loggedAtMs: number;
+  refused: number;
+}
+
+/** Options of the estimates. */
+export interface WaitEstimatesOptions {
+  readonly logger: Logger;
+  readonly metrics: Pick<Metrics, "count">;
+  readonly groups: {
+    listServingGroups(
+      service: string,
+      model: string,
+    ): readonly Pick<ReplicaGroup, "key">[];
+  };
+  readonly loads: {
+    getLoad(key: string): number;
+    getOwnLoad(key: string): number;
+  };
+}
+
+/**
+ * Estimates whether waiting requests can get a slot, and when refused callers should return.
+ *
+ * Each daemon decides for its own queue. Without evidence, that is, while hardly any slot has become free or no group serves the model, nothing is estimated and requests wait until their deadline.
+ */
+export class WaitEstimates {
+  readonly #options: WaitEstimatesOptions;
+  readonly #models = new Map<string, ModelWaits>();
+  readonly #observedAtMs = new Map<string, number>();
+  readonly #refusalLogs = new Map<string, RefusalLog>();
+
+  constructor(options: WaitEstimatesOptions) {
+    this.#options = options;
+  }
+
+  /** Gets the time until the last slot of any model that is promised to a refused caller, in milliseconds. */
+  get promisedMs(): number {
+    return Math.max(
+      0,
+      ...[...this.#models.values()].map(({ promisedMs }) => promisedMs),
+    );
+  }
+
+  /** Records a request that asks for a slot. */
+  recordArrival(request: EstimatedRequest): void {
+    this.#getWaits(request)?.recordArrival(request.priority);
+  }
+
+  /** Records a slot that this daemon granted. */
+  recordGrant(request: RequestedModel): void {
+    this.#getWaits(request)?.recordGrant();
+  }
+
+  /** Records the end of a request that held its slot for `durationMs`. */
+  recordRelease(request: RequestedModel, durationMs: number): void {
+    this.#getWaits(request)?.recordRelease(durationMs);
+  }
+
+  /** Takes back the release of a request that the engine declined. */
+  removeRelease(request: RequestedModel, durationMs: number): void {
+    this.#getWaits(request)?.removeRelease(durationMs);
+  }
+
+  /**
+   * Creates a function that examines the waiting requests in the order in which they would get slots, and gets whether a request has hardly a chance of one. A request that it keeps is ahead of those that follow.
+   *
+   * @example
+   * ```ts
+   * const isHopeless = estimates.createExamination();
+   * const refused = sortedRequests.filter(isHopeless);
+   * ```
+   */
+  createExamination(): (request: EstimatedRequest) => boolean {
+    const nowMs = performance.now();
+    const states = new Map<string, ModelState | undefined>();
+    const aheadCounts = new Map<string, number>();
+    return (request) => {
+      const key = getModelKey(request);
+      if (!states.has(key)) {
+        states.set(key, this.#getState(request, key));
+      }
+      const { waits, flow } = states.get(key) ?? {};
+      const ahead = aheadCounts.get(key) ?? 0;
+      const isRefused = waits !== undefined && flow !== undefined &&
+        isFirstAdmission(request) &&
+        waits.isHopeless(flow, {
+          priority: request.priority,
+          ahead,
+          remainingMs: request.waitDeadlineMs - nowMs,
+        });
+      if (!isRefused) {
+        aheadCounts.set(key, ahead + 1);
+        return false;
+      }
+      this.#recordRefusal(request, { key, ahead, flow, waits });
+      return true;
+    };
+  }
+
+  /**
+   * Promises a slot to the caller of a refused request, and gets the time after which the caller should return, in milliseconds; undefined without evidence.
+   *
+   * @param waiting - Requests of the model that wait at this daemon.
+   */
+  createReturn(request: RequestedModel, waiting: number): number | undefined {
+    const state = this.#getState(request, getModelKey(request));
+    return state?.flow === undefined
+      ? undefined
+      : state.waits.addReturn(state.flow, waiting);
+  }
+
+  #getState(request: RequestedModel, key: string): ModelState | undefined {
+    const { groups, loads } = this.#options;
+    const waits = this.#getWaits(request);
+    const servingGroups = groups.listServingGroups(
+      request.service,
+      request.model,
+    );
+    if (waits === undefined || servingGroups.length === 0) {
+      return undefined;
+    }
+    let inFlight = 0;
+    let ownInFlight = 0;
+    const peerLoads = new Map<string, number>();
+    for (const group of servingGroups) {
+      const load = loads.getLoad(group.key);
+      const ownLoad = loads.getOwnLoad(group.key);
+      inFlight += load;
+      ownInFlight += ownLoad;
+      peerLoads.set(group.key, Math.max(0, load - ownLoad));
+    }
+    const nowMs = performance.now();
+    const observedAtMs = this.#observedAtMs.get(key) ??
+      Number.NEGATIVE_INFINITY;
+    if (nowMs - observedAtMs >= OBSERVATION_INTERVAL_MS) {
+      this.#observedAtMs.set(key, nowMs);
+      waits.observePeerLoads(peerLoads);
+    }
+    const share = Math.min(1, ownInFlight / Math.max(1, inFlight));
+    return { waits, flow: waits.getFlow({ inFlight, share }) };
+  }
+
+  #getWaits(request: RequestedModel): ModelWaits | undefined {
+    const key = getModelKey(request);
+    let waits = this.#models.get(key);
+    if (waits === undefined && this.#models.size < MAX_MODELS) {
+      waits = new ModelWaits();
+      this.#models.set(key, waits);
+    }
+    return waits;
+  }
+
+  #recordRefusal(
+    request: EstimatedRequest,
+    { key, ahead, flow, waits }: {
+      key: string;
+      ahead: number;
+      flow: SlotFlow;
+      waits: ModelWaits;
+    },
+  ): void {
+    const { logger, metrics } = this.#options;
+    const nowMs = performance.now();
+    metrics.count("early_refusals");
+    const log = this.#refusalLogs.get(key) ??
+      { loggedAtMs: Number.NEGATIVE_INFINITY, refused: 0 };
+    this.#refusalLogs.set(key, log);
+    log.refused++;
+    if (nowMs - log.loggedAtMs < LOG_INTERVAL_MS) {
+      return;
+    }
+    logger.write("info", "wait-refused", {
+      service: request.service,
+      model: request.model,
+      refused: log.refused,
+      priority: request.priority,
+      ahead,
+      remainingMs: Math.round(request.waitDeadlineMs - nowMs),
+      served: Math.round(flow.served),
+      freed: Math.round(flow.freed),
+      arrivals: waits.countArrivals(request.priority),
+      durationMs: Math.round(waits.getDurationMs() ?? 0),
+      loadsAgeMs: Math.round(nowMs - (this.#observedAtMs.get(key) ?? nowMs)),
+    });
+    log.loggedAtMs = nowMs;
+    log.refused = 0;
+  }
+}
+
+/** Gets whether a request has not been attempted at any group. What the estimates count does not hold for one that only some groups may receive. */
+function isFirstAdmission(
+  { hasStarted, excludedGroups, permittedServers }: EstimatedRequest,
+): boolean {
+  return !hasStarted && excludedGroups.size === 0 &&
+    permittedServers === undefined;
+}
+
+function getModelKey({ service, model }: RequestedModel): string {
+  return `${service} ${model}`;
+}
--- /dev/null
+++ b/src/process/waiting/wait_estimates_test.ts
@@ -0,0 +1,87 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createWaitingPart } from "./waiting_part.ts";
+
+const REQUEST = {
+  service: "models",
+  model: "m",
+  priority: 0,
+  hasStarted: false,
+  excludedGroups: new Set<string>(),
+  waitDeadlineMs: 1_800,
+};
+
+describe("WaitEstimates", () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ now: 0 });
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function doTest({ releases, arrivals }: Record<string, number>) {
+    const write = vi.fn();
+    const part = createWaitingPart({}, {
+      logger: { write },
+      metrics: { count: () => {} },
+      groups: { listServingGroups: () => [{ key: "g/1" }] },
+      loads: { getLoad: () => 10, getOwnLoad: () => 10 },
+    });
+    const estimates = part!.estimates;
+    for (let i = 0; i < releases; i++) {
+      estimates.recordRelease(REQUEST, 1_000);
+    }
+    for (let i = 0; i < arrivals; i++) {
+      estimates.recordArrival(REQUEST);
+    }
+    const examine = (request = {}) => {
+      const isHopeless = estimates.createExamination();
+      return Array.from(
+        { length: 50 },
+        () => isHopeless({ ...REQUEST, ...request }),
+      ).filter(Boolean).length;
+    };
+    return { estimates, examine, write };
+  }
+
+  it("refuses the end of a queue that grows, with one log line a second", () => {
+    const { examine, write } = doTest({ releases: 20, arrivals: 80 });
+    expect(examine()).toBeGreaterThan(30);
+    examine();
+    expect(write).toHaveBeenCalledTimes(1);
+    expect(write.mock.calls[0].slice(0, 2)).toEqual(["info", "wait-refused"]);
+  });
+
+  // Guards against refusals while a first group forms, or just after the start of the daemon.
+  it("refuses nobody without evidence, and knows no time to return", () => {
+    const { estimates, examine } = doTest({ releases: 4, arrivals: 80 });
+    expect(examine()).toBe(0);
+    expect(estimates.createReturn(REQUEST, 50)).toBeUndefined();
+  });
+
+  // Guards against streams that are cut because their continuation is refused.
+  it.each([
+    { hasStarted: true },
+    { excludedGroups: new Set(["g/1"]) },
+    { permittedServers: new Set(["s1"]) },
+  ])("lets a request wait that has been attempted: %o", (request) => {
+    const { examine } = doTest({ releases: 20, arrivals: 80 });
+    expect(examine(request)).toBe(0);
+  });
+
+  // Guards against declined attempts that look like slots that become free every few milliseconds.
+  it("ignores the release of a declined request", () => {
+    const { estimates, examine } = doTest({ releases: 20, arrivals: 80 });
+    for (let i = 0; i < 500; i++) {
+      estimates.recordGrant(REQUEST);
+      estimates.recordRelease(REQUEST, 5);
+      estimates.removeRelease(REQUEST, 5);
+    }
+    expect(examine()).toBeGreaterThan(30);
+  });
+
+  it("is turned off by the settings", () => {
+    const options = {} as Parameters<typeof createWaitingPart>[1];
+    expect(createWaitingPart({ waitEstimates: false }, options))
+      .toBeUndefined();
+  });
+});
--- /dev/null
+++ b/src/process/waiting/waiting_part.ts
@@ -0,0 +1,35 @@
+import type { Metrics } from "../metrics.ts";
+import type { NoticeSection } from "../notices/notice_section.ts";
+import type { RoutingPart } from "../routing_parts.ts";
+import type { BackgroundTask } from "../task_supervisor.ts";
+import type { RoutingSettings } from "../routing_settings.ts";
+import { WaitEstimates, type WaitEstimatesOptions } from "./wait_estimates.ts";
+
+/** Part of a routing daemon that estimates the waits of requests, refuses those without a chance, and tells their callers when to return. */
+export class WaitingPart implements RoutingPart {
+  readonly name = "waiting";
+  readonly sections: readonly NoticeSection[] = [];
+  readonly tasks: ReadonlyMap<string, BackgroundTask> = new Map();
+  readonly estimates: WaitEstimates;
+
+  constructor(options: WaitEstimatesOptions) {
+    this.estimates = new WaitEstimates(options);
+  }
+
+  addGauges(metrics: Metrics): void {
+    metrics.addGauge({
+      name: "promised_slots_ms",
+      help:
+        "Milliseconds until the last slot that is promised to a refused caller",
+      getValue: () => this.estimates.promisedMs,
+    });
+  }
+}
+
+/** Creates the part, unless the settings turn it off. */
+export function createWaitingPart(
+  { waitEstimates = true }: Pick<RoutingSettings, "waitEstimates">,
+  options: WaitEstimatesOptions,
+): WaitingPart | undefined {
+  return waitEstimates ? new WaitingPart(options) : undefined;
+}
--- a/src/request/routed/group_attempt.ts
+++ b/src/request/routed/group_attempt.ts
@@ -86,6 +86,11 @@
     this.#controller.abort();
   }
 
+  /** Records, after the attempt has been disposed, that the engine declined its request. */
+  recordDecline(): void {
+    this.#grant.recordDecline?.();
+  }
+
   /** Releases the slot, and ends the attempt if it is still running. */
   dispose(): void {
     this.#removeListeners();
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -527,6 +527,7 @@
       }
     } else if (result.outcome === "declined") {
       this.#declinedCount++;
+      attempt.recordDecline();
     } else if (result.outcome === "answered") {
       this.#verdict = combineVerdicts(this.#verdict, result.response.verdict);
       this.#servers.add(group.head.id);
--- /dev/null
+++ b/tests/support/waiting_replay.ts
@@ -0,0 +1,168 @@
+import { vi } from "vitest";
+import {
+  GroupAdmission,
+  type GroupAdmissionRequest,
+} from "../../src/process/fleet/group_admission.ts";
+import { GroupLoads } from "../../src/process/fleet/group_loads.ts";
+import type { GroupTable } from "../../src/process/fleet/group_table.ts";
+import type { TimedSendLimit } from "../../src/process/fleet/send_limit.ts";
+import { WaitEstimates } from "../../src/process/waiting/wait_estimates.ts";
+import type { RequestError } from "../../src/shared/errors.ts";
+import { NullLogger } from "../../src/shared/logger.ts";
+
+const NOTICE_MS = 100;
+const FIRST_EVENT_MS = 100;
+const WAIT_SHARE = 0.3;
+const HONORED_SHARE = 1 / 3;
+
+/** Load that callers put on several daemons of one model. */
+export interface ReplayedLoad {
+  readonly daemons: number;
+  readonly groups: number;
+  readonly slots: number;
+  readonly durationMs: number;
+  readonly timeLimitMs: number;
+  readonly objectiveMs: number;
+  /** Number of times that a refused caller returns. */
+  readonly retries: number;
+  /** Gets the requests per second of all callers at a time in milliseconds. */
+  getRate(atMs: number): number;
+  /** Gets the number of groups that serve at a time in milliseconds. */
+  getServingGroups(atMs: number): number;
+  /** Share of the requests that the first daemon receives in addition to its equal share. */
+  readonly skew: number;
+  readonly lastsMs: number;
+  readonly isEnabled: boolean;
+  /** Seed of the random numbers; defaults to 1. */
+  readonly seed?: number;
+}
+
+/** What the callers of a replayed load observed. */
+export interface ReplayResult {
+  requests: number;
+  onTime: number;
+  late: number;
+  refused: number;
+  /** Mean time until a refusal, over all attempts of callers, in milliseconds. */
+  refusalMs: number;
+}
+
+/** Replays a load on the admissions of several daemons, on the paused clock. The loads of the daemons are exchanged every 100 ms. */
+export async function replayLoad(load: ReplayedLoad): Promise<ReplayResult> {
+  let random = load.seed ?? 1;
+  vi.spyOn(Math, "random").mockImplementation(() => {
+    random = (random * 48_271) % 2_147_483_647;
+    return random / 2_147_483_647;
+  });
+  const startMs = performance.now();
+  const result = { requests: 0, onTime: 0, late: 0, refused: 0, refusalMs: 0 };
+  let refusals = 0;
+  const keys = Array.from({ length: load.groups }, (_, i) => `g${i}/1`);
+  const servingGroups = keys.map((key) => ({ key, head: { zone: "z" } }));
+  const groups = {
+    onChange: () => {},
+    listServingGroups: () =>
+      servingGroups.slice(
+        0,
+        load.getServingGroups(performance.now() - startMs),
+      ),
+  } as unknown as GroupTable;
+  const statements: TimedSendLimit = {
+    isBelowLimit: () => true,
+    recordRequest: () => {},
+    getWaitMs: () => 0,
+    onChange: () => {},
+  };
+  const daemons = Array.from({ length: load.daemons }, (_, i) => {
+    const loads = new GroupLoads();
+    const waits = load.isEnabled
+      ? new WaitEstimates({
+        logger: new NullLogger(),
+        metrics: { count: () => {} },
+        groups,
+        loads,
+      })
+      : undefined;
+    const admission = new GroupAdmission({
+      groups,
+      loads,
+      sendLimits: [],
+      statements,
+      zone: "z",
+      ownName: `entry-${i}`,
+      getStalenessMs: () => NOTICE_MS,
+      waits,
+    });
+    return { name: `entry-${i}`, loads, admission };
+  });
+  const exchange = setInterval(() => {
+    const reports = daemons.map(({ loads }) => loads.getReport("equal"));
+    daemons.forEach(({ loads }, i) =>
+      daemons.forEach(({ name }, j) => {
+        if (i !== j) {
+          loads.applyPeerLoad(name, "equal", {
+            loads: keys.map((key) => [key, reports[j].get(key) ?? 0]),
+          });
+        }
+      })
+    );
+  }, NOTICE_MS);
+
+  async function runCaller(index: number): Promise<void> {
+    const receivedAtMs = performance.now();
+    const deadlineMs = receivedAtMs + load.timeLimitMs;
+    for (let attempt = 0;; attempt++) {
+      const arrivedAtMs = performance.now();
+      const request: GroupAdmissionRequest = {
+        service: "models",
+        model: "m",
+        priority: 0,
+        excludedGroups: new Set(),
+        hasStarted: false,
+        slots: load.slots,
+        latencyDeadlineMs: arrivedAtMs + load.objectiveMs - FIRST_EVENT_MS,
+        waitDeadlineMs: arrivedAtMs + (deadlineMs - arrivedAtMs) * WAIT_SHARE,
+        signal: new AbortController().signal,
+      };
+      try {
+        const grant = await daemons[(index + attempt) % daemons.length]
+          .admission.acquire(request);
+        const firstEventMs = performance.now() + FIRST_EVENT_MS - receivedAtMs;
+        result[firstEventMs <= load.objectiveMs ? "onTime" : "late"]++;
+        await wait(load.durationMs * (0.5 + Math.random()));
+        grant.release();
+        return;
+      } catch (error) {
+        refusals++;
+        result.refusalMs += performance.now() - arrivedAtMs;
+        const { retryAfterMs = 0 } = error as RequestError;
+        const honoredMs = (deadlineMs - performance.now()) * HONORED_SHARE;
+        if (attempt === load.retries) {
+          result.refused++;
+          return;
+        }
+        await wait(Math.min(retryAfterMs, honoredMs));
+      }
+    }
+  }
+
+  let due = 0;
+  for (let atMs = 0; atMs < load.lastsMs; atMs += 5) {
+    for (due += load.getRate(atMs) * 5 / 1_000; due >= 1; due--) {
+      result.requests++;
+      const isSkewed = Math.random() < load.skew;
+      const index = isSkewed ? 0 : Math.floor(Math.random() * load.daemons);
+      runCaller(index).catch(() => {});
+    }
+    await vi.advanceTimersByTimeAsync(5);
+  }
+  await vi.advanceTimersByTimeAsync(3 * load.timeLimitMs);
+  clearInterval(exchange);
+  vi.restoreAllMocks();
+  result.refusalMs = Math.round(result.refusalMs / Math.max(1, refusals));
+  return result;
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
