Add requests beyond the known free slots, not enabled

Loads of other daemons are 60 to 120 ms old, so a freed slot may stay idle for that long while requests wait. With sendsBeyondSlots, a daemon sends as many requests beyond the known free slots as the loads of others have probably fallen by since, at most an eighth of the slots, and pauses after a declined one.

The estimates now hold for all requests that have certainly not run, including those that a group declined, instead of those without an attempt. The replayed engines queue a few requests and decline the rest.

--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -33,6 +33,8 @@
   readonly permittedServers?: ReadonlySet<string>;
   /** Whether the caller has received a part of the response. Such a request waits also when no present head takes it, since a group may form before its stream has to be broken off. */
   readonly hasStarted: boolean;
+  /** Whether an attempt of the request may have run, or is running; defaults to false. */
+  readonly mayHaveRun?: boolean;
   /** Maximum number of concurrent requests in a group. */
   readonly slots: number;
   /** Monotonic time by which a slot must be granted for the first event to meet the latency objective, in milliseconds. */
@@ -252,10 +254,11 @@
   }
 
   #tryGrant(request: GroupAdmissionRequest): GroupGrant | undefined {
-    const group = this.#chooseGroup(request);
-    if (group === undefined) {
+    const choice = this.#chooseGroup(request);
+    if (choice === undefined) {
       return undefined;
     }
+    const { group, isBeyond } = choice;
     this.#loads.addRequest(group.key);
     this.#sendLimits.forEach((limit) => limit.recordRequest(group.head));
     this.#waits?.recordGrant(request);
@@ -269,11 +272,12 @@
           isReleased = true;
           heldMs = performance.now() - grantedAtMs;
           this.#recordDuration(request.model, heldMs);
-          this.#waits?.recordRelease(request, heldMs);
+          this.#waits?.recordRelease(request, { isBeyond, heldMs });
           this.#loads.removeRequest(group.key);
         }
       },
-      recordDecline: () => this.#waits?.removeRelease(request, heldMs),
+      recordDecline: () =>
+        this.#waits?.recordDecline(request, group.key, { isBeyond, heldMs }),
     };
   }
 
@@ -285,7 +289,10 @@
     }, SEND_LIMIT_RETRY_MS).unref();
   }
 
-  #chooseGroup(request: GroupAdmissionRequest): ReplicaGroup | undefined {
+  /** Chooses the group for a request. While requests wait, groups without a known free slot may get some beyond. */
+  #chooseGroup(
+    request: GroupAdmissionRequest,
+  ): { group: ReplicaGroup; isBeyond: boolean } | undefined {
     const { service, model, slots } = request;
     const groups: ReplicaGroup[] = [];
     const servingGroups = this.#groups.listServingGroups(service, model);
@@ -306,13 +313,35 @@
       penalty: (head.zone === this.#zone ? 0 : CROSS_ZONE_PENALTY) +
         (preferredKeys.has(key) ? 0 : UNPREFERRED_PENALTY),
     }));
-    const index = chooseGroup(candidates, {
-      stalenessMs: this.#getStalenessMs(),
+    const stalenessMs = this.#getStalenessMs();
+    const unreported = {
+      stalenessMs,
       durationMs: this.#meanDurationsMs.get(model) ??
         DEFAULT_REQUEST_DURATION_MS,
       peersShare: this.#loads.getPeersShare(),
-    }, Math.random());
-    return index === undefined ? undefined : groups[index];
+    };
+    const index = chooseGroup(candidates, unreported, Math.random());
+    if (index !== undefined) {
+      return { group: groups[index], isBeyond: false };
+    }
+    const extraSlots = this.#waiters.length === 0
+      ? undefined
+      : this.#waits?.listExtraSlots(
+        request,
+        groups.map(({ key }) => key),
+        { slots, stalenessMs },
+      );
+    const beyondIndex = extraSlots === undefined ? undefined : chooseGroup(
+      candidates.map((candidate, i) => ({
+        ...candidate,
+        slots: candidate.slots + extraSlots[i],
+      })),
+      unreported,
+      Math.random(),
+    );
+    return beyondIndex === undefined
+      ? undefined
+      : { group: groups[beyondIndex], isBeyond: true };
   }
 
   #getPreferredKeys(
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -38,7 +38,8 @@
   | "store_writes"
   | "config_changes"
   | "unanswered_ends"
-  | "early_refusals";
+  | "early_refusals"
+  | "requests_beyond_slots";
 
 /** Gauge whose value is read each time the metrics are rendered. */
 export interface Gauge {
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -41,6 +41,8 @@
   readonly areOrdersFenced: boolean;
   /** Whether the waits of requests to engines are estimated, so that those without a chance of a slot are refused at once; defaults to true. */
   readonly waitEstimates?: boolean;
+  /** Whether requests are sent beyond the known free slots of engines that queue, when waits are estimated; defaults to false, since replayed loads showed no gain. */
+  readonly sendsBeyondSlots?: boolean;
   /** Calls to the platform that are the duty of one daemon at a time; undefined when there are none. */
   readonly duties?: DutySettings;
 }
--- a/src/process/waiting/load_replay_test.ts
+++ b/src/process/waiting/load_replay_test.ts
@@ -12,6 +12,7 @@
   durationMs: 1_000,
   timeLimitMs: 6_000,
   objectiveMs: 800,
+  engineQueue: 3,
   retries: 1,
   getRate: () => 32,
   getServingGroups: () => 4,
--- a/src/process/waiting/wait_estimates.ts
+++ b/src/process/waiting/wait_estimates.ts
@@ -1,12 +1,18 @@
 import type { Logger } from "../../shared/logger.ts";
 import type { ReplicaGroup } from "../fleet/group_table.ts";
 import type { Metrics } from "../metrics.ts";
+import { countEndedRequests } from "./ended_requests.ts";
+import { EngineQueues } from "./engine_queues.ts";
 import { ModelWaits, type SlotFlow } from "./model_waits.ts";
 
 /** Minimum time between two observations of the loads of other daemons, in milliseconds: the interval of their notices. */
 const OBSERVATION_INTERVAL_MS = 100;
 /** Minimum time between two log lines about refusals of one model, in milliseconds. */
 const LOG_INTERVAL_MS = 1_000;
+/** Share of the mean duration from which on a request counts as run. */
+const MIN_TAKEN_SHARE = 0.25;
+/** Maximum number of groups whose random numbers are kept. */
+const MAX_DRAWS = 1_000;
 /** Maximum number of models whose waits are observed. */
 const MAX_MODELS = 256;
 
@@ -22,14 +28,26 @@
   readonly priority: number;
   /** Whether the caller has received a part of the response. */
   readonly hasStarted: boolean;
-  /** Keys of groups that must not receive the request. */
-  readonly excludedGroups: ReadonlySet<string>;
-  /** Ids of the only heads that may receive the request; undefined when all may. */
-  readonly permittedServers?: ReadonlySet<string>;
+  /** Whether an attempt of the request may have run, or is running. Its refusal would not be a true one. */
+  readonly mayHaveRun?: boolean;
   /** Monotonic time until which the request may wait for a slot, in milliseconds. */
   readonly waitDeadlineMs: number;
 }
 
+/** Slot that a request has given back. */
+export interface HeldGrant {
+  /** Whether the request was sent beyond the known free slots. */
+  readonly isBeyond: boolean;
+  /** Time for which the request held the slot, in milliseconds. */
+  readonly heldMs: number;
+}
+
+/** Random number for the rounding of one group, until the next notices. */
+interface RoundingDraw {
+  readonly drawnAtMs: number;
+  readonly random: number;
+}
+
 /** State of a model while its waiting requests are examined. */
 interface ModelState {
   readonly waits: ModelWaits;
@@ -43,6 +61,8 @@
 
 /** Options of the estimates. */
 export interface WaitEstimatesOptions {
+  /** Whether requests are sent beyond the known free slots; defaults to false. */
+  readonly sendsBeyondSlots?: boolean;
   readonly logger: Logger;
   readonly metrics: Pick<Metrics, "count">;
   readonly groups: {
@@ -67,6 +87,8 @@
   readonly #models = new Map<string, ModelWaits>();
   readonly #observedAtMs = new Map<string, number>();
   readonly #refusalLogs = new Map<string, RefusalLog>();
+  readonly #queues = new EngineQueues();
+  #draws = new Map<string, RoundingDraw>();
 
   constructor(options: WaitEstimatesOptions) {
     this.#options = options;
@@ -90,14 +112,85 @@
     this.#getWaits(request)?.recordGrant();
   }
 
-  /** Records the end of a request that held its slot for `durationMs`. */
-  recordRelease(request: RequestedModel, durationMs: number): void {
-    this.#getWaits(request)?.recordRelease(durationMs);
+  /**
+   * Records the end of a request.
+   *
+   * @param grant - Whether the request was sent beyond the known free slots, and the time for which it held its slot, in milliseconds.
+   */
+  recordRelease(
+    request: RequestedModel,
+    { heldMs, isBeyond }: HeldGrant,
+  ): void {
+    const waits = this.#getWaits(request);
+    const meanMs = waits?.getDurationMs() ?? Number.POSITIVE_INFINITY;
+    waits?.recordRelease(heldMs);
+    if (isBeyond) {
+      this.#options.metrics.count("requests_beyond_slots");
+    }
+    // A declined request is held for some milliseconds only.
+    if (isBeyond && heldMs >= meanMs * MIN_TAKEN_SHARE) {
+      this.#queues.recordTaken(request.service);
+    }
   }
 
-  /** Takes back the release of a request that the engine declined. */
-  removeRelease(request: RequestedModel, durationMs: number): void {
-    this.#getWaits(request)?.removeRelease(durationMs);
+  /**
+   * Records that the engine of a group declined a request, whose grant and release are taken back.
+   */
+  recordDecline(
+    request: RequestedModel,
+    groupKey: string,
+    grant: HeldGrant,
+  ): void {
+    this.#getWaits(request)?.removeRelease(grant.heldMs);
+    this.#queues.recordDecline(request.service, groupKey, grant);
+    if (grant.isBeyond) {
+      const { logger } = this.#options;
+      logger.write("info", "beyond-slots-declined", {
+        service: request.service,
+        group: groupKey,
+      });
+    }
+  }
+
+  /**
+   * Lists the numbers of requests that groups may get beyond their slots while requests wait; undefined when none may.
+   *
+   * @param groupKeys - Groups of the requested model.
+   * @param options - Slots of each group, and the age of the loads that other daemons reported, in milliseconds.
+   */
+  listExtraSlots(
+    request: RequestedModel,
+    groupKeys: readonly string[],
+    { slots, stalenessMs }: { slots: number; stalenessMs: number },
+  ): number[] | undefined {
+    const { loads, sendsBeyondSlots = false } = this.#options;
+    if (!sendsBeyondSlots) {
+      return undefined;
+    }
+    const waits = this.#getWaits(request);
+    const durationMs = waits?.getDurationMs();
+    const fallPerMs = waits?.getPeerFallPerMs() ?? 0;
+    if (durationMs === undefined || fallPerMs === 0) {
+      return undefined;
+    }
+    const peerLoads = groupKeys.map((key) =>
+      Math.max(0, loads.getLoad(key) - loads.getOwnLoad(key))
+    );
+    const totalLoad = Math.max(
+      1,
+      peerLoads.reduce((sum, load) => sum + load, 0),
+    );
+    return groupKeys.map((key, i) =>
+      this.#queues.takesMore(request.service, key)
+        ? countEndedRequests({
+          peerLoad: peerLoads[i],
+          fallPerMs: fallPerMs * peerLoads[i] / totalLoad,
+          slots,
+          ageMs: stalenessMs,
+          durationMs,
+        }, this.#getDraw(key))
+        : 0
+    );
   }
 
   /**
@@ -121,7 +214,7 @@
       const { waits, flow } = states.get(key) ?? {};
       const ahead = aheadCounts.get(key) ?? 0;
       const isRefused = waits !== undefined && flow !== undefined &&
-        isFirstAdmission(request) &&
+        !request.hasStarted && request.mayHaveRun !== true &&
         waits.isHopeless(flow, {
           priority: request.priority,
           ahead,
@@ -175,10 +268,26 @@
       this.#observedAtMs.set(key, nowMs);
       waits.observePeerLoads(peerLoads);
     }
-    const share = Math.min(1, ownInFlight / Math.max(1, inFlight));
+    const share = getRatio(ownInFlight, inFlight);
     return { waits, flow: waits.getFlow({ inFlight, share }) };
   }
 
+  /** Gets the random number of a group. It changes with the notices only, since repeated draws would round up in the end. */
+  #getDraw(key: string): number {
+    const nowMs = performance.now();
+    let draw = this.#draws.get(key);
+    if (
+      draw === undefined || nowMs - draw.drawnAtMs >= OBSERVATION_INTERVAL_MS
+    ) {
+      draw = { drawnAtMs: nowMs, random: Math.random() };
+      if (this.#draws.size >= MAX_DRAWS) {
+        this.#draws = new Map();
+      }
+      this.#draws.set(key, draw);
+    }
+    return draw.random;
+  }
+
   #getWaits(request: RequestedModel): ModelWaits | undefined {
     const key = getModelKey(request);
     let waits = this.#models.get(key);
@@ -226,12 +335,8 @@
   }
 }
 
-/** Gets whether a request has not been attempted at any group. What the estimates count does not hold for one that only some groups may receive. */
-function isFirstAdmission(
-  { hasStarted, excludedGroups, permittedServers }: EstimatedRequest,
-): boolean {
-  return !hasStarted && excludedGroups.size === 0 &&
-    permittedServers === undefined;
+function getRatio(part: number, whole: number): number {
+  return Math.min(1, part / Math.max(1, whole));
 }
 
 function getModelKey({ service, model }: RequestedModel): string {
--- a/src/process/waiting/waiting_part.ts
+++ b/src/process/waiting/waiting_part.ts
@@ -28,8 +28,13 @@
 
 /** Creates the part, unless the settings turn it off. */
 export function createWaitingPart(
-  { waitEstimates = true }: Pick<RoutingSettings, "waitEstimates">,
+  { waitEstimates = true, sendsBeyondSlots }: Pick<
+    RoutingSettings,
+    "waitEstimates" | "sendsBeyondSlots"
+  >,
   options: WaitEstimatesOptions,
 ): WaitingPart | undefined {
-  return waitEstimates ? new WaitingPart(options) : undefined;
+  return waitEstimates
+    ? new WaitingPart({ ...options, sendsBeyondSlots })
+    : undefined;
 }
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -378,6 +378,7 @@
         excludedGroups: options.excludedGroups,
         permittedServers: options.permittedServers,
         hasStarted,
+        mayHaveRun: this.hasBeenSent,
         slots: this.#engine.slots,
         latencyDeadlineMs: request.receivedAtMs + route.latencyObjectiveMs -
           this.#getExpectedFirstEventMs(),
