Exchange the numbers of waiting requests between daemons

A refused caller returns to another daemon, but the time it was told counted the waiting requests of one daemon only. The time to return counts those of all daemons against the slots that become free over all daemons.

--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -159,7 +159,9 @@
    * ```
    */
   getRetryAfterMs(
-    { service, model }: Pick<GroupAdmissionRequest, "service" | "model">,
+    { service, model, priority }:
+      & Pick<GroupAdmissionRequest, "service" | "model">
+      & Partial<Pick<GroupAdmissionRequest, "priority">>,
   ): number {
     const waitsMs = this.#groups.listServingGroups(service, model).map((
       { head },
@@ -168,10 +170,8 @@
     if (waitMs > 0 && Number.isFinite(waitMs)) {
       return getJitteredMs(waitMs);
     }
-    return this.#waits?.createReturn(
-      { service, model },
-      this.#countWaiting(service, model),
-    ) ?? RETRY_AFTER_MS;
+    return this.#waits?.createReturn({ service, model, priority }) ??
+      RETRY_AFTER_MS;
   }
 
   /** Grants free slots to waiting requests, and ends the wait of those that no head takes in time. */
@@ -201,12 +201,6 @@
     }
   }
 
-  #countWaiting(service: string, model: string): number {
-    return this.#waiters.filter(({ request }) =>
-      request.service === service && request.model === model
-    ).length;
-  }
-
   /** Gets whether the heads of all groups that could serve a request leave, or pause until the request may no longer wait. Without any group a request waits, since one may form. */
   #isWaitUseless(
     request: GroupAdmissionRequest,
@@ -240,6 +234,7 @@
         clearTimeout(timer);
         request.signal.removeEventListener("abort", onAbort);
         this.#waiters.splice(this.#waiters.indexOf(waiter), 1);
+        this.#waits?.recordWaitEnd(request);
         resolve(grant);
       };
       const onAbort = () => settle(undefined);
@@ -247,6 +242,7 @@
       const timer = setTimeout(onAbort, waitMs);
       request.signal.addEventListener("abort", onAbort, { once: true });
       this.#waiters.push(waiter);
+      this.#waits?.recordWaitStart(request);
       if (this.#waits !== undefined) {
         this.#refuseHopeless(this.#waits);
       }
--- a/src/process/waiting/model_waits.ts
+++ b/src/process/waiting/model_waits.ts
@@ -1,5 +1,6 @@
 import { planReturn } from "./retry_after.ts";
 import { getSlotChance, MIN_SLOT_CHANCE } from "./slot_chance.ts";
+import { getPriorityIndex, PRIORITY_COUNT } from "./waiting_numbers.ts";
 import { WindowCounter } from "./window_counter.ts";
 
 /** Time over which arrivals and freed slots are counted, in milliseconds: two durations of a request, of about 1 s. */
@@ -12,8 +13,6 @@
 const FALL_SPAN_MS = 500;
 /** Minimum number of slots that must have become free within the window before a wait is estimated. With fewer, the standard deviation of the count exceeds half of it. */
 const MIN_FREED_SLOTS = 5;
-/** Number of priorities with an own count. Lower ones share the last. */
-const PRIORITY_COUNT = 8;
 
 /** Loads of the serving groups of a model. */
 export interface ModelLoad {
@@ -54,8 +53,7 @@
 
   /** Records a request that asks for a slot. */
   recordArrival(priority: number): void {
-    const index = Math.min(PRIORITY_COUNT - 1, Math.max(0, priority));
-    this.#arrivals[index].add(1, performance.now());
+    this.#arrivals[getPriorityIndex(priority)].add(1, performance.now());
   }
 
   /** Records a slot that this daemon granted. */
@@ -128,7 +126,7 @@
   /** Counts the requests that have arrived within the window with a priority not below `priority`; fewer when their rate has fallen since. */
   countArrivals(priority: number): number {
     const nowMs = performance.now();
-    const counters = this.#arrivals.slice(0, Math.max(0, priority) + 1);
+    const counters = this.#arrivals.slice(0, getPriorityIndex(priority) + 1);
     const sum = (spanMs: number) =>
       counters.reduce(
         (total, counter) => total + counter.count(spanMs, nowMs),
@@ -165,11 +163,11 @@
   /**
    * Promises a slot to a refused caller, and gets the time after which the caller should return, in milliseconds.
    *
-   * @param waiting - Requests that wait for a slot.
+   * @param waiting - Requests that wait for a slot, at all daemons.
    */
   addReturn(flow: SlotFlow, waiting: number): number {
     const { promisedMs, returnMs } = planReturn({
-      waiting,
+      queueMs: waiting * WINDOW_MS / Math.max(1, flow.freed),
       promisedMs: this.promisedMs,
       slotsPerMs: Math.max(1, flow.served) / WINDOW_MS,
     }, Math.random());
--- a/src/process/waiting/retry_after.ts
+++ b/src/process/waiting/retry_after.ts
@@ -9,8 +9,8 @@
 
 /** Figures from which the time of a return is derived. */
 export interface ReturnFigures {
-  /** Requests that wait for a slot. */
-  readonly waiting: number;
+  /** Time until the requests that wait for a slot have been served, in milliseconds. */
+  readonly queueMs: number;
   /** Time until the last return that has been promised, in milliseconds; not positive when it has passed. */
   readonly promisedMs: number;
   /** Slots that become free for this daemon, per millisecond. */
@@ -33,14 +33,14 @@
  * @param random - Random number from 0 to 1.
  * @example
  * ```ts
- * planReturn({ waiting: 20, promisedMs: 0, slotsPerMs: 0.1 }, Math.random());
+ * planReturn({ queueMs: 200, promisedMs: 0, slotsPerMs: 0.1 }, Math.random());
  * ```
  */
 export function planReturn(
-  { waiting, promisedMs, slotsPerMs }: ReturnFigures,
+  { queueMs, promisedMs, slotsPerMs }: ReturnFigures,
   random: number,
 ): PlannedReturn {
-  const earliestMs = Math.max(MIN_RETRY_AFTER_MS, waiting / slotsPerMs);
+  const earliestMs = Math.max(MIN_RETRY_AFTER_MS, queueMs);
   const gapMs = 1 / (slotsPerMs * RETURN_SHARE);
   const nextMs = Math.max(earliestMs, promisedMs + gapMs);
   const jitterMs = random * Math.max(gapMs, nextMs * JITTER_SHARE);
--- a/src/process/waiting/retry_after_test.ts
+++ b/src/process/waiting/retry_after_test.ts
@@ -13,7 +13,7 @@
     let promisedMs = 0;
     for (let i = 0; i < 100; i++) {
       const planned = planReturn(
-        { waiting: 50, promisedMs, slotsPerMs },
+        { queueMs: 500, promisedMs, slotsPerMs },
         (i * 0.618) % 1,
       );
       promisedMs = planned.promisedMs;
@@ -27,9 +27,9 @@
   });
 
   it("stays within its bounds", () => {
-    const figures = { waiting: 0, promisedMs: 0, slotsPerMs: 10 };
+    const figures = { queueMs: 0, promisedMs: 0, slotsPerMs: 10 };
     expect(planReturn(figures, 0).returnMs).toBe(MIN_RETRY_AFTER_MS);
-    const latest = planReturn({ ...figures, waiting: 1e9 }, 0.5);
+    const latest = planReturn({ ...figures, queueMs: 1e9 }, 0.5);
     expect(latest.returnMs).toBeLessThan(MAX_RETRY_AFTER_MS);
     expect(latest.promisedMs).toBe(0);
   });
--- a/src/process/waiting/wait_estimates.ts
+++ b/src/process/waiting/wait_estimates.ts
@@ -3,8 +3,11 @@
 import type { Metrics } from "../metrics.ts";
 import { countEndedRequests } from "./ended_requests.ts";
 import { EngineQueues } from "./engine_queues.ts";
+import type { WaitingNumbers } from "./waiting_numbers.ts";
 import { ModelWaits, type SlotFlow } from "./model_waits.ts";
 
+/** Priority that includes all waiting requests. */
+const LOWEST_PRIORITY = Number.MAX_SAFE_INTEGER;
 /** Minimum time between two observations of the loads of other daemons, in milliseconds: the interval of their notices. */
 const OBSERVATION_INTERVAL_MS = 100;
 /** Minimum time between two log lines about refusals of one model, in milliseconds. */
@@ -61,6 +64,8 @@
 
 /** Options of the estimates. */
 export interface WaitEstimatesOptions {
+  /** Requests that wait at all daemons. */
+  readonly numbers: WaitingNumbers;
   /** Whether requests are sent beyond the known free slots; defaults to false. */
   readonly sendsBeyondSlots?: boolean;
   readonly logger: Logger;
@@ -107,6 +112,16 @@
     this.#getWaits(request)?.recordArrival(request.priority);
   }
 
+  /** Records that a request begins to wait. */
+  recordWaitStart(request: EstimatedRequest): void {
+    this.#options.numbers.change(getModelKey(request), request.priority, 1);
+  }
+
+  /** Records that the wait of a request has ended. */
+  recordWaitEnd(request: EstimatedRequest): void {
+    this.#options.numbers.change(getModelKey(request), request.priority, -1);
+  }
+
   /** Records a slot that this daemon granted. */
   recordGrant(request: RequestedModel): void {
     this.#getWaits(request)?.recordGrant();
@@ -231,14 +246,19 @@
 
   /**
    * Promises a slot to the caller of a refused request, and gets the time after which the caller should return, in milliseconds; undefined without evidence.
-   *
-   * @param waiting - Requests of the model that wait at this daemon.
    */
-  createReturn(request: RequestedModel, waiting: number): number | undefined {
-    const state = this.#getState(request, getModelKey(request));
-    return state?.flow === undefined
-      ? undefined
-      : state.waits.addReturn(state.flow, waiting);
+  createReturn(
+    request: RequestedModel & { readonly priority?: number },
+  ): number | undefined {
+    const key = getModelKey(request);
+    const state = this.#getState(request, key);
+    return state?.flow === undefined ? undefined : state.waits.addReturn(
+      state.flow,
+      this.#options.numbers.countWaiting(
+        key,
+        request.priority ?? LOWEST_PRIORITY,
+      ),
+    );
   }
 
   #getState(request: RequestedModel, key: string): ModelState | undefined {
--- a/src/process/waiting/wait_estimates_test.ts
+++ b/src/process/waiting/wait_estimates_test.ts
@@ -54,7 +54,7 @@
   it("refuses nobody without evidence, and knows no time to return", () => {
     const { estimates, examine } = doTest({ releases: 4, arrivals: 80 });
     expect(examine()).toBe(0);
-    expect(estimates.createReturn(REQUEST, 50)).toBeUndefined();
+    expect(estimates.createReturn(REQUEST)).toBeUndefined();
   });
 
   // Guards against streams that are cut because their continuation is refused.
--- a/src/process/waiting/waiting_part.ts
+++ b/src/process/waiting/waiting_part.ts
@@ -3,17 +3,23 @@
 import type { RoutingPart } from "../routing_parts.ts";
 import type { BackgroundTask } from "../task_supervisor.ts";
 import type { RoutingSettings } from "../routing_settings.ts";
+import { WaitingNumbers } from "./waiting_numbers.ts";
 import { WaitEstimates, type WaitEstimatesOptions } from "./wait_estimates.ts";
 
+/** Options of the part. */
+export type WaitingPartOptions = Omit<WaitEstimatesOptions, "numbers">;
+
 /** Part of a routing daemon that estimates the waits of requests, refuses those without a chance, and tells their callers when to return. */
 export class WaitingPart implements RoutingPart {
   readonly name = "waiting";
-  readonly sections: readonly NoticeSection[] = [];
+  readonly sections: readonly NoticeSection[];
   readonly tasks: ReadonlyMap<string, BackgroundTask> = new Map();
   readonly estimates: WaitEstimates;
 
-  constructor(options: WaitEstimatesOptions) {
-    this.estimates = new WaitEstimates(options);
+  constructor(options: WaitingPartOptions) {
+    const numbers = new WaitingNumbers();
+    this.sections = [numbers];
+    this.estimates = new WaitEstimates({ ...options, numbers });
   }
 
   addGauges(metrics: Metrics): void {
@@ -32,7 +38,7 @@
     RoutingSettings,
     "waitEstimates" | "sendsBeyondSlots"
   >,
-  options: WaitEstimatesOptions,
+  options: WaitingPartOptions,
 ): WaitingPart | undefined {
   return waitEstimates
     ? new WaitingPart({ ...options, sendsBeyondSlots })
--- a/tests/support/waiting_replay.ts
+++ b/tests/support/waiting_replay.ts
@@ -6,7 +6,7 @@
 import { GroupLoads } from "../../src/process/fleet/group_loads.ts";
 import type { GroupTable } from "../../src/process/fleet/group_table.ts";
 import type { TimedSendLimit } from "../../src/process/fleet/send_limit.ts";
-import { WaitEstimates } from "../../src/process/waiting/wait_estimates.ts";
+import { createWaitingPart } from "../../src/process/waiting/waiting_part.ts";
 import type { RequestError } from "../../src/shared/errors.ts";
 import { NullLogger } from "../../src/shared/logger.ts";
 
@@ -127,15 +127,15 @@
   };
   const daemons = Array.from({ length: load.daemons }, (_, i) => {
     const loads = new GroupLoads();
-    const waits = load.isEnabled
-      ? new WaitEstimates({
-        logger: new NullLogger(),
-        metrics: { count: () => {} },
-        groups,
-        loads,
-        sendsBeyondSlots: load.sendsBeyondSlots,
-      })
-      : undefined;
+    const part = createWaitingPart({
+      waitEstimates: load.isEnabled,
+      sendsBeyondSlots: load.sendsBeyondSlots,
+    }, {
+      logger: new NullLogger(),
+      metrics: { count: () => {} },
+      groups,
+      loads,
+    });
     const admission = new GroupAdmission({
       groups,
       loads,
@@ -144,15 +144,23 @@
       zone: "z",
       ownName: `entry-${i}`,
       getStalenessMs: () => NOTICE_MS,
-      waits,
+      waits: part?.estimates,
     });
-    return { name: `entry-${i}`, loads, admission };
+    return { name: `entry-${i}`, loads, admission, part };
   });
   const exchange = setInterval(() => {
     const reports = daemons.map(({ loads }) => loads.getReport("equal"));
-    daemons.forEach(({ loads }, i) =>
+    const sections = daemons.map(({ part }) =>
+      part?.sections.map((section) => section.getReport("equal")) ?? []
+    );
+    daemons.forEach(({ loads, part }, i) =>
       daemons.forEach(({ name }, j) => {
         if (i !== j) {
+          sections[j].forEach((report, k) => {
+            if (report !== undefined) {
+              part?.sections[k].applyReport(name, "equal", report);
+            }
+          });
           loads.applyPeerLoad(name, "equal", {
             loads: keys.map((key) => [key, reports[j].get(key) ?? 0]),
           });
