Derive the Retry-After of plain services from their servers

Callers that no server took were all told to return after 200 ms. The time now follows from this daemon's requests in flight, the slots of the servers and the measured duration of a request, and each refused caller is promised a later slot. Without measured durations the constant holds, as without waitEstimates.

A promise that has passed no longer delays the next one.

--- a/src/process/routing_context.ts
+++ b/src/process/routing_context.ts
@@ -18,6 +18,7 @@
 import type { PlannedStop } from "./planned_stop.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
 import type { RefusalRecord } from "./waiting/refusal_record.ts";
+import type { ServiceWaits } from "./waiting/service_waits.ts";
 
 /** Components of a routing daemon that its request handlers share. */
 export interface RoutingContext {
@@ -40,6 +41,8 @@
   readonly plannedStop: PlannedStop;
   /** Record of refused callers; undefined when waits are not estimated. */
   readonly refusals?: RefusalRecord;
+  /** Durations of plain services; undefined when waits are not estimated. */
+  readonly serviceWaits?: ServiceWaits;
   /** Gets the route table of the configuration in force; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
   /** Gets the zones whose backend servers receive no requests. */
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -190,6 +190,7 @@
       getRetryBudget: (service) => this.#getRetryBudget(service),
       plannedStop: this.#plannedStop,
       refusals: this.#waiting?.refusals,
+      serviceWaits: this.#waiting?.services,
     };
     this.#requestHandler = new RoutedRequestHandler(this.#context);
     this.#callerServer = new HttpServer(
--- a/src/process/waiting/model_waits.ts
+++ b/src/process/waiting/model_waits.ts
@@ -168,7 +168,7 @@
   addReturn(flow: SlotFlow, waiting: number): number {
     const { promisedMs, returnMs } = planReturn({
       queueMs: waiting * WINDOW_MS / Math.max(1, flow.freed),
-      promisedMs: this.promisedMs,
+      promisedMs: this.#promisedAtMs - performance.now(),
       slotsPerMs: Math.max(1, flow.served) / WINDOW_MS,
     }, Math.random());
     this.#promisedAtMs = performance.now() + promisedMs;
--- a/src/process/waiting/retry_after.ts
+++ b/src/process/waiting/retry_after.ts
@@ -11,10 +11,12 @@
 export interface ReturnFigures {
   /** Time until the requests that wait for a slot have been served, in milliseconds. */
   readonly queueMs: number;
-  /** Time until the last return that has been promised, in milliseconds; not positive when it has passed. */
+  /** Time until the last return that has been promised, in milliseconds; negative when it has passed. */
   readonly promisedMs: number;
   /** Slots that become free for this daemon, per millisecond. */
   readonly slotsPerMs: number;
+  /** Shortest time to return, in milliseconds; defaults to `MIN_RETRY_AFTER_MS`. */
+  readonly minMs?: number;
 }
 
 /** Time at which a refused caller should return. */
@@ -37,10 +39,11 @@
  * ```
  */
 export function planReturn(
-  { queueMs, promisedMs, slotsPerMs }: ReturnFigures,
+  { queueMs, promisedMs, slotsPerMs, minMs = MIN_RETRY_AFTER_MS }:
+    ReturnFigures,
   random: number,
 ): PlannedReturn {
-  const earliestMs = Math.max(MIN_RETRY_AFTER_MS, queueMs);
+  const earliestMs = Math.max(minMs, queueMs);
   const gapMs = 1 / (slotsPerMs * RETURN_SHARE);
   const nextMs = Math.max(earliestMs, promisedMs + gapMs);
   const jitterMs = random * Math.max(gapMs, nextMs * JITTER_SHARE);
--- a/src/process/waiting/waiting_part.ts
+++ b/src/process/waiting/waiting_part.ts
@@ -4,6 +4,7 @@
 import type { BackgroundTask } from "../task_supervisor.ts";
 import type { RoutingSettings } from "../routing_settings.ts";
 import { RefusalRecord } from "./refusal_record.ts";
+import { ServiceWaits } from "./service_waits.ts";
 import { WaitingNumbers } from "./waiting_numbers.ts";
 import { WaitEstimates, type WaitEstimatesOptions } from "./wait_estimates.ts";
 
@@ -17,6 +18,7 @@
   readonly tasks: ReadonlyMap<string, BackgroundTask> = new Map();
   readonly estimates: WaitEstimates;
   readonly refusals = new RefusalRecord();
+  readonly services = new ServiceWaits();
 
   constructor(options: WaitingPartOptions) {
     const numbers = new WaitingNumbers();
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -182,7 +182,8 @@
   }
 
   async #runAttempt(server: BackendServer): Promise<AttemptResult> {
-    const { context, request, account, route } = this.#scope;
+    const { context, request, account, route, service } = this.#scope;
+    const startedAtMs = performance.now();
     const {
       coldLimits,
       serverLimits,
@@ -226,6 +227,12 @@
       serverStatements.recordResponse(server, response);
       const body = await readResponseBody(response);
       const outcome = response.verdict === "not-run" ? "declined" : "answered";
+      if (outcome === "answered" && !isRetryableServerError(response.status)) {
+        context.serviceWaits?.recordDuration(
+          service.name,
+          performance.now() - startedAtMs,
+        );
+      }
       return { outcome, response, body };
     } catch (error) {
       if (!(error instanceof BackendError)) {
@@ -320,15 +327,23 @@
     );
   }
 
-  /** Gets the time after which the caller should retry, in milliseconds: when the first server takes requests again. */
+  /** Gets the time after which the caller should retry, in milliseconds: when the first server takes requests again, or has a free slot. */
   #getRetryAfterMs(): number {
-    const waitsMs = this.#listServers().map((server) =>
-      this.#getWaitMs(server)
+    const { context, service } = this.#scope;
+    const servers = this.#listServers();
+    const waitMs = Math.min(
+      ...servers.map((server) => this.#getWaitMs(server)),
     );
-    const waitMs = Math.min(...waitsMs);
-    return waitMs > 0 && Number.isFinite(waitMs)
-      ? getJitteredMs(Math.max(RETRY_AFTER_MS, waitMs))
-      : RETRY_AFTER_MS;
+    if (waitMs > 0 && Number.isFinite(waitMs)) {
+      return getJitteredMs(Math.max(RETRY_AFTER_MS, waitMs));
+    }
+    const loads = servers.filter((server) => this.#getWaitMs(server) === 0)
+      .map(({ id, slots }) => ({
+        load: context.serverLoads.getLoad(id),
+        slots,
+      }));
+    return context.serviceWaits?.createReturn(service.name, loads) ??
+      RETRY_AFTER_MS;
   }
 
   #createError(message: string, statusIfMayHaveRun = 502): RequestError {
--- a/src/request/routed/service_request_forwarder_test.ts
+++ b/src/request/routed/service_request_forwarder_test.ts
@@ -5,6 +5,7 @@
 import { BackendError } from "../../connection/backend_transport.ts";
 import { CrashCounter } from "../../process/fleet/crash_counter.ts";
 import { ServerLoads } from "../../process/fleet/server_loads.ts";
+import { ServiceWaits } from "../../process/waiting/service_waits.ts";
 import { RequestError } from "../../shared/errors.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import type { RouteKind } from "../../version/routing_config.ts";
@@ -120,6 +121,38 @@
       },
     );
 
+    // Guards against callers that return before a slot is free, and against a setting that does not restore the constant time.
+    it.each([
+      ["the durations that were measured", true, 500],
+      ["a constant", false, 200],
+    ])("asks to return after a time from %s", async (_name, isMeasured, ms) => {
+      const serviceWaits = new ServiceWaits();
+      const scope = createRequestScope({
+        context: {
+          serverLimits: { getWaitMs: () => 0 },
+          serverStatements: { getWaitMs: () => 0 },
+          settings: { zone: "z" },
+          serverLoads: new ServerLoads(),
+          coldLimits: { isBelowLimit: () => false },
+          crashes: new CrashCounter(),
+          directory: {
+            listServers: () => [createBackendServer({ slots: 1 })],
+          },
+          getExcludedZones: () => new Set(),
+          serviceWaits: isMeasured ? serviceWaits : undefined,
+        },
+        route: { kind: "idempotent", maxAttempts: MAX_ATTEMPTS },
+      });
+      for (let i = 0; i < 10; i++) {
+        serviceWaits.recordDuration(scope.service.name, 500);
+      }
+      const error = await new ServiceRequestForwarder(scope).run()
+        .catch((error: unknown) => error);
+      const { retryAfterMs } = error as RequestError;
+      expect(retryAfterMs).toBeGreaterThanOrEqual(ms);
+      expect(retryAfterMs).toBeLessThanOrEqual(isMeasured ? 3 * ms : ms);
+    });
+
     // Guards against a statement that counts only in some kinds of response, or only when the body arrives.
     it.each([
       ["a success", 200, "ran", false],
