--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -61,7 +61,7 @@
 }
 
 /**
- * Sorts waiting requests by priority, then those that can still meet the latency objective before the late ones. Those that can be on time are sorted by arrival with the newest first, the late ones with the oldest first. In both, callers that return after a refusal at the time that they were told come first, with the oldest first.
+ * Sorts waiting requests by priority, then those that can still meet the latency objective before the late ones. Those that can be on time are sorted by arrival with the newest first, the late ones with the oldest first. In both, callers that return after a refusal at the time that they were told come first, with the oldest first; those that return too early, whose deadline is infinitely early, come last.
  *
  * While requests exceed the free slots, the oldest of those that can be on time is always about to be late: its slot comes just before `latencyDeadlineMs`, and any delay that the estimate of the first event leaves out makes it late. The newest has the most time left. The late ones get the remaining slots.
  *
@@ -75,6 +75,8 @@
   nowMs: number,
 ): T[] {
   const isLate = ({ request }: T) => request.latencyDeadlineMs < nowMs;
+  const isEarly = ({ request }: T) =>
+    !Number.isFinite(request.latencyDeadlineMs);
   const isReturning = ({ request }: T) => request.isReturning === true;
   const punctualWaiters = waiters.filter((waiter) => !isLate(waiter));
   const lateWaiters = waiters.filter(isLate);
@@ -82,7 +84,8 @@
     ...punctualWaiters.filter(isReturning),
     ...punctualWaiters.filter((waiter) => !isReturning(waiter)).reverse(),
     ...lateWaiters.filter(isReturning),
-    ...lateWaiters.filter((waiter) => !isReturning(waiter)),
+    ...lateWaiters.filter((waiter) => !isReturning(waiter) && !isEarly(waiter)),
+    ...lateWaiters.filter(isEarly),
   ];
   return sortedWaiters.sort((a, b) => a.request.priority - b.request.priority);
 }
@@ -148,8 +151,8 @@
    *
    * @throws {RequestError} When no slot is granted before `waitDeadlineMs` or the signal aborts; at once when the heads state that they take no request until then, or the request has hardly a chance of a slot.
    */
-  async acquire(request: GroupAdmissionRequest): Promise<GroupGrant> {
-    this.#waits?.recordArrival(request);
+  async acquire(arrival: GroupAdmissionRequest): Promise<GroupGrant> {
+    const request = this.#waits?.recordArrival(arrival) ?? arrival;
     const grant = this.#tryGrant(request) ?? await this.#wait(request);
     if (grant === undefined) {
       throw createCapacityError(request, this.getRetryAfterMs(request));
--- a/src/process/waiting/refusal_record.ts
+++ b/src/process/waiting/refusal_record.ts
@@ -285,7 +285,7 @@
 }
 
 /**
- * Gets the latency deadline of a request whose caller may have been refused before. A caller that has waited as instructed is as old as its first refusal; one that returns too early counts as late, since it would otherwise go before all that have waited.
+ * Gets the latency deadline of a request whose caller may have been refused before. A caller that has waited as instructed is as old as its first refusal; one that returns too early is infinitely late, since it would otherwise go before all that have waited.
  *
  * @param latencyDeadlineMs - Monotonic time by which a slot must be granted if the request is new, in milliseconds.
  * @example
--- a/src/process/waiting/refusal_record_test.ts
+++ b/src/process/waiting/refusal_record_test.ts
@@ -110,7 +110,6 @@
     const waiters = [
       createWaiter("urgent return", { isReturning: true }),
       createWaiter("old", {}),
-      createWaiter("late", { latencyDeadlineMs: 0 }),
       createWaiter("late return", {
         isReturning: true,
         latencyDeadlineMs: getReturnDeadlineMs(500, {
@@ -124,6 +123,7 @@
           isPunctual: false,
         }),
       }),
+      createWaiter("late", { latencyDeadlineMs: 0 }),
       createWaiter("other return", { isReturning: true, priority: 1 }),
       createWaiter("new", {}),
     ];
--- a/src/process/waiting/wait_estimates.ts
+++ b/src/process/waiting/wait_estimates.ts
@@ -4,6 +4,7 @@
 import { countEndedRequests } from "./ended_requests.ts";
 import { EngineQueues } from "./engine_queues.ts";
 import type { WaitingNumbers } from "./waiting_numbers.ts";
+import { chooseLatencyDeadlineMs, type LateArrival } from "./late_arrivals.ts";
 import { ModelWaits, type SlotFlow } from "./model_waits.ts";
 
 /** Priority that includes all waiting requests. */
@@ -107,9 +108,17 @@
     );
   }
 
-  /** Records a request that asks for a slot. */
-  recordArrival(request: EstimatedRequest): void {
+  /** Records a request that asks for a slot, and gets the request with the time until which it goes before the late ones. */
+  recordArrival<T extends EstimatedRequest & LateArrival>(request: T): T {
     this.#getWaits(request)?.recordArrival(request.priority);
+    const latencyDeadlineMs = chooseLatencyDeadlineMs(
+      request,
+      performance.now(),
+      Math.random(),
+    );
+    return latencyDeadlineMs === request.latencyDeadlineMs
+      ? request
+      : { ...request, latencyDeadlineMs };
   }
 
   /** Records that a request begins to wait. */
--- a/src/process/waiting/wait_estimates_test.ts
+++ b/src/process/waiting/wait_estimates_test.ts
@@ -6,6 +6,7 @@
   model: "m",
   priority: 0,
   hasStarted: false,
+  latencyDeadlineMs: 800,
   waitDeadlineMs: 1_800,
 };
 
