--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -9,6 +9,7 @@
 import type { GroupLoads } from "./group_loads.ts";
 import { getJitteredMs } from "../../shared/backoff.ts";
 import type { SendLimit, TimedSendLimit } from "./send_limit.ts";
+import type { WaitEstimates } from "../waiting/wait_estimates.ts";
 
 /** Delay before the waiting requests are checked again when a head is at a limit of its request rate, in milliseconds. */
 const SEND_LIMIT_RETRY_MS = 100;
@@ -36,6 +37,10 @@
   readonly permittedServers?: ReadonlySet<string>;
   /** Whether the caller has received a part of the response. Such a request waits also when no present head takes it, since a group may form before its stream has to be broken off. */
   readonly hasStarted: boolean;
+  /** Whether an attempt of the request may have run, or is running; defaults to false. */
+  readonly mayHaveRun?: boolean;
+  /** Whether the caller was refused and has returned at the time that it was told; defaults to false. */
+  readonly isReturning?: boolean;
   /** Maximum number of concurrent requests in a group. */
   readonly slots: number;
   /** Monotonic time by which a slot must be granted for the first event to meet the latency objective, in milliseconds. */
@@ -50,6 +55,8 @@
   readonly group: ReplicaGroup;
   /** Releases the slot; further calls have no effect. */
   release(): void;
+  /** Records that the engine declined the request, so that the end of its attempt freed no slot. Called once, after the release. */
+  recordDecline?(): void;
 }
 
 interface Waiter {
@@ -58,7 +65,7 @@
 }
 
 /**
- * Sorts waiting requests by priority, then those that can still meet the latency objective before the late ones. Those that can be on time are sorted by arrival with the newest first, the late ones with the oldest first.
+ * Sorts waiting requests by priority, then those that can still meet the latency objective before the late ones. Those that can be on time are sorted by arrival with the newest first, the late ones with the oldest first. In both, callers that return after a refusal at the time that they were told come first, with the oldest first; those that return too early, whose deadline is infinitely early, come last.
  *
  * While requests exceed the free slots, the oldest of those that can be on time is always about to be late: its slot comes just before `latencyDeadlineMs`, and any delay that the estimate of the first event leaves out makes it late. The newest has the most time left. The late ones get the remaining slots.
  *
@@ -72,9 +79,17 @@
   nowMs: number,
 ): T[] {
   const isLate = ({ request }: T) => request.latencyDeadlineMs < nowMs;
+  const isEarly = ({ request }: T) =>
+    !Number.isFinite(request.latencyDeadlineMs);
+  const isReturning = ({ request }: T) => request.isReturning === true;
+  const punctualWaiters = waiters.filter((waiter) => !isLate(waiter));
+  const lateWaiters = waiters.filter(isLate);
   const sortedWaiters = [
-    ...waiters.filter((waiter) => !isLate(waiter)).reverse(),
-    ...waiters.filter(isLate),
+    ...punctualWaiters.filter(isReturning),
+    ...punctualWaiters.filter((waiter) => !isReturning(waiter)).reverse(),
+    ...lateWaiters.filter(isReturning),
+    ...lateWaiters.filter((waiter) => !isReturning(waiter) && !isEarly(waiter)),
+    ...lateWaiters.filter(isEarly),
   ];
   return sortedWaiters.sort((a, b) => a.request.priority - b.request.priority);
 }
@@ -94,6 +109,7 @@
   >();
   readonly #getStalenessMs: () => number;
   readonly #findEstimate: (groupKey: string) => ServerEstimate | undefined;
+  readonly #waits: WaitEstimates | undefined;
   /** Mean time that a request holds its slot, by model, in milliseconds. */
   readonly #meanDurationsMs = new Map<string, number>();
   readonly #waiters: Waiter[] = [];
@@ -115,6 +131,8 @@
       getStalenessMs(): number;
       /** Finds what is learned of a group that deviates from the others; defaults to nothing. */
       findEstimate?(groupKey: string): ServerEstimate | undefined;
+      /** Estimates of the waits; undefined when requests wait until their deadline. */
+      waits?: WaitEstimates;
     },
   ) {
     this.#groups = options.groups;
@@ -125,6 +143,7 @@
     this.#ownName = options.ownName;
     this.#getStalenessMs = options.getStalenessMs;
     this.#findEstimate = options.findEstimate ?? (() => undefined);
+    this.#waits = options.waits;
     this.#groups.onChange(() => this.admitWaiting());
     this.#loads.onChange(() => this.admitWaiting());
     this.#statements.onChange(() => this.admitWaiting());
@@ -145,9 +164,10 @@
   /**
    * Acquires a slot of a group, and waits for one if none is free.
    *
-   * @throws {RequestError} When no slot is granted before `waitDeadlineMs` or the signal aborts; at once when the heads state that they take no request until then.
+   * @throws {RequestError} When no slot is granted before `waitDeadlineMs` or the signal aborts; at once when the heads state that they take no request until then, or the request has hardly a chance of a slot.
    */
-  async acquire(request: GroupAdmissionRequest): Promise<GroupGrant> {
+  async acquire(arrival: GroupAdmissionRequest): Promise<GroupGrant> {
+    const request = this.#waits?.recordArrival(arrival) ?? arrival;
     const grant = this.#tryGrant(request) ?? await this.#wait(request);
     if (grant === undefined) {
       throw createCapacityError(request, this.getRetryAfterMs(request));
@@ -156,7 +176,7 @@
   }
 
   /**
-   * Gets the time after which the caller of a refused request should retry, in milliseconds: when the first head takes requests again, with a random part added, or about the duration of one response.
+   * Gets the time after which the caller of a refused request should retry, in milliseconds: when the first head takes requests again, with a random part added, when slots become free for it, or about the duration of one response.
    *
    * @example
    * ```ts
@@ -164,15 +184,19 @@
    * ```
    */
   getRetryAfterMs(
-    { service, model }: Pick<GroupAdmissionRequest, "service" | "model">,
+    { service, model, priority }:
+      & Pick<GroupAdmissionRequest, "service" | "model">
+      & Partial<Pick<GroupAdmissionRequest, "priority">>,
   ): number {
     const waitsMs = this.#groups.listServingGroups(service, model).map((
       { head },
     ) => this.#statements.getWaitMs(head));
     const waitMs = Math.min(...waitsMs);
-    return waitMs > 0 && Number.isFinite(waitMs)
-      ? getJitteredMs(waitMs)
-      : RETRY_AFTER_MS;
+    if (waitMs > 0 && Number.isFinite(waitMs)) {
+      return getJitteredMs(waitMs);
+    }
+    return this.#waits?.createReturn({ service, model, priority }) ??
+      RETRY_AFTER_MS;
   }
 
   /** Grants free slots to waiting requests, and ends the wait of those that no head takes in time. */
@@ -180,14 +204,28 @@
     if (this.#waiters.length === 0) {
       return;
     }
+    const isHopeless = this.#waits?.createExamination();
     for (const waiter of sortWaiters(this.#waiters, performance.now())) {
       const grant = this.#tryGrant(waiter.request);
-      if (grant !== undefined || this.#isWaitUseless(waiter.request)) {
+      if (
+        grant !== undefined || this.#isWaitUseless(waiter.request) ||
+        isHopeless?.(waiter.request) === true
+      ) {
         waiter.settle(grant);
       }
     }
   }
 
+  /** Ends the wait of requests that have hardly a chance of a slot, now that another one waits. */
+  #refuseHopeless(waits: WaitEstimates): void {
+    const isHopeless = waits.createExamination();
+    for (const waiter of sortWaiters(this.#waiters, performance.now())) {
+      if (isHopeless(waiter.request)) {
+        waiter.settle(undefined);
+      }
+    }
+  }
+
   /** Gets whether the heads of all groups that could serve a request leave, or pause until the request may no longer wait. Without any group a request waits, since one may form. */
   #isWaitUseless(
     request: GroupAdmissionRequest,
@@ -221,6 +259,7 @@
         clearTimeout(timer);
         request.signal.removeEventListener("abort", onAbort);
         this.#waiters.splice(this.#waiters.indexOf(waiter), 1);
+        this.#waits?.recordWaitEnd(request);
         resolve(grant);
       };
       const onAbort = () => settle(undefined);
@@ -228,30 +267,38 @@
       const timer = setTimeout(onAbort, waitMs);
       request.signal.addEventListener("abort", onAbort, { once: true });
       this.#waiters.push(waiter);
+      this.#waits?.recordWaitStart(request);
+      if (this.#waits !== undefined) {
+        this.#refuseHopeless(this.#waits);
+      }
     });
   }
 
   #tryGrant(request: GroupAdmissionRequest): GroupGrant | undefined {
-    const group = this.#chooseGroup(request);
-    if (group === undefined) {
+    const choice = this.#chooseGroup(request);
+    if (choice === undefined) {
       return undefined;
     }
+    const { group, isBeyond } = choice;
     this.#loads.addRequest(group.key);
     this.#sendLimits.forEach((limit) => limit.recordRequest(group.head));
+    this.#waits?.recordGrant(request);
     const grantedAtMs = performance.now();
     let isReleased = false;
+    let heldMs = 0;
     return {
       group,
       release: () => {
         if (!isReleased) {
           isReleased = true;
-          this.#recordDuration(
-            request.model,
-            performance.now() - grantedAtMs,
-          );
+          heldMs = performance.now() - grantedAtMs;
+          this.#recordDuration(request.model, heldMs);
+          this.#waits?.recordRelease(request, { isBeyond, heldMs });
           this.#loads.removeRequest(group.key);
         }
       },
+      recordDecline: () =>
+        this.#waits?.recordDecline(request, group.key, { isBeyond, heldMs }),
     };
   }
 
@@ -263,7 +310,10 @@
     }, SEND_LIMIT_RETRY_MS).unref();
   }
 
-  #chooseGroup(request: GroupAdmissionRequest): ReplicaGroup | undefined {
+  /** Chooses the group for a request. While requests wait, groups without a known free slot may get some beyond. */
+  #chooseGroup(
+    request: GroupAdmissionRequest,
+  ): { group: ReplicaGroup; isBeyond: boolean } | undefined {
     const { service, model, slots } = request;
     const groups: ReplicaGroup[] = [];
     const servingGroups = this.#groups.listServingGroups(service, model);
@@ -289,13 +339,35 @@
       penalty: (head.zone === this.#zone ? 0 : CROSS_ZONE_PENALTY) +
         (preferredKeys.has(key) ? 0 : UNPREFERRED_PENALTY),
     }));
-    const index = chooseGroup(candidates, {
-      stalenessMs: this.#getStalenessMs(),
+    const stalenessMs = this.#getStalenessMs();
+    const unreported = {
+      stalenessMs,
       durationMs: this.#meanDurationsMs.get(model) ??
         DEFAULT_REQUEST_DURATION_MS,
       peersShare: this.#loads.getPeersShare(),
-    }, Math.random());
-    return index === undefined ? undefined : groups[index];
+    };
+    const index = chooseGroup(candidates, unreported, Math.random());
+    if (index !== undefined) {
+      return { group: groups[index], isBeyond: false };
+    }
+    const extraSlots = this.#waiters.length === 0
+      ? undefined
+      : this.#waits?.listExtraSlots(
+        request,
+        groups.map(({ key }) => key),
+        { slots, stalenessMs },
+      );
+    const beyondIndex = extraSlots === undefined ? undefined : chooseGroup(
+      candidates.map((candidate, i) => ({
+        ...candidate,
+        slots: candidate.slots + extraSlots[i],
+      })),
+      unreported,
+      Math.random(),
+    );
+    return beyondIndex === undefined
+      ? undefined
+      : { group: groups[beyondIndex], isBeyond: true };
   }
 
   #getPreferredKeys(
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -39,7 +39,9 @@
   | "store_reads"
   | "store_writes"
   | "config_changes"
-  | "unanswered_ends";
+  | "unanswered_ends"
+  | "early_refusals"
+  | "requests_beyond_slots";
 
 /** Gauge whose value is read each time the metrics are rendered. */
 export interface Gauge {
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -51,6 +51,7 @@
 import { createMissingMemberBounds } from "./registration/missing_member_rules.ts";
 import { MissingMemberTask } from "./registration/missing_member_task.ts";
 import type { UsageRecorder } from "./usage/usage_part.ts";
+import { createWaitingPart, type WaitingPart } from "./waiting/waiting_part.ts";
 import { UnansweredEndRecorder } from "./unanswered_end_recorder.ts";
 
 /** Kinds of the store objects that daemons write. */
@@ -104,6 +105,7 @@
   readonly #plannedStop: PlannedStop;
   readonly #sections: NoticeSections;
   readonly #concurrency: ConcurrencyPart | undefined;
+  readonly #waiting: WaitingPart | undefined;
   readonly #parts: readonly RoutingPart[];
   #usageRecorder: UsageRecorder | undefined;
   readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
@@ -172,6 +174,12 @@
         onReportChange: () => this.#peerExchange.scheduleNotices(),
       });
     const concurrency = this.#concurrency?.concurrency;
+    this.#waiting = createWaitingPart(settings, {
+      logger,
+      metrics,
+      groups: this.#groups,
+      loads: this.#groupLoads,
+    });
     const attempts = new StreamAttempts();
     const coldLimits = new ColdLimits({
       overageFactor: settings.coldOverage,
@@ -199,6 +207,7 @@
         ownName: settings.name,
         getStalenessMs: () => this.#peerExchange.getStalenessMs(),
         findEstimate: (groupKey) => concurrency?.getEstimate(groupKey),
+        waits: this.#waiting?.estimates,
       }),
       attempts,
       groupFailureDetector: new GroupFailureDetector({
@@ -223,6 +232,8 @@
       getRetryBudget: (service) => this.#getRetryBudget(service),
       getUsageRecorder: () => this.#usageRecorder,
       plannedStop: this.#plannedStop,
+      refusals: this.#waiting?.refusals,
+      serviceWaits: this.#waiting?.services,
     };
     concurrency?.onChange(() => this.#context.admission.admitWaiting());
     this.#requestHandler = new RoutedRequestHandler(this.#context);
@@ -261,8 +272,12 @@
     const registrationPart = this.#missingMembers === undefined
       ? undefined
       : this.#createRegistrationPart(this.#missingMembers);
-    const parts = [registrationPart, this.#concurrency, ...dutyParts.parts]
-      .filter((part) => part !== undefined);
+    const parts = [
+      registrationPart,
+      this.#concurrency,
+      this.#waiting,
+      ...dutyParts.parts,
+    ].filter((part) => part !== undefined);
     for (const part of parts) {
       part.sections.forEach((section) => this.#sections.add(section));
       part.addGauges(this.#options.metrics);
