--- a/src/process/concurrency/concurrency_reports.ts
+++ b/src/process/concurrency/concurrency_reports.ts
@@ -233,16 +233,16 @@
   );
   return [
     key,
-    roundSum(weight),
-    roundSum(expected),
-    roundSum(ratios),
-    roundSum(squares),
-    roundSum(loads),
+    formatSum(weight),
+    formatSum(expected),
+    formatSum(ratios),
+    formatSum(squares),
+    formatSum(loads),
     Math.max(0, Math.round(nowMs - observedAtMs)),
   ];
 }
 
-function roundSum(sum: number): number {
+function formatSum(sum: number): number {
   return Math.round(sum * 1_000) / 1_000;
 }
 
--- a/src/process/concurrency/estimate_log.ts
+++ b/src/process/concurrency/estimate_log.ts
@@ -51,22 +51,22 @@
       server: key,
       reason: isBegin ? undefined : change,
       ratio: evidence.weight > 0
-        ? roundFigure(evidence.ratios / evidence.expected)
+        ? formatFigure(evidence.ratios / evidence.expected)
         : undefined,
       expectedMs: hasOwn ? Math.round(usualMs) : undefined,
       observedMs: hasOwn
         ? Math.round(usualMs * own.ratios / own.expected)
         : undefined,
-      evidence: roundFigure(evidence.weight),
-      ownEvidence: roundFigure(own.weight),
+      evidence: formatFigure(evidence.weight),
+      ownEvidence: formatFigure(own.weight),
       ageMs: hasOwn ? Math.round(nowMs - observedAtMs) : undefined,
-      speed: roundFigure(speed),
-      limit: Number.isFinite(limit) ? roundFigure(limit) : undefined,
+      speed: formatFigure(speed),
+      limit: Number.isFinite(limit) ? formatFigure(limit) : undefined,
       origin: own.weight * 2 >= evidence.weight ? "own" : "peer",
     });
   }
 }
 
-function roundFigure(value: number): number {
+function formatFigure(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/src/process/concurrency/evidence.ts
+++ b/src/process/concurrency/evidence.ts
@@ -66,7 +66,7 @@
   }
 
   /** Ends a period, and drops the oldest one. */
-  rotate(): void {
+  sweep(): void {
     this.#periods.unshift({ ...NO_EVIDENCE });
     if (this.#periods.length > WINDOW_PERIODS) {
       this.#periods.pop();
@@ -170,10 +170,10 @@
  * @param deviation - Standard deviation of the ratios of single observations.
  * @example
  * ```ts
- * const { lowRatio } = assessEvidence(evidence, 0.3);
+ * const { lowRatio } = measureEvidence(evidence, 0.3);
  * ```
  */
-export function assessEvidence(
+export function measureEvidence(
   { weight, expected, ratios, loads }: Evidence,
   deviation: number,
 ): Assessment {
--- a/src/process/concurrency/learned_concurrency.ts
+++ b/src/process/concurrency/learned_concurrency.ts
@@ -175,7 +175,7 @@
   /** Evaluates the evidence, and begins another period of the observation windows. */
   runPeriod(): void {
     this.update();
-    this.#endPeriod();
+    this.#finishPeriod();
   }
 
   /** Evaluates the evidence after the report of a peer has changed, unless that has just been done. */
@@ -339,10 +339,10 @@
   }
 
   /** Ends a period of the observation windows, and removes old records. */
-  #endPeriod(): void {
+  #finishPeriod(): void {
     const nowMs = performance.now();
     for (const [key, record] of this.#records) {
-      record.rotate();
+      record.sweep();
       const isUnused = record.pending.size === 0 && record.estimator.isUsual &&
         nowMs - record.observedAtMs > RECORD_RETENTION_MS;
       if (isUnused) {
--- a/src/process/concurrency/learned_concurrency_test.ts
+++ b/src/process/concurrency/learned_concurrency_test.ts
@@ -72,7 +72,7 @@
             streams.push(startStream(key));
           }
           for (const stream of running.slice(count)) {
-            stream.observation?.end();
+            stream.observation?.finish();
             streams.splice(streams.indexOf(stream), 1);
           }
         }
@@ -84,7 +84,7 @@
           stream.observation?.recordEvents();
           stream.nextAtMs = nowMs + getBatchMs(load) * slowness();
           if (nowMs - stream.startedAtMs > STREAM_MS) {
-            stream.observation?.end();
+            stream.observation?.finish();
             streams[i] = startStream(stream.key);
           }
         }
@@ -293,7 +293,7 @@
               "route",
             );
             setTimeout(
-              () => observation?.end(options.fails?.(id) !== true),
+              () => observation?.finish(options.fails?.(id) !== true),
               getDurationMs(),
             );
           }
--- a/src/process/concurrency/server_estimator.ts
+++ b/src/process/concurrency/server_estimator.ts
@@ -1,4 +1,4 @@
-import { assessEvidence, type Evidence } from "./evidence.ts";
+import { type Evidence, measureEvidence } from "./evidence.ts";
 
 /** Weight of the evidence on which a server is found slow: that of three requests or more. With 6, three streams in a group never sufficed. */
 export const MIN_WEIGHT = 4.5;
@@ -95,7 +95,7 @@
     }
     if (!this.#isSlow) {
       this.#speed = 1;
-      this.#raiseLimit(nowMs);
+      this.#setRaisedLimit(nowMs);
       return wasSlow ? "recovered" : undefined;
     }
     const idleMs = Math.max(0, nowMs - this.#evidenceAtMs - HOLD_MS);
@@ -103,7 +103,7 @@
       (1 - Math.max(MIN_SPEED, 1 / this.#ratio)) *
         Math.exp(-idleMs / FORGET_MS);
     if (this.#speed >= FORGOTTEN_SPEED) {
-      this.#endSlowdown();
+      this.#finishSlowdown();
       this.#speed = 1;
       return "forgotten";
     }
@@ -115,14 +115,14 @@
     deviation: number,
     nowMs: number,
   ): void {
-    const { ratio, lowRatio, load } = assessEvidence(evidence, deviation);
+    const { ratio, lowRatio, load } = measureEvidence(evidence, deviation);
     if (!this.#isSlow && lowRatio >= BEGIN_RATIO) {
       this.#isSlow = true;
       this.#firstSlowLoad = load;
       this.#lowestSlowLoad = load;
     }
     if (this.#isSlow && ratio <= END_RATIO) {
-      this.#endSlowdown();
+      this.#finishSlowdown();
     }
     if (!this.#isSlow) {
       return;
@@ -130,11 +130,11 @@
     this.#ratio = Math.max(END_RATIO, ratio);
     if (ratio >= BEGIN_RATIO) {
       this.#lowestSlowLoad = Math.min(this.#lowestSlowLoad, load);
-      this.#decreaseLimit(load, nowMs);
+      this.#setDecreasedLimit(load, nowMs);
     }
   }
 
-  #endSlowdown(): void {
+  #finishSlowdown(): void {
     this.#isSlow = false;
     // A server that was slow with few requests, too, has recovered for any number of them.
     const wasSlowAtAnyLoad = this.#lowestSlowLoad <=
@@ -144,7 +144,7 @@
     }
   }
 
-  #decreaseLimit(load: number, nowMs: number): void {
+  #setDecreasedLimit(load: number, nowMs: number): void {
     if (nowMs - this.#decreasedAtMs < DECREASE_INTERVAL_MS) {
       return;
     }
@@ -153,7 +153,7 @@
     this.#limit = Math.max(1, Math.min(this.#limit, load) * DECREASE_FACTOR);
   }
 
-  #raiseLimit(nowMs: number): void {
+  #setRaisedLimit(nowMs: number): void {
     if (this.#limit === Number.POSITIVE_INFINITY) {
       return;
     }
--- a/src/process/concurrency/server_record.ts
+++ b/src/process/concurrency/server_record.ts
@@ -89,8 +89,8 @@
   }
 
   /** Ends a period of the observation window. */
-  rotate(): void {
-    this.#window.rotate();
+  sweep(): void {
+    this.#window.sweep();
     this.#endedCounts = [0, ...this.#endedCounts.slice(0, WINDOW_PERIODS - 1)];
   }
 
@@ -190,7 +190,7 @@
   }
 
   /** Ends the observation. A stream that ends while its next event is late has waited at least that long for it. */
-  end(): void {
+  finish(): void {
     if (!this.#record.pending.has(this)) {
       return;
     }
@@ -253,7 +253,7 @@
    *
    * @param isSuccess - Whether the server sent a complete response without an error. Otherwise the duration counts only when it is long: a fast error is no speed.
    */
-  end(isSuccess: boolean): void {
+  finish(isSuccess: boolean): void {
     const load = this.#record.pending.size;
     if (!this.#record.pending.has(this)) {
       return;
--- a/src/request/routed/group_attempt.ts
+++ b/src/request/routed/group_attempt.ts
@@ -99,7 +99,7 @@
   /** Releases the slot, and ends the attempt if it is still running. */
   dispose(): void {
     this.#removeListeners();
-    this.observation?.end();
+    this.observation?.finish();
     this.#controller.abort();
     this.#grant.release();
   }
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -252,7 +252,7 @@
     } finally {
       clearTimeout(timer);
       stopReplacement();
-      observation?.end(isSuccess);
+      observation?.finish(isSuccess);
       removeLoad();
       request.signal.removeEventListener("abort", abortAttempt);
     }
--- a/tests/learned_concurrency_test.ts
+++ b/tests/learned_concurrency_test.ts
@@ -91,7 +91,7 @@
   }
 
   /** Delivers the reports of all daemons that have changed, as JSON. */
-  function exchangeReports(
+  function sendReports(
     parts: ReturnType<typeof createParts>,
     sent: Map<string, unknown>,
     isCut: (from: number, to: number) => boolean,
@@ -121,7 +121,7 @@
   }
 
   /** Replays a steady load over groups, of which the first is slow for 10 s. */
-  function replay(options: {
+  function runLoad(options: {
     isOn: boolean;
     requestsPerSecond?: number;
     isCut?: (from: number, to: number) => boolean;
@@ -220,7 +220,7 @@
         if (++stream.batches < BATCHES) {
           return true;
         }
-        stream.observation?.end();
+        stream.observation?.finish();
         loads[stream.group]--;
         return false;
       });
@@ -250,7 +250,7 @@
         checkEstimates();
       }
       if (nowMs % NOTICE_MS === 0) {
-        exchangeReports(parts, sent, options.isCut ?? (() => false));
+        sendReports(parts, sent, options.isCut ?? (() => false));
         knownLoads = [...loads];
         sentSince = parts.map(() => new Array<number>(GROUPS).fill(0));
       }
@@ -260,8 +260,8 @@
 
   // Guards against a slow group that gets its share of the requests, since the counts of requests in flight alone show its slowness only when they have grown.
   it("sends few requests to a slow group, and its share again after its recovery", () => {
-    const off = replay({ isOn: false });
-    const on = replay({ isOn: true });
+    const off = runLoad({ isOn: false });
+    const on = runLoad({ isOn: true });
     expect(on.slow.slowGroup).toBeLessThan(off.slow.slowGroup / 2);
     expect(on.slow.lateBatches).toBeLessThan(off.slow.lateBatches / 1.5);
     const usualShare = on.recovered.all / GROUPS;
@@ -271,14 +271,14 @@
 
   // Guards against evidence that reaches only a part of the daemons, or takes longer than the requests it is to spare.
   it("lets all daemons know of a slow group 1.5 seconds after its slowdown", () => {
-    const { detectedAtMs } = replay({ isOn: true });
+    const { detectedAtMs } = runLoad({ isOn: true });
     expect(detectedAtMs).toBeLessThanOrEqual(SLOW_FROM_MS + 1_500);
   });
 
   // Guards against relying on one hub: a zone that is partitioned has to learn from its own requests.
   it("finds the slow group on both sides of a partition", () => {
     const isCut = (from: number, to: number) => from % HUBS !== to % HUBS;
-    const { detectedAtMs } = replay({
+    const { detectedAtMs } = runLoad({
       isOn: true,
       isCut,
       requestsPerSecond: 200,
