--- a/src/connection/duty_client.ts
+++ b/src/connection/duty_client.ts
@@ -39,7 +39,7 @@
     fence: DutyFence,
   ): Promise<DutyCallOutcome>;
   /** Orders a number of servers of a service in a zone. */
-  orderServers(
+  requestServers(
     order: ServerCountOrder,
     fence: DutyFence,
   ): Promise<DutyCallOutcome>;
--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -152,6 +152,17 @@
       );
   }
 
+  /** Finds a removed server, as it was last known; undefined while it is listed. */
+  findRemovedServer(id: string): BackendServer | undefined {
+    return this.#servers.has(id) ? undefined : this.#tombstones.get(id)?.entry;
+  }
+
+  /** Gets whether a server was removed at a time that is known within the age of the list; after a store outage it is not. */
+  hasRemovalTime(id: string): boolean {
+    const revision = this.#tombstones.get(id)?.revision;
+    return revision !== undefined && revision !== UNKNOWN_REVISION;
+  }
+
   /** Registers a listener that is called after each change of the directory. */
   onChange(listener: DirectoryListener): void {
     this.#listeners.add(listener);
--- a/src/process/notices/notice_sections.ts
+++ b/src/process/notices/notice_sections.ts
@@ -60,7 +60,7 @@
         if (!(error instanceof NoticeSectionError)) {
           throw error;
         }
-        this.#logInvalidReport(partner, name, error);
+        this.#recordInvalidReport(partner, name, error);
       }
     }
   }
@@ -70,7 +70,7 @@
     this.#sections.forEach((section) => section.removePartner(name));
   }
 
-  #logInvalidReport(
+  #recordInvalidReport(
     peer: string,
     section: string,
     { message }: NoticeSectionError,
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -5,6 +5,11 @@
 import type { Logger } from "../shared/logger.ts";
 import { RouteTable } from "../version/route_table.ts";
 import type { RoutingConfig } from "../version/routing_config.ts";
+import {
+  type ConcurrencyPart,
+  createConcurrencyPart,
+} from "./concurrency/concurrency_part.ts";
+import { getServerKey } from "./concurrency/learned_concurrency.ts";
 import { BackendDirectory } from "./fleet/backend_directory.ts";
 import { ColdLimits } from "./fleet/cold_limits.ts";
 import { CrashCounter } from "./fleet/crash_counter.ts";
@@ -34,12 +39,19 @@
 import { ServerLoads } from "./fleet/server_loads.ts";
 import { StreamAttempts } from "./fleet/stream_attempts.ts";
 import type { Metrics } from "./metrics.ts";
+import { createDutyParts, type DutyParts } from "./duty_parts.ts";
 import { PlannedStop } from "./planned_stop.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
 import type { RoutingPart } from "./routing_parts.ts";
 import type { RoutingContext } from "./routing_context.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
 import { type BackgroundTask, TaskSupervisor } from "./task_supervisor.ts";
+import { ConfirmedGroups } from "./registration/confirmed_groups.ts";
+import { MissingMembers } from "./registration/missing_members.ts";
+import { createMissingMemberBounds } from "./registration/missing_member_rules.ts";
+import { MissingMemberTask } from "./registration/missing_member_task.ts";
+import type { UsageRecorder } from "./usage/usage_part.ts";
+import { createWaitingPart, type WaitingPart } from "./waiting/waiting_part.ts";
 import { UnansweredEndRecorder } from "./unanswered_end_recorder.ts";
 
 /** Kinds of the store objects that daemons write. */
@@ -66,7 +78,13 @@
   readonly #options: RoutingDaemonOptions;
   readonly #lifeCycle = new LifeCycleManager();
   readonly #directory: BackendDirectory;
+  readonly #confirmedGroups = new ConfirmedGroups({
+    onChange: () => this.#peerExchange.scheduleNotices(),
+  });
+  /** Undefined when a missing entry takes a group out of service. */
+  readonly #missingMembers: MissingMembers | undefined;
   readonly #groups: GroupTable;
+  readonly #memberOrders: MemberOrderExecutor;
   readonly #context: RoutingContext;
   readonly #requestHandler: RoutedRequestHandler;
   readonly #callerServer: HttpServer;
@@ -86,7 +104,10 @@
   readonly #peerExchange: PeerExchange;
   readonly #plannedStop: PlannedStop;
   readonly #sections: NoticeSections;
+  readonly #concurrency: ConcurrencyPart | undefined;
+  readonly #waiting: WaitingPart | undefined;
   readonly #parts: readonly RoutingPart[];
+  #usageRecorder: UsageRecorder | undefined;
   readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
   #routes: RouteTable | undefined;
   #stopPromise: Promise<void> | undefined;
@@ -101,6 +122,7 @@
       logger,
     });
     this.#directory = new BackendDirectory({ logger });
+    this.#missingMembers = this.#createMissingMembers();
     this.#groups = new GroupTable({
       directory: this.#directory,
       logger,
@@ -108,6 +130,7 @@
         this.#routes?.findService(service)?.engine?.models.find(({ name }) =>
           name === model
         ),
+      missingMembers: this.#missingMembers,
     });
     this.#serverStatements = new ServerStatements({
       directory: this.#directory,
@@ -133,8 +156,30 @@
     this.#fleetSync = this.#createFleetSync();
     this.#leaseHolder = this.#createLeaseHolder();
     this.#peerExchange = this.#createPeerExchange();
+    this.#memberOrders = new MemberOrderExecutor({
+      directory: this.#directory,
+      orders: platform.orders,
+      lease: this.#leaseHolder,
+      getHealthPath: (service) =>
+        this.#routes?.findService(service)?.healthPath,
+      logger,
+    });
     this.#serverStatements.onChange(() => this.#peerExchange.scheduleNotices());
     this.#groupLoads.onReportChange(() => this.#peerExchange.scheduleNotices());
+    this.#concurrency = settings.learnedConcurrency === false
+      ? undefined
+      : createConcurrencyPart({
+        logger,
+        getLoad: (groupKey) => this.#groupLoads.getLoad(groupKey),
+        onReportChange: () => this.#peerExchange.scheduleNotices(),
+      });
+    const concurrency = this.#concurrency?.concurrency;
+    this.#waiting = createWaitingPart(settings, {
+      logger,
+      metrics,
+      groups: this.#groups,
+      loads: this.#groupLoads,
+    });
     const attempts = new StreamAttempts();
     const coldLimits = new ColdLimits({
       overageFactor: settings.coldOverage,
@@ -161,6 +206,8 @@
         zone: settings.zone,
         ownName: settings.name,
         getStalenessMs: () => this.#peerExchange.getStalenessMs(),
+        findEstimate: (groupKey) => concurrency?.getEstimate(groupKey),
+        waits: this.#waiting?.estimates,
       }),
       attempts,
       groupFailureDetector: new GroupFailureDetector({
@@ -170,7 +217,11 @@
         logger,
         announceLoss: () => this.#peerExchange.announce(),
       }),
-      serverLoads: new ServerLoads(),
+      serverLoads: new ServerLoads({
+        findEstimate: (server) =>
+          concurrency?.getEstimate(getServerKey(server)),
+      }),
+      concurrency,
       coldLimits,
       serverLimits: this.#serverLimits,
       serverStatements: this.#serverStatements,
@@ -179,8 +230,12 @@
       getRoutes: () => this.#routes,
       getExcludedZones: () => this.#excludedZones.getZones(),
       getRetryBudget: (service) => this.#getRetryBudget(service),
+      getUsageRecorder: () => this.#usageRecorder,
       plannedStop: this.#plannedStop,
+      refusals: this.#waiting?.refusals,
+      serviceWaits: this.#waiting?.services,
     };
+    concurrency?.onChange(() => this.#context.admission.admitWaiting());
     this.#requestHandler = new RoutedRequestHandler(this.#context);
     this.#callerServer = new HttpServer(
       platform.createIngress(
@@ -212,7 +267,17 @@
 
   /** Creates the parts that the settings switch on. */
   #createParts(): RoutingPart[] {
-    const parts: RoutingPart[] = [];
+    const dutyParts = this.#createDutyParts();
+    this.#usageRecorder = dutyParts.usageRecorder;
+    const registrationPart = this.#missingMembers === undefined
+      ? undefined
+      : this.#createRegistrationPart(this.#missingMembers);
+    const parts = [
+      registrationPart,
+      this.#concurrency,
+      this.#waiting,
+      ...dutyParts.parts,
+    ].filter((part) => part !== undefined);
     for (const part of parts) {
       part.sections.forEach((section) => this.#sections.add(section));
       part.addGauges(this.#options.metrics);
@@ -220,6 +285,67 @@
     return parts;
   }
 
+  #createMissingMembers(): MissingMembers | undefined {
+    const { settings, logger } = this.#options;
+    const { drainNoticeMs, keepsIncompleteGroups = true } = settings;
+    const { closeByMs } = createMissingMemberBounds(drainNoticeMs);
+    return keepsIncompleteGroups && closeByMs > 0
+      ? new MissingMembers({
+        drainNoticeMs,
+        getPlannerAgeMs: () => this.#findPlanner()?.ageMs,
+        getListConfirmedAtMs: () => this.#fleetSync.listConfirmedAtMs,
+        confirmedGroups: this.#confirmedGroups,
+        logger,
+      })
+      : undefined;
+  }
+
+  #createRegistrationPart(missingMembers: MissingMembers): RoutingPart {
+    const task = new MissingMemberTask({
+      missingMembers,
+      groups: this.#groups,
+      orders: this.#memberOrders,
+      isPlanner: () => this.#leaseHolder.getTerm() !== undefined,
+      announceLoss: () => this.#peerExchange.announce(),
+    });
+    return {
+      name: "registration",
+      sections: [this.#confirmedGroups],
+      tasks: new Map([["missing-members", task]]),
+      addGauges: (metrics) =>
+        metrics.addGauge({
+          name: "incomplete_groups",
+          help: "Groups in service with a member whose entry was removed",
+          getValue: () => missingMembers.allowedCount,
+        }),
+    };
+  }
+
+  #createDutyParts(): DutyParts {
+    const { platform, settings, logger, metrics } = this.#options;
+    return createDutyParts({
+      name: settings.name,
+      settings: settings.duties,
+      client: platform.duties,
+      lease: this.#leaseHolder,
+      store: platform.store,
+      logger,
+      metrics,
+      directory: this.#directory,
+      groups: this.#groups,
+      loads: this.#groupLoads,
+      listServices: () => this.#routes?.config.services ?? [],
+      countWaiting: (service, model) =>
+        this.#context.admission.countWaiting(service, model),
+      countLiveDaemons: () => this.#peerTable.listLivePeers().length + 1,
+      getListAgeMs: () => this.#fleetSync.getReportedListAgeMs("hub"),
+      getStoreGeneration: () => this.#fleetSync.storeGeneration,
+      getExcludedZones: () => this.#excludedZones.getZones(),
+      scheduleNotices: () => this.#peerExchange.scheduleNotices(),
+      announce: () => this.#peerExchange.announce(),
+    });
+  }
+
   #addGauges(metrics: Metrics): void {
     metrics.addGauge({
       name: "serving_groups",
@@ -411,16 +537,12 @@
   }
 
   #createReplicaReconciler(): ReplicaReconciler {
-    const { platform, logger } = this.#options;
+    const { logger } = this.#options;
     return new ReplicaReconciler({
       directory: this.#directory,
       groups: this.#groups,
-      orders: new MemberOrderExecutor({
-        directory: this.#directory,
-        orders: platform.orders,
-        lease: this.#leaseHolder,
-        logger,
-      }),
+      orders: this.#memberOrders,
+      missingMembers: this.#missingMembers,
       lease: this.#leaseHolder,
       loads: this.#groupLoads,
       logger,
--- a/src/process/routing_settings.ts
+++ b/src/process/routing_settings.ts
@@ -39,6 +39,14 @@
   readonly coldSlack: number;
   /** Whether backend servers use the planner's term as a fencing token, that is, refuse orders of an earlier term. */
   readonly areOrdersFenced: boolean;
+  /** Whether a group stays in service for a time when the entry of a member that is not its head is removed; defaults to true. */
+  readonly keepsIncompleteGroups?: boolean;
+  /** Whether the daemon learns how fast each backend server is and how many concurrent requests it handles well; defaults to true. */
+  readonly learnedConcurrency?: boolean;
+  /** Whether the waits of requests to engines are estimated, so that those without a chance of a slot are refused at once; defaults to true. */
+  readonly waitEstimates?: boolean;
+  /** Whether requests are sent beyond the known free slots of engines that queue, when waits are estimated; defaults to false, since replayed loads showed no gain. */
+  readonly sendsBeyondSlots?: boolean;
   /** Calls to the platform that are the duty of one daemon at a time; undefined when there are none. */
   readonly duties?: DutySettings;
 }
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -18,6 +18,8 @@
 const ATTEMPT_TIME_SHARE = 0.5;
 /** Interval at which an attempt that has used its share of the time checks whether another one can follow, in milliseconds. */
 const REPLACEMENT_CHECK_INTERVAL_MS = 50;
+/** Lowest HTTP status of an error, whose duration says nothing about the speed of a server. */
+const FIRST_ERROR_STATUS = 400;
 /** Maximum number of retries of a request, including those after a server declined it without running it. */
 const MAX_RETRIES = 3;
 /** Time after which callers are asked to retry a request that has not run, in milliseconds. In this time a full server completes several requests. */
@@ -141,6 +143,10 @@
   #sendResponse(
     { response: { status, headers }, body }: AttemptResponse,
   ): void {
+    const { context, account } = this.#scope;
+    if (account !== undefined) {
+      context.getUsageRecorder()?.recordRequest(account);
+    }
     this.#responseStatus = status;
     this.#scope.writer.sendResponse(status, headers, body);
   }
@@ -182,7 +188,8 @@
   }
 
   async #runAttempt(server: BackendServer): Promise<AttemptResult> {
-    const { context, request, account, route } = this.#scope;
+    const { context, request, account, route, service } = this.#scope;
+    const startedAtMs = performance.now();
     const {
       coldLimits,
       serverLimits,
@@ -204,6 +211,8 @@
         abortAttempt,
       );
     const removeLoad = serverLoads.addRequest(server.id);
+    const observation = context.concurrency?.startCall(server, route.name);
+    let isSuccess = false;
     coldLimits.recordRequest(server);
     serverLimits.recordRequest(server);
     try {
@@ -226,6 +235,14 @@
       serverStatements.recordResponse(server, response);
       const body = await readResponseBody(response);
       const outcome = response.verdict === "not-run" ? "declined" : "answered";
+      isSuccess = outcome === "answered" &&
+        response.status < FIRST_ERROR_STATUS;
+      if (outcome === "answered" && !isRetryableServerError(response.status)) {
+        context.serviceWaits?.recordDuration(
+          service.name,
+          performance.now() - startedAtMs,
+        );
+      }
       return { outcome, response, body };
     } catch (error) {
       if (!(error instanceof BackendError)) {
@@ -235,6 +252,7 @@
     } finally {
       clearTimeout(timer);
       stopReplacement();
+      observation?.finish(isSuccess);
       removeLoad();
       request.signal.removeEventListener("abort", abortAttempt);
     }
@@ -320,15 +338,23 @@
     );
   }
 
-  /** Gets the time after which the caller should retry, in milliseconds: when the first server takes requests again. */
+  /** Gets the time after which the caller should retry, in milliseconds: when the first server takes requests again, or has a free slot. */
   #getRetryAfterMs(): number {
-    const waitsMs = this.#listServers().map((server) =>
-      this.#getWaitMs(server)
+    const { context, service } = this.#scope;
+    const servers = this.#listServers();
+    const waitMs = Math.min(
+      ...servers.map((server) => this.#getWaitMs(server)),
     );
-    const waitMs = Math.min(...waitsMs);
-    return waitMs > 0 && Number.isFinite(waitMs)
-      ? getJitteredMs(Math.max(RETRY_AFTER_MS, waitMs))
-      : RETRY_AFTER_MS;
+    if (waitMs > 0 && Number.isFinite(waitMs)) {
+      return getJitteredMs(Math.max(RETRY_AFTER_MS, waitMs));
+    }
+    const loads = servers.filter((server) => this.#getWaitMs(server) === 0)
+      .map(({ id, slots }) => ({
+        load: context.serverLoads.getLoad(id),
+        slots,
+      }));
+    return context.serviceWaits?.createReturn(service.name, loads) ??
+      RETRY_AFTER_MS;
   }
 
   #createError(message: string, statusIfMayHaveRun = 502): RequestError {
