Explain where a request would go, without sending it

Operators asked for the destination that a request would have now, and why. tarragontally explain-route asks one daemon, at its metrics port: route, priority, share of each service, and for each group or server the load, slots, penalty, learned speed, share of the requests and the obstacles. The choice comes from the code that admits requests, with evenly spaced draws.

--- a/src/cli/commands/route_commands.ts
+++ b/src/cli/commands/route_commands.ts
@@ -16,7 +16,7 @@
   context: CommandContext,
   query: RouteQuery,
 ): Promise<number> {
-  const explanation = await context.client.explainRoute(query);
+  const explanation = await context.client.getRouteExplanation(query);
   if (!context.json) {
     describeExplanation(explanation).forEach((line) =>
       context.output.write(line)
@@ -24,14 +24,20 @@
   }
   printResult(context, {
     json: explanation,
-    headings: ["service", "destination", "zone", "load", "share", "obstacles"],
+    headings: [
+      "service",
+      "destination",
+      "zone",
+      "load",
+      "speed",
+      "share",
+      "obstacles",
+    ],
     rows: explanation.targets.flatMap(({ service, candidates }) =>
       candidates.map((candidate) => [service, ...formatCandidate(candidate)])
     ),
   });
-  return explanation.refusal === undefined
-    ? EXIT_CODES.ok
-    : EXIT_CODES.refused;
+  return explanation.refusal === undefined ? EXIT_CODES.ok : EXIT_CODES.refused;
 }
 
 function describeExplanation(explanation: RouteExplanation): string[] {
@@ -62,12 +68,14 @@
 }
 
 function formatCandidate(
-  { id, zone, load, slots, penalty, share, obstacles }: CandidateExplanation,
+  { id, zone, load, slots, penalty, speed, share, obstacles }:
+    CandidateExplanation,
 ): string[] {
   return [
     id,
     zone,
     `${load}/${slots}${penalty === 0 ? "" : ` +${penalty}`}`,
+    formatShare(speed),
     formatShare(share),
     obstacles.join(", "),
   ];
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -46,7 +46,7 @@
   }
 
   /** Gets where a request would go now, as the daemon sees it. */
-  explainRoute(query: RouteQuery): Promise<RouteExplanation> {
+  getRouteExplanation(query: RouteQuery): Promise<RouteExplanation> {
     const parameters = Object.entries(query).filter(([, value]) =>
       value !== undefined
     );
--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -4,7 +4,11 @@
   applyEstimates,
   type ServerEstimate,
 } from "../concurrency/candidate_limits.ts";
-import { chooseGroup } from "./group_choice.ts";
+import {
+  chooseGroup,
+  type GroupCandidate,
+  type UnreportedArrivals,
+} from "./group_choice.ts";
 import type { GroupTable, ReplicaGroup } from "./group_table.ts";
 import type { GroupLoads } from "./group_loads.ts";
 import { getJitteredMs } from "../../shared/backoff.ts";
@@ -59,6 +63,13 @@
   recordDecline?(): void;
 }
 
+/** Group that a daemon considers for a request, and what speaks for it. */
+export interface DescribedCandidate extends GroupCandidate {
+  readonly group: ReplicaGroup;
+  /** Fraction of requests that the daemon would send to the group now, from 0 to 1. */
+  readonly share: number;
+}
+
 interface Waiter {
   readonly request: GroupAdmissionRequest;
   readonly settle: (grant: GroupGrant | undefined) => void;
@@ -316,9 +327,7 @@
   ): { group: ReplicaGroup; isBeyond: boolean } | undefined {
     const { service, model, slots } = request;
     const groups: ReplicaGroup[] = [];
-    const servingGroups = this.#groups.listServingGroups(service, model);
-    const preferredKeys = this.#getPreferredKeys(servingGroups);
-    for (const group of servingGroups) {
+    for (const group of this.#groups.listServingGroups(service, model)) {
       if (!isPermitted(group, request)) {
         continue;
       }
@@ -328,25 +337,13 @@
         this.#scheduleRetry();
       }
     }
-    const limits = applyEstimates(
-      groups.map(({ key }) => this.#findEstimate(key)),
-      slots,
+    const unreported = this.#getUnreportedArrivals(model);
+    const candidates = this.#createCandidates(groups, request);
+    const index = chooseGroup(
+      candidates,
+      unreported,
+      Math.random(),
     );
-    const candidates = groups.map(({ key, head }, i) => ({
-      load: this.#loads.getLoad(key),
-      slots: limits?.[i].slots ?? slots,
-      speed: limits?.[i].speed,
-      penalty: (head.zone === this.#zone ? 0 : CROSS_ZONE_PENALTY) +
-        (preferredKeys.has(key) ? 0 : UNPREFERRED_PENALTY),
-    }));
-    const stalenessMs = this.#getStalenessMs();
-    const unreported = {
-      stalenessMs,
-      durationMs: this.#meanDurationsMs.get(model) ??
-        DEFAULT_REQUEST_DURATION_MS,
-      peersShare: this.#loads.getPeersShare(),
-    };
-    const index = chooseGroup(candidates, unreported, Math.random());
     if (index !== undefined) {
       return { group: groups[index], isBeyond: false };
     }
@@ -355,7 +352,7 @@
       : this.#waits?.listExtraSlots(
         request,
         groups.map(({ key }) => key),
-        { slots, stalenessMs },
+        { slots, stalenessMs: unreported.stalenessMs },
       );
     const beyondIndex = extraSlots === undefined ? undefined : chooseGroup(
       candidates.map((candidate, i) => ({
@@ -370,6 +367,77 @@
       : { group: groups[beyondIndex], isBeyond: true };
   }
 
+  /** Creates the candidates for a choice among groups of a model. */
+  #createCandidates(
+    groups: readonly ReplicaGroup[],
+    { service, model, slots }: Pick<
+      GroupAdmissionRequest,
+      "service" | "model" | "slots"
+    >,
+  ): GroupCandidate[] {
+    const preferredKeys = this.#getPreferredKeys(
+      this.#groups.listServingGroups(service, model),
+    );
+    const limits = applyEstimates(
+      groups.map(({ key }) => this.#findEstimate(key)),
+      slots,
+    );
+    return groups.map(({ key, head }, i) => ({
+      load: this.#loads.getLoad(key),
+      slots: limits?.[i].slots ?? slots,
+      speed: limits?.[i].speed,
+      penalty: (head.zone === this.#zone ? 0 : CROSS_ZONE_PENALTY) +
+        (preferredKeys.has(key) ? 0 : UNPREFERRED_PENALTY),
+    }));
+  }
+
+  #getUnreportedArrivals(model: string): UnreportedArrivals {
+    return {
+      stalenessMs: this.#getStalenessMs(),
+      durationMs: this.#meanDurationsMs.get(model) ??
+        DEFAULT_REQUEST_DURATION_MS,
+      peersShare: this.#loads.getPeersShare(),
+    };
+  }
+
+  /**
+   * Describes the serving groups of a model, and the fraction of requests that this daemon would send to each of them now.
+   *
+   * @param request - Service, model and slots of a group.
+   * @param drawCount - Number of evenly spaced draws from which the fractions are estimated.
+   */
+  describeCandidates(
+    request: Pick<GroupAdmissionRequest, "service" | "model" | "slots">,
+    drawCount: number,
+  ): DescribedCandidate[] {
+    const groups = this.#groups.listServingGroups(
+      request.service,
+      request.model,
+    );
+    const usableGroups = groups.filter(({ head }) =>
+      this.#sendLimits.every((limit) => limit.isBelowLimit(head))
+    );
+    const usableCandidates = this.#createCandidates(usableGroups, request);
+    const unreported = this.#getUnreportedArrivals(request.model);
+    const draws = new Map<string, number>();
+    for (let draw = 0; draw < drawCount; draw++) {
+      const index = chooseGroup(
+        usableCandidates,
+        unreported,
+        (draw + 0.5) / drawCount,
+      );
+      if (index !== undefined) {
+        const { key } = usableGroups[index];
+        draws.set(key, (draws.get(key) ?? 0) + 1);
+      }
+    }
+    return this.#createCandidates(groups, request).map((candidate, i) => ({
+      ...candidate,
+      group: groups[i],
+      share: (draws.get(groups[i].key) ?? 0) / drawCount,
+    }));
+  }
+
   #getPreferredKeys(
     groups: readonly ReplicaGroup[],
   ): ReadonlySet<string> {
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -1,5 +1,7 @@
 import { WebSocketLinkTransport } from "../connection/peer_link.ts";
 import { HttpServer } from "../connection/http_server.ts";
+import { handleExplanation } from "../request/routed/explanation_endpoint.ts";
+import { RouteExplainer } from "../request/routed/route_explainer.ts";
 import { RoutedRequestHandler } from "../request/routed/routed_request_handler.ts";
 import { LifeCycleManager } from "../shared/life_cycle_manager.ts";
 import type { Logger } from "../shared/logger.ts";
@@ -253,7 +255,11 @@
       res.writeHead(isReady ? 200 : 503, { "content-length": 0 });
       res.end();
     });
-    this.#metricsServer = new HttpServer((_req, res) => {
+    const explainer = new RouteExplainer(this.#context);
+    this.#metricsServer = new HttpServer((req, res) => {
+      if (handleExplanation(explainer, req, res)) {
+        return;
+      }
       res.setHeader("content-type", "text/plain; version=0.0.4");
       res.end(metrics.render());
     });
--- a/src/request/routed/explanation_endpoint.ts
+++ b/src/request/routed/explanation_endpoint.ts
@@ -32,8 +32,8 @@
   }
   const query = querySchema.safeParse(Object.fromEntries(url.searchParams));
   const body = query.success
-    ? explainer.explain(query.data)
-    : { error: z.prettifyError(query.error) };
+    ? explainer.describeRoute(query.data)
+    : { message: z.prettifyError(query.error) };
   response.writeHead(query.success ? 200 : 400, {
     "content-type": "application/json",
   });
--- a/src/request/routed/route_explainer.ts
+++ b/src/request/routed/route_explainer.ts
@@ -46,10 +46,10 @@
    * @param query - Host, path, account and model of the request.
    * @example
    * ```ts
-   * explainer.explain({ host: "app.example", path: "/note/", model: "m" });
+   * explainer.describeRoute({ host: "app.example", path: "/note/", model: "m" });
    * ```
    */
-  explain(query: RouteQuery): RouteExplanation {
+  describeRoute(query: RouteQuery): RouteExplanation {
     const { settings, plannedStop, getRoutes } = this.#context;
     const routes = getRoutes();
     const route = routes?.findRoute(query.host, query.path);
@@ -78,11 +78,11 @@
       priority: account?.priority ?? route?.priority,
       targets: routes === undefined || route === undefined
         ? []
-        : this.#explainTargets(routes, route, query),
+        : this.#describeTargets(routes, route, query),
     };
   }
 
-  #explainTargets(
+  #describeTargets(
     routes: RouteTable,
     route: Route,
     query: RouteQuery,
@@ -98,15 +98,15 @@
         return createUnknownTarget(name, share);
       }
       return service.engine === undefined || query.model === undefined
-        ? this.#explainPlainService(service, share)
-        : this.#explainModel(
+        ? this.#describePlainService(service, share)
+        : this.#describeModel(
           { service, engine: service.engine, model: query.model },
           share,
         );
     });
   }
 
-  #explainModel(
+  #describeModel(
     { service, engine, model }: {
       service: RoutedService;
       engine: EngineProfile;
@@ -126,6 +126,7 @@
       load: candidate.load,
       slots: candidate.slots,
       penalty: candidate.penalty,
+      speed: candidate.speed ?? 1,
       share: candidate.share,
       obstacles: [
         ...(candidate.load < candidate.slots ? [] : ["no free slot"]),
@@ -180,6 +181,7 @@
         load: 0,
         slots,
         penalty: 0,
+        speed: 1,
         share: 0,
         obstacles: obstacles.length > 0
           ? obstacles
@@ -188,7 +190,7 @@
     });
   }
 
-  #explainPlainService(
+  #describePlainService(
     { name }: RoutedService,
     share: number,
   ): TargetExplanation {
@@ -219,6 +221,7 @@
         load: serverLoads.getLoad(server.id),
         slots: server.slots,
         penalty: 0,
+        speed: 1,
         share: (draws.get(server.id) ?? 0) / DRAW_COUNT,
         obstacles: obstacles.get(server.id) ?? [],
       })),
@@ -246,7 +249,9 @@
       ...(limitMs > 0
         ? [`it limits its request rate for another ${Math.ceil(limitMs)} ms`]
         : []),
-      ...(pauseMs === Number.POSITIVE_INFINITY ? ["it states that it leaves"] : []),
+      ...(pauseMs === Number.POSITIVE_INFINITY
+        ? ["it states that it leaves"]
+        : []),
       ...(pauseMs > 0 && Number.isFinite(pauseMs)
         ? [`it wants no request for another ${Math.ceil(pauseMs)} ms`]
         : []),
--- a/src/request/routed/route_explainer_test.ts
+++ b/src/request/routed/route_explainer_test.ts
@@ -70,9 +70,10 @@
   const query = { host: "app.example", path: "/look/7", account: "account-1" };
 
   it("names route, account priority and the servers with their obstacles", () => {
-    const { route, priority, refusal, targets } = createExplainer().explain(
-      query,
-    );
+    const { route, priority, refusal, targets } = createExplainer()
+      .describeRoute(
+        query,
+      );
     expect(route?.name).toBe("look");
     expect(priority).toBe(5);
     expect(refusal).toBeUndefined();
@@ -98,7 +99,7 @@
     ["No route", {}, { path: "/other/" }],
     ["API key", {}, { account: undefined }],
   ])("says why a request is refused: %s", (reason, context, change) => {
-    const explanation = createExplainer(context).explain({
+    const explanation = createExplainer(context).describeRoute({
       ...query,
       ...change,
     });
@@ -114,7 +115,7 @@
       serverLimits: {
         getWaitMs: ({ id }: { id: string }) => id === "p1" ? 40.2 : 0,
       } as never,
-    }).explain(query);
+    }).describeRoute(query);
     expect(targets[0].isAdmittedNow).toBe(false);
     expect(targets[0].candidates.slice(0, 2)).toMatchObject([
       { id: "p0", obstacles: ["it states that it leaves"] },
@@ -157,7 +158,7 @@
           share: 0,
         }],
       } as never,
-    }).explain({ host: "app.example", path: "/note/1", model: "m" });
+    }).describeRoute({ host: "app.example", path: "/note/1", model: "m" });
     expect(targets).toMatchObject([{
       service: "models",
       isAdmittedNow: false,
--- a/src/request/routed/route_explanation.ts
+++ b/src/request/routed/route_explanation.ts
@@ -20,6 +20,8 @@
   readonly slots: number;
   /** Requests added to the load, for example for another zone. */
   readonly penalty: number;
+  /** Learned speed as a share of that of the other groups; 1 when it does not deviate. */
+  readonly speed: number;
   /** Fraction of such requests that the daemon would send here now, from 0 to 1. */
   readonly share: number;
   /** Reasons for which the request cannot go here now; empty when it can. */
--- a/tests/support/platform_deployment.ts
+++ b/tests/support/platform_deployment.ts
@@ -40,6 +40,7 @@
   readonly metrics: Metrics[] = [];
   readonly callerAddresses: string[] = [];
   readonly readyAddresses: string[] = [];
+  readonly metricsAddresses: string[] = [];
   readonly events: { event: string; fields: LogFields }[] = [];
   /** Duties of the daemons that are started from now on; none by default. */
   duties: PlatformDuties | undefined;
@@ -129,6 +130,7 @@
     this.metrics.push(daemonMetrics);
     this.callerAddresses.push(`127.0.0.1:${callerPort}`);
     this.readyAddresses.push(`127.0.0.1:${readyPort}`);
+    this.metricsAddresses.push(`127.0.0.1:${metricsPort}`);
   }
 
   /** Writes the next version of the configuration. */
