--- a/src/process/registration/missing_members_test.ts
+++ b/src/process/registration/missing_members_test.ts
@@ -143,6 +143,30 @@
     },
   );
 
+  // Guards against requests that a new planner interrupts, since it knows neither the missing member nor the closing, or an entry that returns too late.
+  it.each([true, false])(
+    "interrupts no request when another planner takes over at any time, a new daemon: %s",
+    async (isNew) => {
+      for (let timeMs = 0; timeMs <= 1_500; timeMs += STEP_MS) {
+        fleet.dispose();
+        fleet = new ReconciledFleet();
+        fleet.drainNoticeMs = DRAIN_NOTICE_MS;
+        const [[headId, memberId]] = await createGroups(5);
+        fleet.changeServer(memberId, { isListed: false });
+        await runFor(timeMs);
+        fleet.startPlanner({ isNew });
+        await runFor(timeMs % 400);
+        fleet.changeServer(memberId, { isListed: true });
+        await runFor(FORMATION_MS);
+        expect(fleet.interruptions, `${timeMs} ms`).toEqual([]);
+        fleet.finishRequests(headId);
+        await runFor(2 * FORMATION_MS);
+        expect(fleet.interruptions, `${timeMs} ms`).toEqual([]);
+        expect(countServing(), `${timeMs} ms`).toBe(2);
+      }
+    },
+  );
+
   // Guards against a model that loses all its slots at once, and against groups that are not closed in time.
   it("closes many groups one share after another, and the rest at the bound", async () => {
     const groups = await createGroups(32);
