Let a holder that knows few daemons wait before it records a window

A holder that was partitioned from most daemons, but not from the store, recorded its own counts only and so reported a fraction of the requests. It now waits four windows while it knows less than half of the daemons of the window before. Other incomplete windows wait 7 s instead of 5 s, so that they include daemons whose partition ends in this time.

--- a/src/process/usage/usage_decision.ts
+++ b/src/process/usage/usage_decision.ts
@@ -2,13 +2,17 @@
 
 /** Time after the end of a window before it is recorded, in milliseconds. The last counts pass up to three links with 100 ms between two notices each. */
 const MIN_SETTLE_MS = 500;
-/** Share of the time until a report is due for which the counts of all daemons are awaited. The rest is left for the write and for a repeated call, which have 1.5 and 2 s each. */
-const MAX_SETTLE_SHARE = 0.5;
+/** Share of the time until a report is due for which the counts of all daemons are awaited. The rest of 3 s is left for the write and for a call that is repeated after its time limit of 2 s. */
+const MAX_SETTLE_SHARE = 0.7;
+/** Number of windows for which a holder waits that knows the counts of less than half of the daemons. It is likely to be partitioned from them, and partitions usually end within this time; two of the retained windows are left to report those that have queued up. */
+const MAX_MINORITY_WINDOWS = 4;
 
 /** Counts of a window that are known so far. */
 export interface KnownCounts {
   /** Number of daemons that are included. */
   readonly daemonCount: number;
+  /** Number of daemons that were included in the window before. */
+  readonly expectedCount: number;
   /** Whether the counts of all known daemons are included. */
   readonly isComplete: boolean;
 }
@@ -52,7 +56,7 @@
 /**
  * Decides the next step of the usage reports. Load pattern: a window ends every few seconds at all daemons, while single daemons are killed, stall or are partitioned, and while the store or the API is down for several windows.
  *
- * Windows are recorded and sent one after another. The recorded window is sent until it is confirmed, since a call without a response may be executed later. A window whose daemons have not all reported is recorded at half of the time until it is due. Pending windows after an outage follow in order, as long as their counts are retained.
+ * Windows are recorded and sent one after another. The recorded window is sent until it is confirmed, since a call without a response may be executed later. A window whose daemons have not all reported is recorded some seconds before it is due, unless less than half of them have: a late report is better then than a wrong one. Pending windows after an outage follow in order, as long as their counts are retained.
  *
  * @example
  * ```ts
@@ -81,7 +85,10 @@
     return { kind: "wait" };
   }
   const counts = state.getCounts(window);
-  const isSettled = sinceEndMs >= dueMs * MAX_SETTLE_SHARE;
+  const isMinority = counts !== undefined &&
+    counts.daemonCount * 2 < counts.expectedCount;
+  const isSettled = sinceEndMs >=
+    (isMinority ? windowMs * MAX_MINORITY_WINDOWS : dueMs * MAX_SETTLE_SHARE);
   if (counts === undefined || counts.daemonCount === 0) {
     return isSettled
       ? {
--- a/src/process/usage/usage_exchange_test.ts
+++ b/src/process/usage/usage_exchange_test.ts
@@ -221,6 +221,7 @@
     fleet.run(4_500);
     fleet.cut(hub1, hub2);
     fleet.run(5_500);
+    expect(hub2.exchange.getCounts(firstWindow + 1)?.expectedCount).toBe(5);
     expect(fleet.describe(firstWindow + 1)).toEqual([
       [undefined, 3, false],
       [undefined, 2, false],
--- a/src/process/usage/usage_ledger.ts
+++ b/src/process/usage/usage_ledger.ts
@@ -130,15 +130,20 @@
   getCounts(window: number): WindowCounts | undefined {
     const total = this.#combineWindow(window);
     const hubTotal = this.#hubTotals.get(window);
+    const expectedCount = Math.max(
+      this.#combineWindow(window - 1).sources.size,
+      this.#hubTotals.get(window - 1)?.daemonCount ?? 0,
+    );
     const minHubCount = this.#listLinkedIds("hub").length > 0
       ? total.sources.size
       : total.sources.size + 1;
     if (hubTotal !== undefined && hubTotal.daemonCount >= minHubCount) {
-      return hubTotal;
+      return { ...hubTotal, expectedCount };
     }
     return total.sources.size === 0 ? undefined : {
       counts: total.counts,
       daemonCount: total.sources.size,
+      expectedCount,
       isComplete: this.#isComplete(window, total),
     };
   }
--- a/src/process/usage/usage_report_task_test.ts
+++ b/src/process/usage/usage_report_task_test.ts
@@ -105,6 +105,7 @@
     const getCounts = () => ({
       counts: new Map([["a", state.requests]]),
       daemonCount: 1,
+      expectedCount: 1,
       isComplete: true,
     });
     const task = new UsageReportTask({
