--- a/src/process/waiting/load_replay_test.ts
+++ b/src/process/waiting/load_replay_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import {
   type ReplayedLoad,
-  replayLoad,
+  runLoad,
 } from "../../../tests/support/waiting_replay.ts";
 
 /** Load of 80% of the capacity of 4 groups with 10 slots, at 4 daemons. */
@@ -47,8 +47,8 @@
       skew: 0.5,
     }],
   ])("refuses sooner and serves more on time: %s", async (_name, load) => {
-    const off = await replayLoad({ ...NORMAL_LOAD, ...load, isEnabled: false });
-    const on = await replayLoad({ ...NORMAL_LOAD, ...load });
+    const off = await runLoad({ ...NORMAL_LOAD, ...load, isEnabled: false });
+    const on = await runLoad({ ...NORMAL_LOAD, ...load });
     expect(on.refusalMs).toBeLessThan(off.refusalMs * 0.6);
     expect(on.onTime).toBeGreaterThan(off.onTime);
     // Callers who are refused soon end their retries before the load falls.
@@ -66,7 +66,7 @@
       const sums = { patient: [0, 0], impatient: [0, 0] };
       for (const seed of [1, 22, 333, 4_444]) {
         const options = { ...load, impatientShare, seed };
-        const { accounts } = await replayLoad(options);
+        const { accounts } = await runLoad(options);
         for (const name of ["patient", "impatient"] as const) {
           sums[name][0] += accounts[name].served;
           sums[name][1] += accounts[name].requests;
@@ -86,7 +86,7 @@
 
   // Guards against long prompts that can never be on time, and accounts, that get no slot while requests exceed the capacity.
   it("serves each size class and account at half of the overall rate or more at 3 times the capacity", async () => {
-    const { requests, onTime, late, sizes, accounts } = await replayLoad({
+    const { requests, onTime, late, sizes, accounts } = await runLoad({
       ...NORMAL_LOAD,
       getRate: () => 120,
       sizes: ["small", "large", "small", "huge"],
@@ -101,7 +101,7 @@
 
   // Guards against refusals by an estimate from too few observations.
   it("refuses nobody below the capacity", async () => {
-    const result = await replayLoad(NORMAL_LOAD);
+    const result = await runLoad(NORMAL_LOAD);
     expect(result).toMatchObject({ late: 0, refused: 0, refusalMs: 0 });
   });
 });
--- a/tests/support/waiting_replay.ts
+++ b/tests/support/waiting_replay.ts
@@ -104,7 +104,7 @@
 }
 
 /** Replays a load on the admissions of several daemons, on the paused clock. The loads of the daemons are exchanged every 100 ms. */
-export async function replayLoad(load: ReplayedLoad): Promise<ReplayResult> {
+export async function runLoad(load: ReplayedLoad): Promise<ReplayResult> {
   let random = load.seed ?? 1;
   vi.spyOn(Math, "random").mockImplementation(() => {
     random = (random * 48_271) % 2_147_483_647;
