Promise slots only to callers that may return

A slot was also promised when a stream could not continue, when a request may have run and when its caller had left, so that others were told to return later than necessary. A declined request that asks again counted as two arrivals; its first one is now taken back.

--- a/src/process/fleet/group_admission.ts
+++ b/src/process/fleet/group_admission.ts
@@ -6,6 +6,7 @@
 import { getJitteredMs } from "../../shared/backoff.ts";
 import type { SendLimit, TimedSendLimit } from "./send_limit.ts";
 import type { WaitEstimates } from "../waiting/wait_estimates.ts";
+import { sortWaiters } from "../waiting/waiter_order.ts";
 
 /** Delay before the waiting requests are checked again when a head is at a limit of its request rate, in milliseconds. */
 const SEND_LIMIT_RETRY_MS = 100;
@@ -60,36 +61,6 @@
   readonly settle: (grant: GroupGrant | undefined) => void;
 }
 
-/**
- * Sorts waiting requests by priority, then those that can still meet the latency objective before the late ones. Those that can be on time are sorted by arrival with the newest first, the late ones with the oldest first. In both, callers that return after a refusal at the time that they were told come first, with the oldest first; those that return too early, whose deadline is infinitely early, come last.
- *
- * While requests exceed the free slots, the oldest of those that can be on time is always about to be late: its slot comes just before `latencyDeadlineMs`, and any delay that the estimate of the first event leaves out makes it late. The newest has the most time left. The late ones get the remaining slots.
- *
- * @param waiters - Waiting requests in order of arrival.
- * @param nowMs - Monotonic time in milliseconds.
- */
-export function sortWaiters<
-  T extends { readonly request: GroupAdmissionRequest },
->(
-  waiters: readonly T[],
-  nowMs: number,
-): T[] {
-  const isLate = ({ request }: T) => request.latencyDeadlineMs < nowMs;
-  const isEarly = ({ request }: T) =>
-    !Number.isFinite(request.latencyDeadlineMs);
-  const isReturning = ({ request }: T) => request.isReturning === true;
-  const punctualWaiters = waiters.filter((waiter) => !isLate(waiter));
-  const lateWaiters = waiters.filter(isLate);
-  const sortedWaiters = [
-    ...punctualWaiters.filter(isReturning),
-    ...punctualWaiters.filter((waiter) => !isReturning(waiter)).reverse(),
-    ...lateWaiters.filter(isReturning),
-    ...lateWaiters.filter((waiter) => !isReturning(waiter) && !isEarly(waiter)),
-    ...lateWaiters.filter(isEarly),
-  ];
-  return sortedWaiters.sort((a, b) => a.request.priority - b.request.priority);
-}
-
 /** Admits requests to groups. Requests wait at the daemon rather than at an engine, so that each gets the first free slot of any group. */
 export class GroupAdmission {
   readonly #groups: GroupTable;
@@ -169,10 +140,11 @@
    * ```
    */
   getRetryAfterMs(
-    { service, model, priority }:
+    request:
       & Pick<GroupAdmissionRequest, "service" | "model">
-      & Partial<Pick<GroupAdmissionRequest, "priority">>,
+      & Partial<GroupAdmissionRequest>,
   ): number {
+    const { service, model } = request;
     const waitsMs = this.#groups.listServingGroups(service, model).map((
       { head },
     ) => this.#statements.getWaitMs(head));
@@ -180,8 +152,7 @@
     if (waitMs > 0 && Number.isFinite(waitMs)) {
       return getJitteredMs(waitMs);
     }
-    return this.#waits?.createReturn({ service, model, priority }) ??
-      RETRY_AFTER_MS;
+    return this.#waits?.createReturn(request) ?? RETRY_AFTER_MS;
   }
 
   /** Grants free slots to waiting requests, and ends the wait of those that no head takes in time. */
--- a/src/process/waiting/model_waits.ts
+++ b/src/process/waiting/model_waits.ts
@@ -66,8 +66,9 @@
     this.#addRelease(1, durationMs);
   }
 
-  /** Takes back a grant and its release, because the engine declined the request: no slot became free. */
-  removeRelease(durationMs: number): void {
+  /** Takes back an arrival, its grant and its release, because the engine declined the request: no slot became free. */
+  removeAttempt(priority: number, durationMs: number): void {
+    this.#arrivals[getPriorityIndex(priority)].add(-1, performance.now());
     this.#grants.add(-1, performance.now());
     this.#addRelease(-1, durationMs);
   }
@@ -132,9 +133,12 @@
         (total, counter) => total + counter.count(spanMs, nowMs),
         0,
       );
-    return Math.min(
-      sum(WINDOW_MS),
-      sum(RECENT_ARRIVALS_MS) * (WINDOW_MS / RECENT_ARRIVALS_MS),
+    return Math.max(
+      0,
+      Math.min(
+        sum(WINDOW_MS),
+        sum(RECENT_ARRIVALS_MS) * (WINDOW_MS / RECENT_ARRIVALS_MS),
+      ),
     );
   }
 
--- a/src/process/waiting/wait_estimates.ts
+++ b/src/process/waiting/wait_estimates.ts
@@ -158,14 +158,14 @@
   }
 
   /**
-   * Records that the engine of a group declined a request, whose grant and release are taken back.
+   * Records that the engine of a group declined a request, whose arrival, grant and release are taken back. The request asks for a slot again.
    */
   recordDecline(
-    request: RequestedModel,
+    request: EstimatedRequest,
     groupKey: string,
     grant: HeldGrant,
   ): void {
-    this.#getWaits(request)?.removeRelease(grant.heldMs);
+    this.#getWaits(request)?.removeAttempt(request.priority, grant.heldMs);
     this.#queues.recordDecline(request.service, groupKey, grant);
     if (grant.isBeyond) {
       const { logger } = this.#options;
@@ -254,11 +254,19 @@
   }
 
   /**
-   * Promises a slot to the caller of a refused request, and gets the time after which the caller should return, in milliseconds; undefined without evidence.
+   * Promises a slot to the caller of a refused request, and gets the time after which the caller should return, in milliseconds; undefined without evidence, and for a request whose caller has left or gets no refusal that states that it has not run.
    */
   createReturn(
-    request: RequestedModel & { readonly priority?: number },
+    request: RequestedModel & Partial<EstimatedRequest> & {
+      readonly signal?: AbortSignal;
+    },
   ): number | undefined {
+    if (
+      request.hasStarted === true || request.mayHaveRun === true ||
+      request.signal?.aborted === true
+    ) {
+      return undefined;
+    }
     const key = getModelKey(request);
     const state = this.#getState(request, key);
     return state?.flow === undefined ? undefined : state.waits.addReturn(
--- a/src/process/waiting/wait_estimates_test.ts
+++ b/src/process/waiting/wait_estimates_test.ts
@@ -67,11 +67,26 @@
     expect(examine(request)).toBe(0);
   });
 
+  // Guards against slots that are promised to callers who do not return.
+  it("promises a slot to callers who get a true refusal only", () => {
+    const { estimates } = doTest({ releases: 20, arrivals: 80 });
+    for (const request of [{ mayHaveRun: true }, { hasStarted: true }]) {
+      expect(estimates.createReturn({ ...REQUEST, ...request }))
+        .toBeUndefined();
+    }
+    const signal = AbortSignal.abort();
+    expect(estimates.createReturn({ ...REQUEST, signal })).toBeUndefined();
+    expect(estimates.promisedMs).toBe(0);
+    expect(estimates.createReturn(REQUEST)).toBeGreaterThan(0);
+    expect(estimates.promisedMs).toBeGreaterThan(0);
+  });
+
   // Guards against declined attempts that look like slots that become free every few milliseconds.
   it("ignores the release of a declined request", () => {
     const { estimates, examine } = doTest({ releases: 20, arrivals: 80 });
     const grant = { isBeyond: false, heldMs: 5 };
     for (let i = 0; i < 500; i++) {
+      estimates.recordArrival(REQUEST);
       estimates.recordGrant(REQUEST);
       estimates.recordRelease(REQUEST, grant);
       estimates.recordDecline(REQUEST, "g/1", grant);
