--- a/src/process/waiting/load_replay_test.ts
+++ b/src/process/waiting/load_replay_test.ts
@@ -1,11 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import {
   type ReplayedLoad,
-<<<<<<< HEAD
-  runReplay,
-=======
   runLoad,
->>>>>>> h5
 } from "../../../tests/support/waiting_replay.ts";
 
 /** Load of 80% of the capacity of 4 groups with 10 slots, at 4 daemons. */
@@ -51,13 +47,8 @@
       skew: 0.5,
     }],
   ])("refuses sooner and serves more on time: %s", async (_name, load) => {
-<<<<<<< HEAD
-    const off = await runReplay({ ...NORMAL_LOAD, ...load, isEnabled: false });
-    const on = await runReplay({ ...NORMAL_LOAD, ...load });
-=======
     const off = await runLoad({ ...NORMAL_LOAD, ...load, isEnabled: false });
     const on = await runLoad({ ...NORMAL_LOAD, ...load });
->>>>>>> h5
     expect(on.refusalMs).toBeLessThan(off.refusalMs * 0.6);
     expect(on.onTime).toBeGreaterThan(off.onTime);
     // Callers who are refused soon end their retries before the load falls.
@@ -75,11 +66,7 @@
       const sums = { patient: [0, 0], impatient: [0, 0] };
       for (const seed of [1, 22, 333, 4_444]) {
         const options = { ...load, impatientShare, seed };
-<<<<<<< HEAD
-        const { accounts } = await runReplay(options);
-=======
         const { accounts } = await runLoad(options);
->>>>>>> h5
         for (const name of ["patient", "impatient"] as const) {
           sums[name][0] += accounts[name].served;
           sums[name][1] += accounts[name].requests;
@@ -99,11 +86,7 @@
 
   // Guards against long prompts that can never be on time, and accounts, that get no slot while requests exceed the capacity.
   it("serves each size class and account at half of the overall rate or more at 3 times the capacity", async () => {
-<<<<<<< HEAD
-    const { requests, onTime, late, sizes, accounts } = await runReplay({
-=======
     const { requests, onTime, late, sizes, accounts } = await runLoad({
->>>>>>> h5
       ...NORMAL_LOAD,
       getRate: () => 120,
       sizes: ["small", "large", "small", "huge"],
@@ -118,11 +101,7 @@
 
   // Guards against refusals by an estimate from too few observations.
   it("refuses nobody below the capacity", async () => {
-<<<<<<< HEAD
-    const result = await runReplay(NORMAL_LOAD);
-=======
     const result = await runLoad(NORMAL_LOAD);
->>>>>>> h5
     expect(result).toMatchObject({ late: 0, refused: 0, refusalMs: 0 });
   });
 });
--- a/tests/support/waiting_replay.ts
+++ b/tests/support/waiting_replay.ts
@@ -104,11 +104,7 @@
 }
 
 /** Replays a load on the admissions of several daemons, on the paused clock. The loads of the daemons are exchanged every 100 ms. */
-<<<<<<< HEAD
-export async function runReplay(load: ReplayedLoad): Promise<ReplayResult> {
-=======
 export async function runLoad(load: ReplayedLoad): Promise<ReplayResult> {
->>>>>>> h5
   let random = load.seed ?? 1;
   vi.spyOn(Math, "random").mockImplementation(() => {
     random = (random * 48_271) % 2_147_483_647;
