--- a/src/request/routed/service_request_forwarder_test.ts
+++ b/src/request/routed/service_request_forwarder_test.ts
@@ -120,7 +120,7 @@
       },
     );
 
-    // Guards against a statement that counts only in some kinds of response, or only when the body arrives.
+    // Guards against a statement that counts only in some kinds of response, or only when the body arrives, and against a fast error or a response that is cut that counts as the speed of the server.
     it.each([
       ["a success", 200, "ran", false],
       ["a server error", 500, "ran", false],
@@ -128,10 +128,11 @@
       ["a misdirected request", 421, "not-run", false],
       ["a response that is cut", 200, "ran", true],
     ])(
-      "records what a server states in %s",
+      "records what a server states in %s, and its duration if it is a success",
       async (_name, status, verdict, isCut) => {
         const servers = [createBackendServer({ id: "s0" })];
         const recorded: unknown[] = [];
+        const observedSuccesses: boolean[] = [];
         const response = {
           status,
           headers: [],
@@ -166,6 +167,11 @@
             logger: new NullLogger(),
             settings: { zone: "z" },
             serverLoads: new ServerLoads(),
+            concurrency: {
+              startCall: () => ({
+                end: (isSuccess: boolean) => observedSuccesses.push(isSuccess),
+              }),
+            },
             coldLimits: { isBelowLimit: () => true, recordRequest: () => {} },
             crashes: new CrashCounter(),
             directory: { listServers: () => servers },
@@ -181,6 +187,9 @@
         });
         await new ServiceRequestForwarder(scope).run().catch(() => {});
         expect(recorded).toEqual([[servers[0], response]]);
+        expect(observedSuccesses).toEqual([
+          status === 200 && verdict === "ran" && !isCut,
+        ]);
       },
     );
 
