Do not await the counts of daemons that have stopped

After each planned stop one window waited 7 s for the daemon that had stopped, so that a holder that stopped in this time left a window that is late. A stopping daemon now says that it has reported its last window.

--- a/src/process/usage/usage_exchange.ts
+++ b/src/process/usage/usage_exchange.ts
@@ -102,6 +102,12 @@
       this.#isGreetingDue = true;
     }
     this.#applyWindows(notice, relation);
+    for (const stop of notice.stops) {
+      if (this.#ledger.recordStop(stop)) {
+        this.#recordChange("equal");
+        this.#recordChange("hub");
+      }
+    }
   }
 
   removePartner(name: string): void {
@@ -139,6 +145,7 @@
   /** Ends the current window early, since this daemon is about to stop. */
   finish(): void {
     this.#finishWindows(this.#counter.currentWindow);
+    this.#ledger.recordStop({ id: this.#id, window: this.#endedWindow });
     this.#scheduleReports(RELATIONS);
   }
 
@@ -267,6 +274,7 @@
     return encodeUsageNotice({
       id: this.#id,
       atMs: Math.round(atMs),
+      stops: ledger.listStops(),
       windows: relation === "member"
         ? windows.map((window) => ledger.getOwnWindow(window))
         : [],
--- a/src/process/usage/usage_exchange_test.ts
+++ b/src/process/usage/usage_exchange_test.ts
@@ -213,6 +213,15 @@
     fleet.crash(m2);
     fleet.run(4_500);
     expect(fleet.describe(firstWindow)[0]).toEqual([16_111, 5, true]);
+    // A daemon that has stopped is not awaited, so that the reports are not late when all daemons are replaced.
+    fleet.run(5_000);
+    expect(fleet.describe(firstWindow + 1)).toEqual(
+      Array(4).fill([undefined, 4, true]),
+    );
+    // Its id must not pass between the others for ever.
+    fleet.run(20_000);
+    const report = fleet.daemons[0].exchange.getReport("equal");
+    expect(report).toMatchObject({ s: [] });
   });
 
   // Guards against a window that is taken as complete while a daemon whose link has closed has not reported it.
@@ -265,12 +274,13 @@
   it.each([
     null,
     "text",
-    { id: "x", at: 1, w: [], e: [], t: {} },
-    { id: "", at: 1, w: [], e: [], t: [] },
-    { id: "x", at: 1.5, w: [], e: [], t: [] },
-    { id: "x", at: 1, w: [[1, "", { a: -1 }]], e: [], t: [] },
-    { id: "x", at: 1, w: [[1, "", { a: 1 }]], e: [[2, ["x"]]], t: [] },
-    { id: "x", at: 1, w: Array(9).fill([1, "", {}]), e: [], t: [] },
+    { id: "x", at: 1, s: [], w: [], e: [], t: {} },
+    { id: "", at: 1, s: [], w: [], e: [], t: [] },
+    { id: "x", at: 1.5, s: [], w: [], e: [], t: [] },
+    { id: "x", at: 1, s: [], w: [[1, "", { a: -1 }]], e: [], t: [] },
+    { id: "x", at: 1, s: [], w: [[1, "", { a: 1 }]], e: [[2, ["x"]]], t: [] },
+    { id: "x", at: 1, s: [["", 1]], w: [], e: [], t: [] },
+    { id: "x", at: 1, s: [], w: Array(9).fill([1, "", {}]), e: [], t: [] },
   ])("refuses the report %j", (report) => {
     const { exchange } = new TestDaemon("a");
     expect(() => exchange.applyReport("b", "member", report)).toThrow(
--- a/src/process/usage/usage_ledger.ts
+++ b/src/process/usage/usage_ledger.ts
@@ -5,7 +5,11 @@
   type UsageCounter,
 } from "./usage_counter.ts";
 import type { KnownCounts } from "./usage_decision.ts";
-import type { MemberWindow, WindowTotal } from "./usage_messages.ts";
+import type {
+  MemberWindow,
+  ProcessStop,
+  WindowTotal,
+} from "./usage_messages.ts";
 import {
   addCounts,
   combineEntries,
@@ -14,6 +18,9 @@
   type UsageTotal,
 } from "./usage_total.ts";
 
+/** Number of windows after the stop of a process for which it is known to have stopped. The window after that of the stop has to be known as complete without it. */
+const STOP_RETENTION_WINDOWS = 3;
+
 /** Counts of one window over all daemons that this daemon knows. */
 export interface WindowCounts extends KnownCounts {
   readonly counts: AccountCounts;
@@ -32,6 +39,8 @@
   readonly #hubEntries = new Map<number, Map<string, HubEntry>>();
   /** Totals that the hub has reported. */
   readonly #hubTotals = new Map<number, WindowTotal>();
+  /** Last window of each process that has stopped. */
+  readonly #stops = new Map<string, number>();
 
   /**
    * @param options - Id and counts of this daemon; `listLinkedIds` lists the ids of the linked daemons that have a relation to it.
@@ -71,12 +80,32 @@
     }
   }
 
+  /** Records that a process has reported its last window. Returns whether this is new. */
+  recordStop({ id, window }: ProcessStop): boolean {
+    const isNew = !this.#stops.has(id) &&
+      this.#isStopRetained(window, this.#counter.currentWindow);
+    if (isNew) {
+      this.#stops.set(id, window);
+    }
+    return isNew;
+  }
+
+  /** Lists the processes that have stopped in the last windows. */
+  listStops(): ProcessStop[] {
+    return [...this.#stops].map(([id, window]) => ({ id, window }));
+  }
+
   /** Removes the windows that are no longer needed. */
   sweep(currentWindow: number): void {
     sweepWindows(this.#ownHubs, currentWindow);
     sweepWindows(this.#memberWindows, currentWindow);
     sweepWindows(this.#hubEntries, currentWindow);
     sweepWindows(this.#hubTotals, currentWindow);
+    for (const [id, window] of this.#stops) {
+      if (!this.#isStopRetained(window, currentWindow)) {
+        this.#stops.delete(id);
+      }
+    }
   }
 
   /** Lists the windows of which any counts are known, in order. */
@@ -148,6 +177,11 @@
     };
   }
 
+  #isStopRetained(window: number, currentWindow: number): boolean {
+    return window >= currentWindow - STOP_RETENTION_WINDOWS &&
+      window <= currentWindow + 1;
+  }
+
   /** Lists the counts of this daemon and of its present and former members. */
   #listSources(window: number): [source: string, counts: MemberWindow][] {
     const own = this.getOwnWindow(window);
@@ -162,18 +196,18 @@
     return combineEntries([this.createEntry(window), ...entries]);
   }
 
-  /** Gets whether all linked daemons have reported a window, and all others that reported the one before it, which may only have lost a link. */
+  /** Gets whether all linked daemons have reported a window, and all others that reported the one before it, which may only have lost a link, unless they have stopped. */
   #isComplete(window: number, { finalSources }: UsageTotal): boolean {
     const entries = this.#hubEntries.get(window);
     const previousCount = this.#hubTotals.get(window - 1)?.daemonCount ?? 0;
     return this.#listLinkedIds("hub").length === 0 &&
-      finalSources.size >= previousCount &&
+      finalSources.size >= previousCount - this.#stops.size &&
       this.#listLinkedIds("equal").every((id) =>
         entries?.get(id)?.pendingCount === 0
       ) &&
       this.createEntry(window).pendingCount === 0 &&
       [...this.#combineWindow(window - 1).sources].every((source) =>
-        finalSources.has(source)
+        finalSources.has(source) || this.#stops.has(source)
       );
   }
 }
--- a/src/process/usage/usage_messages.ts
+++ b/src/process/usage/usage_messages.ts
@@ -37,6 +37,13 @@
   readonly entry: HubEntry;
 }
 
+/** Stop of a process. */
+export interface ProcessStop {
+  readonly id: string;
+  /** Last window in which the process has counted requests. */
+  readonly window: number;
+}
+
 /** Report of a daemon in its notices. */
 export interface UsageNotice {
   /** Id of the process. */
@@ -46,14 +53,17 @@
   readonly windows: readonly MemberWindow[];
   readonly entries: readonly WindowEntry[];
   readonly totals: readonly WindowTotal[];
+  /** Processes that have stopped in the last windows, whose counts are not awaited any more. */
+  readonly stops: readonly ProcessStop[];
 }
 
 /** Encodes a report as a JSON value with short names, since it is sent for each window. */
 export function encodeUsageNotice(notice: UsageNotice): unknown {
-  const { id, atMs, windows, entries, totals } = notice;
+  const { id, atMs, windows, entries, totals, stops } = notice;
   return {
     id,
     at: atMs,
+    s: stops.map(({ id, window }) => [id, window]),
     w: windows.map(({ window, hub, counts }) => [
       window,
       hub ?? "",
@@ -96,6 +106,10 @@
     windows: decodeList(fields.w, MAX_WINDOWS, decodeMemberWindow),
     entries: decodeList(fields.e, MAX_WINDOWS, decodeEntry),
     totals: decodeList(fields.t, MAX_WINDOWS, decodeTotal),
+    stops: decodeList(fields.s, MAX_SOURCES, ([id, window]) => ({
+      id: decodeId(id),
+      window: decodeNumber(window),
+    })),
   };
 }
 
