--- a/src/process/waiting/refusal_record.ts
+++ b/src/process/waiting/refusal_record.ts
@@ -131,7 +131,10 @@
         ["equal", "member", "hub"],
       );
     }
-    return { refusedAgoMs: nowMs - refusal.firstAtMs, isPunctual };
+    return {
+      refusedAgoMs: Math.round(nowMs - refusal.firstAtMs),
+      isPunctual,
+    };
   }
 
   getReport(relation: PeerRelation): unknown {
