--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -46,12 +46,15 @@
 import type { PlatformAdapter } from "./platform_adapter.ts";
 import type { RoutingPart } from "./routing_parts.ts";
 import type { RoutingContext } from "./routing_context.ts";
+import { addRoutingGauges } from "./routing_gauges.ts";
 import type { RoutingSettings } from "./routing_settings.ts";
 import { type BackgroundTask, TaskSupervisor } from "./task_supervisor.ts";
 import { ConfirmedGroups } from "./registration/confirmed_groups.ts";
-import { MissingMembers } from "./registration/missing_members.ts";
-import { createMissingMemberBounds } from "./registration/missing_member_rules.ts";
-import { MissingMemberTask } from "./registration/missing_member_task.ts";
+import type { MissingMembers } from "./registration/missing_members.ts";
+import {
+  createMissingMembers,
+  createRegistrationPart,
+} from "./registration/registration_part.ts";
 import type { UsageRecorder } from "./usage/usage_part.ts";
 import { createWaitingPart, type WaitingPart } from "./waiting/waiting_part.ts";
 import { UnansweredEndRecorder } from "./unanswered_end_recorder.ts";
@@ -117,14 +120,29 @@
   constructor(options: RoutingDaemonOptions) {
     this.#options = options;
     const { logger, platform, settings, metrics } = options;
-    this.#addGauges(metrics);
+    addRoutingGauges(metrics, {
+      countServingGroups: () => this.#groups.listAll().length,
+      countWaitingRequests: () => this.#context.admission.waitingCount,
+      countLimitedServers: () => this.#serverLimits.limitedCount,
+      countLeavingServers: () => this.#serverStatements.leavingCount,
+      countPausedServers: () => this.#serverStatements.pausedCount,
+      getConfigVersion: () => this.#routes?.version ?? 0,
+      getStoreGeneration: () => this.#fleetSync.storeGeneration,
+      countPeers: () => this.#peerTable.listPartners().length,
+    });
     this.#sections = new NoticeSections({ logger });
     this.#plannedStop = new PlannedStop({
       graceMs: settings.stopGraceMs,
       logger,
     });
     this.#directory = new BackendDirectory({ logger });
-    this.#missingMembers = this.#createMissingMembers();
+    this.#missingMembers = createMissingMembers({
+      settings,
+      confirmedGroups: this.#confirmedGroups,
+      logger,
+      getPlannerAgeMs: () => this.#findPlanner()?.ageMs,
+      getListConfirmedAtMs: () => this.#fleetSync.listConfirmedAtMs,
+    });
     this.#groups = new GroupTable({
       directory: this.#directory,
       logger,
@@ -277,7 +295,14 @@
     this.#usageRecorder = dutyParts.usageRecorder;
     const registrationPart = this.#missingMembers === undefined
       ? undefined
-      : this.#createRegistrationPart(this.#missingMembers);
+      : createRegistrationPart({
+        missingMembers: this.#missingMembers,
+        confirmedGroups: this.#confirmedGroups,
+        groups: this.#groups,
+        orders: this.#memberOrders,
+        isPlanner: () => this.#leaseHolder.getTerm() !== undefined,
+        announceLoss: () => this.#peerExchange.announce(),
+      });
     const parts = [
       registrationPart,
       this.#concurrency,
@@ -291,42 +316,6 @@
     return parts;
   }
 
-  #createMissingMembers(): MissingMembers | undefined {
-    const { settings, logger } = this.#options;
-    const { drainNoticeMs, keepsIncompleteGroups = true } = settings;
-    const { closeByMs } = createMissingMemberBounds(drainNoticeMs);
-    return keepsIncompleteGroups && closeByMs > 0
-      ? new MissingMembers({
-        drainNoticeMs,
-        getPlannerAgeMs: () => this.#findPlanner()?.ageMs,
-        getListConfirmedAtMs: () => this.#fleetSync.listConfirmedAtMs,
-        confirmedGroups: this.#confirmedGroups,
-        logger,
-      })
-      : undefined;
-  }
-
-  #createRegistrationPart(missingMembers: MissingMembers): RoutingPart {
-    const task = new MissingMemberTask({
-      missingMembers,
-      groups: this.#groups,
-      orders: this.#memberOrders,
-      isPlanner: () => this.#leaseHolder.getTerm() !== undefined,
-      announceLoss: () => this.#peerExchange.announce(),
-    });
-    return {
-      name: "registration",
-      sections: [this.#confirmedGroups],
-      tasks: new Map([["missing-members", task]]),
-      addGauges: (metrics) =>
-        metrics.addGauge({
-          name: "incomplete_groups",
-          help: "Groups in service with a member whose entry was removed",
-          getValue: () => missingMembers.allowedCount,
-        }),
-    };
-  }
-
   #createDutyParts(): DutyParts {
     const { platform, settings, logger, metrics } = this.#options;
     return createDutyParts({
@@ -352,50 +341,6 @@
     });
   }
 
-  #addGauges(metrics: Metrics): void {
-    metrics.addGauge({
-      name: "serving_groups",
-      help: "Groups that accept requests",
-      getValue: () => this.#groups.listAll().length,
-    });
-    metrics.addGauge({
-      name: "waiting_requests",
-      help: "Requests that wait for a slot in a group",
-      getValue: () => this.#context.admission.waitingCount,
-    });
-    metrics.addGauge({
-      name: "limited_servers",
-      help: "Backend servers that state a limit of their request rate",
-      getValue: () => this.#serverLimits.limitedCount,
-    });
-    metrics.addGauge({
-      name: "leaving_servers",
-      help: "Backend servers that state that they are about to stop",
-      getValue: () => this.#serverStatements.leavingCount,
-    });
-    metrics.addGauge({
-      name: "paused_servers",
-      help: "Backend servers that want no request from this daemon for a time",
-      getValue: () => this.#serverStatements.pausedCount,
-    });
-    metrics.addGauge({
-      name: "config_version",
-      help: "Version of the configuration in force",
-      getValue: () => this.#routes?.version ?? 0,
-    });
-    metrics.addGauge({
-      name: "store_generation",
-      help:
-        "Generation of the store, which rises when it is restored from a copy",
-      getValue: () => this.#fleetSync.storeGeneration,
-    });
-    metrics.addGauge({
-      name: "peers",
-      help: "Other daemons that are linked with this one",
-      getValue: () => this.#peerTable.listPartners().length,
-    });
-  }
-
   #applyNotice(
     partner: DaemonDescription,
     relation: PeerRelation,
