--- a/src/process/waiting/waiting_part.ts
+++ b/src/process/waiting/waiting_part.ts
@@ -41,7 +41,7 @@
   }
 }
 
-/** Creates the part, unless the settings turn it off. */
+/** Creates the part; undefined unless the settings turn it on. */
 export function createWaitingPart(
   { waitEstimates = false, sendsBeyondSlots }: Pick<
     RoutingSettings,
