Send peers the entries of the store, not older status reports

Cause: a status report is as of up to 200 ms ago. The planner asked a head whether its group was open, read the entry "open" meanwhile, and set that back to "ready" with the late report. The notice sent this state under the version of the entry, so that 71 daemons took the entry itself for known, and used the group never (log of the entries: state=open version=608 at the planner, state=ready version=608 at all others).

Ruled out: a missed change of the watch (the planner's log has it), and an entry that the server wrote late (the versions are equal).

Change: the directory keeps the entries apart from what servers have reported since, and notices contain the entries.

Test: "contains the entries of the store rather than older status reports" failed before (expected 'ready' to be 'open').

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -36,7 +36,10 @@
 /** Directory of the registered backend servers, updated from the store, the notices of peers and the status reports of the servers. */
 export class BackendDirectory {
   readonly #logger: Logger;
+  /** Servers as they are known: their entries, and what they have reported since. */
   readonly #servers = new Map<string, BackendServer>();
+  /** Entries as they are in the store, by server id. Peers get these: a status report is as of some hundred milliseconds ago, and a peer that received an older state under the version of an entry would take the entry itself for known. */
+  readonly #entries = new Map<string, BackendServer>();
   readonly #pendingRemovals = new Map<string, NodeJS.Timeout>();
   readonly #reportedAtMs = new Map<string, number>();
   readonly #listeners = new Set<DirectoryListener>();
@@ -84,7 +87,7 @@
     const needsWholeList = sinceRevision < this.#droppedTombstoneRevision ||
       getGeneration(sinceRevision) < getGeneration(this.#revision);
     const startRevision = needsWholeList ? 0 : sinceRevision;
-    const servers = this.listServers()
+    const servers = [...this.#entries.values()]
       .filter(({ entryVersion }) => entryVersion > startRevision)
       .map(({ coldUntilMs, ...server }) => ({
         ...server,
@@ -218,14 +221,13 @@
       if (mayBeOutdated && this.#isOutdated(server)) {
         this.#delayEntry(server);
       } else if (mayBeOutdated && isSameReport(server, knownServer)) {
-        const { entryVersion } = server;
-        this.#setServer(id, { ...knownServer, entryVersion });
+        this.#setEntryVersion(id, server.entryVersion);
       } else {
         this.#tombstones.delete(id);
         if (!isSnapshot) {
           this.#recordChange(server);
         }
-        this.#setServer(id, this.#mergeReport(server));
+        this.#setEntry(server);
       }
     }
   }
@@ -308,8 +310,7 @@
   #delayEntry(entry: BackendServer): void {
     const knownServer = this.#servers.get(entry.id);
     if (knownServer !== undefined) {
-      const { entryVersion } = entry;
-      this.#setServer(entry.id, { ...knownServer, entryVersion });
+      this.#setEntryVersion(entry.id, entry.entryVersion);
     }
     this.#outdatedEntries.set(entry.id, entry);
     // A further restore starts the time again.
@@ -325,7 +326,7 @@
     for (const [id, entry] of this.#outdatedEntries) {
       this.#tombstones.delete(id);
       this.#recordChange(entry);
-      this.#setServer(id, this.#mergeReport(entry));
+      this.#setEntry(entry);
     }
     this.#outdatedEntries.clear();
     this.#publishChange();
@@ -343,6 +344,18 @@
     }
   }
 
+  /** Replaces the entry of a server. */
+  #setEntry(entry: BackendServer): void {
+    this.#setServer(entry.id, this.#mergeReport(entry));
+    this.#entries.set(entry.id, entry);
+  }
+
+  /** Sets the version of an entry whose content is kept. */
+  #setEntryVersion(id: string, entryVersion: number): void {
+    this.#setServer(id, { ...this.#servers.get(id)!, entryVersion });
+    this.#entries.set(id, { ...this.#entries.get(id)!, entryVersion });
+  }
+
   #setServer(id: string, server: BackendServer): void {
     this.#servers.set(id, server);
     this.#changedIds.add(id);
@@ -372,6 +385,7 @@
     const entry = this.#servers.get(id);
     if (entry !== undefined) {
       this.#servers.delete(id);
+      this.#entries.delete(id);
       this.#changedIds.add(id);
       this.#recordTombstone({ revision, entry });
       this.#logger.write("info", "backend-gone", { server: id, reason });
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -6,7 +6,10 @@
 import { createVersion } from "../../connection/object_store.ts";
 import { NullLogger } from "../../shared/logger.ts";
 import { BackendDirectory } from "./backend_directory.ts";
-import type { BackendServer } from "../../shared/backend_server.ts";
+import type {
+  BackendServer,
+  MembershipState,
+} from "../../shared/backend_server.ts";
 
 describe("BackendDirectory", () => {
   function createServer(entryVersion: number): BackendServer {
@@ -91,6 +94,50 @@
       expect(member.revision).toBe(20);
     });
 
+    // Guards against a group that only the planner uses: a status report from before the head opened its group arrives after the entry that says so, and is sent to peers under the version of that entry.
+    it("contains the entries of the store rather than older status reports", () => {
+      const [hub, member, lateMember] = [
+        createDirectory(),
+        createDirectory(),
+        createDirectory(),
+      ];
+      const getState = (directory: BackendDirectory) =>
+        directory.findServer("s1")?.membership?.state;
+      const createEntry = (entryVersion: number, state: MembershipState) =>
+        createBackendServer({
+          entryVersion,
+          membership: { ...MEMBER_REPORT.membership!, state },
+        });
+      const applyEntry = (
+        directory: BackendDirectory,
+        entry: BackendServer,
+      ) =>
+        directory.applyChange({
+          changed: new Map([["s1", entry]]),
+          removed: [],
+          revision: entry.entryVersion,
+          changeRevision: entry.entryVersion,
+          outageMs: 0,
+          isSnapshot: false,
+        });
+      const readyEntry = createEntry(10, "ready");
+      const openEntry = createEntry(11, "open");
+      for (const directory of [hub, member]) {
+        applyEntry(directory, readyEntry);
+      }
+      applyEntry(hub, openEntry);
+      hub.applyReport("s1", {
+        ...MEMBER_REPORT,
+        startedAtMs: openEntry.startedAtMs,
+        membership: readyEntry.membership,
+      });
+      member.offerNotice(hub.getNotice(member.revision));
+      lateMember.offerNotice(hub.getNotice());
+      applyEntry(member, openEntry);
+      expect(getState(member)).toBe("open");
+      expect(getState(lateMember)).toBe("open");
+    });
+
     it("ignores changes that start after the revision of the receiver", () => {
       const [hub, member] = [createDirectory(), createDirectory()];
       change(hub, { revision: 10, changed: ["s1"] });
