Keep the model of a domain whose servers are away for seconds

Cause: the entries of a dark domain lapse one after the other. The same after a takeover, whose planner has no assignments.

Change: a domain keeps its model for as long as another one takes to load (src/process/placement/retained_models.ts), and servers that have the weights of a model return to it when too few have those of the assigned one.

--- a/src/process/fleet/domain_models.ts
+++ b/src/process/fleet/domain_models.ts
@@ -36,11 +36,14 @@
   const hasStartedLoading = (domain: string) =>
     serversByDomain.get(domain)?.some(isLoadingOrLoaded) === true;
   for (const { domain } of zonedDomains) {
+    const servers = serversByDomain.get(domain) ?? [];
     const currentModel = hasStartedLoading(domain)
-      ? state.assignments.get(domain) ?? getCurrentModel(state, domain)
+      ? findReadyModel(state, domain, servers) ??
+        state.assignments.get(domain) ?? getCurrentModel(state, domain)
       : undefined;
-    const model = listFittingModels(state, serversByDomain.get(domain))
-      .find(({ name }) => name === currentModel);
+    const model = findRetainedModel(state, domain) ??
+      listFittingModels(state, servers)
+        .find(({ name }) => name === currentModel);
     if (model !== undefined) {
       modelsByDomain.set(domain, model);
     }
@@ -134,6 +137,38 @@
     server.stagedModels.length > 0;
 }
 
+/** Finds the model that a domain keeps although it has too few servers for a group. */
+function findRetainedModel(
+  { engine, retainedModels }: FleetState,
+  domain: string,
+): ServedModel | undefined {
+  const name = retainedModels?.get(domain);
+  return engine.models.find((model) => model.name === name);
+}
+
+/** Finds the model for which enough servers of a domain have the weights, if the domain was assigned another one for which they have not. Servers that return after the domain was assigned another model serve at once with the weights that they have. */
+function findReadyModel(
+  { engine, assignments }: FleetState,
+  domain: string,
+  servers: readonly PlannedServer[],
+): string | undefined {
+  const isReady = ({ name, groupSize }: ServedModel) =>
+    servers.filter((server) => hasWeights(server, name)).length >= groupSize;
+  const assigned = engine.models.find(({ name }) =>
+    name === assignments.get(domain)
+  );
+  return assigned === undefined || isReady(assigned)
+    ? undefined
+    : engine.models.find(isReady)?.name;
+}
+
+function hasWeights(
+  { lastModel, stagedModels }: PlannedServer,
+  model: string,
+): boolean {
+  return lastModel === model || stagedModels.includes(model);
+}
+
 /** Lists the models for whose groups a domain has enough servers. Lists all models before there is traffic, since the servers of a new fleet register one after another, and when no model fits. */
 function listFittingModels(
   state: FleetState,
--- a/src/process/fleet/domain_models_test.ts
+++ b/src/process/fleet/domain_models_test.ts
@@ -86,6 +86,32 @@
     expect(domainModels.get("a0")?.name).toBe("small");
   });
 
+  // Guards against the load of another model on the servers that are left while the rest of a domain is away for seconds.
+  it("keeps the retained model of a domain with too few servers", () => {
+    const servers = createServers("a0", 3, { lastModel: "large" });
+    const domainModels = assignDomainModels({
+      ...createState(servers),
+      assignments: new Map([["a0", "large"]]),
+      retainedModels: new Map([["a0", "large"]]),
+    });
+    expect(domainModels.get("a0")?.name).toBe("large");
+  });
+
+  // Guards against returning servers that load another model, which takes many seconds, although they could serve at once.
+  it("returns to the model whose weights the servers of a domain have", () => {
+    const doReturnTest = (servers: PlannedServer[]) =>
+      assignDomainModels({
+        ...createState(servers),
+        assignments: new Map([["a0", "small"]]),
+      }).get("a0")?.name;
+    const staged = createServers("a0", 4, { stagedModels: ["large"] });
+    const loading = createServers("a0", 4, { isLoading: true });
+    const ready = createServers("a0", 2, { lastModel: "small" });
+    expect(doReturnTest([...staged, ...loading])).toBe("large");
+    expect(doReturnTest([...staged, ...ready])).toBe("small");
+    expect(doReturnTest([...staged.slice(1), ...loading])).toBe("small");
+  });
+
   it("keeps the model that most servers of a domain have loaded", () => {
     const servers = createServers("a0", 10, { lastModel: "small" });
     expect(doTest(servers)).toEqual(["a0=small"]);
--- a/src/process/fleet/fleet_state.ts
+++ b/src/process/fleet/fleet_state.ts
@@ -29,6 +29,8 @@
   readonly servers: readonly PlannedServer[];
   /** Model that an earlier plan assigned to each fabric domain. */
   readonly assignments: ReadonlyMap<string, string>;
+  /** Models of the domains that keep theirs although they have too few servers for a group of it, by domain; defaults to none. */
+  readonly retainedModels?: ReadonlyMap<string, string>;
   /** Whether callers have sent any requests. */
   readonly hasTraffic: boolean;
 }
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -87,7 +87,7 @@
       }
       if (term !== this.#term) {
         this.#term = term;
-        this.#states.forEach((state) => state.assignments = new Map());
+        this.#states.forEach((state) => state.startTerm());
         this.#tasks.startTerm(term);
       }
       if (!this.#isPlanDue()) {
@@ -107,7 +107,9 @@
   }
 
   #planService(service: RoutedService): void {
-    const servers = this.#options.directory.listServers(service.name);
+    const { directory } = this.#options;
+    const servers = directory.listServers(service.name);
+    const removedServers = directory.listRemovedServers(service.name);
     const state = this.#getState(service.name);
     if (!this.#isDomainListSettled(state, servers)) {
       return;
@@ -115,7 +117,7 @@
     const { reportedGroups } = state;
     this.#recordLastModels(servers);
     reportedGroups.update(service, servers, {
-      removedServers: this.#options.directory.listRemovedServers(service.name),
+      removedServers,
       term: this.#term,
     });
     this.#trace.observe(
@@ -130,6 +132,11 @@
       servers: servers.filter(({ domain }) => domain !== undefined)
         .map((server) => this.#describeServer(server, reportedGroups)),
       assignments: state.assignments,
+      retainedModels: state.retainedModels.update(service.engine!, {
+        servers,
+        removedServers,
+        assignments: state.assignments,
+      }),
       hasTraffic: this.#options.loads.hasTraffic(),
     });
     this.#recordAssignments(service.name, plan.assignments);
--- a/src/process/fleet/service_state.ts
+++ b/src/process/fleet/service_state.ts
@@ -1,4 +1,5 @@
 import type { BackendServer } from "../../shared/backend_server.ts";
+import { RetainedModels } from "../placement/retained_models.ts";
 import {
   ReportedGroups,
   type ReportedGroupsOptions,
@@ -12,6 +13,8 @@
   readonly reportedGroups: ReportedGroups;
   /** Model assigned to each fabric domain. */
   assignments: ReadonlyMap<string, string> = new Map();
+  /** Models that domains keep while too few of their servers are registered. */
+  retainedModels = new RetainedModels();
   #domainCount = 0;
   #domainCountChangedAtMs = performance.now();
 
@@ -19,6 +22,12 @@
     this.reportedGroups = new ReportedGroups(options);
   }
 
+  /** Forgets what an earlier term has decided, since another planner may have changed it. */
+  startTerm(): void {
+    this.assignments = new Map();
+    this.retainedModels = new RetainedModels();
+  }
+
   /**
    * Gets whether the number of fabric domains of the service has not changed for `DOMAIN_SETTLE_MS`.
    *
