Ignore status reports from before the last change of an entry

Cause: the same late report set back the planner's own view of a head for one or more polls, so that it took an open group out of service. The other way round, an entry "closing" or "broken" was taken for earlier than a report "open" of the last 1.5 s and dropped; no later entry repeats it.

Change: a report is ignored for 500 ms after a change of the entry if it states an earlier state; states after "open" have no order.

Tests: three of "applyReport" failed before.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -16,6 +16,8 @@
 
 /** Maximum time by which an entry of the list may lag behind a status report of the server, in milliseconds. */
 const MAX_ENTRY_LAG_MS = 1_500;
+/** Maximum age of the state in a status report when the report arrives, in milliseconds. */
+const MAX_REPORT_AGE_MS = 500;
 /** Revision of a removal after a store outage, for which the store reports no revision. It is infinite, so that every peer is sent the removal. */
 const UNKNOWN_REVISION = Number.POSITIVE_INFINITY;
 /** Maximum number of tombstones, which are the removals kept to be sent to peers. */
@@ -41,7 +43,10 @@
   /** Entries as they are in the store, by server id. Peers get these: a status report is as of some hundred milliseconds ago, and a peer that received an older state under the version of an entry would take the entry itself for known. */
   readonly #entries = new Map<string, BackendServer>();
   readonly #pendingRemovals = new Map<string, NodeJS.Timeout>();
+  /** Monotonic time of the last status report, in milliseconds, by server id. */
   readonly #reportedAtMs = new Map<string, number>();
+  /** Monotonic time of the last change of the entry, in milliseconds, by server id. */
+  readonly #enteredAtMs = new Map<string, number>();
   readonly #listeners = new Set<DirectoryListener>();
   /** Ids of the servers that were added, changed or removed since the listeners were last called. */
   #changedIds = new Set<string>();
@@ -277,11 +282,28 @@
     if (server === undefined) {
       return;
     }
-    this.#setServer(id, applyReportToEntry(server, report));
+    const reported = applyReportToEntry(server, report);
+    if (this.#isReportOutdated(reported, server)) {
+      return;
+    }
+    this.#setServer(id, reported);
     this.#reportedAtMs.set(id, performance.now());
     this.#publishChange();
   }
 
+  /** Gets whether a status report may be from before the last change of the server's entry, and states an earlier membership state. */
+  #isReportOutdated(
+    reported: BackendServer,
+    known: BackendServer,
+  ): boolean {
+    const enteredAtMs = this.#enteredAtMs.get(known.id);
+    return enteredAtMs !== undefined &&
+      performance.now() - enteredAtMs < MAX_REPORT_AGE_MS &&
+      reported.startedAtMs === known.startedAtMs &&
+      reported.membership !== undefined &&
+      isEarlierState(reported, known);
+  }
+
   /** Gets the entry to store for a server: when the server has recently reported a later membership state than the entry contains, the reported membership and loaded models are kept. */
   #mergeReport(entry: BackendServer): BackendServer {
     const knownServer = this.#servers.get(entry.id);
@@ -348,6 +370,7 @@
   #setEntry(entry: BackendServer): void {
     this.#setServer(entry.id, this.#mergeReport(entry));
     this.#entries.set(entry.id, entry);
+    this.#enteredAtMs.set(entry.id, performance.now());
   }
 
   /** Sets the version of an entry whose content is kept. */
@@ -382,6 +405,7 @@
   #remove(id: string, reason: string, revision = UNKNOWN_REVISION): void {
     this.#cancelRemoval(id);
     this.#reportedAtMs.delete(id);
+    this.#enteredAtMs.delete(id);
     const entry = this.#servers.get(id);
     if (entry !== undefined) {
       this.#servers.delete(id);
@@ -439,7 +463,7 @@
     compareReports(entry, knownServer) === 0;
 }
 
-/** Gets whether an entry contains an earlier membership state than the known server has. */
+/** Gets whether an entry contains an earlier membership state than the known server has. A group that closes is ready again, so that its states have no order. */
 function isEarlierState(
   entry: BackendServer,
   knownServer: BackendServer,
@@ -449,6 +473,8 @@
   if (generation !== knownGeneration) {
     return generation < knownGeneration;
   }
-  return MEMBERSHIP_STATE_ORDER.indexOf(entry.membership?.state ?? "") <
-    MEMBERSHIP_STATE_ORDER.indexOf(knownServer.membership?.state ?? "");
+  const rank = MEMBERSHIP_STATE_ORDER.indexOf(entry.membership?.state ?? "");
+  return rank >= 0 &&
+    rank <
+      MEMBERSHIP_STATE_ORDER.indexOf(knownServer.membership?.state ?? "");
 }
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -190,6 +190,77 @@
     });
   });
 
+  describe("applyReport", () => {
+    function createEntry(
+      entryVersion: number,
+      state: MembershipState,
+    ): BackendServer {
+      return createBackendServer({
+        entryVersion,
+        membership: { ...MEMBER_REPORT.membership!, state },
+      });
+    }
+
+    /** Applies entries and reports with the given states, and returns the state that the directory has after them. */
+    function doTest(
+      steps: readonly { entry?: MembershipState; report?: MembershipState }[],
+    ): MembershipState | undefined {
+      const directory = new BackendDirectory({ logger: new NullLogger() });
+      let revision = 10;
+      for (const { entry, report } of steps) {
+        revision++;
+        if (entry !== undefined) {
+          directory.applyChange({
+            changed: new Map([["s1", createEntry(revision, entry)]]),
+            removed: [],
+            revision,
+            changeRevision: revision,
+            outageMs: 0,
+            isSnapshot: false,
+          });
+        }
+        if (report !== undefined) {
+          const { membership } = createEntry(revision, report);
+          directory.applyReport("s1", { ...MEMBER_REPORT, membership });
+        }
+        vi.advanceTimersByTime(200);
+      }
+      return directory.findServer("s1")?.membership?.state;
+    }
+
+    beforeEach(() => {
+      vi.useFakeTimers();
+    });
+
+    afterEach(() => {
+      vi.useRealTimers();
+    });
+
+    // Guards against a group that the planner takes out of service, and opens again, because of a report from before it was opened.
+    it("ignores a report that may be from before the last change of the entry", () => {
+      expect(doTest([{ entry: "ready" }, { entry: "open" }, {
+        report: "ready",
+      }])).toBe("open");
+    });
+
+    it("applies a report that is from after the last change of the entry", () => {
+      expect(
+        doTest([{ entry: "open" }, {}, {}, { report: "ready" }]),
+      ).toBe("ready");
+      expect(doTest([{ entry: "ready" }, { report: "open" }])).toBe("open");
+      expect(doTest([{ entry: "closing" }, { report: "ready" }])).toBe("ready");
+    });
+
+    // Guards against a head that counts as open for good because it broke soon after a report.
+    it.each<MembershipState>(["closing", "broken"])(
+      "lets an entry with the state '%s' replace a recent report of an open head",
+      (state) => {
+        expect(doTest([{ entry: "open", report: "open" }, { entry: state }]))
+          .toBe(state);
+      },
+    );
+  });
+
   describe("listRemovedServers", () => {
     const MEMBERSHIP = {
       groupName: "g1",
