Take over the lease of a planner whose process has ended

Daemons whose link the holder's side has closed, and whose new connection to its address is refused, report the end of the process in the section `process-ends` of the notices. With reports of two daemons, of two zones where there are several, the hubs take over in turn, 200 ms apart, if servers refuse orders of an earlier term. The lease is acquired by a conditional write after a read, as before. Without reports or without fencing the times are unchanged.

Links tell now whether the other side ended them.

--- a/src/connection/peer_link.ts
+++ b/src/connection/peer_link.ts
@@ -1,4 +1,5 @@
 import type { Server } from "node:http";
+import type { Duplex } from "node:stream";
 import { type RawData, WebSocket, WebSocketServer } from "ws";
 import type { Disposable } from "../shared/life_cycle_manager.ts";
 
@@ -9,6 +10,18 @@
 /** Maximum size of a message in bytes; a complete list of the backend servers of a large fleet is a few hundred kilobytes. */
 const MAX_MESSAGE_BYTES = 16_777_216;
 
+/** Codes of socket errors that the end of the peer's process causes. */
+const PEER_END_CODES: ReadonlySet<unknown> = new Set(["ECONNRESET", "EPIPE"]);
+
+/**
+ * Origin of the end of a link.
+ *
+ * - `own`: this daemon has closed the link.
+ * - `peer`: the connection was closed or reset by the other side.
+ * - `failure`: anything else, such as an invalid frame or a host that the network reports as unreachable.
+ */
+export type LinkEndOrigin = "own" | "peer" | "failure";
+
 /** Ordered connection between two daemons that carries text messages both ways. */
 export interface PeerLink {
   /** Number of bytes that wait for a slow receiver. */
@@ -18,7 +31,7 @@
   /** Registers the listener for messages; it replaces an earlier one. */
   onMessage(listener: (text: string) => void): void;
   /** Registers a listener that is called once when the link has closed. */
-  onClose(listener: (reason: string) => void): void;
+  onClose(listener: (reason: string, origin: LinkEndOrigin) => void): void;
   /** Closes the link at once. Messages in transit may be lost. */
   close(): void;
 }
@@ -59,7 +72,9 @@
         return;
       }
       this.#acceptor.handleUpgrade(req, socket, head, (webSocket) => {
-        this.#listener(new WebSocketLink(webSocket));
+        const link = new WebSocketLink(webSocket);
+        link.watchSocket(socket);
+        this.#listener(link);
       });
     });
   }
@@ -77,6 +92,7 @@
         skipUTF8Validation: true,
       });
       const link = new WebSocketLink(webSocket);
+      webSocket.once("upgrade", ({ socket }) => link.watchSocket(socket));
       webSocket.once("open", () => resolve(link));
       link.onClose((reason) => reject(new Error(reason)));
     });
@@ -92,9 +108,13 @@
 /** Link over a WebSocket connection. */
 class WebSocketLink implements PeerLink {
   readonly #webSocket: WebSocket;
-  readonly #closeListeners: ((reason: string) => void)[] = [];
+  readonly #closeListeners: ((
+    reason: string,
+    origin: LinkEndOrigin,
+  ) => void)[] = [];
   #onMessage: (text: string) => void = () => {};
   #closeReason = "The link was closed";
+  #endOrigin: LinkEndOrigin = "peer";
 
   constructor(webSocket: WebSocket) {
     this.#webSocket = webSocket;
@@ -103,10 +123,11 @@
     });
     webSocket.on("error", (error) => {
       this.#closeReason = error.message;
+      this.#recordOrigin("failure");
     });
     webSocket.on("close", () => {
       this.#closeListeners.splice(0).forEach((listener) =>
-        listener(this.#closeReason)
+        listener(this.#closeReason, this.#endOrigin)
       );
     });
   }
@@ -125,11 +146,29 @@
     this.#onMessage = listener;
   }
 
-  onClose(listener: (reason: string) => void): void {
+  onClose(listener: (reason: string, origin: LinkEndOrigin) => void): void {
     this.#closeListeners.push(listener);
   }
 
   close(): void {
+    this.#recordOrigin("own");
     this.#webSocket.terminate();
   }
+
+  /** Watches the socket of the connection for errors, which the WebSocket does not report once it is open. */
+  watchSocket(socket: Duplex): void {
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+      if (!PEER_END_CODES.has(error.code)) {
+        this.#closeReason = error.message;
+        this.#recordOrigin("failure");
+      }
+    });
+  }
+
+  /** Records the first known origin of the end; a later one only follows from it. */
+  #recordOrigin(origin: LinkEndOrigin): void {
+    if (this.#endOrigin === "peer") {
+      this.#endOrigin = origin;
+    }
+  }
 }
--- a/src/process/fleet/peer_exchange.ts
+++ b/src/process/fleet/peer_exchange.ts
@@ -68,6 +68,10 @@
   onReportSent(number: number, loads: ReadonlyMap<string, number>): void;
   /** Called when the link of a partner has closed. */
   onPartnerLost(name: string): void;
+  /** Called when the link of a partner has opened. */
+  onPartnerLinked(name: string): void;
+  /** Called after `onPartnerLost` when the partner's side has closed or reset the connection. */
+  onPartnerEnded(partner: DaemonDescription): void;
 }
 
 /** Open link with its partner. */
@@ -418,7 +422,14 @@
       relation: getOppositeRelation(relation),
     });
     link.onMessage((text) => this.#receive(openLink, text));
-    link.onClose((reason) => this.#closeLink(partner.name, link, reason));
+    link.onClose((reason, origin) => {
+      const isCurrent = this.#links.get(partner.name)?.link === link;
+      this.#closeLink(partner.name, link, reason);
+      if (isCurrent && origin === "peer" && !this.#isDisposed) {
+        this.#options.onPartnerEnded(partner);
+      }
+    });
+    this.#options.onPartnerLinked(partner.name);
     this.announce();
   }
 
--- a/src/process/fleet/peer_table.ts
+++ b/src/process/fleet/peer_table.ts
@@ -167,6 +167,11 @@
     );
   }
 
+  /** Lists all other daemons, including recently lost ones. */
+  listKnownPeers(): DaemonDescription[] {
+    return [...this.#knownPeers.values()].map(({ description }) => description);
+  }
+
   /** Lists the names of all other daemons, including recently lost ones. */
   listPeerNames(): string[] {
     return [...this.#knownPeers.keys()];
--- a/src/process/fleet/planner_lease_holder.ts
+++ b/src/process/fleet/planner_lease_holder.ts
@@ -5,6 +5,10 @@
 } from "../../connection/object_store.ts";
 import { delay } from "../../shared/delay.ts";
 import type { Logger } from "../../shared/logger.ts";
+import type {
+  EarlyTakeover,
+  LeaseCircumstances,
+} from "../takeover/early_takeover.ts";
 
 const LEASE_NAME = "planner";
 /** Holder of a lease that cannot be decoded; no daemon has this name, and the lease is not free. */
@@ -50,6 +54,13 @@
   readonly #isHolderReported: () => boolean;
   readonly #getCandidateDelayMs: () => number;
   readonly #onStoreRecovered: () => void;
+  readonly #takeover:
+    | Pick<EarlyTakeover, "getWaitMs" | "findEvidence" | "recordTakeover">
+    | undefined;
+  /** Ends the wait before the next check of the lease. */
+  #checkWait = new AbortController();
+  /** Monotonic time at which this daemon dropped the lease, or was created, in milliseconds. */
+  #idleSinceMs = performance.now();
   #isStoreReachable = true;
   #isReleased = false;
   /** Lease in the store at the last read or write. */
@@ -85,6 +96,11 @@
     getCandidateDelayMs?(): number;
     /** Called when the store responds again after a failed call. */
     onStoreRecovered(): void;
+    /** Takeover of a lease whose holder's process has ended; without it, another daemon's lease has to lapse. */
+    takeover?: Pick<
+      EarlyTakeover,
+      "getWaitMs" | "findEvidence" | "recordTakeover"
+    >;
   }) {
     this.#store = options.store;
     this.#kind = options.kind;
@@ -94,6 +110,7 @@
     this.#isHolderReported = options.isHolderReported;
     this.#getCandidateDelayMs = options.getCandidateDelayMs ?? (() => 0);
     this.#onStoreRecovered = options.onStoreRecovered;
+    this.#takeover = options.takeover;
   }
 
   /** Gets the lease term while this daemon holds the lease, and undefined otherwise. */
@@ -134,6 +151,7 @@
     this.#dropCount++;
     if (this.#renewedAtMs !== undefined) {
       this.#renewedAtMs = undefined;
+      this.#idleSinceMs = performance.now();
       this.#logger.write("info", "lease-dropped", {
         term: this.#ownLease?.term,
         reason,
@@ -153,12 +171,29 @@
 
   /** Acquires and renews the lease until the signal aborts or the lease is released. */
   async run(signal: AbortSignal): Promise<void> {
+    signal.addEventListener("abort", () => this.wake(), { once: true });
     while (!signal.aborted && !this.#isReleased) {
       await this.#runStep();
-      await delay(
-        this.getTerm() === undefined ? CHECK_INTERVAL_MS : RENEW_INTERVAL_MS,
-        signal,
-      );
+      if (this.getTerm() === undefined) {
+        await this.#waitForCheck();
+      } else {
+        await delay(RENEW_INTERVAL_MS, signal);
+      }
+    }
+  }
+
+  /** Checks the lease at once if this daemon does not hold it, for example after a report that the holder's process has ended. */
+  wake(): void {
+    this.#checkWait.abort();
+  }
+
+  async #waitForCheck(): Promise<void> {
+    // A time of 0 is that of an attempt that has just failed, which is repeated after the usual interval.
+    const waitMs = this.#takeover?.getWaitMs(this.#getCircumstances()) ||
+      CHECK_INTERVAL_MS;
+    await delay(Math.min(waitMs, CHECK_INTERVAL_MS), this.#checkWait.signal);
+    if (this.#checkWait.signal.aborted) {
+      this.#checkWait = new AbortController();
     }
   }
 
@@ -184,6 +219,9 @@
       await this.#keepLease();
       return;
     }
+    if (await this.#tryEarlyTakeover()) {
+      return;
+    }
     if (this.#isHolderReported()) {
       this.#unchangedSinceMs = performance.now();
       this.#holderMissingSinceMs = undefined;
@@ -200,6 +238,34 @@
     }
   }
 
+  /** Acquires the lease if the process of its holder has ended. Returns whether this daemon holds it. */
+  async #tryEarlyTakeover(): Promise<boolean> {
+    if (this.#takeover?.getWaitMs(this.#getCircumstances()) !== 0) {
+      return false;
+    }
+    await this.#readLease();
+    const evidence = this.#lease &&
+      this.#takeover.findEvidence(this.#lease, this.#getCircumstances());
+    if (evidence === undefined || this.#isReleased) {
+      return false;
+    }
+    await this.#acquireLease();
+    const term = this.getTerm();
+    if (term !== undefined) {
+      this.#takeover.recordTakeover(term, evidence);
+    }
+    return term !== undefined;
+  }
+
+  #getCircumstances(): LeaseCircumstances {
+    const idleSinceMs = Math.max(this.#idleSinceMs, this.#renewedAtMs ?? 0);
+    return {
+      highestTerm: this.#highestTerm,
+      isStoreReachable: this.#isStoreReachable,
+      idleMs: performance.now() - idleSinceMs,
+    };
+  }
+
   /** Gets whether the lease has not been renewed for so long that its holder no longer acts as planner. */
   #isLapsed(): boolean {
     return performance.now() - this.#unchangedSinceMs > TAKEOVER_TIMEOUT_MS;
--- a/src/process/fleet/planner_lease_holder_test.ts
+++ b/src/process/fleet/planner_lease_holder_test.ts
@@ -8,7 +8,11 @@
   type StoredObject,
   StoreUnavailableError,
 } from "../../connection/object_store.ts";
+import { createDaemonDescription } from "../../../tests/support/daemons.ts";
 import { NullLogger } from "../../shared/logger.ts";
+import { Metrics } from "../metrics.ts";
+import { EarlyTakeover } from "../takeover/early_takeover.ts";
+import { ProcessEndReports } from "../takeover/process_end_reports.ts";
 import { PlannerLeaseHolder } from "./planner_lease_holder.ts";
 
 /** Interval at which another daemon checks the lease, in milliseconds. */
@@ -25,6 +29,7 @@
   readonly unreachableFor = new Set<string>();
   /** Called once instead of the next write, which gets no response and takes no effect. */
   beforeLostWrite: (() => void) | undefined;
+  writeCount = 0;
   /** Called before each write takes effect. */
   beforeWrite: (() => void) | undefined;
   generation = 0;
@@ -68,6 +73,7 @@
 
   #put({ kind, name, value, expectedVersion }: PutObjectOptions) {
     this.beforeWrite?.();
+    this.writeCount++;
     const { beforeLostWrite } = this;
     if (beforeLostWrite !== undefined) {
       this.beforeLostWrite = undefined;
@@ -334,4 +340,189 @@
       expect(holder.getTerm()).toBeGreaterThan(term + 1_000);
     });
   });
+
+  describe("an early takeover", () => {
+    const DAEMONS = [0, 1, 2, 3].map((i) =>
+      createDaemonDescription(`entry-${i}`, { zone: `z${i}` })
+    );
+    let isHolderReported: boolean;
+    let metrics: Metrics;
+
+    /** Starts a daemon that knows all others. */
+    function startDaemon(
+      store: LeaseStore,
+      index: number,
+      options: { areOrdersFenced?: boolean; hasTakeover?: boolean } = {},
+    ) {
+      const { areOrdersFenced = true, hasTakeover = true } = options;
+      const self = DAEMONS[index];
+      const peers = DAEMONS.filter((daemon) => daemon !== self);
+      const reports = new ProcessEndReports({
+        ownName: self.name,
+        ownZone: self.zone,
+        findZone: (name) => DAEMONS.find((d) => d.name === name)?.zone,
+        onOwnReport: () => {},
+        onReport: () => holder.wake(),
+      });
+      const takeover = new EarlyTakeover({
+        ownDaemon: self,
+        daemons: { listLivePeers: () => peers, listKnownPeers: () => peers },
+        reports,
+        areOrdersFenced,
+        returnPauseMs: 3_000,
+        logger: new NullLogger(),
+        metrics,
+        announce: () => {},
+      });
+      const lifetime = new AbortController();
+      controller.signal.addEventListener("abort", () => lifetime.abort());
+      const holder = new PlannerLeaseHolder({
+        store: store.createClient(self.name),
+        kind: "leases",
+        name: self.name,
+        logger: new NullLogger(),
+        areOrdersFenced,
+        isHolderReported: () => index > 0 && isHolderReported,
+        onStoreRecovered: () => {},
+        takeover: hasTakeover ? takeover : undefined,
+      });
+      void holder.run(lifetime.signal);
+      return { holder, reports, lifetime };
+    }
+
+    /** Starts a holder in term 1 and three other daemons, and lets `returnPauseMs` pass. */
+    async function startFleet(options?: Parameters<typeof startDaemon>[2]) {
+      metrics = new Metrics();
+      isHolderReported = true;
+      const store = new LeaseStore();
+      const first = startDaemon(store, 0, options);
+      await vi.advanceTimersByTimeAsync(500);
+      const others = [1, 2, 3].map((i) => startDaemon(store, i, options));
+      await vi.advanceTimersByTimeAsync(4_000);
+      expect(first.holder.getTerm()).toBe(1);
+      store.writeCount = 0;
+      return { store, daemons: [first, ...others] };
+    }
+
+    /** Lets the other daemons report the end of a holder to each other. */
+    function reportEnd(
+      daemons: Awaited<ReturnType<typeof startFleet>>["daemons"],
+      { holder, term }: { holder: number; term: number },
+    ): void {
+      const others = DAEMONS.map(({ name }) => name).filter((_, i) =>
+        i !== holder
+      );
+      const lease = { holder: DAEMONS[holder].name, term };
+      daemons.forEach(({ reports }, i) => {
+        for (const reporter of others) {
+          if (reporter === DAEMONS[i].name) {
+            reports.recordOwn(lease);
+          } else {
+            reports.applyReport(reporter, "equal", [
+              { ...lease, reporter, ageMs: 5 },
+            ]);
+          }
+        }
+      });
+    }
+
+    /** Gets the terms of the daemons after each step of 100 ms. */
+    async function listTerms(
+      daemons: Awaited<ReturnType<typeof startFleet>>["daemons"],
+      durationMs: number,
+    ): Promise<(number | undefined)[][]> {
+      const terms = [];
+      for (let i = 0; i < durationMs; i += 100) {
+        isHolderReported &&= i < 2_000;
+        await vi.advanceTimersByTimeAsync(100);
+        terms.push(daemons.map(({ holder }) => holder.getTerm()));
+      }
+      return terms;
+    }
+
+    // Guards against 3.5 s and more without a planner after the kill of its process, and against a write by each candidate.
+    it("gives the lease to the first candidate at once, with one write", async () => {
+      const { store, daemons } = await startFleet();
+      daemons[0].lifetime.abort();
+      reportEnd(daemons, { holder: 0, term: 1 });
+      await vi.advanceTimersByTimeAsync(100);
+      expect(daemons[1].holder.getTerm()).toBe(2);
+      await vi.advanceTimersByTimeAsync(800);
+      expect(store.writeCount).toBe(1);
+      expect(daemons[1].holder.getTermAgeMs()).toBeLessThanOrEqual(900);
+      expect(metrics.getCount("early_takeovers")).toBe(1);
+    });
+
+    // Guards against an earlier or later takeover than before where there is no evidence, or where servers accept the orders of a holder that still runs.
+    it.each([
+      { name: "without reports", areOrdersFenced: true, hasReports: false },
+      { name: "without fencing", areOrdersFenced: false, hasReports: true },
+    ])("leaves the times as they are $name", async (test) => {
+      const runs = [];
+      for (const hasTakeover of [false, true]) {
+        const { areOrdersFenced } = test;
+        const { daemons } = await startFleet({ areOrdersFenced, hasTakeover });
+        daemons[0].lifetime.abort();
+        if (test.hasReports) {
+          reportEnd(daemons, { holder: 0, term: 1 });
+        }
+        runs.push(await listTerms(daemons.slice(1), 8_000));
+        daemons.forEach(({ lifetime }) => lifetime.abort());
+      }
+      expect(runs[1]).toEqual(runs[0]);
+      const takeoverStep = runs[0].findIndex((terms) =>
+        terms.some((term) => term !== undefined)
+      );
+      expect(takeoverStep).toBeGreaterThan(30);
+    });
+
+    // Guards against a fleet that waits for a candidate that has failed as well.
+    it("gives the lease to the next candidate 200 ms later when the first one has ended", async () => {
+      const { daemons } = await startFleet();
+      daemons[0].lifetime.abort();
+      daemons[1].lifetime.abort();
+      reportEnd(daemons, { holder: 0, term: 1 });
+      await vi.advanceTimersByTimeAsync(100);
+      expect(daemons[2].holder.getTerm()).toBeUndefined();
+      await vi.advanceTimersByTimeAsync(200);
+      expect(daemons[2].holder.getTerm()).toBe(2);
+    });
+
+    // Guards against a takeover on the strength of reports alone while the store cannot confirm it.
+    it("does not happen while the store is unavailable", async () => {
+      const { store, daemons } = await startFleet();
+      DAEMONS.forEach(({ name }) => store.unreachableFor.add(name));
+      daemons[0].lifetime.abort();
+      reportEnd(daemons, { holder: 0, term: 1 });
+      const terms = await listTerms(daemons.slice(1), 6_000);
+      expect(new Set(terms.flat())).toEqual(new Set([undefined]));
+    });
+
+    // Guards against two planners that go on side by side after wrong reports, and against the order of holders A, B, A within the time that duties wait.
+    it("ends the term of a holder that lives, which does not take the lease back early", async () => {
+      const { daemons } = await startFleet();
+      reportEnd(daemons, { holder: 0, term: 1 });
+      await vi.advanceTimersByTimeAsync(1_100);
+      expect(daemons.map(({ holder }) => holder.getTerm()))
+        .toEqual([undefined, 2, undefined, undefined]);
+      daemons[1].lifetime.abort();
+      reportEnd(daemons, { holder: 1, term: 2 });
+      await vi.advanceTimersByTimeAsync(300);
+      expect(daemons.map(({ holder }) => holder.getTerm()))
+        .toEqual([undefined, 2, 3, undefined]);
+    });
+
+    // Guards against the loss of the lease of a restarted process through reports on its predecessor.
+    it("does not follow from reports of an earlier term", async () => {
+      const { store, daemons } = await startFleet();
+      daemons[0].lifetime.abort();
+      const restarted = startDaemon(store, 0);
+      await vi.advanceTimersByTimeAsync(100);
+      expect(restarted.holder.getTerm()).toBe(2);
+      reportEnd(daemons, { holder: 0, term: 1 });
+      await vi.advanceTimersByTimeAsync(1_900);
+      expect(restarted.holder.getTerm()).toBe(2);
+      expect(metrics.getCount("early_takeovers")).toBe(0);
+    });
+  });
 });
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -41,6 +41,7 @@
   | "config_changes"
   | "unanswered_ends"
   | "early_refusals"
+  | "early_takeovers"
   | "requests_beyond_slots";
 
 /** Gauge whose value is read each time the metrics are rendered. */
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -56,6 +56,10 @@
   createRegistrationPart,
 } from "./registration/registration_part.ts";
 import type { UsageRecorder } from "./usage/usage_part.ts";
+import {
+  createTakeoverPart,
+  type TakeoverPart,
+} from "./takeover/takeover_part.ts";
 import { createWaitingPart, type WaitingPart } from "./waiting/waiting_part.ts";
 import { UnansweredEndRecorder } from "./unanswered_end_recorder.ts";
 
@@ -105,6 +109,7 @@
   readonly #peerTable: PeerTable;
   readonly #excludedZones: ExcludedZones;
   readonly #fleetSync: FleetSync;
+  readonly #takeover: TakeoverPart;
   readonly #leaseHolder: PlannerLeaseHolder;
   readonly #peerExchange: PeerExchange;
   readonly #plannedStop: PlannedStop;
@@ -174,6 +179,7 @@
       onChange: () => this.#peerExchange.scheduleNotices(),
     });
     this.#fleetSync = this.#createFleetSync();
+    this.#takeover = this.#createTakeoverPart();
     this.#leaseHolder = this.#createLeaseHolder();
     this.#peerExchange = this.#createPeerExchange();
     this.#memberOrders = new MemberOrderExecutor({
@@ -305,6 +311,7 @@
       });
     const parts = [
       registrationPart,
+      this.#takeover,
       this.#concurrency,
       this.#waiting,
       ...dutyParts.parts,
@@ -453,6 +460,21 @@
       isHolderReported: () => this.#peerTable.findPlanner() !== undefined,
       getCandidateDelayMs: () => this.#getCandidateDelayMs(),
       onStoreRecovered: () => this.#fleetSync.restartWatches(),
+      takeover: this.#takeover.takeover,
+    });
+  }
+
+  #createTakeoverPart(): TakeoverPart {
+    const { logger, settings, metrics } = this.#options;
+    return createTakeoverPart({
+      ownDaemon: this.#ownDaemon,
+      areOrdersFenced: settings.areOrdersFenced,
+      leaseMs: settings.duties?.leaseMs,
+      peerTable: this.#peerTable,
+      logger,
+      metrics,
+      announce: () => this.#peerExchange.announce(),
+      onReport: () => this.#leaseHolder.wake(),
     });
   }
 
@@ -484,6 +506,9 @@
         this.#fleetSync.removePartner(name);
         this.#sections.removePartner(name);
       },
+      onPartnerLinked: (name) => this.#takeover.handleLink(name),
+      onPartnerEnded: (partner) =>
+        void this.#takeover.detector.checkPartner(partner),
     });
   }
 
