--- a/src/process/takeover/process_end_reports.ts
+++ b/src/process/takeover/process_end_reports.ts
@@ -9,7 +9,7 @@
   type ProcessEndReport,
 } from "./takeover_decision.ts";
 
-/** Maximum number of reports that a daemon keeps or accepts in one notice. */
+/** Maximum number of reports that a daemon keeps, including its own, or accepts in one notice. */
 const MAX_REPORTS = 16;
 /** Maximum number of reports kept from one zone, so that a zone with many linked daemons leaves room for the others. */
 const MAX_ZONE_REPORTS = 4;
@@ -131,9 +131,11 @@
   }
 
   #hasRoom(zone: string): boolean {
-    const reports = this.listReports();
+    const reports = this.listReports().filter(({ reporter }) =>
+      reporter !== this.#ownName
+    );
     const zoneReports = reports.filter((report) => report.zone === zone);
-    return reports.length < MAX_REPORTS &&
+    return reports.length < MAX_REPORTS - 1 &&
       zoneReports.length < MAX_ZONE_REPORTS;
   }
 }
