--- a/src/process/fleet/service_state.ts
+++ b/src/process/fleet/service_state.ts
@@ -1,4 +1,5 @@
 import type { BackendServer } from "../../shared/backend_server.ts";
+import type { Logger } from "../../shared/logger.ts";
 import { RetainedModels } from "../placement/retained_models.ts";
 import {
   ReportedGroups,
@@ -14,18 +15,21 @@
   /** Model assigned to each fabric domain. */
   assignments: ReadonlyMap<string, string> = new Map();
   /** Models that domains keep while too few of their servers are registered. */
-  retainedModels = new RetainedModels();
+  retainedModels: RetainedModels;
+  readonly #logger: Logger;
   #domainCount = 0;
   #domainCountChangedAtMs = performance.now();
 
   constructor(options: ReportedGroupsOptions) {
+    this.#logger = options.logger;
     this.reportedGroups = new ReportedGroups(options);
+    this.retainedModels = new RetainedModels(options);
   }
 
   /** Forgets what an earlier term has decided, since another planner may have changed it. */
   startTerm(): void {
     this.assignments = new Map();
-    this.retainedModels = new RetainedModels();
+    this.retainedModels = new RetainedModels({ logger: this.#logger });
   }
 
   /**
--- a/src/process/placement/retained_models.ts
+++ b/src/process/placement/retained_models.ts
@@ -1,4 +1,5 @@
 import type { BackendServer } from "../../shared/backend_server.ts";
+import type { Logger } from "../../shared/logger.ts";
 import type {
   EngineProfile,
   ServedModel,
@@ -15,6 +16,8 @@
   readonly model: ServedModel;
   /** Monotonic time since which the domain has had too few servers, in milliseconds; undefined while it has enough, or none at all. */
   shortSinceMs: number | undefined;
+  /** Whether the time for which the model is kept is over. */
+  isReleased: boolean;
 }
 
 /**
@@ -24,13 +27,18 @@
  *
  * @example
  * ```ts
- * const retainedModels = new RetainedModels();
+ * const retainedModels = new RetainedModels({ logger });
  * retainedModels.update(engine, { servers, removedServers, assignments });
  * ```
  */
 export class RetainedModels {
+  readonly #logger: Logger;
   readonly #models = new Map<string, RetainedModel>();
 
+  constructor(options: { logger: Logger }) {
+    this.#logger = options.logger;
+  }
+
   /**
    * Records which domains have enough servers for a group of their model.
    *
@@ -79,21 +87,50 @@
     if (model === undefined) {
       return undefined;
     }
-    const known = this.#models.get(domain);
+    const previous = this.#models.get(domain);
+    const known = previous?.model.name === model.name ? previous : undefined;
     if (listed.length >= model.groupSize || listed.length === 0) {
-      this.#models.set(domain, { model, shortSinceMs: undefined });
+      this.#models.set(domain, {
+        model,
+        shortSinceMs: undefined,
+        isReleased: false,
+      });
       return undefined;
     }
-    const hasHadEnough = known?.model.name === model.name ||
+    const hasHadEnough = known !== undefined ||
       listed.length + removed.length >= model.groupSize;
     if (!hasHadEnough) {
       return undefined;
     }
-    const shortSinceMs = known?.shortSinceMs ?? performance.now();
-    this.#models.set(domain, { model, shortSinceMs });
-    return performance.now() - shortSinceMs < getRetentionMs(engine)
-      ? model
-      : undefined;
+    const retained = known?.shortSinceMs === undefined
+      ? { model, shortSinceMs: performance.now(), isReleased: false }
+      : known;
+    if (retained !== known) {
+      this.#models.set(domain, retained);
+      this.#log("model-retained", domain, { model, servers: listed.length });
+    }
+    const shortMs = performance.now() - retained.shortSinceMs!;
+    if (shortMs < getRetentionMs(engine)) {
+      return model;
+    }
+    if (!retained.isReleased) {
+      retained.isReleased = true;
+      this.#log("model-released", domain, { model, servers: listed.length });
+    }
+    return undefined;
+  }
+
+  #log(
+    event: string,
+    domain: string,
+    { model, servers }: { model: ServedModel; servers: number },
+  ): void {
+    this.#logger.write("info", event, {
+      domain,
+      model: model.name,
+      servers,
+      groupSize: model.groupSize,
+    });
   }
 }
 
--- a/src/process/placement/retained_models_test.ts
+++ b/src/process/placement/retained_models_test.ts
@@ -2,6 +2,7 @@
 import { createBackendServer } from "../../../tests/support/backend_servers.ts";
 import { ENGINE } from "../../../tests/support/planned_fleet.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
+import { NullLogger } from "../../shared/logger.ts";
 import { RetainedModels } from "./retained_models.ts";
 
 /** Time to load the model with the longer load, in milliseconds. */
@@ -26,8 +27,10 @@
     vi.useRealTimers();
   });
 
+  const logger = new NullLogger();
+
   function createUpdate(assignments = new Map([["d", "large"]])) {
-    const retainedModels = new RetainedModels();
+    const retainedModels = new RetainedModels({ logger });
     return (servers: BackendServer[], removedServers: BackendServer[] = []) =>
       retainedModels.update(ENGINE, { servers, removedServers, assignments })
         .get("d");
