Watch a lease holder that is a member

A trial with 16 daemon processes showed that the planner of a new fleet is often a member: it acquires the first lease before it knows the others. Only its hub is linked with it, one report is not enough, and the takeover took 6,050 ms.

--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -287,10 +287,14 @@
       res.setHeader("content-type", "text/plain; version=0.0.4");
       res.end(metrics.render());
     });
-    this.#peerServer = new HttpServer((_req, res) => {
-      res.writeHead(404, { "content-length": 0 });
-      res.end();
-    });
+    this.#peerServer = new HttpServer(
+      (_req, res) => {
+        res.writeHead(404, { "content-length": 0 });
+        res.end();
+      },
+      // Daemons without a link watch the lease holder through an unused connection.
+      { isUnusedTimeIdle: true },
+    );
     this.#linkTransport.listen(this.#peerServer.server);
     this.#parts = this.#createParts();
   }
