--- a/src/process/placement/retained_models.ts
+++ b/src/process/placement/retained_models.ts
@@ -107,7 +107,10 @@
       : known;
     if (retained !== known) {
       this.#models.set(domain, retained);
-      this.#log("model-retained", domain, { model, servers: listed.length });
+      this.#writeEvent("model-retained", domain, {
+        model,
+        servers: listed.length,
+      });
     }
     const shortMs = performance.now() - retained.shortSinceMs!;
     if (shortMs < getRetentionMs(engine)) {
@@ -115,12 +118,15 @@
     }
     if (!retained.isReleased) {
       retained.isReleased = true;
-      this.#log("model-released", domain, { model, servers: listed.length });
+      this.#writeEvent("model-released", domain, {
+        model,
+        servers: listed.length,
+      });
     }
     return undefined;
   }
 
-  #log(
+  #writeEvent(
     event: string,
     domain: string,
     { model, servers }: { model: ServedModel; servers: number },
