Apply the step factor to the expected prefill

The factor applies to all of a group's times, prompts included. A model with a factor of 0.6 was expected to read prompts 1.7 times as long as it does, which hides a slowdown.

--- a/src/process/concurrency/model_batches.ts
+++ b/src/process/concurrency/model_batches.ts
@@ -33,7 +33,7 @@
     this.#stepsMs = engine.stepsPerBatch * engine.stepMs * factor;
     this.#stepsPerRequestMs = engine.stepsPerBatch * engine.stepPerRequestMs *
       factor;
-    this.#promptMsPerToken = MS_PER_SECOND /
+    this.#promptMsPerToken = MS_PER_SECOND * factor /
       Math.max(1, engine.promptTokensPerSecond);
   }
 
