Close the head of a group of an earlier planner before its members leave

Cause: a planner that takes over lets the members of a group leave that is ready but not open, after the time that an opening takes.

Change: the head of such a group is sent a close first, although it reports that it is not open. A head that has accepted an order of the new term refuses those of earlier terms. The close is sent while the planner already waits for openings in progress, so no time is added where the head responds.

--- a/src/process/fleet/member_order_executor.ts
+++ b/src/process/fleet/member_order_executor.ts
@@ -14,6 +14,7 @@
   BackendServer,
   GroupMembership,
 } from "../../shared/backend_server.ts";
+import { CloseRecords } from "./close_records.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
 
 /** Time limit for a status report of a server, in milliseconds. */
@@ -61,6 +62,7 @@
   readonly #unansweredJoins = new Map<string, number>();
   /** Generation of the last group for which a server got a leave without a response, by server id and start time, until the server is known to have left that group. */
   readonly #unansweredLeaves = new Map<string, number>();
+  readonly #closes = new CloseRecords();
 
   constructor(options: {
     directory: BackendDirectory;
@@ -161,9 +163,25 @@
     options: WaitOptions,
   ): Promise<boolean> {
     const { groupName, generation } = group;
-    return await this.#runOrder(
+    const term = this.#lease.getTerm();
+    const sentAtMs = performance.now();
+    const outcome = await this.#sendOrder(head, {
+      action: "close",
+      groupName,
+      generation,
+      inFlight: "finish",
+    });
+    if (term !== undefined) {
+      this.#closes.record(getProcessKey(head), {
+        generation,
+        term,
+        sentAtMs,
+        outcome,
+      });
+      this.#forgetEndedProcesses();
+    }
+    return isPossiblyAccepted(outcome) && await this.#waitForState(
       head,
-      { action: "close", groupName, generation, inFlight: "finish" },
       {
         ...options,
         maxPollIntervalMs: MAX_CLOSE_POLL_INTERVAL_MS,
@@ -176,6 +194,23 @@
     );
   }
 
+  /**
+   * Finds the outcome of the last close that was sent in this term to the head of a group.
+   *
+   * @param head - Head of the group.
+   * @param sinceMs - Monotonic time before which a close does not count, in milliseconds.
+   */
+  findCloseOutcome(
+    head: BackendServer,
+    sinceMs = Number.NEGATIVE_INFINITY,
+  ): GroupOrderOutcome | undefined {
+    return this.#closes.findOutcome(getProcessKey(head), {
+      generation: head.membership?.generation,
+      term: this.#lease.getTerm(),
+      sinceMs,
+    });
+  }
+
   /**
    * Gets whether a join that was sent to a server may still be carried out. The server refuses it once it has received a join of a later generation.
    *
@@ -237,6 +272,7 @@
       ...this.#directory.listRemovedServers(),
     ];
     const keys = new Set(servers.map(getProcessKey));
+    this.#closes.retainProcesses(keys);
     for (const orders of [this.#unansweredJoins, this.#unansweredLeaves]) {
       for (const key of orders.keys()) {
         if (!keys.has(key)) {
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -285,6 +285,13 @@
       this.#closeIncompleteGroup(reportedGroups, group);
       return;
     }
+    if (
+      this.#schedule.takesOrders(head) &&
+      reportedGroups.hasToConfirmClosing(group)
+    ) {
+      this.#startTask("closing", this.#tasks.runClosing(head, [head]));
+      return;
+    }
     if (!members.every((member) => this.#schedule.takesOrders(member))) {
       return;
     }
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -132,6 +132,26 @@
       ) || this.hasUnansweredLeave({ members });
   }
 
+  /**
+   * Gets whether the head of a complete group has to be closed although it reports that it is not open. An open of an earlier planner may still reach the head and would be carried out while the members leave. A head that has accepted a close of this term refuses it.
+   */
+  hasToConfirmClosing({ key, head, isComplete }: ReportedGroup): boolean {
+    const { state, generation } = head?.membership ?? {};
+    if (
+      !isComplete || state !== "ready" ||
+      generation! >= getFirstGeneration(this.#term)
+    ) {
+      return false;
+    }
+    const outcome = this.#options.orders.findCloseOutcome(head!);
+    const headState = this.#survivorProber.getState(key, head!, {
+      isLost: true,
+      mustRepeat: false,
+    });
+    return outcome !== "done" && outcome !== "begun" &&
+      headState !== "ended" && headState !== "silent";
+  }
+
   /** Gets whether a member of a group may still carry out a leave. */
   hasUnansweredLeave({ members }: Pick<ReportedGroup, "members">): boolean {
     return members.some((member) =>
@@ -150,7 +170,8 @@
     }
     // A group with a draining member, or of an earlier configuration, is closed first, which lets its requests finish.
     const isClosed = state === undefined ||
-      (state === "ready" && this.#isHeadConfirmed(group));
+      (state === "ready" && this.#isHeadConfirmed(group) &&
+        !this.hasToConfirmClosing(group));
     if (!group.isComplete) {
       const isReusable = (group.isOutdated && isClosed) ||
         (this.#isGraceOver(group) && this.#isMissingConfirmed(group));
@@ -161,7 +182,7 @@
     }
     const reusableFromMs = this.#reusableFromMs.get(group.key);
     const isSuperseded = reusableFromMs !== undefined &&
-      performance.now() >= reusableFromMs;
+      performance.now() >= reusableFromMs && !this.hasToConfirmClosing(group);
     return (group.isOutdated && isClosed) || isSuperseded;
   }
 
