Close a head before its members leave it for a silent missing member

Cause: after the entry of a member was removed, a silence of 2 s towards the planner alone freed the other members. A member that only the planner cannot reach goes on, and the requests of its group stood still.

Change (incomplete_group_rules.ts): while no daemon has found the group lost, the head is closed first, and the members are free once it has confirmed. A missing head that is silent itself cannot be closed. Its members wait until 3 s have passed since the removal, the longest drain notice time, within which requests to a removed server have to end. Nothing changes for a group that a daemon has found lost.

--- /dev/null
+++ b/src/process/fleet/incomplete_group_rules.ts
@@ -0,0 +1,55 @@
+import type { MembershipState } from "../../shared/backend_server.ts";
+import type { MemberState } from "./survivor_prober.ts";
+
+/** Time after which a head that cannot be asked counts as ended, in milliseconds from the removal of the first entry. Requests to a removed server have to end within the drain notice time, which is at most 3 s. */
+const MAX_REQUEST_MS = 3_000;
+
+/** What the planner has observed of a group that has lost the entry of a member. */
+export interface IncompleteGroupState {
+  /** Whether a daemon has found that the group has lost a member. */
+  readonly isLost: boolean;
+  /** States of the members without an entry. */
+  readonly missingStates: readonly MemberState[];
+  /** State of the group that the head last reported; undefined without a head. */
+  readonly headState: MembershipState | undefined;
+  /** State of the head according to its probes. */
+  readonly headProbeState: MemberState;
+  /** Time since which the group is incomplete, in milliseconds. */
+  readonly incompleteMs: number;
+}
+
+/**
+ * Decides whether the other members of an incomplete group can join other groups. Guards against requests in flight that stand still, since a member which only this planner cannot reach counts as ended while the head serves.
+ *
+ * If a daemon has found the group lost, the silence of the planner's own probes confirms it. Otherwise the head has to be closed, or to be out of reach for so long that its requests have ended.
+ */
+export function isServiceEnded(
+  { isLost, missingStates, headState, headProbeState, incompleteMs }:
+    IncompleteGroupState,
+): boolean {
+  if (
+    missingStates.includes("ended") ||
+    (isLost && missingStates.includes("silent")) || headState === undefined
+  ) {
+    return true;
+  }
+  if (headState !== "open" && headState !== "closing") {
+    return headProbeState !== "unknown";
+  }
+  return headProbeState === "ended" ||
+    (headProbeState === "silent" && incompleteMs >= MAX_REQUEST_MS);
+}
+
+/**
+ * Decides whether the head of an incomplete group that is open has to be closed. The state of each missing member has to be known, since a group that has lost a process is not closed first.
+ *
+ * @param missingStates - States of the members without an entry. A planner that has taken over may not know them.
+ * @param headProbeState - State of the head if it is one of these. A silent head is not sent a close, which it could carry out much later.
+ */
+export function hasToCloseHead(
+  missingStates: readonly MemberState[],
+  headProbeState: MemberState | undefined,
+): boolean {
+  return headProbeState !== "silent" &&
+    missingStates.every((state) => state !== "ended" && state !== "unknown");
+}
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -5,6 +5,7 @@
 import type { MissingMembers } from "../registration/missing_members.ts";
 import { getFirstGeneration, getFormedSize } from "./group_name.ts";
 import { collectMembers, type GroupTable } from "./group_table.ts";
+import { hasToCloseHead, isServiceEnded } from "./incomplete_group_rules.ts";
 import {
   isSpareGroup,
   type MemberOrderExecutor,
@@ -135,7 +136,8 @@
   /**
    * Gets whether the head of a complete group has to be closed although it reports that it is not open. An open of an earlier planner may still reach the head and would be carried out while the members leave. A head that has accepted a close of this term refuses it.
    */
-  hasToConfirmClosing({ key, head, isComplete }: ReportedGroup): boolean {
+  hasToConfirmClosing(group: ReportedGroup): boolean {
+    const { head, isComplete } = group;
     const { state, generation } = head?.membership ?? {};
     if (
       !isComplete || state !== "ready" ||
@@ -144,10 +146,7 @@
       return false;
     }
     const outcome = this.#options.orders.findCloseOutcome(head!);
-    const headState = this.#survivorProber.getState(key, head!, {
-      isLost: true,
-      mustRepeat: false,
-    });
+    const headState = this.#getHeadProbeState(group);
     return outcome !== "done" && outcome !== "begun" &&
       headState !== "ended" && headState !== "silent";
   }
@@ -187,28 +186,61 @@
   }
 
   /** Gets whether the state of the head does not come from the list alone, which may contain an entry from before the group was opened. */
-  #isHeadConfirmed({ key, head }: ReportedGroup): boolean {
-    const state = this.#survivorProber.getState(key, head!, {
-      isLost: true,
-      mustRepeat: false,
-    });
-    return state !== "unknown";
+  #isHeadConfirmed(group: ReportedGroup): boolean {
+    return this.#getHeadProbeState(group) !== "unknown";
+  }
+
+  #getHeadProbeState({ key, head }: ReportedGroup): MemberState {
+    return head === undefined
+      ? "unknown"
+      : this.#survivorProber.getState(key, head, {
+        isLost: true,
+        mustRepeat: false,
+      });
+  }
+
+  #isGraceOver(group: ReportedGroup): boolean {
+    return this.#getIncompleteMs(group) >= INCOMPLETE_GRACE_MS;
   }
 
-  #isGraceOver({ key }: ReportedGroup): boolean {
-    const incompleteSinceMs = this.#incompleteSinceMs.get(key);
-    return incompleteSinceMs !== undefined &&
-      performance.now() - incompleteSinceMs >= INCOMPLETE_GRACE_MS;
+  /** Gets the time since which a group is incomplete, in milliseconds; 0 for a complete group. */
+  #getIncompleteMs({ key }: ReportedGroup): number {
+    const nowMs = performance.now();
+    return nowMs - (this.#incompleteSinceMs.get(key) ?? nowMs);
   }
 
-  /** Gets whether an incomplete group does not serve any more: a missing member has ended, has left the group or stays silent, or the head is not open. */
+  /** Gets whether an incomplete group does not serve any more. */
   #isMissingConfirmed(group: ReportedGroup): boolean {
-    const states = this.#requestMissingStates(group);
-    const headState = group.head?.membership?.state;
-    return states.includes("ended") || states.includes("silent") ||
-      headState === undefined ||
-      (headState !== "open" && headState !== "closing" &&
-        this.#isHeadConfirmed(group));
+    const missingStates = this.#requestMissingStates(group);
+    return isServiceEnded({
+      isLost: this.#options.groups.isLost(group.key),
+      missingStates,
+      headState: group.head?.membership?.state,
+      headProbeState: this.#requestHeadProbeState(group, missingStates),
+      incompleteMs: this.#getIncompleteMs(group),
+    });
+  }
+
+  /** Gets the state of the head of an incomplete group. A listed head is not probed while it serves and responds to orders: the state that it reports could be from before its closing. */
+  #requestHeadProbeState(
+    group: ReportedGroup,
+    missingStates: readonly MemberState[],
+  ): MemberState {
+    const { key, head, missingMembers } = group;
+    const state = head?.membership?.state;
+    if (state !== "open" && state !== "closing") {
+      return this.#getHeadProbeState(group);
+    }
+    if (missingMembers.includes(head!)) {
+      return missingStates[missingMembers.indexOf(head!)];
+    }
+    const closeOutcome = this.#options.orders.findCloseOutcome(
+      head!,
+      this.#incompleteSinceMs.get(key),
+    );
+    return closeOutcome === "unknown"
+      ? this.#getHeadProbeState(group)
+      : "unknown";
   }
 
   /** Gets whether an incomplete group has to be closed, since its head is open and no missing member is known to have ended. A planner that has taken over may not know the missing members. */
@@ -221,7 +253,10 @@
     const states = this.#requestMissingStates(group);
     return this.#closings?.hasServedIncomplete(group)
       ? this.#closings.has(group.key) && !states.includes("ended")
-      : states.every((state) => state === "alive");
+      : hasToCloseHead(
+        states,
+        states[group.missingMembers.indexOf(group.head)],
+      );
   }
 
   #requestMissingStates(group: ReportedGroup): MemberState[] {
