Close a head before its members leave it for a member that refuses connections

Cause: after the entry of a member was removed, a refused connection counted as the end of its process. A server may stop listening before the requests of its group are complete; they stood still once the other members had left.

Change: a refusal that begins after the removal is a state of its own (`refused`). While no daemon has found the group lost, the head is closed first. A missing head that refuses connections counts as ended if it does not respond to the close either, or 3 s after the removal. A refusal that was seen while the member was listed, another process at the address, and a refusal in a group that a daemon has found lost count as before, so that MissingMemberTask goes on to take a refusal for a loss.

--- a/src/process/fleet/group_tasks.ts
+++ b/src/process/fleet/group_tasks.ts
@@ -31,6 +31,8 @@
   readonly schedule: OrderSchedule;
   readonly trace: ReplacementTrace;
   readonly logger: Logger;
+  /** Called when the outcome of a close is known. */
+  onCloseSent(): void;
 }
 
 /** Sequences of orders that form, open and close groups and load models. */
@@ -65,6 +67,7 @@
       () =>
         this.#options.orders.closeGroup(head, head.membership!, {
           timeoutMs: CLOSE_TIMEOUT_MS,
+          onCloseSent: () => this.#options.onCloseSent(),
         }),
     );
   }
--- a/src/process/fleet/incomplete_group_rules.ts
+++ b/src/process/fleet/incomplete_group_rules.ts
@@ -1,3 +1,4 @@
+import type { GroupOrderOutcome } from "../../connection/group_order_client.ts";
 import type { MembershipState } from "../../shared/backend_server.ts";
 import type { MemberState } from "./survivor_prober.ts";
 
@@ -14,6 +15,8 @@
   readonly headState: MembershipState | undefined;
   /** State of the head according to its probes. */
   readonly headProbeState: MemberState;
+  /** Outcome of the last close that was sent to the head since the group is incomplete. */
+  readonly closeOutcome: GroupOrderOutcome | undefined;
   /** Time since which the group is incomplete, in milliseconds. */
   readonly incompleteMs: number;
 }
@@ -21,23 +24,35 @@
 /**
  * Decides whether the other members of an incomplete group can join other groups. Guards against requests in flight that stand still, since a member which only this planner cannot reach counts as ended while the head serves.
  *
- * If a daemon has found the group lost, the silence of the planner's own probes confirms it. Otherwise the head has to be closed, or to be out of reach for so long that its requests have ended.
+ * If a daemon has found the group lost, silence or a refusal towards the planner confirms it. Otherwise the head has to be closed, or to be out of reach for so long that its requests have ended. A head that refuses connections counts as ended if it does not respond to a close either.
  */
 export function isServiceEnded(
-  { isLost, missingStates, headState, headProbeState, incompleteMs }:
-    IncompleteGroupState,
+  {
+    isLost,
+    missingStates,
+    headState,
+    headProbeState,
+    closeOutcome,
+    incompleteMs,
+  }: IncompleteGroupState,
 ): boolean {
   if (
     missingStates.includes("ended") ||
-    (isLost && missingStates.includes("silent")) || headState === undefined
+    (isLost && missingStates.some(isUnreachable)) || headState === undefined
   ) {
     return true;
   }
   if (headState !== "open" && headState !== "closing") {
     return headProbeState !== "unknown";
   }
-  return headProbeState === "ended" ||
-    (headProbeState === "silent" && incompleteMs >= MAX_REQUEST_MS);
+  const hasRefusedClose = headProbeState === "refused" &&
+    (closeOutcome === "unknown" || closeOutcome === "gone");
+  return headProbeState === "ended" || hasRefusedClose ||
+    (isUnreachable(headProbeState) && incompleteMs >= MAX_REQUEST_MS);
+}
+
+function isUnreachable(state: MemberState): boolean {
+  return state === "silent" || state === "refused";
 }
 
 /**
--- a/src/process/fleet/incomplete_group_rules_test.ts
+++ b/src/process/fleet/incomplete_group_rules_test.ts
@@ -11,6 +11,7 @@
   missingStates: ["alive"],
   headState: "open",
   headProbeState: "alive",
+  closeOutcome: undefined,
   incompleteMs: 60_000,
 };
 
@@ -23,6 +24,19 @@
     [{ missingStates: ["silent"], headState: "closing" }, false],
     [{ missingStates: ["silent"], isLost: true }, true],
     [{ missingStates: ["silent"], headState: "ready" }, true],
+    [{ missingStates: ["refused"] }, false],
+    [{ missingStates: ["refused"], isLost: true }, true],
+    [{ headProbeState: "refused", incompleteMs: 2_999 }, false],
+    [
+      { headProbeState: "refused", closeOutcome: "unknown", incompleteMs: 300 },
+      true,
+    ],
+    [{ headProbeState: "alive", closeOutcome: "unknown" }, false],
+    [{ headProbeState: "refused", closeOutcome: "begun" }, true],
+    [
+      { headProbeState: "refused", closeOutcome: "begun", incompleteMs: 2_999 },
+      false,
+    ],
     [{ headState: "ready", headProbeState: "unknown" }, false],
     [{ headState: "broken" }, true],
     [{ headProbeState: "ended" }, true],
@@ -39,6 +53,8 @@
     [[], undefined, true],
     [["alive"], undefined, true],
     [["silent"], undefined, true],
+    [["refused"], undefined, true],
+    [["refused"], "refused", true],
     [["unknown"], undefined, false],
     [["alive", "ended"], undefined, false],
     [["alive"], "alive", true],
--- a/src/process/fleet/member_order_executor.ts
+++ b/src/process/fleet/member_order_executor.ts
@@ -15,6 +15,7 @@
   GroupMembership,
 } from "../../shared/backend_server.ts";
 import { CloseRecords } from "./close_records.ts";
+import { OtherProcessError } from "./other_process_error.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
 
 /** Time limit for a status report of a server, in milliseconds. */
@@ -47,6 +48,8 @@
   readonly includesRemoved?: boolean;
   /** Called when a server that is to join a group has left another one. */
   onLeft?(): void;
+  /** Called when the outcome of a close is known. */
+  onCloseSent?(): void;
 }
 
 /** Sends orders to individual group members under the planner lease, and waits until the server's state shows the effect of each order. */
@@ -180,6 +183,7 @@
       });
       this.#forgetEndedProcesses();
     }
+    options.onCloseSent?.();
     return isPossiblyAccepted(outcome) && await this.#waitForState(
       head,
       {
@@ -380,11 +384,7 @@
     );
     return report.chain((state) => {
       if (!isSameProcess(server, state)) {
-        return Left(
-          new Error(
-            `Another process responds at the address of server ${server.id}`,
-          ),
-        );
+        return Left(new OtherProcessError(server.id));
       }
       this.#directory.applyReport(server.id, state);
       return report;
--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -71,6 +71,7 @@
       ...options,
       schedule: this.#schedule,
       trace: this.#trace,
+      onCloseSent: onChange,
     });
     // A lost group publishes a change, too.
     options.groups.onChange(onChange);
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -1,3 +1,4 @@
+import type { GroupOrderOutcome } from "../../connection/group_order_client.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type { RoutedService } from "../../version/routing_config.ts";
@@ -190,12 +191,15 @@
     return this.#getHeadProbeState(group) !== "unknown";
   }
 
-  #getHeadProbeState({ key, head }: ReportedGroup): MemberState {
+  #getHeadProbeState(
+    { key, head, missingMembers }: ReportedGroup,
+  ): MemberState {
     return head === undefined
       ? "unknown"
       : this.#survivorProber.getState(key, head, {
         isLost: true,
         mustRepeat: false,
+        isRemoved: missingMembers.includes(head),
       });
   }
 
@@ -217,6 +221,7 @@
       missingStates,
       headState: group.head?.membership?.state,
       headProbeState: this.#requestHeadProbeState(group, missingStates),
+      closeOutcome: this.#findCloseOutcome(group),
       incompleteMs: this.#getIncompleteMs(group),
     });
   }
@@ -226,21 +231,27 @@
     group: ReportedGroup,
     missingStates: readonly MemberState[],
   ): MemberState {
-    const { key, head, missingMembers } = group;
-    const state = head?.membership?.state;
-    if (state !== "open" && state !== "closing") {
-      return this.#getHeadProbeState(group);
-    }
-    if (missingMembers.includes(head!)) {
-      return missingStates[missingMembers.indexOf(head!)];
+    const { head, missingMembers } = group;
+    if (head !== undefined && missingMembers.includes(head)) {
+      return missingStates[missingMembers.indexOf(head)];
     }
-    const closeOutcome = this.#options.orders.findCloseOutcome(
-      head!,
-      this.#incompleteSinceMs.get(key),
-    );
-    return closeOutcome === "unknown"
-      ? this.#getHeadProbeState(group)
-      : "unknown";
+    const state = head?.membership?.state;
+    const isServing = state === "open" || state === "closing";
+    return isServing && this.#findCloseOutcome(group) !== "unknown"
+      ? "unknown"
+      : this.#getHeadProbeState(group);
+  }
+
+  /** Finds the outcome of the last close that was sent to the head of a group since the group is incomplete. */
+  #findCloseOutcome(
+    { key, head }: ReportedGroup,
+  ): GroupOrderOutcome | undefined {
+    return head === undefined
+      ? undefined
+      : this.#options.orders.findCloseOutcome(
+        head,
+        this.#incompleteSinceMs.get(key),
+      );
   }
 
   /** Gets whether an incomplete group has to be closed, since its head is open and no missing member is known to have ended. A planner that has taken over may not know the missing members. */
@@ -252,7 +263,8 @@
     }
     const states = this.#requestMissingStates(group);
     return this.#closings?.hasServedIncomplete(group)
-      ? this.#closings.has(group.key) && !states.includes("ended")
+      ? this.#closings.has(group.key) && !states.includes("ended") &&
+        !states.includes("refused")
       : hasToCloseHead(
         states,
         states[group.missingMembers.indexOf(group.head)],
@@ -264,12 +276,11 @@
     const isLost = this.#options.groups.isLost(group.key) ||
       !this.#closings?.isServingIncomplete(group);
     return group.missingMembers.map((member) =>
-      // A server that drains may refuse connections before it ends. Once its entry is removed, a refusal means that it has ended.
-      this.#survivorProber.getState(
-        group.key,
-        { ...member, isDraining: false },
-        { isLost, mustRepeat: true },
-      )
+      this.#survivorProber.getState(group.key, member, {
+        isLost,
+        mustRepeat: true,
+        isRemoved: true,
+      })
     );
   }
 
--- a/src/process/fleet/survivor_prober.ts
+++ b/src/process/fleet/survivor_prober.ts
@@ -2,6 +2,7 @@
 import type { BackendServer } from "../../shared/backend_server.ts";
 import { LoopDelayMeter } from "./loop_delay_meter.ts";
 import type { MemberOrderExecutor } from "./member_order_executor.ts";
+import { OtherProcessError } from "./other_process_error.ts";
 
 /** Time after which a member that did not respond is probed again, in milliseconds. */
 const SILENCE_PROBE_INTERVAL_MS = 250;
@@ -17,10 +18,16 @@
  *
  * - `alive`: it has responded to the last probe.
  * - `ended`: its process has ended, or another process uses its address.
+ * - `refused`: it refuses connections since its entry was removed. Its process has ended, or it only has stopped listening.
  * - `silent`: it has not responded for `MAX_SILENCE_MS`.
  * - `unknown`: no probe has ended yet, or it has been silent for a shorter time.
  */
-export type MemberState = "alive" | "ended" | "silent" | "unknown";
+export type MemberState =
+  | "alive"
+  | "ended"
+  | "refused"
+  | "silent"
+  | "unknown";
 
 interface MemberProbe {
   state: MemberState;
@@ -53,12 +60,16 @@
    *
    * @param groupKey - Key of the group.
    * @param server - Member to probe.
-   * @param options - Whether the group is lost, and whether a member that has responded is probed again.
+   * @param options - Whether the group is lost, whether a member that has responded is probed again, and whether the member's entry was removed.
    */
   getState(
     groupKey: string,
     server: BackendServer,
-    { isLost, mustRepeat }: { isLost: boolean; mustRepeat: boolean },
+    { isLost, mustRepeat, isRemoved = false }: {
+      isLost: boolean;
+      mustRepeat: boolean;
+      isRemoved?: boolean;
+    },
   ): MemberState {
     const probes = this.#probes.get(groupKey) ??
       new Map<string, MemberProbe>();
@@ -73,7 +84,7 @@
     if (!probe.isPending && isDue) {
       probe.isAfterLoss = isLost;
       probe.state = isOutdated ? "unknown" : probe.state;
-      void this.#runProbe(probe, server);
+      void this.#runProbe(probe, server, isRemoved);
     }
     return probe.state;
   }
@@ -104,7 +115,11 @@
     }
   }
 
-  async #runProbe(probe: MemberProbe, server: BackendServer): Promise<void> {
+  async #runProbe(
+    probe: MemberProbe,
+    server: BackendServer,
+    isRemoved: boolean,
+  ): Promise<void> {
     const sentAtMs = performance.now();
     probe.isPending = true;
     probe.sentAtMs = sentAtMs;
@@ -116,9 +131,10 @@
     if (error === undefined) {
       probe.state = "alive";
       probe.silentSinceMs = undefined;
+    } else if (error instanceof OtherProcessError) {
+      probe.state = "ended";
     } else if (!(error instanceof ReportTimeoutError)) {
-      // A server that drains stops listening before its requests are complete. Its entry is removed once it has ended.
-      probe.state = server.isDraining ? "unknown" : "ended";
+      probe.state = getRefusedState(probe, server, isRemoved);
     } else if (!isObserverSlow) {
       probe.silentSinceMs ??= sentAtMs;
       probe.state = performance.now() - probe.silentSinceMs >= MAX_SILENCE_MS
@@ -129,6 +145,18 @@
   }
 }
 
+/** Gets the state of a member that has refused a connection. A server may stop listening before its requests are complete: while it drains, and after its entry was removed. */
+function getRefusedState(
+  { state }: MemberProbe,
+  { isDraining }: BackendServer,
+  isRemoved: boolean,
+): MemberState {
+  if (isRemoved) {
+    return state === "ended" ? "ended" : "refused";
+  }
+  return isDraining ? "unknown" : "ended";
+}
+
 function createProbe(): MemberProbe {
   return {
     state: "unknown",
--- a/src/process/fleet/survivor_prober_test.ts
+++ b/src/process/fleet/survivor_prober_test.ts
@@ -11,6 +11,7 @@
 } from "../../shared/backend_server.ts";
 import { LoopDelayMeter } from "./loop_delay_meter.ts";
 import type { MemberOrderExecutor } from "./member_order_executor.ts";
+import { OtherProcessError } from "./other_process_error.ts";
 import { SurvivorProber } from "./survivor_prober.ts";
 
 const SERVER = createBackendServer();
@@ -66,12 +67,14 @@
         server?: BackendServer;
         isLost?: boolean;
         mustRepeat?: boolean;
+        isRemoved?: boolean;
       } = {},
     ) {
       const getState = () =>
         prober.getState(GROUP_KEY, options.server ?? SERVER, {
           isLost: options.isLost ?? true,
           mustRepeat: options.mustRepeat ?? true,
+          isRemoved: options.isRemoved,
         });
       for (let passedMs = 0; passedMs < durationMs;) {
         getState();
@@ -99,6 +102,26 @@
       expect(await doTest(prober, 3_000, { server })).toBe("unknown");
     });
 
+    // Guards against members that join another group while a removed server, which has only stopped listening, completes its streams.
+    it("does not take a removed member that refuses connections for ended", async () => {
+      const { prober } = createProber(() => REFUSAL);
+      expect(await doTest(prober, 3_000, { isRemoved: true })).toBe("refused");
+    });
+
+    // Guards against a group that waits for a member whose end was known before its entry was removed.
+    it("keeps the end of a process that was known before the removal", async () => {
+      const { prober } = createProber(() => REFUSAL);
+      await doTest(prober, 100);
+      expect(await doTest(prober, 3_000, { isRemoved: true })).toBe("ended");
+    });
+
+    it("shows the end of a removed member whose address another process uses", async () => {
+      const { prober } = createProber(() =>
+        Left(new OtherProcessError(SERVER.id))
+      );
+      expect(await doTest(prober, 100, { isRemoved: true })).toBe("ended");
+    });
+
     it("does not count a member as silent within two seconds", async () => {
       const { prober } = createProber(() => NO_RESPONSE);
       expect(await doTest(prober, 1_950)).toBe("unknown");
