Keep the members of a group whose head a new planner has never known

Cause: a daemon that starts and becomes the planner does not know servers that were removed before. A group whose head was among them had no head in its view, and its members were free after 250 ms while the head completed requests.

Change: if an earlier planner formed the group and this one has never known its head, the members wait until the group has been incomplete for 3 s, within which requests to a removed server have to end. Groups of the planner's own term, and heads that it has known, count as before. A head that restarted before such a daemon saw it costs these 3 s, too.

--- a/src/process/fleet/incomplete_group_rules.ts
+++ b/src/process/fleet/incomplete_group_rules.ts
@@ -13,6 +13,8 @@
   readonly missingStates: readonly MemberState[];
   /** State of the group that the head last reported; undefined without a head. */
   readonly headState: MembershipState | undefined;
+  /** Whether an earlier planner formed the group, and this one has never known its head. */
+  readonly isHeadUnknown: boolean;
   /** State of the head according to its probes. */
   readonly headProbeState: MemberState;
   /** Outcome of the last close that was sent to the head since the group is incomplete. */
@@ -31,6 +33,7 @@
     isLost,
     missingStates,
     headState,
+    isHeadUnknown,
     headProbeState,
     closeOutcome,
     incompleteMs,
@@ -38,10 +41,13 @@
 ): boolean {
   if (
     missingStates.includes("ended") ||
-    (isLost && missingStates.some(isUnreachable)) || headState === undefined
+    (isLost && missingStates.some(isUnreachable))
   ) {
     return true;
   }
+  if (headState === undefined) {
+    return !isHeadUnknown || incompleteMs >= MAX_REQUEST_MS;
+  }
   if (headState !== "open" && headState !== "closing") {
     return headProbeState !== "unknown";
   }
--- a/src/process/fleet/incomplete_group_rules_test.ts
+++ b/src/process/fleet/incomplete_group_rules_test.ts
@@ -10,6 +10,7 @@
   isLost: false,
   missingStates: ["alive"],
   headState: "open",
+  isHeadUnknown: false,
   headProbeState: "alive",
   closeOutcome: undefined,
   incompleteMs: 60_000,
@@ -37,6 +38,15 @@
       { headProbeState: "refused", closeOutcome: "begun", incompleteMs: 2_999 },
       false,
     ],
+    [{ headState: undefined }, true],
+    [
+      { headState: undefined, isHeadUnknown: true, incompleteMs: 2_999 },
+      false,
+    ],
+    [
+      { headState: undefined, isHeadUnknown: true, incompleteMs: 3_000 },
+      true,
+    ],
     [{ headState: "ready", headProbeState: "unknown" }, false],
     [{ headState: "broken" }, true],
     [{ headProbeState: "ended" }, true],
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -56,6 +56,8 @@
   readonly #reusableFromMs = new Map<string, number>();
   /** Number of servers that each reported group was formed of, by group key. It counts for groups that an earlier version has formed, whose names do not state it. */
   #groupSizes = new Map<string, number>();
+  /** Keys of the reported groups whose heads this daemon has known as the planner. */
+  #keysWithHead: ReadonlySet<string> = new Set();
   readonly #survivorProber: SurvivorProber;
   /** Closings of the groups that stay in service without the entry of a member; undefined when a missing entry takes a group out of service. */
   readonly #closings: GroupClosings | undefined;
@@ -95,6 +97,11 @@
       knownSizes: this.#groupSizes,
     });
     this.#groups = groups;
+    this.#keysWithHead = new Set(
+      [...groups].flatMap(([key, { head }]) =>
+        head !== undefined || this.#keysWithHead.has(key) ? [key] : []
+      ),
+    );
     this.#recordGroupSizes(groups);
     this.#recordIncompleteGroups(groups);
     this.#recordSupersededGroups(service, groups);
@@ -220,12 +227,20 @@
       isLost: this.#options.groups.isLost(group.key),
       missingStates,
       headState: group.head?.membership?.state,
+      isHeadUnknown: this.#isHeadUnknown(group),
       headProbeState: this.#requestHeadProbeState(group, missingStates),
       closeOutcome: this.#findCloseOutcome(group),
       incompleteMs: this.#getIncompleteMs(group),
     });
   }
 
+  /** Gets whether the head of a group may serve without an entry that this planner has ever seen. The heads of the groups of its own term are known once they have joined. */
+  #isHeadUnknown({ key, members, head }: ReportedGroup): boolean {
+    const { generation } = members[0].membership!;
+    return head === undefined && !this.#keysWithHead.has(key) &&
+      generation < getFirstGeneration(this.#term);
+  }
+
   /** Gets the state of the head of an incomplete group. A listed head is not probed while it serves and responds to orders: the state that it reports could be from before its closing. */
   #requestHeadProbeState(
     group: ReportedGroup,
