--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -17,7 +17,8 @@
 import { OrderSchedule } from "./order_schedule.ts";
 import { ServiceState } from "./service_state.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
-import type { ReportedGroup, ReportedGroups } from "./reported_groups.ts";
+import type { ReportedGroup } from "./reported_group.ts";
+import type { ReportedGroups } from "./reported_groups.ts";
 import { type FleetPlan, planFleet } from "./replica_planner.ts";
 
 /** Minimum time between two plans, in milliseconds. */
--- a/src/process/registration/group_closings.ts
+++ b/src/process/registration/group_closings.ts
@@ -1,7 +1,7 @@
 import type { Logger } from "../../shared/logger.ts";
 import type { RoutedService } from "../../version/routing_config.ts";
 import type { GroupTable } from "../fleet/group_table.ts";
-import type { ReportedGroup } from "../fleet/reported_groups.ts";
+import type { ReportedGroup } from "../fleet/reported_group.ts";
 import {
   chooseClosings,
   type ClosingReason,
--- a/src/process/registration/replacement_trace.ts
+++ b/src/process/registration/replacement_trace.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "../../shared/logger.ts";
-import type { ReportedGroup } from "../fleet/reported_groups.ts";
+import type { ReportedGroup } from "../fleet/reported_group.ts";
 
 /** Time for which the steps of a group are kept after its last member has left it, in milliseconds. It exceeds that of a formation, in which members leave one group and join the next. */
 const RETENTION_MS = 10_000;
--- a/src/process/registration/replacement_trace_test.ts
+++ b/src/process/registration/replacement_trace_test.ts
@@ -5,7 +5,7 @@
   MembershipState,
 } from "../../shared/backend_server.ts";
 import type { LogFields } from "../../shared/logger.ts";
-import type { ReportedGroup } from "../fleet/reported_groups.ts";
+import type { ReportedGroup } from "../fleet/reported_group.ts";
 import { ReplacementTrace } from "./replacement_trace.ts";
 
 describe("ReplacementTrace", () => {
