--- a/src/process/fleet/replica_reconciler.ts
+++ b/src/process/fleet/replica_reconciler.ts
@@ -17,7 +17,8 @@
 import { OrderSchedule } from "./order_schedule.ts";
 import { ServiceState } from "./service_state.ts";
 import type { PlannerLeaseHolder } from "./planner_lease_holder.ts";
-import type { ReportedGroup, ReportedGroups } from "./reported_groups.ts";
+import type { ReportedGroup } from "./reported_group.ts";
+import type { ReportedGroups } from "./reported_groups.ts";
 import { type FleetPlan, planFleet } from "./replica_planner.ts";
 
 /** Minimum time between two plans, in milliseconds. */
@@ -71,6 +72,7 @@
       ...options,
       schedule: this.#schedule,
       trace: this.#trace,
+      onCloseSent: onChange,
     });
     // A lost group publishes a change, too.
     options.groups.onChange(onChange);
@@ -285,6 +287,13 @@
       this.#closeIncompleteGroup(reportedGroups, group);
       return;
     }
+    if (
+      this.#schedule.takesOrders(head) &&
+      reportedGroups.hasToConfirmClosing(group)
+    ) {
+      this.#startTask("closing", this.#tasks.runClosing(head, [head]));
+      return;
+    }
     if (!members.every((member) => this.#schedule.takesOrders(member))) {
       return;
     }
--- a/src/process/fleet/reported_groups.ts
+++ b/src/process/fleet/reported_groups.ts
@@ -1,38 +1,26 @@
+import type { GroupOrderOutcome } from "../../connection/group_order_client.ts";
 import type { BackendServer } from "../../shared/backend_server.ts";
 import type { Logger } from "../../shared/logger.ts";
 import type { RoutedService } from "../../version/routing_config.ts";
 import { GroupClosings } from "../registration/group_closings.ts";
 import type { MissingMembers } from "../registration/missing_members.ts";
-import { getFirstGeneration, getFormedSize } from "./group_name.ts";
-import { collectMembers, type GroupTable } from "./group_table.ts";
+import { getFirstGeneration } from "./group_name.ts";
+import type { GroupTable } from "./group_table.ts";
+import { hasToCloseHead, isServiceEnded } from "./incomplete_group_rules.ts";
 import {
   isSpareGroup,
   type MemberOrderExecutor,
 } from "./member_order_executor.ts";
+import {
+  collectReportedGroups,
+  hasJoined,
+  type ReportedGroup,
+} from "./reported_group.ts";
 import { type MemberState, SurvivorProber } from "./survivor_prober.ts";
 
 /** Time for which a group has to be incomplete before its remaining members may join other groups, in milliseconds. Entries of the server list arrive in batches, so a member may be missing temporarily. */
 const INCOMPLETE_GRACE_MS = 250;
 
-/** Replica group as reported by its members. */
-export interface ReportedGroup {
-  readonly key: string;
-  /** Members in the list of servers. */
-  readonly members: readonly BackendServer[];
-  /** Members that were removed from the list of servers, as they were last known. */
-  readonly missingMembers: readonly BackendServer[];
-  /** Head, which may be one of the missing members. */
-  readonly head: BackendServer | undefined;
-  /** Number of servers that the group was formed of; undefined while the head joins a group of a model that is not in the configuration. */
-  readonly size: number | undefined;
-  /** Whether none of these servers is missing. */
-  readonly isComplete: boolean;
-  /** Whether the configuration no longer has the group's model, or has it with another number of servers. */
-  readonly isOutdated: boolean;
-  /** Whether all members are ready, so that the group can be opened. */
-  readonly isReady: boolean;
-}
-
 /** Dependencies of `ReportedGroups`. */
 export interface ReportedGroupsOptions {
   readonly groups: GroupTable;
@@ -54,6 +42,8 @@
   readonly #reusableFromMs = new Map<string, number>();
   /** Number of servers that each reported group was formed of, by group key. It counts for groups that an earlier version has formed, whose names do not state it. */
   #groupSizes = new Map<string, number>();
+  /** Keys of the reported groups whose heads this daemon has known as the planner. */
+  #keysWithHead: ReadonlySet<string> = new Set();
   readonly #survivorProber: SurvivorProber;
   /** Closings of the groups that stay in service without the entry of a member; undefined when a missing entry takes a group out of service. */
   readonly #closings: GroupClosings | undefined;
@@ -93,6 +83,11 @@
       knownSizes: this.#groupSizes,
     });
     this.#groups = groups;
+    this.#keysWithHead = new Set(
+      [...groups].flatMap(([key, { head }]) =>
+        head !== undefined || this.#keysWithHead.has(key) ? [key] : []
+      ),
+    );
     this.#recordGroupSizes(groups);
     this.#recordIncompleteGroups(groups);
     this.#recordSupersededGroups(service, groups);
@@ -132,6 +127,24 @@
       ) || this.hasUnansweredLeave({ members });
   }
 
+  /**
+   * Gets whether the head of a complete group has to be closed although it reports that it is not open. An open of an earlier planner may still reach the head and would be carried out while the members leave. A head that has accepted a close of this term refuses it.
+   */
+  hasToConfirmClosing(group: ReportedGroup): boolean {
+    const { head, isComplete } = group;
+    const { state, generation } = head?.membership ?? {};
+    if (
+      !isComplete || state !== "ready" ||
+      generation! >= getFirstGeneration(this.#term)
+    ) {
+      return false;
+    }
+    const outcome = this.#options.orders.findCloseOutcome(head!);
+    const headState = this.#getHeadProbeState(group);
+    return outcome !== "done" && outcome !== "begun" &&
+      headState !== "ended" && headState !== "silent";
+  }
+
   /** Gets whether a member of a group may still carry out a leave. */
   hasUnansweredLeave({ members }: Pick<ReportedGroup, "members">): boolean {
     return members.some((member) =>
@@ -150,7 +163,8 @@
     }
     // A group with a draining member, or of an earlier configuration, is closed first, which lets its requests finish.
     const isClosed = state === undefined ||
-      (state === "ready" && this.#isHeadConfirmed(group));
+      (state === "ready" && this.#isHeadConfirmed(group) &&
+        !this.hasToConfirmClosing(group));
     if (!group.isComplete) {
       const isReusable = (group.isOutdated && isClosed) ||
         (this.#isGraceOver(group) && this.#isMissingConfirmed(group));
@@ -161,33 +175,84 @@
     }
     const reusableFromMs = this.#reusableFromMs.get(group.key);
     const isSuperseded = reusableFromMs !== undefined &&
-      performance.now() >= reusableFromMs;
+      performance.now() >= reusableFromMs && !this.hasToConfirmClosing(group);
     return (group.isOutdated && isClosed) || isSuperseded;
   }
 
   /** Gets whether the state of the head does not come from the list alone, which may contain an entry from before the group was opened. */
-  #isHeadConfirmed({ key, head }: ReportedGroup): boolean {
-    const state = this.#survivorProber.getState(key, head!, {
-      isLost: true,
-      mustRepeat: false,
-    });
-    return state !== "unknown";
+  #isHeadConfirmed(group: ReportedGroup): boolean {
+    return this.#getHeadProbeState(group) !== "unknown";
+  }
+
+  #getHeadProbeState(
+    { key, head, missingMembers }: ReportedGroup,
+  ): MemberState {
+    return head === undefined
+      ? "unknown"
+      : this.#survivorProber.getState(key, head, {
+        isLost: true,
+        mustRepeat: false,
+        isRemoved: missingMembers.includes(head),
+      });
+  }
+
+  #isGraceOver(group: ReportedGroup): boolean {
+    return this.#getIncompleteMs(group) >= INCOMPLETE_GRACE_MS;
   }
 
-  #isGraceOver({ key }: ReportedGroup): boolean {
-    const incompleteSinceMs = this.#incompleteSinceMs.get(key);
-    return incompleteSinceMs !== undefined &&
-      performance.now() - incompleteSinceMs >= INCOMPLETE_GRACE_MS;
+  /** Gets the time since which a group is incomplete, in milliseconds; 0 for a complete group. */
+  #getIncompleteMs({ key }: ReportedGroup): number {
+    const nowMs = performance.now();
+    return nowMs - (this.#incompleteSinceMs.get(key) ?? nowMs);
   }
 
-  /** Gets whether an incomplete group does not serve any more: a missing member has ended, has left the group or stays silent, or the head is not open. */
+  /** Gets whether an incomplete group does not serve any more. */
   #isMissingConfirmed(group: ReportedGroup): boolean {
-    const states = this.#requestMissingStates(group);
-    const headState = group.head?.membership?.state;
-    return states.includes("ended") || states.includes("silent") ||
-      headState === undefined ||
-      (headState !== "open" && headState !== "closing" &&
-        this.#isHeadConfirmed(group));
+    const missingStates = this.#requestMissingStates(group);
+    return isServiceEnded({
+      isLost: this.#options.groups.isLost(group.key),
+      missingStates,
+      headState: group.head?.membership?.state,
+      isHeadUnknown: this.#isHeadUnknown(group),
+      headProbeState: this.#requestHeadProbeState(group, missingStates),
+      closeOutcome: this.#findCloseOutcome(group),
+      incompleteMs: this.#getIncompleteMs(group),
+    });
+  }
+
+  /** Gets whether the head of a group may serve without an entry that this planner has ever seen. The heads of the groups of its own term are known once they have joined. */
+  #isHeadUnknown({ key, members, head }: ReportedGroup): boolean {
+    const { generation } = members[0].membership!;
+    return head === undefined && !this.#keysWithHead.has(key) &&
+      generation < getFirstGeneration(this.#term);
+  }
+
+  /** Gets the state of the head of an incomplete group. A listed head is not probed while it serves and responds to orders: the state that it reports could be from before its closing. */
+  #requestHeadProbeState(
+    group: ReportedGroup,
+    missingStates: readonly MemberState[],
+  ): MemberState {
+    const { head, missingMembers } = group;
+    if (head !== undefined && missingMembers.includes(head)) {
+      return missingStates[missingMembers.indexOf(head)];
+    }
+    const state = head?.membership?.state;
+    const isServing = state === "open" || state === "closing";
+    return isServing && this.#findCloseOutcome(group) !== "unknown"
+      ? "unknown"
+      : this.#getHeadProbeState(group);
+  }
+
+  /** Finds the outcome of the last close that was sent to the head of a group since the group is incomplete. */
+  #findCloseOutcome(
+    { key, head }: ReportedGroup,
+  ): GroupOrderOutcome | undefined {
+    return head === undefined
+      ? undefined
+      : this.#options.orders.findCloseOutcome(
+        head,
+        this.#incompleteSinceMs.get(key),
+      );
   }
 
   /** Gets whether an incomplete group has to be closed, since its head is open and no missing member is known to have ended. A planner that has taken over may not know the missing members. */
@@ -199,8 +264,12 @@
     }
     const states = this.#requestMissingStates(group);
     return this.#closings?.hasServedIncomplete(group)
-      ? this.#closings.has(group.key) && !states.includes("ended")
-      : states.every((state) => state === "alive");
+      ? this.#closings.has(group.key) && !states.includes("ended") &&
+        !states.includes("refused")
+      : hasToCloseHead(
+        states,
+        states[group.missingMembers.indexOf(group.head)],
+      );
   }
 
   #requestMissingStates(group: ReportedGroup): MemberState[] {
@@ -208,12 +277,11 @@
     const isLost = this.#options.groups.isLost(group.key) ||
       !this.#closings?.isServingIncomplete(group);
     return group.missingMembers.map((member) =>
-      // A server that drains may refuse connections before it ends. Once its entry is removed, a refusal means that it has ended.
-      this.#survivorProber.getState(
-        group.key,
-        { ...member, isDraining: false },
-        { isLost, mustRepeat: true },
-      )
+      this.#survivorProber.getState(group.key, member, {
+        isLost,
+        mustRepeat: true,
+        isRemoved: true,
+      })
     );
   }
 
@@ -312,52 +380,3 @@
     }
   }
 }
-
-/**
- * Collects the groups that the servers of a service report.
- *
- * @param service - Service of the servers.
- * @param options - Servers, and number of servers that each group was formed of whose name does not state it, by group key. Any other such group counts as formed as the configuration says.
- */
-function collectReportedGroups(
-  service: RoutedService,
-  { servers, removedServers, knownSizes }: {
-    servers: readonly BackendServer[];
-    removedServers: readonly BackendServer[];
-    knownSizes: ReadonlyMap<string, number>;
-  },
-): Map<string, ReportedGroup> {
-  const groups = new Map<string, ReportedGroup>();
-  const missingByKey = collectMembers(removedServers);
-  for (const [key, members] of collectMembers(servers)) {
-    const missingMembers = missingByKey.get(key) ?? [];
-    const head = [...members, ...missingMembers].find(({ membership }) =>
-      membership?.rank === 0
-    );
-    const groupSize = service.engine?.models.find(({ name }) =>
-      name === head?.loadedModels[0]
-    )?.groupSize;
-    const { groupName } = members[0].membership!;
-    const expectedSize = getFormedSize(groupName) ?? knownSizes.get(key) ??
-      groupSize;
-    const size = hasJoined(head)
-      ? Math.max(expectedSize ?? 0, members.length + missingMembers.length)
-      : expectedSize;
-    groups.set(key, {
-      key,
-      members,
-      missingMembers,
-      head,
-      size,
-      isComplete: members.length === size,
-      isOutdated: hasJoined(head) && size !== groupSize,
-      isReady: members.every(({ membership }) => membership?.state === "ready"),
-    });
-  }
-  return groups;
-}
-
-/** Gets whether the head of a group has joined it, so that the model which it reports is that of the group. */
-function hasJoined(head: BackendServer | undefined): boolean {
-  return head?.membership !== undefined && head.membership.state !== "joining";
-}
