Move a chat stream only once the other engine responds

Cause: a stream whose group takes no new work ended its attempt as soon as another group had granted a slot. When that engine refused the request and no retry was permitted, the stream ended with 502 although its group would have completed it.

Change: ChatMove sends the request to the other group while the current attempt goes on, and ends that attempt when the first batch of the other engine arrives. In between the stream accepts no tokens, because the other engine continues after the tokens accepted before. A refused move leaves the stream at its group. Repeated requests of a move need a retry permit; a loss of the other group counts for the moved request. StreamMove of the routed path keeps the state of each try.

The pause of a moved stream, a prefill, is not measured; it is as long as before by design.

--- a/src/process/in_flight_streams.ts
+++ b/src/process/in_flight_streams.ts
@@ -11,6 +11,8 @@
   readonly fingerprint: string;
   /** Group that runs the stream, or undefined while it waits for one. */
   readonly groupId: string | undefined;
+  /** Group to which the request was sent for a move and which has not begun to respond. */
+  readonly moveGroupId?: string | undefined;
   readonly zone: string | undefined;
   /** Starts to move the stream to another group without interrupting the response; has no effect while the stream is being moved. */
   requestMove(): void;
--- a/src/request/chat_stream.ts
+++ b/src/request/chat_stream.ts
@@ -1,5 +1,5 @@
 import { type EngineChunk, EngineError } from "../connection/engine_client.ts";
-import type { Grant } from "../process/admission.ts";
+import type { AdmissionRequest, Grant } from "../process/admission.ts";
 import type { DaemonContext } from "../process/daemon_context.ts";
 import type { InFlightStream } from "../process/in_flight_streams.ts";
 import { getBackoffMs } from "../shared/backoff.ts";
@@ -14,6 +14,18 @@
   getKvTokens,
   getPromptText,
 } from "./chat_engine_request.ts";
+import {
+  createEarlyEndError,
+  isDeclined,
+  MAX_DECLINED_ATTEMPTS,
+  MAX_FAILED_ATTEMPTS,
+} from "./chat_failure.ts";
+import {
+  type ChatFailure,
+  ChatMove,
+  closeAttempt,
+  type ReadableAttempt,
+} from "./chat_move.ts";
 import type { ChatRequestBody } from "./chat_request_schema.ts";
 import type { RequestContext } from "./request_context.ts";
 import { getRequestFingerprint } from "./request_fingerprint.ts";
@@ -21,15 +33,8 @@
 
 /** Length of the prompt prefix that is hashed for admission, in characters. */
 const PREFIX_HASH_CHARACTERS = 256;
-/** Number of failed attempts after which a request fails. */
-const MAX_FAILED_ATTEMPTS = 4;
-/** Number of declined attempts after which a request fails. An attempt counts as declined when the engine refused it or could not be reached. Such attempts are cheap, and several may follow one another until the monitors detect the loss of a group. */
-const MAX_DECLINED_ATTEMPTS = 32;
 /** Time since the last failure after which a waiting stream may use failed groups again, in milliseconds. It is longer than the monitors need to detect the loss of a group. */
 const GROUP_EXCLUSION_MS = 1_000;
-/** Interval at which a stream that has to move looks for another group, in milliseconds. */
-const MOVE_RETRY_INTERVAL_MS = 200;
-
 /** Number of token batches for each sample of the time between tokens. */
 const BATCHES_PER_SAMPLE = 16;
 
@@ -68,8 +73,9 @@
   #failedAttemptCount = 0;
   #declinedAttemptCount = 0;
   #lastFailureAtMs = 0;
-  #nextGrant: ChatGrant | undefined;
-  #isMoving = false;
+  /** Attempt that continues the stream after a move. */
+  #nextAttempt: ReadableAttempt | undefined;
+  #move: ChatMove | undefined;
   #isComplete = false;
   #verdict: Verdict = "not-run";
 
@@ -95,6 +101,10 @@
     return this.#attempt?.grant.group.groupId;
   }
 
+  get moveGroupId(): string | undefined {
+    return this.#move?.groupId;
+  }
+
   get zone(): string | undefined {
     return this.#attempt?.grant.group.zone;
   }
@@ -111,6 +121,7 @@
     if (!this.isRunning) {
       return;
     }
+    this.#move?.cancel();
     this.#attempt?.cancel("parked");
     this.#isParked = true;
     this.#context.metrics.count("parks");
@@ -123,16 +134,18 @@
 
   requestMove(): void {
     const attempt = this.#attempt;
-    if (attempt !== undefined && !this.#isMoving) {
-      this.#isMoving = true;
-      this.#moveToOtherGroup(attempt)
+    const isMoving = this.#move !== undefined ||
+      this.#nextAttempt !== undefined;
+    if (attempt !== undefined && !isMoving) {
+      this.#move = this.#createMove();
+      this.#move.run(attempt, this.#controller.signal)
         .catch((error: unknown) => {
           this.#context.logger.write("warn", "stream-move-failed", {
             requestId: this.requestId,
             message: String(error),
           });
         })
-        .finally(() => this.#isMoving = false);
+        .finally(() => this.#move = undefined);
     }
   }
 
@@ -169,11 +182,14 @@
       request.signal.removeEventListener("abort", onAbort);
       inFlightStreams.remove(this);
       // Aborting creates an error with a stack trace, so it is skipped unless a move may listen to the signal.
-      if (this.#isMoving) {
+      if (this.#move !== undefined) {
         this.#controller.abort();
+        this.#move.cancel();
+      }
+      const nextAttempt = this.#takeNextAttempt();
+      if (nextAttempt !== undefined) {
+        await closeAttempt(nextAttempt);
       }
-      this.#nextGrant?.grant.release("cancelled");
-      this.#nextGrant = undefined;
     }
   }
 
@@ -182,13 +198,17 @@
     void,
     undefined
   > {
-    const { grant, alone } = this.#takeNextGrant() ??
-      await this.#acquireAndMeasure();
-    const attempt = this.#createAttempt(grant);
+    const { attempt, alone, batches } = this.#takeNextAttempt() ??
+      await this.#startAttempt();
     this.#attempt = attempt;
-    this.#recordAttemptStart(grant);
     try {
-      for await (const batch of attempt.run()) {
+      for await (const batch of batches) {
+        if (this.#move !== undefined) {
+          await this.#move.waitForBatch(batch);
+        }
+        if (attempt.endReason === "moved") {
+          continue;
+        }
         this.#verdict = "may-have-run";
         const chunks = this.#acceptChunks(batch);
         this.#measureBatch(chunks);
@@ -197,22 +217,22 @@
         }
       }
       if (!this.#isComplete) {
-        throw new EngineError("The engine ended the stream early", {
-          verdict: "may-have-run",
-          kind: "lost",
-        });
+        throw createEarlyEndError();
       }
-      this.#attempt = undefined;
+      this.#removeAttempt(attempt);
       attempt.releaseGrant("finished");
       if (alone) {
         this.#context.quarantine.recordSafeRun(this.fingerprint);
       }
     } catch (error) {
       this.#recordFailure({ attempt, error, alone });
-      this.#attempt = undefined;
-      await this.#waitBeforeRetry(attempt, error);
+      await this.#move?.waitUntilDecided();
+      this.#removeAttempt(attempt);
+      if (this.#nextAttempt === undefined) {
+        await this.#waitBeforeRetry(attempt, error);
+      }
     } finally {
-      this.#attempt = undefined;
+      this.#removeAttempt(attempt);
       if (!this.#isComplete) {
         attempt.cancel("caller-disconnected");
       }
@@ -220,10 +240,27 @@
     }
   }
 
+  /** Ends the current attempt, unless a move has already replaced it. */
+  #removeAttempt(attempt: ChatAttempt): void {
+    if (this.#attempt === attempt) {
+      this.#attempt = undefined;
+    }
+  }
+
+  async #startAttempt(): Promise<ReadableAttempt> {
+    const { grant, alone } = await this.#acquireAndMeasure();
+    const attempt = this.#createAttempt(grant);
+    if (this.#attemptNumber > 1) {
+      this.#context.metrics.count("resumes");
+    }
+    return { attempt, alone, batches: attempt.run() };
+  }
+
   #createAttempt(grant: Grant): ChatAttempt {
     const { engineClient, settings } = this.#context;
     const { body, model, request } = this.#options;
     this.#attemptNumber++;
+    this.#recordAttemptStart(grant);
     return new ChatAttempt({
       engineClient,
       grant,
@@ -250,11 +287,8 @@
   }
 
   #recordAttemptStart(grant: Grant): void {
-    const { metrics, events } = this.#context;
+    const { events } = this.#context;
     const { requestId, tokens } = this;
-    if (this.#attemptNumber > 1) {
-      metrics.count("resumes");
-    }
     if (this.#isParked) {
       this.#isParked = false;
       events.record("info", {
@@ -314,10 +348,10 @@
     return acceptedChunks;
   }
 
-  #takeNextGrant(): ChatGrant | undefined {
-    const grant = this.#nextGrant;
-    this.#nextGrant = undefined;
-    return grant;
+  #takeNextAttempt(): ReadableAttempt | undefined {
+    const attempt = this.#nextAttempt;
+    this.#nextAttempt = undefined;
+    return attempt;
   }
 
   /** Waits for a grant. A stream that has started retries for `resumeTimeoutMs`, since a refusal would truncate its response. */
@@ -330,10 +364,13 @@
       const isSuspect = this.#context.quarantine.isSuspect(this.fingerprint);
       const alone = isSuspect &&
         performance.now() - startedAtMs <= UNSHARED_GROUP_WAIT_MS;
-      const excludedGroupIds = isSuspect && !alone
-        ? new Set([...this.#excludedGroupIds, ...this.#listSuspectGroups()])
-        : this.#excludedGroupIds;
-      const grantResult = await this.#requestGrant(alone, excludedGroupIds);
+      const excludedGroupIds = new Set(
+        isSuspect && !alone ? this.#listSuspectGroups() : [],
+      );
+      const grantResult = await this.#requestGrant(
+        { alone, excludedGroupIds },
+        this.#controller.signal,
+      );
       const refusal = grantResult.swap().toMaybe().extract();
       if (this.#endReason !== undefined || refusal === undefined) {
         grantResult.ifRight((grant) =>
@@ -345,10 +382,7 @@
       if (performance.now() >= retryUntilMs) {
         throw this.#convertRefusal(refusal);
       }
-      // No other group has free capacity, so groups that failed earlier may be used again.
-      if (performance.now() - this.#lastFailureAtMs > GROUP_EXCLUSION_MS) {
-        this.#excludedGroupIds.clear();
-      }
+      this.#clearExcludedGroups();
       await delay(getBackoffMs(retry + 2), this.#controller.signal);
       this.#checkNotEnded();
       await this.#checkQuarantine();
@@ -362,10 +396,34 @@
       .filter((stream) =>
         stream !== this && quarantine.isSuspect(stream.fingerprint)
       )
-      .flatMap((stream) => stream.groupId ?? []);
+      .flatMap(({ groupId, moveGroupId }) => [groupId, moveGroupId])
+      .filter((groupId) => groupId !== undefined);
   }
 
-  #requestGrant(alone: boolean, excludedGroupIds: ReadonlySet<string>) {
+  /** Allows the groups that failed earlier when no other group has free capacity. */
+  #clearExcludedGroups(): void {
+    if (performance.now() - this.#lastFailureAtMs > GROUP_EXCLUSION_MS) {
+      this.#excludedGroupIds.clear();
+    }
+  }
+
+  #addExcludedGroup(groupId: string): void {
+    this.#excludedGroupIds.add(groupId);
+    this.#lastFailureAtMs = performance.now();
+  }
+
+  /**
+   * Waits for a grant of a group that has not failed.
+   *
+   * @param options - Whether the request must run alone, and further groups to exclude.
+   */
+  #requestGrant(
+    { alone, excludedGroupIds }: Pick<
+      AdmissionRequest,
+      "alone" | "excludedGroupIds"
+    >,
+    signal: AbortSignal,
+  ) {
     const { body, model, request } = this.#options;
     return this.#context.admission.acquire({
       requestId: request.requestId,
@@ -374,14 +432,15 @@
       kvTokens: getKvTokens(body, model),
       prefixHash: this.#prefixHash,
       deadlineAtMs: request.deadlineAtMs,
-      excludedGroupIds,
+      excludedGroupIds: new Set([
+        ...this.#excludedGroupIds,
+        ...excludedGroupIds,
+      ]),
       alone,
-    }, this.#controller.signal);
+    }, signal);
   }
 
-  #recordFailure(
-    failure: { attempt: ChatAttempt; error: unknown; alone: boolean },
-  ): void {
+  #recordFailure(failure: ChatFailure): void {
     const { attempt, error } = failure;
     const { group } = attempt.grant;
     if (!(error instanceof EngineError) || error.kind === "aborted") {
@@ -392,7 +451,7 @@
       event: "attempt-failed",
       requestId: this.requestId,
       fields: {
-        attempt: this.#attemptNumber,
+        attempt: Number(attempt.requestId.slice(this.requestId.length + 1)),
         group: group.groupId,
         kind: error.kind,
         message: error.message,
@@ -400,8 +459,10 @@
     });
     if (error.kind === "lost") {
       const { quarantine, inFlightStreams, healthTable } = this.#context;
-      const fingerprints = inFlightStreams
-        .getStreams({ groupId: group.groupId })
+      const fingerprints = inFlightStreams.getStreams()
+        .filter(({ groupId, moveGroupId }) =>
+          groupId === group.groupId || moveGroupId === group.groupId
+        )
         .map((stream) => stream.fingerprint);
       const bootId = healthTable.getHealth(group.groupId)?.bootId ?? "";
       quarantine.recordLoss({
@@ -421,9 +482,8 @@
     if (attempt.endReason === "parked" || attempt.endReason === "moved") {
       return;
     }
-    this.#excludedGroupIds.add(attempt.grant.group.groupId);
-    this.#lastFailureAtMs = performance.now();
-    if (error.kind === "refused" || error.kind === "unreachable") {
+    this.#addExcludedGroup(attempt.grant.group.groupId);
+    if (isDeclined(error)) {
       this.#declinedAttemptCount++;
     } else {
       this.#failedAttemptCount++;
@@ -446,55 +506,41 @@
     this.#checkNotEnded();
   }
 
-  async #moveToOtherGroup(attempt: ChatAttempt): Promise<void> {
-    const { group } = attempt.grant;
-    while (this.#attempt === attempt && attempt.endReason === undefined) {
-      const alone = this.#context.quarantine.isSuspect(this.fingerprint);
-      const grantResult = await this.#requestGrant(
-        alone,
-        new Set([...this.#excludedGroupIds, group.groupId]),
-      );
-      const grant = grantResult.toMaybe().extract();
-      if (grant === undefined) {
-        await delay(MOVE_RETRY_INTERVAL_MS, this.#controller.signal);
-        continue;
-      }
-      await this.#sendKvCache(attempt, grant);
-      if (this.#attempt !== attempt || attempt.endReason !== undefined) {
-        grant.release("cancelled");
-        return;
-      }
-      this.#context.events.record("info", {
-        event: "stream-moved",
-        requestId: this.requestId,
-        fields: {
-          group: group.groupId,
-          tokens: this.tokens,
-          reason: "its group takes no new work",
-          from: group.groupId,
-          to: grant.group.groupId,
-        },
-      });
-      this.#nextGrant = { grant, alone };
-      attempt.cancel("moved");
-    }
+  #createMove(): ChatMove {
+    const { quarantine } = this.#context;
+    return new ChatMove(this.#context, {
+      requestId: this.requestId,
+      isCurrent: (attempt) =>
+        this.#attempt === attempt && attempt.endReason === undefined,
+      isRefused: () => quarantine.isQuarantined(this.fingerprint),
+      isSuspect: () => quarantine.isSuspect(this.fingerprint),
+      requestGrant: (options, signal) => this.#requestGrant(options, signal),
+      createAttempt: (grant) => this.#createAttempt(grant),
+      recordFailure: (failure) => this.#recordFailure(failure),
+      addExcludedGroup: (groupId) => this.#addExcludedGroup(groupId),
+      clearExcludedGroups: () => this.#clearExcludedGroups(),
+      replaceAttempt: (attempt, nextAttempt) =>
+        this.#replaceAttempt(attempt, nextAttempt),
+    });
   }
 
-  /** Copies the stream's KV cache to the new group if the engines support it. Otherwise the new group computes the cache again. */
-  async #sendKvCache(attempt: ChatAttempt, grant: Grant): Promise<void> {
-    const { engineClient } = this.#context;
-    try {
-      const kvCache = await engineClient.exportKv(
-        attempt.grant.leaderAddress,
-        attempt.requestId,
-      );
-      await engineClient.importKv(grant.leaderAddress, kvCache);
-    } catch (error) {
-      this.#context.logger.write("debug", "kv-transfer-failed", {
-        requestId: this.requestId,
-        message: String(error),
-      });
-    }
+  #replaceAttempt(attempt: ChatAttempt, nextAttempt: ReadableAttempt): void {
+    const { groupId } = attempt.grant.group;
+    this.#context.metrics.count("resumes");
+    this.#context.events.record("info", {
+      event: "stream-moved",
+      requestId: this.requestId,
+      fields: {
+        group: groupId,
+        tokens: this.tokens,
+        reason: "its group takes no new work",
+        from: groupId,
+        to: nextAttempt.attempt.grant.group.groupId,
+      },
+    });
+    this.#nextAttempt = nextAttempt;
+    this.#attempt = nextAttempt.attempt;
+    attempt.cancel("moved");
   }
 
   #stop(
@@ -502,6 +548,7 @@
   ): void {
     if (this.#endReason === undefined && !this.#isComplete) {
       this.#endReason = endReason;
+      this.#move?.cancel();
       this.#attempt?.cancel(endReason);
       this.#controller.abort();
     }
--- a/src/request/routed/stream_move.ts
+++ b/src/request/routed/stream_move.ts
@@ -29,7 +29,7 @@
 export type StreamMoveState = "waiting" | "sent" | "taken";
 
 /**
- * Move of a stream from a group that does not respond to another one. The current attempt goes on until the other group has begun to respond, since a silent server may continue at any time.
+ * Move of a stream from a group that does not respond, or that takes no new work, to another one. The current attempt goes on until the other group has begun to respond, since a silent server may continue at any time and the other group may refuse the request.
  *
  * @example
  * ```ts
@@ -37,9 +37,9 @@
  * move.cancel();
  * ```
  */
-export class StreamMove {
+export class StreamMove<Attempt = RespondingAttempt> {
   /** Resolves to the attempt that continues the stream, or to undefined when the current attempt has to go on. */
-  readonly result: Promise<RespondingAttempt | undefined>;
+  readonly result: Promise<Attempt | undefined>;
   readonly #controller = new AbortController();
   #state: StreamMoveState = "waiting";
 
@@ -47,7 +47,7 @@
    * @param run - Acquires a slot and sends the request; stops when the signal of the move aborts.
    */
   constructor(
-    run: (move: StreamMove) => Promise<RespondingAttempt | undefined>,
+    run: (move: StreamMove<Attempt>) => Promise<Attempt | undefined>,
   ) {
     this.result = run(this);
   }
