Refuse chat requests with a message that crashes groups

Cause: the quarantine of the own interface knew a request by all its messages, so a message that many conversations share crashed two groups for each conversation: 16 crashes with eight conversations.

Change: the messages before the last one are parts in a PromptPartQuarantine, with the thresholds and the evidence of the routed path (ChatPartEvidence uses PromptPartEvidence). Daemons exchange new crashes and successes by gossip (announceParts, compareParts), with the code that StateGossip now shares with the list of fingerprints.

PromptPartQuarantine changes for both paths: recordSuccess evicted one part at a time although a request adds several, so the table grew without limit; the crash evicted above the limits is the oldest by time, not by arrival, so that daemons above the limits keep the same ones; expired crashes leave the report.

A new case shows that all daemons refuse the message after three crashes, that they serve other conversations and that a daemon started later learns of the crashes.

The cost of hashing each message is not measured.

--- a/src/connection/peer_quarantine_router.ts
+++ b/src/connection/peer_quarantine_router.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import type { DaemonContext } from "../process/daemon_context.ts";
+import { promptPartStateSchema } from "../process/prompt_part_state.ts";
 import { quarantineStateSchema } from "../process/quarantine_state.ts";
 import { peerTrpc } from "./peer_trpc.ts";
 
@@ -21,5 +22,16 @@
           ? null
           : context.quarantine.getState(),
     ),
+    /** Merges the suspected prompt parts of a peer. A task of the receiving daemon forwards new ones to further daemons. */
+    announceParts: peerTrpc.procedure.input(promptPartStateSchema).mutation(
+      ({ input }) => context.promptParts.merge(input),
+    ),
+    /** Returns the suspected prompt parts of this daemon, or null when the digest of the calling daemon's state is equal. */
+    compareParts: peerTrpc.procedure.input(z.object({ digest: z.number() }))
+      .query(({ input }) =>
+        input.digest === context.promptParts.getDigest()
+          ? null
+          : context.promptParts.getState()
+      ),
   });
 }
--- a/src/process/container.ts
+++ b/src/process/container.ts
@@ -33,6 +33,7 @@
 import { LocalQuarantineList, type QuarantineList } from "./quarantine_list.ts";
 import { ExchangeMembership, type Membership } from "./membership.ts";
 import { Metrics } from "./metrics.ts";
+import { PromptPartReplica } from "./prompt_part_replica.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { VmTable } from "./vm_table.ts";
 
@@ -194,6 +195,10 @@
       decisionDelayMs: QUARANTINE_DECISION_DELAY_MS,
     }),
   );
+  container.bind(PromptPartReplica).toResolvedValue(
+    (logger: Logger) => new PromptPartReplica(logger),
+    [SERVICES.logger],
+  );
   container.bind(InFlightStreamTable).toConstantValue(
     new InFlightStreamTable(),
   );
@@ -284,6 +289,7 @@
     sharedAdmission: get(SharedAdmission),
     freshness: get(FreshnessTracker),
     quarantine: get(SERVICES.quarantine),
+    promptParts: get(PromptPartReplica),
     inFlightStreams: get(InFlightStreamTable),
     chatRetryBudget: get(SERVICES.chatRetryBudget),
     heldBytes: get(HeldBytesLimiter),
--- a/src/process/daemon_context.ts
+++ b/src/process/daemon_context.ts
@@ -22,6 +22,7 @@
 import type { InFlightStreamTable } from "./in_flight_streams.ts";
 import type { Membership } from "./membership.ts";
 import type { Metrics } from "./metrics.ts";
+import type { PromptPartReplica } from "./prompt_part_replica.ts";
 import type { QuarantineList } from "./quarantine_list.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { VmTable } from "./vm_table.ts";
@@ -50,6 +51,7 @@
   readonly sharedAdmission: SharedAdmission;
   readonly freshness: FreshnessTracker;
   readonly quarantine: QuarantineList;
+  readonly promptParts: PromptPartReplica;
   readonly inFlightStreams: InFlightStreamTable;
   readonly chatRetryBudget: RetryBudget;
   readonly heldBytes: HeldBytesLimiter;
--- a/src/process/fleet/prompt_part_quarantine.ts
+++ b/src/process/fleet/prompt_part_quarantine.ts
@@ -20,7 +20,7 @@
 /** Number of crashes that are stored. The oldest is evicted first. */
 const MAX_CRASHES = 500;
 /** Number of requests that are stored for each crash. */
-const MAX_SUSPECTS_PER_CRASH = 20;
+export const MAX_SUSPECTS_PER_CRASH = 20;
 /** Size of all suspects in characters of the notice that hands them over to a daemon that starts. The oldest crash is evicted first. It is below the size at which a link is closed because its partner does not read. */
 const MAX_SUSPECTS_SIZE = 2_000_000;
 /** Characters that a notice has for a suspected part and its success, without the id of the part. */
@@ -134,8 +134,10 @@
         this.applySuccess({ groupKey, part, time });
       });
     }
-    const [oldestPart] = this.#lastSuccessAtMs.keys();
-    if (this.#lastSuccessAtMs.size > MAX_SUCCEEDED_PARTS) {
+    for (const oldestPart of this.#lastSuccessAtMs.keys()) {
+      if (this.#lastSuccessAtMs.size <= MAX_SUCCEEDED_PARTS) {
+        break;
+      }
       this.#lastSuccessAtMs.delete(oldestPart);
     }
   }
@@ -187,6 +189,7 @@
 
   /** Gets all crashes and successes that count, for notices to peers. */
   getReport(): PromptPartReport {
+    this.#removeExpiredCrashes(performance.now());
     this.#report ??= this.#createReport();
     return this.#report;
   }
@@ -228,13 +231,14 @@
   }
 
   #removeExcessCrashes(): void {
-    for (const crash of this.#crashes.values()) {
-      const isExcess = this.#crashes.size > MAX_CRASHES ||
-        this.#suspectsSize > MAX_SUSPECTS_SIZE;
-      if (!isExcess) {
-        return;
-      }
-      this.#removeCrash(crash);
+    while (
+      this.#crashes.size > MAX_CRASHES || this.#suspectsSize > MAX_SUSPECTS_SIZE
+    ) {
+      // The order of arrival differs between daemons, which would report evicted crashes to each other again and again.
+      const oldest = [...this.#crashes.values()].reduce((a, b) =>
+        b.atMs < a.atMs ? b : a
+      );
+      this.#removeCrash(oldest);
     }
   }
 
--- a/src/process/fleet/prompt_part_quarantine_test.ts
+++ b/src/process/fleet/prompt_part_quarantine_test.ts
@@ -134,6 +134,16 @@
       expect(quarantine.findRefusedPart(["common"])).toBeUndefined();
     });
 
+    // Guards against a table of successes that grows without limit when requests have many parts.
+    it("forgets the oldest successes when a request has too many parts", () => {
+      const quarantine = createQuarantine();
+      quarantine.recordSuccess(["a", "p"], performance.now());
+      const parts = Array.from({ length: 5_001 }, (_, i) => `a${i}`);
+      quarantine.recordSuccess(parts, performance.now());
+      recordCrashes(quarantine, [["p"], ["p"], ["p"]]);
+      expect(quarantine.findRefusedPart(["p"])).toBe("p");
+    });
+
     it("refuses a part with which requests ran before it began to crash servers", () => {
       const quarantine = createQuarantine();
       quarantine.recordSuccess(["p"], performance.now());
--- a/src/process/quarantine_sync_task.ts
+++ b/src/process/quarantine_sync_task.ts
@@ -1,29 +1,31 @@
 import { delay } from "../shared/delay.ts";
-import { getErrorMessage } from "../shared/errors.ts";
 import type { DaemonContext } from "./daemon_context.ts";
-import { quarantineStateSchema } from "./quarantine_state.ts";
+import type { PromptPartState } from "./prompt_part_state.ts";
+import {
+  type QuarantineState,
+  quarantineStateSchema,
+} from "./quarantine_state.ts";
+import { StateGossip } from "./state_gossip.ts";
 
-/** Number of random peers to which a daemon pushes a change at once. A change reaches n daemons in log8(n) hops. */
-const PUSH_FANOUT = 8;
-/** Number of random peers with which the state's digest is compared in each round, so that a daemon catches up on changes that it missed. */
-const ANTI_ENTROPY_FANOUT = 2;
 /** Maximum number of attempts to merge the list with the stored object in one round. */
 const STORE_ATTEMPTS = 5;
 
-/** Task that replicates the quarantine list to the other daemons by gossip and writes it to the store. */
+/** Task that replicates the quarantine list and the suspected prompt parts to the other daemons by gossip, and writes the list to the store. */
 export class QuarantineSyncTask {
   readonly #context: DaemonContext;
+  readonly #listGossip: StateGossip<QuarantineState>;
+  readonly #partGossip: StateGossip<PromptPartState>;
   #isStored = false;
-  #isPushing = false;
-  #hasUnsentChange = false;
 
   constructor(context: DaemonContext) {
     this.#context = context;
+    this.#listGossip = createListGossip(context);
+    this.#partGossip = createPartGossip(context);
     context.quarantine.onChange(() => {
       this.#isStored = false;
-      this.#hasUnsentChange = true;
-      void this.#pushChanges();
+      void this.#listGossip.pushChanges();
     });
+    context.promptParts.onChange(() => void this.#partGossip.pushChanges());
   }
 
   /** Writes changes to the store and compares the list with peers periodically, until the daemon stops. */
@@ -34,65 +36,13 @@
         this.#isStored = true;
         this.#isStored = await this.#syncStore() && this.#isStored;
       }
-      await this.#compareWithPeers();
+      await Promise.all([
+        this.#listGossip.compareWithPeers(),
+        this.#partGossip.compareWithPeers(),
+      ]);
     } while (await delay(settings.exchangeIntervalMs, lifeCycle.signal));
   }
 
-  /** Pushes the state to random peers, again if it changed during the push. */
-  async #pushChanges(): Promise<void> {
-    if (this.#isPushing) {
-      return;
-    }
-    this.#isPushing = true;
-    while (this.#hasUnsentChange && !this.#context.lifeCycle.signal.aborted) {
-      this.#hasUnsentChange = false;
-      const state = this.#context.quarantine.getState();
-      await Promise.all(
-        this.#choosePeers(PUSH_FANOUT).map(async (address) => {
-          try {
-            await this.#context.peerClients.getClient(address).quarantine
-              .announce.mutate(state);
-          } catch (error) {
-            this.#writeFailure(address, error);
-          }
-        }),
-      );
-    }
-    this.#isPushing = false;
-  }
-
-  /** Sends the digest to random peers and merges the state of those whose digest differs. */
-  async #compareWithPeers(): Promise<void> {
-    const { quarantine, peerClients } = this.#context;
-    for (const address of this.#choosePeers(ANTI_ENTROPY_FANOUT)) {
-      try {
-        const state = await peerClients.getClient(address).quarantine.compare
-          .query({ digest: quarantine.getDigest() });
-        if (state !== null) {
-          quarantine.merge(state);
-        }
-      } catch (error) {
-        this.#writeFailure(address, error);
-      }
-    }
-  }
-
-  #writeFailure(peer: string, error: unknown): void {
-    this.#context.logger.write("debug", "quarantine-exchange-failed", {
-      peer,
-      message: getErrorMessage(error),
-    });
-  }
-
-  #choosePeers(count: number): string[] {
-    const { vmTable, settings } = this.#context;
-    const addresses = vmTable.getEntryVms()
-      .filter((vm) => vm.name !== settings.name)
-      .map((vm) => ({ address: vm.address, sortKey: Math.random() }));
-    addresses.sort((a, b) => a.sortKey - b.sortKey);
-    return addresses.slice(0, count).map((entry) => entry.address);
-  }
-
   /** Merges the stored entries into the list, and writes the list to the store if its entries differ. Returns whether the store is up to date. */
   async #syncStore(): Promise<boolean> {
     const { store, quarantine } = this.#context;
@@ -124,6 +74,45 @@
   }
 }
 
+function createListGossip(
+  context: DaemonContext,
+): StateGossip<QuarantineState> {
+  const { quarantine } = context;
+  return new StateGossip(context, {
+    createMessage: () => quarantine.getState(),
+    send: (client, state) => client.quarantine.announce.mutate(state),
+    compare: async (client) => {
+      const state = await client.quarantine.compare.query({
+        digest: quarantine.getDigest(),
+      });
+      if (state !== null) {
+        quarantine.merge(state);
+      }
+    },
+  });
+}
+
+function createPartGossip(
+  context: DaemonContext,
+): StateGossip<PromptPartState> {
+  const { promptParts } = context;
+  return new StateGossip(context, {
+    createMessage: () => promptParts.takeChanges(),
+    // An eviction changes the state without anything to announce.
+    send: async (client, state) =>
+      state.crashes.length + state.successes.length > 0 &&
+      await client.quarantine.announceParts.mutate(state),
+    compare: async (client) => {
+      const state = await client.quarantine.compareParts.query({
+        digest: promptParts.getDigest(),
+      });
+      if (state !== null) {
+        promptParts.merge(state);
+      }
+    },
+  });
+}
+
 interface ComparableEntry {
   readonly fingerprint: string;
   readonly revision: number;
--- a/src/request/chat_stream.ts
+++ b/src/request/chat_stream.ts
@@ -26,6 +26,7 @@
   closeAttempt,
   type ReadableAttempt,
 } from "./chat_move.ts";
+import { ChatPartEvidence } from "./chat_part_evidence.ts";
 import type { ChatRequestBody } from "./chat_request_schema.ts";
 import type { RequestContext } from "./request_context.ts";
 import { getRequestFingerprint } from "./request_fingerprint.ts";
@@ -63,6 +64,8 @@
   readonly #sequence = new TokenSequence();
   readonly #excludedGroupIds = new Set<string>();
   readonly #prefixHash: number;
+  /** Evidence about the messages before the last one; undefined when there are none. */
+  readonly #partEvidence: ChatPartEvidence | undefined;
   #endReason: "caller-disconnected" | "deadline" | undefined;
   #attempt: ChatAttempt | undefined;
   #attemptNumber = 0;
@@ -83,6 +86,12 @@
     this.#context = context;
     this.#options = options;
     this.fingerprint = getRequestFingerprint(options.body, options.model);
+    if (options.body.messages.length > 1) {
+      this.#partEvidence = new ChatPartEvidence(
+        context.promptParts.quarantine,
+        options,
+      );
+    }
     this.#prefixHash = getHash32(
       getPromptText(options.body).slice(0, PREFIX_HASH_CHARACTERS),
     );
@@ -213,6 +222,7 @@
         const chunks = this.#acceptChunks(batch);
         this.#measureBatch(chunks);
         if (chunks.length > 0) {
+          this.#partEvidence?.recordTokens(attempt);
           yield chunks;
         }
       }
@@ -221,6 +231,7 @@
       }
       this.#removeAttempt(attempt);
       attempt.releaseGrant("finished");
+      this.#partEvidence?.recordCompletion();
       if (alone) {
         this.#context.quarantine.recordSafeRun(this.fingerprint);
       }
@@ -465,8 +476,10 @@
         )
         .map((stream) => stream.fingerprint);
       const bootId = healthTable.getHealth(group.groupId)?.bootId ?? "";
+      const lossId = `${group.groupId}@${group.generation}/${bootId}`;
+      this.#partEvidence?.recordCrash(attempt, lossId);
       quarantine.recordLoss({
-        lossId: `${group.groupId}@${group.generation}/${bootId}`,
+        lossId,
         fingerprints,
         alone: failure.alone && fingerprints.length === 1,
       });
@@ -512,7 +525,9 @@
       requestId: this.requestId,
       isCurrent: (attempt) =>
         this.#attempt === attempt && attempt.endReason === undefined,
-      isRefused: () => quarantine.isQuarantined(this.fingerprint),
+      isRefused: () =>
+        quarantine.isQuarantined(this.fingerprint) ||
+        this.#partEvidence?.findRefusedMessage() !== undefined,
       isSuspect: () => quarantine.isSuspect(this.fingerprint),
       requestGrant: (options, signal) => this.#requestGrant(options, signal),
       createAttempt: (grant) => this.#createAttempt(grant),
@@ -597,6 +612,13 @@
         { code: "quarantined", verdict: this.#verdict, status: 422 },
       );
     }
+    const refusedMessage = this.#partEvidence?.findRefusedMessage();
+    if (refusedMessage !== undefined) {
+      throw new RequestError(
+        `The request is quarantined because groups failed while running requests with its message "${refusedMessage}"`,
+        { code: "quarantined", verdict: this.#verdict, status: 422 },
+      );
+    }
   }
 
   #convertRefusal(refusal: RequestError): RequestError {
--- a/src/request/routed/prompt_part_evidence.ts
+++ b/src/request/routed/prompt_part_evidence.ts
@@ -1,12 +1,11 @@
 import type { PromptPartQuarantine } from "../../process/fleet/prompt_part_quarantine.ts";
-import type { GroupAttempt } from "./group_attempt.ts";
 
 /** Time for which a group sends events until the prompt parts count as harmless, in milliseconds. A server that a part crashes may send some events first. */
 const HARMLESS_EVENTS_MS = 1_000;
 
 /** Events of one attempt. */
 interface AttemptEvents {
-  readonly attempt: GroupAttempt;
+  readonly attempt: object;
   /** Monotonic time of the first event, in milliseconds. */
   readonly firstAtMs: number;
   /** Whether the events have shown that the parts are harmless. */
@@ -14,7 +13,7 @@
 }
 
 /**
- * Reports to the quarantine what the attempts of one request show about the parts of its prompt.
+ * Reports to the quarantine what the attempts of one request show about the parts of its prompt. Attempts are told apart by identity only.
  *
  * A response shows that its parts are harmless when it is complete or has had events for `HARMLESS_EVENTS_MS`. When its server crashes before that, the request is a suspect. A response that is completed after such a crash shows nothing, since the rest may have been too short for another crash.
  *
@@ -40,7 +39,7 @@
   }
 
   /** Records that an attempt has received events. */
-  recordEvents(attempt: GroupAttempt): void {
+  recordEvents(attempt: object): void {
     const nowMs = performance.now();
     if (this.#events?.attempt !== attempt) {
       this.#events = { attempt, firstAtMs: nowMs, areHarmless: false };
@@ -64,7 +63,7 @@
    *
    * @returns Whether the request is a suspect.
    */
-  recordCrash(attempt: GroupAttempt): boolean {
+  recordCrash(attempt: object): boolean {
     const wasHarmless = this.#events?.attempt === attempt &&
       this.#events.areHarmless;
     const isSuspect = !wasHarmless && this.#parts.length > 0;
--- a/tests/quarantine_test.ts
+++ b/tests/quarantine_test.ts
@@ -75,6 +75,41 @@
     60_000,
   );
 
+  // Guards against a daemon that does not learn of a message that crashes groups, and against conversations that are refused because of another one.
+  it(
+    "refuses a message that crashes groups on all daemons, and no other",
+    async () => {
+      const request = (index: number, systemMessage: string) =>
+        deployment.requestChat(
+          deployment.daemons[index],
+          `tokens=5 question ${Math.random()}`,
+          { systemMessage },
+        );
+      await request(0, MARKER);
+      await request(1, MARKER);
+      expect(countCrashes()).toBe(3);
+      const newDaemon = await deployment.startDaemon();
+      await waitUntil(
+        () =>
+          [...deployment.daemons, newDaemon].every((d) =>
+            d.context.promptParts.getState().crashes.length === 3
+          ),
+        2_000,
+      );
+      for (const index of deployment.daemons.keys()) {
+        const { error } = JSON.parse((await request(index, MARKER)).body);
+        expect(error).toMatchObject({
+          code: "quarantined",
+          verdict: "not-run",
+        });
+        const response = await request(index, "another message");
+        expect(response.statusCode, response.body).toBe(200);
+      }
+      expect(countCrashes()).toBe(3);
+    },
+    60_000,
+  );
+
   // Guards against requests that are refused or interrupted because they ran on the same group as a crash request.
   it("completes the other requests of a crashed group", async () => {
     const contents = [1, 2, 3, 4, 5, 6].map((i) => `tokens=60 innocent ${i}`);
