Compare prompt parts together with the quarantine list

Cause: the exchange of suspected prompt parts doubled the calls of the quarantine exchange, and daemons of an earlier version answered its comparison with an error.

Change: the comparison of the list carries the digest of the prompt parts, and its response contains them when that digest differs.

--- a/src/connection/peer_quarantine_router.ts
+++ b/src/connection/peer_quarantine_router.ts
@@ -15,23 +15,25 @@
     announce: peerTrpc.procedure.input(quarantineStateSchema).mutation(
       ({ input }) => ({ taken: context.quarantine.merge(input) }),
     ),
-    /** Returns the quarantine state of this daemon, or null when the digest of the calling daemon's state is equal. */
-    compare: peerTrpc.procedure.input(z.object({ digest: z.number() })).query(
-      ({ input }) =>
-        input.digest === context.quarantine.getDigest()
-          ? null
-          : context.quarantine.getState(),
-    ),
     /** Merges the suspected prompt parts of a peer. A task of the receiving daemon forwards new ones to further daemons. */
     announceParts: peerTrpc.procedure.input(promptPartStateSchema).mutation(
       ({ input }) => context.promptParts.merge(input),
     ),
-    /** Returns the suspected prompt parts of this daemon, or null when the digest of the calling daemon's state is equal. */
-    compareParts: peerTrpc.procedure.input(z.object({ digest: z.number() }))
-      .query(({ input }) =>
-        input.digest === context.promptParts.getDigest()
-          ? null
-          : context.promptParts.getState()
-      ),
+    /** Returns the quarantine state of this daemon and its suspected prompt parts, or null when the digests of the calling daemon are equal. */
+    compare: peerTrpc.procedure.input(
+      z.object({
+        digest: z.number(),
+        /** Omitted by daemons of earlier versions, which have no prompt parts. */
+        partDigest: z.number().optional(),
+      }),
+    ).query(({ input: { digest, partDigest } }) => {
+      const { quarantine, promptParts } = context;
+      const hasOtherParts = partDigest !== undefined &&
+        partDigest !== promptParts.getDigest();
+      return digest === quarantine.getDigest() && !hasOtherParts ? null : {
+        ...quarantine.getState(),
+        promptParts: hasOtherParts ? promptParts.getState() : undefined,
+      };
+    }),
   });
 }
--- a/src/process/quarantine_sync_task.ts
+++ b/src/process/quarantine_sync_task.ts
@@ -19,13 +19,23 @@
 
   constructor(context: DaemonContext) {
     this.#context = context;
-    this.#listGossip = createListGossip(context);
-    this.#partGossip = createPartGossip(context);
-    context.quarantine.onChange(() => {
+    const { quarantine, promptParts } = context;
+    this.#listGossip = new StateGossip(context, {
+      createMessage: () => quarantine.getState(),
+      send: (client, state) => client.quarantine.announce.mutate(state),
+    });
+    this.#partGossip = new StateGossip(context, {
+      createMessage: () => promptParts.takeChanges(),
+      // An eviction changes the state without anything to announce.
+      send: async (client, state) =>
+        state.crashes.length + state.successes.length > 0 &&
+        await client.quarantine.announceParts.mutate(state),
+    });
+    quarantine.onChange(() => {
       this.#isStored = false;
       void this.#listGossip.pushChanges();
     });
-    context.promptParts.onChange(() => void this.#partGossip.pushChanges());
+    promptParts.onChange(() => void this.#partGossip.pushChanges());
   }
 
   /** Writes changes to the store and compares the list with peers periodically, until the daemon stops. */
@@ -36,13 +46,27 @@
         this.#isStored = true;
         this.#isStored = await this.#syncStore() && this.#isStored;
       }
-      await Promise.all([
-        this.#listGossip.compareWithPeers(),
-        this.#partGossip.compareWithPeers(),
-      ]);
+      await this.#compareWithPeers();
     } while (await delay(settings.exchangeIntervalMs, lifeCycle.signal));
   }
 
+  /** Sends the digests to random peers and merges the states of those whose digests differ. */
+  async #compareWithPeers(): Promise<void> {
+    const { quarantine, promptParts } = this.#context;
+    await this.#listGossip.callPeers(async (client) => {
+      const state = await client.quarantine.compare.query({
+        digest: quarantine.getDigest(),
+        partDigest: promptParts.getDigest(),
+      });
+      if (state !== null) {
+        quarantine.merge(state);
+      }
+      if (state?.promptParts !== undefined) {
+        promptParts.merge(state.promptParts);
+      }
+    });
+  }
+
   /** Merges the stored entries into the list, and writes the list to the store if its entries differ. Returns whether the store is up to date. */
   async #syncStore(): Promise<boolean> {
     const { store, quarantine } = this.#context;
@@ -74,45 +98,6 @@
   }
 }
 
-function createListGossip(
-  context: DaemonContext,
-): StateGossip<QuarantineState> {
-  const { quarantine } = context;
-  return new StateGossip(context, {
-    createMessage: () => quarantine.getState(),
-    send: (client, state) => client.quarantine.announce.mutate(state),
-    compare: async (client) => {
-      const state = await client.quarantine.compare.query({
-        digest: quarantine.getDigest(),
-      });
-      if (state !== null) {
-        quarantine.merge(state);
-      }
-    },
-  });
-}
-
-function createPartGossip(
-  context: DaemonContext,
-): StateGossip<PromptPartState> {
-  const { promptParts } = context;
-  return new StateGossip(context, {
-    createMessage: () => promptParts.takeChanges(),
-    // An eviction changes the state without anything to announce.
-    send: async (client, state) =>
-      state.crashes.length + state.successes.length > 0 &&
-      await client.quarantine.announceParts.mutate(state),
-    compare: async (client) => {
-      const state = await client.quarantine.compareParts.query({
-        digest: promptParts.getDigest(),
-      });
-      if (state !== null) {
-        promptParts.merge(state);
-      }
-    },
-  });
-}
-
 interface ComparableEntry {
   readonly fingerprint: string;
   readonly revision: number;
--- a/src/process/state_gossip.ts
+++ b/src/process/state_gossip.ts
@@ -13,8 +13,6 @@
   createMessage(): Message;
   /** Sends a message to a peer. */
   send(client: PeerClient, message: Message): Promise<unknown>;
-  /** Compares the digests and merges the state of the peer when they differ. */
-  compare(client: PeerClient): Promise<void>;
 }
 
 /** Replicates a part of the quarantine to the other daemons. */
@@ -48,10 +46,12 @@
     this.#isPushing = false;
   }
 
-  /** Compares the state with random peers. */
-  async compareWithPeers(): Promise<void> {
+  /** Calls random peers one after the other to compare states with them. */
+  async callPeers(
+    call: (client: PeerClient) => Promise<unknown>,
+  ): Promise<void> {
     for (const address of this.#choosePeers(ANTI_ENTROPY_FANOUT)) {
-      await this.#callPeer(address, (peer) => this.#state.compare(peer));
+      await this.#callPeer(address, call);
     }
   }
 
