--- a/src/process/quarantine_sync_task.ts
+++ b/src/process/quarantine_sync_task.ts
@@ -1,29 +1,41 @@
 import { delay } from "../shared/delay.ts";
-import { getErrorMessage } from "../shared/errors.ts";
 import type { DaemonContext } from "./daemon_context.ts";
-import { quarantineStateSchema } from "./quarantine_state.ts";
+import type { PromptPartState } from "./prompt_part_state.ts";
+import {
+  type QuarantineState,
+  quarantineStateSchema,
+} from "./quarantine_state.ts";
+import { StateGossip } from "./state_gossip.ts";
 
-/** Number of random peers to which a daemon pushes a change at once. A change reaches n daemons in log8(n) hops. */
-const PUSH_FANOUT = 8;
-/** Number of random peers with which the state's digest is compared in each round, so that a daemon catches up on changes that it missed. */
-const ANTI_ENTROPY_FANOUT = 2;
 /** Maximum number of attempts to merge the list with the stored object in one round. */
 const STORE_ATTEMPTS = 5;
 
-/** Task that replicates the quarantine list to the other daemons by gossip and writes it to the store. */
+/** Task that replicates the quarantine list and the suspected prompt parts to the other daemons by gossip, and writes the list to the store. */
 export class QuarantineSyncTask {
   readonly #context: DaemonContext;
+  readonly #listGossip: StateGossip<QuarantineState>;
+  readonly #partGossip: StateGossip<PromptPartState>;
   #isStored = false;
-  #isPushing = false;
-  #hasUnsentChange = false;
 
   constructor(context: DaemonContext) {
     this.#context = context;
-    context.quarantine.onChange(() => {
+    const { quarantine, promptParts } = context;
+    this.#listGossip = new StateGossip(context, {
+      createMessage: () => quarantine.getState(),
+      send: (client, state) => client.quarantine.announce.mutate(state),
+    });
+    this.#partGossip = new StateGossip(context, {
+      createMessage: () => promptParts.takeChanges(),
+      // An eviction changes the state without anything to announce.
+      send: async (client, state) =>
+        state.crashes.length + state.successes.length > 0 &&
+        await client.quarantine.announceParts.mutate(state),
+    });
+    quarantine.onChange(() => {
       this.#isStored = false;
-      this.#hasUnsentChange = true;
-      void this.#pushChanges();
+      void this.#listGossip.pushChanges();
     });
+    promptParts.onChange(() => void this.#partGossip.pushChanges());
   }
 
   /** Writes changes to the store and compares the list with peers periodically, until the daemon stops. */
@@ -38,61 +50,23 @@
     } while (await delay(settings.exchangeIntervalMs, lifeCycle.signal));
   }
 
-  /** Pushes the state to random peers, again if it changed during the push. */
-  async #pushChanges(): Promise<void> {
-    if (this.#isPushing) {
-      return;
-    }
-    this.#isPushing = true;
-    while (this.#hasUnsentChange && !this.#context.lifeCycle.signal.aborted) {
-      this.#hasUnsentChange = false;
-      const state = this.#context.quarantine.getState();
-      await Promise.all(
-        this.#choosePeers(PUSH_FANOUT).map(async (address) => {
-          try {
-            await this.#context.peerClients.getClient(address).quarantine
-              .announce.mutate(state);
-          } catch (error) {
-            this.#writeFailure(address, error);
-          }
-        }),
-      );
-    }
-    this.#isPushing = false;
-  }
-
-  /** Sends the digest to random peers and merges the state of those whose digest differs. */
+  /** Sends the digests to random peers and merges the states of those whose digests differ. */
   async #compareWithPeers(): Promise<void> {
-    const { quarantine, peerClients } = this.#context;
-    for (const address of this.#choosePeers(ANTI_ENTROPY_FANOUT)) {
-      try {
-        const state = await peerClients.getClient(address).quarantine.compare
-          .query({ digest: quarantine.getDigest() });
-        if (state !== null) {
-          quarantine.merge(state);
-        }
-      } catch (error) {
-        this.#writeFailure(address, error);
+    const { quarantine, promptParts } = this.#context;
+    await this.#listGossip.callPeers(async (client) => {
+      const state = await client.quarantine.compare.query({
+        digest: quarantine.getDigest(),
+        partDigest: promptParts.getDigest(),
+      });
+      if (state !== null) {
+        quarantine.merge(state);
+      }
+      if (state?.promptParts !== undefined) {
+        promptParts.merge(state.promptParts);
       }
-    }
-  }
-
-  #writeFailure(peer: string, error: unknown): void {
-    this.#context.logger.write("debug", "quarantine-exchange-failed", {
-      peer,
-      message: getErrorMessage(error),
     });
   }
 
-  #choosePeers(count: number): string[] {
-    const { vmTable, settings } = this.#context;
-    const addresses = vmTable.getEntryVms()
-      .filter((vm) => vm.name !== settings.name)
-      .map((vm) => ({ address: vm.address, sortKey: Math.random() }));
-    addresses.sort((a, b) => a.sortKey - b.sortKey);
-    return addresses.slice(0, count).map((entry) => entry.address);
-  }
-
   /** Merges the stored entries into the list, and writes the list to the store if its entries differ. Returns whether the store is up to date. */
   async #syncStore(): Promise<boolean> {
     const { store, quarantine } = this.#context;
