--- a/src/process/notices/notice_section.ts
+++ b/src/process/notices/notice_section.ts
@@ -8,7 +8,6 @@
    * Gets the report to send, which is a JSON value.
    *
    * @param relation - Role of this daemon towards the receivers.
- XX
    */
   getReport(relation: PeerRelation): unknown;
   /**
