--- a/review/deployment-2.mjs
+++ b/review/deployment-2.mjs
@@ -172,6 +172,10 @@
     return this.#waitUntil(check, timeoutMs, what);
   }
 
+  get requestCount() {
+    return this.#requests;
+  }
+
   /** Sends one client attempt on a new channel and returns what the client sees. */
   send(daemon, { method = "POST", path, body = "", headers = {}, deadlineMs = 4000, isQuiet = false }) {
     const id = `r${String(++this.#requests).padStart(12, "0")}`;
--- a/review/server-2.mjs
+++ b/review/server-2.mjs
@@ -70,6 +70,12 @@
     this.#sockets.forEach((socket) => socket.destroy());
   }
 
+  /** Ends its liveness reports, as a server that leaves without `draining` does, and goes on serving. */
+  stopReporting() {
+    clearInterval(this.#timer);
+    this.register = () => Promise.resolve();
+  }
+
   get isUp() {
     return this.#isUp;
   }
--- a/review/store-2.mjs
+++ b/review/store-2.mjs
@@ -8,6 +8,12 @@
   #wakers = new Set();
   #server = createServer((req, res) => this.#handle(req, res));
   revision = 100;
+  /** Rises by one with each restore from a copy. */
+  era = 1;
+  /** Called when a list of a kind, or its changes, have been read. */
+  onRead = () => {};
+  /** While it is away, the store answers nothing. */
+  isAway = false;
 
   async start(host) {
     await new Promise((resolve) => this.#server.listen(0, host, resolve));
@@ -48,6 +54,23 @@
     this.#record(kind, { ...old, Metadata }, true);
   }
 
+  /** Copies the objects as they are now. */
+  copy() {
+    return {
+      revision: this.revision,
+      kinds: new Map([...this.#kinds].map(([kind, objects]) => [kind, new Map(objects)])),
+    };
+  }
+
+  /** Comes back from a copy: what was written since is gone, and its revisions are given out again. */
+  restore(copy) {
+    this.#kinds = new Map([...copy.kinds].map(([kind, objects]) => [kind, new Map(objects)]));
+    this.#events = this.#events.filter(({ revision }) => revision <= copy.revision);
+    this.revision = copy.revision;
+    this.era++;
+    [...this.#wakers].forEach((wake) => wake());
+  }
+
   list(kind) {
     return [...this.#kind(kind).values()];
   }
@@ -63,12 +86,13 @@
   }
 
   async #handle(req, res) {
+    if (this.isAway) return;
     let text = "";
     for await (const chunk of req) text += chunk;
     const url = new URL(req.url, "http://store");
     const [, , , kind, name] = url.pathname.split("/").map(decodeURIComponent);
     const send = (status, body) => {
-      res.writeHead(status, { "content-type": "application/json", "store-era": "1" });
+      res.writeHead(status, { "content-type": "application/json", "store-era": String(this.era) });
       res.end(JSON.stringify(body));
     };
     const objects = this.#kind(kind);
@@ -79,6 +103,7 @@
       const after = url.searchParams.get("After") ?? "";
       const names = [...objects.keys()].sort().filter((n) => n > after);
       const page = names.slice(0, 500);
+      this.onRead(kind);
       return send(200, {
         Items: page.map((n) => objects.get(n)),
         More: page.length < names.length,
@@ -106,11 +131,15 @@
 
   async #watch(kind, url, res, send) {
     const since = Number(url.searchParams.get("Watch"));
+    const { era } = this;
     const endMs = Date.now() + Math.min(30_000, Number(url.searchParams.get("WaitMs") ?? 0));
     for (;;) {
+      if (this.isAway) return;
+      if (this.era !== era) return res.destroy();
       if (since > this.revision) return send(410, {});
       const events = this.#events.filter((e) => e.kind === kind && e.revision > since);
       if (events.length > 0 || Date.now() >= endMs) {
+        this.onRead(kind);
         return send(200, {
           events: events.map(({ Deleted, Object }) => ({ Deleted, Object })),
           At: this.revision,
