Send the whole list of servers when removals may be unknown

Cause: a daemon sent the changes of its list since the receiver's revision as if it knew all removals since then. It knows none from before its first list, none of a server that came and went while its watch had lost the history, and dropped those of servers that it had never listed. The receiver raised its revision, and took the sender's confirmations for its own list from then on, so that it did not read the store.

Ruled out: a confirmation for an older list, and an old list from the store.

Why the fix works: RemovalLog states for which revisions the removals are complete. A complete list opens a gap from the revision before it to its own; a receiver inside it gets the whole list, which names every server. A removal is also recorded for a server that was never listed.

--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -6,6 +6,7 @@
 } from "../../shared/backend_server.ts";
 import type { ObjectChanges } from "./object_watcher.ts";
 import type { BackendServerChanges } from "../../connection/peer_notice.ts";
+import { RemovalLog } from "./removal_log.ts";
 
 /** Time after a store outage or a restore of the store within which live servers whose entries are missing register again, in milliseconds. */
 const REREGISTER_GRACE_MS = 2_000;
@@ -18,23 +19,12 @@
 const MAX_ENTRY_LAG_MS = 1_500;
 /** Maximum age of the state in a status report when the report arrives, in milliseconds. */
 const MAX_REPORT_AGE_MS = 500;
-/** Revision of a removal after a store outage, for which the store reports no revision. It is infinite, so that every peer is sent the removal. */
-const UNKNOWN_REVISION = Number.POSITIVE_INFINITY;
-/** Maximum number of tombstones, which are the removals kept to be sent to peers. */
-const MAX_TOMBSTONES = 1_000;
 /** Membership states in the order in which a server passes through them in one generation of a group. */
 const MEMBERSHIP_STATE_ORDER = ["joining", "ready", "open"];
 
 /** Listener for changes of the directory; gets the ids of the servers that were added, changed or removed. */
 export type DirectoryListener = (changedIds: ReadonlySet<string>) => void;
 
-/** Removal of a server that is kept to be sent to peers. */
-interface Tombstone {
-  readonly revision: number;
-  /** Last entry of the server. */
-  readonly entry: BackendServer;
-}
-
 /** Directory of the registered backend servers, updated from the store, the notices of peers and the status reports of the servers. */
 export class BackendDirectory {
   readonly #logger: Logger;
@@ -50,15 +40,12 @@
   readonly #listeners = new Set<DirectoryListener>();
   /** Ids of the servers that were added, changed or removed since the listeners were last called. */
   #changedIds = new Set<string>();
-  /** Removals by server id, in the order of removal. */
-  readonly #tombstones = new Map<string, Tombstone>();
+  readonly #removals = new RemovalLog();
   /** Entries of a restored store that are older than the known ones, by server id. */
   readonly #outdatedEntries = new Map<string, BackendServer>();
   #outdatedEntriesTimer: NodeJS.Timeout | undefined;
   /** Monotonic time at which a restore of the store was last noticed, in milliseconds. */
   #restoredAtMs = Number.NEGATIVE_INFINITY;
-  /** Revision of the list when a tombstone was last dropped. A peer whose list is older may lack that removal and gets the whole list. */
-  #droppedTombstoneRevision = 0;
   #isPopulated = false;
   #revision = 0;
   #changeRevision = 0;
@@ -72,6 +59,11 @@
     return this.#isPopulated;
   }
 
+  /** Gets the number of listed servers. */
+  get size(): number {
+    return this.#servers.size;
+  }
+
   /** Gets the revision of the last change of the list. */
   get changeRevision(): number {
     return this.#changeRevision;
@@ -85,11 +77,11 @@
   /**
    * Gets the changes of the list to send to a peer.
    *
-   * @param sinceRevision - Revision up to which the peer's list is complete; 0 for the whole list. A peer whose list is from before a restore of the store gets the whole list, too, as its list may contain servers that this one never had.
+   * @param sinceRevision - Revision up to which the peer's list is complete; 0 for the whole list. The whole list is also sent when the peer's list may contain servers of whose removal this one does not know, or servers from before a restore of the store.
    */
   getNotice(sinceRevision = 0): BackendServerChanges {
     const nowMs = performance.now();
-    const needsWholeList = sinceRevision < this.#droppedTombstoneRevision ||
+    const needsWholeList = !this.#removals.isCompleteSince(sinceRevision) ||
       getGeneration(sinceRevision) < getGeneration(this.#revision);
     const startRevision = needsWholeList ? 0 : sinceRevision;
     const servers = [...this.#entries.values()]
@@ -98,15 +90,12 @@
         ...server,
         coldLeftMs: Math.max(0, coldUntilMs - nowMs),
       }));
-    const removed = [...this.#tombstones].flatMap(([id, { revision }]) =>
-      revision > startRevision ? [id] : []
-    );
     return {
       sinceRevision: startRevision,
       revision: this.#revision,
       changeRevision: this.#changeRevision,
       servers,
-      removed,
+      removed: this.#removals.listIds(startRevision),
       missing: [...this.#pendingRemovals.keys()],
     };
   }
@@ -115,8 +104,9 @@
    * Applies the changes that a peer sent, if they end at a newer revision than that of this list and start at or before the latter, so that no change is missed.
    *
    * @param notice - Changes up to the revision of the peer's list.
+   * @param source - Name of the peer, for the log.
    */
-  offerNotice(notice: BackendServerChanges): void {
+  offerNotice(notice: BackendServerChanges, source = "peer"): void {
     const { sinceRevision, revision, changeRevision, removed } = notice;
     if (revision <= this.#revision || sinceRevision > this.#revision) {
       return;
@@ -134,7 +124,7 @@
       changeRevision,
       outageMs: 0,
       isSnapshot,
-    });
+    }, source);
     notice.missing?.forEach((id) => this.#scheduleRemoval(id));
   }
 
@@ -153,22 +143,20 @@
 
   /** Lists the removed servers of a service, or of all services when it is left out, as they were last known. A server whose entry was removed may still run: it may be cut off from the store, or finish its requests before it stops. */
   listRemovedServers(service?: string): BackendServer[] {
-    return [...this.#tombstones.values()].map(({ entry }) => entry)
-      .filter((entry) =>
-        (service === undefined || entry.service === service) &&
-        !this.#servers.has(entry.id)
-      );
+    return this.#removals.listEntries().filter((entry) =>
+      (service === undefined || entry.service === service) &&
+      !this.#servers.has(entry.id)
+    );
   }
 
   /** Finds a removed server, as it was last known; undefined while it is listed. */
   findRemovedServer(id: string): BackendServer | undefined {
-    return this.#servers.has(id) ? undefined : this.#tombstones.get(id)?.entry;
+    return this.#servers.has(id) ? undefined : this.#removals.findEntry(id);
   }
 
   /** Gets whether a server was removed at a time that is known within the age of the list; after a store outage it is not. */
   hasRemovalTime(id: string): boolean {
-    const revision = this.#tombstones.get(id)?.revision;
-    return revision !== undefined && revision !== UNKNOWN_REVISION;
+    return this.#removals.hasRevision(id);
   }
 
   /** Registers a listener that is called after each change of the directory. */
@@ -178,30 +166,42 @@
 
   /**
    * Applies changes of the list. After a store outage or a restore of the store, missing entries are kept for a grace period in which live servers register again. An entry that the restore has set back replaces the known one only if the server does not write a newer one.
+   *
+   * @param change - Changes, or the complete list.
+   * @param source - Store, or name of the peer that sent the changes, for the log.
    */
-  applyChange(change: ObjectChanges<BackendServer>): void {
+  applyChange(change: ObjectChanges<BackendServer>, source = "store"): void {
     this.#isPopulated ||= change.changed.size > 0;
-    const isStaleChange = change.revision < this.#revision;
-    const isRestored = this.#revision > 0 &&
-      getGeneration(change.revision) > getGeneration(this.#revision);
+    const before = this.#revision;
+    const isStaleChange = change.revision < before;
+    const isRestored = before > 0 &&
+      getGeneration(change.revision) > getGeneration(before);
     if (isRestored) {
       this.#restoredAtMs = performance.now();
     }
     // The first list after a restore may come from a peer; that of the store follows.
     const mayBeOutdated = change.isSnapshot &&
       performance.now() - this.#restoredAtMs < OUTDATED_ENTRY_GRACE_MS;
-    this.#revision = Math.max(this.#revision, change.revision);
+    if (change.isSnapshot) {
+      this.#removals.recordGap({ from: before, to: change.revision });
+    }
+    this.#revision = Math.max(before, change.revision);
     this.#changeRevision = Math.max(
       this.#changeRevision,
       change.changeRevision,
     );
     this.#applyEntries(change, { isStaleChange, mayBeOutdated });
-    if (change.isSnapshot) {
-      this.#logger.write("info", "backends-listed", {
-        servers: change.changed.size,
+    this.#logger.write(
+      "info",
+      change.isSnapshot ? "backends-listed" : "backends-updated",
+      {
+        source,
+        before,
         revision: change.revision,
-      });
-    }
+        servers: change.changed.size,
+        removed: change.removed.length,
+      },
+    );
     this.#applyRemovals(change, isRestored);
     this.#publishChange();
   }
@@ -228,7 +228,7 @@
       } else if (mayBeOutdated && isSameReport(server, knownServer)) {
         this.#setEntryVersion(id, server.entryVersion);
       } else {
-        this.#tombstones.delete(id);
+        this.#removals.forgetRemoval(id);
         if (!isSnapshot) {
           this.#recordChange(server);
         }
@@ -274,12 +274,11 @@
    */
   applyReport(id: string, report: BackendReport): void {
     const server = this.#servers.get(id);
-    const tombstone = this.#tombstones.get(id);
-    if (server === undefined && tombstone !== undefined) {
-      const entry = applyReportToEntry(tombstone.entry, report);
-      this.#tombstones.set(id, { ...tombstone, entry });
-    }
     if (server === undefined) {
+      const entry = this.#removals.findEntry(id);
+      if (entry !== undefined) {
+        this.#removals.replaceEntry(id, applyReportToEntry(entry, report));
+      }
       return;
     }
     const reported = applyReportToEntry(server, report);
@@ -322,7 +321,7 @@
   /** Gets whether an entry of a restored store is older than the last known entry of the server. */
   #isOutdated(entry: BackendServer): boolean {
     const knownServer = this.#servers.get(entry.id);
-    const removedServer = this.#tombstones.get(entry.id)?.entry;
+    const removedServer = this.#removals.findEntry(entry.id);
     return knownServer === undefined
       ? removedServer !== undefined && compareReports(entry, removedServer) <= 0
       : compareReports(entry, knownServer) < 0;
@@ -346,7 +345,7 @@
   #applyOutdatedEntries(): void {
     this.#outdatedEntriesTimer = undefined;
     for (const [id, entry] of this.#outdatedEntries) {
-      this.#tombstones.delete(id);
+      this.#removals.forgetRemoval(id);
       this.#recordChange(entry);
       this.#setEntry(entry);
     }
@@ -402,30 +401,25 @@
     this.#pendingRemovals.delete(id);
   }
 
-  #remove(id: string, reason: string, revision = UNKNOWN_REVISION): void {
+  /** Removes a server. The removal is recorded also when the server was never listed here, since it may be listed at a peer. */
+  #remove(id: string, reason: string, revision?: number): void {
     this.#cancelRemoval(id);
     this.#reportedAtMs.delete(id);
     this.#enteredAtMs.delete(id);
     const entry = this.#servers.get(id);
+    this.#removals.recordRemoval(id, {
+      entry,
+      revision,
+      listRevision: this.#revision,
+    });
     if (entry !== undefined) {
       this.#servers.delete(id);
       this.#entries.delete(id);
       this.#changedIds.add(id);
-      this.#recordTombstone({ revision, entry });
       this.#logger.write("info", "backend-gone", { server: id, reason });
     }
   }
 
-  /** Records a removal for the peers that have not received it yet, and drops the oldest tombstone when there are more than `MAX_TOMBSTONES`. */
-  #recordTombstone(tombstone: Tombstone): void {
-    this.#tombstones.set(tombstone.entry.id, tombstone);
-    if (this.#tombstones.size > MAX_TOMBSTONES) {
-      const [[oldestId]] = this.#tombstones;
-      this.#tombstones.delete(oldestId);
-      this.#droppedTombstoneRevision = this.#revision;
-    }
-  }
-
   #publishChange(): void {
     const changedIds = this.#changedIds;
     this.#changedIds = new Set();
--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -21,6 +21,7 @@
 import type { ServerLimits } from "./server_limits.ts";
 import type { ServerStatements } from "./server_statements.ts";
 import type {
+  BackendServerChanges,
   DaemonDescription,
   PeerDataRequest,
   PeerNotice,
@@ -355,7 +356,9 @@
     );
     const isBehind = sinceRevision < directory.changeRevision ||
       (sinceRevision === 0 && directory.revision > 0);
-    const servers = isBehind ? directory.getNotice(sinceRevision) : undefined;
+    const servers = isBehind
+      ? this.#createServersNotice(partnerName, sinceRevision)
+      : undefined;
     const config = this.#findNewerConfig(partner, sent);
     if (servers === undefined && config === undefined) {
       return undefined;
@@ -365,6 +368,24 @@
     return { servers, config };
   }
 
+  /** Creates a notice with the changes of the list of servers, or with the whole list if the changes do not suffice. */
+  #createServersNotice(
+    partnerName: string,
+    sinceRevision: number,
+  ): BackendServerChanges {
+    const { directory, logger } = this.#options;
+    const notice = directory.getNotice(sinceRevision);
+    if (notice.sinceRevision < sinceRevision) {
+      logger.write("info", "whole-list-sent", {
+        peer: partnerName,
+        peerRevision: sinceRevision,
+        revision: notice.revision,
+        servers: notice.servers.length,
+      });
+    }
+    return notice;
+  }
+
   #isSource({ relation, description }: Partner): boolean {
     if (relation !== "equal") {
       return relation === "member";
@@ -445,7 +466,7 @@
       this.#applyExcludedZones(notice.excludedZones, name);
     }
     if (notice.servers !== undefined) {
-      directory.offerNotice(notice.servers);
+      directory.offerNotice(notice.servers, name);
     }
     if (relation !== "member" && notice.serversRevision !== undefined) {
       // The members of this daemon wait for the confirmation of their list.
@@ -538,12 +559,12 @@
   }
 
   #answerRequest(name: string, data: PeerDataRequest): void {
-    const { directory, peerTable, sendNotice, getConfig } = this.#options;
+    const { peerTable, sendNotice, getConfig } = this.#options;
     if (data === "config") {
       sendNotice(name, { config: getConfig() });
     } else {
-      const revision = peerTable.findPartner(name)?.serversRevision;
-      sendNotice(name, { servers: directory.getNotice(revision) });
+      const revision = peerTable.findPartner(name)?.serversRevision ?? 0;
+      sendNotice(name, { servers: this.#createServersNotice(name, revision) });
     }
   }
 }
--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -131,6 +131,7 @@
       countLimitedServers: () => this.#serverLimits.limitedCount,
       countLeavingServers: () => this.#serverStatements.leavingCount,
       countPausedServers: () => this.#serverStatements.pausedCount,
+      getServerList: () => this.#directory,
       getConfigVersion: () => this.#routes?.version ?? 0,
       getStoreGeneration: () => this.#fleetSync.storeGeneration,
       countPeers: () => this.#peerTable.listPartners().length,
--- a/src/process/routing_gauges.ts
+++ b/src/process/routing_gauges.ts
@@ -7,6 +7,8 @@
   countLimitedServers(): number;
   countLeavingServers(): number;
   countPausedServers(): number;
+  /** Gets the number of listed backend servers, and the revision of the store up to which the list is complete. */
+  getServerList(): { readonly size: number; readonly revision: number };
   getConfigVersion(): number;
   getStoreGeneration(): number;
   countPeers(): number;
@@ -22,6 +24,16 @@
     help: "Groups that accept requests",
     getValue: () => figures.countServingGroups(),
   });
+  metrics.addGauge({
+    name: "listed_servers",
+    help: "Backend servers in the list of this daemon",
+    getValue: () => figures.getServerList().size,
+  });
+  metrics.addGauge({
+    name: "server_list_revision",
+    help: "Revision of the store up to which the list of servers is complete",
+    getValue: () => figures.getServerList().revision,
+  });
   metrics.addGauge({
     name: "waiting_requests",
     help: "Requests that wait for a slot in a group",
