Send a request to a server again only on a new connection

Cause: a head that refuses a request with Retry-After gets it again after that time. The second sending went out on the same kept connection with the same request id, so that a second copy of the refusal, which servers may send late, passed for the response to it. The daemon held the request for not run and sent it a third time.

Ruled out: two refusals (the head's own record), another daemon, a reset.

Why the fix works: a request is sent to each address at most once on a kept connection, so that its id tells its responses apart again. A copy arrives on the earlier connection, as unexpected data or with the id of another request. Both forwarders.

--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { delay } from "../src/shared/delay.ts";
 import { HttpListener } from "./http_listener.ts";
 import {
@@ -132,6 +133,12 @@
   retryAfter: string | undefined;
   /** Wall-clock times at which the server refused a request with `retryAfter`, in milliseconds. */
   readonly refusedAtMs: number[] = [];
+  /** Number of upcoming refusals that are sent a second time, when the next request arrives on their connection. */
+  refusalsToRepeat = 0;
+  /** Number of refusals that were sent a second time. */
+  repeatedRefusals = 0;
+  /** Refusals that are sent a second time, by connection. */
+  readonly #pendingRefusals = new WeakMap<Socket, string>();
   /** Number of upcoming orders that get no response and are applied after a delay. */
   ordersToDelay = 0;
   /** Returns the time until an order is applied that gets no response, in milliseconds, or 0 for an order that is applied at once. */
@@ -460,6 +467,7 @@
   ): Promise<void> {
     const { id, runs, domain, zone, fleet } = this.#options;
     const requestId = String(req.headers["request-id"]);
+    this.#repeatRefusal(req.socket);
     await readJson(req).catch(() => undefined);
     if (req.headers["expect-instance"] !== id) {
       res.writeHead(421, {
@@ -533,6 +541,19 @@
     }
     res.writeHead(503, headers);
     res.end();
+    if (this.refusalsToRepeat > 0) {
+      this.refusalsToRepeat--;
+      this.#pendingRefusals.set(res.req.socket, formatRefusal(headers));
+    }
+  }
+
+  #repeatRefusal(socket: Socket): void {
+    const refusal = this.#pendingRefusals.get(socket);
+    if (refusal !== undefined) {
+      this.#pendingRefusals.delete(socket);
+      this.repeatedRefusals++;
+      socket.write(refusal);
+    }
   }
 
   /** Sends the events after `lastEventId`; pauses while a member of the group is missing or silent. */
@@ -621,6 +642,15 @@
   }
 }
 
+function formatRefusal(headers: Readonly<Record<string, string>>): string {
+  const lines = Object.entries(headers).map(([name, value]) =>
+    `${name}: ${value}\r\n`
+  );
+  return `HTTP/1.1 503 Service Unavailable\r\n${
+    lines.join("")
+  }content-length: 0\r\n\r\n`;
+}
+
 function listPromptParts(req: IncomingMessage): string[] {
   return String(req.headers["prompt-prefix"] ?? "").split(",")
     .map((part) => part.split(":")[0]);
--- a/src/connection/backend_transport.ts
+++ b/src/connection/backend_transport.ts
@@ -44,7 +44,7 @@
   readonly account?: string;
   /** Id of the last event that the caller received. The backend server continues the stream after this event. */
   readonly resumeAfter?: number;
-  /** Whether the attempt is sent on a new connection instead of a pooled one. Neither a late response to an earlier request nor an idle timeout can then break the attempt. */
+  /** Whether the attempt is sent on a new connection instead of a pooled one. Neither a late response to an earlier request nor an idle timeout can then break the attempt. It is required when the request has been sent to the address before: a second copy of the earlier response has the same request id, so that nothing tells it from the response to this attempt. */
   readonly usesDedicatedConnection: boolean;
   /** Signal that aborts the attempt and closes its connection. */
   readonly signal: AbortSignal;
@@ -81,6 +81,8 @@
   /** Whether the response states that the backend server is about to stop. */
   readonly isServerLeaving: boolean;
   readonly pause: PauseStatement;
+  /** Whether the connection has carried an earlier request. */
+  readonly isConnectionReused: boolean;
   /** Length of the body in bytes, if the response has a `content-length` header. */
   readonly contentLength?: number;
   /**
--- a/src/request/routed/attempt_result.ts
+++ b/src/request/routed/attempt_result.ts
@@ -93,6 +93,16 @@
     result.error.kind === "reset";
 }
 
+/** Describes the connection on which the response of an attempt arrived, for the log; undefined without a response. */
+export function describeConnection(
+  result: AttemptResult,
+): "new" | "reused" | undefined {
+  if (!("response" in result)) {
+    return undefined;
+  }
+  return result.response.isConnectionReused ? "reused" : "new";
+}
+
 /** Describes the failure of an attempt at a replica group, for the error of its request. */
 export function describeFailure(result: AttemptResult): string {
   if (result.outcome === "failed") {
--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -19,6 +19,7 @@
 import {
   type AttemptResult,
   convertAttemptError,
+  describeConnection,
   describeFailure,
   isPausing,
   isReset,
@@ -30,6 +31,7 @@
 import type { RequestForwarder } from "./request_forwarder.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { ModelRequest } from "./routed_request.ts";
+import { SentAddresses } from "./sent_addresses.ts";
 import {
   getMaxPauseMs,
   MIN_MOVE_SILENCE_MS,
@@ -67,6 +69,7 @@
   #move: StreamMove | undefined;
   readonly #progress: StreamProgress;
   readonly #servers: AttemptedServers;
+  readonly #sentAddresses = new SentAddresses();
   /** Return of the caller after a refusal; undefined when none is known. */
   readonly #refusedReturn: RefusedReturn | undefined;
   #verdict: Verdict = "not-run";
@@ -482,7 +485,7 @@
         timeBudgetMs: deadlineAtMs - performance.now(),
         account,
         resumeAfter: this.#progress.lastEventId,
-        usesDedicatedConnection: false,
+        usesDedicatedConnection: !this.#sentAddresses.add(head.address),
         signal,
       },
     );
@@ -593,6 +596,7 @@
         head: group.head.id,
         outcome: result.outcome,
         status: "response" in result ? result.response.status : undefined,
+        connection: describeConnection(result),
         failedServer: "response" in result
           ? result.response.failedServerId
           : undefined,
--- a/src/request/routed/service_request_forwarder.ts
+++ b/src/request/routed/service_request_forwarder.ts
@@ -7,12 +7,14 @@
 import {
   type AttemptResponse,
   type AttemptResult,
+  describeConnection,
   isRetryableServerError,
   readResponseBody,
 } from "./attempt_result.ts";
 import { createCrashRefusal, getFingerprint } from "./crash_refusal.ts";
 import type { RequestForwarder } from "./request_forwarder.ts";
 import type { RequestScope } from "./request_scope.ts";
+import { SentAddresses } from "./sent_addresses.ts";
 
 /** Share of the remaining time that an attempt of an idempotent request gets while another attempt may follow. */
 const ATTEMPT_TIME_SHARE = 0.5;
@@ -29,6 +31,7 @@
 export class ServiceRequestForwarder implements RequestForwarder {
   readonly #scope: RequestScope;
   readonly #triedServerIds = new Set<string>();
+  readonly #sentAddresses = new SentAddresses();
   #verdict: Verdict = "not-run";
   #attemptCount = 0;
   /** Number of attempts that ran or may have run, which the route limits. */
@@ -212,6 +215,7 @@
       );
     const removeLoad = serverLoads.addRequest(server.id);
     const observation = context.concurrency?.startCall(server, route.name);
+    const isRepeated = !this.#sentAddresses.add(server.address);
     let isSuccess = false;
     coldLimits.recordRequest(server);
     serverLimits.recordRequest(server);
@@ -227,7 +231,7 @@
           timeBudgetMs: remainingMs,
           account,
           resumeAfter: request.resumeAfter,
-          usesDedicatedConnection: route.kind !== "idempotent",
+          usesDedicatedConnection: isRepeated || route.kind !== "idempotent",
           signal: controller.signal,
         },
       );
@@ -309,6 +313,7 @@
       server: server.id,
       outcome: result.outcome,
       status: "response" in result ? result.response.status : undefined,
+      connection: describeConnection(result),
       message: result.outcome === "failed" ? result.error.message : undefined,
       verdict: this.#verdict,
     });
--- a/src/request/routed/stream_move_test.ts
+++ b/src/request/routed/stream_move_test.ts
@@ -70,6 +70,7 @@
       requestLimit: "unlimited",
       isServerLeaving: false,
       pause: "none",
+      isConnectionReused: false,
       body: status === 200 ? this.#readChunks() : createEmptyBody(),
     });
   }
