Send streams that may not be resumed on connections of their own

Why the fix works: nothing of an earlier request can arrive on a new connection. Streams that may be resumed keep the shared connections, as another attempt can follow.

Measured: the new test of repeated_refusal_test fails on (a 502 among eight streams) and passes with the fix.

--- a/src/request/routed/model_stream_forwarder.ts
+++ b/src/request/routed/model_stream_forwarder.ts
@@ -468,7 +468,8 @@
   async #sendRequest(attempt: GroupAttempt): Promise<BackendResponse> {
     const { group, signal } = attempt;
     const { head } = group;
-    const { context, request, deadlineAtMs, account } = this.#scope;
+    const { context, request, route, deadlineAtMs, account } = this.#scope;
+    const isRepeated = !this.#sentAddresses.add(head.address);
     attempt.observation = context.concurrency?.startStream({
       group,
       engine: this.#engine,
@@ -485,7 +486,7 @@
         timeBudgetMs: deadlineAtMs - performance.now(),
         account,
         resumeAfter: this.#progress.lastEventId,
-        usesDedicatedConnection: !this.#sentAddresses.add(head.address),
+        usesDedicatedConnection: isRepeated || !route.isResumable,
         signal,
       },
     );
--- a/tests/repeated_refusal_test.ts
+++ b/tests/repeated_refusal_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { createPlatformConfig } from "../fakes/platform_documents.ts";
 import {
+  type CallerResponse,
   PlatformDeployment,
   waitUntil,
 } from "./support/platform_deployment.ts";
@@ -53,6 +54,17 @@
     return { response, runs: deployment.runs.length - runsBefore };
   }
 
+  // Guards against a stream that fails, and cannot be repeated, since a copy of the refusal of another request arrives on its connection.
+  it("does not break another stream that may not be resumed", async () => {
+    const { response } = await doTest(false);
+    expect(response.isWhole).toBe(true);
+    const responses: CallerResponse[] = [];
+    for (let i = 0; i < 8; i++) {
+      responses.push(await deployment.callModel());
+    }
+    expect(responses.filter(({ isWhole }) => !isWhole)).toEqual([]);
+  });
+
   // Guards against a stream that runs twice: the second copy of a refusal is taken for the response to the repeated request, which has the same id, and the request is sent a third time.
   it.each([[false], [true]])(
     "is not taken for the response to the repeated request, resumable: %s",
