Require a key when the list of client accounts is empty

Cause: the decoder made the same empty list of a missing field, null, an empty list and a value of another type, and the request path took an empty list for "callers need no key". An absent field and an empty one say opposite things here.

Why the fix works: the configuration states whether the field was there, and that decides. Daemons of earlier versions omit the new field between each other; then the number of accounts decides as before.

--- a/src/process/routing_daemon.ts
+++ b/src/process/routing_daemon.ts
@@ -591,6 +591,8 @@
       before: currentVersion,
       source,
       routes: config.routes.length,
+      accounts: config.accounts.length,
+      isKeyRequired: this.#routes.isKeyRequired,
     });
     this.#groups.refresh();
     this.#peerExchange.announce();
--- a/src/request/routed/route_explainer.ts
+++ b/src/request/routed/route_explainer.ts
@@ -56,7 +56,7 @@
     const account = routes?.config.accounts.find(({ name }) =>
       name === query.account
     );
-    const isAccountMissing = routes?.hasAccounts === true &&
+    const isAccountMissing = routes?.isKeyRequired === true &&
       route?.isPublic === false && account === undefined;
     return {
       daemon: settings.name,
--- a/src/request/routed/routed_request_handler.ts
+++ b/src/request/routed/routed_request_handler.ts
@@ -218,7 +218,7 @@
   const account = request.apiKey === undefined
     ? undefined
     : routes.findAccount(request.apiKey);
-  if (routes.hasAccounts && !route.isPublic && account === undefined) {
+  if (routes.isKeyRequired && !route.isPublic && account === undefined) {
     throw new RequestError(
       "The API key is missing or does not belong to a client account",
       {
--- a/src/version/route_table.ts
+++ b/src/version/route_table.ts
@@ -38,9 +38,9 @@
     }
   }
 
-  /** Gets whether any client accounts are declared; if so, callers need an API key on routes that are not public. */
-  get hasAccounts(): boolean {
-    return this.config.accounts.length > 0;
+  /** Gets whether callers need an API key on routes that are not public. */
+  get isKeyRequired(): boolean {
+    return this.config.isKeyRequired ?? this.config.accounts.length > 0;
   }
 
   /**
--- a/src/version/route_table_test.ts
+++ b/src/version/route_table_test.ts
@@ -62,6 +62,22 @@
     });
   });
 
+  describe("isKeyRequired", () => {
+    const ACCOUNTS = [{ name: "a", keys: ["k1"] }];
+
+    it.each([
+      ["no accounts", { accounts: [], isKeyRequired: true }, true],
+      ["no accounts and no need for a key", {
+        accounts: [],
+        isKeyRequired: false,
+      }, false],
+      ["an earlier version's accounts", { accounts: ACCOUNTS }, true],
+      ["an earlier version without accounts", { accounts: [] }, false],
+    ])("tells for a configuration with %s", (_name, config, expected) => {
+      expect(createTable(config).isKeyRequired).toBe(expected);
+    });
+  });
+
   describe("findAccount", () => {
     it("finds the account of each key", () => {
       const table = createTable({
--- a/src/version/routing_config.ts
+++ b/src/version/routing_config.ts
@@ -120,6 +120,7 @@
   readonly routes: readonly Route[];
   readonly services: readonly RoutedService[];
   readonly limits: IngressLimits;
-  /** Client accounts; empty when callers need no API key. */
   readonly accounts: readonly RoutedAccount[];
+  /** Whether callers need the API key of an account on routes that are not public. Without any account, no key is valid. Daemons of earlier versions omit it in the configurations that they send; then a key is required if there are accounts. */
+  readonly isKeyRequired?: boolean;
 }
