Treat a response whose status is none as no response

Callers of the platform path got the statuses 600 to 999 of a server with its signature; 000 to 099 were no response there already. On the own interface a plain service's 000 completed the call and its claim, and any status but 200 of an engine was a refusal that states "not run".

Cause: the type of the status was checked, and not its range. HTTP has final statuses from 200 to 599; what another number means for the request is not known.

Evidence: a raw server with nine such codes on every path that reads a response; orders, states, health, store and duty calls take what they do not know for an unknown outcome and needed no change.

Why the fix works: one function decides on all three paths. The attempt has failed and may have run, so that a call that may be repeated gets another server within its limits, and the caller of another one gets 502 without a signature. "Not-Executed" beside such a status is not believed.

--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -121,6 +121,10 @@
   readonly requestCrashesAtMs: number[] = [];
   /** Number of upcoming requests that are answered with the status 500 and a body. */
   requestsToFail = 0;
+  /** Number of upcoming requests that are executed and answered with the status `invalidStatus`, the body of an error and the signature. */
+  requestsToSpoil = 0;
+  /** Status line code of the responses to `requestsToSpoil`. */
+  invalidStatus = "000";
   /** Number of requests per second that the server states in its responses. */
   requestLimit: number | undefined;
   /** Time between two events of a stream, in milliseconds. */
@@ -503,7 +507,12 @@
       ...(this.requestLimit !== undefined &&
         { "server-limit": String(this.requestLimit) }),
     };
-    if (this.requestsToFail > 0) {
+    if (this.requestsToSpoil > 0) {
+      this.requestsToSpoil--;
+      req.socket.write(
+        formatResponse(`${this.invalidStatus} Error`, headers, "error"),
+      );
+    } else if (this.requestsToFail > 0) {
       this.requestsToFail--;
       res.writeHead(500, headers);
       res.end("internal error");
@@ -543,7 +552,10 @@
     res.end();
     if (this.refusalsToRepeat > 0) {
       this.refusalsToRepeat--;
-      this.#pendingRefusals.set(res.req.socket, formatRefusal(headers));
+      this.#pendingRefusals.set(
+        res.req.socket,
+        formatResponse("503 Service Unavailable", headers),
+      );
     }
   }
 
@@ -642,13 +654,16 @@
   }
 }
 
-function formatRefusal(headers: Readonly<Record<string, string>>): string {
-  const lines = Object.entries(headers).map(([name, value]) =>
-    `${name}: ${value}\r\n`
-  );
-  return `HTTP/1.1 503 Service Unavailable\r\n${
-    lines.join("")
-  }content-length: 0\r\n\r\n`;
+function formatResponse(
+  status: string,
+  headers: Readonly<Record<string, string>>,
+  body = "",
+): string {
+  const lines = Object.entries({
+    ...headers,
+    "content-length": String(body.length),
+  }).map(([name, value]) => `${name}: ${value}\r\n`);
+  return `HTTP/1.1 ${status}\r\n${lines.join("")}\r\n${body}`;
 }
 
 function listPromptParts(req: IncomingMessage): string[] {
--- a/src/connection/backend_transport.ts
+++ b/src/connection/backend_transport.ts
@@ -1,6 +1,9 @@
 import type { Buffer } from "node:buffer";
 import type { Verdict } from "../shared/verdict.ts";
 
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+
 /** Name and value of one HTTP header. */
 export type HeaderPair = readonly [name: string, value: string];
 
@@ -29,6 +32,20 @@
   };
 }
 
+/**
+ * Gets whether a status code ends an HTTP exchange: 200 to 599 (RFC 9110, section 15). A server in trouble may send others, such as 000, which tell nothing about its request.
+ *
+ * @param status - Status code of a response.
+ * @example
+ * ```ts
+ * isFinalStatus(503); // true
+ * isFinalStatus(0); // false
+ * ```
+ */
+export function isFinalStatus(status: number): boolean {
+  return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+}
+
 /** One attempt to send a request to a backend server. */
 export interface BackendCall {
   readonly requestId: string;
--- a/src/connection/engine_stream.ts
+++ b/src/connection/engine_stream.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import { type Agent, type IncomingMessage, request } from "node:http";
 import { getErrorMessage, reportMissingResponse } from "../shared/errors.ts";
-import { parseAddress } from "./backend_transport.ts";
+import { isFinalStatus, parseAddress } from "./backend_transport.ts";
 import { EngineError } from "./engine_client.ts";
 
 /** Time limit for establishing a connection to an engine, in milliseconds. */
@@ -65,10 +65,11 @@
         return;
       }
       res.resume();
+      const isRefused = isFinalStatus(res.statusCode ?? 0);
       reject(
         new EngineError(`The engine responded with status ${res.statusCode}`, {
-          verdict: "not-run",
-          kind: "refused",
+          verdict: isRefused ? "not-run" : "may-have-run",
+          kind: isRefused ? "refused" : "lost",
         }),
       );
     });
--- a/src/connection/service_client.ts
+++ b/src/connection/service_client.ts
@@ -3,7 +3,7 @@
 import { connect, type Socket } from "node:net";
 import { type OptionsInit, RequestError, TimeoutError } from "got";
 import { getErrorMessage } from "../shared/errors.ts";
-import { parseAddress } from "./backend_transport.ts";
+import { isFinalStatus, parseAddress } from "./backend_transport.ts";
 import { httpClient } from "./http_client.ts";
 
 /** Time limit for establishing a connection to a backend server, in milliseconds. */
@@ -136,6 +136,9 @@
       }
     });
     const response = await responsePromise;
+    if (!isFinalStatus(response.statusCode)) {
+      throw new Error(`The response has status ${response.statusCode}`);
+    }
     return {
       status: response.statusCode,
       contentType: response.headers["content-type"],
