Keep the drain notice for members of a planner that the store refuses

Cause: a member read the store only when its list was 1.1 times as old as the bound, since a hub that is cut off from the store takes the list from other hubs. A hub that is the planner did not: nobody sends changes to it, it asked for a later list only after 0.7 s of lag, and that time began anew with each notice of a partner whose list was not later. After it had taken a list, its members heard of it with a periodic notice only.

Ruled out: a list without removals (nothing is killed), a late daemon (requests took 6 to 8 ms).

Why the fix works: a daemon that the store does not confirm requests the list from the first partner that states a later one, and announces it.

--- a/src/process/fleet/fleet_sync.ts
+++ b/src/process/fleet/fleet_sync.ts
@@ -15,6 +15,11 @@
 import type { ExcludedZones } from "./excluded_zones.ts";
 import type { GroupLoads } from "./group_loads.ts";
 import type { GroupTable } from "./group_table.ts";
+import {
+  getListWatchTimeoutMs,
+  getMaxListAgeMs,
+  type ListReaderRole,
+} from "./list_age.ts";
 import { ObjectWatcher, type WatchLimits } from "./object_watcher.ts";
 import type { Partner, PeerTable } from "./peer_table.ts";
 import type { PromptPartQuarantine } from "./prompt_part_quarantine.ts";
@@ -34,16 +39,8 @@
 const PLANNER_BATCH_DELAY_MS = 200;
 /** Delay between two calls of the watch on the servers at the other daemons, in milliseconds. It may be longer, since they detect lost groups by their streams and the notices of peers. */
 const SERVERS_BATCH_DELAY_MS = 350;
-/** Share of the drain notice after which a list of servers that the store has not confirmed counts as old. The rest remains for reading the list. */
-const MAX_LIST_AGE_SHARE = 0.55;
-/** Share of the maximum age of the list after which a watch on the servers returns without changes, so that its response confirms the list in time. */
-const WATCH_TIMEOUT_SHARE = 0.3;
 /** Share of the time in which a change of the configuration or of the excluded zones has to be known for which a watch waits, and share in which its response has to arrive. The rest remains for reading the change on another connection and announcing it. */
 const NOTICE_SHARES = { wait: 0.3, response: 0.2 };
-/** Share of the maximum age of the list after which the first hub of a zone reads the store, before the other daemons do. */
-const FIRST_HUB_AGE_SHARE = 0.75;
-/** Multiple of the maximum age of the list after which a member with a hub reads the store. A hub that is cut off from the store takes the list from other hubs, so that its members have to read the store only when it is away for all hubs. */
-const MEMBER_AGE_FACTOR = 2;
 /** Interval between two checks whether this daemon has to read the store, in milliseconds. */
 const READING_CHECK_INTERVAL_MS = 200;
 /** Times after the start for which a daemon waits for the data of a peer before it reads the store itself, in milliseconds. They differ, so that few daemons read the store when a large fleet starts at once. */
@@ -120,7 +117,8 @@
   #partnersConfirmedAtMs = Number.NEGATIVE_INFINITY;
   /** Monotonic time at which the store had confirmed the list of servers when this daemon last received a confirmation, in milliseconds. */
   #listConfirmedAtMs = Number.NEGATIVE_INFINITY;
-  #laggingSinceMs: number | undefined;
+  /** Newer list of a partner that this daemon waits for: the revision of its last change, and the monotonic time at which this daemon heard of it, in milliseconds. */
+  #lag: { readonly sinceMs: number; readonly revision: number } | undefined;
   /** Last revision that the store or a peer has stated; 0 before the first one. */
   #knownRevision = 0;
 
@@ -176,7 +174,7 @@
         options.isPlanner() ? PLANNER_BATCH_DELAY_MS : SERVERS_BATCH_DELAY_MS,
       getRetryDelayMs,
       getWatchLimits: () => ({
-        timeoutMs: Math.round(this.#maxListAgeMs * WATCH_TIMEOUT_SHARE),
+        timeoutMs: getListWatchTimeoutMs(options.drainNoticeMs),
       }),
       waitUntilNeeded: (signal) => this.#waitUntilReading(signal),
       keepsLastValid: false,
@@ -236,10 +234,6 @@
     }
   }
 
-  get #maxListAgeMs(): number {
-    return this.#options.drainNoticeMs * MAX_LIST_AGE_SHARE;
-  }
-
   /** Gets whether other daemons depend on this daemon's reading of the store. */
   #isReader(): boolean {
     return this.#options.isPlanner() || this.#options.isFirstHub();
@@ -285,13 +279,20 @@
   }
 
   #getMaxListAgeMs(): number {
+    return getMaxListAgeMs(
+      this.#getListReaderRole(),
+      this.#options.drainNoticeMs,
+    );
+  }
+
+  #getListReaderRole(): ListReaderRole {
     const { isFirstHub, isHub, peerTable } = this.#options;
     if (isFirstHub()) {
-      return this.#maxListAgeMs * FIRST_HUB_AGE_SHARE;
+      return "first-hub";
     }
     const hasHub = !isHub() &&
       peerTable.listPartners().some(({ relation }) => relation === "hub");
-    return this.#maxListAgeMs * (hasHub ? MEMBER_AGE_FACTOR : 1);
+    return hasHub ? "member" : "hub";
   }
 
   /** Gets the time since the store last confirmed the list of servers, to this daemon or to a partner, in milliseconds. */
@@ -468,8 +469,10 @@
     if (notice.servers !== undefined) {
       directory.offerNotice(notice.servers, name);
     }
-    if (relation !== "member" && notice.serversRevision !== undefined) {
-      // The members of this daemon wait for the confirmation of their list.
+    const isListNews = notice.serversRevision !== undefined ||
+      notice.servers !== undefined;
+    if (relation !== "member" && isListNews) {
+      // The members of this daemon wait for the changes and the confirmation of their list.
       this.#options.scheduleNotices();
     }
     if (notice.config !== undefined) {
@@ -530,15 +533,23 @@
     }
   }
 
+  /** Requests the list of a partner that has a newer one: at once if the store does not confirm the list of this daemon at present, otherwise if the newer list does not arrive soon. */
   #checkLag(name: string, changeRevision: number): void {
     const { directory, logger } = this.#options;
+    if (
+      this.#lag !== undefined && this.#lag.revision <= directory.changeRevision
+    ) {
+      this.#lag = undefined;
+    }
     if (changeRevision <= directory.changeRevision) {
-      this.#laggingSinceMs = undefined;
       return;
     }
-    this.#laggingSinceMs ??= performance.now();
-    if (performance.now() - this.#laggingSinceMs > LAG_TOLERANCE_MS) {
-      this.#laggingSinceMs = undefined;
+    this.#lag ??= { sinceMs: performance.now(), revision: changeRevision };
+    if (this.#getListAgeMs() > this.#getMaxListAgeMs()) {
+      this.#requestData(name, "servers");
+    }
+    if (performance.now() - this.#lag.sinceMs > LAG_TOLERANCE_MS) {
+      this.#lag = undefined;
       logger.write("info", "list-behind", {
         peer: name,
         revision: directory.changeRevision,
