Let the soak leave daemons with outdated and incomplete information

A second sequence of actions, drawn apart so that the actions of a seed stay what they were, kills the planner or has the store refuse it while a server leaves without draining, has servers send refusals twice and answers with a status that is none, and removes all client accounts for a while. Checked in addition: no run without an account, no status that is none.

--- a/bench/soak/guarantee_checks.ts
+++ b/bench/soak/guarantee_checks.ts
@@ -5,6 +5,9 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Statuses with which a daemon rejects the API key or the access to a path. */
 const DENYING_STATUSES: ReadonlySet<number> = new Set([401, 403, 404]);
+/** Lowest and highest status with which an HTTP exchange ends. */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
 /** Time after a disturbance for which the part still counts as disturbed, in milliseconds. */
 const RECOVERY_MS = 3_000;
 /** Longest allowed time until a new configuration is in force on every daemon, in milliseconds. */
@@ -61,6 +64,9 @@
       `${requestId} got a wrong or partial ${kind} response marked as complete`,
     );
   }
+  if (status !== undefined && (status < MIN_STATUS || status > MAX_STATUS)) {
+    violations.push(`${requestId} got the status ${status}, which is none`);
+  }
   if (kind === "booking" && runs.length > 1) {
     violations.push(`${requestId} ran ${runs.length} times`);
   }
@@ -95,7 +101,10 @@
   );
   const addition = record.keyChanges.find((change) => change.added === key);
   const removal = record.keyChanges.find((change) => change.removed === key);
-  const isKeyUsable = removal === undefined || sentAtMs < removal.atMs;
+  const isKeyUsable = (removal === undefined || sentAtMs < removal.atMs) &&
+    !record.accountRemovals.some(({ fromMs, untilMs }) =>
+      call.endedAtMs >= fromMs && sentAtMs < untilMs + CONFIG_PROPAGATION_MS
+    );
   const isDenied = status !== undefined && DENYING_STATUSES.has(status);
   if (
     isDenied && isUndisturbed && isKeyUsable && addition !== undefined &&
@@ -110,6 +119,12 @@
   ) {
     return [`${requestId} ran with a removed key`];
   }
+  const hasNoAccount = record.accountRemovals.some(({ fromMs, untilMs }) =>
+    sentAtMs > fromMs + CONFIG_PROPAGATION_MS && call.endedAtMs < untilMs
+  );
+  if (hasNoAccount && isUndisturbed && runs.length > 0) {
+    return [`${requestId} ran although no key is valid`];
+  }
   return [];
 }
 
--- a/bench/soak/guarantee_checks_test.ts
+++ b/bench/soak/guarantee_checks_test.ts
@@ -49,6 +49,7 @@
       disturbances: [],
       stops: [],
       keyChanges: [],
+      accountRemovals: [],
       exclusions: [],
       conflictingJoins: 0,
       ...record,
@@ -84,6 +85,15 @@
       keyChanges: [removal],
       disturbances: [{ part: "daemon-0", fromMs: 7_000, untilMs: 8_000 }],
     }],
+    ["the rejection of a key while there are no accounts", {
+      calls: [createCall({ status: 401 })],
+      runs: [],
+      keyChanges: [addition],
+      accountRemovals: [{ fromMs: 7_000, untilMs: 20_000 }],
+    }],
+    ["a request that ran just after the accounts were removed", {
+      accountRemovals: [{ fromMs: 9_000, untilMs: 20_000 }],
+    }],
     ["a call interrupted during a planned stop and a server crash", {
       calls: [interruptedCall],
       stops: [stop],
@@ -125,6 +135,10 @@
     ["a request that ran with a removed key after the propagation time", {
       keyChanges: [removal],
     }],
+    ["a request that ran while there were no accounts", {
+      accountRemovals: [{ fromMs: 7_000, untilMs: 20_000 }],
+    }],
+    ["a status that is none", { calls: [createCall({ status: 0 })] }],
     ["the rejection of a valid key", {
       calls: [createCall({ status: 401 })],
       keyChanges: [addition],
--- a/bench/soak/soak_fleet.ts
+++ b/bench/soak/soak_fleet.ts
@@ -11,6 +11,9 @@
 import type { SoakRecord } from "./soak_record.ts";
 
 const ZONES = ["z1", "z2"];
+/** Kind and name of the store object with the planner's lease. */
+const LEASE_KIND = "tarragontally-leases";
+const LEASE_NAME = "planner";
 /** Time for which the store keeps the entry of a crashed server, in milliseconds. */
 const ENTRY_RETENTION_MS = 2_000;
 /** Time for which a draining server keeps serving, in milliseconds. It exceeds the time for which daemons may still send it requests. */
@@ -42,6 +45,7 @@
   readonly #record: SoakRecord;
   readonly #keys: string[] = ["key-1"];
   readonly #allServers: SoakServer[] = [];
+  #hasAccounts = true;
   #nextConfigVersion = 1;
   #startedServerCount = 0;
 
@@ -137,18 +141,27 @@
     await this.startServer(serverIndex, modelServerCount);
   }
 
-  /** Drains a server, stops it after a fixed time and starts a replacement. */
+  /**
+   * Lets a server leave, stops it after a fixed time and starts a replacement.
+   *
+   * @param options - With `reportsDrain` set to false, the server removes its entry in place of reporting that it drains.
+   */
   async drainServer(
     serverIndex: number,
-    modelServerCount: number,
+    options: { modelServerCount: number; reportsDrain: boolean },
   ): Promise<void> {
+    const { modelServerCount, reportsDrain } = options;
     const { server, id } = this.servers[serverIndex];
     const exclusion = {
       serverId: id,
       fromMs: Date.now(),
       untilMs: Number.POSITIVE_INFINITY,
     };
-    server.drain();
+    if (reportsDrain) {
+      server.drain();
+    } else {
+      server.removeEntry();
+    }
     this.#record.exclusions.push(exclusion);
     await delay(DRAINING_MS);
     exclusion.untilMs = Date.now();
@@ -166,6 +179,30 @@
     this.#record.keyChanges.push({ atMs: Date.now(), added, removed });
   }
 
+  /** Removes all client accounts for a limited time; does nothing when they are removed already. */
+  async removeAccounts(forMs: number): Promise<void> {
+    if (!this.#hasAccounts) {
+      return;
+    }
+    const removal = { fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY };
+    this.#hasAccounts = false;
+    this.#writeConfig();
+    this.#record.accountRemovals.push(removal);
+    await delay(forMs);
+    removal.untilMs = Date.now();
+    this.#hasAccounts = true;
+    this.#writeConfig();
+  }
+
+  /** Finds the index of the daemon that holds the planner's lease; undefined when no daemon does. */
+  findPlanner(): number | undefined {
+    const lease = this.store.getObject(LEASE_KIND, LEASE_NAME) as
+      | { readonly holder: string }
+      | undefined;
+    const index = this.daemons.findIndex(({ name }) => name === lease?.holder);
+    return index < 0 ? undefined : index;
+  }
+
   /** Excludes a zone from service for a limited time; does nothing when it is excluded already. */
   async takeZoneOutOfService(zone: string, forMs: number): Promise<void> {
     if (this.store.getObject(EXCLUDED_ZONE_KIND, zone) !== undefined) {
@@ -213,6 +250,9 @@
     const config = createPlatformConfig(this.#nextConfigVersion++, [
       ...this.#keys,
     ]);
-    this.store.putObject("config", "main", config);
+    this.store.putObject("config", "main", {
+      ...config,
+      Tenants: this.#hasAccounts ? config.Tenants : [],
+    });
   }
 }
--- a/bench/soak/soak_plan.ts
+++ b/bench/soak/soak_plan.ts
@@ -19,6 +19,12 @@
  * - `lose-answers`: a backend server executes the next requests, but resets their connections in place of a response.
  * - `change-keys`: an API key is added, and the oldest one is removed when more than two are valid.
  * - `exclude-zone`: an availability zone is excluded from service.
+ * - `kill-planner`: the daemon that holds the planner's lease is killed with SIGKILL and restarted.
+ * - `refuse-planner`: the store refuses the calls of the daemon that holds the planner's lease.
+ * - `withdraw-server`: a backend server removes its entry without draining, serves on for a while, and is replaced.
+ * - `repeat-refusals`: a backend server refuses the next requests for a short time, and sends each refusal a second time.
+ * - `spoil-answers`: a backend server executes the next requests, and answers with a status that is none.
+ * - `remove-accounts`: the configuration has an empty list of client accounts for a while.
  */
 export type SoakAction =
   | { readonly kind: "kill"; readonly daemon: number }
@@ -52,7 +58,13 @@
   | { readonly kind: "late-orders"; readonly server: number }
   | { readonly kind: "lose-answers"; readonly server: number }
   | { readonly kind: "change-keys" }
-  | { readonly kind: "exclude-zone"; readonly forMs: number };
+  | { readonly kind: "exclude-zone"; readonly forMs: number }
+  | { readonly kind: "kill-planner" }
+  | { readonly kind: "refuse-planner"; readonly forMs: number }
+  | { readonly kind: "withdraw-server"; readonly server: number }
+  | { readonly kind: "repeat-refusals"; readonly server: number }
+  | { readonly kind: "spoil-answers"; readonly server: number }
+  | { readonly kind: "remove-accounts"; readonly forMs: number };
 
 /** Action of a plan with its start time. */
 export type SoakStep = SoakAction & {
@@ -72,6 +84,14 @@
 export const PLAIN_SERVER_COUNT = 2;
 /** Mean time between two actions, in milliseconds; short enough that several overlap. */
 const MEAN_ACTION_INTERVAL_MS = 900;
+/** Mean time between two actions of the second sequence, in milliseconds. */
+const MEAN_BELIEF_ACTION_INTERVAL_MS = 3_000;
+/** Time between an action and one that follows it, in milliseconds. A restarted daemon reads the list of servers soon after it. */
+const FOLLOW_UP_MS = 600;
+/** Shortest time for which the store refuses the planner, in milliseconds. It exceeds the time within which the daemons have to know of a change. */
+const MIN_REFUSAL_DURATION_MS = 3_000;
+/** Shortest time without client accounts, in milliseconds. It exceeds the time within which a configuration has to be in force. */
+const MIN_REMOVAL_DURATION_MS = 2_500;
 const LINK_FAULTS: readonly LinkFault[] = [
   "delay",
   "silence",
@@ -99,18 +119,68 @@
  * ```
  */
 export function createPlan(seed: number, size: SoakSize): SoakStep[] {
-  const random = new SeededRandom(getHash32(`soak ${seed}`));
+  return [
+    ...createSteps(size, {
+      random: new SeededRandom(getHash32(`soak ${seed}`)),
+      meanIntervalMs: MEAN_ACTION_INTERVAL_MS,
+      createActions: (random) => [createAction(random, size)],
+    }),
+    // A separate sequence, so that the actions above stay the same for each seed.
+    ...createSteps(size, {
+      random: new SeededRandom(getHash32(`soak beliefs ${seed}`)),
+      meanIntervalMs: MEAN_BELIEF_ACTION_INTERVAL_MS,
+      createActions: (random) => createBeliefActions(random, size),
+    }),
+  ];
+}
+
+function createSteps(size: SoakSize, options: {
+  random: SeededRandom;
+  meanIntervalMs: number;
+  /** Creates actions that start one after the other, `FOLLOW_UP_MS` apart. */
+  createActions: (random: SeededRandom) => readonly SoakAction[];
+}): SoakStep[] {
+  const { random, meanIntervalMs, createActions } = options;
   const steps: SoakStep[] = [];
   let atMs = 0;
   for (;;) {
-    atMs += Math.round(random.getArrivalGapMs(1_000 / MEAN_ACTION_INTERVAL_MS));
+    atMs += Math.round(random.getArrivalGapMs(1_000 / meanIntervalMs));
     if (atMs > size.durationMs - QUIET_END_MS) {
       return steps;
     }
-    steps.push({ ...createAction(random, size), atMs });
+    createActions(random).forEach((action, i) =>
+      steps.push({ ...action, atMs: atMs + i * FOLLOW_UP_MS })
+    );
   }
 }
 
+/** Creates actions that leave a daemon with outdated or incomplete information. */
+function createBeliefActions(
+  random: SeededRandom,
+  size: SoakSize,
+): readonly SoakAction[] {
+  const server = random.getInteger(size.servers + PLAIN_SERVER_COUNT);
+  const plainServer = size.servers + random.getInteger(PLAIN_SERVER_COUNT);
+  const forMs = MIN_FAULT_DURATION_MS +
+    random.getInteger(MAX_FAULT_DURATION_MS - MIN_FAULT_DURATION_MS);
+  const choices: readonly (readonly SoakAction[])[] = [
+    [{ kind: "kill-planner" }, { kind: "withdraw-server", server }],
+    [{ kind: "kill-planner" }, {
+      kind: "withdraw-server",
+      server: plainServer,
+    }],
+    [{ kind: "refuse-planner", forMs: forMs + MIN_REFUSAL_DURATION_MS }, {
+      kind: "withdraw-server",
+      server: plainServer,
+    }],
+    [{ kind: "withdraw-server", server }],
+    [{ kind: "repeat-refusals", server }],
+    [{ kind: "spoil-answers", server }],
+    [{ kind: "remove-accounts", forMs: forMs + MIN_REMOVAL_DURATION_MS }],
+  ];
+  return choices[random.getInteger(choices.length)];
+}
+
 function createAction(random: SeededRandom, size: SoakSize): SoakAction {
   const daemon = random.getInteger(size.daemons);
   const server = random.getInteger(size.servers + PLAIN_SERVER_COUNT);
--- a/bench/soak/soak_plan_test.ts
+++ b/bench/soak/soak_plan_test.ts
@@ -9,7 +9,7 @@
     expect(createPlan(7, size)).not.toEqual(createPlan(8, size));
   });
 
-  it("creates each of the 14 kinds of action within 50 seeds", () => {
+  it("creates each of the 20 kinds of action within 50 seeds", () => {
     const kinds = new Set<string>();
     for (let seed = 1; seed <= 50; seed++) {
       const steps = createPlan(seed, size);
@@ -17,6 +17,7 @@
       steps.forEach(({ kind }) => kinds.add(kind));
     }
     expect(kinds).toContain("silence-server");
-    expect(kinds.size).toBe(14);
+    expect(kinds).toContain("withdraw-server");
+    expect(kinds.size).toBe(20);
   });
 });
--- a/bench/soak/soak_record.ts
+++ b/bench/soak/soak_record.ts
@@ -53,7 +53,13 @@
   readonly removed: string | undefined;
 }
 
-/** Period in which a zone is excluded or a server drains. */
+/** Period in which the configuration has no client account, so that no key is valid. */
+export interface AccountRemoval {
+  readonly fromMs: number;
+  untilMs: number;
+}
+
+/** Period in which a zone is excluded, or a server drains or has removed its entry. */
 export interface Exclusion {
   readonly zone?: string;
   readonly serverId?: string;
@@ -68,6 +74,7 @@
   readonly disturbances: Disturbance[];
   readonly stops: PlannedStop[];
   readonly keyChanges: KeyChange[];
+  readonly accountRemovals: AccountRemoval[];
   readonly exclusions: Exclusion[];
   /** Number of joins that servers accepted while the head of their previous group was still serving. */
   conflictingJoins: number;
--- a/bench/soak/soak_runner.ts
+++ b/bench/soak/soak_runner.ts
@@ -17,6 +17,13 @@
 const GROUP_REPLACEMENT_MS = 6_000;
 /** Number of consecutive responses that a server drops; large enough that they include each kind of call. */
 const LOST_RESPONSE_COUNT = 6;
+/** Number of refusals that a server sends a second time. */
+const REPEATED_REFUSAL_COUNT = 4;
+/** Time for which a server refuses requests, in milliseconds, and the time after which it asks for them again, in seconds. */
+const REFUSAL_MS = 500;
+const REFUSAL_RETRY_AFTER = "0.3";
+/** Codes in a status line that end no HTTP exchange. */
+const INVALID_STATUSES = ["000", "099", "600", "999"];
 const EXCLUDED_ZONE = "z2";
 
 /** Result of one seed. */
@@ -216,7 +223,11 @@
         await fleet.servers[step.server].server.pause(step.forMs);
         return;
       case "drain-server":
-        await fleet.drainServer(step.server, modelServerCount);
+      case "withdraw-server":
+        await fleet.drainServer(step.server, {
+          modelServerCount,
+          reportsDrain: step.kind === "drain-server",
+        });
         recordDisturbance(
           record,
           getServerPart(step.server),
@@ -234,6 +245,43 @@
       case "change-keys":
         fleet.changeKeys();
         return;
+      case "kill-planner": {
+        const planner = fleet.findPlanner();
+        if (planner !== undefined) {
+          recordDisturbance(record, `daemon-${planner}`, DAEMON_RESTART_MS);
+          fleet.daemons[planner].sendSignal("SIGKILL");
+        }
+        return;
+      }
+      case "refuse-planner": {
+        const planner = fleet.findPlanner();
+        if (planner !== undefined) {
+          recordDisturbance(record, `daemon-${planner}`, step.forMs);
+          fleet.storeProxies[planner].setFault("reset");
+          await delay(step.forMs);
+          fleet.storeProxies[planner].setFault("none");
+        }
+        return;
+      }
+      case "repeat-refusals": {
+        const { server } = fleet.servers[step.server];
+        server.refusalsToRepeat += REPEATED_REFUSAL_COUNT;
+        server.retryAfter = REFUSAL_RETRY_AFTER;
+        await delay(REFUSAL_MS);
+        server.retryAfter = undefined;
+        return;
+      }
+      case "spoil-answers": {
+        recordDisturbance(record, getServerPart(step.server), 0);
+        const { server } = fleet.servers[step.server];
+        server.invalidStatus =
+          INVALID_STATUSES[step.atMs % INVALID_STATUSES.length];
+        server.requestsToSpoil += LOST_RESPONSE_COUNT;
+        return;
+      }
+      case "remove-accounts":
+        await fleet.removeAccounts(step.forMs);
+        return;
       case "exclude-zone":
         await fleet.takeZoneOutOfService(EXCLUDED_ZONE, step.forMs);
         return;
@@ -285,6 +333,7 @@
     disturbances: [],
     stops: [],
     keyChanges: [],
+    accountRemovals: [],
     exclusions: [],
     conflictingJoins: 0,
   };
