Do not relay a removal without a revision in every notice

Found in the last reading of the change: a removal after a store outage has no revision, and its sender repeats it in each notice. Since a receiver records also the removals of servers that it does not list, with the revision of the notice, so that it sent all of them to its own receivers again and again.

The notice names the removals without a revision, and a receiver leaves out those that it has recorded already.

Measured: the new case of backend_directory_test fails without the filter and passes with it; the property test and the 39 cases of fleet_sync_test pass.

--- a/src/connection/peer_notice.ts
+++ b/src/connection/peer_notice.ts
@@ -109,6 +109,8 @@
   readonly servers: readonly SerializedBackendServer[];
   /** Ids of the servers that were removed. */
   readonly removed: readonly string[];
+  /** Ids among those of `removed` whose removal has no revision, so that the sender repeats it in each notice; defaults to none. */
+  readonly undated?: readonly string[];
   /** Ids of the servers that were missing after an outage or a restore of the store and may register again; defaults to none. */
   readonly missing?: readonly string[];
 }
--- a/src/process/fleet/backend_directory.ts
+++ b/src/process/fleet/backend_directory.ts
@@ -96,6 +96,7 @@
       changeRevision: this.#changeRevision,
       servers,
       removed: this.#removals.listIds(startRevision),
+      undated: this.#removals.listUndatedIds(),
       missing: [...this.#pendingRemovals.keys()],
     };
   }
@@ -107,7 +108,7 @@
    * @param source - Name of the peer, for the log.
    */
   offerNotice(notice: BackendServerChanges, source = "peer"): void {
-    const { sinceRevision, revision, changeRevision, removed } = notice;
+    const { sinceRevision, revision, changeRevision } = notice;
     if (revision <= this.#revision || sinceRevision > this.#revision) {
       return;
     }
@@ -119,7 +120,7 @@
     const isSnapshot = sinceRevision === 0;
     this.applyChange({
       changed,
-      removed,
+      removed: this.#listNewRemovals(notice),
       revision,
       changeRevision,
       outageMs: 0,
@@ -128,6 +129,15 @@
     notice.missing?.forEach((id) => this.#scheduleRemoval(id));
   }
 
+  /** Lists the removals of a notice without those that only repeat a removal which is known here. */
+  #listNewRemovals({ removed, undated = [] }: BackendServerChanges): string[] {
+    const undatedIds = new Set(undated);
+    return removed.filter((id) =>
+      !undatedIds.has(id) || !this.#removals.hasRemoval(id) ||
+      this.#servers.has(id) || this.#outdatedEntries.has(id)
+    );
+  }
+
   /** Finds a backend server by its id. */
   findServer(id: string): BackendServer | undefined {
     return this.#servers.get(id);
--- a/src/process/fleet/backend_directory_test.ts
+++ b/src/process/fleet/backend_directory_test.ts
@@ -166,6 +166,22 @@
       vi.useRealTimers();
     });
 
+    // Guards against notices that grow with each server that was lost in an outage: each receiver relayed all repeated removals to its own receivers.
+    it("does not relay a removal after an outage again", () => {
+      vi.useFakeTimers();
+      const [hub, member] = [createDirectory(), createDirectory()];
+      change(hub, { revision: 10, changed: ["s1", "s2"] });
+      change(hub, { revision: 20, removed: ["s1"], outageMs: 5_000 });
+      vi.advanceTimersByTime(2_500);
+      member.offerNotice(hub.getNotice());
+      change(hub, { revision: 30, changed: ["s2"] });
+      member.offerNotice(hub.getNotice(member.revision));
+      expect(hub.getNotice(30).removed).toEqual(["s1"]);
+      expect(member.getNotice(25).removed).toEqual([]);
+      expect(member.getNotice(10).removed).toEqual(["s1"]);
+      vi.useRealTimers();
+    });
+
     // Guards against requests to a server that has left during an outage: a receiver that does not read the store learns of it only with the next change of the list.
     it("includes the servers that are missing after an outage, which the receiver keeps as long as the sender", () => {
       vi.useFakeTimers();
--- a/src/process/fleet/removal_log.ts
+++ b/src/process/fleet/removal_log.ts
@@ -48,6 +48,18 @@
     );
   }
 
+  /** Lists the ids of the servers whose removal has no revision. */
+  listUndatedIds(): string[] {
+    return [...this.#removals].flatMap(([id, { revision }]) =>
+      revision === UNKNOWN_REVISION ? [id] : []
+    );
+  }
+
+  /** Gets whether a removal is recorded. */
+  hasRemoval(id: string): boolean {
+    return this.#removals.has(id);
+  }
+
   /** Lists the last entries of the removed servers. */
   listEntries(): BackendServer[] {
     return [...this.#removals.values()].flatMap(({ entry }) =>
