--- a/fakes/fake_backend_server.ts
+++ b/fakes/fake_backend_server.ts
@@ -471,7 +471,7 @@
   ): Promise<void> {
     const { id, runs, domain, zone, fleet } = this.#options;
     const requestId = String(req.headers["request-id"]);
-    this.#repeatRefusal(req.socket);
+    this.#sendPendingRefusal(req.socket);
     await readJson(req).catch(() => undefined);
     if (req.headers["expect-instance"] !== id) {
       res.writeHead(421, {
@@ -559,7 +559,7 @@
     }
   }
 
-  #repeatRefusal(socket: Socket): void {
+  #sendPendingRefusal(socket: Socket): void {
     const refusal = this.#pendingRefusals.get(socket);
     if (refusal !== undefined) {
       this.#pendingRefusals.delete(socket);
--- a/src/process/fleet/server_list_property_test.ts
+++ b/src/process/fleet/server_list_property_test.ts
@@ -29,12 +29,12 @@
     return this.#states[revision];
   }
 
-  register(server: Server): void {
+  addServer(server: Server): void {
     const entry = [server, this.revision + 1] as const;
     this.#states.push(new Map([...this.getRegistrations(), entry]));
   }
 
-  remove(server: Server): void {
+  removeServer(server: Server): void {
     if (this.getRegistrations().has(server)) {
       const entries = [...this.getRegistrations()];
       this.#states.push(new Map(entries.filter(([id]) => id !== server)));
@@ -154,9 +154,9 @@
 ): void {
   switch (step.kind) {
     case "register":
-      return store.register(step.server);
+      return store.addServer(step.server);
     case "remove":
-      return store.remove(step.server);
+      return store.removeServer(step.server);
     case "read":
       return daemons[step.daemon].readList();
     case "request":
--- a/tests/support/memory_network.ts
+++ b/tests/support/memory_network.ts
@@ -38,11 +38,11 @@
   }
 
   close(): void {
-    this.end("own");
-    setTimeout(() => this.peer?.end("peer"), LINK_MS);
+    this.finish("own");
+    setTimeout(() => this.peer?.finish("peer"), LINK_MS);
   }
 
-  end(origin: LinkEndOrigin): void {
+  finish(origin: LinkEndOrigin): void {
     if (!this.#isClosed) {
       this.#isClosed = true;
       this.#closeListeners.forEach((listener) => listener("closed", origin));
