--- a/review/deployment-3.mjs
+++ b/review/deployment-3.mjs
@@ -276,6 +276,11 @@
     }
     await Promise.all(this.daemons.map(({ ended }) => ended));
     rmSync(this.#folder, { recursive: true, force: true });
+    if (process.env.KEEP_LOGS !== undefined) {
+      this.daemons.forEach(({ name, log }) =>
+        writeFileSync(join(process.env.KEEP_LOGS, `${name}.log`), log)
+      );
+    }
   }
 }
 
