review: case 12, clients that are not in step

In one run beside other load the kill fell between the requests of all eight clients, and one lookup was lost. Twelve clients start one after the other now.

--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -16,7 +16,7 @@
 /** Connections that a server accepts. */
 const MAX_CONNECTIONS = 100;
 const LOOKUP_MS = 1_000;
-const LOOKUP_CLIENTS = 8;
+const LOOKUP_CLIENTS = 12;
 const ALLOWED = 3;
 
 /** Starts a plain server that may answer early; it follows PROTOCOL.md. */
@@ -137,13 +137,15 @@
   const isOver = () =>
     !daemon.isRunning || performance.now() - startedAtMs > DURATION_S * 1_000;
   const lookups = [];
-  const runLookups = async () => {
+  const runLookups = async (index) => {
     const agent = trial.createKeptChannel();
+    // The clients are not in step with each other.
+    await sleep(index * LOOKUP_MS / LOOKUP_CLIENTS);
     while (!isOver()) {
       lookups.push(await look(agent));
     }
   };
-  const clients = Array.from({ length: LOOKUP_CLIENTS }, () => runLookups());
+  const clients = Array.from({ length: LOOKUP_CLIENTS }, (_, index) => runLookups(index));
   const bookings = [];
   while (!isOver()) {
     bookings.push(
