--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -1,6 +1,8 @@
 // A server leaves without `draining` while the planner stands still, some seconds
 // after an outage of the store: other daemons go on sending to it.
-import { hasTrouble, runCase, sleep, waitUntil } from "../deployment-3.mjs";
+import { runCase, sleep, waitUntil } from "../deployment-3.mjs";
+
+const hasTrouble = process.env.TROUBLE !== "0";
 
 const DRAIN_MS = 2_000;
 /** Time for which the store is down, in milliseconds. */
--- a/review/deployment-3.mjs
+++ b/review/deployment-3.mjs
@@ -1,4 +1,4 @@
-// Small deployment for the cases 11 to 15: daemons as separate processes with
+// Small deployment for the cases 11, 12, 14 and 15: daemons as separate processes with
 // the command of deploy/system.toml, store and servers from fakes/ in this one.
 import { spawn } from "node:child_process";
 import {
